--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements of the running programs."""
--- /dev/null
+++ b/carobspring/__init__.py
@@ -0,0 +1,1 @@
+"""A router for language-model traffic with service levels and priorities."""
--- /dev/null
+++ b/carobspring/adapters/__init__.py
@@ -0,0 +1,1 @@
+"""Adapters that connect the ports to circuits, grpclib, disks and HTTP."""
--- /dev/null
+++ b/carobspring/adapters/paths.py
@@ -0,0 +1,13 @@
+"""gRPC paths of the services between the system's processes."""
+
+RUN_CALL = "/carob.Agent/Run"
+RESUME_CALL = "/carob.Agent/Resume"
+CANCEL_CALL = "/carob.Agent/Cancel"
+FENCE_CLAIM = "/carob.Agent/Fence"
+
+WATCH_AGENT = "/carob.Control/Agent"
+WATCH_ENTRY = "/carob.Control/Entry"
+CLAIM_CALL = "/carob.Control/Claim"
+REPORT_OUTCOME = "/carob.Control/Outcome"
+
+EXCHANGE_PEER = "/carob.Peer/Exchange"
--- /dev/null
+++ b/carobspring/consensus/__init__.py
@@ -0,0 +1,1 @@
+"""The replicated log."""
--- /dev/null
+++ b/carobspring/domain/__init__.py
@@ -0,0 +1,30 @@
+"""Value types that every other package speaks in.
+
+All are frozen, keyword-only data classes that check themselves when they are
+built. Nothing here does input or output, reads a clock or knows a transport.
+"""
+
+from carobspring.domain.backends import BackendServer, LoadReport, ServiceKind
+from carobspring.domain.calls import CallHeaders, RunStatus, hash_request
+from carobspring.domain.classes import LatencyTarget, ServiceClass
+from carobspring.domain.errors import DomainError, InvalidValueError
+from carobspring.domain.services import Service, UnrepeatableRoute
+from carobspring.domain.settings import Settings
+from carobspring.domain.workspaces import Workspace
+
+__all__ = [
+    "BackendServer",
+    "CallHeaders",
+    "DomainError",
+    "InvalidValueError",
+    "LatencyTarget",
+    "LoadReport",
+    "RunStatus",
+    "Service",
+    "ServiceClass",
+    "ServiceKind",
+    "Settings",
+    "UnrepeatableRoute",
+    "Workspace",
+    "hash_request",
+]
--- /dev/null
+++ b/carobspring/ledger/__init__.py
@@ -0,0 +1,1 @@
+"""Unique calls: claims, outcomes and their expiry."""
--- /dev/null
+++ b/carobspring/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Announcements, leases and views of backend servers."""
--- /dev/null
+++ b/carobspring/programs/__init__.py
@@ -0,0 +1,1 @@
+"""The command-line programs: each composes cores and adapters."""
--- /dev/null
+++ b/carobspring/protocol/__init__.py
@@ -0,0 +1,59 @@
+"""Messages between the system's own processes.
+
+Each is a frozen data class that the gRPC adapter encodes as MessagePack. A
+receiver ignores fields that it does not know and fills in defaults for those
+that are missing, so that neighbouring versions understand each other; for this
+every field added later needs a default.
+"""
+
+from carobspring.protocol.calls import (
+    CallEnd,
+    CallEvent,
+    CancelCall,
+    CancelReply,
+    FenceClaim,
+    FenceReply,
+    ResponseHead,
+    ResumeCall,
+    RunCall,
+)
+from carobspring.protocol.claims import (
+    Claim,
+    ClaimReply,
+    ClaimRequest,
+    ClaimState,
+    OutcomeReply,
+    OutcomeReport,
+    StoredAnswer,
+)
+from carobspring.protocol.control import (
+    AgentOrder,
+    AgentReport,
+    EntryReport,
+    Strike,
+    ViewUpdate,
+)
+
+__all__ = [
+    "AgentOrder",
+    "AgentReport",
+    "CallEnd",
+    "CallEvent",
+    "CancelCall",
+    "CancelReply",
+    "Claim",
+    "ClaimReply",
+    "ClaimRequest",
+    "ClaimState",
+    "EntryReport",
+    "FenceClaim",
+    "FenceReply",
+    "OutcomeReply",
+    "OutcomeReport",
+    "ResponseHead",
+    "ResumeCall",
+    "RunCall",
+    "StoredAnswer",
+    "Strike",
+    "ViewUpdate",
+]
--- /dev/null
+++ b/carobspring/protocol/control.py
@@ -0,0 +1,73 @@
+"""Messages on the long-lived streams to control replicas.
+
+An agent sends AgentReport and receives AgentOrder; an entry sends EntryReport
+and receives ViewUpdate. On both, a message without content is a heartbeat.
+"""
+
+from dataclasses import dataclass
+
+from carobspring.domain import BackendServer, LoadReport, Settings
+
+
+@dataclass(frozen=True, kw_only=True)
+class Strike:
+    """A request that was running when a backend server crashed."""
+
+    workspace: str
+    request_hash: str
+    server_id: str
+    boot: int
+    #: Wall-clock time in milliseconds.
+    at_ms: int
+    #: True when it was the only call running: no other can be the cause.
+    alone: bool = False
+
+
+@dataclass(frozen=True, kw_only=True)
+class AgentReport:
+    """Announces a backend server, renews its lease and reports its load."""
+
+    server: BackendServer | None = None
+    load: LoadReport | None = None
+    #: True in the last report of a planned stop.
+    leaving: bool = False
+    strikes: tuple[Strike, ...] = ()
+    #: Revision of the settings in force at the agent.
+    revision: int = 0
+
+
+@dataclass(frozen=True, kw_only=True)
+class AgentOrder:
+    """Carries settings to an agent; sent at every heartbeat interval."""
+
+    settings: Settings | None = None
+    #: Set when the announced boot number is taken: use at least this one.
+    minimum_boot: int = 0
+    strikes: tuple[Strike, ...] = ()
+
+
+@dataclass(frozen=True, kw_only=True)
+class EntryReport:
+    """Names an entry and the revision of the settings in force there."""
+
+    entry_id: str
+    zone: str
+    revision: int = 0
+
+
+@dataclass(frozen=True, kw_only=True)
+class ViewUpdate:
+    """A change of what an entry routes by.
+
+    The first update on a stream is whole and read through the quorum:
+    ``complete`` is set and servers that it doesn't name are gone. Later ones
+    name only what changed.
+    """
+
+    view: int = 0
+    complete: bool = False
+    settings: Settings | None = None
+    servers: tuple[BackendServer, ...] = ()
+    loads: dict[str, LoadReport] | None = None
+    removed: tuple[str, ...] = ()
+    strikes: tuple[Strike, ...] = ()
--- /dev/null
+++ b/carobspring/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Choice of a backend server, retries and limits at an entry."""
--- /dev/null
+++ b/carobspring/scheduling/__init__.py
@@ -0,0 +1,1 @@
+"""Queues, order and limits at an agent."""
--- /dev/null
+++ b/carobspring/settings/__init__.py
@@ -0,0 +1,1 @@
+"""The operator's settings: changes, revisions and the audit trail."""
