--- a/carobspring/ports/__init__.py
+++ b/carobspring/ports/__init__.py
@@ -4,7 +4,36 @@
 """
 
 from carobspring.ports.clock import Clock
+from carobspring.ports.http import (
+    HttpHandler,
+    HttpLimits,
+    HttpRequest,
+    HttpResponder,
+    HttpServer,
+)
 from carobspring.ports.random import RandomSource
+from carobspring.ports.replication import (
+    NotLeaderError,
+    QuorumLostError,
+    ReplicatedLog,
+    ReplicationError,
+    StateMachine,
+)
 from carobspring.ports.storage import Storage, StorageError
 
-__all__ = ["Clock", "RandomSource", "Storage", "StorageError"]
+__all__ = [
+    "Clock",
+    "HttpHandler",
+    "HttpLimits",
+    "HttpRequest",
+    "HttpResponder",
+    "HttpServer",
+    "NotLeaderError",
+    "QuorumLostError",
+    "RandomSource",
+    "ReplicatedLog",
+    "ReplicationError",
+    "StateMachine",
+    "Storage",
+    "StorageError",
+]
