--- a/carobspring/ports/http.py
+++ b/carobspring/ports/http.py
@@ -22,7 +22,7 @@
     peer: str = ""
 
     def find_header(self, name: str) -> str | None:
-        """Return the first value of a header, whatever the case of its name."""
+        """Return a header's first value, whatever the case of its name."""
         wanted = name.lower()
         for header, value in self.headers:
             if header.lower() == wanted:
--- a/carobspring/programs/options.py
+++ b/carobspring/programs/options.py
@@ -9,13 +9,16 @@
 import dataclasses
 import os
 from collections.abc import Mapping
-from typing import TypeVar, get_type_hints
+from typing import TYPE_CHECKING, TypeVar, get_type_hints
 
 import msgspec
 
+if TYPE_CHECKING:
+    from _typeshed import DataclassInstance
+
 PREFIX = "CAROB_"
 
-Options = TypeVar("Options")
+Options = TypeVar("Options", bound="DataclassInstance")
 
 
 class OptionError(Exception):
@@ -23,7 +26,7 @@
 
     Args:
         name: The flag's name.
-        source: Where the value came from, such as ``--port`` or ``CAROB_PORT``.
+        source: Where the value came from: ``--port`` or ``CAROB_PORT``.
         reason: What is wrong, with the allowed range.
     """
 
@@ -45,41 +48,36 @@
         OptionError: A flag is not known, a value is missing or out of range.
     """
     environ = os.environ if environ is None else environ
-    fields = {field.name: field for field in dataclasses.fields(options_type)}  # type: ignore[arg-type]
-    for flag in flags:
-        if flag not in fields:
-            known = ", ".join(f"--{name}" for name in fields)
-            reason = f"no such flag; there are {known}"
-            raise OptionError(name=flag, source=f"--{flag}", reason=reason)
-    hints = {field.name: field for field in msgspec.inspect.type_info(options_type).fields}  # type: ignore[attr-defined]
+    fields = {field.name: field for field in dataclasses.fields(options_type)}
+    _check_flags(flags, fields)
+    hints = get_type_hints(options_type, include_extras=True)
     values: dict[str, object] = {}
-    for name in fields:
+    for name, field in fields.items():
         variable = PREFIX + name.upper()
         if name in flags:
-            source, value = f"--{name}", flags[name]
+            values[name] = _convert(f"--{name}", name, flags[name], hints[name])
         elif variable in environ:
-            source, value = variable, environ[variable]
-        elif hints[name].required:
+            values[name] = _convert(variable, name, environ[variable], hints[name])
+        elif field.default is dataclasses.MISSING:
             reason = f"is needed (or the variable {variable})"
             raise OptionError(name=name, source=f"--{name}", reason=reason)
-        else:
-            continue
-        values[name] = _convert_value(options_type, name, source, value)
     return options_type(**values)
 
 
-def _convert_value(options_type: type, name: str, source: str, value: object) -> object:
+def _check_flags(flags: Mapping[str, object], known: Mapping[str, object]) -> None:
+    for flag in flags:
+        if flag not in known:
+            names = ", ".join(f"--{name}" for name in known)
+            reason = f"no such flag; there are {names}"
+            raise OptionError(name=flag, source=f"--{flag}", reason=reason)
+
+
+def _convert(source: str, name: str, value: object, hint: object) -> object:
     if isinstance(value, tuple | list):
         value = ",".join(str(item) for item in value)
-    if isinstance(value, bool):
-        value = "true" if value else "false"
-    hint = _read_hint(options_type, name)
+    text = str(value).lower() if isinstance(value, bool) else str(value)
     try:
-        return msgspec.convert(str(value), hint, strict=False)
+        return msgspec.convert(text, hint, strict=False)  # type: ignore[call-overload]
     except msgspec.ValidationError as error:
         reason = f"got {value!r}: {error}"
         raise OptionError(name=name, source=source, reason=reason) from error
-
-
-def _read_hint(options_type: type, name: str) -> object:
-    return get_type_hints(options_type, include_extras=True)[name]
