--- a/carobspring/consensus/__init__.py
+++ b/carobspring/consensus/__init__.py
@@ -1,1 +1,71 @@
-"""The replicated log."""
+"""The replicated log: Raft without input or output of its own."""
+
+from carobspring.consensus.codec import decode_message, encode_message
+from carobspring.consensus.entries import (
+    Configuration,
+    Entry,
+    EntryKind,
+    HardState,
+    Member,
+    Snapshot,
+)
+from carobspring.consensus.errors import (
+    ChangeRefusedError,
+    ConsensusError,
+    DamagedRecordError,
+    JournalFailedError,
+)
+from carobspring.consensus.events import (
+    Accepted,
+    Actions,
+    CommandProposed,
+    LearnerAdded,
+    LearnerPromoted,
+    LogSynced,
+    MemberRemoved,
+    MessageReceived,
+    ReadAsked,
+    ReadConfirmed,
+    Refused,
+    SnapshotTaken,
+    TimePassed,
+    TransferAsked,
+)
+from carobspring.consensus.journal import Journal
+from carobspring.consensus.messages import Message
+from carobspring.consensus.node import Node
+from carobspring.consensus.state import RoleName, Timing
+
+__all__ = [
+    "Accepted",
+    "Actions",
+    "ChangeRefusedError",
+    "CommandProposed",
+    "Configuration",
+    "ConsensusError",
+    "DamagedRecordError",
+    "Entry",
+    "EntryKind",
+    "HardState",
+    "Journal",
+    "JournalFailedError",
+    "LearnerAdded",
+    "LearnerPromoted",
+    "LogSynced",
+    "Member",
+    "MemberRemoved",
+    "Message",
+    "MessageReceived",
+    "Node",
+    "ReadAsked",
+    "ReadConfirmed",
+    "Refused",
+    "RoleName",
+    "Snapshot",
+    "SnapshotTaken",
+    "TimePassed",
+    "Timing",
+    "TransferAsked",
+    "decode_message",
+    "encode_message",
+]
--- /dev/null
+++ b/carobspring/consensus/leader.py
@@ -0,0 +1,187 @@
+"""The leader: orders commands, replicates them, confirms reads."""
+
+from collections.abc import Mapping
+
+from carobspring.consensus.entries import Entry, EntryKind
+from carobspring.consensus.errors import ChangeRefusedError
+from carobspring.consensus.events import Accepted, ChangeAsked, Refused
+from carobspring.consensus.lease import Lease
+from carobspring.consensus.log import encode_configuration
+from carobspring.consensus.messages import (
+    AppendReply,
+    Hello,
+    Message,
+    ReadRequest,
+    SnapshotReply,
+    TransferRequest,
+)
+from carobspring.consensus.reads import Reads
+from carobspring.consensus.reconfiguration import change_configuration, choose_repair
+from carobspring.consensus.replication import Progress
+from carobspring.consensus.state import RoleName, State
+
+
+class Leader:
+    """Leads for as long as a quorum answers."""
+
+    name = RoleName.LEADER
+
+    def __init__(self, *, state: State, now: float) -> None:
+        self._state = state
+        self._lease = Lease(state=state, now=now)
+        self._reads = Reads(state=state, lease=self._lease)
+        self._progress: dict[str, Progress] = {}
+        self._heartbeat_due = now
+        self._transfer_to = ""
+        self._transfer_until = now
+        state.leader = state.identity
+        self._follow_configuration()
+        self._append(EntryKind.START_OF_REIGN, b"")
+
+    def pass_time(self, now: float) -> RoleName | None:
+        """Step down when the lease is lost; end a transfer that failed."""
+        if self._lease.is_lost(now) or not self._state.can_stand():
+            self._state.leader = ""
+            return RoleName.FOLLOWER
+        if self._transfer_to and now >= self._transfer_until:
+            self._transfer_to = ""
+        return None
+
+    def holds_lease(self, now: float) -> bool:
+        """Say whether no other replica can lead at present."""
+        return self._lease.is_held(now)
+
+    def handle(self, message: Message, now: float) -> RoleName | None:
+        """Take the answers of followers."""
+        progress = self._progress.get(message.sender)
+        if isinstance(message, ReadRequest):
+            self._reads.add(token=message.token, reader=message.sender)
+        elif isinstance(message, AppendReply | SnapshotReply) and progress:
+            self._lease.note_answer(message.sender, message.round, now)
+            if isinstance(message, AppendReply):
+                progress.take_reply(message)
+            else:
+                progress.take_snapshot_reply(message)
+            self._advance_commit()
+            self._go_on_with_transfer()
+        return None
+
+    def propose(self, *, token: int, command: bytes) -> None:
+        """Append a command."""
+        if self._transfer_to:
+            self._state.outcomes.append(Refused(token=token, leader=""))
+            return
+        self._append(EntryKind.COMMAND, command, token=token)
+
+    def ask_read(self, token: int) -> None:
+        """Take up a read of this replica's own."""
+        self._reads.add(token=token, reader=self._state.identity)
+
+    def change(self, change: ChangeAsked, now: float) -> None:
+        """Append a change of the members, or refuse it."""
+        state = self._state
+        lag = self._measure_lags(now).get(change.identity)
+        try:
+            configuration = change_configuration(state=state, change=change, lag=lag)
+        except ChangeRefusedError as error:
+            refused = Refused(
+                token=change.token, leader=state.identity, reason=error.reason
+            )
+            state.outcomes.append(refused)
+            return
+        data = encode_configuration(configuration)
+        self._append(EntryKind.CONFIGURATION, data, token=change.token)
+        self._follow_configuration()
+
+    def repair(self, hellos: Mapping[str, Hello], now: float) -> None:
+        """Start the next step of replacing a lost replica, if one is due."""
+        state = self._state
+        busy = state.log.configuration_index > state.commit
+        if busy or state.log.find_term(state.commit) != state.term:
+            return
+        lags = self._measure_lags(now)
+        change = choose_repair(state=state, hellos=hellos, lags=lags)
+        if change is not None:
+            self.change(change, now)
+
+    def transfer(self, target: str, now: float) -> None:
+        """Hand over to a voter, or to the most advanced one heard lately."""
+        lags = self._measure_lags(now)
+        voters = self._state.log.configuration.find_voters()
+        heard = [voter for voter in voters if voter in lags]
+        if not target and heard:
+            target = min(heard, key=lambda voter: lags[voter])
+        if target in heard:
+            self._transfer_to = target
+            self._transfer_until = now + self._state.timing.election_s
+            self._go_on_with_transfer()
+
+    def note_synced(self) -> None:
+        """Count the leader's own disk."""
+        self._advance_commit()
+
+    def send(self, now: float) -> None:
+        """Send entries that followers lack, and heartbeats when due."""
+        heartbeat = now >= self._heartbeat_due or self._reads.needs_round()
+        if heartbeat:
+            number = self._lease.start_round(now)
+            self._reads.start_round(number)
+            self._heartbeat_due = now + self._state.timing.heartbeat_s
+        for progress in self._progress.values():
+            progress.send(current_round=self._lease.round, heartbeat=heartbeat)
+        self._reads.answer()
+
+    def _append(self, kind: EntryKind, data: bytes, *, token: int = 0) -> None:
+        state = self._state
+        index = state.log.last_index + 1
+        state.log.append(Entry(index=index, term=state.term, kind=kind, data=data))
+        if token:
+            accepted = Accepted(token=token, index=index, term=state.term)
+            state.outcomes.append(accepted)
+
+    def _advance_commit(self) -> None:
+        state = self._state
+        matched = []
+        for voter in state.log.configuration.find_voters():
+            if voter == state.identity:
+                matched.append(state.log.synced_index)
+            else:
+                matched.append(self._progress[voter].match_index)
+        matched.sort()
+        index = matched[(len(matched) - 1) // 2] if matched else 0
+        # Only an entry of the own term shows that no other leader's entry can
+        # take the place of the ones before it.
+        if index > state.commit and state.log.find_term(index) == state.term:
+            state.commit = index
+
+    def _follow_configuration(self) -> None:
+        state = self._state
+        members = state.log.configuration.members
+        identities = {member.identity for member in members} - {state.identity}
+        for identity in identities - set(self._progress):
+            self._progress[identity] = Progress(state=state, identity=identity)
+        for identity in set(self._progress) - identities:
+            del self._progress[identity]
+
+    def _measure_lags(self, now: float) -> dict[str, int]:
+        last = self._state.log.last_index
+        return {
+            identity: last - progress.match_index
+            for identity, progress in self._progress.items()
+            if self._lease.heard_lately(identity, now)
+        }
+
+    def _go_on_with_transfer(self) -> None:
+        state = self._state
+        progress = self._progress.get(self._transfer_to)
+        if progress is None or progress.match_index < state.log.last_index:
+            return
+        self._lease.give_up()
+        state.send(
+            TransferRequest(
+                sender=state.identity,
+                receiver=self._transfer_to,
+                cluster=state.cluster,
+                term=state.term,
+            )
+        )
--- /dev/null
+++ b/carobspring/consensus/reconfiguration.py
@@ -0,0 +1,97 @@
+"""Changes of the members: one at a time, learners first."""
+
+from collections.abc import Mapping
+
+from carobspring.consensus.entries import Configuration, Member
+from carobspring.consensus.errors import ChangeRefusedError
+from carobspring.consensus.events import (
+    ChangeAsked,
+    LearnerAdded,
+    LearnerPromoted,
+    MemberRemoved,
+)
+from carobspring.consensus.messages import Hello
+from carobspring.consensus.state import State
+
+#: A learner this close behind the leader's log counts as caught up.
+MAX_LAG = 64
+
+
+def change_configuration(
+    *, state: State, change: ChangeAsked, lag: int | None
+) -> Configuration:
+    """Return the configuration after a change that may start now.
+
+    Args:
+        state: The leader's state.
+        change: What was asked.
+        lag: Entries that the learner to promote lacks; none when it has not
+            answered lately.
+
+    Raises:
+        ChangeRefusedError: A condition does not hold.
+    """
+    log = state.log
+    if log.find_term(state.commit) != state.term:
+        raise ChangeRefusedError(reason="the reign has committed nothing yet")
+    if log.configuration_index > state.commit:
+        raise ChangeRefusedError(reason="the change before is not committed yet")
+    members = log.configuration
+    if isinstance(change, LearnerAdded):
+        if members.find_member(change.identity):
+            raise ChangeRefusedError(reason=f"{change.identity} is a member")
+        return members.with_member(
+            Member(identity=change.identity, name=change.name, voter=False)
+        )
+    member = members.find_member(change.identity)
+    if member is None:
+        raise ChangeRefusedError(reason=f"{change.identity} is no member")
+    if isinstance(change, LearnerPromoted):
+        if lag is None or lag > MAX_LAG:
+            raise ChangeRefusedError(reason=f"{member.name} has not caught up")
+        return members.with_member(
+            Member(identity=member.identity, name=member.name, voter=True)
+        )
+    if change.identity == state.identity:
+        raise ChangeRefusedError(reason="the leader must hand over first")
+    return members.without_member(change.identity)
+
+
+def choose_repair(
+    *, state: State, hellos: Mapping[str, Hello], lags: Mapping[str, int]
+) -> ChangeAsked | None:
+    """Return the next step of replacing a replica that lost its disk.
+
+    Such a replica says hello under the name of a member, with an identity
+    that is not listed. It becomes a learner; once it has caught up, the old
+    identity, which can't come back, leaves, and the learner gets the vote.
+
+    Args:
+        state: The leader's state.
+        hellos: The last hello of each name.
+        lags: Entries that a member lacks, of those that answered lately.
+    """
+    configuration = state.log.configuration
+    for member in configuration.members:
+        if member.identity == state.identity:
+            continue
+        hello = hellos.get(member.name)
+        if hello is None:
+            continue
+        caught_up = lags.get(hello.sender, MAX_LAG + 1) <= MAX_LAG
+        if hello.sender == member.identity:
+            if not member.voter and caught_up and not _has_namesake(state, member):
+                return LearnerPromoted(token=0, identity=member.identity)
+        elif member.identity in lags:
+            continue
+        elif configuration.find_member(hello.sender) is None:
+            if not hello.cluster:
+                return LearnerAdded(token=0, identity=hello.sender, name=hello.name)
+        elif caught_up:
+            return MemberRemoved(token=0, identity=member.identity)
+    return None
+
+
+def _has_namesake(state: State, member: Member) -> bool:
+    members = state.log.configuration.members
+    return sum(other.name == member.name for other in members) > 1
