Serve HTTP by circuits.web on the asyncio loop, with bounds

Cause: circuits.web buffers bodies without limit, takes duplicate lengths, decodes escapes in header values and lets a pipelined request meet the answer of the one before it. Before: HEAD with Connection: close stayed open, seen with a raw socket.

--- /dev/null
+++ b/carobspring/adapters/eventloop.py
@@ -0,0 +1,65 @@
+"""Circuits' components on the asyncio loop, one loop on one thread.
+
+Circuits polls with an epoll descriptor of its own. That descriptor can be
+polled itself: asyncio watches it and ticks the root of the components when it
+is readable, and whenever an event was fired.
+"""
+
+import asyncio
+from threading import current_thread
+from typing import Any
+
+from circuits import BaseComponent
+from circuits.core.events import started
+from circuits.core.pollers import EPoll
+
+
+class EventLoopRoot(BaseComponent):
+    """The root of circuits' components, ticked by the asyncio loop.
+
+    Example:
+        ``root = EventLoopRoot(loop=asyncio.get_running_loop())`` and then
+        ``component.register(root)``; ``root.close()`` at the end.
+    """
+
+    channel = "eventloop"
+
+    def __init__(self, *, loop: asyncio.AbstractEventLoop) -> None:
+        super().__init__()
+        self._loop = loop
+        self._ticking = False
+        self._tick_scheduled = False
+        self._poller = EPoll().register(self)
+        self._running = True
+        self._executing_thread = current_thread()
+        self._descriptor = self._poller._poller.fileno()
+        loop.add_reader(self._descriptor, self._run_tick)
+        self.fire(started(self))
+
+    def close(self) -> None:
+        """Stop watching; components must have closed their sockets before."""
+        self._loop.remove_reader(self._descriptor)
+        self._running = False
+        self._poller._poller.close()
+
+    def _fire(self, event: Any, channel: Any, priority: int = 0) -> None:
+        super()._fire(event, channel, priority)
+        if not self._ticking:
+            self._schedule_tick()
+
+    def _schedule_tick(self) -> None:
+        if not self._tick_scheduled:
+            self._tick_scheduled = True
+            self._loop.call_soon(self._run_tick)
+
+    def _run_tick(self) -> None:
+        self._tick_scheduled = False
+        if not self._running:
+            return
+        self._ticking = True
+        try:
+            self.tick(0)
+        finally:
+            self._ticking = False
+        if len(self._queue) or self._tasks:
+            self._schedule_tick()
--- /dev/null
+++ b/carobspring/adapters/http_server.py
@@ -0,0 +1,216 @@
+"""An HTTP server on circuits.web, with bounds on what a caller may send."""
+
+import asyncio
+import logging
+import time
+from typing import Any
+
+from circuits import BaseComponent, handler
+from circuits.net.events import close, write
+from circuits.net.sockets import TCPServer
+from circuits.web.http import HTTP
+
+from carobspring.adapters.eventloop import EventLoopRoot
+from carobspring.adapters.http_connection import HttpConnection
+from carobspring.ports import HttpHandler, HttpLimits, HttpServer
+
+CHANNEL = "web"
+READ_SIZE_BYTES = 64 * 1024
+SWEEP_INTERVAL_S = 1.0
+DRAIN_POLL_S = 0.02
+#: Idle connections are kept this long in a drain, for requests on their way.
+DRAIN_IDLE_S = 0.5
+
+logger = logging.getLogger(__name__)
+
+
+class BoundedTcpServer(TCPServer):
+    """Circuits' server, which also tells how much of an answer was sent."""
+
+    channel = CHANNEL
+    _sock: Any
+
+    def __init__(self, bind: tuple[str, int], *, sent: Any) -> None:
+        super().__init__(bind, channel=CHANNEL, bufsize=READ_SIZE_BYTES)
+        self._report_sent = sent
+
+    @handler("write", override=True)
+    def write(self, sock: Any, data: bytes) -> None:
+        """Queue bytes, unless the connection was closed meanwhile."""
+        if sock in self._clients:
+            super().write(sock, data)
+
+    def stop_listening(self) -> None:
+        """Refuse new connections and keep the open ones."""
+        if self._sock is not None:
+            self._poller.discard(self._sock)
+            self._sock.close()
+            self._sock = None
+
+    def forget_closed(self) -> None:
+        """Drop the empty buffers that closed connections left behind."""
+        open_sockets = set(self._clients)
+        for sock in [key for key in self._buffers if key not in open_sockets]:
+            del self._buffers[sock]
+
+    def _write(self, sock: Any, data: bytes) -> None:
+        before = len(self._buffers[sock])
+        super()._write(sock, data)
+        left = self._buffers.get(sock)
+        unsent = len(left[0]) if left and len(left) > before else 0
+        self._report_sent(sock, len(data) - unsent)
+
+
+class BoundedHttp(HTTP):
+    """Circuits' HTTP protocol, fed with checked requests only."""
+
+    def __init__(self, server: Any, *, handle: HttpHandler, limits: HttpLimits) -> None:
+        super().__init__(server)
+        self._handle = handle
+        self._limits = limits
+        self.connections: dict[Any, HttpConnection] = {}
+        self.draining = False
+
+    @handler("connect")
+    def _on_connect(self, sock: Any, *peer: Any) -> None:
+        if len(self.connections) >= self._limits.max_connections:
+            self.fire(close(sock))
+            return
+        self.connections[sock] = HttpConnection(
+            sock=sock,
+            peer=str(peer[0]) if peer else "",
+            protocol=self,
+            handle=self._handle,
+            limits=self._limits,
+        )
+
+    @handler("disconnect", override=True)
+    def _on_disconnect(self, sock: Any) -> None:
+        connection = self.connections.pop(sock, None)
+        if connection is not None:
+            connection.note_closed()
+
+    @handler("response", override=True)
+    def _on_response(self, res: Any) -> None:
+        super()._on_response(res)
+        # Circuits ends its handling of HEAD before it closes.
+        if res.request.method == "HEAD" and res.close:
+            self.fire(close(res.request.sock))
+
+    @handler("read", override=True)
+    def _on_read(self, sock: Any, data: bytes) -> None:
+        connection = self.connections.get(sock)
+        if connection is not None:
+            connection.receive(data)
+
+    @handler("exception", channel="*")
+    def _on_any_exception(self, *args: Any, **details: Any) -> None:
+        logger.error("a circuits handler failed: %r", args[1:2])
+
+    def note_sent(self, sock: Any, size: int) -> None:
+        """Count bytes that reached the operating system."""
+        connection = self.connections.get(sock)
+        if connection is not None:
+            connection.note_sent(size)
+
+    def send_raw(self, sock: Any, data: bytes) -> None:
+        """Queue bytes that are no response, such as "100 Continue"."""
+        self.fire(write(sock, data))
+
+    def sweep(self, now: float) -> None:
+        """End requests and idle connections that took too long."""
+        for connection in list(self.connections.values()):
+            connection.check_timeouts(now)
+
+
+class _WebServer(BaseComponent):
+    """What circuits.web asks of the server above its protocol."""
+
+    channel = CHANNEL
+    secure = False
+    display_banner = False
+
+    def __init__(
+        self, *, bind: tuple[str, int], handle: HttpHandler, limits: HttpLimits
+    ) -> None:
+        super().__init__()
+        self.http = BoundedHttp(self, handle=handle, limits=limits).register(self)
+        self.server = BoundedTcpServer(bind, sent=self.http.note_sent).register(self)
+
+    @property
+    def host(self) -> str:
+        return self.server.host or ""
+
+    @property
+    def port(self) -> int:
+        return self.server.port or 0
+
+
+class CircuitsHttpServer(HttpServer):
+    """The HTTP server port on circuits.web.
+
+    Example:
+        ``server = CircuitsHttpServer(host="127.0.0.1", port=0,
+        handler=answer)``, then ``await server.start()`` in a running loop.
+    """
+
+    def __init__(
+        self,
+        *,
+        host: str,
+        port: int,
+        handler: HttpHandler,
+        limits: HttpLimits | None = None,
+    ) -> None:
+        self.host = host
+        self.port = port
+        self._handle = handler
+        self._limits = limits or HttpLimits()
+        self._root: EventLoopRoot | None = None
+        self._web: _WebServer | None = None
+        self._sweeper: asyncio.Task[None] | None = None
+
+    async def start(self) -> None:
+        """Listen."""
+        loop = asyncio.get_running_loop()
+        self._root = EventLoopRoot(loop=loop)
+        bind = (self.host, self.port)
+        self._web = _WebServer(bind=bind, handle=self._handle, limits=self._limits)
+        self.port = self._web.port
+        self._web.register(self._root)
+        self._sweeper = loop.create_task(self._sweep_forever())
+
+    async def drain(self, timeout_s: float) -> bool:
+        """Take no new requests; return whether the open ones ended in time."""
+        if self._web is None:
+            return True
+        self._web.http.draining = True
+        self._web.server.stop_listening()
+        deadline = time.monotonic() + timeout_s
+        while self._web.http.connections:
+            now = time.monotonic()
+            if now > deadline:
+                return False
+            for connection in list(self._web.http.connections.values()):
+                connection.close_when_idle(now, DRAIN_IDLE_S)
+            await asyncio.sleep(DRAIN_POLL_S)
+        return True
+
+    async def close(self) -> None:
+        """Close every connection."""
+        if self._web is None or self._root is None:
+            return
+        if self._sweeper is not None:
+            self._sweeper.cancel()
+        self._web.server.stop_listening()
+        for connection in list(self._web.http.connections.values()):
+            connection.close_now()
+        await asyncio.sleep(DRAIN_POLL_S)
+        self._root.close()
+        self._web = None
+
+    async def _sweep_forever(self) -> None:
+        while self._web is not None:
+            await asyncio.sleep(SWEEP_INTERVAL_S)
+            self._web.http.sweep(time.monotonic())
+            self._web.server.forget_closed()
--- /dev/null
+++ b/carobspring/adapters/metrics.py
@@ -0,0 +1,54 @@
+"""Counters, gauges and histograms by aioprometheus."""
+
+from collections.abc import Sequence
+
+from aioprometheus import Counter, Gauge, Histogram, Registry, render
+
+CONTENT_TYPE = "text/plain; version=0.0.4; charset=utf-8"
+LATENCY_BUCKETS_S = (0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10, 30, 60)
+
+
+class Metrics:
+    """The metrics of one program; each has a registry of its own.
+
+    Names follow Prometheus' conventions: a unit suffix, ``_total`` for
+    counters. Label values come from bounded sets: classes, zones, reasons,
+    never identifiers of calls.
+
+    Example:
+        ``refused = metrics.add_counter("carob_refused_total", "Calls shed.")``
+        and then ``refused.inc({"reason": "queue_full"})``.
+    """
+
+    def __init__(self, *, labels: dict[str, str] | None = None) -> None:
+        self._registry = Registry()
+        self._labels = labels or {}
+
+    def add_counter(self, name: str, doc: str) -> Counter:
+        """Return a new counter."""
+        return Counter(
+            name, doc, const_labels=dict(self._labels), registry=self._registry
+        )
+
+    def add_gauge(self, name: str, doc: str) -> Gauge:
+        """Return a new gauge."""
+        return Gauge(
+            name, doc, const_labels=dict(self._labels), registry=self._registry
+        )
+
+    def add_histogram(
+        self, name: str, doc: str, buckets: Sequence[float] = LATENCY_BUCKETS_S
+    ) -> Histogram:
+        """Return a new histogram; buckets are upper bounds in seconds."""
+        return Histogram(
+            name,
+            doc,
+            const_labels=dict(self._labels),
+            registry=self._registry,
+            buckets=list(buckets),
+        )
+
+    def render_text(self) -> bytes:
+        """Return all metrics in Prometheus' text form."""
+        content, _ = render(self._registry, ["text/plain"])
+        return bytes(content)
--- /dev/null
+++ b/tests/adapters/test_http_server.py
@@ -0,0 +1,169 @@
+import asyncio
+import unittest
+
+from carobspring.adapters.http_server import CircuitsHttpServer
+from carobspring.ports import HttpLimits, HttpRequest, HttpResponder
+
+TEXT = (("Content-Type", "text/plain"),)
+LIMITS = HttpLimits(max_header_bytes=1024, max_body_bytes=64)
+
+
+async def answer(request: HttpRequest, responder: HttpResponder) -> None:
+    """Echo the request; /stream answers in pieces, /fail raises."""
+    if request.path == "/fail":
+        raise ValueError("on purpose")
+    if request.path == "/stream":
+        await responder.start(200, TEXT)
+        for piece in (b"one", b"two"):
+            await responder.write(piece)
+        await responder.finish()
+        return
+    if request.path == "/cut":
+        await responder.start(200, TEXT)
+        await responder.write(b"one")
+        await asyncio.sleep(0.05)
+        responder.abort()
+        return
+    echo = f"{request.method} {request.path}?{request.query} "
+    await responder.send(200, TEXT, echo.encode() + request.body)
+
+
+class CircuitsHttpServerTests(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.server = CircuitsHttpServer(
+            host="127.0.0.1", port=0, handler=answer, limits=LIMITS
+        )
+        await self.server.start()
+        self.addAsyncCleanup(self.server.close)
+
+    async def exchange(self, *pieces):
+        """Send raw pieces and return all that comes until the close."""
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.server.port)
+        for piece in pieces:
+            writer.write(piece)
+            await writer.drain()
+            await asyncio.sleep(0.01)
+        received = await reader.read()
+        writer.close()
+        return received
+
+    async def test_answers(self):
+        """Whole, chunked, pipelined and HEAD answers are framed rightly."""
+        cases = {
+            "whole": (
+                (b"GET /a?b=c HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n",),
+                b"Content-Length: 11\r\nConnection: close\r\n\r\nGET /a?b=c ",
+            ),
+            "chunked answer": (
+                (b"GET /stream HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n",),
+                b"\r\n\r\n3\r\none\r\n3\r\ntwo\r\n0\r\n\r\n",
+            ),
+            "chunked body": (
+                (
+                    b"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n3\r\n",
+                    b"abc\r\n0\r\n\r\n",
+                ),
+                b"POST /? abc",
+            ),
+            "body in pieces": (
+                (
+                    b"POST / HTTP/1.1\r\nContent-Length: 4\r\n",
+                    b"Connection: close\r\n\r\nab",
+                    b"cd",
+                ),
+                b"POST /? abcd",
+            ),
+            "two requests at once": (
+                (
+                    b"GET /1 HTTP/1.1\r\nHost: x\r\n\r\n"
+                    b"GET /2 HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n",
+                ),
+                b"GET /2? ",
+            ),
+            "HEAD": (
+                (b"HEAD / HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n",),
+                b"Content-Length: 8\r\nConnection: close\r\n\r\n",
+            ),
+        }
+        for name, (pieces, ending) in cases.items():
+            with self.subTest(name):
+                received = await self.exchange(*pieces)
+                self.assertEqual(
+                    received[: len(b"HTTP/1.1 200 OK")], b"HTTP/1.1 200 OK"
+                )
+                self.assertEqual(received[-len(ending) :], ending)
+
+    async def test_refusals(self):
+        """Malformed and oversized requests get a typed error and a close."""
+        chunked = b"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n"
+        cases = {
+            "junk": (b"junk\r\n\r\n", 400, b"bad_request"),
+            "two lengths": (
+                b"POST / HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n",
+                400,
+                b"bad_content_length",
+            ),
+            "negative length": (
+                b"POST / HTTP/1.1\r\nContent-Length: -1\r\n\r\n",
+                400,
+                b"bad_content_length",
+            ),
+            "huge length": (
+                b"POST / HTTP/1.1\r\nContent-Length: " + b"9" * 40 + b"\r\n\r\n",
+                400,
+                b"bad_content_length",
+            ),
+            "length and chunks": (
+                chunked + b"Content-Length: 1\r\n\r\n",
+                400,
+                b"conflicting_length",
+            ),
+            "other coding": (
+                b"POST / HTTP/1.1\r\nTransfer-Encoding: gzip\r\n\r\n",
+                501,
+                b"transfer_encoding",
+            ),
+            "bad chunk": (chunked + b"\r\nzz\r\n", 400, b"bad_chunk"),
+            "large body": (
+                b"POST / HTTP/1.1\r\nContent-Length: 65\r\n\r\n",
+                413,
+                b"body_too_large",
+            ),
+            "large chunks": (chunked + b"\r\n50\r\n" + b"a" * 80, 413, b"too_large"),
+            "large head": (b"GET / HTTP/1.1\r\nX: " + b"a" * 2000, 431, b"header"),
+            "header without colon": (
+                b"GET / HTTP/1.1\r\nfolded\r\n\r\n",
+                400,
+                b"bad_header",
+            ),
+            "bad target": (b"GET /\xff HTTP/1.1\r\n\r\n", 400, b"bad_request"),
+            "HTTP/2": (b"GET / HTTP/2.0\r\n\r\n", 505, b"http_version"),
+        }
+        for name, (request, status, code) in cases.items():
+            with self.subTest(name):
+                received = await self.exchange(request)
+                head = f"HTTP/1.1 {status} Refused\r\n".encode()
+                self.assertEqual(received[: len(head)], head)
+                self.assertIn(code, received)
+
+    async def test_failed_handler(self):
+        """A handler that raises gives a typed 500, not a silent close."""
+        request = b"GET /fail HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n"
+        with self.assertLogs("carobspring.adapters.http_connection"):
+            received = await self.exchange(request)
+        self.assertIn(b"500 Internal Server Error", received)
+
+    async def test_aborted_answer_has_no_end(self):
+        """An aborted answer closes without the last chunk."""
+        received = await self.exchange(b"GET /cut HTTP/1.1\r\nHost: x\r\n\r\n")
+        self.assertEqual(received[-8:], b"3\r\none\r\n")
+
+    async def test_drain_ends_idle_connections(self):
+        """A drain refuses new connections and closes those without work."""
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.server.port)
+        drained = asyncio.create_task(self.server.drain(30))
+        self.assertEqual(await reader.read(), b"")
+        self.assertIs(await drained, True)
+        writer.close()
+        with self.assertRaises(ConnectionRefusedError):
+            await asyncio.open_connection("127.0.0.1", self.server.port)
