Replicate a log over peer streams, first working version

Cause: control needs a log that agrees; nothing existed. Ruled out: lease reads (they rest on clocks; a round of heartbeats does not) and removing and adding a member in one change (quorums need not meet). Conclusion: fit for control to build against; not yet proved by tests.

--- a/carobspring/consensus/election.py
+++ b/carobspring/consensus/election.py
@@ -20,9 +20,7 @@
         granted = request.term > state.term and is_up_to_date(state, request)
     else:
         free = state.vote in ("", request.sender)
-        granted = (
-            request.term == state.term and free and is_up_to_date(state, request)
-        )
+        granted = request.term == state.term and free and is_up_to_date(state, request)
         if granted:
             state.vote = request.sender
             state.delay_election(now)
--- a/carobspring/consensus/follower.py
+++ b/carobspring/consensus/follower.py
@@ -66,7 +66,9 @@
         if previous >= log.first_index - 1:
             if log.find_term(previous) != request.previous_term:
                 hint = min(previous - 1, log.last_index)
-                self._reply(request, accepted=False, index=max(hint, log.snapshot.index))
+                self._reply(
+                    request, accepted=False, index=max(hint, log.snapshot.index)
+                )
                 return
         for entry in request.entries:
             if entry.index >= log.first_index:
--- a/carobspring/consensus/messages.py
+++ b/carobspring/consensus/messages.py
@@ -48,7 +48,7 @@
 
 @dataclass(frozen=True, kw_only=True)
 class AppendReply(Message):
-    """Says up to where the follower's log is synced and equals the leader's."""
+    """Says up to where the follower's log is synced and equal."""
 
     accepted: bool
     #: When accepted, the last index known to be equal; else where to try.
--- a/carobspring/consensus/node.py
+++ b/carobspring/consensus/node.py
@@ -29,7 +29,6 @@
     Invitation,
     Message,
     ReadRequest,
-    SnapshotReply,
     SnapshotRequest,
     VoteReply,
     VoteRequest,
--- a/carobspring/consensus/replication.py
+++ b/carobspring/consensus/replication.py
@@ -33,7 +33,7 @@
         self._snapshot_index = -1
 
     def send(self, *, current_round: int, heartbeat: bool) -> None:
-        """Send what the follower lacks; a heartbeat also when it lacks none."""
+        """Send what the follower lacks, and a heartbeat even if nothing."""
         log = self._state.log
         if self.next_index <= 0 or log.find_term(self.next_index - 1) is None:
             self._send_part(current_round, again=heartbeat)
@@ -97,7 +97,9 @@
         )
 
     def _make_message(
-        self, message_type: Callable[..., AppendRequest | SnapshotRequest], **fields: object
+        self,
+        message_type: Callable[..., AppendRequest | SnapshotRequest],
+        **fields: object,
     ) -> AppendRequest | SnapshotRequest:
         return message_type(
             sender=self._state.identity,
--- /dev/null
+++ b/carobspring/programs/replica.py
@@ -0,0 +1,341 @@
+"""A replica of the log on the asyncio loop, its disk and its peer streams."""
+
+import asyncio
+import logging
+from collections.abc import Callable, Mapping
+from typing import Any
+
+from grpclib.const import Handler
+from grpclib.server import Stream
+
+from carobspring.adapters.paths import EXCHANGE_PEER
+from carobspring.adapters.peer_link import PeerAddress, PeerLink
+from carobspring.adapters.rpc import make_stream
+from carobspring.consensus import (
+    Actions,
+    ChangeRefusedError,
+    CommandProposed,
+    ConsensusError,
+    Entry,
+    EntryKind,
+    Journal,
+    LearnerAdded,
+    LearnerPromoted,
+    LogSynced,
+    MemberRemoved,
+    MessageReceived,
+    Node,
+    ReadAsked,
+    SnapshotTaken,
+    TimePassed,
+    Timing,
+    TransferAsked,
+    decode_message,
+    encode_message,
+)
+from carobspring.ports import (
+    Clock,
+    QuorumLostError,
+    RandomSource,
+    ReplicatedLog,
+    StateMachine,
+    Storage,
+)
+from carobspring.programs.waiting import Waiting
+from carobspring.protocol.peers import PeerBatch
+
+logger = logging.getLogger(__name__)
+
+TICK_S = 0.05
+#: How long a command or read may wait for a quorum.
+WAIT_S = 5.0
+#: Entries applied between two snapshots.
+SNAPSHOT_EVERY = 4096
+
+
+class Replica(ReplicatedLog):
+    """Drives the core of consensus: disk, streams, timers, state machine.
+
+    All events of one turn of the loop share one sync of the disk. A write
+    that fails stops the replica for good: it acknowledges nothing more and
+    ``on_failure`` is called.
+
+    Example:
+        ``replica = Replica(name="a", peers=peers, ...)``; give
+        ``replica.list_methods()`` to the server; ``await replica.start()``.
+    """
+
+    def __init__(
+        self,
+        *,
+        name: str,
+        peers: Mapping[str, PeerAddress],
+        bootstrap: bool,
+        storage: Storage,
+        clock: Clock,
+        random: RandomSource,
+        machine: StateMachine,
+        secret: str,
+        timing: Timing | None = None,
+        snapshot_every: int = SNAPSHOT_EVERY,
+        on_failure: Callable[[ConsensusError], None] = lambda error: None,
+    ) -> None:
+        self.name = name
+        self._storage = storage
+        self._clock = clock
+        self._machine = machine
+        self._snapshot_every = snapshot_every
+        self._on_failure = on_failure
+        self._journal = Journal(storage=storage, random=random)
+        if self._journal.snapshot.index:
+            machine.restore(self._journal.snapshot.data)
+        self._applied = self._journal.snapshot.index
+        self._node = Node(
+            identity=self._journal.identity,
+            name=name,
+            peers=frozenset(peers),
+            founding=bootstrap,
+            timing=timing or Timing(),
+            random=random,
+            snapshot=self._journal.snapshot,
+            entries=self._journal.entries,
+            hard_state=self._journal.hard_state,
+            now=clock.read_monotonic(),
+        )
+        self._links = {
+            peer: PeerLink(
+                own_name=name,
+                peer=address,
+                secret=secret,
+                clock=clock,
+                on_open=self._greet,
+                on_batch=self._take_batch,
+            )
+            for peer, address in peers.items()
+            if peer != name
+        }
+        self._gossip_callbacks: list[Callable[[str, bytes], None]] = []
+        self._waiting = Waiting()
+        self._scheduled = False
+        self._ticker: asyncio.Task[None] | None = None
+        self._leading = False
+        self.failure: ConsensusError | None = None
+        #: Syncs of the disk, for the metrics.
+        self.syncs = 0
+
+    @property
+    def node(self) -> Node:
+        """The core, to be read only."""
+        return self._node
+
+    @property
+    def applied_index(self) -> int:
+        """The last index that the state machine holds."""
+        return self._applied
+
+    def list_methods(self) -> list[tuple[str, Handler]]:
+        """Return the gRPC methods that the program's server must offer."""
+        return [make_stream(EXCHANGE_PEER, self._serve_peer, PeerBatch, PeerBatch)]
+
+    async def start(self) -> None:
+        """Start timers and dial the peers."""
+        self._ticker = asyncio.create_task(self._tick())
+        for link in self._links.values():
+            link.start()
+        self._step(TimePassed())
+
+    async def stop(self) -> None:
+        """End all streams and timers; hand over first for a planned stop."""
+        if self._ticker is not None:
+            self._ticker.cancel()
+        await asyncio.gather(*(link.stop() for link in self._links.values()))
+        self._waiting.fail()
+
+    async def propose(self, command: bytes) -> bytes:
+        """Commit a command and return what applying it gave."""
+        token = self._make_token()
+        self._step(CommandProposed(token=token, command=command))
+        return await self._waiting.wait(token, WAIT_S)
+
+    async def confirm_read(self) -> None:
+        """Wait until the local state holds all that was committed before."""
+        token = self._make_token()
+        self._step(ReadAsked(token=token))
+        await self._waiting.wait(token, WAIT_S)
+
+    def find_leader(self) -> str:
+        """Return the name of the leader, or empty when not known."""
+        leader = self._node.leader
+        member = self._node.configuration.find_member(leader) if leader else None
+        return member.name if member else ""
+
+    def is_leader(self) -> bool:
+        """Say whether this replica leads and no other can at present."""
+        return self.failure is None and self._node.leads(self._clock.read_monotonic())
+
+    async def transfer_leadership(self, target: str = "") -> bool:
+        """Hand over and say whether this replica no longer leads.
+
+        Args:
+            target: Name of the successor, or empty for the most advanced.
+        """
+        self._step(TransferAsked(target=self._find_identity(target)))
+        deadline = self._clock.read_monotonic() + WAIT_S
+        while self._node.leader == self._node.identity:
+            if self._clock.read_monotonic() > deadline:
+                return False
+            await asyncio.sleep(TICK_S)
+        return True
+
+    async def add_learner(self, name: str) -> None:
+        """Let an empty replica that said hello get the log, without a vote."""
+        hello = self._node.hellos.get(name)
+        if hello is None:
+            raise ChangeRefusedError(reason=f"{name} has not said hello")
+        token = self._make_token()
+        self._step(LearnerAdded(token=token, identity=hello.sender, name=name))
+        await self._waiting.wait(token, WAIT_S)
+
+    async def promote(self, name: str) -> None:
+        """Give a learner that caught up its vote."""
+        token = self._make_token()
+        identity = self._find_identity(name)
+        self._step(LearnerPromoted(token=token, identity=identity))
+        await self._waiting.wait(token, WAIT_S)
+
+    async def remove(self, name: str) -> None:
+        """Take a replica out of the configuration."""
+        token = self._make_token()
+        self._step(MemberRemoved(token=token, identity=self._find_identity(name)))
+        await self._waiting.wait(token, WAIT_S)
+
+    def send_gossip(self, peer: str, gossip: bytes) -> None:
+        """Send soft state to another replica; lost when there's no stream."""
+        self._links[peer].send_gossip(gossip)
+
+    def on_gossip(self, callback: Callable[[str, bytes], None]) -> None:
+        """Have a callback get the soft state of others: their name, bytes."""
+        self._gossip_callbacks.append(callback)
+
+    def list_peers(self) -> list[str]:
+        """Return the names of the other replicas with a stream at present."""
+        return sorted(name for name, link in self._links.items() if link.is_open)
+
+    def _find_identity(self, name: str) -> str:
+        for member in self._node.configuration.members:
+            if member.name == name:
+                return member.identity
+        return name
+
+    def _make_token(self) -> int:
+        if self.failure is not None:
+            raise QuorumLostError(waited_s=0.0)
+        return self._waiting.make_token()
+
+    async def _serve_peer(self, stream: Stream[Any, Any]) -> None:
+        first: PeerBatch | None = await stream.recv_message()
+        if first is not None and first.name in self._links and not self.failure:
+            self._take_batch(first.name, first)
+            await self._links[first.name].exchange(stream)
+
+    def _greet(self, peer: str) -> None:
+        self._links[peer].send(encode_message(self._node.make_hello()))
+
+    def _take_batch(self, peer: str, batch: PeerBatch) -> None:
+        for data in batch.messages:
+            message = decode_message(data)
+            if message is not None:
+                self._step(MessageReceived(message=message))
+        for gossip in batch.gossip:
+            for callback in self._gossip_callbacks:
+                callback(peer, gossip)
+
+    async def _tick(self) -> None:
+        while True:
+            await asyncio.sleep(TICK_S)
+            self._step(TimePassed())
+            for link in self._links.values():
+                link.pass_time()
+
+    def _step(self, event: Any) -> None:
+        if self.failure is not None:
+            return
+        self._node.step(event, self._clock.read_monotonic())
+        if not self._scheduled:
+            self._scheduled = True
+            asyncio.get_running_loop().call_soon(self._carry_out)
+
+    def _carry_out(self) -> None:
+        """Carry out the actions of all events since the last time."""
+        self._scheduled = False
+        if self.failure is not None:
+            return
+        try:
+            actions = self._node.take_actions(self._clock.read_monotonic())
+            if actions.must_sync():
+                self._keep(actions)
+        except ConsensusError as error:
+            self._fail(error)
+            return
+        for message in actions.messages:
+            link = self._links.get(self._find_name(message.receiver))
+            if link is not None:
+                link.send(encode_message(message))
+        if actions.restores and actions.snapshot is not None:
+            if actions.snapshot.index:
+                self._machine.restore(actions.snapshot.data)
+            self._applied = actions.snapshot.index
+        for outcome in actions.outcomes:
+            self._waiting.settle(
+                outcome, applied=self._applied, leader=self.find_leader()
+            )
+        for entry in actions.committed:
+            self._apply(entry)
+        self._waiting.note_applied(self._applied)
+        self._note_leader()
+        if self._applied - self._node.log.snapshot.index >= self._snapshot_every:
+            data = self._machine.take_snapshot()
+            self._step(SnapshotTaken(index=self._applied, data=data))
+
+    def _keep(self, actions: Actions) -> None:
+        log = self._node.log
+        tail: tuple[Entry, ...] = ()
+        if actions.snapshot is not None:
+            tail = log.get_range(actions.snapshot.index + 1, log.last_index)
+        self._journal.save(actions, tail)
+        self.syncs += 1
+        self._step(LogSynced())
+
+    def _find_name(self, identity: str) -> str:
+        member = self._node.configuration.find_member(identity)
+        if member is not None:
+            return member.name
+        for hello in self._node.hellos.values():
+            if hello.sender == identity:
+                return hello.name
+        return ""
+
+    def _apply(self, entry: Entry) -> None:
+        result = b""
+        if entry.kind is EntryKind.COMMAND:
+            result = self._machine.apply(entry.index, entry.data)
+        self._applied = entry.index
+        self._waiting.finish(
+            index=entry.index, term=entry.term, result=result, leader=self.find_leader()
+        )
+
+    def _note_leader(self) -> None:
+        leading = self._node.leader == self._node.identity
+        if self._leading and not leading:
+            self._waiting.fail()
+        if leading != self._leading:
+            logger.info("leads=%s term=%d", leading, self._node.term)
+        self._leading = leading
+
+    def _fail(self, error: ConsensusError) -> None:
+        logger.error("%s", error)
+        self.failure = error
+        self._waiting.fail()
+        for link in self._links.values():
+            link.drop()
+        self._on_failure(error)
