Carry out actions in a driver that needs no loop

Cause: the simulation of the tests must run the same order of sync, send and apply as the program, and that order sat inside the asyncio code. Change: consensus.Driver does it; Replica is loop, links and callers only. Conclusion: one order, two users.

--- a/carobspring/consensus/__init__.py
+++ b/carobspring/consensus/__init__.py
@@ -1,6 +1,7 @@
 """The replicated log: Raft without input or output of its own."""
 
 from carobspring.consensus.codec import decode_message, encode_message
+from carobspring.consensus.driver import SNAPSHOT_EVERY, Driver, Outlet
 from carobspring.consensus.entries import (
     Configuration,
     Entry,
@@ -19,11 +20,13 @@
     Accepted,
     Actions,
     CommandProposed,
+    Event,
     LearnerAdded,
     LearnerPromoted,
     LogSynced,
     MemberRemoved,
     MessageReceived,
+    Outcome,
     ReadAsked,
     ReadConfirmed,
     Refused,
@@ -44,8 +47,10 @@
     "Configuration",
     "ConsensusError",
     "DamagedRecordError",
+    "Driver",
     "Entry",
     "EntryKind",
+    "Event",
     "HardState",
     "Journal",
     "JournalFailedError",
@@ -57,10 +62,13 @@
     "Message",
     "MessageReceived",
     "Node",
+    "Outcome",
+    "Outlet",
     "ReadAsked",
     "ReadConfirmed",
     "Refused",
     "RoleName",
+    "SNAPSHOT_EVERY",
     "Snapshot",
     "SnapshotTaken",
     "TimePassed",
--- /dev/null
+++ b/carobspring/consensus/driver.py
@@ -0,0 +1,132 @@
+"""Carries out a replica's actions on its disk and state machine.
+
+It has no loop, no network and no clock of its own: the program and the
+simulation in the tests both drive it.
+"""
+
+from abc import ABC, abstractmethod
+
+from carobspring.consensus.entries import Entry, EntryKind
+from carobspring.consensus.events import (
+    Actions,
+    Event,
+    LogSynced,
+    Outcome,
+    SnapshotTaken,
+)
+from carobspring.consensus.journal import Journal
+from carobspring.consensus.messages import Message
+from carobspring.consensus.node import Node
+from carobspring.consensus.state import Timing
+from carobspring.ports import RandomSource, StateMachine, Storage
+
+#: Entries applied between two snapshots.
+SNAPSHOT_EVERY = 4096
+
+
+class Outlet(ABC):
+    """Where messages and answers go."""
+
+    @abstractmethod
+    def send(self, message: Message) -> None:
+        """Send a message; it may be lost."""
+
+    @abstractmethod
+    def settle(self, outcome: Outcome) -> None:
+        """Give the answer to a token."""
+
+    @abstractmethod
+    def finish(self, entry: Entry, result: bytes) -> None:
+        """Give what applying a committed entry returned."""
+
+
+class Driver:
+    """A replica's core with its journal and state machine.
+
+    Raises:
+        DamagedRecordError: The data folder is not what was written.
+        JournalFailedError: The storage refused a write; from then on nothing
+            may be acknowledged, so the driver must not be used any more.
+    """
+
+    def __init__(
+        self,
+        *,
+        name: str,
+        peers: frozenset[str],
+        founding: bool,
+        timing: Timing,
+        storage: Storage,
+        random: RandomSource,
+        machine: StateMachine,
+        outlet: Outlet,
+        now: float,
+        snapshot_every: int = SNAPSHOT_EVERY,
+    ) -> None:
+        self._journal = Journal(storage=storage, random=random)
+        self._machine = machine
+        self._outlet = outlet
+        self._snapshot_every = snapshot_every
+        snapshot = self._journal.snapshot
+        if snapshot.index:
+            machine.restore(snapshot.data)
+        #: The last index that the state machine holds.
+        self.applied = snapshot.index
+        #: Batches written and synced, for the metrics.
+        self.syncs = 0
+        self.node = Node(
+            identity=self._journal.identity,
+            name=name,
+            peers=peers,
+            founding=founding,
+            timing=timing,
+            random=random,
+            snapshot=snapshot,
+            entries=self._journal.entries,
+            hard_state=self._journal.hard_state,
+            now=now,
+        )
+
+    def step(self, event: Event, now: float) -> None:
+        """Take in one event."""
+        self.node.step(event, now)
+
+    def carry_out(self, now: float) -> None:
+        """Carry out what the steps since the last time call for."""
+        actions = self.node.take_actions(now)
+        while not actions.is_empty():
+            self._carry_out_batch(actions, now)
+            actions = self.node.take_actions(now)
+
+    def _carry_out_batch(self, actions: Actions, now: float) -> None:
+        if actions.must_sync():
+            self._keep(actions)
+            self.node.step(LogSynced(), now)
+        for message in actions.messages:
+            self._outlet.send(message)
+        if actions.restores and actions.snapshot is not None:
+            if actions.snapshot.index:
+                self._machine.restore(actions.snapshot.data)
+            self.applied = actions.snapshot.index
+        for outcome in actions.outcomes:
+            self._outlet.settle(outcome)
+        for entry in actions.committed:
+            self._apply(entry)
+        if self.applied - self.node.log.snapshot.index >= self._snapshot_every:
+            data = self._machine.take_snapshot()
+            self.node.step(SnapshotTaken(index=self.applied, data=data), now)
+
+    def _keep(self, actions: Actions) -> None:
+        log = self.node.log
+        tail: tuple[Entry, ...] = ()
+        if actions.snapshot is not None:
+            tail = log.get_range(actions.snapshot.index + 1, log.last_index)
+        self._journal.save(actions, tail)
+        self.syncs += 1
+
+    def _apply(self, entry: Entry) -> None:
+        result = b""
+        if entry.kind is EntryKind.COMMAND:
+            result = self._machine.apply(entry.index, entry.data)
+        self.applied = entry.index
+        self._outlet.finish(entry, result)
--- a/carobspring/consensus/events.py
+++ b/carobspring/consensus/events.py
@@ -147,3 +147,8 @@
     def must_sync(self) -> bool:
         """Say whether something is to be kept."""
         return bool(self.hard_state or self.snapshot or self.entries)
+
+    def is_empty(self) -> bool:
+        """Say whether there is nothing to do."""
+        pending = self.messages or self.committed or self.outcomes
+        return not pending and not self.must_sync()
--- a/carobspring/programs/replica.py
+++ b/carobspring/programs/replica.py
@@ -12,21 +12,22 @@
 from carobspring.adapters.peer_link import PeerAddress, PeerLink
 from carobspring.adapters.rpc import make_stream
 from carobspring.consensus import (
-    Actions,
+    SNAPSHOT_EVERY,
     ChangeRefusedError,
     CommandProposed,
     ConsensusError,
+    Driver,
     Entry,
-    EntryKind,
-    Journal,
+    Event,
     LearnerAdded,
     LearnerPromoted,
-    LogSynced,
     MemberRemoved,
+    Message,
     MessageReceived,
     Node,
+    Outcome,
+    Outlet,
     ReadAsked,
-    SnapshotTaken,
     TimePassed,
     Timing,
     TransferAsked,
@@ -49,8 +50,6 @@
 TICK_S = 0.05
 #: How long a command or read may wait for a quorum.
 WAIT_S = 5.0
-#: Entries applied between two snapshots.
-SNAPSHOT_EVERY = 4096
 
 
 class Replica(ReplicatedLog):
@@ -81,26 +80,19 @@
         on_failure: Callable[[ConsensusError], None] = lambda error: None,
     ) -> None:
         self.name = name
-        self._storage = storage
         self._clock = clock
-        self._machine = machine
-        self._snapshot_every = snapshot_every
         self._on_failure = on_failure
-        self._journal = Journal(storage=storage, random=random)
-        if self._journal.snapshot.index:
-            machine.restore(self._journal.snapshot.data)
-        self._applied = self._journal.snapshot.index
-        self._node = Node(
-            identity=self._journal.identity,
+        self._driver = Driver(
             name=name,
             peers=frozenset(peers),
             founding=bootstrap,
             timing=timing or Timing(),
+            storage=storage,
             random=random,
-            snapshot=self._journal.snapshot,
-            entries=self._journal.entries,
-            hard_state=self._journal.hard_state,
+            machine=machine,
+            outlet=_ReplicaOutlet(self),
             now=clock.read_monotonic(),
+            snapshot_every=snapshot_every,
         )
         self._links = {
             peer: PeerLink(
@@ -120,18 +112,21 @@
         self._ticker: asyncio.Task[None] | None = None
         self._leading = False
         self.failure: ConsensusError | None = None
-        #: Syncs of the disk, for the metrics.
-        self.syncs = 0
 
     @property
     def node(self) -> Node:
         """The core, to be read only."""
-        return self._node
+        return self._driver.node
 
     @property
     def applied_index(self) -> int:
         """The last index that the state machine holds."""
-        return self._applied
+        return self._driver.applied
+
+    @property
+    def syncs(self) -> int:
+        """Batches written and synced since the start."""
+        return self._driver.syncs
 
     def list_methods(self) -> list[tuple[str, Handler]]:
         """Return the gRPC methods that the program's server must offer."""
@@ -165,13 +160,13 @@
 
     def find_leader(self) -> str:
         """Return the name of the leader, or empty when not known."""
-        leader = self._node.leader
-        member = self._node.configuration.find_member(leader) if leader else None
+        leader = self.node.leader
+        member = self.node.configuration.find_member(leader) if leader else None
         return member.name if member else ""
 
     def is_leader(self) -> bool:
         """Say whether this replica leads and no other can at present."""
-        return self.failure is None and self._node.leads(self._clock.read_monotonic())
+        return self.failure is None and self.node.leads(self._clock.read_monotonic())
 
     async def transfer_leadership(self, target: str = "") -> bool:
         """Hand over and say whether this replica no longer leads.
@@ -181,7 +176,7 @@
         """
         self._step(TransferAsked(target=self._find_identity(target)))
         deadline = self._clock.read_monotonic() + WAIT_S
-        while self._node.leader == self._node.identity:
+        while self.node.leader == self.node.identity:
             if self._clock.read_monotonic() > deadline:
                 return False
             await asyncio.sleep(TICK_S)
@@ -189,7 +184,7 @@
 
     async def add_learner(self, name: str) -> None:
         """Let an empty replica that said hello get the log, without a vote."""
-        hello = self._node.hellos.get(name)
+        hello = self.node.hellos.get(name)
         if hello is None:
             raise ChangeRefusedError(reason=f"{name} has not said hello")
         token = self._make_token()
@@ -222,7 +217,7 @@
         return sorted(name for name, link in self._links.items() if link.is_open)
 
     def _find_identity(self, name: str) -> str:
-        for member in self._node.configuration.members:
+        for member in self.node.configuration.members:
             if member.name == name:
                 return member.identity
         return name
@@ -239,7 +234,7 @@
             await self._links[first.name].exchange(stream)
 
     def _greet(self, peer: str) -> None:
-        self._links[peer].send(encode_message(self._node.make_hello()))
+        self._links[peer].send(encode_message(self.node.make_hello()))
 
     def _take_batch(self, peer: str, batch: PeerBatch) -> None:
         for data in batch.messages:
@@ -257,79 +252,47 @@
             for link in self._links.values():
                 link.pass_time()
 
-    def _step(self, event: Any) -> None:
+    def _step(self, event: Event) -> None:
         if self.failure is not None:
             return
-        self._node.step(event, self._clock.read_monotonic())
+        self._driver.step(event, self._clock.read_monotonic())
         if not self._scheduled:
             self._scheduled = True
             asyncio.get_running_loop().call_soon(self._carry_out)
 
     def _carry_out(self) -> None:
-        """Carry out the actions of all events since the last time."""
+        """Carry out the actions of all events of this turn of the loop."""
         self._scheduled = False
         if self.failure is not None:
             return
         try:
-            actions = self._node.take_actions(self._clock.read_monotonic())
-            if actions.must_sync():
-                self._keep(actions)
+            self._driver.carry_out(self._clock.read_monotonic())
         except ConsensusError as error:
             self._fail(error)
             return
-        for message in actions.messages:
-            link = self._links.get(self._find_name(message.receiver))
-            if link is not None:
-                link.send(encode_message(message))
-        if actions.restores and actions.snapshot is not None:
-            if actions.snapshot.index:
-                self._machine.restore(actions.snapshot.data)
-            self._applied = actions.snapshot.index
-        for outcome in actions.outcomes:
-            self._waiting.settle(
-                outcome, applied=self._applied, leader=self.find_leader()
-            )
-        for entry in actions.committed:
-            self._apply(entry)
-        self._waiting.note_applied(self._applied)
+        self._waiting.note_applied(self._driver.applied)
         self._note_leader()
-        if self._applied - self._node.log.snapshot.index >= self._snapshot_every:
-            data = self._machine.take_snapshot()
-            self._step(SnapshotTaken(index=self._applied, data=data))
-
-    def _keep(self, actions: Actions) -> None:
-        log = self._node.log
-        tail: tuple[Entry, ...] = ()
-        if actions.snapshot is not None:
-            tail = log.get_range(actions.snapshot.index + 1, log.last_index)
-        self._journal.save(actions, tail)
-        self.syncs += 1
-        self._step(LogSynced())
+
+    def _send(self, message: Message) -> None:
+        link = self._links.get(self._find_name(message.receiver))
+        if link is not None:
+            link.send(encode_message(message))
 
     def _find_name(self, identity: str) -> str:
-        member = self._node.configuration.find_member(identity)
+        member = self.node.configuration.find_member(identity)
         if member is not None:
             return member.name
-        for hello in self._node.hellos.values():
+        for hello in self.node.hellos.values():
             if hello.sender == identity:
                 return hello.name
         return ""
 
-    def _apply(self, entry: Entry) -> None:
-        result = b""
-        if entry.kind is EntryKind.COMMAND:
-            result = self._machine.apply(entry.index, entry.data)
-        self._applied = entry.index
-        self._waiting.finish(
-            index=entry.index, term=entry.term, result=result, leader=self.find_leader()
-        )
-
     def _note_leader(self) -> None:
-        leading = self._node.leader == self._node.identity
+        leading = self.node.leader == self.node.identity
         if self._leading and not leading:
             self._waiting.fail()
         if leading != self._leading:
-            logger.info("leads=%s term=%d", leading, self._node.term)
+            logger.info("leads=%s term=%d", leading, self.node.term)
         self._leading = leading
 
     def _fail(self, error: ConsensusError) -> None:
@@ -339,3 +302,28 @@
         for link in self._links.values():
             link.drop()
         self._on_failure(error)
+
+
+class _ReplicaOutlet(Outlet):
+    """Sends a replica's messages over its links, answers its callers."""
+
+    def __init__(self, replica: Replica) -> None:
+        self._replica = replica
+
+    def send(self, message: Message) -> None:
+        self._replica._send(message)
+
+    def settle(self, outcome: Outcome) -> None:
+        replica = self._replica
+        replica._waiting.settle(
+            outcome, applied=replica.applied_index, leader=replica.find_leader()
+        )
+
+    def finish(self, entry: Entry, result: bytes) -> None:
+        replica = self._replica
+        replica._waiting.finish(
+            index=entry.index,
+            term=entry.term,
+            result=result,
+            leader=replica.find_leader(),
+        )
