--- a/carobspring/consensus/leader.py
+++ b/carobspring/consensus/leader.py
@@ -39,11 +39,17 @@
         self._append(EntryKind.START_OF_REIGN, b"")
 
     def pass_time(self, now: float) -> RoleName | None:
-        """Step down when the lease is lost; end a transfer that failed."""
-        if self._lease.is_lost(now) or not self._state.can_stand():
+        """Step down when the lease is lost; end a transfer that failed.
+
+        Once the successor was asked to stand it may do so at any time in this
+        term, so the lease can't come back: the term has to end.
+        """
+        failed = bool(self._transfer_to) and now >= self._transfer_until
+        ended = failed and self._lease.is_given_up
+        if ended or self._lease.is_lost(now) or not self._state.can_stand():
             self._state.leader = ""
             return RoleName.FOLLOWER
-        if self._transfer_to and now >= self._transfer_until:
+        if failed:
             self._transfer_to = ""
         return None
 
@@ -157,11 +163,12 @@
     def _follow_configuration(self) -> None:
         state = self._state
         members = state.log.configuration.members
-        identities = {member.identity for member in members} - {state.identity}
-        for identity in identities - set(self._progress):
-            self._progress[identity] = Progress(state=state, identity=identity)
-        for identity in set(self._progress) - identities:
-            del self._progress[identity]
+        self._progress = {
+            member.identity: self._progress.get(member.identity)
+            or Progress(state=state, identity=member.identity)
+            for member in members
+            if member.identity != state.identity
+        }
 
     def _measure_lags(self, now: float) -> dict[str, int]:
         last = self._state.log.last_index
--- a/carobspring/consensus/lease.py
+++ b/carobspring/consensus/lease.py
@@ -20,7 +20,7 @@
         self.round = 0
         self.confirmed_round = 0
         self._confirmed_at = now
-        self._given_up = False
+        self.is_given_up = False
 
     def start_round(self, now: float) -> int:
         """Begin a round and return its number."""
@@ -53,7 +53,7 @@
 
     def give_up(self) -> None:
         """End the lease, since another replica was asked to take over."""
-        self._given_up = True
+        self.is_given_up = True
 
     def is_lost(self, now: float) -> bool:
         """Say whether the leader must step down."""
@@ -61,7 +61,7 @@
 
     def is_held(self, now: float) -> bool:
         """Say whether no other replica can lead at present."""
-        proved = self.confirmed_round > 0 and not self._given_up
+        proved = self.confirmed_round > 0 and not self.is_given_up
         return proved and not self.is_lost(now)
 
     def heard_lately(self, identity: str, now: float) -> bool:
--- /dev/null
+++ b/tests/adapters/test_disk.py
@@ -0,0 +1,75 @@
+import os
+import tempfile
+import unittest
+from pathlib import Path
+from unittest import mock
+
+from carobspring.adapters.disk import DiskStorage, FolderInUseError
+from carobspring.ports import StorageError
+
+
+class DiskStorageTest(unittest.TestCase):
+    def setUp(self) -> None:
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.folder = Path(folder.name) / "data"
+
+    def test_files(self) -> None:
+        """Files are written, cut, replaced and removed by name."""
+        storage = DiskStorage(self.folder)
+        storage.append("log", b"one")
+        storage.append("log", b"two")
+        storage.sync("log")
+        self.assertEqual(storage.read("log"), b"onetwo")
+        storage.truncate("log", 4)
+        storage.append("log", b"!")
+        self.assertEqual(storage.read("log"), b"onet!")
+        storage.write_new("log", b"new")
+        storage.append("log", b"er")
+        self.assertEqual(storage.read("log"), b"newer")
+        self.assertEqual(storage.list_names(), ["log"])
+        storage.remove("log")
+        storage.remove("log")
+        storage.sync_folder()
+        self.assertEqual(storage.list_names(), [])
+        storage.close()
+
+    def test_second_process(self) -> None:
+        """A folder in use is refused, and is free again after close."""
+        storage = DiskStorage(self.folder)
+        with self.assertRaisesRegex(FolderInUseError, "another process uses"):
+            DiskStorage(self.folder)
+        storage.close()
+        DiskStorage(self.folder).close()
+
+    def test_syncs_file_and_folder(self) -> None:
+        """A file put in place is synced before, its folder after renaming."""
+        storage = DiskStorage(self.folder)
+        calls: list[str] = []
+        real_fsync, real_rename = os.fsync, os.rename
+
+        def fsync(file: int) -> None:
+            calls.append("folder" if file == storage._folder_file else "file")
+            real_fsync(file)
+
+        def rename(source: Path, target: Path) -> None:
+            calls.append("rename")
+            real_rename(source, target)
+
+        with mock.patch("os.fsync", fsync), mock.patch("os.rename", rename):
+            storage.write_new("snapshot", b"state")
+        self.assertEqual(calls, ["file", "rename", "folder"])
+        storage.close()
+
+    def test_errors_name_file_and_reason(self) -> None:
+        """What the system refuses comes as the port's error."""
+        storage = DiskStorage(self.folder)
+        with self.assertRaisesRegex(StorageError, "can't read log: No such file"):
+            storage.read("log")
+        full = OSError(28, "No space left on device")
+        with mock.patch("os.write", side_effect=full):
+            with self.assertRaisesRegex(
+                StorageError, "can't append to log: No space left on device"
+            ):
+                storage.append("log", b"x")
+        storage.close()
--- /dev/null
+++ b/tests/consensus/simulation.py
@@ -0,0 +1,350 @@
+"""A cluster in one process: fake time, network, disks; all from one seed."""
+
+import heapq
+import random
+from dataclasses import dataclass, field
+
+from carobspring.consensus import (
+    Accepted,
+    CommandProposed,
+    Driver,
+    Entry,
+    EntryKind,
+    JournalFailedError,
+    Message,
+    MessageReceived,
+    Outcome,
+    Outlet,
+    ReadAsked,
+    ReadConfirmed,
+    RoleName,
+    TimePassed,
+    Timing,
+    TransferAsked,
+)
+from carobspring.consensus.messages import Hello
+from carobspring.ports import RandomSource, StateMachine
+from tests.consensus.storage import Crash, MemoryStorage
+
+STEP_S = 0.02
+TIMING = Timing()
+
+
+class SeededRandom(RandomSource):
+    """Draws the same numbers for the same seed."""
+
+    def __init__(self, seed: str) -> None:
+        self._random = random.Random(seed)
+
+    def draw_uniform(self) -> float:
+        return self._random.random()
+
+    def draw_index(self, count: int) -> int:
+        return self._random.randrange(count)
+
+
+class ListMachine(StateMachine):
+    """State: the commands in their order."""
+
+    def __init__(self) -> None:
+        self.commands: list[bytes] = []
+
+    def apply(self, index: int, command: bytes) -> bytes:
+        self.commands.append(command)
+        return b"%d" % len(self.commands)
+
+    def take_snapshot(self) -> bytes:
+        return b"\n".join(self.commands)
+
+    def restore(self, snapshot: bytes) -> None:
+        self.commands = snapshot.split(b"\n") if snapshot else []
+
+
+@dataclass(kw_only=True)
+class Faults:
+    """What the network does to messages."""
+
+    loss: float = 0.0
+    duplication: float = 0.0
+    max_delay_s: float = 0.01
+    #: Pairs of names (sender, receiver) between which nothing passes.
+    cut: set[tuple[str, str]] = field(default_factory=set)
+
+
+@dataclass(frozen=True, kw_only=True)
+class Read:
+    """A read under way: the commands that it must see."""
+
+    name: str
+    must_see: frozenset[bytes]
+
+
+class SimulatedReplica(Outlet):
+    """One replica with its disk; ``driver`` is none while it is down."""
+
+    def __init__(self, simulation: "Simulation", name: str) -> None:
+        self.simulation = simulation
+        self.name = name
+        self.storage = MemoryStorage(seed=simulation.random.randrange(1 << 30))
+        self.machine = ListMachine()
+        self.driver: Driver | None = None
+        self.failed = False
+        self.frozen = False
+        #: What arrived while the process was frozen.
+        self.held: list[Message] = []
+        self.starts = 0
+
+    def start(self, *, founding: bool = True) -> None:
+        self.starts += 1
+        self.machine = ListMachine()
+        self.failed = self.frozen = False
+        simulation = self.simulation
+        self.driver = Driver(
+            name=self.name,
+            peers=frozenset(simulation.replicas),
+            founding=founding,
+            timing=TIMING,
+            storage=self.storage,
+            random=SeededRandom(f"{simulation.seed}/{self.name}/{self.starts}"),
+            machine=self.machine,
+            outlet=self,
+            now=simulation.now,
+            snapshot_every=simulation.snapshot_every,
+        )
+        for other in simulation.replicas.values():
+            if other is not self and other.driver:
+                simulation.connect(self, other)
+
+    def run(self, event: object) -> None:
+        """Step and carry out, unless down, frozen or failed."""
+        if self.driver is None or self.failed:
+            return
+        now = self.simulation.now
+        try:
+            self.driver.step(event, now)
+            self.driver.carry_out(now)
+        except JournalFailedError:
+            self.failed = True
+        except Crash:
+            self.crash()
+        self.simulation.check(self)
+
+    def thaw(self) -> None:
+        """Go on after a freeze, first of all with what arrived meanwhile."""
+        self.frozen = False
+        held, self.held = self.held, []
+        for message in held:
+            self.run(MessageReceived(message=message))
+
+    def crash(self) -> None:
+        """Kill the process and lose what was not synced."""
+        self.driver = None
+        self.storage.restart()
+
+    def send(self, message: Message) -> None:
+        self.simulation.transmit(self, message)
+
+    def settle(self, outcome: Outcome) -> None:
+        self.simulation.settle(self, outcome)
+
+    def finish(self, entry: Entry, result: bytes) -> None:
+        self.simulation.finish(self, entry)
+
+
+class Simulation:
+    """Three or more replicas; every step checks what must always hold."""
+
+    def __init__(self, *, seed: int, names: str = "abc", snapshot_every: int = 40):
+        self.seed = seed
+        self.random = random.Random(seed)
+        self.now = 100.0
+        self.snapshot_every = snapshot_every
+        self.faults = Faults()
+        self.replicas: dict[str, SimulatedReplica] = {}
+        for name in names:
+            self.replicas[name] = SimulatedReplica(self, name)
+        self._messages: list[tuple[float, int, str, Message]] = []
+        self._sent = 0
+        self._token = 0
+        #: Commands by token, then by the index and term they were given.
+        self._proposed: dict[int, bytes] = {}
+        self._accepted: dict[tuple[str, int, int], bytes] = {}
+        self._reads: dict[int, Read] = {}
+        self._reads_due: list[tuple[int, Read]] = []
+        self.reads_done = 0
+        self.refused: list[Outcome] = []
+        self.acknowledged: list[bytes] = []
+        self._log: dict[int, Entry] = {}
+        self._leaders: dict[int, str] = {}
+        self._votes: dict[tuple[str, int], str] = {}
+        self.elections = 0
+
+    def start(self) -> "Simulation":
+        """Start all replicas and wait for a leader."""
+        for replica in self.replicas.values():
+            replica.start()
+        self.run_until(lambda: self.find_leader() is not None)
+        return self
+
+    def connect(self, one: SimulatedReplica, other: SimulatedReplica) -> None:
+        """Exchange hellos, as a new stream does."""
+        for sender, receiver in ((one, other), (other, one)):
+            assert sender.driver is not None
+            hello = sender.driver.node.make_hello()
+            self._enqueue(sender.name, receiver.name, hello)
+
+    def transmit(self, sender: SimulatedReplica, message: Message) -> None:
+        for name, replica in self.replicas.items():
+            driver = replica.driver
+            if driver and driver.node.identity == message.receiver:
+                self._enqueue(sender.name, name, message)
+
+    def _enqueue(self, sender: str, receiver: str, message: Message) -> None:
+        faults = self.faults
+        copies = 1 + (self.random.random() < faults.duplication)
+        for _ in range(copies):
+            lost = self.random.random() < faults.loss
+            if (sender, receiver) in faults.cut:
+                continue
+            if lost and not isinstance(message, Hello):
+                continue
+            self._sent += 1
+            due = self.now + self.random.random() * faults.max_delay_s
+            heapq.heappush(self._messages, (due, self._sent, receiver, message))
+
+    def run(self, seconds: float) -> None:
+        """Let time pass."""
+        end = self.now + seconds
+        while self.now < end:
+            self.now += STEP_S
+            while self._messages and self._messages[0][0] <= self.now:
+                _, _, name, message = heapq.heappop(self._messages)
+                replica = self.replicas[name]
+                if replica.frozen:
+                    replica.held.append(message)
+                else:
+                    replica.run(MessageReceived(message=message))
+            for replica in self.replicas.values():
+                if not replica.frozen:
+                    replica.run(TimePassed())
+
+    def run_until(self, condition, seconds: float = 30.0) -> None:
+        """Let time pass until a condition holds."""
+        end = self.now + seconds
+        while not condition():
+            assert self.now < end, "the condition did not come to hold"
+            self.run(STEP_S)
+
+    def find_leader(self) -> SimulatedReplica | None:
+        for replica in self.replicas.values():
+            if replica.driver and not replica.frozen and not replica.failed:
+                if replica.driver.node.leads(self.now):
+                    return replica
+        return None
+
+    def propose(self, command: bytes, replica: SimulatedReplica | None = None) -> None:
+        replica = replica or self.find_leader()
+        if replica is not None and not replica.frozen:
+            self._token += 1
+            self._proposed[self._token] = command
+            replica.run(CommandProposed(token=self._token, command=command))
+
+    def commit(self, *commands: bytes) -> None:
+        """Propose until each command is acknowledged."""
+        for command in commands:
+            while command not in self.acknowledged:
+                self.run_until(lambda: self.find_leader() is not None)
+                self.propose(command)
+                self.run(0.3)
+
+    def read(self, replica: SimulatedReplica) -> None:
+        """Ask for a read that must see all that is acknowledged by now."""
+        self._token += 1
+        read = Read(name=replica.name, must_see=frozenset(self.acknowledged))
+        self._reads[self._token] = read
+        replica.run(ReadAsked(token=self._token))
+
+    def transfer(self) -> None:
+        leader = self.find_leader()
+        if leader is not None:
+            leader.run(TransferAsked())
+
+    def settle(self, replica: SimulatedReplica, outcome: Outcome) -> None:
+        if isinstance(outcome, Accepted):
+            command = self._proposed.get(outcome.token)
+            if command is not None:
+                key = (replica.name, outcome.index, outcome.term)
+                self._accepted[key] = command
+        elif isinstance(outcome, ReadConfirmed):
+            read = self._reads.pop(outcome.token, None)
+            if read is not None:
+                self._reads_due.append((outcome.index, read))
+        else:
+            self.refused.append(outcome)
+
+    def finish(self, replica: SimulatedReplica, entry: Entry) -> None:
+        known = self._log.setdefault(entry.index, entry)
+        assert known == entry, f"two entries committed at {entry.index}"
+        key = (replica.name, entry.index, entry.term)
+        command = self._accepted.pop(key, None)
+        if command is not None and entry.kind is EntryKind.COMMAND:
+            assert command == entry.data
+            self.acknowledged.append(command)
+
+    def check(self, replica: SimulatedReplica) -> None:
+        """Check what must hold after every step."""
+        driver = replica.driver
+        if driver is None:
+            return
+        node = driver.node
+        if node.role is RoleName.LEADER and not replica.failed:
+            if node.term not in self._leaders:
+                self.elections += 1
+            leader = self._leaders.setdefault(node.term, node.identity)
+            assert leader == node.identity, f"two leaders in term {node.term}"
+        if node.vote and not replica.failed:
+            vote = self._votes.setdefault((node.identity, node.term), node.vote)
+            assert vote == node.vote, f"{node.identity} voted twice in {node.term}"
+        holders = [
+            other.name
+            for other in self.replicas.values()
+            if other.driver and not other.failed and other.driver.node.leads(self.now)
+        ]
+        assert len(holders) <= 1, f"{holders} hold the lease"
+        for index, read in list(self._reads_due):
+            if read.name == replica.name and driver.applied >= index:
+                missing = read.must_see - set(replica.machine.commands)
+                assert not missing, f"a read of {replica.name} misses {missing}"
+                self._reads_due.remove((index, read))
+                self.reads_done += 1
+
+    def mend(self) -> None:
+        """End cuts and freezes, start what is down; streams open anew."""
+        self.faults.cut.clear()
+        replicas = list(self.replicas.values())
+        for replica in replicas:
+            replica.thaw()
+            if replica.driver is None:
+                replica.start()
+        for position, replica in enumerate(replicas):
+            for other in replicas[:position]:
+                if replica.driver and other.driver:
+                    self.connect(replica, other)
+
+    def settle_down(self) -> None:
+        """End all faults, start what is down, and compare the replicas."""
+        self.faults = Faults()
+        for replica in self.replicas.values():
+            replica.storage.crash_at = None
+        self.mend()
+        self.run(6.0)
+        self.commit(b"last")
+        self.run(6.0)
+        states = [replica.machine.commands for replica in self.replicas.values()]
+        assert all(state == states[0] for state in states), "states differ"
+        missing = set(self.acknowledged) - set(states[0])
+        assert not missing, f"acknowledged and lost: {missing}"
+        for replica in self.replicas.values():
+            assert replica.driver is not None
+            node = replica.driver.node
+            assert node.configuration.is_voter(node.identity), replica.name
--- /dev/null
+++ b/tests/consensus/test_handover.py
@@ -0,0 +1,29 @@
+import unittest
+
+from carobspring.consensus import RoleName
+from tests.consensus.simulation import Simulation
+
+
+class HandoverTest(unittest.TestCase):
+    def test_successor_that_never_hears_of_it(self) -> None:
+        """A handover whose request is lost ends the term, not the service.
+
+        The successor may stand at any time in the term, so the leader's lease
+        can't come back in it.
+        """
+        simulation = Simulation(seed=70).start()
+        simulation.commit(b"x")
+        old = simulation.find_leader()
+        assert old is not None and old.driver is not None
+        term = old.driver.node.term
+        simulation.faults.loss = 1.0
+        simulation.transfer()
+        simulation.faults.loss = 0.0
+        self.assertIs(old.driver.node.leads(simulation.now), False)
+        self.assertIs(old.driver.node.role, RoleName.LEADER)
+        simulation.run_until(lambda: simulation.find_leader() is not None, 10.0)
+        leader = simulation.find_leader()
+        assert leader is not None and leader.driver is not None
+        self.assertGreater(leader.driver.node.term, term)
+        simulation.commit(b"y")
+        simulation.settle_down()
