Add the agent: gate, gRPC service, control stream, first-come scheduler

Change: ports/backend.py and its aiohttp adapter; the agent package (call table with retained output, claims, quarantine, health, gate); adapters for the gRPC service and the stream to control; programs/agent.py. Protocol, by new fields and messages with defaults: FetchSettings and SettingsReply on /carob.Agent/Settings, ResumeCall.boot. No tests of it yet.

--- /dev/null
+++ b/carobspring/adapters/control_link.py
@@ -0,0 +1,154 @@
+"""The agent's stream to a control replica: announce, report, take orders."""
+
+import asyncio
+import contextlib
+import logging
+from collections.abc import Callable, Sequence
+from typing import Any
+
+from grpclib import GRPCError
+from grpclib.client import Channel, Stream, UnaryUnaryMethod
+from grpclib.const import Cardinality
+from grpclib.exceptions import StreamTerminatedError
+
+from carobspring.adapters.paths import REPORT_OUTCOME, WATCH_AGENT
+from carobspring.adapters.rpc import open_channel
+from carobspring.protocol import (
+    AgentOrder,
+    AgentReport,
+    OutcomeReply,
+    OutcomeReport,
+)
+
+REPORT_INTERVAL_S = 1.0
+SILENCE_LIMIT_S = 3.0
+RECONNECT_DELAY_S = 0.25
+OUTCOME_TIMEOUT_S = 2.0
+
+LINK_ERRORS = (OSError, TimeoutError, GRPCError, StreamTerminatedError)
+
+logger = logging.getLogger(__name__)
+
+
+class ControlLink:
+    """Keeps one stream open to any of the control replicas.
+
+    ``build_report`` is called for each report, ``take_order`` for each order
+    received. A replica that is silent for three seconds is left for the next.
+    """
+
+    def __init__(
+        self,
+        *,
+        addresses: Sequence[tuple[str, int]],
+        secret: str,
+        build_report: Callable[[], AgentReport],
+        take_order: Callable[[AgentOrder], None],
+    ) -> None:
+        self._addresses = list(addresses)
+        self._secret = secret
+        self._build_report = build_report
+        self._take_order = take_order
+        self._channels: dict[tuple[str, int], Channel] = {}
+        self._next = 0
+        self._hurry = asyncio.Event()
+        self._left = asyncio.Event()
+        self._task: asyncio.Task[None] | None = None
+        self.connected = False
+        #: Streams opened since the start, for metrics.
+        self.connects = 0
+
+    def start(self) -> None:
+        """Begin to announce."""
+        if self._addresses:
+            self._task = asyncio.create_task(self._run())
+
+    def hurry(self) -> None:
+        """Send the next report now."""
+        self._hurry.set()
+
+    async def close(self) -> None:
+        """Close the stream and every channel."""
+        if self._task is not None:
+            self._task.cancel()
+            with contextlib.suppress(asyncio.CancelledError):
+                await self._task
+        for channel in self._channels.values():
+            channel.close()
+
+    async def commit_outcome(self, report: OutcomeReport, give_up_s: float) -> bool:
+        """Have an outcome committed; say whether a replica confirmed it.
+
+        Tries the replicas in turn until the time is over.
+        """
+        loop = asyncio.get_running_loop()
+        deadline = loop.time() + give_up_s
+        turn = self._next
+        while self._addresses and loop.time() < deadline:
+            address = self._addresses[turn % len(self._addresses)]
+            turn += 1
+            method = UnaryUnaryMethod(
+                self._open(address), REPORT_OUTCOME, OutcomeReport, OutcomeReply
+            )
+            try:
+                async with asyncio.timeout(OUTCOME_TIMEOUT_S):
+                    reply = await method(report)
+                if not reply.error:
+                    return True
+            except LINK_ERRORS as error:
+                logger.debug("outcome not committed by %s: %r", address, error)
+            await asyncio.sleep(0.05)
+        return False
+
+    def _open(self, address: tuple[str, int]) -> Channel:
+        if address not in self._channels:
+            host, port = address
+            channel = open_channel(host=host, port=port, secret=self._secret)
+            self._channels[address] = channel
+        return self._channels[address]
+
+    async def _run(self) -> None:
+        while True:
+            address = self._addresses[self._next % len(self._addresses)]
+            try:
+                await self._follow(address)
+            except LINK_ERRORS as error:
+                if self.connected:
+                    logger.warning("lost control replica %s: %r", address, error)
+            self.connected = False
+            self._next += 1
+            await asyncio.sleep(RECONNECT_DELAY_S)
+
+    async def _follow(self, address: tuple[str, int]) -> None:
+        request = self._open(address).request(
+            WATCH_AGENT, Cardinality.STREAM_STREAM, AgentReport, AgentOrder
+        )
+        async with request as stream:
+            async with asyncio.timeout(SILENCE_LIMIT_S):
+                await stream.send_message(self._build_report())
+            self.connects += 1
+            reporter = asyncio.create_task(self._send_reports(stream))
+            try:
+                while True:
+                    async with asyncio.timeout(SILENCE_LIMIT_S):
+                        order = await stream.recv_message()
+                    if order is None:
+                        return
+                    if not self.connected:
+                        self.connected = True
+                        logger.info("announced to control replica %s:%d", *address)
+                    self._take_order(order)
+            finally:
+                reporter.cancel()
+                with contextlib.suppress(asyncio.CancelledError, *LINK_ERRORS):
+                    await reporter
+                with contextlib.suppress(*LINK_ERRORS):
+                    await stream.cancel()
+
+    async def _send_reports(self, stream: Stream[Any, Any]) -> None:
+        while True:
+            self._hurry.clear()
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(REPORT_INTERVAL_S):
+                    await self._hurry.wait()
+            await stream.send_message(self._build_report())
--- a/carobspring/adapters/paths.py
+++ b/carobspring/adapters/paths.py
@@ -4,6 +4,7 @@
 RESUME_CALL = "/carob.Agent/Resume"
 CANCEL_CALL = "/carob.Agent/Cancel"
 FENCE_CLAIM = "/carob.Agent/Fence"
+FETCH_SETTINGS = "/carob.Agent/Settings"
 
 WATCH_AGENT = "/carob.Control/Agent"
 WATCH_ENTRY = "/carob.Control/Entry"
--- a/carobspring/ports/__init__.py
+++ b/carobspring/ports/__init__.py
@@ -3,6 +3,14 @@
 Programs give adapters to them; tests give small fakes.
 """
 
+from carobspring.ports.backend import (
+    Backend,
+    BackendAnswer,
+    BackendCutError,
+    BackendError,
+    BackendRequest,
+    BackendUnreachableError,
+)
 from carobspring.ports.clock import Clock
 from carobspring.ports.http import (
     HttpHandler,
@@ -22,6 +30,12 @@
 from carobspring.ports.storage import Storage, StorageError
 
 __all__ = [
+    "Backend",
+    "BackendAnswer",
+    "BackendCutError",
+    "BackendError",
+    "BackendRequest",
+    "BackendUnreachableError",
     "Clock",
     "HttpHandler",
     "HttpLimits",
--- /dev/null
+++ b/carobspring/programs/agent.py
@@ -0,0 +1,194 @@
+"""carob-agent: the gate beside a backend server."""
+
+import asyncio
+import logging
+import time
+from dataclasses import dataclass
+from typing import Annotated, Any, Literal
+
+from grpclib.server import Server
+from msgspec import Meta
+
+from carobspring.adapters.agent_service import AgentService
+from carobspring.adapters.backend_http import HttpBackend
+from carobspring.adapters.clock import SystemClock
+from carobspring.adapters.control_link import ControlLink
+from carobspring.adapters.http_server import CircuitsHttpServer
+from carobspring.adapters.rpc import build_server
+from carobspring.agent import CallTable, Gate, GateLimits, Standing, TableLimits
+from carobspring.domain import BackendServer, ServiceKind
+from carobspring.ports import HttpLimits
+from carobspring.programs.agent_status import AgentStatus
+from carobspring.programs.runner import Program, run_command_line
+from carobspring.protocol import AgentOrder, AgentReport
+from carobspring.scheduling import Scheduler
+
+Port = Annotated[int, Meta(ge=0, le=65535)]
+Seconds = Annotated[float, Meta(ge=0.1, le=86400)]
+
+LEAVING_REPORT_S = 0.1
+
+logger = logging.getLogger(__name__)
+
+
+@dataclass(frozen=True, kw_only=True)
+class AgentOptions:
+    """Runs the agent of one backend server.
+
+    Flags, each with its variable CAROB_NAME: --server_id names the place,
+    --service the service that it belongs to, --kind is model or plain, --zone
+    its availability zone, --backend the base URL of the backend server,
+    --control the control replicas as host:port,host:port, --secret the secret
+    that the system's own processes share.
+    """
+
+    server_id: str
+    service: str
+    backend: str
+    secret: str
+    control: str = ""
+    kind: Literal["model", "plain"] = "model"
+    zone: str = "a"
+    #: IP number that is listened on and announced.
+    host: str = "127.0.0.1"
+    rpc_port: Port = 0
+    http_port: Port = 0
+    #: Names of the models that the backend server has, by commas.
+    models: str = ""
+    #: Calls that the backend server works on at once.
+    slots: Annotated[int, Meta(ge=1, le=100_000)] = 8
+    #: Calls that may wait.
+    queue_limit: Annotated[int, Meta(ge=1, le=1_000_000)] = 256
+    health_path: str = "/health"
+    #: Seconds that a call goes on without a reader.
+    orphan_s: Seconds = 30.0
+    #: Seconds without a byte, at least, before an engine counts as hanging.
+    hang_s: Seconds = 10.0
+    #: Seconds that a planned stop waits for calls in flight.
+    drain_s: Seconds = 600.0
+    log_format: Literal["text", "json"] = "text"
+    log_level: str = "INFO"
+
+
+def parse_addresses(text: str) -> list[tuple[str, int]]:
+    """Return the hosts and ports of ``host:port,host:port``."""
+    addresses = []
+    for item in filter(None, text.split(",")):
+        host, _, port = item.strip().rpartition(":")
+        addresses.append((host, int(port)))
+    return addresses
+
+
+class AgentProgram(Program):
+    """The agent: its gate, its gRPC server, its stream to control."""
+
+    def __init__(self, options: AgentOptions) -> None:
+        self._options = options
+        self._clock = SystemClock()
+        self._rpc_port = 0
+        self._leaving = False
+        self._sent_strikes = 0
+
+    async def start(self) -> dict[str, int]:
+        """Build the parts, listen, and announce the backend server."""
+        options = self._options
+        self._link = ControlLink(
+            addresses=parse_addresses(options.control),
+            secret=options.secret,
+            build_report=self._build_report,
+            take_order=self._take_order,
+        )
+        self._standing = Standing(
+            server_id=options.server_id,
+            boot=time.time_ns() // 1_000_000,
+            kind=ServiceKind(options.kind),
+            note_change=self._link.hurry,
+        )
+        self._backend = HttpBackend(
+            url=options.backend, health_path=options.health_path
+        )
+        self._gate = Gate(
+            standing=self._standing,
+            backend=self._backend,
+            scheduler=Scheduler(slots=options.slots),
+            clock=self._clock,
+            table=CallTable(limits=TableLimits()),
+            limits=GateLimits(orphan_s=options.orphan_s, hang_s=options.hang_s),
+            commit_outcome=self._link.commit_outcome,
+        )
+        await self._gate.start()
+        service = AgentService(gate=self._gate, clock=self._clock)
+        self._server = build_server(services=[service.build()], secret=options.secret)
+        self._rpc_port = await listen_rpc(self._server, options.host, options.rpc_port)
+        status = AgentStatus(gate=self._gate, link=self._link, slots=options.slots)
+        self._http = CircuitsHttpServer(
+            host=options.host,
+            port=options.http_port,
+            handler=status.answer,
+            limits=HttpLimits(max_connections=64, max_body_bytes=1024),
+        )
+        await self._http.start()
+        self._link.start()
+        return {"rpc": self._rpc_port, "http": self._http.port}
+
+    async def stop(self) -> None:
+        """Announce leaving, end what is in flight, and close."""
+        self._leaving = True
+        self._standing.draining = True
+        self._link.hurry()
+        await asyncio.sleep(LEAVING_REPORT_S)
+        try:
+            async with asyncio.timeout(self._options.drain_s):
+                await self._gate.drain()
+        except TimeoutError:
+            logger.error("calls were still in flight after the drain time")
+        await self._gate.close()
+        await self._link.close()
+        self._server.close()
+        await self._http.close()
+        await self._backend.close()
+
+    def _build_report(self) -> AgentReport:
+        options = self._options
+        server = BackendServer(
+            server_id=options.server_id,
+            boot=self._standing.boot,
+            service=options.service,
+            kind=self._standing.kind,
+            zone=options.zone,
+            host=options.host,
+            port=self._rpc_port,
+            models=tuple(filter(None, options.models.split(","))),
+            slots=options.slots,
+        )
+        return AgentReport(
+            server=server,
+            load=self._gate.build_load(),
+            leaving=self._leaving,
+            strikes=self._gate.find_recent_strikes(),
+            revision=self._standing.settings.revision,
+        )
+
+    def _take_order(self, order: AgentOrder) -> None:
+        if order.settings is not None:
+            self._standing.take_settings(order.settings)
+        if order.minimum_boot > self._standing.boot:
+            self._standing.boot = order.minimum_boot
+            self._link.hurry()
+        self._gate.quarantine.add(order.strikes)
+
+
+async def listen_rpc(server: Server, host: str, port: int) -> int:
+    """Start a gRPC server and return the port that it listens on."""
+    await server.start(host, port)
+    listener: Any = server._server
+    return int(listener.sockets[0].getsockname()[1])
+
+
+def main() -> None:
+    """Run the agent from the command line."""
+    run_command_line("carob-agent", AgentProgram, AgentOptions)
+
+
+if __name__ == "__main__":
+    main()
--- a/carobspring/protocol/calls.py
+++ b/carobspring/protocol/calls.py
@@ -42,6 +42,8 @@
 
     call_id: str
     offset: int
+    #: Boot number that the call was sent under; zero when not known.
+    boot: int = 0
 
 
 @dataclass(frozen=True, kw_only=True)
--- a/carobspring/protocol/control.py
+++ b/carobspring/protocol/control.py
@@ -71,3 +71,20 @@
     loads: dict[str, LoadReport] | None = None
     removed: tuple[str, ...] = ()
     strikes: tuple[Strike, ...] = ()
+
+
+@dataclass(frozen=True, kw_only=True)
+class FetchSettings:
+    """Asks an agent for its settings, by an entry that control can't reach."""
+
+    #: Revision that the asker has.
+    revision: int = 0
+
+
+@dataclass(frozen=True, kw_only=True)
+class SettingsReply:
+    """The agent's settings when newer than the asker's, else nothing."""
+
+    settings: Settings | None = None
+    #: Highest revision that the agent has heard of.
+    revision: int = 0
--- /dev/null
+++ b/carobspring/scheduling/events.py
@@ -0,0 +1,81 @@
+"""What the scheduler is told and what it tells the gate to do."""
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, kw_only=True)
+class CallArrived:
+    """A call reached the agent."""
+
+    call_id: str
+    workspace: str
+    service_class: str
+    #: Larger goes first.
+    priority: int
+    #: Seconds from the entry's receipt to the class's target; zero for none.
+    target_s: float = 0.0
+    #: Seconds between tokens that the class asks for; zero for no target.
+    token_gap_s: float = 0.0
+    #: Seconds that the call was under way before it came here.
+    age_s: float = 0.0
+    #: True when the target is met by the first token, not by the end.
+    streamed: bool = False
+    #: True when it may run only while no other call does.
+    alone: bool = False
+    #: Bytes that the call holds while it waits.
+    size: int = 0
+
+
+@dataclass(frozen=True, kw_only=True)
+class FirstTokenSeen:
+    """The backend server sent the first piece of an answer."""
+
+    call_id: str
+
+
+@dataclass(frozen=True, kw_only=True)
+class TokensSeen:
+    """The mean gap between a call's tokens since the last such event."""
+
+    call_id: str
+    token_gap_s: float
+
+
+@dataclass(frozen=True, kw_only=True)
+class CallEnded:
+    """A running call gave its slot back."""
+
+    call_id: str
+    #: True when its answer was whole, so that its time counts as a sample.
+    whole: bool
+
+
+@dataclass(frozen=True, kw_only=True)
+class CallWithdrawn:
+    """A call that waits is not wanted any more."""
+
+    call_id: str
+
+
+SchedulerEvent = CallArrived | FirstTokenSeen | TokensSeen | CallEnded | CallWithdrawn
+
+
+@dataclass(frozen=True, kw_only=True)
+class StartCall:
+    """Send the call to the backend server now."""
+
+    call_id: str
+    #: For engines that order by it: lower goes sooner.
+    engine_priority: int
+
+
+@dataclass(frozen=True, kw_only=True)
+class RefuseCall:
+    """End the call as not run, at once."""
+
+    call_id: str
+    reason: str
+    retry_after_ms: int
+
+
+SchedulerAction = StartCall | RefuseCall
