Add a thin entry: callers' API, view stream, relay by random choice

Cause: the demo and the other parts need an entry to talk to. Change: carob-entry serves completions, plain services, models, health, readiness and metrics; it follows a control replica's views, picks an agent at random, relays the answer, resumes broken streams at the offset, tries another agent after 'not run' and cancels for callers that left. CallEvent gains call_id (default empty), so that a crossed event can be told; an event with end carries the count of all bytes in offset. Ruled out: one connection a call; HTTP/2 allows 100 streams, so calls share connections of at most 90 streams. Proof: tests/programs/test_entry.py, 9 tests, against fake agents and a fake control over real grpclib.

--- /dev/null
+++ b/carobspring/entry/__init__.py
@@ -0,0 +1,36 @@
+"""The entry's work: callers' API, call driver, and streams to the others."""
+
+from carobspring.entry.api import CallersApi
+from carobspring.entry.cancelling import CallCanceller
+from carobspring.entry.channels import ChannelPool
+from carobspring.entry.control import (
+    ControlAddress,
+    ControlClient,
+    ControlWatch,
+    parse_addresses,
+)
+from carobspring.entry.driver import CallDriver, DriverParts
+from carobspring.entry.errors import ERROR_KINDS, CallError
+from carobspring.entry.following import CallFollower, CallProgress, FollowLimits
+from carobspring.entry.measures import CallTimes, EntryMeasures
+from carobspring.entry.state import EntryState
+
+__all__ = [
+    "ERROR_KINDS",
+    "CallCanceller",
+    "CallDriver",
+    "CallError",
+    "CallFollower",
+    "CallProgress",
+    "CallTimes",
+    "CallersApi",
+    "ChannelPool",
+    "ControlAddress",
+    "ControlClient",
+    "ControlWatch",
+    "DriverParts",
+    "EntryMeasures",
+    "EntryState",
+    "FollowLimits",
+    "parse_addresses",
+]
--- /dev/null
+++ b/carobspring/entry/cancelling.py
@@ -0,0 +1,56 @@
+"""Telling agents that nobody waits for a call any more."""
+
+import asyncio
+
+from grpclib.const import Cardinality
+
+from carobspring.adapters import paths
+from carobspring.domain import BackendServer
+from carobspring.entry.channels import ChannelPool, connect
+from carobspring.entry.following import STREAM_ERRORS
+from carobspring.protocol import CancelCall, CancelReply
+
+ATTEMPTS = 4
+#: An attempt on a silent connection must leave time for one on another.
+ATTEMPT_S = 0.4
+
+
+class CallCanceller:
+    """Sends cancels in the background, again on a new connection if lost."""
+
+    def __init__(self, pool: ChannelPool) -> None:
+        self._pool = pool
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    def cancel(self, server: BackendServer, call_id: str) -> None:
+        """Cancel a call at a server's agent, without waiting for it."""
+        task = asyncio.get_running_loop().create_task(self._cancel(server, call_id))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def finish(self) -> None:
+        """Wait for the cancels under way."""
+        if self._tasks:
+            await asyncio.wait(self._tasks)
+
+    async def _cancel(self, server: BackendServer, call_id: str) -> None:
+        for _ in range(ATTEMPTS):
+            with self._pool.share(server) as shared:
+                try:
+                    async with asyncio.timeout(ATTEMPT_S):
+                        await connect(shared.channel, ATTEMPT_S)
+                        stream = shared.channel.request(
+                            paths.CANCEL_CALL,
+                            Cardinality.UNARY_UNARY,
+                            CancelCall,
+                            CancelReply,
+                        )
+                        async with stream:
+                            request = CancelCall(call_id=call_id)
+                            await stream.send_message(request, end=True)
+                            await stream.recv_message()
+                    return
+                except ConnectionRefusedError:
+                    return
+                except STREAM_ERRORS:
+                    self._pool.retire(server, shared)
--- /dev/null
+++ b/carobspring/entry/following.py
@@ -0,0 +1,166 @@
+"""Following a call's events to its end, across broken connections."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+
+from grpclib import GRPCError
+from grpclib.const import Cardinality
+from grpclib.exceptions import StreamTerminatedError
+
+from carobspring.adapters import paths
+from carobspring.domain import BackendServer, RunStatus
+from carobspring.entry.channels import ChannelPool, SharedChannel, connect
+from carobspring.protocol import CallEnd, CallEvent, ResumeCall, RunCall
+
+#: Seconds without any event after which a stream is taken for dead.
+SILENCE_S = 3.0
+CONNECT_S = 1.0
+RESUME_ATTEMPTS = 4
+RESUME_PAUSE_S = 0.1
+
+Deliver = Callable[[CallEvent], Awaitable[None]]
+STREAM_ERRORS = (GRPCError, StreamTerminatedError, OSError, TimeoutError)
+
+
+@dataclass(frozen=True, kw_only=True)
+class FollowLimits:
+    """How patient an entry is with a silent or broken stream."""
+
+    silence_s: float = SILENCE_S
+    connect_s: float = CONNECT_S
+    resume_attempts: int = RESUME_ATTEMPTS
+    resume_pause_s: float = RESUME_PAUSE_S
+
+
+@dataclass(kw_only=True)
+class CallProgress:
+    """How far the answer of a call has come here."""
+
+    call_id: str
+    offset: int = 0
+    has_head: bool = False
+    #: True once the agent may have received the call.
+    sent: bool = False
+    end: CallEnd | None = None
+    #: Connections that were given up during this call.
+    broken_streams: int = 0
+    #: Events that were dropped as copies of what had come before.
+    duplicates: int = 0
+
+
+class CallFollower:
+    """Runs or resumes calls at agents and hands over their events in order.
+
+    Each event is delivered once, whatever was sent twice: bytes below the
+    present offset are dropped, and a gap is an error of the stream, which is
+    then resumed at the offset.
+    """
+
+    def __init__(self, *, pool: ChannelPool, limits: FollowLimits) -> None:
+        self._pool = pool
+        self._limits = limits
+
+    async def follow(
+        self,
+        server: BackendServer,
+        request: RunCall | ResumeCall,
+        deliver: Deliver,
+        progress: CallProgress,
+    ) -> CallEnd:
+        """Follow a call until its end and return that.
+
+        A connection that breaks or stays silent is replaced and the call is
+        resumed. When that fails too, the end is NOT_RUN if nothing was ever
+        sent, else UNKNOWN with the reason ``agent_lost``.
+        """
+        failures = 0
+        while True:
+            before = progress.offset
+            try:
+                await self._read_stream(server, request, deliver, progress)
+            except ConnectionRefusedError:
+                # The agent's process is gone, and its memory with it.
+                failures += 1
+            except STREAM_ERRORS:
+                progress.broken_streams += 1
+            if progress.end is not None:
+                return progress.end
+            if not progress.sent:
+                return CallEnd(run_status=RunStatus.NOT_RUN, reason="unreachable")
+            failures = 0 if progress.offset > before else failures + 1
+            if failures > self._limits.resume_attempts:
+                return CallEnd(run_status=RunStatus.UNKNOWN, reason="agent_lost")
+            if failures > 1:
+                await asyncio.sleep(self._limits.resume_pause_s * failures)
+            request = ResumeCall(call_id=progress.call_id, offset=progress.offset)
+
+    async def _read_stream(
+        self,
+        server: BackendServer,
+        request: RunCall | ResumeCall,
+        deliver: Deliver,
+        progress: CallProgress,
+    ) -> None:
+        with self._pool.share(server) as shared:
+            try:
+                await connect(shared.channel, self._limits.connect_s)
+                await self._read_events(shared, request, deliver, progress)
+            except STREAM_ERRORS as error:
+                if not isinstance(error, GRPCError):
+                    self._pool.retire(server, shared)
+                raise
+
+    async def _read_events(
+        self,
+        shared: SharedChannel,
+        request: RunCall | ResumeCall,
+        deliver: Deliver,
+        progress: CallProgress,
+    ) -> None:
+        path = paths.RUN_CALL if isinstance(request, RunCall) else paths.RESUME_CALL
+        loop = asyncio.get_running_loop()
+        silence = self._limits.silence_s
+        stream = shared.channel.request(
+            path, Cardinality.UNARY_STREAM, type(request), CallEvent
+        )
+        async with asyncio.timeout(silence) as patience, stream:
+            progress.sent = True
+            await stream.send_message(request, end=True)
+            while progress.end is None:
+                patience.reschedule(loop.time() + silence)
+                event = await stream.recv_message()
+                if event is None:
+                    raise StreamTerminatedError("the stream ended before the call")
+                patience.reschedule(None)
+                await self._take(event, deliver, progress)
+
+    async def _take(
+        self, event: CallEvent, deliver: Deliver, progress: CallProgress
+    ) -> None:
+        if event.call_id not in ("", progress.call_id):
+            raise StreamTerminatedError("the events are of another call")
+        if event.head is not None:
+            if progress.has_head:
+                progress.duplicates += 1
+                event = CallEvent(load=event.load, revision=event.revision)
+            progress.has_head = True
+        if event.data:
+            if event.offset > progress.offset:
+                raise StreamTerminatedError("bytes are missing from the answer")
+            fresh = event.data[progress.offset - event.offset :]
+            if len(fresh) < len(event.data):
+                progress.duplicates += 1
+            progress.offset += len(fresh)
+            event = CallEvent(
+                data=fresh,
+                offset=progress.offset - len(fresh),
+                load=event.load,
+                revision=event.revision,
+            )
+        if event.end is not None:
+            is_whole = event.end.run_status is RunStatus.RAN
+            if is_whole and event.offset > progress.offset:
+                raise StreamTerminatedError("the end of the answer is missing")
+            progress.end = event.end
+        await deliver(event)
--- /dev/null
+++ b/carobspring/programs/entry.py
@@ -0,0 +1,168 @@
+"""carob-entry: takes callers' requests and routes them to backend servers."""
+
+import asyncio
+from dataclasses import dataclass
+from typing import Annotated
+
+from grpclib.client import Channel
+from msgspec import Meta
+
+from carobspring.adapters.clock import SystemClock, SystemRandom
+from carobspring.adapters.http_server import CircuitsHttpServer
+from carobspring.adapters.metrics import Metrics
+from carobspring.adapters.rpc import open_channel
+from carobspring.entry import (
+    CallCanceller,
+    CallersApi,
+    CallFollower,
+    ChannelPool,
+    ControlWatch,
+    DriverParts,
+    EntryMeasures,
+    EntryState,
+    FollowLimits,
+    parse_addresses,
+)
+from carobspring.ports import HttpLimits
+from carobspring.programs.options import OptionError
+from carobspring.programs.runner import Program, run_command_line
+from carobspring.protocol import EntryReport, ViewUpdate
+from carobspring.routing import Router
+
+DRAIN_S = 24 * 60 * 60.0
+
+
+@dataclass(frozen=True, kw_only=True)
+class EntryOptions:
+    """Serve callers over HTTP and route their calls to backend servers.
+
+    Every flag can be given as a variable too: --http-port as CAROB_HTTP_PORT.
+
+    Args:
+        entry_id: Name of this entry, unique among entries.
+        zone: Availability zone that this entry runs in.
+        control: Control replicas' gRPC addresses, as host:port,host:port.
+        secret: Shared secret of the system's own processes.
+        http_host: IP number to listen on for callers.
+        http_port: Port to listen on; 0 takes a free one.
+        stop_grace_s: Seconds that requests are taken after SIGTERM while
+            /readyz already says 503; 0 to 60.
+        max_body_bytes: Largest request body.
+        log_format: text or json.
+        log_level: DEBUG, INFO, WARNING or ERROR.
+    """
+
+    entry_id: Annotated[str, Meta(min_length=1, max_length=63)]
+    zone: Annotated[str, Meta(min_length=1, max_length=63)]
+    control: Annotated[str, Meta(min_length=3)]
+    secret: Annotated[str, Meta(min_length=8)]
+    http_host: str = "127.0.0.1"
+    http_port: Annotated[int, Meta(ge=0, le=65535)] = 8080
+    stop_grace_s: Annotated[float, Meta(ge=0, le=60)] = 1.0
+    max_body_bytes: Annotated[int, Meta(ge=1024, le=64 * 1024 * 1024)] = 8 * 1024 * 1024
+    log_format: Annotated[str, Meta(pattern="^(text|json)$")] = "text"
+    log_level: Annotated[str, Meta(pattern="^(DEBUG|INFO|WARNING|ERROR)$")] = "INFO"
+
+
+class EntryProgram(Program):
+    """Composes the entry's parts."""
+
+    def __init__(self, options: EntryOptions) -> None:
+        self._options = options
+        try:
+            addresses = parse_addresses(options.control)
+        except ValueError as error:
+            raise OptionError(
+                name="control", source="--control", reason=str(error)
+            ) from error
+        clock = SystemClock()
+        random = SystemRandom()
+        metrics = Metrics(labels={"zone": options.zone})
+        self._clock = clock
+        self._state = EntryState()
+        self._pool = ChannelPool(self._open_channel)
+        self._canceller = CallCanceller(self._pool)
+        self._router = Router(random=random, zone=options.zone)
+        follower = CallFollower(pool=self._pool, limits=FollowLimits())
+        parts = DriverParts(
+            router=self._router,
+            follower=follower,
+            canceller=self._canceller,
+            state=self._state,
+            measures=EntryMeasures(metrics),
+            clock=clock,
+            random=random,
+        )
+        self._api = CallersApi(parts=parts, metrics=metrics)
+        self._watch = ControlWatch(
+            addresses=addresses,
+            open_channel=self._open_channel,
+            build_report=self._build_report,
+            apply_update=self._apply_update,
+            first=random.draw_index(len(addresses)),
+        )
+        self._server = CircuitsHttpServer(
+            host=options.http_host,
+            port=options.http_port,
+            handler=self._api.handle,
+            limits=HttpLimits(max_body_bytes=options.max_body_bytes),
+        )
+        self._watching: asyncio.Task[None] | None = None
+
+    async def start(self) -> dict[str, int]:
+        """Begin work and return the ports listened on, by their purpose."""
+        self._watching = asyncio.create_task(self._watch.run())
+        await self._server.start()
+        return {"http": self._server.port}
+
+    async def stop(self) -> None:
+        """Turn readiness off, let every open call end, and close."""
+        self._state.stopping = True
+        await asyncio.sleep(self._options.stop_grace_s)
+        await self._server.drain(DRAIN_S)
+        await self._canceller.finish()
+        if self._watching is not None:
+            self._watching.cancel()
+        await self._server.close()
+        self._pool.close()
+
+    def _open_channel(self, host: str, port: int) -> Channel:
+        return open_channel(host=host, port=port, secret=self._options.secret)
+
+    def _build_report(self) -> EntryReport:
+        return EntryReport(
+            entry_id=self._options.entry_id,
+            zone=self._options.zone,
+            revision=self._state.settings.revision,
+        )
+
+    def _apply_update(self, update: ViewUpdate) -> None:
+        now = self._clock.read_monotonic()
+        if update.settings is not None:
+            self._state.take_settings(update.settings)
+        gone = set(update.removed)
+        if update.complete:
+            named = {server.server_id for server in update.servers}
+            listed = {server.server_id for server in self._router.list_servers()}
+            gone |= listed - named
+            self._state.has_view = True
+        for name in gone:
+            server = self._router.find_server(name)
+            if server is not None:
+                self._router.remove_server(name)
+                self._pool.forget(server)
+        for server in update.servers:
+            self._router.add_server(server, now)
+        for name, load in (update.loads or {}).items():
+            self._router.record_load(name, load, now)
+        for strike in update.strikes:
+            self._state.strikes.record(strike)
+
+
+def main() -> None:
+    """Run carob-entry."""
+    run_command_line("carob-entry", EntryProgram, EntryOptions)
+
+
+if __name__ == "__main__":
+    main()
--- a/carobspring/protocol/calls.py
+++ b/carobspring/protocol/calls.py
@@ -84,6 +84,8 @@
     load: LoadReport | None = None
     #: Highest revision of the settings that the agent has seen.
     revision: int = 0
+    #: The call that the event belongs to; empty from an older agent.
+    call_id: str = ""
 
 
 @dataclass(frozen=True, kw_only=True)
--- /dev/null
+++ b/tests/programs/test_entry.py
@@ -0,0 +1,120 @@
+import json
+
+from carobspring.domain import RunStatus
+from carobspring.protocol import CallEnd, CallEvent, ResponseHead, ViewUpdate
+from tests.entry.deployment import CHAT, EntryCase, wait_until
+from tests.entry.fakes import KEY_B, build_settings
+
+
+class EntryProgramTest(EntryCase):
+    async def test_whole_answer(self):
+        """A call that isn't streamed gets the runner's answer whole."""
+        async with self.client.post("/v1/chat/completions", json=CHAT) as answer:
+            got = (answer.status, answer.headers["Content-Type"], await answer.read())
+        self.assertEqual(got, (200, "application/json", b'{"id": "x"}'))
+
+    async def test_streamed_answer(self):
+        """A streamed call gets every byte in order."""
+        body = b"data: 1\n\ndata: [DONE]\n\n"
+        headers = (("Content-Type", "text/event-stream"),)
+        for agent in self.agents:
+            agent.script = [
+                CallEvent(head=ResponseHead(status=200, headers=headers)),
+                CallEvent(data=body[:9], offset=0),
+                CallEvent(data=body[9:], offset=9),
+                CallEvent(end=CallEnd(run_status=RunStatus.RAN), offset=len(body)),
+            ]
+        request = {**CHAT, "stream": True}
+        async with self.client.post("/v1/chat/completions", json=request) as answer:
+            got = (answer.status, answer.headers["Content-Type"], await answer.read())
+        self.assertEqual(got, (200, "text/event-stream", body))
+
+    async def test_errors(self):
+        """Wrong requests get their typed error and never reach an agent."""
+        book = "/services/desk/book"
+        cases = [
+            ("no key", "POST", "/v1/chat/completions", {"Authorization": ""}, 401),
+            ("bad key", "POST", "/v1/completions", {"Authorization": "Bearer x"}, 401),
+            ("class", "POST", "/v1/completions", {"X-Carob-Class": "gold"}, 400),
+            ("path", "GET", "/v2/nothing", {}, 404),
+            ("service", "GET", "/services/none/x", {}, 404),
+            ("method", "GET", "/v1/chat/completions", {}, 405),
+            ("needs idempotency key", "POST", book, {}, 400),
+            ("bad JSON", "POST", "/v1/chat/completions", {}, 400),
+        ]
+        for name, method, path, headers, status in cases:
+            with self.subTest(name):
+                data = b'{"model": 7' if name == "bad JSON" else json.dumps(CHAT)
+                async with self.client.request(
+                    method, path, headers=headers, data=data
+                ) as answer:
+                    error = (await answer.json())["error"]
+                self.assertEqual((answer.status, error["ran"]), (status, "not_run"))
+        self.assertEqual([a.runs for a in (*self.agents, self.desk)], [[], [], []])
+
+    async def test_class_and_workspace_reach_the_agent(self):
+        """The agent hears of the key's workspace and the class."""
+        cases = [
+            ({}, ("shop-a", "chat")),
+            ({"X-Carob-Class": "batch"}, ("shop-a", "batch")),
+        ]
+        cases.append(({"Authorization": f"Bearer {KEY_B}"}, ("shop-b", "batch")))
+        cases.append(({"Authorization": "Bearer shop-a.secret"}, ("shop-a", "chat")))
+        for headers, expected in cases:
+            with self.subTest(headers):
+                async with self.client.get(
+                    "/services/desk/x?y=1", headers=headers
+                ) as a:
+                    self.assertEqual(a.status, 200)
+                run = self.desk.runs[-1]
+                got = (run.workspace, run.service_class)
+                self.assertEqual((got, run.path), (expected, "/x?y=1"))
+
+    async def test_refused_call_goes_to_another_agent(self):
+        """A call that one agent didn't run is run by the other."""
+        self.agents[0].on_run = self.agents[0].refuse
+        for _ in range(8):
+            async with self.client.post("/v1/completions", json=CHAT) as answer:
+                self.assertEqual(answer.status, 200)
+
+    async def test_refusal_is_final_and_typed(self):
+        """When every agent refuses, the caller hears when to come back."""
+        for agent in self.agents:
+            agent.on_run = agent.refuse
+        async with self.client.post("/v1/completions", json=CHAT) as answer:
+            error = (await answer.json())["error"]
+            wait_s = int(answer.headers["Retry-After"])
+        self.assertEqual(
+            (answer.status, error["code"], error["ran"]),
+            (503, "overloaded", "not_run"),
+        )
+        self.assertIn(wait_s, (2, 3))
+
+    async def test_new_settings_come_into_force(self):
+        """The entry reports a new revision once it serves by it."""
+        self.control.push(ViewUpdate(settings=build_settings(revision=2)))
+        await wait_until(lambda: self.control.reports[-1].revision == 2)
+        self.assertEqual(self.entry._state.settings.revision, 2)
+
+    async def test_removed_server_gets_no_new_work(self):
+        """A server that left the view is not chosen again."""
+        self.control.push(ViewUpdate(removed=("r1",)))
+        await wait_until(lambda: self.entry._router.find_server("r1") is None)
+        for _ in range(8):
+            async with self.client.post("/v1/completions", json=CHAT) as answer:
+                self.assertEqual(answer.status, 200)
+        self.assertEqual(self.agents[0].runs, [])
+
+    async def test_local_paths(self):
+        """Health, readiness, models and metrics are answered by the entry."""
+        cases = [
+            ("/healthz", '"alive"'),
+            ("/readyz", '"ready":true'),
+            ("/v1/models", '"id":"m1"'),
+            ("/metrics", "carob_entry_settings_revision"),
+        ]
+        for path, text in cases:
+            with self.subTest(path):
+                async with self.client.get(path) as answer:
+                    self.assertIn(text, await answer.text())
+                    self.assertEqual(answer.status, 200)
