--- /dev/null
+++ b/standins/deployment.py
@@ -0,0 +1,321 @@
+"""Starts and stops the programs of a deployment as separate processes."""
+
+import asyncio
+import contextlib
+import json
+import os
+import secrets
+import signal
+import socket
+import sys
+import tempfile
+import time
+from collections.abc import AsyncIterator, Awaitable, Callable, Mapping
+from pathlib import Path
+from types import TracebackType
+
+import aiohttp
+
+LOOPBACK = "127.0.0.1"
+START_TIMEOUT_S = 60.0
+STOP_TIMEOUT_S = 60.0
+POLL_INTERVAL_S = 0.05
+
+
+class DeploymentError(Exception):
+    """A process did not start, or a condition was not met in time."""
+
+
+def reserve_port() -> int:
+    """Return a port that is free now, for peers that must know it before."""
+    with socket.socket() as probe:
+        probe.bind((LOOPBACK, 0))
+        return int(probe.getsockname()[1])
+
+
+async def wait_until(
+    check: Callable[[], Awaitable[object]],
+    what: str,
+    timeout_s: float = START_TIMEOUT_S,
+) -> None:
+    """Poll until the check returns a true value.
+
+    Raises:
+        DeploymentError: It did not within the timeout.
+    """
+    deadline = time.monotonic() + timeout_s
+    while not await check():
+        if time.monotonic() > deadline:
+            raise DeploymentError(f"not within {timeout_s} s: {what}")
+        await asyncio.sleep(POLL_INTERVAL_S)
+
+
+class RunningProgram:
+    """One process that was started here, with the ports that it printed."""
+
+    def __init__(
+        self, *, name: str, process: asyncio.subprocess.Process, log: Path
+    ) -> None:
+        self.name = name
+        self.ports: dict[str, int] = {}
+        self._process = process
+        self._log = log
+        self._reader: asyncio.Task[None] | None = None
+
+    @property
+    def pid(self) -> int:
+        """The process identifier."""
+        return self._process.pid
+
+    @property
+    def returncode(self) -> int | None:
+        """The exit code, or None while the process runs."""
+        return self._process.returncode
+
+    def address(self, port: str) -> str:
+        """Return host and port of one of the program's listeners."""
+        return f"{LOOPBACK}:{self.ports[port]}"
+
+    def url(self, port: str = "http") -> str:
+        """Return the base URL of one of the program's HTTP listeners."""
+        return f"http://{LOOPBACK}:{self.ports[port]}"
+
+    def read_log(self) -> str:
+        """Return what the program wrote to its standard error."""
+        return self._log.read_text(errors="replace")
+
+    async def read_ports(self) -> None:
+        """Wait for the line that names the ports."""
+        assert self._process.stdout is not None
+        try:
+            async with asyncio.timeout(START_TIMEOUT_S):
+                await self._scan_ports(self._process.stdout)
+        except TimeoutError as error:
+            raise DeploymentError(f"{self.name} printed no ports") from error
+        self._reader = asyncio.create_task(self._discard(self._process.stdout))
+
+    async def _scan_ports(self, stdout: asyncio.StreamReader) -> None:
+        while line := (await stdout.readline()).decode():
+            if line.startswith("listening "):
+                pairs = (part.split("=") for part in line.split()[1:])
+                self.ports = {name: int(port) for name, port in pairs}
+                return
+        raise DeploymentError(f"{self.name} ended at start: {self.read_log()[-2000:]}")
+
+    async def _discard(self, stdout: asyncio.StreamReader) -> None:
+        while await stdout.read(65536):
+            pass
+
+    def send_signal(self, number: signal.Signals) -> None:
+        """Send a signal to this process, by its identifier."""
+        with contextlib.suppress(ProcessLookupError):
+            self._process.send_signal(number)
+
+    def freeze(self) -> None:
+        """Stop the process as if its instance hung."""
+        self.send_signal(signal.SIGSTOP)
+
+    def thaw(self) -> None:
+        """Let a frozen process go on."""
+        self.send_signal(signal.SIGCONT)
+
+    async def kill(self) -> None:
+        """End the process without warning."""
+        self.send_signal(signal.SIGKILL)
+        await self._process.wait()
+
+    async def stop(self, timeout_s: float = STOP_TIMEOUT_S) -> int:
+        """Ask the process to end and return its exit code.
+
+        Raises:
+            DeploymentError: It had to be killed after the timeout.
+        """
+        self.send_signal(signal.SIGTERM)
+        try:
+            return await asyncio.wait_for(self._process.wait(), timeout_s)
+        except TimeoutError as error:
+            await self.kill()
+            message = f"{self.name} did not stop: {self.read_log()[-2000:]}"
+            raise DeploymentError(message) from error
+
+
+class Deployment:
+    """A set of programs and stand-ins on loopback, stopped at exit.
+
+    Example:
+        ``async with Deployment() as deployment:
+        control = await deployment.start_control()``
+    """
+
+    def __init__(
+        self, *, source: Path | None = None, python: str = sys.executable
+    ) -> None:
+        self.secret = secrets.token_hex(16)
+        self.operator_token = secrets.token_hex(16)
+        self.programs: list[RunningProgram] = []
+        self.controls: list[str] = []
+        self.admin = ""
+        self._python = python
+        self._source = source or Path(__file__).resolve().parent.parent
+        self._folder = tempfile.TemporaryDirectory(prefix="carob-")
+        self.folder = Path(self._folder.name)
+        self._logs = 0
+
+    async def __aenter__(self) -> "Deployment":
+        return self
+
+    async def __aexit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        await self.close()
+
+    async def close(self) -> None:
+        """Kill by process identifier what still runs, and remove the files."""
+        running = [item for item in self.programs if item.returncode is None]
+        await asyncio.gather(*(program.kill() for program in running))
+        self._folder.cleanup()
+
+    async def start(
+        self, module: str, flags: Mapping[str, object], name: str = ""
+    ) -> RunningProgram:
+        """Start ``python -m module`` with flags and wait for its ports."""
+        self._logs += 1
+        log = self.folder / f"{self._logs}.log"
+        with log.open("wb") as stderr:
+            process = await asyncio.create_subprocess_exec(
+                self._python,
+                "-m",
+                module,
+                *list_flags(flags),
+                stdin=asyncio.subprocess.DEVNULL,
+                stdout=asyncio.subprocess.PIPE,
+                stderr=stderr,
+                cwd=self._source,
+                env=self._build_environ(),
+            )
+        program = RunningProgram(name=name or module, process=process, log=log)
+        self.programs.append(program)
+        await program.read_ports()
+        return program
+
+    async def start_control(
+        self, replica_id: str = "c1", zone: str = "zone-a", **flags: object
+    ) -> RunningProgram:
+        """Start one control replica with a data folder of its own."""
+        data = self.folder / f"data-{replica_id}"
+        base: dict[str, object] = {
+            "replica_id": replica_id,
+            "zone": zone,
+            "host": LOOPBACK,
+        }
+        base |= {"rpc_port": 0, "admin_port": 0, "data_dir": str(data)}
+        base |= {"secret": self.secret, "operator_token": self.operator_token}
+        program = await self.start(
+            "carobspring.programs.control", base | flags, replica_id
+        )
+        if program.address("rpc") not in self.controls:
+            self.controls.append(program.address("rpc"))
+        self.admin = self.admin or program.address("admin")
+        return program
+
+    async def start_controls(self, zones: list[str]) -> list[RunningProgram]:
+        """Start one replica a zone, each knowing all the others."""
+        names = [f"c{index + 1}" for index in range(len(zones))]
+        ports = {name: reserve_port() for name in names}
+        peers = ",".join(f"{name}={LOOPBACK}:{ports[name]}" for name in names)
+        starts = (
+            self.start_control(name, zone, rpc_port=ports[name], peers=peers)
+            for name, zone in zip(names, zones, strict=True)
+        )
+        return list(await asyncio.gather(*starts))
+
+    async def start_entry(
+        self, entry_id: str = "e1", zone: str = "zone-a", **flags: object
+    ) -> RunningProgram:
+        """Start one entry."""
+        base: dict[str, object] = {"entry_id": entry_id, "zone": zone, "host": LOOPBACK}
+        base |= {"http_port": 0, "control": ",".join(self.controls)}
+        base |= {"secret": self.secret}
+        return await self.start("carobspring.programs.entry", base | flags, entry_id)
+
+    async def start_agent(
+        self,
+        server_id: str,
+        backend: RunningProgram,
+        zone: str = "zone-a",
+        **flags: object,
+    ) -> RunningProgram:
+        """Start the agent beside a backend server."""
+        base: dict[str, object] = {
+            "server_id": server_id,
+            "zone": zone,
+            "host": LOOPBACK,
+        }
+        base |= {"service": "models", "kind": "model", "models": "carob-small"}
+        base |= {"rpc_port": 0, "http_port": 0, "backend": backend.url()}
+        base |= {"control": ",".join(self.controls), "secret": self.secret, "slots": 8}
+        return await self.start("carobspring.programs.agent", base | flags, server_id)
+
+    async def start_runner(self, **flags: object) -> RunningProgram:
+        """Start a stand-in runner."""
+        return await self.start("standins.runner", {"port": 0} | flags)
+
+    async def start_desk(self, **flags: object) -> RunningProgram:
+        """Start a stand-in plain service."""
+        return await self.start("standins.desk", {"port": 0} | flags)
+
+    async def ctl(self, *words: str, admin: str = "") -> str:
+        """Run ``carobctl`` and return its output.
+
+        Raises:
+            DeploymentError: The command failed.
+        """
+        process = await asyncio.create_subprocess_exec(
+            self._python,
+            "-m",
+            "carobspring.programs.ctl",
+            *words,
+            stdin=asyncio.subprocess.DEVNULL,
+            stdout=asyncio.subprocess.PIPE,
+            stderr=asyncio.subprocess.PIPE,
+            cwd=self._source,
+            env=self._build_environ()
+            | {
+                "CAROB_ADMIN": admin or self.admin,
+                "CAROB_OPERATOR_TOKEN": self.operator_token,
+            },
+        )
+        out, err = await process.communicate()
+        if process.returncode != 0:
+            command = " ".join(words)
+            raise DeploymentError(f"carobctl {command}: {(out + err).decode()}")
+        return out.decode()
+
+    def _build_environ(self) -> dict[str, str]:
+        kept = {
+            name: value
+            for name, value in os.environ.items()
+            if not name.startswith("CAROB_")
+        }
+        return kept | {"PYTHONPATH": str(self._source), "PAGER": "cat"}
+
+
+def list_flags(flags: Mapping[str, object]) -> list[str]:
+    """Return flags as a command line takes them; empty ones are left out."""
+    return [
+        f"--{name.replace('_', '-')}={json.dumps(value) if value is True else value}"
+        for name, value in flags.items()
+        if value not in ("", None, False)
+    ]
+
+
+@contextlib.asynccontextmanager
+async def open_client(timeout_s: float = 60.0) -> AsyncIterator[aiohttp.ClientSession]:
+    """Give an HTTP client without a limit on connections."""
+    timeout = aiohttp.ClientTimeout(total=timeout_s)
+    connector = aiohttp.TCPConnector(limit=0)
+    async with aiohttp.ClientSession(timeout=timeout, connector=connector) as client:
+        yield client
--- /dev/null
+++ b/standins/desk.py
@@ -0,0 +1,142 @@
+"""A stand-in for a plain service: ``python -m standins.desk --port 0``.
+
+Records bookings and releases and counts how often each order ran, in a
+journal file when one is given, so that the count outlives a crash.
+"""
+
+import asyncio
+import dataclasses
+import json
+import os
+from collections import Counter
+from dataclasses import dataclass
+from pathlib import Path
+
+from aiohttp import web
+
+from standins.programs import change_faults, parse_options, run
+
+FENCING_HEADER = "X-Carob-Fencing-Token"
+CRASH_STATUS = 70
+
+
+@dataclass(frozen=True, kw_only=True)
+class DeskFaults:
+    """Faults that are switched by flags or ``POST /standin/fault``."""
+
+    #: Milliseconds that an order waits before it is recorded, and after.
+    delay_before_ms: int = 0
+    delay_after_ms: int = 0
+    #: Exit just before, or just after, the next order is recorded.
+    crash_before: bool = False
+    crash_after: bool = False
+    #: Accept requests and never answer.
+    hang: bool = False
+
+
+@dataclass(frozen=True, kw_only=True)
+class DeskOptions(DeskFaults):
+    """The flags of the stand-in plain service."""
+
+    host: str = "127.0.0.1"
+    port: int = 0
+    #: Milliseconds and number at once of the work of any call.
+    work_ms: int = 1
+    slots: int = 16
+    #: Refuse an order whose fencing token is older than one seen before.
+    check_fencing: bool = False
+    journal: str = ""
+
+
+class Desk:
+    """The HTTP side of a stand-in plain service."""
+
+    def __init__(self, *, options: DeskOptions) -> None:
+        names = [field.name for field in dataclasses.fields(DeskFaults)]
+        self._options = options
+        self._faults = DeskFaults(**{name: getattr(options, name) for name in names})
+        self._runs: Counter[str] = Counter()
+        self._newest_token = 0
+        self._refused = 0
+        self._slots = asyncio.Semaphore(options.slots)
+
+    def build_app(self) -> web.Application:
+        """Return the application with its routes."""
+        app = web.Application()
+        app.add_routes(
+            [
+                web.post("/bookings", self.record),
+                web.post("/releases", self.record),
+                web.get("/health", self.check_health),
+                web.post("/standin/fault", self.set_fault),
+                web.get("/standin/counters", self.show_counters),
+                web.get("/{rest:.*}", self.look_up),
+                web.post("/{rest:.*}", self.look_up),
+            ]
+        )
+        return app
+
+    async def check_health(self, request: web.Request) -> web.Response:
+        """Answer that the service is well, unless it hangs."""
+        await self._hang_if_told()
+        return web.Response()
+
+    async def look_up(self, request: web.Request) -> web.Response:
+        """Answer any other call with what was asked."""
+        await self._work()
+        body = (await request.read()).decode(errors="replace")
+        found = {"path": request.path_qs, "method": request.method, "body": body}
+        return web.json_response(found)
+
+    async def record(self, request: web.Request) -> web.Response:
+        """Record an order and answer with how often it has run."""
+        order = str(json.loads(await request.read())["order"])
+        token = int(request.headers.get(FENCING_HEADER, 0))
+        if self._options.check_fencing and token < self._newest_token:
+            self._refused += 1
+            return web.json_response({"error": "old fencing token"}, status=409)
+        self._newest_token = max(token, self._newest_token)
+        await self._work()
+        await asyncio.sleep(self._faults.delay_before_ms / 1000)
+        if self._faults.crash_before:
+            os._exit(CRASH_STATUS)
+        self._runs[order] += 1
+        self._write_journal(order)
+        if self._faults.crash_after:
+            os._exit(CRASH_STATUS)
+        await asyncio.sleep(self._faults.delay_after_ms / 1000)
+        return web.json_response({"order": order, "runs": self._runs[order]})
+
+    async def set_fault(self, request: web.Request) -> web.Response:
+        """Switch faults on or off."""
+        self._faults = change_faults(self._faults, await request.read())
+        return web.json_response(dataclasses.asdict(self._faults))
+
+    async def show_counters(self, request: web.Request) -> web.Response:
+        """Answer with the runs of each order."""
+        return web.json_response({"runs": self._runs, "refused": self._refused})
+
+    async def _work(self) -> None:
+        await self._hang_if_told()
+        async with self._slots:
+            await asyncio.sleep(self._options.work_ms / 1000)
+
+    async def _hang_if_told(self) -> None:
+        if self._faults.hang:
+            await asyncio.Event().wait()
+
+    def _write_journal(self, order: str) -> None:
+        if self._options.journal:
+            with Path(self._options.journal).open("a") as journal:
+                journal.write(f"{order}\n")
+
+
+def main() -> None:
+    """Run a stand-in plain service."""
+    options = parse_options(DeskOptions)
+    desk = Desk(options=options)
+    run(desk.build_app(), host=options.host, port=options.port)
+
+
+if __name__ == "__main__":
+    main()
