--- /dev/null
+++ b/carobspring/ledger/ledger.py
@@ -0,0 +1,267 @@
+"""The unique-call state machine.
+
+A call is known by workspace, service and idempotency key. Its record goes
+from ``claimed`` to ``done``, ``not_run`` or ``unknown``; ``not_run`` may be
+claimed anew under a larger number, ``unknown`` may still become ``done``, and
+nothing else changes a final state.
+"""
+
+from collections import Counter
+from dataclasses import dataclass, field, replace
+
+from carobspring.domain import RunStatus
+from carobspring.ledger.commands import (
+    ClaimCommand,
+    ExpireCommand,
+    OutcomeCommand,
+)
+from carobspring.protocol import (
+    Claim,
+    ClaimReply,
+    ClaimRequest,
+    ClaimState,
+    OutcomeReply,
+    OutcomeReport,
+)
+
+#: Records are kept this long after their last change, then forgotten.
+RETENTION_MS = 24 * 60 * 60 * 1000
+#: A claim that nobody reported on for this long becomes ``unknown``.
+CLAIM_TIMEOUT_MS = 60 * 60 * 1000
+#: Claims that are kept at once; more are refused, none is dropped early.
+MAX_CLAIMS = 50_000
+#: Bytes of all answers that are kept at once.
+MAX_ANSWER_BYTES = 16 * 1024 * 1024
+#: Bytes of one answer; a larger one is noted as done without its content.
+MAX_ONE_ANSWER_BYTES = 256 * 1024
+
+CallKey = tuple[str, str, str]
+
+
+@dataclass(frozen=True, kw_only=True)
+class Record:
+    """A claim and the request that it was granted to."""
+
+    claim: Claim
+    request_id: str = ""
+
+
+@dataclass(frozen=True, kw_only=True)
+class LedgerSnapshot:
+    """The whole state of the ledger, oldest change first."""
+
+    last_number: int = 0
+    records: tuple[Record, ...] = ()
+
+
+@dataclass(kw_only=True)
+class LedgerCounts:
+    """What the ledger has refused, by reason."""
+
+    refused: Counter[str] = field(default_factory=Counter)
+
+
+class UniqueCallLedger:
+    """Holds one record for each unique call.
+
+    ``last_number`` is the largest number ever granted; numbers are fencing
+    tokens, so they grow strictly and are never used twice.
+    """
+
+    def __init__(self) -> None:
+        self.last_number = 0
+        self.counts = LedgerCounts()
+        self._records: dict[CallKey, Record] = {}
+        self._keys: dict[int, CallKey] = {}
+        self._answer_bytes = 0
+
+    def apply_claim(self, command: ClaimCommand) -> ClaimReply:
+        """Grant the right to run a call once, or say how it stands."""
+        request = command.request
+        key = (request.workspace, request.service, request.key)
+        record = self._records.get(key)
+        if record is None:
+            return self._grant_first(key, command)
+        claim = record.claim
+        if claim.request_hash != request.request_hash:
+            # Nothing of the other request's claim is given away.
+            self.counts.refused["conflict"] += 1
+            return ClaimReply(claim=_write_conflict(request))
+        if request.request_id and request.request_id == record.request_id:
+            return ClaimReply(claim=claim, granted=claim.state is ClaimState.CLAIMED)
+        if claim.state is ClaimState.NOT_RUN and request.replaces == claim.number:
+            return self._grant(key, command)
+        return ClaimReply(claim=claim)
+
+    def apply_outcome(self, command: OutcomeCommand) -> OutcomeReply:
+        """Take an outcome over where the rules let it change the record."""
+        report = command.report
+        key = self._keys.get(report.number)
+        if key is None:
+            self.counts.refused["no_such_claim"] += 1
+            return OutcomeReply(error="no_such_claim")
+        claim = self._records[key].claim
+        error = _find_fault(claim, command)
+        if error:
+            self.counts.refused[error] += 1
+            return OutcomeReply(claim=claim, error=error)
+        state = _choose_state(claim.state, report.run_status)
+        if state is not claim.state:
+            claim = self._change(key, state, report, command.at_ms)
+        return OutcomeReply(claim=claim)
+
+    def apply_expiry(self, command: ExpireCommand) -> int:
+        """Forget old records and give up old claims; return how many."""
+        changed = 0
+        for key, record in list(self._records.items()):
+            claim = record.claim
+            age_ms = command.at_ms - claim.changed_ms
+            if claim.state is ClaimState.CLAIMED:
+                if age_ms >= CLAIM_TIMEOUT_MS:
+                    unknown = OutcomeReport(
+                        number=claim.number, run_status=RunStatus.UNKNOWN
+                    )
+                    self._change(key, ClaimState.UNKNOWN, unknown, command.at_ms)
+                    changed += 1
+            elif age_ms >= RETENTION_MS:
+                self._forget(key)
+                changed += 1
+        return changed
+
+    def needs_expiry(self, at_ms: int) -> bool:
+        """Say whether an expiry at this time would change anything."""
+        for record in self._records.values():
+            claimed = record.claim.state is ClaimState.CLAIMED
+            allowed_ms = CLAIM_TIMEOUT_MS if claimed else RETENTION_MS
+            if at_ms - record.claim.changed_ms >= allowed_ms:
+                return True
+        return False
+
+    def find_claim(self, workspace: str, service: str, key: str) -> Claim | None:
+        """Return the claim of a call, or None."""
+        record = self._records.get((workspace, service, key))
+        return record.claim if record else None
+
+    def find_number(self, number: int) -> Claim | None:
+        """Return the claim with this number, unless a later one replaced it."""
+        key = self._keys.get(number)
+        return self._records[key].claim if key else None
+
+    def count_claims(self) -> dict[ClaimState, int]:
+        """Return how many records are in each state."""
+        return dict(Counter(r.claim.state for r in self._records.values()))
+
+    def take_snapshot(self) -> LedgerSnapshot:
+        """Return the whole state."""
+        return LedgerSnapshot(
+            last_number=self.last_number, records=tuple(self._records.values())
+        )
+
+    def restore(self, snapshot: LedgerSnapshot) -> None:
+        """Take over the state of a snapshot."""
+        self.last_number = snapshot.last_number
+        self._records = {_name_call(r.claim): r for r in snapshot.records}
+        self._keys = {r.claim.number: _name_call(r.claim) for r in snapshot.records}
+        self._answer_bytes = sum(_measure_answer(r.claim) for r in snapshot.records)
+
+    def _grant_first(self, key: CallKey, command: ClaimCommand) -> ClaimReply:
+        error = ""
+        if command.request.replaces:
+            # The claim that this one follows was forgotten, so nobody can
+            # say that no later attempt ran.
+            error = "expired"
+        elif len(self._records) >= MAX_CLAIMS:
+            error = "ledger_full"
+        elif self._answer_bytes >= MAX_ANSWER_BYTES:
+            error = "ledger_full"
+        if error:
+            self.counts.refused[error] += 1
+            return ClaimReply(error=error)
+        return self._grant(key, command)
+
+    def _grant(self, key: CallKey, command: ClaimCommand) -> ClaimReply:
+        request = command.request
+        self._forget(key)
+        self.last_number += 1
+        claim = Claim(
+            number=self.last_number,
+            workspace=request.workspace,
+            service=request.service,
+            key=request.key,
+            request_hash=request.request_hash,
+            server_id=request.server_id,
+            boot=request.boot,
+            state=ClaimState.CLAIMED,
+            changed_ms=command.at_ms,
+        )
+        self._records[key] = Record(claim=claim, request_id=request.request_id)
+        self._keys[claim.number] = key
+        return ClaimReply(claim=claim, granted=True)
+
+    def _change(
+        self, key: CallKey, state: ClaimState, report: OutcomeReport, at_ms: int
+    ) -> Claim:
+        record = self._records[key]
+        claim = replace(record.claim, state=state, changed_ms=at_ms)
+        if state is ClaimState.DONE and report.answer is not None:
+            claim = replace(claim, answer=report.answer)
+            if _measure_answer(claim) > MAX_ONE_ANSWER_BYTES:
+                self.counts.refused["answer_too_large"] += 1
+                claim = replace(claim, answer=None)
+        self._answer_bytes += _measure_answer(claim)
+        self._records[key] = replace(record, claim=claim)
+        return claim
+
+    def _forget(self, key: CallKey) -> None:
+        record = self._records.pop(key, None)
+        if record is not None:
+            del self._keys[record.claim.number]
+            self._answer_bytes -= _measure_answer(record.claim)
+
+
+def _find_fault(claim: Claim, command: OutcomeCommand) -> str:
+    report = command.report
+    if report.server_id and report.server_id != claim.server_id:
+        return "wrong_server"
+    if report.run_status is RunStatus.UNKNOWN:
+        by_agent = report.boot in (0, claim.boot) and bool(report.server_id)
+        return "" if by_agent or command.agent_gone else "agent_not_gone"
+    if report.boot not in (0, claim.boot):
+        return "wrong_boot"
+    return ""
+
+
+def _choose_state(state: ClaimState, run_status: RunStatus) -> ClaimState:
+    if state is ClaimState.CLAIMED:
+        return {
+            RunStatus.RAN: ClaimState.DONE,
+            RunStatus.NOT_RUN: ClaimState.NOT_RUN,
+            RunStatus.UNKNOWN: ClaimState.UNKNOWN,
+        }[run_status]
+    if state is ClaimState.UNKNOWN and run_status is RunStatus.RAN:
+        return ClaimState.DONE
+    return state
+
+
+def _name_call(claim: Claim) -> CallKey:
+    return (claim.workspace, claim.service, claim.key)
+
+
+def _measure_answer(claim: Claim) -> int:
+    if claim.answer is None:
+        return 0
+    headers = sum(len(name) + len(value) for name, value in claim.answer.headers)
+    return len(claim.answer.body) + headers
+
+
+def _write_conflict(request: ClaimRequest) -> Claim:
+    return Claim(
+        number=0,
+        workspace=request.workspace,
+        service=request.service,
+        key=request.key,
+        request_hash=request.request_hash,
+        server_id="",
+        boot=0,
+        state=ClaimState.CONFLICT,
+    )
--- a/carobspring/membership/__init__.py
+++ b/carobspring/membership/__init__.py
@@ -1,1 +1,21 @@
-"""Announcements, leases and views of backend servers."""
+"""Who is there: backend servers by lease, entries by their reports.
+
+Sans-IO and soft: nothing here goes into the replicated log. Each replica has
+its own table, fed by the agents on its streams and by the other replicas.
+"""
+
+from carobspring.membership.entries import EntryState, EntryTable
+from carobspring.membership.gossip import MemberNews, ReplicaNews
+from carobspring.membership.table import Announcement, Member, MembershipTable
+from carobspring.membership.views import Delta
+
+__all__ = [
+    "Announcement",
+    "Delta",
+    "EntryState",
+    "EntryTable",
+    "Member",
+    "MemberNews",
+    "MembershipTable",
+    "ReplicaNews",
+]
--- /dev/null
+++ b/carobspring/membership/table.py
@@ -0,0 +1,324 @@
+"""The table of backend servers, by announcement and lease."""
+
+from collections import OrderedDict
+from dataclasses import dataclass, replace
+
+from carobspring.domain import BackendServer, LoadReport
+from carobspring.membership.gossip import MemberNews
+from carobspring.membership.views import Delta
+from carobspring.protocol import AgentReport
+
+#: Seconds that a report is good for.
+LEASE_S = 3.0
+#: Seconds that are left of the lease when an agent's stream breaks, so that
+#: it may come back on another replica before it counts as gone.
+BROKEN_STREAM_LEASE_S = 1.0
+#: Loads of one server are passed on at most this often.
+LOAD_INTERVAL_S = 0.5
+#: Seconds that the boot and sequence of a server that is gone are kept, so
+#: that late reports of it are known as such.
+GONE_RETENTION_S = 600.0
+#: A server that came and went this often within FLAP_WINDOW_S is held back.
+FLAP_COUNT = 3
+FLAP_WINDOW_S = 30.0
+#: Seconds that a flapping server must hold its lease before it is shown.
+FLAP_HOLD_S = 5.0
+#: Servers that are kept, present and gone ones together.
+MAX_MEMBERS = 5_000
+
+
+@dataclass(frozen=True, kw_only=True)
+class Member:
+    """A backend server as the table knows it.
+
+    Order is by (boot, sequence). ``changed_view`` and ``load_view`` are the
+    views in which the server and its passed-on load last changed.
+    """
+
+    server: BackendServer
+    load: LoadReport
+    sequence: int
+    heard_at: float
+    lease_until: float
+    #: True when the agent reports to this replica itself.
+    is_own: bool = True
+    gone: bool = False
+    #: Set while a flapping server waits to be shown.
+    shown_from: float = 0.0
+    shown: bool = False
+    changed_view: int = 0
+    load_view: int = 0
+    load_passed_at: float = float("-inf")
+    passed_load: LoadReport | None = None
+    losses: tuple[float, ...] = ()
+
+
+@dataclass(frozen=True, kw_only=True)
+class Announcement:
+    """The table's answer to a report.
+
+    ``minimum_boot`` is set when the boot number of the report is taken by a
+    later run.
+    """
+
+    accepted: bool
+    minimum_boot: int = 0
+
+
+class MembershipTable:
+    """Holds backend servers by name and numbers each change as a view."""
+
+    def __init__(self, *, now: float) -> None:
+        self.view = 0
+        self.started_at = now
+        self.members: OrderedDict[str, Member] = OrderedDict()
+        #: Views before this one can't be told as a delta any more.
+        self._oldest_view = 0
+
+    def note_report(self, report: AgentReport, now: float) -> Announcement:
+        """Take over an agent's own report."""
+        server = report.server
+        if server is None:
+            return Announcement(accepted=False)
+        load = report.load or LoadReport()
+        news = MemberNews(
+            server_id=server.server_id,
+            boot=server.boot,
+            sequence=load.sequence,
+            age_ms=0,
+            server=server,
+            load=load,
+            left=report.leaving,
+        )
+        return self._merge(news, now, is_own=True)
+
+    def note_news(self, news: MemberNews, now: float) -> Announcement:
+        """Take over what another replica heard."""
+        return self._merge(news, now, is_own=False)
+
+    def note_broken_stream(self, server_id: str, boot: int, now: float) -> None:
+        """Shorten the lease of an agent whose stream broke."""
+        member = self.members.get(server_id)
+        if member is None or member.gone or member.server.boot != boot:
+            return
+        until = min(member.lease_until, now + BROKEN_STREAM_LEASE_S)
+        self.members[server_id] = replace(member, lease_until=until)
+
+    def expire(self, now: float) -> list[str]:
+        """End leases that ran out and pass on loads; return who is gone."""
+        ended = []
+        for server_id, member in list(self.members.items()):
+            if member.gone:
+                if now - member.heard_at > GONE_RETENTION_S:
+                    del self.members[server_id]
+                    self._oldest_view = max(self._oldest_view, member.changed_view)
+            elif now >= member.lease_until:
+                self._end(server_id, member, now)
+                ended.append(server_id)
+            elif not member.shown and now >= member.shown_from:
+                self._show(server_id, member, now)
+            elif member.shown and member.load is not member.passed_load:
+                self._pass_load(server_id, member, now)
+        return ended
+
+    def is_boot_gone(self, server_id: str, boot: int, now: float) -> bool | None:
+        """Say whether a boot is replaced or gone; None when it can't be told.
+
+        Soon after its own start a replica has not heard of everyone yet.
+        """
+        member = self.members.get(server_id)
+        if member is not None:
+            if member.server.boot != boot:
+                return member.server.boot > boot
+            return member.gone
+        return True if now - self.started_at > 2 * LEASE_S else None
+
+    def list_present(self) -> list[Member]:
+        """Return the members whose lease holds, by name."""
+        present = [member for member in self.members.values() if not member.gone]
+        return sorted(present, key=lambda member: member.server.server_id)
+
+    def find_delta(self, since: int | None) -> Delta:
+        """Return what changed after a view; everything without a view."""
+        complete = since is None or since < self._oldest_view
+        after = -1 if since is None or complete else since
+        servers: list[BackendServer] = []
+        loads: dict[str, LoadReport] = {}
+        removed: list[str] = []
+        # The members changed last are at the end, so the walk stops early.
+        for server_id, member in reversed(self.members.items()):
+            if max(member.changed_view, member.load_view) <= after:
+                break
+            if not member.shown:
+                if not complete and member.changed_view > after:
+                    removed.append(server_id)
+                continue
+            if member.changed_view > after:
+                servers.append(member.server)
+            if member.load_view > after and member.passed_load is not None:
+                loads[server_id] = member.passed_load
+        return Delta(
+            view=self.view,
+            complete=complete,
+            servers=tuple(servers),
+            loads=loads,
+            removed=tuple(removed),
+        )
+
+    def list_own_news(self, now: float, *, complete: bool) -> list[MemberNews]:
+        """Return what to tell other replicas of the agents on own streams."""
+        news = []
+        for server_id, member in self.members.items():
+            if not member.is_own:
+                continue
+            age_s = now - member.heard_at
+            if member.gone and age_s > 2 * LEASE_S:
+                continue
+            news.append(
+                MemberNews(
+                    server_id=server_id,
+                    boot=member.server.boot,
+                    sequence=member.sequence,
+                    age_ms=int(age_s * 1000),
+                    server=member.server if complete else None,
+                    load=member.load,
+                    left=member.gone,
+                )
+            )
+        return news
+
+    def _merge(self, news: MemberNews, now: float, *, is_own: bool) -> Announcement:
+        known = self.members.get(news.server_id)
+        if known is not None:
+            order = (news.boot, news.sequence)
+            present = (known.server.boot, known.sequence)
+            if news.boot < known.server.boot or (
+                known.gone and news.boot == known.server.boot and order <= present
+            ):
+                return Announcement(accepted=False, minimum_boot=known.server.boot + 1)
+            if order < present or (order == present and not news.left):
+                return Announcement(accepted=False)
+        if news.left:
+            return self._take_leave(known, news, now)
+        server = news.server or (known.server if known is not None else None)
+        if server is None or server.boot != news.boot:
+            return Announcement(accepted=False)
+        if known is None and len(self.members) >= MAX_MEMBERS:
+            return Announcement(accepted=False)
+        heard_at = now - news.age_ms / 1000
+        if heard_at + LEASE_S <= now:
+            return Announcement(accepted=False)
+        self._renew(known, news, server, heard_at, now, is_own)
+        return Announcement(accepted=True)
+
+    def _renew(
+        self,
+        known: Member | None,
+        news: MemberNews,
+        server: BackendServer,
+        heard_at: float,
+        now: float,
+        is_own: bool,
+    ) -> None:
+        member = Member(
+            server=server,
+            load=news.load or LoadReport(),
+            sequence=news.sequence,
+            heard_at=heard_at,
+            lease_until=heard_at + LEASE_S,
+            is_own=is_own,
+        )
+        if known is not None:
+            losses = known.losses
+            replaced = not known.gone and known.server.boot != server.boot
+            if replaced:
+                losses = _add_loss(losses, now)
+            member = replace(
+                known,
+                server=member.server,
+                load=member.load,
+                sequence=member.sequence,
+                heard_at=heard_at,
+                lease_until=member.lease_until,
+                is_own=is_own,
+                gone=False,
+                losses=losses,
+            )
+            if known.gone or replaced:
+                held = len(losses) >= FLAP_COUNT
+                member = replace(member, shown_from=now + (FLAP_HOLD_S if held else 0))
+                if held and member.shown:
+                    member = self._number_change(replace(member, shown=False))
+        self.members[server.server_id] = member
+        if not member.shown:
+            if now >= member.shown_from:
+                self._show(server.server_id, member, now)
+        elif known is not None and known.server != server:
+            self._store_last(self._number_change(member))
+        elif member.load is not member.passed_load:
+            self._pass_load(server.server_id, member, now)
+
+    def _take_leave(
+        self, known: Member | None, news: MemberNews, now: float
+    ) -> Announcement:
+        if known is None:
+            return Announcement(accepted=False)
+        if news.boot == known.server.boot and not known.gone:
+            # A planned stop is no flap.
+            self._end(news.server_id, replace(known, sequence=news.sequence), now, ())
+        return Announcement(accepted=True)
+
+    def _end(
+        self,
+        server_id: str,
+        member: Member,
+        now: float,
+        losses: tuple[float, ...] | None = None,
+    ) -> None:
+        if losses is None:
+            losses = _add_loss(member.losses, now)
+        ended = replace(member, gone=True, shown=False, losses=losses)
+        self.members[server_id] = ended
+        if member.shown:
+            self._store_last(self._number_change(ended))
+
+    def _show(self, server_id: str, member: Member, now: float) -> None:
+        shown = self._number_change(replace(member, shown=True))
+        self._store_last(
+            replace(
+                shown,
+                load_view=self.view,
+                load_passed_at=now,
+                passed_load=member.load,
+            )
+        )
+
+    def _pass_load(self, server_id: str, member: Member, now: float) -> None:
+        urgent = member.passed_load is not None and (
+            member.load.draining != member.passed_load.draining
+            or member.load.unhealthy != member.passed_load.unhealthy
+        )
+        if not urgent and now - member.load_passed_at < LOAD_INTERVAL_S:
+            return
+        same = member.passed_load is not None and (
+            replace(member.load, sequence=0) == replace(member.passed_load, sequence=0)
+        )
+        passed = replace(member, passed_load=member.load)
+        if same:
+            self.members[server_id] = passed
+            return
+        self.view += 1
+        self._store_last(replace(passed, load_view=self.view, load_passed_at=now))
+
+    def _number_change(self, member: Member) -> Member:
+        self.view += 1
+        return replace(member, changed_view=self.view)
+
+    def _store_last(self, member: Member) -> None:
+        self.members[member.server.server_id] = member
+        self.members.move_to_end(member.server.server_id)
+
+
+def _add_loss(losses: tuple[float, ...], now: float) -> tuple[float, ...]:
+    recent = tuple(at for at in losses if now - at <= FLAP_WINDOW_S)
+    return (*recent[-FLAP_COUNT:], now)
--- a/carobspring/protocol/__init__.py
+++ b/carobspring/protocol/__init__.py
@@ -29,6 +29,7 @@
 from carobspring.protocol.control import (
     AgentOrder,
     AgentReport,
+    ClassAttainment,
     EntryReport,
     Strike,
     ViewUpdate,
@@ -45,6 +46,7 @@
     "ClaimReply",
     "ClaimRequest",
     "ClaimState",
+    "ClassAttainment",
     "EntryReport",
     "FenceClaim",
     "FenceReply",
--- a/carobspring/protocol/claims.py
+++ b/carobspring/protocol/claims.py
@@ -90,6 +90,8 @@
     answer: StoredAnswer | None = None
     #: Set when another process than the claim's agent reports it.
     boot: int = 0
+    #: Set by an agent to its own server, to report "unknown" of its own run.
+    server_id: str = ""
 
 
 @dataclass(frozen=True, kw_only=True)
--- a/carobspring/protocol/control.py
+++ b/carobspring/protocol/control.py
@@ -44,6 +44,22 @@
     #: Set when the announced boot number is taken: use at least this one.
     minimum_boot: int = 0
     strikes: tuple[Strike, ...] = ()
+    #: Strikes that an operator released: forget them.
+    released: tuple[Strike, ...] = ()
+    #: True while an operator has this server drained: take no new work.
+    drain: bool = False
+
+
+@dataclass(frozen=True, kw_only=True)
+class ClassAttainment:
+    """Counts of a class's calls at one entry since it started."""
+
+    #: Calls that ended, whatever way.
+    ended: int = 0
+    #: Calls that met their target.
+    met: int = 0
+    #: Calls that got the final answer "not run".
+    shed: int = 0
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -53,6 +69,8 @@
     entry_id: str
     zone: str
     revision: int = 0
+    #: Class name to counts; only sent when they changed.
+    attainment: dict[str, ClassAttainment] | None = None
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -71,3 +89,5 @@
     loads: dict[str, LoadReport] | None = None
     removed: tuple[str, ...] = ()
     strikes: tuple[Strike, ...] = ()
+    #: Strikes that an operator released: forget them.
+    released: tuple[Strike, ...] = ()
--- a/carobspring/settings/__init__.py
+++ b/carobspring/settings/__init__.py
@@ -1,1 +1,45 @@
-"""The operator's settings: changes, revisions and the audit trail."""
+"""The operator's settings: changes, their answers, the audit trail, keys.
+
+Sans-IO: the machine is applied to the replicated log by every replica.
+"""
+
+from carobspring.settings.changes import (
+    AuditEntry,
+    Change,
+    ChangeAnswer,
+    ChangeRequest,
+    ChangeStatus,
+    KeyAddition,
+    KeyRemoval,
+    SubjectChange,
+    WorkspaceSpec,
+)
+from carobspring.settings.evaluation import UnsoundChangeError
+from carobspring.settings.keys import (
+    KeyIndex,
+    fingerprint_key,
+    generate_key,
+    hash_key,
+    matches_key,
+)
+from carobspring.settings.machine import SettingsMachine, SettingsSnapshot
+
+__all__ = [
+    "AuditEntry",
+    "Change",
+    "ChangeAnswer",
+    "ChangeRequest",
+    "ChangeStatus",
+    "KeyAddition",
+    "KeyIndex",
+    "KeyRemoval",
+    "SettingsMachine",
+    "SettingsSnapshot",
+    "SubjectChange",
+    "UnsoundChangeError",
+    "WorkspaceSpec",
+    "fingerprint_key",
+    "generate_key",
+    "hash_key",
+    "matches_key",
+]
--- /dev/null
+++ b/carobspring/settings/evaluation.py
@@ -0,0 +1,170 @@
+"""What a change makes of the settings, and whether the result is sound."""
+
+from collections.abc import Sequence
+from dataclasses import replace
+from typing import Any
+
+import msgspec
+
+from carobspring.domain import Settings, Workspace
+from carobspring.settings.changes import (
+    Change,
+    KeyAddition,
+    KeyRemoval,
+    SubjectChange,
+    WorkspaceSpec,
+)
+
+MAX_CLASSES = 100
+MAX_WORKSPACES = 5_000
+MAX_SERVICES = 1_000
+MAX_KEYS = 20
+
+
+class UnsoundChangeError(Exception):
+    """A change would leave settings that contradict themselves.
+
+    Args:
+        subject: What the change is about, such as ``class chat``.
+        reason: What is wrong and what to do first.
+    """
+
+    def __init__(self, *, subject: str, reason: str) -> None:
+        super().__init__(f"{subject}: {reason}")
+        self.subject = subject
+        self.reason = reason
+
+
+def change_settings(
+    settings: Settings, changes: Sequence[Change]
+) -> tuple[Settings, tuple[SubjectChange, ...]]:
+    """Return the settings one revision on, and how each subject changed.
+
+    The steps are checked together at the end, so their order does not matter
+    where they refer to each other.
+
+    Raises:
+        UnsoundChangeError: A step is not possible or a reference dangles.
+    """
+    draft = Settings(
+        revision=settings.revision + 1,
+        classes=dict(settings.classes),
+        workspaces=dict(settings.workspaces),
+        services=dict(settings.services),
+    )
+    for change in changes:
+        _apply_change(draft, change)
+    _check_references(draft)
+    return draft, _list_differences(settings, draft)
+
+
+def _apply_change(draft: Settings, change: Change) -> None:
+    if change.set_class is not None:
+        draft.classes[change.set_class.name] = change.set_class
+    elif change.remove_class is not None:
+        _remove(draft.classes, "class", change.remove_class)
+    elif change.set_workspace is not None:
+        _set_workspace(draft, change.set_workspace)
+    elif change.remove_workspace is not None:
+        _remove(draft.workspaces, "workspace", change.remove_workspace)
+    elif change.add_key is not None:
+        _add_key(draft, change.add_key)
+    elif change.remove_key is not None:
+        _remove_key(draft, change.remove_key)
+    elif change.set_service is not None:
+        draft.services[change.set_service.name] = change.set_service
+    elif change.remove_service is not None:
+        _remove(draft.services, "service", change.remove_service)
+
+
+def _set_workspace(draft: Settings, spec: WorkspaceSpec) -> None:
+    present = draft.workspaces.get(spec.name)
+    draft.workspaces[spec.name] = Workspace(
+        name=spec.name,
+        default_class=spec.default_class,
+        key_hashes=present.key_hashes if present else (),
+        concurrency_limit=spec.concurrency_limit,
+    )
+
+
+def _add_key(draft: Settings, addition: KeyAddition) -> None:
+    workspace = _find_workspace(draft, addition.workspace)
+    if addition.key_hash in workspace.key_hashes:
+        return
+    if len(workspace.key_hashes) >= MAX_KEYS:
+        reason = f"has {MAX_KEYS} keys already; remove one first"
+        raise UnsoundChangeError(subject=f"workspace {workspace.name}", reason=reason)
+    draft.workspaces[workspace.name] = replace(
+        workspace, key_hashes=(*workspace.key_hashes, addition.key_hash)
+    )
+
+
+def _remove_key(draft: Settings, removal: KeyRemoval) -> None:
+    workspace = _find_workspace(draft, removal.workspace)
+    kept = tuple(
+        key_hash
+        for key_hash in workspace.key_hashes
+        if key_hash.split("$")[0] != removal.fingerprint
+    )
+    if kept == workspace.key_hashes:
+        reason = f"has no key with fingerprint {removal.fingerprint}"
+        raise UnsoundChangeError(subject=f"workspace {workspace.name}", reason=reason)
+    draft.workspaces[workspace.name] = replace(workspace, key_hashes=kept)
+
+
+def _find_workspace(draft: Settings, name: str) -> Workspace:
+    workspace = draft.workspaces.get(name)
+    if workspace is None:
+        reason = "does not exist; set it first"
+        raise UnsoundChangeError(subject=f"workspace {name}", reason=reason)
+    return workspace
+
+
+def _remove(values: dict[str, Any], kind: str, name: str) -> None:
+    if values.pop(name, None) is None:
+        raise UnsoundChangeError(subject=f"{kind} {name}", reason="does not exist")
+
+
+def _check_references(draft: Settings) -> None:
+    bounds = (
+        ("classes", draft.classes, MAX_CLASSES),
+        ("workspaces", draft.workspaces, MAX_WORKSPACES),
+        ("services", draft.services, MAX_SERVICES),
+    )
+    for kind, values, bound in bounds:
+        if len(values) > bound:
+            reason = f"there would be {len(values)}, at most {bound} are kept"
+            raise UnsoundChangeError(subject=kind, reason=reason)
+    for workspace in draft.workspaces.values():
+        if workspace.default_class not in draft.classes:
+            reason = (
+                f"its default class {workspace.default_class} does not exist; "
+                "set that class first or name another default class"
+            )
+            raise UnsoundChangeError(
+                subject=f"workspace {workspace.name}", reason=reason
+            )
+
+
+def _list_differences(before: Settings, after: Settings) -> tuple[SubjectChange, ...]:
+    subjects = []
+    for kind, old, new in (
+        ("class", before.classes, after.classes),
+        ("workspace", before.workspaces, after.workspaces),
+        ("service", before.services, after.services),
+    ):
+        for name in sorted(old.keys() | new.keys()):
+            if old.get(name) == new.get(name):
+                continue
+            subjects.append(
+                SubjectChange(
+                    subject=f"{kind} {name}",
+                    before=_write_json(old.get(name)),
+                    after=_write_json(new.get(name)),
+                )
+            )
+    return tuple(subjects)
+
+
+def _write_json(value: object) -> str:
+    return "" if value is None else msgspec.json.encode(value).decode()
