Serve the control plane with one replica in memory

Cause: entries, agents and operators had nothing to talk to. Change: settings, ledger and membership as sans-IO cores; carob-control with the streams, Claim, Outcome and the admin API over a log of one replica in memory; carobctl class, workspace, service and status. Added to the protocol, with defaults: OutcomeReport.server_id, AgentOrder.released and drain, ViewUpdate.released, EntryReport.attainment, paths.FORWARD_COMMAND.

--- a/carobspring/adapters/paths.py
+++ b/carobspring/adapters/paths.py
@@ -11,3 +11,4 @@
 REPORT_OUTCOME = "/carob.Control/Outcome"
 
 EXCHANGE_PEER = "/carob.Peer/Exchange"
+FORWARD_COMMAND = "/carob.Control/Forward"
--- /dev/null
+++ b/carobspring/control/admin.py
@@ -0,0 +1,127 @@
+"""The admin API: who may ask, which route answers, errors as typed JSON."""
+
+import logging
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from urllib.parse import parse_qsl
+
+import msgspec
+
+from carobspring.control.errors import ControlError
+from carobspring.control.operators import OperatorTokens
+from carobspring.control.reports import ErrorAnswer, ErrorReport
+from carobspring.domain import DomainError
+from carobspring.ports import HttpRequest, HttpResponder
+
+JSON_HEADERS = (("Content-Type", "application/json"),)
+
+logger = logging.getLogger(__name__)
+
+
+@dataclass(frozen=True, kw_only=True)
+class AdminRequest:
+    """A request of a known operator; ``query`` holds each name once."""
+
+    operator: str
+    body: bytes
+    query: dict[str, str]
+
+
+class AdminError(Exception):
+    """A request that the admin API refuses.
+
+    Args:
+        status: The HTTP status.
+        kind: A stable word for scripts.
+        message: What is wrong and what to do next.
+        revision: The revision that stands, where it matters.
+    """
+
+    def __init__(
+        self, *, status: int, kind: str, message: str, revision: int | None = None
+    ) -> None:
+        super().__init__(message)
+        self.status = status
+        self.report = ErrorReport(kind=kind, message=message, revision=revision)
+
+
+Route = Callable[[AdminRequest], Awaitable[object]]
+
+
+class AdminApi:
+    """Answers operators' requests.
+
+    Args:
+        tokens: Who may ask.
+        routes: Method and path to the route that answers.
+        is_ready: Says whether this replica has heard from a quorum.
+        render_metrics: Returns the metrics as text.
+    """
+
+    def __init__(
+        self,
+        *,
+        tokens: OperatorTokens,
+        routes: dict[tuple[str, str], Route],
+        is_ready: Callable[[], bool],
+        render_metrics: Callable[[], bytes],
+    ) -> None:
+        self._tokens = tokens
+        self._routes = routes
+        self._is_ready = is_ready
+        self._render_metrics = render_metrics
+
+    async def handle(self, request: HttpRequest, responder: HttpResponder) -> None:
+        """Answer one request."""
+        if request.path == "/healthz":
+            await responder.send(200, (), b"ok\n")
+        elif request.path == "/readyz":
+            ready = self._is_ready()
+            text = b"ready\n" if ready else b"no leader is known\n"
+            await responder.send(200 if ready else 503, (), text)
+        elif request.path == "/metrics":
+            headers = (("Content-Type", "text/plain; version=0.0.4"),)
+            await responder.send(200, headers, self._render_metrics())
+        else:
+            status, answer = await self._answer(request)
+            await responder.send(status, JSON_HEADERS, msgspec.json.encode(answer))
+
+    async def _answer(self, request: HttpRequest) -> tuple[int, object]:
+        try:
+            return 200, await self._dispatch(request)
+        except AdminError as error:
+            return error.status, ErrorAnswer(error=error.report)
+        except ControlError as error:
+            report = ErrorReport(kind=error.kind, message=error.message)
+            return 503, ErrorAnswer(error=report)
+        except (msgspec.MsgspecError, DomainError, UnicodeError) as error:
+            report = ErrorReport(kind="invalid", message=str(error))
+            return 400, ErrorAnswer(error=report)
+
+    async def _dispatch(self, request: HttpRequest) -> object:
+        operator = self._tokens.identify(request)
+        if operator is None:
+            raise AdminError(
+                status=401,
+                kind="unauthorized",
+                message="no operator has this token; give it by --token or the "
+                "variable CAROB_OPERATOR_TOKEN",
+            )
+        route = self._routes.get((request.method, request.path))
+        if route is None:
+            known = ", ".join(f"{method} {path}" for method, path in self._routes)
+            raise AdminError(
+                status=404,
+                kind="no_such_route",
+                message=f"there is no {request.method} {request.path}; there are "
+                f"{known}",
+            )
+        query = read_query(request.query)
+        return await route(
+            AdminRequest(operator=operator, body=request.body, query=query)
+        )
+
+
+def read_query(query: str) -> dict[str, str]:
+    """Return the names and values of a query; the last of a name counts."""
+    return dict(parse_qsl(query))
--- /dev/null
+++ b/carobspring/control/errors.py
@@ -0,0 +1,37 @@
+"""Errors of the control program."""
+
+
+class ControlError(Exception):
+    """The root of the errors that the control program raises.
+
+    Args:
+        kind: A stable word that answers carry, such as ``no_leader``.
+        message: What happened and what to do next.
+    """
+
+    def __init__(self, *, kind: str, message: str) -> None:
+        super().__init__(message)
+        self.kind = kind
+        self.message = message
+
+
+class NoLeaderError(ControlError):
+    """No replica leads, so nothing can be committed at present."""
+
+    def __init__(self) -> None:
+        super().__init__(
+            kind="no_leader",
+            message="no control replica leads at present; ask again in a second, "
+            "and see `carobctl status` when it lasts",
+        )
+
+
+class NoQuorumError(ControlError):
+    """The quorum did not answer in time."""
+
+    def __init__(self) -> None:
+        super().__init__(
+            kind="no_quorum",
+            message="the quorum of control replicas did not answer in time; it is "
+            "not known whether this took: send it again with the same identifier",
+        )
--- /dev/null
+++ b/carobspring/control/operators.py
@@ -0,0 +1,63 @@
+"""Operators' tokens, kept as salted hashes."""
+
+from collections.abc import Mapping
+
+from carobspring.domain.errors import InvalidValueError, check_name
+from carobspring.ports import HttpRequest
+from carobspring.settings import hash_key, matches_key
+from carobspring.settings.changes import KEY_HASH_PATTERN
+
+SCHEME = "Bearer "
+#: The name in the audit trail of who holds the token given in clear.
+SOLE_OPERATOR = "operator"
+
+
+class OperatorTokens:
+    """Knows operators by their tokens.
+
+    Args:
+        hashes: Operator's name to the salted hash of the token.
+    """
+
+    def __init__(self, *, hashes: Mapping[str, str]) -> None:
+        self._hashes = dict(hashes)
+
+    def identify(self, request: HttpRequest) -> str | None:
+        """Return the name of the operator whose token a request carries."""
+        given = request.find_header("authorization") or ""
+        if not given.startswith(SCHEME):
+            return None
+        token = given[len(SCHEME) :].strip()
+        found = None
+        # Every hash is tried, so the time does not tell which one matched.
+        for name, token_hash in self._hashes.items():
+            if matches_key(token, token_hash):
+                found = name
+        return found
+
+
+def read_operator_tokens(*, operators: str, operator_token: str) -> OperatorTokens:
+    """Return the tokens that the flags of the program name.
+
+    Args:
+        operators: ``NAME=HASH`` pairs with commas between them, as
+            ``carobctl operator new NAME`` prints them.
+        operator_token: One token in clear, for the name "operator".
+
+    Raises:
+        InvalidValueError: A pair is malformed, or there is no operator.
+    """
+    hashes: dict[str, str] = {}
+    for pair in filter(None, operators.split(",")):
+        name, _, token_hash = pair.strip().partition("=")
+        check_name("operators", name)
+        if KEY_HASH_PATTERN.fullmatch(token_hash) is None:
+            expected = "NAME=HASH as `carobctl operator new NAME` prints it"
+            raise InvalidValueError(field="operators", value=name, expected=expected)
+        hashes[name] = token_hash
+    if operator_token:
+        hashes[SOLE_OPERATOR] = hash_key(operator_token)
+    if not hashes:
+        expected = "at least one operator: set --operators or --operator-token"
+        raise InvalidValueError(field="operators", value="", expected=expected)
+    return OperatorTokens(hashes=hashes)
--- /dev/null
+++ b/carobspring/control/state.py
@@ -0,0 +1,53 @@
+"""What the parts of one control replica share."""
+
+import asyncio
+
+from carobspring.control.machine import ControlMachine
+from carobspring.membership import EntryTable, MembershipTable
+from carobspring.ports import Clock
+
+
+class Wakeups:
+    """Wakes every stream when there may be something to send."""
+
+    def __init__(self) -> None:
+        self._events: set[asyncio.Event] = set()
+
+    def open(self) -> asyncio.Event:
+        """Return an event that is set at each change until it is closed."""
+        event = asyncio.Event()
+        self._events.add(event)
+        return event
+
+    def close(self, event: asyncio.Event) -> None:
+        """Set an event no more."""
+        self._events.discard(event)
+
+    def wake_all(self) -> None:
+        """Set every open event."""
+        for event in self._events:
+            event.set()
+
+    def count(self) -> int:
+        """Return how many streams are open."""
+        return len(self._events)
+
+
+class ControlState:
+    """The replicated state, the soft state, and who waits for changes."""
+
+    def __init__(self, *, replica_id: str, clock: Clock) -> None:
+        self.replica_id = replica_id
+        self.clock = clock
+        self.wakeups = Wakeups()
+        self.machine = ControlMachine(on_applied=self.note_applied)
+        self.members = MembershipTable(now=clock.read_monotonic())
+        self.entries = EntryTable()
+        self.draining = False
+
+    def note_applied(self) -> None:
+        """Pass on what a command or a restored snapshot changed."""
+        if self.machine.drained != self.members.drained:
+            now = self.clock.read_monotonic()
+            self.members.set_drained(self.machine.drained, now)
+        self.wakeups.wake_all()
--- /dev/null
+++ b/carobspring/control/status.py
@@ -0,0 +1,95 @@
+"""What ``status`` and ``attainment`` show."""
+
+from collections import defaultdict
+
+from carobspring.control.reports import (
+    AttainmentReport,
+    ProgramStatus,
+    ServerStatus,
+    StatusReport,
+    ZoneStatus,
+)
+from carobspring.control.state import ControlState
+from carobspring.protocol import ClassAttainment
+
+
+def write_status(state: ControlState, leader: str) -> StatusReport:
+    """Return the state of the whole system as this replica knows it."""
+    settings = state.machine.settings
+    last = settings.find_last_change()
+    entries = _list_entries(state)
+    return StatusReport(
+        replica=state.replica_id,
+        leader=leader,
+        revision=settings.settings.revision,
+        zones=_list_zones(entries, settings.settings.revision),
+        entries=entries,
+        servers=_list_servers(state),
+        last_change_id=last.change_id if last else "",
+        last_operator=last.operator if last else "",
+        last_change_ms=last.at_ms if last else 0,
+    )
+
+
+def sum_attainment(state: ControlState) -> AttainmentReport:
+    """Return the counts of every class, summed over the entries."""
+    ended: dict[str, int] = defaultdict(int)
+    met: dict[str, int] = defaultdict(int)
+    shed: dict[str, int] = defaultdict(int)
+    for entry in state.entries.entries.values():
+        for name, counts in (entry.attainment or {}).items():
+            ended[name] += counts.ended
+            met[name] += counts.met
+            shed[name] += counts.shed
+    classes = {
+        name: ClassAttainment(ended=ended[name], met=met[name], shed=shed[name])
+        for name in sorted(ended)
+    }
+    return AttainmentReport(entries=len(state.entries.entries), classes=classes)
+
+
+def _list_entries(state: ControlState) -> tuple[ProgramStatus, ...]:
+    now = state.clock.read_monotonic()
+    return tuple(
+        ProgramStatus(
+            name=entry.entry_id,
+            zone=entry.zone,
+            revision=entry.revision,
+            age_ms=int((now - entry.heard_at) * 1000),
+        )
+        for _, entry in sorted(state.entries.entries.items())
+    )
+
+
+def _list_zones(
+    entries: tuple[ProgramStatus, ...], revision: int
+) -> tuple[ZoneStatus, ...]:
+    revisions: dict[str, list[int]] = defaultdict(list)
+    for entry in entries:
+        revisions[entry.zone].append(entry.revision)
+    return tuple(
+        ZoneStatus(
+            zone=zone,
+            entries=len(found),
+            revision=min(found),
+            in_force=min(found) >= revision,
+        )
+        for zone, found in sorted(revisions.items())
+    )
+
+
+def _list_servers(state: ControlState) -> tuple[ServerStatus, ...]:
+    now = state.clock.read_monotonic()
+    return tuple(
+        ServerStatus(
+            server_id=member.server.server_id,
+            service=member.server.service,
+            zone=member.server.zone,
+            boot=member.server.boot,
+            lease_ms=max(0, int((member.lease_until - now) * 1000)),
+            drain_ordered=member.server.server_id in state.machine.drained,
+            shown=member.shown,
+            load=member.load,
+        )
+        for member in state.members.list_present()
+    )
--- a/carobspring/ledger/commands.py
+++ b/carobspring/ledger/commands.py
@@ -7,7 +7,7 @@
 
 @dataclass(frozen=True, kw_only=True)
 class ClaimCommand:
-    """A claim request, with the wall-clock time of the replica that took it."""
+    """A claim request, with the wall clock of the replica that took it."""
 
     request: ClaimRequest
     at_ms: int
--- a/carobspring/ledger/ledger.py
+++ b/carobspring/ledger/ledger.py
@@ -143,7 +143,7 @@
         return record.claim if record else None
 
     def find_number(self, number: int) -> Claim | None:
-        """Return the claim with this number, unless a later one replaced it."""
+        """Return the claim with this number, unless it was replaced."""
         key = self._keys.get(number)
         return self._records[key].claim if key else None
 
--- a/carobspring/membership/table.py
+++ b/carobspring/membership/table.py
@@ -72,6 +72,8 @@
         self.view = 0
         self.started_at = now
         self.members: OrderedDict[str, Member] = OrderedDict()
+        #: Servers that an operator drains; entries see them as draining.
+        self.drained: frozenset[str] = frozenset()
         #: Views before this one can't be told as a delta any more.
         self._oldest_view = 0
 
@@ -104,6 +106,19 @@
         until = min(member.lease_until, now + BROKEN_STREAM_LEASE_S)
         self.members[server_id] = replace(member, lease_until=until)
 
+    def set_drained(self, drained: frozenset[str], now: float) -> None:
+        """Take over which servers an operator drains.
+
+        One that is drained no more shows its own state again with its next
+        report.
+        """
+        self.drained = drained
+        for server_id in drained:
+            member = self.members.get(server_id)
+            if member is not None and member.shown and not member.load.draining:
+                load = replace(member.load, draining=True)
+                self._pass_load(server_id, replace(member, load=load), now)
+
     def expire(self, now: float) -> list[str]:
         """End leases that ran out and pass on loads; return who is gone."""
         ended = []
@@ -133,6 +148,11 @@
             return member.gone
         return True if now - self.started_at > 2 * LEASE_S else None
 
+    def find_boot(self, server_id: str) -> int:
+        """Return the largest boot number heard of, or zero."""
+        member = self.members.get(server_id)
+        return member.server.boot if member is not None else 0
+
     def list_present(self) -> list[Member]:
         """Return the members whose lease holds, by name."""
         present = [member for member in self.members.values() if not member.gone]
@@ -220,9 +240,12 @@
         now: float,
         is_own: bool,
     ) -> None:
+        load = news.load or LoadReport()
+        if server.server_id in self.drained:
+            load = replace(load, draining=True)
         member = Member(
             server=server,
-            load=news.load or LoadReport(),
+            load=load,
             sequence=news.sequence,
             heard_at=heard_at,
             lease_until=heard_at + LEASE_S,
--- /dev/null
+++ b/carobspring/operator/__init__.py
@@ -0,0 +1,16 @@
+"""The operator's side of the admin API, that ``carobctl`` is made of."""
+
+from carobspring.operator.client import AdminClient, ApiError, UnreachableError
+from carobspring.operator.editing import SettingsEditor
+from carobspring.operator.tables import write_table
+from carobspring.operator.waiting import NotInForceError, wait_until_in_force
+
+__all__ = [
+    "AdminClient",
+    "ApiError",
+    "NotInForceError",
+    "SettingsEditor",
+    "UnreachableError",
+    "wait_until_in_force",
+    "write_table",
+]
--- /dev/null
+++ b/carobspring/operator/tables.py
@@ -0,0 +1,14 @@
+"""Plain tables for people."""
+
+from collections.abc import Sequence
+
+
+def write_table(headings: Sequence[str], rows: Sequence[Sequence[object]]) -> str:
+    """Return lines with columns as wide as their widest cell."""
+    cells = [list(headings)] + [[str(cell) for cell in row] for row in rows]
+    widths = [max(len(row[i]) for row in cells) for i in range(len(headings))]
+    lines = []
+    for row in cells:
+        padded = [cell.ljust(width) for cell, width in zip(row, widths, strict=True)]
+        lines.append("  ".join(padded).rstrip())
+    return "\n".join(lines)
--- /dev/null
+++ b/carobspring/programs/ctl.py
@@ -0,0 +1,45 @@
+"""``carobctl``: the operator's commands over the admin API."""
+
+import sys
+
+import fire
+
+from carobspring.domain import DomainError
+from carobspring.operator import (
+    ApiError,
+    NotInForceError,
+    UnreachableError,
+)
+from carobspring.operator.commands import Carobctl
+
+EXIT_REFUSED = 1
+EXIT_USAGE = 2
+EXIT_CONFLICT = 3
+EXIT_UNREACHABLE = 4
+EXIT_NOT_IN_FORCE = 5
+EXIT_UNAUTHORIZED = 6
+EXIT_BY_STATUS = {401: EXIT_UNAUTHORIZED, 409: EXIT_CONFLICT}
+
+
+def main() -> None:
+    """Run ``carobctl``."""
+    try:
+        fire.Fire(Carobctl, name="carobctl")
+    except ApiError as error:
+        fail(error, EXIT_BY_STATUS.get(error.status, EXIT_REFUSED))
+    except UnreachableError as error:
+        fail(error, EXIT_UNREACHABLE)
+    except NotInForceError as error:
+        fail(error, EXIT_NOT_IN_FORCE)
+    except DomainError as error:
+        fail(error, EXIT_REFUSED)
+
+
+def fail(error: Exception, code: int) -> None:
+    """Say what went wrong and end with a code."""
+    print(f"carobctl: {error}", file=sys.stderr)
+    sys.exit(code)
+
+
+if __name__ == "__main__":
+    main()
--- a/carobspring/settings/evaluation.py
+++ b/carobspring/settings/evaluation.py
@@ -167,4 +167,10 @@
 
 
 def _write_json(value: object) -> str:
-    return "" if value is None else msgspec.json.encode(value).decode()
+    if value is None:
+        return ""
+    if isinstance(value, Workspace):
+        # The trail is read by people: they know keys by their fingerprints.
+        fingerprints = tuple(text.split("$")[0] for text in value.key_hashes)
+        value = replace(value, key_hashes=fingerprints)
+    return msgspec.json.encode(value).decode()
--- a/carobspring/settings/machine.py
+++ b/carobspring/settings/machine.py
@@ -1,7 +1,7 @@
 """The settings as a state machine over change requests."""
 
 import hashlib
-from collections import OrderedDict
+from collections import OrderedDict, deque
 from dataclasses import dataclass, field
 
 import msgspec
@@ -52,7 +52,7 @@
     def __init__(self) -> None:
         self.settings = Settings()
         self._answers: OrderedDict[str, RememberedAnswer] = OrderedDict()
-        self._audit: OrderedDict[int, bytes] = OrderedDict()
+        self._audit: deque[bytes] = deque()
         self._audit_bytes = 0
 
     def apply(self, request: ChangeRequest) -> ChangeAnswer:
@@ -80,37 +80,55 @@
         """
         return change_settings(self.settings, request.changes)[1]
 
+    def write_conflict(self, request: ChangeRequest) -> ChangeAnswer:
+        """Return the answer to a request that builds on another revision."""
+        reason = (
+            f"the change builds on revision {request.base_revision}, but revision "
+            f"{self.settings.revision} stands; look at it, then send the change "
+            "again on that revision under a new identifier"
+        )
+        return self._refuse(ChangeStatus.CONFLICT, reason)
+
+    def find_last_change(self) -> AuditEntry | None:
+        """Return the newest entry of the audit trail, or None."""
+        if not self._audit:
+            return None
+        return msgspec.msgpack.decode(self._audit[-1], type=AuditEntry)
+
     def list_audit(self) -> list[AuditEntry]:
         """Return the audit trail, newest first."""
         decoder = msgspec.msgpack.Decoder(AuditEntry)
-        return [decoder.decode(entry) for entry in reversed(self._audit.values())]
+        return [decoder.decode(entry) for entry in reversed(self._audit)]
+
+    def record_action(self, entry: AuditEntry) -> None:
+        """Add to the audit trail and let go of what is over its bounds."""
+        encoded = msgspec.msgpack.encode(entry)
+        self._audit.append(encoded)
+        self._audit_bytes += len(encoded)
+        while len(self._audit) > 1 and (
+            len(self._audit) > MAX_AUDIT_ENTRIES or self._audit_bytes > MAX_AUDIT_BYTES
+        ):
+            self._audit_bytes -= len(self._audit.popleft())
 
     def take_snapshot(self) -> SettingsSnapshot:
         """Return the whole state."""
         return SettingsSnapshot(
             settings=self.settings,
             answers=dict(self._answers),
-            audit=tuple(self._audit.values()),
+            audit=tuple(self._audit),
         )
 
     def restore(self, snapshot: SettingsSnapshot) -> None:
         """Take over the state of a snapshot."""
         self.settings = snapshot.settings
         self._answers = OrderedDict(snapshot.answers)
-        decoder = msgspec.msgpack.Decoder(AuditEntry)
-        self._audit = OrderedDict(
-            (decoder.decode(entry).revision, entry) for entry in snapshot.audit
-        )
+        self._audit = deque(snapshot.audit)
         self._audit_bytes = sum(len(entry) for entry in snapshot.audit)
 
     def _decide(self, request: ChangeRequest) -> ChangeAnswer:
         revision = self.settings.revision
         if request.base_revision != revision:
-            reason = (
-                f"the change builds on revision {request.base_revision}, "
-                f"but revision {revision} stands"
-            )
-            return self._refuse(ChangeStatus.CONFLICT, reason)
+            return self.write_conflict(request)
         try:
             self.settings, subjects = change_settings(self.settings, request.changes)
         except UnsoundChangeError as error:
@@ -122,7 +140,7 @@
             at_ms=request.at_ms,
             subjects=subjects,
         )
-        self._record(entry)
+        self.record_action(entry)
         return ChangeAnswer(
             status=ChangeStatus.ACCEPTED, revision=self.settings.revision
         )
@@ -131,16 +149,6 @@
         revision = self.settings.revision
         return ChangeAnswer(status=status, revision=revision, reason=reason)
 
-    def _record(self, entry: AuditEntry) -> None:
-        encoded = msgspec.msgpack.encode(entry)
-        self._audit[entry.revision] = encoded
-        self._audit_bytes += len(encoded)
-        while len(self._audit) > 1 and (
-            len(self._audit) > MAX_AUDIT_ENTRIES or self._audit_bytes > MAX_AUDIT_BYTES
-        ):
-            _, dropped = self._audit.popitem(last=False)
-            self._audit_bytes -= len(dropped)
-
 
 def _digest_content(request: ChangeRequest) -> bytes:
     # The base revision is left out: an operator's tool that resends a change
--- /dev/null
+++ b/tests/control/test_streams.py
@@ -0,0 +1,111 @@
+import unittest
+
+from carobspring.adapters import paths
+from carobspring.control.commands import Command
+from carobspring.domain import LatencyTarget, RunStatus, ServiceClass
+from carobspring.protocol import (
+    Claim,
+    ClaimReply,
+    ClaimRequest,
+    ClaimState,
+    EntryReport,
+    OutcomeReply,
+    OutcomeReport,
+    StoredAnswer,
+)
+from carobspring.settings import Change, ChangeRequest
+from tests.control.harness import (
+    ask,
+    make_report,
+    make_server,
+    open_agent,
+    open_entry,
+    run_control,
+)
+
+
+def make_change(change_id: str = "c1", base: int = 0) -> Command:
+    chat = ServiceClass(name="chat", priority=90, target=LatencyTarget())
+    return Command(
+        change=ChangeRequest(
+            change_id=change_id, base_revision=base, changes=(Change(set_class=chat),)
+        )
+    )
+
+
+class StreamTests(unittest.IsolatedAsyncioTestCase):
+    async def test_server_reaches_entries_and_goes(self):
+        """An entry hears of a server, its settings, and of its leaving."""
+        async with run_control() as (_, ports):
+            port = ports["rpc"]
+            async with open_agent(port) as agent, open_entry(port) as entry:
+                await entry.send(EntryReport(entry_id="e1", zone="a"))
+                first = await entry.wait_for(lambda update: update.complete)
+                self.assertEqual(first.settings.revision, 0)
+                await agent.send(make_report())
+                update = await entry.wait_for(lambda update: update.servers)
+                self.assertEqual(update.servers, (make_server(),))
+                await agent.send(make_report(2, leaving=True))
+                await entry.wait_for(lambda update: update.removed == ("m1",))
+
+    async def test_change_is_pushed(self):
+        """An accepted change reaches agents and entries unasked."""
+        async with run_control() as (program, ports):
+            port = ports["rpc"]
+            async with open_agent(port) as agent, open_entry(port) as entry:
+                await agent.send(make_report())
+                await entry.wait_for(lambda update: update.complete)
+                await program.proposer.propose(make_change())
+                for client in (agent, entry):
+                    update = await client.wait_for(
+                        lambda update: update.settings and update.settings.revision
+                    )
+                    self.assertEqual(list(update.settings.classes), ["chat"])
+
+    async def test_taken_boot(self):
+        """An agent with a replaced boot number is told which one to use."""
+        async with run_control() as (_, ports):
+            port = ports["rpc"]
+            async with (
+                open_agent(port) as later,
+                open_agent(port) as earlier,
+                open_entry(port) as entry,
+            ):
+                await later.send(make_report(boot=9))
+                await entry.wait_for(lambda update: update.servers)
+                await earlier.send(make_report(boot=8))
+                order = await earlier.wait_for(lambda order: order.minimum_boot)
+                self.assertEqual(order.minimum_boot, 10)
+
+    async def test_unique_call(self):
+        """A claim is granted once; a resend gets its outcome."""
+        request = ClaimRequest(
+            workspace="w",
+            service="booking",
+            key="k",
+            request_hash="h",
+            server_id="m1",
+            boot=7,
+            request_id="r1",
+        )
+        answer = StoredAnswer(status=201, body=b"booked")
+        async with run_control() as (_, ports):
+            port = ports["rpc"]
+            first = await ask(port, paths.CLAIM_CALL, request, ClaimReply)
+            self.assertIs(first.granted, True)
+            report = OutcomeReport(number=1, run_status=RunStatus.RAN, answer=answer)
+            await ask(port, paths.REPORT_OUTCOME, report, OutcomeReply)
+            again = await ask(port, paths.CLAIM_CALL, request, ClaimReply)
+            expected = Claim(
+                number=1,
+                workspace="w",
+                service="booking",
+                key="k",
+                request_hash="h",
+                server_id="m1",
+                boot=7,
+                state=ClaimState.DONE,
+                answer=answer,
+                changed_ms=again.claim.changed_ms,
+            )
+            self.assertEqual(again, ClaimReply(claim=expected))
