Add the load bench: profiles, replay, report and baseline

Cause: service levels are to be measured in the running programs. Change: bench/ with the two deployments' seeded loads, a replay that checks each answer's content, and a first-come round robin baseline.

--- /dev/null
+++ b/bench/baseline.py
@@ -0,0 +1,103 @@
+"""The baseline: first come, first served, with round robin over servers.
+
+Run as ``python -m bench.baseline --models URL,.. --plain URL,..``. It takes
+the same requests as an entry and forwards each to the next server in turn;
+the server's own queue is first come, first served, as it gets no priorities.
+"""
+
+import itertools
+from collections.abc import Iterator
+from dataclasses import dataclass
+
+import aiohttp
+from aiohttp import web
+
+from standins.programs import parse_options, run
+
+HOP_HEADERS = {"transfer-encoding", "content-length", "connection", "date", "server"}
+
+
+@dataclass(frozen=True, kw_only=True)
+class BaselineOptions:
+    """The flags of the baseline router."""
+
+    models: str
+    plain: str = ""
+    host: str = "127.0.0.1"
+    port: int = 0
+
+
+class Baseline:
+    """Forwards requests to servers in turn."""
+
+    def __init__(self, *, options: BaselineOptions) -> None:
+        self._models = itertools.cycle(options.models.split(","))
+        self._plain = itertools.cycle(options.plain.split(","))
+        self._client: aiohttp.ClientSession | None = None
+
+    def build_app(self) -> web.Application:
+        """Return the application with its routes."""
+        app = web.Application()
+        app.router.add_route("*", "/v1/{rest:.*}", self.forward_model)
+        app.router.add_route("*", "/services/{name}/{rest:.*}", self.forward_plain)
+        return app
+
+    async def forward_model(self, request: web.Request) -> web.StreamResponse:
+        """Forward a call to the next runner."""
+        return await self._forward(request, self._models, request.path_qs)
+
+    async def forward_plain(self, request: web.Request) -> web.StreamResponse:
+        """Forward a call to the next plain server."""
+        return await self._forward(
+            request, self._plain, f"/{request.match_info['rest']}"
+        )
+
+    async def _forward(
+        self, request: web.Request, servers: Iterator[str], path: str
+    ) -> web.StreamResponse:
+        client = self._open_client()
+        url = next(servers) + path
+        body = await request.read()
+        try:
+            async with client.request(request.method, url, data=body) as answer:
+                return await self._relay(request, answer)
+        except aiohttp.ClientError as error:
+            return web.json_response({"error": {"message": str(error)}}, status=502)
+
+    async def _relay(
+        self, request: web.Request, answer: aiohttp.ClientResponse
+    ) -> web.StreamResponse:
+        headers = {
+            name: value
+            for name, value in answer.headers.items()
+            if name.lower() not in HOP_HEADERS
+        }
+        response = web.StreamResponse(status=answer.status, headers=headers)
+        await response.prepare(request)
+        try:
+            async for data in answer.content.iter_any():
+                await response.write(data)
+        except aiohttp.ClientError:
+            if request.transport is not None:
+                request.transport.abort()
+            raise
+        await response.write_eof()
+        return response
+
+    def _open_client(self) -> aiohttp.ClientSession:
+        if self._client is None:
+            self._client = aiohttp.ClientSession(
+                connector=aiohttp.TCPConnector(limit=0),
+                timeout=aiohttp.ClientTimeout(total=None),
+            )
+        return self._client
+
+
+def main() -> None:
+    """Run the baseline router."""
+    options = parse_options(BaselineOptions)
+    run(Baseline(options=options).build_app(), host=options.host, port=options.port)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/bench/load.py
@@ -0,0 +1,160 @@
+"""Replays a deployment's load against the real programs and prints figures.
+
+Run as ``python -m bench.load``. Example:
+``python -m bench.load --profile cooperative --factors 1.5,2 --json out.json``
+"""
+
+import asyncio
+import dataclasses
+import json
+import os
+from collections.abc import Sequence
+from dataclasses import dataclass
+from pathlib import Path
+
+import aiohttp
+
+from bench.profiles import PROFILES, Profile, plan_calls
+from bench.replay import Replay
+from bench.report import RunFigures, RunSetting, format_run, summarize
+from bench.systems import System, open_system
+from standins.deployment import open_client
+from standins.programs import parse_options
+
+#: Part of the run after which a fault is switched on.
+FAULT_AT = 0.25
+STRAGGLER_FACTOR = 4.0
+NO_FAULT = "none"
+STRAGGLER = "straggler"
+CRASH = "crash"
+
+
+@dataclass(frozen=True, kw_only=True)
+class LoadOptions:
+    """The flags of the load bench; lists are separated by commas."""
+
+    profile: str = "cooperative,langit-tinggi"
+    system: str = "carob,baseline"
+    factors: str = "1.5,2.0"
+    faults: str = NO_FAULT
+    duration_s: float = 40.0
+    #: Seconds that late answers are waited for after the last call.
+    drain_s: float = 60.0
+    seed: int = 1
+    #: The commit whose programs the system ``thin`` runs.
+    thin_commit: str = ""
+    #: Files for the figures as JSON, and for a picture.
+    json: str = ""
+    plot: str = ""
+
+
+async def set_fault(
+    system: System, client: aiohttp.ClientSession, fault: str, after_s: float
+) -> None:
+    """Switch a fault on in the first runner, after a while."""
+    await asyncio.sleep(after_s)
+    runner = system.runners[0]
+    if fault == CRASH:
+        await runner.kill()
+    if fault == STRAGGLER:
+        url = f"{runner.url()}/standin/fault"
+        await client.post(url, json={"slow_factor": STRAGGLER_FACTOR})
+
+
+def count_healthy(profile: Profile, fault: str) -> float:
+    """Return the runners' worth of capacity over a run with a fault."""
+    lost = {CRASH: 1.0, STRAGGLER: 1 - 1 / STRAGGLER_FACTOR}.get(fault, 0.0)
+    return profile.runners - lost * (1 - FAULT_AT)
+
+
+async def watch_tokens(
+    system: System, client: aiohttp.ClientSession, totals: list[int]
+) -> None:
+    """Keep the latest count of each runner, also of one that dies."""
+    while True:
+        counts = await system.count_tokens(client)
+        totals[:] = [max(*pair) for pair in zip(totals, counts, strict=True)]
+        await asyncio.sleep(0.25)
+
+
+async def run_once(
+    setting: RunSetting, *, drain_s: float, thin_commit: str
+) -> RunFigures:
+    """Run one system under one load and return its figures."""
+    profile = setting.profile
+    calls = plan_calls(
+        profile, factor=setting.factor, duration_s=setting.duration_s, seed=setting.seed
+    )
+    async with (
+        open_system(setting.system, profile, thin_commit) as system,
+        open_client(setting.duration_s + drain_s + 60) as client,
+    ):
+        replay = Replay(
+            client=client, profile=profile, entries=system.entries, keys=system.keys
+        )
+        totals = [0] * len(system.runners)
+        watch = asyncio.create_task(watch_tokens(system, client, totals))
+        fault = asyncio.create_task(
+            set_fault(system, client, setting.fault, FAULT_AT * setting.duration_s)
+        )
+        load = asyncio.create_task(replay.run(calls, drain_s=drain_s))
+        await asyncio.sleep(setting.duration_s)
+        during = sum(totals)
+        await asyncio.gather(load, fault)
+        await asyncio.sleep(0.5)
+        watch.cancel()
+    return summarize(
+        setting,
+        calls,
+        replay.records,
+        generated_during=during,
+        generated_tokens=sum(totals),
+        healthy_runners=count_healthy(profile, setting.fault),
+    )
+
+
+def list_settings(options: LoadOptions) -> list[RunSetting]:
+    """Return every combination that the flags name."""
+    return [
+        RunSetting(
+            profile=PROFILES[profile],
+            system=system,
+            factor=float(factor),
+            fault=fault,
+            seed=options.seed,
+            duration_s=options.duration_s,
+        )
+        for profile in options.profile.split(",")
+        for factor in options.factors.split(",")
+        for fault in options.faults.split(",")
+        for system in options.system.split(",")
+    ]
+
+
+def run_all(options: LoadOptions) -> Sequence[RunFigures]:
+    """Run every combination, one after the other, and print each."""
+    results = []
+    for setting in list_settings(options):
+        figures = asyncio.run(
+            run_once(setting, drain_s=options.drain_s, thin_commit=options.thin_commit)
+        )
+        print(format_run(figures), flush=True)
+        results.append(figures)
+    return results
+
+
+def main() -> None:
+    """Run the load bench."""
+    options = parse_options(LoadOptions)
+    results = run_all(options)
+    if options.json:
+        records = [dataclasses.asdict(figures) for figures in results]
+        Path(options.json).write_text(json.dumps(records, indent=1) + os.linesep)
+    if options.plot:
+        from bench.plot import draw_attainment
+
+        draw_attainment(results, Path(options.plot))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/bench/report.py
@@ -0,0 +1,178 @@
+"""Turns the records of a run into the figures that the targets name."""
+
+import collections
+import os
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+from bench.profiles import PlannedCall, Profile
+from bench.replay import CallRecord
+
+MINUTE_S = 60.0
+
+
+@dataclass(frozen=True, kw_only=True)
+class ClassFigures:
+    """What one class got."""
+
+    name: str
+    priority: int
+    sent: int
+    attainment: float
+    answered: int
+    refused: int
+    refused_with_retry_after: int
+    #: Of those that came back at the time named: taken, and refused again.
+    returned_taken: int
+    returned_refused: int
+    failed: int
+    unanswered: int
+    wrong: int
+    longest_wait_s: float
+    #: Fewest answers in a minute in which the class had calls waiting.
+    least_in_a_minute: int
+    reasons: dict[str, int]
+
+
+@dataclass(frozen=True, kw_only=True)
+class RunFigures:
+    """What one run of one system gave."""
+
+    profile: str
+    system: str
+    factor: float
+    fault: str
+    seed: int
+    duration_s: float
+    load_average: float
+    #: Useful tokens delivered during the load, of what the runners can do.
+    goodput: float
+    #: Tokens for whole answers received by the end, and generated in all.
+    useful_tokens: int
+    generated_tokens: int
+    wasted_share: float
+    classes: tuple[ClassFigures, ...]
+
+
+@dataclass(frozen=True, kw_only=True)
+class RunSetting:
+    """What was run."""
+
+    profile: Profile
+    system: str
+    factor: float
+    fault: str
+    seed: int
+    duration_s: float
+
+
+def summarize(
+    setting: RunSetting,
+    calls: Sequence[PlannedCall],
+    records: Sequence[CallRecord],
+    *,
+    generated_during: int,
+    generated_tokens: int,
+    healthy_runners: float,
+) -> RunFigures:
+    """Return the figures of a run.
+
+    ``generated_during`` counts tokens made while calls arrived; its useful
+    part is taken to be that of the whole run.
+    """
+    useful = sum(record.call.tokens for record in records if record.whole)
+    wasted = max(1 - useful / max(generated_tokens, 1), 0.0)
+    profile = setting.profile
+    able = profile.capacity * healthy_runners / profile.runners * setting.duration_s
+    offered = sum(call.tokens for call in calls)
+    classes = tuple(
+        summarize_class(load.name, load.service_class.priority, calls, records)
+        for load in profile.classes
+    )
+    return RunFigures(
+        profile=profile.name,
+        system=setting.system,
+        factor=setting.factor,
+        fault=setting.fault,
+        seed=setting.seed,
+        duration_s=setting.duration_s,
+        load_average=os.getloadavg()[0],
+        goodput=generated_during * (1 - wasted) / min(able, offered),
+        useful_tokens=useful,
+        generated_tokens=generated_tokens,
+        wasted_share=wasted,
+        classes=classes,
+    )
+
+
+def summarize_class(
+    name: str,
+    priority: int,
+    calls: Sequence[PlannedCall],
+    records: Sequence[CallRecord],
+) -> ClassFigures:
+    """Return the figures of one class."""
+    sent = sum(call.load.name == name for call in calls)
+    mine = [record for record in records if record.call.load.name == name]
+    first = [record for record in mine if not record.returned]
+    again = [record for record in mine if record.returned]
+    refused = [record for record in first if is_refusal(record)]
+    unanswered = sum(record.reason == "never answered" for record in mine)
+    failed = sum(
+        not record.whole and not is_refusal(record) and not record.wrong
+        for record in mine
+    )
+    return ClassFigures(
+        name=name,
+        priority=priority,
+        sent=sent,
+        attainment=sum(record.met for record in first) / max(sent, 1),
+        answered=sum(record.whole for record in mine),
+        refused=len(refused),
+        refused_with_retry_after=sum(record.retry_after_s > 0 for record in refused),
+        returned_taken=sum(not is_refusal(record) for record in again),
+        returned_refused=sum(is_refusal(record) for record in again),
+        failed=failed - unanswered,
+        unanswered=unanswered,
+        wrong=sum(record.wrong for record in mine),
+        longest_wait_s=max((record.wait_s for record in mine), default=0.0),
+        least_in_a_minute=count_least(mine),
+        reasons=dict(collections.Counter(r.reason for r in mine if r.reason)),
+    )
+
+
+def is_refusal(record: CallRecord) -> bool:
+    """Say whether a call was given up with a final answer."""
+    return record.status in (429, 503)
+
+
+def count_least(records: Sequence[CallRecord]) -> int:
+    """Return the fewest answers in a whole minute of demand."""
+    whole = [record for record in records if record.whole]
+    last_sent = max((record.sent_s for record in records), default=0.0)
+    minutes = max(int(last_sent // MINUTE_S), 1)
+    counts = collections.Counter(int(record.ended_s // MINUTE_S) for record in whole)
+    return min(counts[minute] for minute in range(minutes))
+
+
+RUN_LINES = """\
+== {run.profile} x{run.factor} {run.system} fault={run.fault} \
+seed={run.seed} {run.duration_s:.0f} s
+   goodput {run.goodput:.1%} of what the runners can do, wasted \
+{run.wasted_share:.1%}, load average {run.load_average:.1f}
+"""
+CLASS_LINE = """\
+   {item.name:<15} met {item.attainment:.1%} of {item.sent}, answered \
+{item.answered}, refused {item.refused} ({item.refused_with_retry_after} told \
+when; back then: taken {item.returned_taken}, refused {item.returned_refused}), \
+failed {item.failed}, unanswered {item.unanswered}, wrong {item.wrong}, longest \
+wait {item.longest_wait_s:.1f} s, least a minute {item.least_in_a_minute} \
+{item.reasons}
+"""
+
+
+def format_run(figures: RunFigures) -> str:
+    """Return a run's figures as text."""
+    lines = [RUN_LINES.format(run=figures)]
+    lines += [CLASS_LINE.format(item=item) for item in figures.classes]
+    return "".join(lines)
--- /dev/null
+++ b/bench/systems.py
@@ -0,0 +1,167 @@
+"""Starts the systems that the load bench compares."""
+
+import asyncio
+import subprocess
+import tempfile
+from abc import ABC, abstractmethod
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from pathlib import Path
+
+import aiohttp
+
+from bench.profiles import Profile
+from standins.deployment import Deployment, RunningProgram, wait_until
+from standins.setup import apply_settings, read_ready
+
+LOAD_LAG_MS = 500
+
+
+class System(ABC):
+    """A running system: addresses to send to, and its backend servers."""
+
+    def __init__(self, *, deployment: Deployment, profile: Profile) -> None:
+        self.deployment = deployment
+        self.profile = profile
+        self.entries: list[str] = []
+        self.keys: dict[str, str] = {}
+        self.runners: list[RunningProgram] = []
+        self.desks: list[RunningProgram] = []
+
+    async def start(self) -> None:
+        """Start the backend servers, then what routes to them."""
+        speed = self.profile.speed
+        self.runners = await asyncio.gather(
+            *(
+                self.deployment.start_runner(
+                    models=self.profile.model,
+                    slots=speed.slots,
+                    token_ms=speed.token_ms,
+                    crowding=speed.crowding,
+                    load_lag_ms=LOAD_LAG_MS,
+                )
+                for _ in range(self.profile.runners)
+            )
+        )
+        self.desks = await asyncio.gather(
+            *(self.deployment.start_desk(work_ms=20) for _ in range(self.profile.desks))
+        )
+        await self.start_routers()
+
+    @abstractmethod
+    async def start_routers(self) -> None:
+        """Start what callers talk to."""
+
+    async def count_tokens(self, client: aiohttp.ClientSession) -> list[int]:
+        """Return the tokens that each runner has generated; dead ones none."""
+        return list(
+            await asyncio.gather(*(self._count(client, one) for one in self.runners))
+        )
+
+    async def _count(
+        self, client: aiohttp.ClientSession, runner: RunningProgram
+    ) -> int:
+        if runner.returncode is not None:
+            return 0
+        async with client.get(f"{runner.url()}/standin/counters") as answer:
+            return int((await answer.json())["generated_tokens"])
+
+
+class CarobSystem(System):
+    """The programs of this repository, of this or another commit."""
+
+    async def start_routers(self) -> None:
+        """Start control, agents and one entry a zone; apply the settings."""
+        zones = self.profile.zones
+        await self.deployment.start_controls(list(zones))
+        entries = await asyncio.gather(
+            *(self.deployment.start_entry(f"e-{zone}", zone=zone) for zone in zones)
+        )
+        starts = [
+            self.deployment.start_agent(
+                f"runner-{index}",
+                runner,
+                zones[index % len(zones)],
+                service=self.profile.model_service,
+                models=self.profile.model,
+                slots=self.profile.speed.slots,
+            )
+            for index, runner in enumerate(self.runners)
+        ]
+        starts += [
+            self.deployment.start_agent(
+                f"desk-{index}",
+                desk,
+                zones[index % len(zones)],
+                service=self.profile.plain_service,
+                kind="plain",
+                models="",
+                slots=16,
+            )
+            for index, desk in enumerate(self.desks)
+        ]
+        await asyncio.gather(*starts)
+        self.keys = await apply_settings(
+            self.deployment,
+            classes=[load.service_class for load in self.profile.classes],
+            workspaces={
+                name: self.profile.classes[0].name for name in self.profile.workspaces
+            },
+            plain_services={
+                self.profile.plain_service: [self.profile.unrepeatable_path]
+            },
+        )
+        self.entries = [entry.url() for entry in entries]
+        key = next(iter(self.keys.values()))
+        for entry in self.entries:
+            await wait_until(
+                lambda url=entry: read_ready(  # type: ignore[misc]
+                    url, key=key, model=self.profile.model
+                ),
+                "the entry serves the model",
+            )
+
+
+class BaselineSystem(System):
+    """First come, first served, with round robin."""
+
+    async def start_routers(self) -> None:
+        """Start the baseline router."""
+        flags = {
+            "models": ",".join(runner.url() for runner in self.runners),
+            "plain": ",".join(desk.url() for desk in self.desks),
+        }
+        router = await self.deployment.start("bench.baseline", flags)
+        self.entries = [router.url()]
+
+
+@asynccontextmanager
+async def open_system(
+    name: str, profile: Profile, thin_commit: str = ""
+) -> AsyncIterator[System]:
+    """Start a system by name: carob, thin or baseline."""
+    with tempfile.TemporaryDirectory(prefix="carob-thin-") as folder:
+        source = None
+        if name == "thin":
+            source = Path(folder) / "tree"
+            await asyncio.to_thread(check_out, thin_commit, source)
+        kind = BaselineSystem if name == "baseline" else CarobSystem
+        try:
+            async with Deployment(source=source) as deployment:
+                system = kind(deployment=deployment, profile=profile)
+                await system.start()
+                yield system
+        finally:
+            if source is not None:
+                run_git("worktree", "remove", "--force", str(source))
+
+
+def check_out(commit: str, folder: Path) -> None:
+    """Check a commit out into a folder of its own."""
+    run_git("worktree", "add", "--detach", str(folder), commit)
+
+
+def run_git(*words: str) -> None:
+    """Run git in this repository."""
+    root = Path(__file__).resolve().parent.parent
+    subprocess.run(["git", *words], cwd=root, check=True, capture_output=True)
--- a/standins/deployment.py
+++ b/standins/deployment.py
@@ -236,7 +236,7 @@
         self, entry_id: str = "e1", zone: str = "zone-a", **flags: object
     ) -> RunningProgram:
         """Start one entry."""
-        base: dict[str, object] = {"entry_id": entry_id, "zone": zone, "host": LOOPBACK}
+        base: dict[str, object] = {"entry_id": entry_id, "zone": zone}
         base |= {"http_port": 0, "control": ",".join(self.controls)}
         base |= {"secret": self.secret}
         return await self.start("carobspring.programs.entry", base | flags, entry_id)
--- a/standins/runner.py
+++ b/standins/runner.py
@@ -13,6 +13,7 @@
 import time
 from collections.abc import AsyncIterator
 from dataclasses import dataclass
+from typing import Any
 
 from aiohttp import web
 
@@ -143,16 +144,18 @@
             body = json.loads(await request.read())
             chat = request.path.endswith("/chat/completions")
             prompt = read_prompt(body, chat=chat)
+            echoed = prompt[-1]
         except (ValueError, KeyError, IndexError, TypeError) as error:
             return web.json_response({"error": {"message": str(error)}}, status=400)
-        if self._faults.crash_marker and self._faults.crash_marker in prompt:
+        if self._faults.crash_marker and self._faults.crash_marker in echoed:
             os._exit(CRASH_STATUS)
         sequence = self._engine.submit(
-            prompt=prompt,
-            tokens=count_tokens(prompt, body.get("max_tokens")),
+            prompt=" ".join(prompt),
+            tokens=count_tokens(echoed, body.get("max_tokens")),
             priority=int(body.get("priority", 0)),
         )
-        answer = AnswerFormat(model=str(body.get("model", "")), chat=chat)
+        model = str(body.get("model", ""))
+        answer = AnswerFormat(model=model, chat=chat, echoed=echoed)
         try:
             if body.get("stream"):
                 return await self._send_stream(request, sequence, answer)
@@ -168,7 +171,8 @@
     async def _send_whole(
         self, sequence: EngineSequence, answer: "AnswerFormat"
     ) -> web.Response:
-        text = "".join([piece async for piece in self._read_pieces(sequence)])
+        pieces = self._read_pieces(sequence, answer.echoed)
+        text = "".join([piece async for piece in pieces])
         return web.json_response(answer.build_whole(text, sequence.tokens))
 
     async def _send_stream(
@@ -176,7 +180,7 @@
     ) -> web.StreamResponse:
         response = web.StreamResponse(headers={"Content-Type": "text/event-stream"})
         await response.prepare(request)
-        async for piece in self._read_pieces(sequence):
+        async for piece in self._read_pieces(sequence, answer.echoed):
             await response.write(answer.build_event(piece, None))
             if 0 < self._faults.cut_after <= sequence.generated:
                 assert request.transport is not None
@@ -187,8 +191,10 @@
         await response.write_eof()
         return response
 
-    async def _read_pieces(self, sequence: EngineSequence) -> AsyncIterator[str]:
-        tokens = build_answer(sequence.prompt, sequence.tokens)
+    async def _read_pieces(
+        self, sequence: EngineSequence, echoed: str
+    ) -> AsyncIterator[str]:
+        tokens = build_answer(echoed, sequence.tokens)
         sent = 0
         while sent < len(tokens):
             step = min(self._options.tokens_per_chunk, len(tokens) - sent)
@@ -205,6 +211,8 @@
 
     model: str
     chat: bool
+    #: The text that the answer repeats.
+    echoed: str
 
     def build_event(self, text: str, finish: str | None) -> bytes:
         """Return one server-sent event."""
@@ -239,11 +247,11 @@
         }
 
 
-def read_prompt(body: dict[str, object], *, chat: bool) -> str:
-    """Return the text that an answer repeats: the last message's content."""
+def read_prompt(body: dict[str, Any], *, chat: bool) -> list[str]:
+    """Return the texts of a prompt; the answer repeats the last."""
     if chat:
-        return str(body["messages"][-1]["content"])  # type: ignore[index]
-    return str(body["prompt"])
+        return [str(message["content"]) for message in body["messages"]]
+    return [str(body["prompt"])]
 
 
 def main() -> None:
