--- a/carobspring/entry/__init__.py
+++ b/carobspring/entry/__init__.py
@@ -9,11 +9,13 @@
     ControlWatch,
     parse_addresses,
 )
-from carobspring.entry.driver import CallDriver, DriverParts
+from carobspring.entry.driver import CallDriver
 from carobspring.entry.errors import ERROR_KINDS, CallError
 from carobspring.entry.following import CallFollower, CallProgress, FollowLimits
 from carobspring.entry.measures import CallTimes, EntryMeasures
+from carobspring.entry.parts import DriverParts
 from carobspring.entry.state import EntryState
+from carobspring.entry.unique import UniqueCallDriver
 
 __all__ = [
     "ERROR_KINDS",
@@ -32,5 +34,6 @@
     "EntryMeasures",
     "EntryState",
     "FollowLimits",
+    "UniqueCallDriver",
     "parse_addresses",
 ]
--- a/carobspring/entry/api.py
+++ b/carobspring/entry/api.py
@@ -1,26 +1,29 @@
 """The callers' HTTP API: which path does what."""
 
 import asyncio
-import logging
+from collections import Counter
+from collections.abc import Iterator
+from contextlib import contextmanager
 from typing import Final
 
 import msgspec
 
 from carobspring.adapters.metrics import CONTENT_TYPE, Metrics
-from carobspring.domain import RunStatus, ServiceKind
+from carobspring.domain import RunStatus, ServiceKind, Workspace
 from carobspring.entry.answers import CallerAnswer, StreamedAnswer, WholeAnswer
-from carobspring.entry.driver import CallDriver, DriverParts
+from carobspring.entry.driver import CallDriver, advise_retry
 from carobspring.entry.errors import CallError
+from carobspring.entry.parts import DriverParts
 from carobspring.entry.requests import CallerRequest, read_call
+from carobspring.entry.unique import UniqueCallDriver
+from carobspring.entry.updating import SettingsUpdater
 from carobspring.ports import HttpRequest, HttpResponder
+from carobspring.routing import PoolKey
 
 JSON_HEADERS: Final = (("Content-Type", "application/json"),)
-SETTINGS_WAIT_S = 1.0
 SETTINGS_RETRY_MS = 1000
 READY_RETRY_MS = 1000
 
-logger = logging.getLogger(__name__)
-
 
 class CallersApi:
     """Answers callers' requests; ``handle`` is given to the HTTP server."""
@@ -28,7 +31,8 @@
     def __init__(self, *, parts: DriverParts, metrics: Metrics) -> None:
         self._parts = parts
         self._metrics = metrics
-        self.open_calls = 0
+        self._updater = SettingsUpdater(parts)
+        self._open: Counter[str] = Counter()
 
     async def handle(self, request: HttpRequest, responder: HttpResponder) -> None:
         """Answer one request."""
@@ -70,21 +74,21 @@
         workspace = state.keys.find_workspace(request.find_header("Authorization"))
         now = self._parts.clock.read_monotonic()
         call = read_call(request, state.settings, workspace, now)
+        self._check_target(call)
         answer_type = StreamedAnswer if call.stream else WholeAnswer
         answer: CallerAnswer = answer_type(responder)
-        self.open_calls += 1
-        try:
-            await self._drive(call, answer, responder)
-        except CallError as error:
-            self._parts.measures.errors.inc({"code": error.code})
-            await answer.fail(error)
-        finally:
-            self.open_calls -= 1
+        with self._count_open(workspace):
+            try:
+                await self._drive(call, answer, responder)
+            except CallError as error:
+                self._parts.measures.errors.inc({"code": error.code})
+                await answer.fail(error)
 
     async def _drive(
         self, call: CallerRequest, answer: CallerAnswer, responder: HttpResponder
     ) -> None:
-        driver = CallDriver(parts=self._parts, call=call, answer=answer)
+        driver_type = UniqueCallDriver if call.unique else CallDriver
+        driver = driver_type(parts=self._parts, call=call, answer=answer)
         work = asyncio.ensure_future(driver.run())
         gone = asyncio.ensure_future(responder.gone.wait())
         try:
@@ -94,29 +98,66 @@
             if not work.done():
                 work.cancel()
                 await asyncio.wait({work})
-        if not work.cancelled():
-            work.result()
+        measures = self._parts.measures
+        name = call.service_class.name
+        error = None if work.cancelled() else work.exception()
+        if work.cancelled():
+            measures.count_failure(name, "caller_gone", shed=False)
+        elif isinstance(error, CallError):
+            shed = error.ran is RunStatus.NOT_RUN
+            measures.count_failure(name, error.code, shed=shed)
+        if work.cancelled() or error is not None:
+            measures.count_wasted(name, driver.wasted_bytes)
+        if error is not None:
+            raise error
+
+    @contextmanager
+    def _count_open(self, workspace: Workspace) -> Iterator[None]:
+        name, limit = workspace.name, workspace.concurrency_limit
+        if limit and self._open[name] >= limit:
+            message = f"Workspace {name!r} has {limit} calls open here; wait for one."
+            raise CallError(
+                code="workspace_limit",
+                message=message,
+                retry_after_ms=advise_retry(self._parts, []),
+            )
+        self._open[name] += 1
+        try:
+            yield
+        finally:
+            self._open[name] -= 1
+            if not self._open[name]:
+                del self._open[name]
+
+    def _check_target(self, call: CallerRequest) -> None:
+        key = PoolKey(kind=call.kind, target=call.target)
+        if call.kind is ServiceKind.MODEL and not self._parts.router.has_pool(key):
+            message = f"There is no model {call.target!r} here; see /v1/models."
+            raise CallError(code="model_not_found", message=message)
 
     async def _check_settings(self, request: HttpRequest) -> None:
         state = self._parts.state
-        named = request.find_header("X-Carob-Revision") or ""
-        if named.isascii() and named.isdecimal() and len(named) < 16:
-            state.hear_revision(int(named))
         if not state.has_view:
             message = "This entry has not learned the settings yet; ask again."
             raise CallError(
                 code="not_ready", message=message, retry_after_ms=READY_RETRY_MS
             )
-        if state.is_behind and not await state.wait_current(SETTINGS_WAIT_S):
+        # What a caller names counts for its own call only: it may be made up.
+        named = request.find_header("X-Carob-Revision") or ""
+        is_number = named.isascii() and named.isdecimal() and len(named) < 16
+        needed = max(state.heard_revision, int(named) if is_number else 0)
+        if needed > state.settings.revision and not await self._updater.catch_up(
+            needed
+        ):
+            present = state.settings.revision
             message = (
-                f"Revision {state.heard_revision} of the settings is in force and "
-                f"this entry has {state.settings.revision}; ask again."
+                f"Revision {needed} of the settings was named and this entry has "
+                f"{present}; ask again."
             )
             raise CallError(
                 code="settings_behind",
                 message=message,
-                ran=RunStatus.NOT_RUN,
-                retry_after_ms=SETTINGS_RETRY_MS,
+                retry_after_ms=advise_retry(self._parts, [SETTINGS_RETRY_MS]),
             )
 
     def _list_models(self) -> bytes:
--- /dev/null
+++ b/carobspring/entry/asking.py
@@ -0,0 +1,107 @@
+"""Single questions to agents: what became of a claim, and settings."""
+
+import asyncio
+from typing import Any, TypeVar
+
+from grpclib.const import Cardinality
+
+from carobspring.adapters import paths
+from carobspring.domain import BackendServer
+from carobspring.entry.channels import ChannelPool, connect
+from carobspring.entry.following import STREAM_ERRORS
+from carobspring.protocol import (
+    CancelCall,
+    CancelReply,
+    Claim,
+    FenceClaim,
+    FenceReply,
+    FetchSettings,
+    SettingsReply,
+)
+
+FENCE_ATTEMPTS = 2
+FENCE_TIMEOUT_S = 1.5
+SETTINGS_TIMEOUT_S = 0.5
+
+Reply = TypeVar("Reply")
+
+
+async def ask_agent(
+    pool: ChannelPool,
+    server: BackendServer,
+    path: str,
+    request: Any,
+    reply_type: type[Reply],
+    timeout_s: float,
+) -> Reply | None:
+    """Return an agent's answer to one message, or None when it was lost.
+
+    A connection on which no answer came in time is given to no new stream.
+
+    Raises:
+        ConnectionRefusedError: The agent's process is gone.
+    """
+    with pool.share(server) as shared:
+        try:
+            async with asyncio.timeout(timeout_s):
+                await connect(shared.channel, timeout_s)
+                stream = shared.channel.request(
+                    path, Cardinality.UNARY_UNARY, type(request), reply_type
+                )
+                async with stream:
+                    await stream.send_message(request, end=True)
+                    return await stream.recv_message()
+        except ConnectionRefusedError:
+            raise
+        except STREAM_ERRORS:
+            pool.retire(server, shared)
+            return None
+
+
+async def ask_cancel(
+    pool: ChannelPool, server: BackendServer, call_id: str, timeout_s: float
+) -> bool:
+    """Tell an agent that nobody waits for a call; say if it has heard."""
+    request = CancelCall(call_id=call_id)
+    try:
+        reply = await ask_agent(
+            pool, server, paths.CANCEL_CALL, request, CancelReply, timeout_s
+        )
+    except ConnectionRefusedError:
+        return True
+    return reply is not None
+
+
+async def ask_fence(
+    pool: ChannelPool, server: BackendServer, claim: Claim
+) -> FenceReply | None:
+    """Return what the claim's agent knows of it, or None without an answer."""
+    request = FenceClaim(claim=claim.number, boot=claim.boot)
+    for _ in range(FENCE_ATTEMPTS):
+        try:
+            reply = await ask_agent(
+                pool, server, paths.FENCE_CLAIM, request, FenceReply, FENCE_TIMEOUT_S
+            )
+        except ConnectionRefusedError:
+            return None
+        if reply is not None:
+            return reply
+    return None
+
+
+async def ask_settings(
+    pool: ChannelPool, server: BackendServer, revision: int
+) -> SettingsReply | None:
+    """Return an agent's settings, if it answers."""
+    request = FetchSettings(revision=revision)
+    try:
+        return await ask_agent(
+            pool,
+            server,
+            paths.FETCH_SETTINGS,
+            request,
+            SettingsReply,
+            SETTINGS_TIMEOUT_S,
+        )
+    except ConnectionRefusedError:
+        return None
--- a/carobspring/entry/cancelling.py
+++ b/carobspring/entry/cancelling.py
@@ -2,13 +2,9 @@
 
 import asyncio
 
-from grpclib.const import Cardinality
-
-from carobspring.adapters import paths
 from carobspring.domain import BackendServer
-from carobspring.entry.channels import ChannelPool, connect
-from carobspring.entry.following import STREAM_ERRORS
-from carobspring.protocol import CancelCall, CancelReply
+from carobspring.entry.asking import ask_cancel
+from carobspring.entry.channels import ChannelPool
 
 ATTEMPTS = 4
 #: An attempt on a silent connection must leave time for one on another.
@@ -35,22 +31,5 @@
 
     async def _cancel(self, server: BackendServer, call_id: str) -> None:
         for _ in range(ATTEMPTS):
-            with self._pool.share(server) as shared:
-                try:
-                    async with asyncio.timeout(ATTEMPT_S):
-                        await connect(shared.channel, ATTEMPT_S)
-                        stream = shared.channel.request(
-                            paths.CANCEL_CALL,
-                            Cardinality.UNARY_UNARY,
-                            CancelCall,
-                            CancelReply,
-                        )
-                        async with stream:
-                            request = CancelCall(call_id=call_id)
-                            await stream.send_message(request, end=True)
-                            await stream.recv_message()
-                    return
-                except ConnectionRefusedError:
-                    return
-                except STREAM_ERRORS:
-                    self._pool.retire(server, shared)
+            if await ask_cancel(self._pool, server, call_id, ATTEMPT_S):
+                return
--- a/carobspring/entry/control.py
+++ b/carobspring/entry/control.py
@@ -1,4 +1,4 @@
-"""The entry's side of control replicas: the stream of views, and claims."""
+"""The entry's side of control replicas: views, and questions."""
 
 import asyncio
 import logging
@@ -18,6 +18,8 @@
 SILENCE_S = 3.0
 CONNECT_S = 1.0
 RECONNECT_PAUSE_S = 0.3
+#: Errors of a reply that another replica, or a later moment, may not give.
+RETRIED_ERRORS = frozenset({"not_leader", "no_quorum"})
 
 logger = logging.getLogger(__name__)
 
@@ -130,8 +132,8 @@
     ) -> Reply | None:
         """Return a replica's answer, or None when none gave one in time.
 
-        An answer with ``error`` set sends the question to the next replica;
-        callers make it one that may be asked twice.
+        A replica that can't say sends the question to the next one, so it
+        must be one that may be asked twice.
         """
         deadline = asyncio.get_running_loop().time() + timeout_s
         tries = 0
@@ -140,7 +142,8 @@
             try:
                 async with asyncio.timeout(min(left, SILENCE_S)):
                     reply = await self._ask_one(address, path, request, reply_type)
-                if reply is not None and not getattr(reply, "error", ""):
+                error = getattr(reply, "error", "")
+                if reply is not None and error not in RETRIED_ERRORS:
                     return reply
             except STREAM_ERRORS:
                 channel = self._channels.pop(address, None)
--- a/carobspring/entry/driver.py
+++ b/carobspring/entry/driver.py
@@ -1,37 +1,52 @@
-"""Driving one call: choosing servers, following attempts, answering."""
+"""Driving a repeatable call: choosing servers, retrying, giving up."""
 
-import asyncio
+import hashlib
 import uuid
-from dataclasses import dataclass
 
-from carobspring.domain import BackendServer, RunStatus, ServiceKind
+from carobspring.domain import RunStatus, ServiceKind
 from carobspring.entry.answers import CallerAnswer
-from carobspring.entry.cancelling import CallCanceller
+from carobspring.entry.attempts import AttemptRunner
 from carobspring.entry.errors import CallError
-from carobspring.entry.following import CallFollower, CallProgress
-from carobspring.entry.measures import CallTimes, EntryMeasures
+from carobspring.entry.parts import DriverParts
 from carobspring.entry.requests import CallerRequest
-from carobspring.entry.state import EntryState
-from carobspring.ports import Clock, RandomSource
-from carobspring.protocol import CallEnd, CallEvent, RunCall
-from carobspring.routing import PoolKey, RouteQuery, Router
+from carobspring.entry.state import STRIKE_LIMIT
+from carobspring.protocol import CallEnd
+from carobspring.routing import Choice
 
-SAFE_METHODS = frozenset({"GET", "HEAD", "PUT", "DELETE"})
 DEFAULT_RETRY_MS = 1000
-MAX_ATTEMPTS = 8
-
-
-@dataclass(kw_only=True)
-class DriverParts:
-    """What a driver works with; one set for all calls of an entry."""
-
-    router: Router
-    follower: CallFollower
-    canceller: CallCanceller
-    state: EntryState
-    measures: EntryMeasures
-    clock: Clock
-    random: RandomSource
+LONGEST_RETRY_MS = 60_000
+#: Bound on everything that one call may try, the walk over lower work too.
+MAX_ATTEMPTS = 16
+QUARANTINED = "quarantined"
+CRASHED = "backend_failed"
+
+
+def advise_retry(parts: DriverParts, hints: list[int]) -> int:
+    """Return when to come back: soonest of the agents' advice, spread.
+
+    The soonest, since the call may go to any of them; up to half as long
+    again, so that callers who were refused together don't return together.
+    """
+    hint = min(hints, default=DEFAULT_RETRY_MS)
+    spread = 1.0 + 0.5 * parts.random.draw_uniform()
+    return round(min(LONGEST_RETRY_MS, max(1, hint) * spread))
+
+
+def check_strikes(parts: DriverParts, call: CallerRequest, ran: RunStatus) -> bool:
+    """Say whether a call must run alone, after a crash.
+
+    Raises:
+        CallError: It was running at too many crashes to run again.
+    """
+    now_ms = parts.clock.read_wall_ms()
+    strikes = parts.state.strikes.count(call.workspace.name, call.request_hash, now_ms)
+    if strikes >= STRIKE_LIMIT:
+        message = (
+            "This request was running when backend servers crashed, twice; it is "
+            "not run again until your operator releases it."
+        )
+        raise CallError(code="request_quarantined", message=message, ran=ran)
+    return strikes > 0
 
 
 class CallDriver:
@@ -43,9 +58,16 @@
         self._parts = parts
         self._call = call
         self._answer = answer
-        self._times = CallTimes(received=call.received)
+        self._attempts = AttemptRunner(parts=parts, call=call, answer=answer)
         self._excluded: set[str] = set()
-        self._retry_hints: list[int] = []
+        self._hints: list[int] = []
+        self._ran = RunStatus.NOT_RUN
+        self._call_id = self._derive_call_id()
+
+    @property
+    def wasted_bytes(self) -> int:
+        """Bytes of the answer so far, wasted when the call fails."""
+        return self._attempts.times.size
 
     async def run(self) -> None:
         """Drive the call to its end; the caller has its answer afterwards.
@@ -54,94 +76,59 @@
             CallError: The call failed, and the caller was told nothing yet or
                 a part of the answer.
         """
-        name = self._call.service_class.name
-        try:
-            await self._run_attempts()
-        except CallError as error:
-            self._parts.measures.count_failure(name, error.code)
-            self._parts.measures.count_wasted(name, self._times.size)
-            raise
-        except asyncio.CancelledError:
-            self._parts.measures.count_failure(name, "caller_gone")
-            self._parts.measures.count_wasted(name, self._times.size)
-            raise
-        now = self._parts.clock.read_monotonic()
-        target = self._call.service_class.target
-        self._parts.measures.count_answer(
-            name, self._times, target, self._call.stream, now
-        )
-
-    async def _run_attempts(self) -> None:
-        query = build_query(self._call)
+        self._parts.router.budget.record_call()
+        may_retry = True
         for _ in range(MAX_ATTEMPTS):
-            now = self._parts.clock.read_monotonic()
-            choice = self._parts.router.choose(query, self._excluded, now)
+            choice = self._choose(may_retry)
             if choice is None:
                 break
-            end = await self._attempt(choice.server)
+            end = await self._attempt(choice)
             if end.run_status is RunStatus.RAN:
-                await self._answer.finish()
+                await self._attempts.finish()
                 return
-            self._check_repeatable(end)
             self._excluded.add(choice.server.server_id)
-            if end.retry_after_ms:
-                self._retry_hints.append(end.retry_after_ms)
-            self._answer.restart()
+            self._note_failure(choice, end)
+            self._attempts.restart()
+            may_retry = self._parts.router.budget.spend()
             self._parts.measures.retries.inc({"reason": end.run_status.value})
         raise self._build_refusal()
 
-    async def _attempt(self, server: BackendServer) -> CallEnd:
-        run = self._build_run(server)
-        progress = CallProgress(call_id=run.call_id)
-        parts = self._parts
-
-        async def deliver(event: CallEvent) -> None:
-            parts.state.hear_revision(event.revision)
-            now = parts.clock.read_monotonic()
-            if event.load is not None:
-                parts.router.record_load(server.server_id, event.load, now)
-            if event.head is not None:
-                self._answer.take_head(event.head)
-            if event.data:
-                self._times.note_data(now, len(event.data))
-                await self._answer.take_data(event.data)
-
-        end = CallEnd(run_status=RunStatus.UNKNOWN)
-        try:
-            end = await parts.follower.follow(server, run, deliver, progress)
-        finally:
-            if progress.sent and progress.end is None:
-                parts.canceller.cancel(server, run.call_id)
-            for _ in range(progress.broken_streams):
-                parts.measures.broken_streams.inc({})
-            parts.measures.attempts.inc({"end": end.run_status.value})
-        return end
-
-    def _build_run(self, server: BackendServer) -> RunCall:
-        call = self._call
-        state = self._parts.state
-        age_s = self._parts.clock.read_monotonic() - call.received
-        return RunCall(
-            call_id=uuid.uuid4().hex,
-            boot=server.boot,
-            workspace=call.workspace.name,
-            service_class=call.service_class.name,
-            method=call.method,
-            path=call.path,
-            headers=call.headers,
-            body=call.body,
-            stream=call.stream,
-            request_hash=call.request_hash,
-            alone=state.strikes.count(call.workspace.name, call.request_hash) > 0,
-            revision=state.settings.revision,
-            age_ms=round(age_s * 1000),
-            repeatable=is_repeatable(call),
+    def _choose(self, may_retry: bool) -> Choice | None:
+        router = self._parts.router
+        query = self._attempts.query
+        now = self._parts.clock.read_monotonic()
+        choice = router.choose(query, self._excluded, now) if may_retry else None
+        if choice is None and self._ran is RunStatus.NOT_RUN:
+            # Before a call is given up, those with lower work are asked.
+            choice = router.choose_over_lower(query, self._excluded, now)
+        return choice
+
+    async def _attempt(self, choice: Choice) -> CallEnd:
+        alone = check_strikes(self._parts, self._call, self._ran)
+        run = self._attempts.build_run(
+            choice=choice, call_id=self._call_id, alone=alone
         )
-
-    def _check_repeatable(self, end: CallEnd) -> None:
+        self._call_id = uuid.uuid4().hex
+        return await self._attempts.run(choice, run)
+
+    def _note_failure(self, choice: Choice, end: CallEnd) -> None:
+        if end.reason == QUARANTINED:
+            message = "This request crashed backend servers and is not run again."
+            raise CallError(code="request_quarantined", message=message, ran=self._ran)
+        if end.retry_after_ms:
+            self._hints.append(end.retry_after_ms)
         if end.run_status is RunStatus.NOT_RUN:
             return
-        if self._answer.begun or not is_repeatable(self._call):
+        self._ran = RunStatus.UNKNOWN
+        if end.reason == CRASHED:
+            self._parts.state.strikes.record_seen(
+                workspace=self._call.workspace.name,
+                request_hash=self._call.request_hash,
+                server_id=choice.server.server_id,
+                boot=choice.server.boot,
+                at_ms=self._parts.clock.read_wall_ms(),
+            )
+        if self._answer.begun or not self._call.repeatable:
             message = (
                 "The backend server failed before its answer was whole; "
                 "the call may have run."
@@ -157,26 +144,31 @@
         if not self._excluded:
             message = f"No backend server for {self._call.target!r} is available now."
             code = "no_backend"
+        elif self._ran is RunStatus.UNKNOWN:
+            message = "The backend servers that were tried failed; ask again."
+            code = "backend_lost"
         else:
             message = "Every backend server that was asked is full; ask again later."
             code = "overloaded"
-        hint = min(self._retry_hints, default=DEFAULT_RETRY_MS)
-        spread = 1.0 + 0.5 * self._parts.random.draw_uniform()
         return CallError(
-            code=code, message=message, retry_after_ms=max(1, round(hint * spread))
+            code=code,
+            message=message,
+            ran=self._ran,
+            retry_after_ms=advise_retry(self._parts, self._hints),
         )
 
+    def _derive_call_id(self) -> str:
+        """Return an identifier that a resend with the same key finds again.
 
-def is_repeatable(call: CallerRequest) -> bool:
-    """Say whether a call may run again when it may have run before."""
-    return call.kind is ServiceKind.MODEL or call.method in SAFE_METHODS
-
-
-def build_query(call: CallerRequest) -> RouteQuery:
-    """Return what routing needs to know of a call."""
-    return RouteQuery(
-        pool=PoolKey(kind=call.kind, target=call.target),
-        priority=call.service_class.priority,
-        service_class=call.service_class.name,
-        affinity=call.affinity,
-    )
+        An agent that knows it attaches the resend to the run. The secret keeps
+        it from being guessed, the workspace and the request from being
+        crossed.
+        """
+        call = self._call
+        if not call.idempotency_key or call.kind is not ServiceKind.MODEL:
+            return uuid.uuid4().hex
+        digest = hashlib.blake2b(key=self._parts.secret[:64], digest_size=16)
+        for part in (call.workspace.name, call.idempotency_key, call.request_hash):
+            raw = part.encode("utf-8", "surrogateescape")
+            digest.update(len(raw).to_bytes(4, "big") + raw)
+        return digest.hexdigest()
--- a/carobspring/entry/errors.py
+++ b/carobspring/entry/errors.py
@@ -41,6 +41,7 @@
     "claim_unavailable": ErrorKind(status=503, type=SERVER),
     "still_running": ErrorKind(status=409, type=SERVER),
     "outcome_unknown": ErrorKind(status=409, type=SERVER),
+    "answer_not_kept": ErrorKind(status=410, type=SERVER),
     "backend_lost": ErrorKind(status=502, type=SERVER),
     "internal": ErrorKind(status=500, type=SERVER),
 }
--- a/carobspring/entry/following.py
+++ b/carobspring/entry/following.py
@@ -19,6 +19,10 @@
 RESUME_ATTEMPTS = 4
 RESUME_PAUSE_S = 0.1
 
+#: Reasons of ends that the entry itself found.
+UNREACHABLE = "unreachable"
+AGENT_LOST = "agent_lost"
+
 Deliver = Callable[[CallEvent], Awaitable[None]]
 STREAM_ERRORS = (GRPCError, StreamTerminatedError, OSError, TimeoutError)
 
@@ -87,13 +91,15 @@
             if progress.end is not None:
                 return progress.end
             if not progress.sent:
-                return CallEnd(run_status=RunStatus.NOT_RUN, reason="unreachable")
+                return CallEnd(run_status=RunStatus.NOT_RUN, reason=UNREACHABLE)
             failures = 0 if progress.offset > before else failures + 1
             if failures > self._limits.resume_attempts:
-                return CallEnd(run_status=RunStatus.UNKNOWN, reason="agent_lost")
+                return CallEnd(run_status=RunStatus.UNKNOWN, reason=AGENT_LOST)
             if failures > 1:
                 await asyncio.sleep(self._limits.resume_pause_s * failures)
-            request = ResumeCall(call_id=progress.call_id, offset=progress.offset)
+            request = ResumeCall(
+                call_id=progress.call_id, offset=progress.offset, boot=server.boot
+            )
 
     async def _read_stream(
         self,
--- a/carobspring/entry/measures.py
+++ b/carobspring/entry/measures.py
@@ -3,7 +3,8 @@
 from dataclasses import dataclass
 
 from carobspring.adapters.metrics import Metrics
-from carobspring.domain import LatencyTarget
+from carobspring.domain import LatencyTarget, ServiceClass
+from carobspring.protocol import ClassAttainment
 
 
 @dataclass(kw_only=True)
@@ -46,6 +47,8 @@
     """The entry's counters; labels are classes, codes and reasons only."""
 
     def __init__(self, metrics: Metrics) -> None:
+        #: Class name to counts since the start, as control is told them.
+        self.attainment: dict[str, ClassAttainment] = {}
         self.calls = metrics.add_counter(
             "carob_entry_calls_total", "Calls ended, by class and outcome."
         )
@@ -85,17 +88,14 @@
         )
 
     def count_answer(
-        self,
-        name: str,
-        times: CallTimes,
-        target: LatencyTarget,
-        stream: bool,
-        now: float,
+        self, service_class: ServiceClass, times: CallTimes, stream: bool, now: float
     ) -> None:
         """Count a whole answer."""
+        name = service_class.name
         label = {"class": name}
-        in_time = times.is_in_time(target, stream, now)
+        in_time = times.is_in_time(service_class.target, stream, now)
         self.calls.inc({"class": name, "outcome": "answered"})
+        self._note_end(name, met=in_time)
         if in_time:
             self.attained.inc(label)
         self.answer_bytes.add({"class": name, "use": "good"}, times.size)
@@ -103,11 +103,18 @@
             self.first_token.observe(label, times.first_data - times.received)
         self.total.observe(label, now - times.received)
 
-    def count_failure(self, name: str, outcome: str) -> None:
+    def count_failure(self, name: str, outcome: str, shed: bool) -> None:
         """Count a call that ended without its whole answer."""
         self.calls.inc({"class": name, "outcome": outcome})
+        self._note_end(name, shed=shed)
 
     def count_wasted(self, name: str, size: int) -> None:
         """Count bytes of an answer that no caller got whole."""
         if size:
             self.answer_bytes.add({"class": name, "use": "wasted"}, size)
+
+    def _note_end(self, name: str, met: bool = False, shed: bool = False) -> None:
+        counts = self.attainment.get(name, ClassAttainment())
+        self.attainment[name] = ClassAttainment(
+            ended=counts.ended + 1, met=counts.met + met, shed=counts.shed + shed
+        )
--- a/carobspring/entry/requests.py
+++ b/carobspring/entry/requests.py
@@ -20,6 +20,8 @@
 SERVICES_PREFIX = "/services/"
 AFFINITY_BYTES = 1024
 MAX_IDEMPOTENCY_KEY = 256
+#: Methods whose calls HTTP lets anybody repeat (RFC 9110, 9.2.2).
+SAFE_METHODS = frozenset({"GET", "HEAD", "PUT", "DELETE", "OPTIONS"})
 
 #: Headers that hold for one hop, or that the entry alone reads.
 PRIVATE_HEADERS = frozenset(
@@ -76,6 +78,13 @@
     #: Monotonic seconds at which the entry received the call.
     received: float = 0.0
 
+    @property
+    def repeatable(self) -> bool:
+        """True when the call may run again if it may have run before."""
+        if self.kind is ServiceKind.MODEL:
+            return True
+        return not self.unique and self.method in SAFE_METHODS
+
 
 def read_call(
     request: HttpRequest, settings: Settings, workspace: Workspace, now: float
@@ -108,7 +117,7 @@
             stream=bool(body.stream),
             idempotency_key=key,
             request_hash=hash_request(request.method, request.path, request.body),
-            affinity=_hash_prefix(workspace.name, prompt),
+            affinity=_hash_prefix(workspace.name, key.encode() or prompt),
             received=now,
         )
     name, path = split_service_path(request.path)
--- a/carobspring/entry/state.py
+++ b/carobspring/entry/state.py
@@ -1,6 +1,7 @@
 """What an entry knows: settings, whether they are in force, and strikes."""
 
 import asyncio
+from dataclasses import dataclass
 from typing import Final
 
 from carobspring.domain import Settings
@@ -10,28 +11,86 @@
 #: Strikes after which a request is refused.
 STRIKE_LIMIT: Final = 2
 MAX_STRUCK_REQUESTS = 10_000
+#: A crash seen here and one told of are the same when this near in time.
+SAME_CRASH_MS: Final = 5_000
+#: How long a failure counts as a crash without anybody confirming it.
+UNCONFIRMED_MS: Final = 30_000
+
+
+@dataclass(frozen=True, kw_only=True)
+class Crash:
+    """One crash that a request was running at."""
+
+    server_id: str
+    boot: int
+    at_ms: int
+    #: True when control told of it, false when only this entry saw it.
+    told: bool
 
 
 class StrikeBook:
     """Counts the crashes that each request was running at.
 
-    One backend server's crash is one strike, however often it is told.
+    A crash that this entry saw and then is told of counts once. One that it
+    saw and nobody confirms is forgotten after a while, since the entry can't
+    tell a crash from another cut.
     """
 
     def __init__(self) -> None:
-        self._crashes: dict[tuple[str, str], set[tuple[str, int]]] = {}
+        self._crashes: dict[tuple[str, str], list[Crash]] = {}
+
+    def record_told(self, strike: Strike) -> None:
+        """Take a strike that control told of."""
+        crash = Crash(
+            server_id=strike.server_id,
+            boot=strike.boot,
+            at_ms=strike.at_ms,
+            told=True,
+        )
+        crashes = self._find(strike.workspace, strike.request_hash)
+        if crash in crashes:
+            return
+        for index, other in enumerate(crashes):
+            if not other.told and _is_same(other, crash):
+                crashes[index] = crash
+                return
+        crashes.append(crash)
+
+    def record_seen(
+        self,
+        *,
+        workspace: str,
+        request_hash: str,
+        server_id: str,
+        boot: int,
+        at_ms: int,
+    ) -> None:
+        """Take a failure that this entry saw and that may be a crash."""
+        crash = Crash(server_id=server_id, boot=boot, at_ms=at_ms, told=False)
+        crashes = self._find(workspace, request_hash)
+        if not any(_is_same(other, crash) for other in crashes):
+            crashes.append(crash)
+
+    def release(self, workspace: str, request_hash: str) -> None:
+        """Forget a request's strikes."""
+        self._crashes.pop((workspace, request_hash), None)
+
+    def count(self, workspace: str, request_hash: str, now_ms: int) -> int:
+        """Return the strikes of a request."""
+        crashes = self._crashes.get((workspace, request_hash), ())
+        after = now_ms - UNCONFIRMED_MS
+        return sum(1 for crash in crashes if crash.told or crash.at_ms > after)
 
-    def record(self, strike: Strike) -> None:
-        """Take a strike that was told or seen."""
-        key = (strike.workspace, strike.request_hash)
+    def _find(self, workspace: str, request_hash: str) -> list[Crash]:
+        key = (workspace, request_hash)
         if key not in self._crashes and len(self._crashes) >= MAX_STRUCK_REQUESTS:
             del self._crashes[next(iter(self._crashes))]
-        crashes = self._crashes.setdefault(key, set())
-        crashes.add((strike.server_id, strike.boot))
+        return self._crashes.setdefault(key, [])
 
-    def count(self, workspace: str, request_hash: str) -> int:
-        """Return the strikes of a request."""
-        return len(self._crashes.get((workspace, request_hash), ()))
+
+def _is_same(one: Crash, other: Crash) -> bool:
+    same_run = (one.server_id, one.boot) == (other.server_id, other.boot)
+    return same_run and abs(one.at_ms - other.at_ms) < SAME_CRASH_MS
 
 
 class EntryState:
@@ -56,11 +115,6 @@
         """True when new calls are welcome."""
         return self.has_view and not self.stopping
 
-    @property
-    def is_behind(self) -> bool:
-        """True while a newer revision than that of the settings is known."""
-        return self.heard_revision > self.settings.revision
-
     def take_settings(self, settings: Settings) -> bool:
         """Put newer settings in force; say whether they were newer."""
         self.hear_revision(settings.revision)
@@ -76,11 +130,11 @@
         """Note that a revision exists."""
         self.heard_revision = max(self.heard_revision, revision)
 
-    async def wait_current(self, timeout_s: float) -> bool:
-        """Wait until the settings are the newest heard of; say if they are."""
+    async def wait_for(self, revision: int, timeout_s: float) -> bool:
+        """Wait until a revision, or a later one, is in force; say if it is."""
         try:
             async with asyncio.timeout(timeout_s):
-                while self.is_behind:
+                while self.settings.revision < revision:
                     await self.changed.wait()
         except TimeoutError:
             return False
--- /dev/null
+++ b/carobspring/entry/unique.py
@@ -0,0 +1,260 @@
+"""Driving a unique call: claimed by the quorum, then run at most once."""
+
+import uuid
+
+from carobspring.adapters import paths
+from carobspring.domain import RunStatus
+from carobspring.entry.answers import CallerAnswer
+from carobspring.entry.asking import ask_fence
+from carobspring.entry.attempts import AttemptRunner
+from carobspring.entry.driver import advise_retry, check_strikes
+from carobspring.entry.errors import CallError
+from carobspring.entry.parts import DriverParts
+from carobspring.entry.requests import CallerRequest
+from carobspring.protocol import (
+    Claim,
+    ClaimReply,
+    ClaimRequest,
+    ClaimState,
+    OutcomeReply,
+    OutcomeReport,
+    ResponseHead,
+    ResumeCall,
+)
+from carobspring.routing import Choice
+
+CLAIM_TIMEOUT_S = 6.0
+#: Turns of claiming, fencing and running before the caller is told to wait.
+MAX_TURNS = 8
+ASK_AGAIN = "Ask again with the same Idempotency-Key."
+STALE_BOOT = "stale_boot"
+EXPIRED = "expired"
+#: Follows no claim, so that one is shown but never granted.
+LOOK_ONLY = -1
+
+
+class UniqueCallDriver:
+    """Takes one unique call to its only outcome, through any entry.
+
+    Each turn asks the ledger for the claim and acts on how it stands. Nothing
+    is sent to an agent before the claim for it is granted, and "not run" is
+    said only after the claim was fenced and that was committed.
+    """
+
+    def __init__(
+        self, *, parts: DriverParts, call: CallerRequest, answer: CallerAnswer
+    ) -> None:
+        self._parts = parts
+        self._call = call
+        self._answer = answer
+        self._attempts = AttemptRunner(parts=parts, call=call, answer=answer)
+        self._excluded: set[str] = set()
+        self._hints: list[int] = []
+        #: Number of the claim that is known not to have run, to follow it.
+        self._replaces = 0
+        #: False until every claim that may have run is fenced or known.
+        self._is_fenced = False
+
+    @property
+    def wasted_bytes(self) -> int:
+        """Bytes of the answer so far, wasted when the call fails."""
+        return self._attempts.times.size
+
+    async def run(self) -> None:
+        """Drive the call to its end; the caller has its answer afterwards.
+
+        Raises:
+            CallError: The outcome is not an answer, or not known.
+        """
+        self._parts.router.budget.record_call()
+        for _ in range(MAX_TURNS):
+            choice = self._choose()
+            reply = await self._ask_claim(choice)
+            claim = reply.claim
+            if claim is None:
+                self._check_refused_claim(choice, reply.error)
+            elif choice is not None and reply.granted:
+                if await self._run_claim(choice, claim):
+                    return
+            elif await self._act_on(claim):
+                return
+            elif choice is None and claim.state is ClaimState.NOT_RUN:
+                raise self._build_refusal()
+            self._attempts.restart()
+        raise self._build_still_running()
+
+    async def _ask_claim(self, choice: Choice | None) -> ClaimReply:
+        """Ask for the claim, or only how it stands when no server is free."""
+        call = self._call
+        request = ClaimRequest(
+            workspace=call.workspace.name,
+            service=call.target,
+            key=call.idempotency_key,
+            request_hash=call.request_hash,
+            server_id=choice.server.server_id if choice else "",
+            boot=choice.server.boot if choice else 0,
+            replaces=self._replaces if choice else LOOK_ONLY,
+            request_id=uuid.uuid4().hex,
+        )
+        reply = await self._parts.control.ask(
+            paths.CLAIM_CALL, request, ClaimReply, CLAIM_TIMEOUT_S
+        )
+        if reply is None:
+            raise self._build_unavailable("no_quorum")
+        return reply
+
+    async def _run_claim(self, choice: Choice, claim: Claim) -> bool:
+        """Run a granted claim; say whether the caller has its answer."""
+        self._is_fenced = False
+        try:
+            alone = check_strikes(self._parts, self._call, RunStatus.NOT_RUN)
+        except CallError:
+            await self._commit(claim, RunStatus.NOT_RUN)
+            raise
+        run = self._attempts.build_run(
+            choice=choice, call_id=uuid.uuid4().hex, claim=claim.number, alone=alone
+        )
+        end = await self._attempts.run(choice, run)
+        if end.run_status is RunStatus.RAN:
+            await self._attempts.finish()
+            return True
+        if end.run_status is RunStatus.NOT_RUN:
+            self._excluded.add(claim.server_id)
+            if end.retry_after_ms:
+                self._hints.append(end.retry_after_ms)
+            await self._follow_not_run(claim)
+            if not self._parts.router.budget.spend():
+                raise self._build_refusal()
+        return False
+
+    async def _act_on(self, claim: Claim) -> bool:
+        """Act on another request's claim; say whether it gave the answer."""
+        if claim.state is ClaimState.CONFLICT:
+            message = (
+                "This Idempotency-Key was used for another request; use a new "
+                "key for a new request."
+            )
+            raise CallError(code="idempotency_conflict", message=message)
+        if claim.state is ClaimState.DONE:
+            await self._give_stored(claim)
+            return True
+        if claim.state is ClaimState.UNKNOWN:
+            raise self._build_unknown()
+        if claim.state is ClaimState.NOT_RUN:
+            self._replaces = claim.number
+            self._is_fenced = True
+            return False
+        return await self._resolve(claim)
+
+    async def _resolve(self, claim: Claim) -> bool:
+        """Attach to a claim that may be running, or have it settled."""
+        server = self._parts.router.find_server(claim.server_id)
+        reply = None
+        if server is not None and server.boot == claim.boot:
+            reply = await ask_fence(self._parts.pool, server, claim)
+        if reply is None or server is None:
+            await self._settle_lost(claim)
+            return False
+        if reply.call_id:
+            resume = ResumeCall(call_id=reply.call_id, offset=0, boot=claim.boot)
+            end = await self._attempts.run(Choice(server=server), resume)
+            if end.run_status is RunStatus.RAN:
+                await self._attempts.finish()
+                return True
+            return False
+        if reply.run_status is RunStatus.NOT_RUN:
+            await self._follow_not_run(claim)
+        else:
+            await self._settle_lost(claim)
+        return False
+
+    async def _follow_not_run(self, claim: Claim) -> None:
+        """Have it committed that a fenced claim did not run."""
+        committed = await self._commit(claim, RunStatus.NOT_RUN)
+        if committed.claim is not None and committed.claim.number == claim.number:
+            if committed.claim.state is ClaimState.NOT_RUN:
+                self._replaces = claim.number
+                self._is_fenced = True
+
+    async def _settle_lost(self, claim: Claim) -> None:
+        """Have a claim whose agent is gone committed as unknown.
+
+        Control agrees only when the agent's lease is over or it has another
+        boot number; until then the caller is asked to come back.
+        """
+        reply = await self._commit(claim, RunStatus.UNKNOWN)
+        if reply.claim is None or reply.claim.state is ClaimState.CLAIMED:
+            raise self._build_still_running()
+
+    async def _commit(self, claim: Claim, status: RunStatus) -> OutcomeReply:
+        report = OutcomeReport(number=claim.number, run_status=status, boot=claim.boot)
+        reply = await self._parts.control.ask(
+            paths.REPORT_OUTCOME, report, OutcomeReply, CLAIM_TIMEOUT_S
+        )
+        return reply or OutcomeReply(error="no_quorum")
+
+    async def _give_stored(self, claim: Claim) -> None:
+        stored = claim.answer
+        if stored is None:
+            message = "The call ran once; its answer was too large to be kept."
+            raise CallError(code="answer_not_kept", message=message, ran=RunStatus.RAN)
+        now = self._parts.clock.read_monotonic()
+        self._answer.take_head(
+            ResponseHead(status=stored.status, headers=stored.headers)
+        )
+        self._attempts.times.note_data(now, len(stored.body))
+        await self._answer.take_data(stored.body)
+        await self._attempts.finish()
+
+    def _check_refused_claim(self, choice: Choice | None, error: str) -> None:
+        if choice is None and error == EXPIRED:
+            # There is no claim, and no server that one could be for.
+            self._is_fenced = True
+            raise self._build_refusal()
+        if choice is None or error != STALE_BOOT:
+            raise self._build_unavailable(error)
+        self._excluded.add(choice.server.server_id)
+
+    def _choose(self) -> Choice | None:
+        router = self._parts.router
+        query = self._attempts.query
+        now = self._parts.clock.read_monotonic()
+        choice = router.choose(query, self._excluded, now)
+        return choice or router.choose_over_lower(query, self._excluded, now)
+
+    def _build_refusal(self) -> CallError:
+        ran = RunStatus.NOT_RUN if self._is_fenced else RunStatus.UNKNOWN
+        message = f"No backend server for {self._call.target!r} takes calls now. "
+        return CallError(
+            code="overloaded" if self._excluded else "no_backend",
+            message=message + ASK_AGAIN,
+            ran=ran,
+            retry_after_ms=advise_retry(self._parts, self._hints),
+        )
+
+    def _build_unavailable(self, reason: str) -> CallError:
+        message = "The claim of this unique call could not be committed. "
+        return CallError(
+            code="claim_unavailable",
+            message=message + ASK_AGAIN,
+            ran=RunStatus.NOT_RUN if self._is_fenced else RunStatus.UNKNOWN,
+            retry_after_ms=advise_retry(self._parts, []),
+            reason=reason,
+        )
+
+    def _build_still_running(self) -> CallError:
+        message = "It is not known yet whether this call ran. "
+        return CallError(
+            code="still_running",
+            message=message + ASK_AGAIN,
+            ran=RunStatus.UNKNOWN,
+            retry_after_ms=advise_retry(self._parts, [3000]),
+        )
+
+    def _build_unknown(self) -> CallError:
+        message = (
+            "The server that had this call is gone and nobody can say whether it "
+            "ran. It is not run again under this key; look at its effects, and "
+            "ask again later for a late outcome."
+        )
+        return CallError(code="outcome_unknown", message=message, ran=RunStatus.UNKNOWN)
--- a/carobspring/programs/entry.py
+++ b/carobspring/programs/entry.py
@@ -16,6 +16,7 @@
     CallersApi,
     CallFollower,
     ChannelPool,
+    ControlClient,
     ControlWatch,
     DriverParts,
     EntryMeasures,
@@ -84,14 +85,21 @@
         self._canceller = CallCanceller(self._pool)
         self._router = Router(random=random, zone=options.zone)
         follower = CallFollower(pool=self._pool, limits=FollowLimits())
+        self._control = ControlClient(
+            addresses=addresses, open_channel=self._open_channel
+        )
+        self._measures = EntryMeasures(metrics)
         parts = DriverParts(
             router=self._router,
+            pool=self._pool,
+            control=self._control,
             follower=follower,
             canceller=self._canceller,
             state=self._state,
-            measures=EntryMeasures(metrics),
+            measures=self._measures,
             clock=clock,
             random=random,
+            secret=options.secret.encode(),
         )
         self._api = CallersApi(parts=parts, metrics=metrics)
         self._watch = ControlWatch(
@@ -125,6 +133,7 @@
             self._watching.cancel()
         await self._server.close()
         self._pool.close()
+        self._control.close()
 
     def _open_channel(self, host: str, port: int) -> Channel:
         return open_channel(host=host, port=port, secret=self._options.secret)
@@ -134,6 +143,7 @@
             entry_id=self._options.entry_id,
             zone=self._options.zone,
             revision=self._state.settings.revision,
+            attainment=dict(self._measures.attainment),
         )
 
     def _apply_update(self, update: ViewUpdate) -> None:
@@ -152,11 +162,13 @@
                 self._router.remove_server(name)
                 self._pool.forget(server)
         for server in update.servers:
-            self._router.add_server(server, now)
+            self._router.add_server(server)
         for name, load in (update.loads or {}).items():
             self._router.record_load(name, load, now)
         for strike in update.strikes:
-            self._state.strikes.record(strike)
+            self._state.strikes.record_told(strike)
+        for strike in update.released:
+            self._state.strikes.release(strike.workspace, strike.request_hash)
 
 
 def main() -> None:
--- a/carobspring/routing/__init__.py
+++ b/carobspring/routing/__init__.py
@@ -3,7 +3,18 @@
 Sans-IO: it takes typed events and the time, and returns typed choices.
 """
 
-from carobspring.routing.queries import Choice, PoolKey, RouteQuery
+from carobspring.routing.errors import RoutingError, RoutingLimitError
+from carobspring.routing.limits import RoutingLimits
+from carobspring.routing.queries import AttemptEnd, Choice, PoolKey, RouteQuery
 from carobspring.routing.router import Router
 
-__all__ = ["Choice", "PoolKey", "RouteQuery", "Router"]
+__all__ = [
+    "AttemptEnd",
+    "Choice",
+    "PoolKey",
+    "RouteQuery",
+    "Router",
+    "RoutingError",
+    "RoutingLimitError",
+    "RoutingLimits",
+]
--- /dev/null
+++ b/carobspring/routing/pools.py
@@ -0,0 +1,135 @@
+"""The backend servers that can take one kind of call, ready for sampling."""
+
+from collections.abc import Iterator, Set
+
+from carobspring.ports import RandomSource
+from carobspring.routing.affinity import AffinityTable
+from carobspring.routing.limits import RoutingLimits
+from carobspring.routing.samples import SampledSet
+from carobspring.routing.servers import DEFAULT_SERVICE_MS, ServerRecord
+from carobspring.routing.smoothing import SmoothedValue
+
+
+class ServerPool:
+    """Servers of one pool that take new work, and what is usual there."""
+
+    def __init__(self, *, zone: str, limits: RoutingLimits) -> None:
+        self._zone = zone
+        self._limits = limits
+        self.names: set[str] = set()
+        self.open = SampledSet()
+        self.near = SampledSet()
+        self.affinity = AffinityTable()
+        self._by_lowest: dict[int, SampledSet] = {}
+        self._lowest: dict[str, int] = {}
+        self._service_ms = SmoothedValue(limits.smoothing)
+        self._first_token_ms = SmoothedValue(limits.smoothing)
+        self._usual_ms: dict[str, SmoothedValue] = {}
+
+    @property
+    def service_ms(self) -> float:
+        """The time of one call in a slot, as is usual in the pool."""
+        return self._service_ms.value or DEFAULT_SERVICE_MS
+
+    @property
+    def first_token_ms(self) -> float:
+        """The time to a first token, as is usual in the pool."""
+        return self._first_token_ms.value
+
+    def find_usual_ms(self, service_class: str) -> float:
+        """Return a class's usual duration; zero before any was seen."""
+        usual = self._usual_ms.get(service_class)
+        return usual.value if usual else 0.0
+
+    def take_duration(self, service_class: str, duration_ms: float) -> None:
+        """Note how long a call of this class took."""
+        if service_class not in self._usual_ms:
+            self._usual_ms[service_class] = SmoothedValue(self._limits.smoothing / 4)
+        self._usual_ms[service_class].observe(duration_ms)
+
+    def add(self, record: ServerRecord) -> None:
+        """Let a server be drawn."""
+        name = record.server.server_id
+        self.open.add(name)
+        self.affinity.add(name)
+        if record.server.zone == self._zone:
+            self.near.add(name)
+        self.index_load(record)
+
+    def discard(self, name: str) -> None:
+        """Let a server be drawn no more."""
+        self.open.discard(name)
+        self.near.discard(name)
+        self.affinity.discard(name)
+        self._forget_lowest(name)
+
+    def take_load(self, record: ServerRecord) -> None:
+        """Learn from a report what is usual, and which tiers are there."""
+        load = record.load
+        if load.service_ms > 0:
+            self._service_ms.observe(load.service_ms)
+        if load.first_token_ms > 0:
+            self._first_token_ms.observe(load.first_token_ms)
+        self.index_load(record)
+
+    def index_load(self, record: ServerRecord) -> None:
+        """Keep the server under the lowest tier that its report shows."""
+        name = record.server.server_id
+        lowest = record.find_lowest_priority()
+        if self._lowest.get(name) == lowest:
+            return
+        self._forget_lowest(name)
+        if lowest is not None and name in self.open:
+            self._lowest[name] = lowest
+            self._by_lowest.setdefault(lowest, SampledSet()).add(name)
+
+    def draw_candidates(
+        self, affinity: int, random: RandomSource, excluded: Set[str]
+    ) -> list[str]:
+        """Return a few servers to compare, without those excluded.
+
+        Two draws with the same outcome leave fewer; when exclusions leave
+        none, a bounded walk looks for any other.
+        """
+        drawn: list[str] = []
+        favourite = self.affinity.find(affinity) if affinity else ""
+        if favourite and favourite not in excluded:
+            drawn.append(favourite)
+        sources = [(self.near, self._limits.near_samples)]
+        if len(self.open) > len(self.near):
+            sources.append((self.open, self._limits.far_samples))
+        for source, count in sources:
+            for _ in range(count if len(source) else 0):
+                name = source.draw(random)
+                if name not in drawn and name not in excluded:
+                    drawn.append(name)
+        if not drawn and len(self.open):
+            start = random.draw_index(len(self.open))
+            steps = len(excluded) + 1
+            walked = self.open.walk(start, steps)
+            drawn = [name for name in walked if name not in excluded][:1]
+        return drawn
+
+    def walk_lower_tiers(
+        self, priority: int, random: RandomSource, excluded: Set[str]
+    ) -> Iterator[str]:
+        """Return servers that hold work of a lower tier, lowest tier first.
+
+        At most as many are looked at as are excluded, and one more a tier.
+        """
+        for tier in sorted(self._by_lowest):
+            if tier >= priority:
+                return
+            members = self._by_lowest[tier]
+            if len(members):
+                start = random.draw_index(len(members))
+                for name in members.walk(start, len(excluded) + 1):
+                    if name not in excluded:
+                        yield name
+
+    def _forget_lowest(self, name: str) -> None:
+        lowest = self._lowest.pop(name, None)
+        if lowest is not None:
+            self._by_lowest[lowest].discard(name)
+            if not len(self._by_lowest[lowest]):
+                del self._by_lowest[lowest]
--- a/carobspring/routing/router.py
+++ b/carobspring/routing/router.py
@@ -1,10 +1,17 @@
-"""The choice of a backend server."""
+"""The choice of a backend server by expected time, among a few sampled."""
 
+import heapq
 from collections.abc import Set
 
 from carobspring.domain import BackendServer, LoadReport, ServiceKind
 from carobspring.ports import RandomSource
-from carobspring.routing.queries import Choice, PoolKey, RouteQuery
+from carobspring.routing.breaker import BreakerState, CircuitBreaker
+from carobspring.routing.budget import RetryBudget
+from carobspring.routing.limits import RoutingLimits
+from carobspring.routing.pools import ServerPool
+from carobspring.routing.queries import AttemptEnd, Choice, PoolKey, RouteQuery
+from carobspring.routing.servers import SentCall, ServerRecord
+from carobspring.routing.zones import ZoneDistances
 
 
 def list_pools(server: BackendServer) -> tuple[PoolKey, ...]:
@@ -17,52 +24,228 @@
 
 
 class Router:
-    """Chooses backend servers for calls."""
+    """Chooses backend servers for calls.
 
-    def __init__(self, *, random: RandomSource, zone: str) -> None:
+    Programs tell it of servers, reports and the course of each attempt; it
+    answers from what it knows then. The cost of a choice depends on the
+    sample, not on the number of servers.
+    """
+
+    def __init__(
+        self, *, random: RandomSource, zone: str, limits: RoutingLimits | None = None
+    ) -> None:
         self._random = random
-        self._zone = zone
-        self._servers: dict[str, BackendServer] = {}
-        self._pools: dict[PoolKey, list[str]] = {}
-
-    def add_server(self, server: BackendServer, now: float) -> None:
-        """Take new work for a backend server, or its new boot."""
-        self.remove_server(server.server_id)
-        self._servers[server.server_id] = server
+        self._limits = limits or RoutingLimits()
+        self._records: dict[str, ServerRecord] = {}
+        self._pools: dict[PoolKey, ServerPool] = {}
+        self._probes: list[tuple[float, str]] = []
+        self.zones = ZoneDistances(zone=zone, limits=self._limits)
+        self.budget = RetryBudget(self._limits)
+
+    def add_server(self, server: BackendServer) -> None:
+        """Take new work for a backend server, or for its new boot."""
+        known = self._records.get(server.server_id)
+        if known is not None:
+            if known.server == server:
+                return
+            self.remove_server(server.server_id)
+        record = ServerRecord(
+            server=server,
+            limits=self._limits,
+            breaker=CircuitBreaker(self._limits),
+        )
+        self._records[server.server_id] = record
         for key in list_pools(server):
-            self._pools.setdefault(key, []).append(server.server_id)
+            if key not in self._pools:
+                self._pools[key] = ServerPool(zone=self.zones.zone, limits=self._limits)
+            self._pools[key].names.add(server.server_id)
+        self._place(record)
 
     def remove_server(self, server_id: str) -> None:
         """Give a backend server no more work."""
-        server = self._servers.pop(server_id, None)
-        for key in list_pools(server) if server else ():
-            self._pools[key].remove(server_id)
-            if not self._pools[key]:
+        record = self._records.pop(server_id, None)
+        for key in list_pools(record.server) if record else ():
+            pool = self._pools[key]
+            pool.names.discard(server_id)
+            pool.discard(server_id)
+            if not pool.names:
                 del self._pools[key]
 
     def list_servers(self) -> list[BackendServer]:
         """Return every backend server."""
-        return list(self._servers.values())
+        return [record.server for record in self._records.values()]
 
     def find_server(self, server_id: str) -> BackendServer | None:
         """Return a backend server by its name."""
-        return self._servers.get(server_id)
+        record = self._records.get(server_id)
+        return record.server if record else None
 
     def list_targets(self, kind: ServiceKind) -> list[str]:
         """Return the models or plain services that some server offers."""
         return sorted(key.target for key in self._pools if key.kind is kind)
 
+    def has_pool(self, key: PoolKey) -> bool:
+        """Say whether any server, working or not, belongs to a pool."""
+        return key in self._pools
+
     def record_load(self, server_id: str, load: LoadReport, now: float) -> None:
         """Take a report of a backend server's load."""
+        record = self._records.get(server_id)
+        if record is None or not record.take_load(load, now):
+            return
+        self._place(record)
+        for key in list_pools(record.server):
+            self._pools[key].take_load(record)
+
+    def record_sent(
+        self, choice: Choice, query: RouteQuery, call_id: str, now: float
+    ) -> None:
+        """Note that a call goes to the server that was chosen."""
+        record = self._records.get(choice.server.server_id)
+        if record is not None:
+            call = SentCall(
+                service_class=query.service_class,
+                priority=query.priority,
+                sent=now,
+                wait_ms=choice.wait_ms,
+            )
+            record.take_sent(call_id, call)
+            if record.breaker.state is BreakerState.PROBING:
+                self._withdraw(record)
+
+    def record_data(self, server_id: str, call_id: str) -> None:
+        """Note that the answer of a call has begun to come."""
+        record = self._records.get(server_id)
+        call = record.calls.get(call_id) if record else None
+        if record is None or call is None or call.has_data:
+            return
+        call.has_data = True
+        if record.breaker.state is BreakerState.PROBING:
+            record.breaker.record_success()
+            self._place(record)
+
+    def record_end(
+        self,
+        server_id: str,
+        query: RouteQuery,
+        call_id: str,
+        end: AttemptEnd,
+        now: float,
+    ) -> None:
+        """Note how an attempt at a server ended."""
+        record = self._records.get(server_id)
+        if record is None:
+            return
+        call = record.take_end(call_id)
+        if end is AttemptEnd.ANSWERED and call is not None:
+            self._learn_duration(record, query, call, now)
+        if end in (AttemptEnd.ANSWERED, AttemptEnd.REFUSED):
+            record.breaker.record_success()
+        elif end in (AttemptEnd.FAILED, AttemptEnd.UNREACHABLE):
+            certain = end is AttemptEnd.UNREACHABLE
+            spread = self._random.draw_uniform()
+            record.breaker.record_failure(now, spread, certain)
+            if record.breaker.state is BreakerState.OPEN:
+                heapq.heappush(self._probes, (record.breaker.probe_at, server_id))
+        self._place(record)
 
     def choose(
         self, query: RouteQuery, excluded: Set[str], now: float
     ) -> Choice | None:
         """Return where a call should go, or None when nowhere is left."""
-        names = [
-            name for name in self._pools.get(query.pool, ()) if name not in excluded
-        ]
-        if not names:
+        self._start_probes(now)
+        pool = self._pools.get(query.pool)
+        if pool is None:
+            return None
+        names = pool.draw_candidates(query.affinity, self._random, excluded)
+        favourite = pool.affinity.find(query.affinity) if query.affinity else ""
+        if query.sticky and favourite in names:
+            names = [favourite]
+        best: Choice | None = None
+        best_cost = 0.0
+        for name in names:
+            record = self._records[name]
+            wait_ms, cost = self._weigh(record, pool, query, name == favourite, now)
+            if best is None or cost < best_cost:
+                best = Choice(server=record.server, wait_ms=wait_ms)
+                best_cost = cost
+        return best
+
+    def choose_over_lower(
+        self, query: RouteQuery, excluded: Set[str], now: float
+    ) -> Choice | None:
+        """Return a server that holds work of a lower tier than the call's.
+
+        Asked before a call is given up: its agent can displace that work.
+        """
+        pool = self._pools.get(query.pool)
+        if pool is None:
             return None
-        name = names[self._random.draw_index(len(names))]
-        return Choice(server=self._servers[name])
+        walk = pool.walk_lower_tiers(query.priority, self._random, excluded)
+        for name in walk:
+            record = self._records[name]
+            service_ms = record.load.service_ms or pool.service_ms
+            wait_ms = record.estimate_wait_ms(query.priority, service_ms, now)
+            return Choice(server=record.server, wait_ms=wait_ms)
+        return None
+
+    def _weigh(
+        self,
+        record: ServerRecord,
+        pool: ServerPool,
+        query: RouteQuery,
+        is_favourite: bool,
+        now: float,
+    ) -> tuple[float, float]:
+        usual_ms = pool.find_usual_ms(query.service_class)
+        slowness = record.find_slowness(usual_ms, now)
+        service_ms = max(record.load.service_ms, pool.service_ms * slowness)
+        wait_ms = record.estimate_wait_ms(query.priority, service_ms, now)
+        first_ms = max(record.load.first_token_ms, pool.first_token_ms * slowness)
+        run_ms = max(first_ms, (usual_ms or service_ms) * (slowness - 1.0))
+        cost = wait_ms + run_ms + self.zones.find_cost_ms(record.server.zone)
+        if is_favourite:
+            occupied = record.estimate_occupied(query.priority, now)
+            if occupied <= max(1, record.load.limit) * self._limits.affinity_load:
+                cost -= first_ms * self._limits.prefix_saving
+        return wait_ms, cost
+
+    def _learn_duration(
+        self, record: ServerRecord, query: RouteQuery, call: SentCall, now: float
+    ) -> None:
+        pool = self._pools.get(query.pool)
+        if pool is None:
+            return
+        open_ms = (now - call.sent) * 1000
+        duration_ms = max(0.1, open_ms - min(call.wait_ms, open_ms / 2))
+        usual_ms = pool.find_usual_ms(query.service_class)
+        if usual_ms:
+            record.take_duration(duration_ms / usual_ms)
+        pool.take_duration(query.service_class, duration_ms)
+
+    def _place(self, record: ServerRecord) -> None:
+        """Put a server where it can be drawn, or take it away from there."""
+        load = record.load
+        state = record.breaker.state
+        is_open = not load.draining and not load.unhealthy
+        is_open = is_open and state is not BreakerState.OPEN
+        if state is BreakerState.PROBING and record.calls:
+            is_open = False
+        for key in list_pools(record.server):
+            pool = self._pools[key]
+            if not is_open:
+                pool.discard(record.server.server_id)
+            elif record.server.server_id not in pool.open:
+                pool.add(record)
+
+    def _withdraw(self, record: ServerRecord) -> None:
+        for key in list_pools(record.server):
+            self._pools[key].discard(record.server.server_id)
+
+    def _start_probes(self, now: float) -> None:
+        while self._probes and self._probes[0][0] <= now:
+            _, server_id = heapq.heappop(self._probes)
+            record = self._records.get(server_id)
+            if record is not None and record.breaker.probe_at <= now:
+                record.breaker.start_probing()
+                self._place(record)
--- /dev/null
+++ b/carobspring/routing/servers.py
@@ -0,0 +1,129 @@
+"""What routing knows of one backend server."""
+
+from collections import deque
+from dataclasses import dataclass, field
+
+from carobspring.domain import BackendServer, LoadReport
+from carobspring.routing.breaker import CircuitBreaker
+from carobspring.routing.limits import RoutingLimits
+from carobspring.routing.smoothing import SmoothedValue
+
+MAX_RECENT = 512
+#: Bounds of one observation of speed against the usual one.
+SLOWEST_RATIO = 10.0
+FASTEST_RATIO = 0.25
+DEFAULT_SERVICE_MS = 100.0
+
+
+@dataclass(kw_only=True)
+class SentCall:
+    """A call of this entry that is under way at a server."""
+
+    service_class: str
+    priority: int
+    sent: float
+    #: The wait that was expected when the server was chosen.
+    wait_ms: float
+    has_data: bool = False
+
+
+@dataclass(kw_only=True)
+class ServerRecord:
+    """A backend server, its last report, and what this entry saw of it."""
+
+    server: BackendServer
+    limits: RoutingLimits
+    breaker: CircuitBreaker
+    load: LoadReport = field(default_factory=LoadReport)
+    #: When the report came; zero before the first.
+    load_at: float = 0.0
+    #: Times of own sends that the report may not show.
+    recent: deque[float] = field(default_factory=deque)
+    calls: dict[str, SentCall] = field(default_factory=dict)
+    open_by_priority: dict[int, int] = field(default_factory=dict)
+    #: Own observed duration against the usual one of the class.
+    slowness: SmoothedValue = field(default_factory=lambda: SmoothedValue(0.2))
+
+    def take_load(self, load: LoadReport, now: float) -> bool:
+        """Take a report, unless it is older than the one that is held."""
+        if self.load_at and load.sequence < self.load.sequence:
+            return False
+        self.load = load
+        self.load_at = now
+        shown_until = now - self.limits.report_lag_s
+        while self.recent and self.recent[0] < shown_until:
+            self.recent.popleft()
+        return True
+
+    def take_sent(self, call_id: str, call: SentCall) -> None:
+        """Note that a call goes to this server."""
+        self.calls[call_id] = call
+        count = self.open_by_priority.get(call.priority, 0)
+        self.open_by_priority[call.priority] = count + 1
+        self.recent.append(call.sent)
+        if len(self.recent) > MAX_RECENT:
+            self.recent.popleft()
+
+    def take_end(self, call_id: str) -> SentCall | None:
+        """Note that a call ended and return what was known of it."""
+        call = self.calls.pop(call_id, None)
+        if call is not None:
+            self.open_by_priority[call.priority] -= 1
+        return call
+
+    def take_duration(self, ratio: float) -> None:
+        """Note how long a call took against what is usual for its class."""
+        self.slowness.observe(min(SLOWEST_RATIO, max(FASTEST_RATIO, ratio)))
+
+    def find_slowness(self, usual_ms: float, now: float) -> float:
+        """Return how many times slower than usual the server seems.
+
+        An open call that is long overdue counts before its end: a straggler
+        shows here sooner than in any report.
+        """
+        slowness = max(1.0, self.slowness.value)
+        if usual_ms and self.calls:
+            oldest = next(iter(self.calls.values()))
+            open_ms = (now - oldest.sent) * 1000 - oldest.wait_ms
+            if not oldest.has_data:
+                overdue = open_ms / (usual_ms * self.limits.overdue_factor)
+                slowness = max(slowness, min(SLOWEST_RATIO, overdue))
+        return slowness
+
+    def estimate_occupied(self, priority: int, now: float) -> float:
+        """Return the calls that a new one of this priority is behind.
+
+        The report is corrected by what must have drained since and by own
+        sends; own open calls are a fact that no frozen report can hide.
+        """
+        load = self.load
+        waiting = 0.0
+        if load.waiting_by_priority:
+            waiting = sum(
+                count
+                for tier, count in load.waiting_by_priority.items()
+                if tier >= priority
+            )
+            if waiting and load.service_ms:
+                age_ms = (now - self.load_at) * 1000
+                waiting -= min(waiting, age_ms * load.limit / load.service_ms)
+        own = sum(
+            count for tier, count in self.open_by_priority.items() if tier >= priority
+        )
+        return max(load.running + waiting + len(self.recent), float(own))
+
+    def estimate_wait_ms(self, priority: int, service_ms: float, now: float) -> float:
+        """Return the expected time until such a call would start."""
+        limit = max(1, self.load.limit)
+        behind = self.estimate_occupied(priority, now) - limit + 1
+        return max(0.0, behind) * service_ms / limit
+
+    def find_lowest_priority(self) -> int | None:
+        """Return the lowest tier that waits or runs here by the report."""
+        tiers = [
+            tier
+            for counts in (self.load.waiting_by_priority, self.load.running_by_priority)
+            for tier, count in (counts or {}).items()
+            if count
+        ]
+        return min(tiers, default=None)
