Compare ways to choose a backend server on one recorded load

Change found by it: own observed speed is smoothed more slowly and small differences are ignored, since calls differ in length.

--- /dev/null
+++ b/bench/routing.py
@@ -0,0 +1,326 @@
+"""Compares ways to choose a backend server on one recorded load.
+
+A small event simulation: servers with slots and queues by priority, reports
+every second, some servers slow without saying so. The recorded load is drawn
+once from a seed and replayed for each way. Run:
+
+    python -m bench.routing --servers=60 --seed=1
+"""
+
+import heapq
+import itertools
+import random
+import time
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+import fire
+
+from carobspring.adapters.clock import SystemRandom
+from carobspring.domain import BackendServer, LoadReport, ServiceKind
+from carobspring.routing import AttemptEnd, Choice, PoolKey, Router, RouteQuery
+
+SLOTS = 8
+REPORT_S = 1.0
+ZONES = ("z1", "z2", "z3")
+CROSS_ZONE_S = 0.005
+POOL = PoolKey(kind=ServiceKind.MODEL, target="m1")
+#: Work that a cached prefix saves, in seconds.
+PREFILL_S = 0.08
+CACHED_PREFIXES = 64
+
+
+@dataclass(frozen=True, kw_only=True)
+class RecordedCall:
+    """One call of the recorded load."""
+
+    at: float
+    work_s: float
+    priority: int
+    affinity: int
+    entry: int
+
+
+@dataclass(kw_only=True)
+class SimulatedServer:
+    """A backend server with its agent's queue."""
+
+    server: BackendServer
+    speed: float
+    running: int = 0
+    waiting: list[tuple[int, int, RecordedCall]] = field(default_factory=list)
+    prefixes: dict[int, None] = field(default_factory=dict)
+    sequence: int = 0
+
+    def report(self, frozen: bool) -> LoadReport:
+        """Return the load, or that of an idle server when frozen."""
+        self.sequence += 1
+        if frozen:
+            return LoadReport(sequence=self.sequence, limit=SLOTS, service_ms=500)
+        waiting: dict[int, int] = {}
+        for priority, _, _ in self.waiting:
+            waiting[-priority] = waiting.get(-priority, 0) + 1
+        return LoadReport(
+            sequence=self.sequence,
+            running=self.running,
+            limit=SLOTS,
+            waiting_by_priority=waiting,
+            service_ms=500,
+            first_token_ms=100,
+        )
+
+
+def record_load(
+    seed: int, servers: int, load: float, seconds: float
+) -> list[RecordedCall]:
+    """Return calls that ask for a share of what all servers can do."""
+    source = random.Random(seed)
+    mean_s = 0.5
+    rate = load * servers * SLOTS / mean_s
+    calls = []
+    now = 0.0
+    while now < seconds:
+        # Bursts: the rate swings between half and one and a half.
+        swing = 1.5 if int(now / 2) % 2 else 0.5
+        now += source.expovariate(rate * swing)
+        calls.append(
+            RecordedCall(
+                at=now,
+                work_s=min(8.0, source.lognormvariate(-1.05, 0.8)),
+                priority=90 if source.random() < 0.3 else 10,
+                affinity=source.randrange(1, servers * 8),
+                entry=source.randrange(3),
+            )
+        )
+    return calls
+
+
+class Baseline:
+    """Random, round robin, least loaded and power of two by reports."""
+
+    def __init__(self, way: str, names: list[str], source: random.Random) -> None:
+        self._way = way
+        self._names = names
+        self._source = source
+        self._turn = itertools.count(source.randrange(len(names)))
+        self._loads: dict[str, float] = dict.fromkeys(names, 0.0)
+
+    def take_load(self, name: str, load: LoadReport) -> None:
+        """Take a report."""
+        waiting = sum((load.waiting_by_priority or {}).values())
+        self._loads[name] = load.running + waiting
+
+    def choose(self) -> str:
+        """Return a server's name."""
+        if self._way == "random":
+            return self._source.choice(self._names)
+        if self._way == "round_robin":
+            return self._names[next(self._turn) % len(self._names)]
+        names = self._names
+        if self._way == "power_of_two":
+            names = self._source.sample(names, 2)
+        return min(names, key=lambda name: self._loads[name])
+
+
+class Simulation:
+    """Replays a recorded load for one way to choose."""
+
+    def __init__(
+        self, way: str, servers: int, seed: int, slow: int, frozen: int
+    ) -> None:
+        self._way = way
+        self._frozen = {f"s{number}" for number in range(slow, slow + frozen)}
+        self._servers: dict[str, SimulatedServer] = {}
+        for number in range(servers):
+            server = BackendServer(
+                server_id=f"s{number}",
+                boot=1,
+                service="llm",
+                kind=ServiceKind.MODEL,
+                zone=ZONES[number % 3],
+                host="127.0.0.1",
+                port=1 + number,
+                models=("m1",),
+                slots=SLOTS,
+            )
+            speed = 0.33 if number < slow else 1.0
+            self._servers[server.server_id] = SimulatedServer(
+                server=server, speed=speed
+            )
+        names = list(self._servers)
+        self._routers = [
+            Router(random=SystemRandom(seed=seed + entry), zone=ZONES[entry])
+            for entry in range(3)
+        ]
+        for router in self._routers:
+            for simulated in self._servers.values():
+                router.add_server(simulated.server)
+        self._baselines = [
+            Baseline(way, names, random.Random(seed + entry)) for entry in range(3)
+        ]
+        self._order = itertools.count()
+        self._events: list[tuple[float, int, Callable[[float], None]]] = []
+        self.delays: dict[int, list[float]] = {10: [], 90: []}
+        self.hits = 0
+
+    def run(self, calls: list[RecordedCall], seconds: float) -> None:
+        """Replay the load to its end."""
+        for call in calls:
+            self._schedule(call.at, lambda now, c=call: self._arrive(c, now))
+        moment = 0.0
+        while moment < seconds + 1:
+            for number, name in enumerate(self._servers):
+                offset = REPORT_S * number / len(self._servers)
+                self._schedule(moment + offset, lambda now, n=name: self._tell(n, now))
+            moment += REPORT_S
+        while self._events:
+            now, _, act = heapq.heappop(self._events)
+            act(now)
+
+    def _schedule(self, at: float, act: Callable[[float], None]) -> None:
+        heapq.heappush(self._events, (at, next(self._order), act))
+
+    def _tell(self, name: str, now: float) -> None:
+        load = self._servers[name].report(name in self._frozen)
+        for router in self._routers:
+            router.record_load(name, load, now)
+        for baseline in self._baselines:
+            baseline.take_load(name, load)
+
+    def _arrive(self, call: RecordedCall, now: float) -> None:
+        query = RouteQuery(
+            pool=POOL,
+            priority=call.priority,
+            service_class=str(call.priority),
+            affinity=call.affinity,
+        )
+        call_id = str(next(self._order))
+        router = self._routers[call.entry]
+        if self._way == "expected_wait":
+            choice = router.choose(query, frozenset(), now)
+            assert choice is not None
+            router.record_sent(choice, query, call_id, now)
+        else:
+            name = self._baselines[call.entry].choose()
+            choice = Choice(server=self._servers[name].server)
+        simulated = self._servers[choice.server.server_id]
+        way_s = 0.0
+        if simulated.server.zone != ZONES[call.entry]:
+            way_s = CROSS_ZONE_S
+        entered = now + way_s
+
+        def end(then: float) -> None:
+            # As in the programs, the end of a call carries a fresh report.
+            server_id = simulated.server.server_id
+            load = simulated.report(server_id in self._frozen)
+            if self._way == "expected_wait":
+                router.record_load(server_id, load, then)
+                router.record_end(server_id, query, call_id, AttemptEnd.ANSWERED, then)
+            else:
+                self._baselines[call.entry].take_load(server_id, load)
+
+        self._schedule(entered, lambda then: self._enqueue(simulated, call, end, then))
+
+    def _enqueue(
+        self,
+        simulated: SimulatedServer,
+        call: RecordedCall,
+        end: Callable[[float], None],
+        now: float,
+    ) -> None:
+        item = (-call.priority, next(self._order), (call, end))
+        heapq.heappush(simulated.waiting, item)  # type: ignore[misc]
+        self._start(simulated, now)
+
+    def _start(self, simulated: SimulatedServer, now: float) -> None:
+        while simulated.running < SLOTS and simulated.waiting:
+            _, _, (call, end) = heapq.heappop(simulated.waiting)  # type: ignore[misc]
+            simulated.running += 1
+            prefill_s = PREFILL_S
+            if call.affinity in simulated.prefixes:
+                prefill_s = 0.0
+                self.hits += 1
+                del simulated.prefixes[call.affinity]
+            simulated.prefixes[call.affinity] = None
+            if len(simulated.prefixes) > CACHED_PREFIXES:
+                del simulated.prefixes[next(iter(simulated.prefixes))]
+            first_s = (prefill_s + 0.02) / simulated.speed
+            self.delays[call.priority].append(now + first_s - call.at)
+            done = now + (prefill_s + call.work_s) / simulated.speed
+            self._schedule(
+                done, lambda then, s=simulated, e=end: self._finish(s, e, then)
+            )
+
+    def _finish(
+        self,
+        simulated: SimulatedServer,
+        end: Callable[[float], None],
+        now: float,
+    ) -> None:
+        simulated.running -= 1
+        end(now)
+        self._start(simulated, now)
+
+
+def find_quantile(values: list[float], part: float) -> float:
+    """Return a quantile of unsorted values, in milliseconds."""
+    ordered = sorted(values)
+    return ordered[min(len(ordered) - 1, int(part * len(ordered)))] * 1000
+
+
+def measure_decision(servers: int, seed: int, rounds: int = 20_000) -> float:
+    """Return microseconds a decision, with its notes of start and end."""
+    simulation = Simulation("expected_wait", servers, seed, 0, 0)
+    router = simulation._routers[0]
+    for name, simulated in simulation._servers.items():
+        router.record_load(name, simulated.report(False), 0.0)
+    queries = [
+        RouteQuery(pool=POOL, priority=90, service_class="90", affinity=number)
+        for number in range(1, 500)
+    ]
+    began = time.perf_counter()
+    for number in range(rounds):
+        query = queries[number % len(queries)]
+        now = number / 1000
+        choice = router.choose(query, frozenset(), now)
+        assert choice is not None
+        router.record_sent(choice, query, str(number), now)
+        server_id = choice.server.server_id
+        router.record_end(server_id, query, str(number), AttemptEnd.ANSWERED, now)
+    return (time.perf_counter() - began) * 1e6 / rounds
+
+
+WAYS = ("random", "round_robin", "least_loaded", "power_of_two", "expected_wait")
+
+
+def main(
+    servers: int = 60,
+    seed: int = 1,
+    load: float = 0.8,
+    seconds: float = 30.0,
+    slow: int = 0,
+    frozen: int = 0,
+    decisions: bool = True,
+) -> None:
+    """Print delays to the first token by way, and the cost of a decision."""
+    calls = record_load(seed, servers, load, seconds)
+    print(f"{servers} servers, load {load}, {slow} slow, {frozen} frozen, seed {seed}")
+    print(
+        f"{'way':14} {'p50':>6} {'p90':>6} {'p99':>7}  ms, high tier | low p99 | hits"
+    )
+    for way in WAYS:
+        simulation = Simulation(way, servers, seed, slow, frozen)
+        simulation.run(calls, seconds)
+        high, low = simulation.delays[90], simulation.delays[10]
+        quantiles = [find_quantile(high, part) for part in (0.5, 0.9, 0.99)]
+        p50, p90, p99 = quantiles
+        hits = simulation.hits / len(calls)
+        low_p99 = find_quantile(low, 0.99)
+        print(f"{way:14} {p50:6.0f} {p90:6.0f} {p99:7.0f} {low_p99:21.0f} {hits:6.2f}")
+    for size in (6, 60, 600) if decisions else ():
+        cost = measure_decision(size, seed)
+        print(f"decision at {size:3} servers: {cost:.1f} us")
+
+
+if __name__ == "__main__":
+    fire.Fire(main)
--- a/carobspring/routing/servers.py
+++ b/carobspring/routing/servers.py
@@ -10,8 +10,12 @@
 
 MAX_RECENT = 512
 #: Bounds of one observation of speed against the usual one.
-SLOWEST_RATIO = 10.0
-FASTEST_RATIO = 0.25
+SLOWEST_RATIO = 5.0
+FASTEST_RATIO = 0.2
+SPEED_SMOOTHING = 0.07
+LEAST_OBSERVED = 4
+#: Calls differ in length: below this the difference says nothing.
+USUAL_SPREAD = 1.3
 DEFAULT_SERVICE_MS = 100.0
 
 
@@ -42,7 +46,9 @@
     calls: dict[str, SentCall] = field(default_factory=dict)
     open_by_priority: dict[int, int] = field(default_factory=dict)
     #: Own observed duration against the usual one of the class.
-    slowness: SmoothedValue = field(default_factory=lambda: SmoothedValue(0.2))
+    slowness: SmoothedValue = field(
+        default_factory=lambda: SmoothedValue(SPEED_SMOOTHING)
+    )
 
     def take_load(self, load: LoadReport, now: float) -> bool:
         """Take a report, unless it is older than the one that is held."""
@@ -81,14 +87,16 @@
         An open call that is long overdue counts before its end: a straggler
         shows here sooner than in any report.
         """
-        slowness = max(1.0, self.slowness.value)
+        slowness = 1.0
+        if self.slowness.count >= LEAST_OBSERVED:
+            slowness = self.slowness.value
         if usual_ms and self.calls:
             oldest = next(iter(self.calls.values()))
             open_ms = (now - oldest.sent) * 1000 - oldest.wait_ms
             if not oldest.has_data:
                 overdue = open_ms / (usual_ms * self.limits.overdue_factor)
                 slowness = max(slowness, min(SLOWEST_RATIO, overdue))
-        return slowness
+        return slowness if slowness > USUAL_SPREAD else 1.0
 
     def estimate_occupied(self, priority: int, now: float) -> float:
         """Return the calls that a new one of this priority is behind.
