--- a/carobspring/programs/runner.py
+++ b/carobspring/programs/runner.py
@@ -12,6 +12,7 @@
 from carobspring.programs.logs import configure_logging
 from carobspring.programs.options import OptionError, load_options
 
+EXIT_FAILURE = 1
 EXIT_USAGE = 2
 
 STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
@@ -81,7 +82,12 @@
     async def run() -> None:
         await run_until_signal(build(options))
 
-    asyncio.run(run())
+    try:
+        asyncio.run(run())
+    except OSError as error:
+        # A port that is taken or a data folder that can't be used.
+        print(f"error: can't start: {error}", file=sys.stderr)
+        sys.exit(EXIT_FAILURE)
 
 
 def run_command_line(name: str, build: Any, options_type: type[Any]) -> None:
