--- a/bench/routing.py
+++ b/bench/routing.py
@@ -18,7 +18,7 @@
 
 from carobspring.adapters.clock import SystemRandom
 from carobspring.domain import BackendServer, LoadReport, ServiceKind
-from carobspring.routing import AttemptEnd, Choice, PoolKey, Router, RouteQuery
+from carobspring.routing import AttemptEnd, Choice, PoolKey, RouteQuery, Router
 
 SLOTS = 8
 REPORT_S = 1.0
