--- a/carobspring/ledger/ledger.py
+++ b/carobspring/ledger/ledger.py
@@ -220,15 +220,14 @@
 
 
 def _find_fault(claim: Claim, command: OutcomeCommand) -> str:
+    # Only the agent's own boot knows what ran. Another process may at most
+    # give up on it, which is safe: "unknown" never permits a second run.
     report = command.report
-    if report.server_id and report.server_id != claim.server_id:
-        return "wrong_server"
-    if report.run_status is RunStatus.UNKNOWN:
-        by_agent = report.boot in (0, claim.boot) and bool(report.server_id)
-        return "" if by_agent or command.agent_gone else "agent_not_gone"
-    if report.boot not in (0, claim.boot):
+    if report.boot == claim.boot:
+        return ""
+    if report.run_status is not RunStatus.UNKNOWN:
         return "wrong_boot"
-    return ""
+    return "" if command.agent_gone else "agent_not_gone"
 
 
 def _choose_state(state: ClaimState, run_status: RunStatus) -> ClaimState:
--- a/carobspring/protocol/calls.py
+++ b/carobspring/protocol/calls.py
@@ -42,6 +42,8 @@
 
     call_id: str
     offset: int
+    #: Boot number that the call was sent under; zero when not known.
+    boot: int = 0
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -84,6 +86,8 @@
     load: LoadReport | None = None
     #: Highest revision of the settings that the agent has seen.
     revision: int = 0
+    #: The call that the event belongs to; empty from an older agent.
+    call_id: str = ""
 
 
 @dataclass(frozen=True, kw_only=True)
--- a/carobspring/settings/evaluation.py
+++ b/carobspring/settings/evaluation.py
@@ -14,6 +14,7 @@
     SubjectChange,
     WorkspaceSpec,
 )
+from carobspring.settings.keys import find_fingerprint
 
 MAX_CLASSES = 100
 MAX_WORKSPACES = 5_000
@@ -104,7 +105,7 @@
     kept = tuple(
         key_hash
         for key_hash in workspace.key_hashes
-        if key_hash.split("$")[0] != removal.fingerprint
+        if find_fingerprint(key_hash) != removal.fingerprint
     )
     if kept == workspace.key_hashes:
         reason = f"has no key with fingerprint {removal.fingerprint}"
@@ -171,6 +172,6 @@
         return ""
     if isinstance(value, Workspace):
         # The trail is read by people: they know keys by their fingerprints.
-        fingerprints = tuple(text.split("$")[0] for text in value.key_hashes)
+        fingerprints = tuple(find_fingerprint(text) for text in value.key_hashes)
         value = replace(value, key_hashes=fingerprints)
     return msgspec.json.encode(value).decode()
