Run the control plane on replicas with a disk

Cause: carob-control kept everything in the memory of one process. Loads are passed on when the degree of business changes. Strikes are committed once and a released one stays released.

--- a/carobspring/control/__init__.py
+++ b/carobspring/control/__init__.py
@@ -1,25 +1,41 @@
 """What ``carob-control`` is composed of: state machine, streams, admin API."""
 
 from carobspring.control.admin import AdminApi
+from carobspring.control.admin_routes import AdminRoutes
 from carobspring.control.claims import ClaimService
 from carobspring.control.commands import Command, CommandResult
+from carobspring.control.expiry import Expiry
+from carobspring.control.gossip import GossipExchange, GossipTransport
 from carobspring.control.local_log import LocalLog
 from carobspring.control.machine import ControlMachine
-from carobspring.control.operators import OperatorTokens
+from carobspring.control.measures import ControlMetrics
+from carobspring.control.operators import OperatorTokens, read_operator_tokens
+from carobspring.control.peers import RpcPeer, read_peers
 from carobspring.control.proposals import CommandProposer, Peer
+from carobspring.control.replica_routes import Reconfigurable, ReplicaRoutes
 from carobspring.control.state import ControlState
 from carobspring.control.streams import WatchService
 
 __all__ = [
     "AdminApi",
+    "AdminRoutes",
     "ClaimService",
     "Command",
     "CommandProposer",
     "CommandResult",
     "ControlMachine",
+    "ControlMetrics",
     "ControlState",
+    "Expiry",
+    "GossipExchange",
+    "GossipTransport",
     "LocalLog",
     "OperatorTokens",
     "Peer",
+    "Reconfigurable",
+    "ReplicaRoutes",
+    "RpcPeer",
     "WatchService",
+    "read_operator_tokens",
+    "read_peers",
 ]
--- /dev/null
+++ b/carobspring/control/expiry.py
@@ -0,0 +1,42 @@
+"""The leader's commands that let go of old records of unique calls."""
+
+import contextlib
+from collections.abc import Callable
+
+from carobspring.control.commands import Command
+from carobspring.control.errors import ControlError
+from carobspring.control.proposals import CommandProposer
+from carobspring.control.state import ControlState
+from carobspring.ledger import ExpireCommand
+
+CHECK_INTERVAL_S = 30.0
+
+
+class Expiry:
+    """Proposes an expiry when there is something to forget.
+
+    The time goes into the command, so every replica forgets the same records
+    at the same place of the log.
+    """
+
+    def __init__(
+        self,
+        *,
+        state: ControlState,
+        proposer: CommandProposer,
+        is_leader: Callable[[], bool],
+    ) -> None:
+        self._state = state
+        self._proposer = proposer
+        self._is_leader = is_leader
+        self._checked_at = float("-inf")
+
+    async def pass_time(self, now: float) -> None:
+        """Propose an expiry when it is time, on the leader only."""
+        if now - self._checked_at < CHECK_INTERVAL_S or not self._is_leader():
+            return
+        self._checked_at = now
+        at_ms = self._state.clock.read_wall_ms()
+        if self._state.machine.ledger.needs_expiry(at_ms):
+            with contextlib.suppress(ControlError):
+                await self._proposer.propose(Command(expire=ExpireCommand(at_ms=at_ms)))
--- a/carobspring/control/machine.py
+++ b/carobspring/control/machine.py
@@ -11,11 +11,10 @@
     DrainChange,
     StrikeRelease,
 )
-from carobspring.control.strikes import StrikeBook
+from carobspring.control.strikes import StrikeBook, StrikeSnapshot
 from carobspring.domain import DomainError
 from carobspring.ledger import LedgerSnapshot, UniqueCallLedger
 from carobspring.ports import StateMachine
-from carobspring.protocol import Strike
 from carobspring.settings import (
     AuditEntry,
     SettingsMachine,
@@ -32,7 +31,7 @@
 
     settings: SettingsSnapshot = field(default_factory=SettingsSnapshot)
     ledger: LedgerSnapshot = field(default_factory=LedgerSnapshot)
-    strikes: tuple[Strike, ...] = ()
+    strikes: StrikeSnapshot = field(default_factory=StrikeSnapshot)
     drained: tuple[str, ...] = ()
 
 
@@ -82,7 +81,7 @@
             ControlSnapshot(
                 settings=self.settings.take_snapshot(),
                 ledger=self.ledger.take_snapshot(),
-                strikes=self.strikes.list_all(),
+                strikes=self.strikes.take_snapshot(),
                 drained=tuple(sorted(self.drained)),
             )
         )
--- /dev/null
+++ b/carobspring/control/measures.py
@@ -0,0 +1,61 @@
+"""Metrics of the control program, read from its state when asked for."""
+
+from carobspring.adapters.metrics import Metrics
+from carobspring.control.state import ControlState
+from carobspring.ports import ReplicatedLog
+from carobspring.protocol import ClaimState
+
+
+class ControlMetrics:
+    """Gauges of what this replica holds."""
+
+    def __init__(
+        self, *, metrics: Metrics, state: ControlState, log: ReplicatedLog
+    ) -> None:
+        self._metrics = metrics
+        self._state = state
+        self._log = log
+        self._revision = metrics.add_gauge(
+            "carob_control_revision", "Revision of the settings applied here."
+        )
+        self._zone_revision = metrics.add_gauge(
+            "carob_control_zone_revision", "Oldest revision in force in a zone."
+        )
+        self._leads = metrics.add_gauge(
+            "carob_control_leads", "1 while this replica leads."
+        )
+        self._servers = metrics.add_gauge(
+            "carob_control_servers", "Backend servers whose lease holds, by zone."
+        )
+        self._streams = metrics.add_gauge(
+            "carob_control_streams", "Open streams of agents and entries."
+        )
+        self._claims = metrics.add_gauge(
+            "carob_control_unique_calls", "Records of unique calls, by state."
+        )
+        self._refused = metrics.add_gauge(
+            "carob_control_unique_calls_refused",
+            "Claims and outcomes refused here since the start, by reason.",
+        )
+        self._strikes = metrics.add_gauge(
+            "carob_control_strikes", "Strikes that are kept."
+        )
+
+    def render_text(self) -> bytes:
+        """Return all metrics in Prometheus' text form."""
+        state = self._state
+        self._revision.set({}, state.machine.settings.settings.revision)
+        self._leads.set({}, int(self._log.is_leader()))
+        self._streams.set({}, state.wakeups.count())
+        self._strikes.set({}, len(state.machine.strikes.list_all()))
+        for zone, count in state.members.count_by_zone().items():
+            self._servers.set({"server_zone": zone}, count)
+        for zone, revision in state.entries.find_zone_revisions().items():
+            self._zone_revision.set({"entry_zone": zone}, revision)
+        claims = state.machine.ledger.count_claims()
+        for claim_state in ClaimState:
+            count = claims.get(claim_state, 0)
+            self._claims.set({"state": claim_state.value}, count)
+        for reason, count in state.machine.ledger.refused.items():
+            self._refused.set({"reason": reason}, count)
+        return self._metrics.render_text()
--- /dev/null
+++ b/carobspring/control/peers.py
@@ -0,0 +1,62 @@
+"""Other replicas: where they listen, and commands sent to them."""
+
+from grpclib import GRPCError
+from grpclib.client import Channel, UnaryUnaryMethod
+from grpclib.exceptions import StreamTerminatedError
+
+from carobspring.adapters import paths
+from carobspring.adapters.peer_link import PeerAddress
+from carobspring.adapters.rpc import open_channel
+from carobspring.control.proposals import ForwardReply, ForwardRequest, Peer
+from carobspring.domain.errors import InvalidValueError, check_name, check_range
+
+
+class RpcPeer(Peer):
+    """Another replica over gRPC; the connection opens when it is needed."""
+
+    def __init__(self, *, address: PeerAddress, secret: str) -> None:
+        self._address = address
+        self._secret = secret
+        self._channel: Channel | None = None
+
+    async def forward(self, request: ForwardRequest, timeout_s: float) -> ForwardReply:
+        """Have a command proposed there."""
+        if self._channel is None:
+            self._channel = open_channel(
+                host=self._address.host, port=self._address.port, secret=self._secret
+            )
+        method = UnaryUnaryMethod[ForwardRequest, ForwardReply](
+            self._channel, paths.FORWARD_COMMAND, ForwardRequest, ForwardReply
+        )
+        try:
+            reply = await method(request, timeout=timeout_s)
+        except (GRPCError, StreamTerminatedError, OSError, TimeoutError) as error:
+            raise ConnectionError(str(error)) from error
+        return reply or ForwardReply(error="no_reply")
+
+    def close(self) -> None:
+        """Close the connection."""
+        if self._channel is not None:
+            self._channel.close()
+
+
+def read_peers(peers: str) -> dict[str, PeerAddress]:
+    """Return the replicas that the flag ``--peers`` names.
+
+    Args:
+        peers: ``ID=HOST:PORT`` of every replica, commas between them.
+
+    Raises:
+        InvalidValueError: One is malformed, or a name comes twice.
+    """
+    found: dict[str, PeerAddress] = {}
+    for part in filter(None, (part.strip() for part in peers.split(","))):
+        name, _, address = part.partition("=")
+        host, _, port = address.rpartition(":")
+        check_name("peers", name)
+        if not host or not port.isdigit() or name in found:
+            expected = "ID=HOST:PORT for each replica once, commas between them"
+            raise InvalidValueError(field="peers", value=part, expected=expected)
+        check_range("peers", int(port), 1, 65535, "as the port")
+        found[name] = PeerAddress(name=name, host=host, port=int(port))
+    return found
--- a/carobspring/control/proposals.py
+++ b/carobspring/control/proposals.py
@@ -13,6 +13,9 @@
 #: Seconds that a command may take, with elections on its way.
 PROPOSAL_TIMEOUT_S = 4.0
 RETRY_INTERVAL_S = 0.1
+#: Seconds after which one attempt is given up, so that a leader that died or
+#: froze is not waited for while its successor already reigns.
+ATTEMPT_TIMEOUT_S = 1.0
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -101,10 +104,11 @@
         while True:
             error: ControlError
             try:
-                return await self._log.confirm_read()
+                async with asyncio.timeout(ATTEMPT_TIMEOUT_S):
+                    return await self._log.confirm_read()
             except NotLeaderError:
                 error = NoLeaderError()
-            except QuorumLostError:
+            except (QuorumLostError, TimeoutError):
                 error = NoQuorumError()
             if self._clock.read_monotonic() + RETRY_INTERVAL_S >= deadline:
                 raise error
@@ -118,9 +122,10 @@
         if peer is None:
             return None
         left_s = max(0.1, deadline - self._clock.read_monotonic())
-        reply = await peer.forward(ForwardRequest(command=command), left_s)
+        timeout_s = min(left_s, ATTEMPT_TIMEOUT_S)
+        reply = await peer.forward(ForwardRequest(command=command), timeout_s)
         if reply.error == "no_quorum":
-            raise QuorumLostError(waited_s=left_s)
+            raise QuorumLostError(waited_s=timeout_s)
         return None if reply.error else _read_result(reply.result)
 
 
--- a/carobspring/control/sessions.py
+++ b/carobspring/control/sessions.py
@@ -29,26 +29,25 @@
         self._state = state
         self._revision = -1
         self._strikes: tuple[Strike, ...] = ()
+        self._changes = -1
 
     def take_news(self) -> SharedNews:
         """Return what is new since the last call."""
         settings = self._state.machine.settings.settings
-        strikes = self._state.machine.strikes.list_all()
-        news = SharedNews(
-            settings=settings if settings.revision > self._revision else None,
-            strikes=(),
-            released=(),
-        )
-        if strikes != self._strikes:
-            before, after = set(self._strikes), set(strikes)
-            news = SharedNews(
-                settings=news.settings,
-                strikes=tuple(s for s in strikes if s not in before),
-                released=tuple(s for s in self._strikes if s not in after),
-            )
+        book = self._state.machine.strikes
+        newer = settings.revision > self._revision
         self._revision = max(self._revision, settings.revision)
-        self._strikes = strikes
-        return news
+        added: tuple[Strike, ...] = ()
+        released: tuple[Strike, ...] = ()
+        if book.changes != self._changes:
+            strikes = book.list_all()
+            before, after = set(self._strikes), set(strikes)
+            added = tuple(strike for strike in strikes if strike not in before)
+            released = tuple(s for s in self._strikes if s not in after)
+            self._strikes, self._changes = strikes, book.changes
+        return SharedNews(
+            settings=settings if newer else None, strikes=added, released=released
+        )
 
 
 class AgentSession:
@@ -69,12 +68,18 @@
         self._server_id = report.server.server_id
         self._boot = report.server.boot
         view = state.members.view
+        was_own = state.members.is_own(self._server_id)
         answer = state.members.note_report(report, state.clock.read_monotonic())
         if answer.minimum_boot != self._minimum_boot:
             self._minimum_boot = answer.minimum_boot
             state.wakeups.wake_all()
         if state.members.view != view:
+            state.own_changes += 1
             state.wakeups.wake_all()
+        elif not was_own and answer.accepted:
+            # Peers must hear that the agent came over before they, who lost
+            # its stream, take it for gone.
+            state.own_changes += 1
 
     def write_order(self) -> AgentOrder:
         """Return the next order; an empty one is a heartbeat."""
--- a/carobspring/control/state.py
+++ b/carobspring/control/state.py
@@ -44,6 +44,9 @@
         self.members = MembershipTable(now=clock.read_monotonic())
         self.entries = EntryTable()
         self.draining = False
+        #: Grows when an agent on an own stream changes what peers must know.
+        self.own_changes = 0
+        self.unreadable_gossip = 0
 
     def note_applied(self) -> None:
         """Pass on what a command or a restored snapshot changed."""
@@ -51,3 +54,12 @@
             now = self.clock.read_monotonic()
             self.members.set_drained(self.machine.drained, now)
         self.wakeups.wake_all()
+
+    def pass_time(self, now: float) -> None:
+        """End leases that ran out, and wake the streams when one did."""
+        view = self.members.view
+        if self.members.expire(now):
+            self.own_changes += 1
+        self.entries.expire(now)
+        if self.members.view != view:
+            self.wakeups.wake_all()
--- a/carobspring/control/status.py
+++ b/carobspring/control/status.py
@@ -37,7 +37,7 @@
     met: dict[str, int] = defaultdict(int)
     shed: dict[str, int] = defaultdict(int)
     for entry in state.entries.entries.values():
-        for name, counts in (entry.attainment or {}).items():
+        for name, counts in (entry.report.attainment or {}).items():
             ended[name] += counts.ended
             met[name] += counts.met
             shed[name] += counts.shed
@@ -52,9 +52,9 @@
     now = state.clock.read_monotonic()
     return tuple(
         ProgramStatus(
-            name=entry.entry_id,
-            zone=entry.zone,
-            revision=entry.revision,
+            name=entry.report.entry_id,
+            zone=entry.report.zone,
+            revision=entry.report.revision,
             age_ms=int((now - entry.heard_at) * 1000),
         )
         for _, entry in sorted(state.entries.entries.items())
--- a/carobspring/control/streams.py
+++ b/carobspring/control/streams.py
@@ -1,6 +1,7 @@
 """The long-lived streams of agents and entries."""
 
 import asyncio
+import contextlib
 from collections.abc import Awaitable, Callable
 from typing import Any
 
@@ -47,12 +48,11 @@
 
         async def note(report: AgentReport) -> None:
             session.note_report(report)
-            if report.strikes:
-                try:
-                    await self._proposer.propose(Command(strikes=report.strikes))
-                except ControlError as error:
-                    # The agent sends strikes again on its next stream.
-                    raise GRPCError(Status.UNAVAILABLE, error.message) from error
+            # An agent repeats its strikes, so what is lost here comes again.
+            new = self._state.machine.strikes.find_new(report.strikes)
+            if new:
+                with contextlib.suppress(ControlError):
+                    await self._proposer.propose(Command(strikes=new))
 
         try:
             await self._run(stream, note, session.write_order)
--- a/carobspring/ledger/ledger.py
+++ b/carobspring/ledger/ledger.py
@@ -7,7 +7,7 @@
 """
 
 from collections import Counter
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, replace
 
 from carobspring.domain import RunStatus
 from carobspring.ledger.commands import (
@@ -54,13 +54,6 @@
     records: tuple[Record, ...] = ()
 
 
-@dataclass(kw_only=True)
-class LedgerCounts:
-    """What the ledger has refused, by reason."""
-
-    refused: Counter[str] = field(default_factory=Counter)
-
-
 class UniqueCallLedger:
     """Holds one record for each unique call.
 
@@ -70,7 +63,8 @@
 
     def __init__(self) -> None:
         self.last_number = 0
-        self.counts = LedgerCounts()
+        #: Claims and outcomes refused, by reason; not part of the state.
+        self.refused: Counter[str] = Counter()
         self._records: dict[CallKey, Record] = {}
         self._keys: dict[int, CallKey] = {}
         self._answer_bytes = 0
@@ -85,7 +79,7 @@
         claim = record.claim
         if claim.request_hash != request.request_hash:
             # Nothing of the other request's claim is given away.
-            self.counts.refused["conflict"] += 1
+            self.refused["conflict"] += 1
             return ClaimReply(claim=_write_conflict(request))
         if request.request_id and request.request_id == record.request_id:
             return ClaimReply(claim=claim, granted=claim.state is ClaimState.CLAIMED)
@@ -98,12 +92,12 @@
         report = command.report
         key = self._keys.get(report.number)
         if key is None:
-            self.counts.refused["no_such_claim"] += 1
+            self.refused["no_such_claim"] += 1
             return OutcomeReply(error="no_such_claim")
         claim = self._records[key].claim
         error = _find_fault(claim, command)
         if error:
-            self.counts.refused[error] += 1
+            self.refused[error] += 1
             return OutcomeReply(claim=claim, error=error)
         state = _choose_state(claim.state, report.run_status)
         if state is not claim.state:
@@ -175,7 +169,7 @@
         elif self._answer_bytes >= MAX_ANSWER_BYTES:
             error = "ledger_full"
         if error:
-            self.counts.refused[error] += 1
+            self.refused[error] += 1
             return ClaimReply(error=error)
         return self._grant(key, command)
 
@@ -206,7 +200,7 @@
         if state is ClaimState.DONE and report.answer is not None:
             claim = replace(claim, answer=report.answer)
             if _measure_answer(claim) > MAX_ONE_ANSWER_BYTES:
-                self.counts.refused["answer_too_large"] += 1
+                self.refused["answer_too_large"] += 1
                 claim = replace(claim, answer=None)
         self._answer_bytes += _measure_answer(claim)
         self._records[key] = replace(record, claim=claim)
--- a/carobspring/membership/__init__.py
+++ b/carobspring/membership/__init__.py
@@ -5,13 +5,14 @@
 """
 
 from carobspring.membership.entries import EntryState, EntryTable
-from carobspring.membership.gossip import MemberNews, ReplicaNews
+from carobspring.membership.gossip import EntryNews, MemberNews, ReplicaNews
 from carobspring.membership.table import Announcement, Member, MembershipTable
 from carobspring.membership.views import Delta
 
 __all__ = [
     "Announcement",
     "Delta",
+    "EntryNews",
     "EntryState",
     "EntryTable",
     "Member",
--- a/carobspring/membership/entries.py
+++ b/carobspring/membership/entries.py
@@ -2,7 +2,8 @@
 
 from dataclasses import dataclass, replace
 
-from carobspring.protocol import ClassAttainment, EntryReport
+from carobspring.membership.gossip import EntryNews
+from carobspring.protocol import EntryReport
 
 #: An entry that was not heard of for this long is no longer shown.
 ENTRY_LEASE_S = 5.0
@@ -10,13 +11,12 @@
 
 @dataclass(frozen=True, kw_only=True)
 class EntryState:
-    """An entry as last heard of, at a monotonic time of this replica."""
+    """An entry's last report, and when by this replica's monotonic clock."""
 
-    entry_id: str
-    zone: str
-    revision: int
+    report: EntryReport
     heard_at: float
-    attainment: dict[str, ClassAttainment] | None = None
+    #: True when the entry reports to this replica itself.
+    is_own: bool = True
 
 
 class EntryTable:
@@ -25,22 +25,33 @@
     def __init__(self) -> None:
         self.entries: dict[str, EntryState] = {}
 
-    def note_report(self, report: EntryReport, now: float) -> bool:
-        """Take a report over; return whether the revision in force changed."""
-        known = self.entries.get(report.entry_id)
-        if known is not None and known.heard_at > now:
-            return False
-        state = EntryState(
-            entry_id=report.entry_id,
-            zone=report.zone,
-            revision=report.revision,
-            heard_at=now,
-            attainment=report.attainment,
-        )
-        if known is not None and report.attainment is None:
-            state = replace(state, attainment=known.attainment)
-        self.entries[report.entry_id] = state
-        return known is None or known.revision != report.revision
+    def note_report(self, report: EntryReport, now: float) -> None:
+        """Take an entry's own report over."""
+        self._store(EntryState(report=report, heard_at=now))
+
+    def note_news(self, news: EntryNews, now: float) -> None:
+        """Take over what another replica heard, unless older than known."""
+        heard_at = now - news.age_ms / 1000
+        known = self.entries.get(news.report.entry_id)
+        if known is None or known.heard_at < heard_at:
+            self._store(EntryState(report=news.report, heard_at=heard_at, is_own=False))
+
+    def list_own_reports(self, now: float) -> list[EntryNews]:
+        """Return the reports to tell other replicas of."""
+        return [
+            EntryNews(report=entry.report, age_ms=int((now - entry.heard_at) * 1000))
+            for entry in self.entries.values()
+            if entry.is_own
+        ]
+
+    def find_zone_revisions(self) -> dict[str, int]:
+        """Return the oldest revision in force at any entry, by zone."""
+        revisions: dict[str, int] = {}
+        for entry in self.entries.values():
+            report = entry.report
+            oldest = revisions.get(report.zone, report.revision)
+            revisions[report.zone] = min(oldest, report.revision)
+        return revisions
 
     def expire(self, now: float) -> list[str]:
         """Drop entries that were not heard of for long; return their names."""
@@ -52,3 +63,11 @@
         for name in gone:
             del self.entries[name]
         return gone
+
+    def _store(self, state: EntryState) -> None:
+        known = self.entries.get(state.report.entry_id)
+        if known is not None and state.report.attainment is None:
+            # Counts are only sent when they changed.
+            report = replace(state.report, attainment=known.report.attainment)
+            state = replace(state, report=report)
+        self.entries[state.report.entry_id] = state
--- a/carobspring/membership/gossip.py
+++ b/carobspring/membership/gossip.py
@@ -27,9 +27,17 @@
     left: bool = False
 
 
+@dataclass(frozen=True, kw_only=True)
+class EntryNews:
+    """An entry's last report and how long ago it came in."""
+
+    report: EntryReport
+    age_ms: int
+
+
 @dataclass(frozen=True, kw_only=True)
 class ReplicaNews:
     """One message from a replica to the others."""
 
     members: tuple[MemberNews, ...] = ()
-    entries: tuple[EntryReport, ...] = ()
+    entries: tuple[EntryNews, ...] = ()
--- a/carobspring/membership/table.py
+++ b/carobspring/membership/table.py
@@ -1,6 +1,6 @@
 """The table of backend servers, by announcement and lease."""
 
-from collections import OrderedDict
+from collections import Counter, OrderedDict
 from dataclasses import dataclass, replace
 
 from carobspring.domain import BackendServer, LoadReport
@@ -15,6 +15,8 @@
 BROKEN_STREAM_LEASE_S = 1.0
 #: Loads of one server are passed on at most this often.
 LOAD_INTERVAL_S = 0.5
+#: A load that changed a little is passed on after this long.
+LOAD_REFRESH_S = 10.0
 #: Seconds that the boot and sequence of a server that is gone are kept, so
 #: that late reports of it are known as such.
 GONE_RETENTION_S = 600.0
@@ -153,6 +155,15 @@
         member = self.members.get(server_id)
         return member.server.boot if member is not None else 0
 
+    def is_own(self, server_id: str) -> bool:
+        """Say whether the agent reports to this replica itself."""
+        member = self.members.get(server_id)
+        return member is not None and member.is_own and not member.gone
+
+    def count_by_zone(self) -> Counter[str]:
+        """Return how many servers are shown in each zone."""
+        return Counter(m.server.zone for m in self.members.values() if m.shown)
+
     def list_present(self) -> list[Member]:
         """Return the members whose lease holds, by name."""
         present = [member for member in self.members.values() if not member.gone]
@@ -185,23 +196,27 @@
             removed=tuple(removed),
         )
 
-    def list_own_news(self, now: float, *, complete: bool) -> list[MemberNews]:
-        """Return what to tell other replicas of the agents on own streams."""
+    def list_own_news(self, since: int, now: float) -> list[MemberNews]:
+        """Return what to tell another replica of the agents on own streams.
+
+        Each lease is told; server and load only where they changed after the
+        view ``since``.
+        """
         news = []
         for server_id, member in self.members.items():
             if not member.is_own:
                 continue
-            age_s = now - member.heard_at
-            if member.gone and age_s > 2 * LEASE_S:
+            if member.gone and member.changed_view <= since:
                 continue
+            age_s = now - member.heard_at
             news.append(
                 MemberNews(
                     server_id=server_id,
                     boot=member.server.boot,
                     sequence=member.sequence,
                     age_ms=int(age_s * 1000),
-                    server=member.server if complete else None,
-                    load=member.load,
+                    server=member.server if member.changed_view > since else None,
+                    load=member.load if member.load_view > since else None,
                     left=member.gone,
                 )
             )
@@ -240,7 +255,7 @@
         now: float,
         is_own: bool,
     ) -> None:
-        load = news.load or LoadReport()
+        load = news.load or (known.load if known is not None else LoadReport())
         if server.server_id in self.drained:
             load = replace(load, draining=True)
         member = Member(
@@ -317,21 +332,17 @@
         )
 
     def _pass_load(self, server_id: str, member: Member, now: float) -> None:
-        urgent = member.passed_load is not None and (
-            member.load.draining != member.passed_load.draining
-            or member.load.unhealthy != member.passed_load.unhealthy
-        )
-        if not urgent and now - member.load_passed_at < LOAD_INTERVAL_S:
-            return
-        same = member.passed_load is not None and (
-            replace(member.load, sequence=0) == replace(member.passed_load, sequence=0)
-        )
-        passed = replace(member, passed_load=member.load)
-        if same:
-            self.members[server_id] = passed
+        if not is_worth_passing(member, now):
             return
         self.view += 1
-        self._store_last(replace(passed, load_view=self.view, load_passed_at=now))
+        self._store_last(
+            replace(
+                member,
+                passed_load=member.load,
+                load_view=self.view,
+                load_passed_at=now,
+            )
+        )
 
     def _number_change(self, member: Member) -> Member:
         self.view += 1
@@ -342,6 +353,32 @@
         self.members.move_to_end(member.server.server_id)
 
 
+def is_worth_passing(member: Member, now: float) -> bool:
+    """Say whether entries need to hear of a member's present load now.
+
+    Draining and health go at once. Otherwise a load goes when it is busy in
+    another degree than the one passed on, and at most each LOAD_INTERVAL_S;
+    small changes wait for LOAD_REFRESH_S. Entries see the exact load of the
+    agents that they call in every answer.
+    """
+    load, passed = member.load, member.passed_load
+    if passed is None:
+        return True
+    if (load.draining, load.unhealthy) != (passed.draining, passed.unhealthy):
+        return True
+    elapsed_s = now - member.load_passed_at
+    if _measure_degree(load) != _measure_degree(passed):
+        return elapsed_s >= LOAD_INTERVAL_S
+    same = replace(load, sequence=0) == replace(passed, sequence=0)
+    return not same and elapsed_s >= LOAD_REFRESH_S
+
+
+def _measure_degree(load: LoadReport) -> tuple[int, int]:
+    # Calls waiting in powers of two, and eighths of the limit running.
+    waiting = sum((load.waiting_by_priority or {}).values())
+    return waiting.bit_length(), 8 * load.running // max(1, load.limit)
+
+
 def _add_loss(losses: tuple[float, ...], now: float) -> tuple[float, ...]:
     recent = tuple(at for at in losses if now - at <= FLAP_WINDOW_S)
     return (*recent[-FLAP_COUNT:], now)
--- a/carobspring/programs/control.py
+++ b/carobspring/programs/control.py
@@ -2,53 +2,73 @@
 
 import asyncio
 import contextlib
+import logging
 from dataclasses import dataclass
-from typing import Annotated
+from pathlib import Path
+from typing import Annotated, Any
 
 from grpclib.server import Server
 from msgspec import Meta
 
-from carobspring.adapters.clock import SystemClock
+from carobspring.adapters.clock import SystemClock, SystemRandom
+from carobspring.adapters.disk import DiskStorage
 from carobspring.adapters.http_server import CircuitsHttpServer
 from carobspring.adapters.metrics import Metrics
-from carobspring.adapters.rpc import build_server
+from carobspring.adapters.rpc import RpcService, build_server
 from carobspring.control import (
     AdminApi,
+    AdminRoutes,
     ClaimService,
     CommandProposer,
+    ControlMetrics,
     ControlState,
+    Expiry,
+    GossipExchange,
     LocalLog,
+    ReplicaRoutes,
+    RpcPeer,
     WatchService,
+    read_operator_tokens,
+    read_peers,
 )
-from carobspring.control.admin_routes import AdminRoutes
-from carobspring.control.operators import read_operator_tokens
+from carobspring.domain import DomainError
 from carobspring.ports import HttpLimits, ReplicatedLog
+from carobspring.programs.options import OptionError
+from carobspring.programs.replica import Replica
 from carobspring.programs.runner import Program, run_command_line
 
 TICK_INTERVAL_S = 0.1
 DRAIN_TIMEOUT_S = 5.0
 
+logger = logging.getLogger(__name__)
+
 
 @dataclass(frozen=True, kw_only=True)
 class ControlOptions:
-    """Runs one replica of the control plane.
-
-    replica_id: name of this replica, the same after a restart.
-    zone: availability zone that this replica is in.
-    host: IP number to listen on.
-    rpc_port: port for entries, agents and other replicas; 0 takes a free one.
-    admin_port: port of the admin API; 0 takes a free one.
-    data_dir: folder of the log and snapshots; empty keeps all in memory.
-    peers: every replica as ID=HOST:PORT with commas between; empty for one.
-    secret: shared by all programs; must be the same everywhere.
-    operator_token: token of the sole operator, at least 16 characters.
-    operators: NAME=HASH pairs as `carobctl operator new NAME` prints them.
-    log_format: text or json.
-    log_level: DEBUG, INFO, WARNING or ERROR.
+    """Run one replica of the control plane.
+
+    Every flag can be given as a variable too: --rpc-port as CAROB_RPC_PORT.
+
+    Args:
+        replica_id: Name of this replica, the same after a restart.
+        zone: Availability zone that this replica is in.
+        host: IP number to listen on.
+        rpc_port: Port for entries, agents and other replicas; 0 takes a free
+            one.
+        admin_port: Port of the admin API; 0 takes a free one.
+        data_dir: Folder of the log and snapshots; empty keeps all in memory,
+            for trials with one replica.
+        peers: Every replica as ID=HOST:PORT with commas between, this one
+            too; empty for one replica.
+        secret: Shared secret of the system's own processes.
+        operator_token: Token of the sole operator, 16 characters or more.
+        operators: NAME=HASH pairs as `carobctl operator new NAME` prints.
+        log_format: text or json.
+        log_level: DEBUG, INFO, WARNING or ERROR.
     """
 
-    replica_id: Annotated[str, Meta(min_length=1)] = "control-1"
-    zone: Annotated[str, Meta(min_length=1)] = "a"
+    replica_id: Annotated[str, Meta(min_length=1, max_length=63)] = "control-1"
+    zone: Annotated[str, Meta(min_length=1, max_length=63)] = "a"
     host: str = "127.0.0.1"
     rpc_port: Annotated[int, Meta(ge=0, le=65535)] = 7100
     admin_port: Annotated[int, Meta(ge=0, le=65535)] = 7101
@@ -57,8 +77,8 @@
     secret: Annotated[str, Meta(min_length=8)] = "carob-loopback"
     operator_token: str = ""
     operators: str = ""
-    log_format: str = "text"
-    log_level: str = "INFO"
+    log_format: Annotated[str, Meta(pattern="^(text|json)$")] = "text"
+    log_level: Annotated[str, Meta(pattern="^(DEBUG|INFO|WARNING|ERROR)$")] = "INFO"
 
 
 class ControlProgram(Program):
@@ -66,49 +86,65 @@
 
     def __init__(self, options: ControlOptions) -> None:
         self._options = options
-        self._tokens = read_operator_tokens(
-            operators=options.operators, operator_token=options.operator_token
+        self._clock = SystemClock()
+        self.state = ControlState(replica_id=options.replica_id, clock=self._clock)
+        self._peers: dict[str, RpcPeer] = {}
+        self._replica: Replica | None = None
+        self._storage: DiskStorage | None = None
+        try:
+            self._tokens = read_operator_tokens(
+                operators=options.operators, operator_token=options.operator_token
+            )
+            self.log = self._build_log()
+        except DomainError as error:
+            field = getattr(error, "field", "options")
+            raise OptionError(
+                name=field, source=f"--{field}", reason=str(error)
+            ) from error
+        self.proposer = CommandProposer(
+            log=self.log, peers=dict(self._peers), clock=self._clock
         )
-        clock = SystemClock()
-        self._metrics = Metrics()
-        self._state = ControlState(replica_id=options.replica_id, clock=clock)
-        self._log: ReplicatedLog = LocalLog(
-            replica_id=options.replica_id, machine=self._state.machine
+        metrics = Metrics(labels={"replica": options.replica_id, "zone": options.zone})
+        self._metrics = ControlMetrics(metrics=metrics, state=self.state, log=self.log)
+        self._expiry = Expiry(
+            state=self.state, proposer=self.proposer, is_leader=self.log.is_leader
         )
-        self.proposer = CommandProposer(log=self._log, peers={}, clock=clock)
+        self._gossip: GossipExchange | None = None
+        if self._replica is not None:
+            self._gossip = GossipExchange(state=self.state, transport=self._replica)
         self._rpc: Server | None = None
         self._admin: CircuitsHttpServer | None = None
         self._ticker: asyncio.Task[None] | None = None
 
     async def start(self) -> dict[str, int]:
-        """Listen for entries, agents and operators."""
+        """Listen for entries, agents, other replicas and operators."""
         options = self._options
-        watch = WatchService(state=self._state, proposer=self.proposer)
-        claims = ClaimService(state=self._state, proposer=self.proposer)
-        services = [watch.build_service(), claims.build_service()]
+        watch = WatchService(state=self.state, proposer=self.proposer)
+        claims = ClaimService(state=self.state, proposer=self.proposer)
+        services: list[Any] = [watch.build_service(), claims.build_service()]
+        if self._replica is not None:
+            services.append(RpcService(self._replica.list_methods()))
         self._rpc = build_server(services=services, secret=options.secret)
         await self._rpc.start(options.host, options.rpc_port)
-        routes = AdminRoutes(state=self._state, proposer=self.proposer, log=self._log)
-        api = AdminApi(
-            tokens=self._tokens,
-            routes=routes.list_routes(),
-            is_ready=lambda: bool(self._log.find_leader()),
-            render_metrics=self._metrics.render_text,
-        )
+        if self._replica is not None:
+            await self._replica.start()
         self._admin = CircuitsHttpServer(
             host=options.host,
             port=options.admin_port,
-            handler=api.handle,
+            handler=self._build_admin().handle,
             limits=HttpLimits(),
         )
         await self._admin.start()
-        self._ticker = asyncio.ensure_future(self._run_ticks())
+        self._ticker = asyncio.create_task(self._run_ticks())
         return {"rpc": find_port(self._rpc), "admin": self._admin.port}
 
     async def stop(self) -> None:
-        """End the streams, answer what was begun, and close."""
-        self._state.draining = True
-        self._state.wakeups.wake_all()
+        """Hand leadership over, answer what was begun, and close."""
+        if self._replica is not None and self._replica.is_leader() and self._peers:
+            handed = await self._replica.transfer_leadership()
+            logger.info("handed leadership over: %s", handed)
+        self.state.draining = True
+        self.state.wakeups.wake_all()
         if self._admin is not None:
             await self._admin.drain(DRAIN_TIMEOUT_S)
             await self._admin.close()
@@ -116,26 +152,77 @@
             self._ticker.cancel()
             with contextlib.suppress(asyncio.CancelledError):
                 await self._ticker
+        if self._replica is not None:
+            await self._replica.stop()
         if self._rpc is not None:
             self._rpc.close()
             await self._rpc.wait_closed()
+        for peer in self._peers.values():
+            peer.close()
+        if self._storage is not None:
+            self._storage.close()
+
+    def _build_log(self) -> ReplicatedLog:
+        options = self._options
+        addresses = read_peers(options.peers)
+        if not options.data_dir:
+            if addresses:
+                raise OptionError(
+                    name="data_dir",
+                    source="--data_dir",
+                    reason="is needed when --peers is given",
+                )
+            return LocalLog(replica_id=options.replica_id, machine=self.state.machine)
+        if addresses and options.replica_id not in addresses:
+            raise OptionError(
+                name="peers",
+                source="--peers",
+                reason=f"does not name this replica, {options.replica_id}",
+            )
+        self._storage = DiskStorage(Path(options.data_dir))
+        self._replica = Replica(
+            name=options.replica_id,
+            peers=addresses,
+            bootstrap=True,
+            storage=self._storage,
+            clock=self._clock,
+            random=SystemRandom(),
+            machine=self.state.machine,
+            secret=options.secret,
+        )
+        self._peers = {
+            name: RpcPeer(address=address, secret=options.secret)
+            for name, address in addresses.items()
+            if name != options.replica_id
+        }
+        return self._replica
+
+    def _build_admin(self) -> AdminApi:
+        routes = AdminRoutes(state=self.state, proposer=self.proposer, log=self.log)
+        all_routes = routes.list_routes()
+        if self._replica is not None:
+            all_routes |= ReplicaRoutes(replica=self._replica).list_routes()
+        return AdminApi(
+            tokens=self._tokens,
+            routes=all_routes,
+            is_ready=lambda: bool(self.log.find_leader()) and not self.state.draining,
+            render_metrics=self._metrics.render_text,
+        )
 
     async def _run_ticks(self) -> None:
-        state = self._state
         while True:
             await asyncio.sleep(TICK_INTERVAL_S)
-            now = state.clock.read_monotonic()
-            view = state.members.view
-            state.members.expire(now)
-            state.entries.expire(now)
-            if state.members.view != view:
-                state.wakeups.wake_all()
+            now = self._clock.read_monotonic()
+            self.state.pass_time(now)
+            if self._gossip is not None:
+                self._gossip.pass_time(now)
+            await self._expiry.pass_time(now)
 
 
 def find_port(server: Server) -> int:
     """Return the port that a gRPC server listens on."""
-    sockets = server._server.sockets  # type: ignore[union-attr]
-    return int(sockets[0].getsockname()[1])
+    listening: Any = server._server
+    return int(listening.sockets[0].getsockname()[1])
 
 
 def main() -> None:
