--- a/carobspring/control/operators.py
+++ b/carobspring/control/operators.py
@@ -5,7 +5,7 @@
 from carobspring.domain.errors import InvalidValueError, check_name
 from carobspring.ports import HttpRequest
 from carobspring.settings import hash_key, matches_key
-from carobspring.settings.changes import KEY_HASH_PATTERN
+from carobspring.settings.keys import KEY_HASH_PATTERN
 
 SCHEME = "Bearer "
 #: The name in the audit trail of who holds the token given in clear.
--- a/carobspring/operator/commands.py
+++ b/carobspring/operator/commands.py
@@ -21,6 +21,7 @@
     Change,
     KeyAddition,
     KeyRemoval,
+    find_fingerprint,
     generate_key,
     hash_key,
 )
@@ -147,7 +148,7 @@
         if concurrency_limit is not None:
             limit = read_number("concurrency_limit", concurrency_limit)
         if key == "new":
-            key = generate_key()
+            key = generate_key(name)
             print(f"key (shown this once): {key}")
         additions: tuple[Change, ...] = ()
         if key:
@@ -187,7 +188,7 @@
                 name,
                 each.default_class,
                 each.concurrency_limit or "-",
-                ",".join(key_hash.split("$")[0] for key_hash in each.key_hashes),
+                ",".join(find_fingerprint(text) for text in each.key_hashes),
             )
             for name, each in sorted(workspaces.items())
         ]
--- a/carobspring/protocol/claims.py
+++ b/carobspring/protocol/claims.py
@@ -88,10 +88,9 @@
     number: int
     run_status: RunStatus
     answer: StoredAnswer | None = None
-    #: Set when another process than the claim's agent reports it.
+    #: Boot number of the agent whose word this is; zero for the suspicion of
+    #: another process, which can only be "unknown" and needs the agent gone.
     boot: int = 0
-    #: Set by an agent to its own server, to report "unknown" of its own run.
-    server_id: str = ""
 
 
 @dataclass(frozen=True, kw_only=True)
--- a/carobspring/settings/changes.py
+++ b/carobspring/settings/changes.py
@@ -1,14 +1,13 @@
 """Changes that an operator asks for, and the answers to them."""
 
-import re
 from dataclasses import dataclass
 from enum import Enum
 
 from carobspring.domain import Service, ServiceClass
 from carobspring.domain.errors import InvalidValueError, check_name, check_range
+from carobspring.settings.keys import KEY_HASH_PATTERN
 
 MAX_CHANGES = 5_000
-KEY_HASH_PATTERN = re.compile(r"[0-9a-f]{8}\$[0-9a-f]{16}\$[0-9a-f]{32}")
 
 
 @dataclass(frozen=True, kw_only=True)
--- a/carobspring/settings/keys.py
+++ b/carobspring/settings/keys.py
@@ -1,30 +1,29 @@
 """Workspace keys and operator tokens as salted hashes.
 
-Keys are long random texts, so a fast hash is safe, and one call costs the
-entry two short hashes. The stored form is ``fingerprint$salt$digest``. The
-fingerprint, 32 bits, finds the candidates without trying every workspace.
+Keys are long random texts, so a fast hash is safe, and a call costs the entry
+a microsecond. The stored form is ``salt:digest``, both in hexadecimal; the
+start of the digest is the key's fingerprint, by which people name it.
 """
 
 import hashlib
 import hmac
+import re
 import secrets
-from collections import defaultdict
 
-from carobspring.domain import Settings, Workspace
 from carobspring.domain.errors import InvalidValueError
 
-KEY_PREFIX = "ck_"
 MIN_KEY_LENGTH = 16
+KEY_HASH_PATTERN = re.compile(r"[0-9a-f]{16}:[0-9a-f]{64}")
+FINGERPRINT_LENGTH = 8
 
 
-def generate_key() -> str:
-    """Return a new random key of 192 bits."""
-    return KEY_PREFIX + secrets.token_urlsafe(24)
+def generate_key(owner: str) -> str:
+    """Return a new random key of 192 bits that names its owner.
 
-
-def fingerprint_key(key: str) -> str:
-    """Return the short name of a key, which does not give it away."""
-    return hashlib.blake2b(key.encode(), digest_size=4, person=b"carob-key").hexdigest()
+    The owner's name lets an entry find the hash without trying them all.
+    """
+    secret = secrets.token_urlsafe(24)
+    return f"{owner}.{secret}"
 
 
 def hash_key(key: str, salt: str | None = None) -> str:
@@ -34,38 +33,26 @@
         InvalidValueError: The key is too short to be safe under a fast hash.
     """
     if len(key) < MIN_KEY_LENGTH:
-        expected = f"at least {MIN_KEY_LENGTH} characters; leave it out to get one made"
+        expected = f"at least {MIN_KEY_LENGTH} characters, or `new` to get one made"
         raise InvalidValueError(field="key", value="(hidden)", expected=expected)
     if salt is None:
         salt = secrets.token_hex(8)
-    return f"{fingerprint_key(key)}${salt}${_digest(key, salt)}"
+    digest = _digest(key, salt)
+    return f"{salt}:{digest}"
 
 
 def matches_key(key: str, key_hash: str) -> bool:
     """Say, in constant time, whether a stored form is of this key."""
-    _, salt, digest = key_hash.split("$")
+    salt, _, digest = key_hash.partition(":")
     return hmac.compare_digest(_digest(key, salt), digest)
 
 
-class KeyIndex:
-    """Finds the workspace of a key; built anew for each revision."""
-
-    def __init__(self, settings: Settings) -> None:
-        self._candidates: dict[str, list[tuple[str, Workspace]]] = defaultdict(list)
-        for workspace in settings.workspaces.values():
-            for key_hash in workspace.key_hashes:
-                fingerprint = key_hash.split("$")[0]
-                self._candidates[fingerprint].append((key_hash, workspace))
-
-    def find_workspace(self, key: str) -> Workspace | None:
-        """Return the workspace that the key is of, or None."""
-        for key_hash, workspace in self._candidates.get(fingerprint_key(key), ()):
-            if matches_key(key, key_hash):
-                return workspace
-        return None
+def find_fingerprint(key_hash: str) -> str:
+    """Return the short name of a key by its stored form."""
+    return key_hash.partition(":")[2][:FINGERPRINT_LENGTH]
 
 
 def _digest(key: str, salt: str) -> str:
-    return hashlib.blake2b(
-        key.encode(), digest_size=16, salt=bytes.fromhex(salt)
-    ).hexdigest()
+    encoded = key.encode("utf-8", "surrogateescape")
+    salt_bytes = bytes.fromhex(salt)
+    return hashlib.blake2b(encoded, salt=salt_bytes, digest_size=32).hexdigest()
--- a/tests/control/test_streams.py
+++ b/tests/control/test_streams.py
@@ -93,7 +93,9 @@
             port = ports["rpc"]
             first = await ask(port, paths.CLAIM_CALL, request, ClaimReply)
             self.assertIs(first.granted, True)
-            report = OutcomeReport(number=1, run_status=RunStatus.RAN, answer=answer)
+            report = OutcomeReport(
+                number=1, run_status=RunStatus.RAN, answer=answer, boot=7
+            )
             await ask(port, paths.REPORT_OUTCOME, report, OutcomeReply)
             again = await ask(port, paths.CLAIM_CALL, request, ClaimReply)
             expected = Claim(
