--- a/bench/profiles.py
+++ b/bench/profiles.py
@@ -87,11 +87,6 @@
     identifier: str
     tokens: int = 0
 
-    @property
-    def prompt(self) -> str:
-        """The user's message: unique, and it sets the answer's length."""
-        return f"{self.identifier} of {self.workspace} tokens={self.tokens}"
-
     @property
     def prefix(self) -> str:
         """The workspace's system message, which its calls have in common."""
--- a/bench/report.py
+++ b/bench/report.py
@@ -7,6 +7,7 @@
 
 from bench.profiles import PlannedCall, Profile
 from bench.replay import CallRecord
+from standins.caller import Verdict
 
 MINUTE_S = 60.0
 
@@ -117,11 +118,7 @@
     first = [record for record in mine if not record.returned]
     again = [record for record in mine if record.returned]
     refused = [record for record in first if is_refusal(record)]
-    unanswered = sum(record.reason == "never answered" for record in mine)
-    failed = sum(
-        not record.whole and not is_refusal(record) and not record.wrong
-        for record in mine
-    )
+    verdicts = collections.Counter(record.verdict for record in mine)
     return ClassFigures(
         name=name,
         priority=priority,
@@ -129,12 +126,14 @@
         attainment=sum(record.met for record in first) / max(sent, 1),
         answered=sum(record.whole for record in mine),
         refused=len(refused),
-        refused_with_retry_after=sum(record.retry_after_s > 0 for record in refused),
+        refused_with_retry_after=sum(
+            bool(record.answer and record.answer.retry_after_s) for record in refused
+        ),
         returned_taken=sum(not is_refusal(record) for record in again),
         returned_refused=sum(is_refusal(record) for record in again),
-        failed=failed - unanswered,
-        unanswered=unanswered,
-        wrong=sum(record.wrong for record in mine),
+        failed=verdicts[Verdict.FAILED] + verdicts[Verdict.CUT],
+        unanswered=verdicts[None],
+        wrong=verdicts[Verdict.WRONG],
         longest_wait_s=max((record.wait_s for record in mine), default=0.0),
         least_in_a_minute=count_least(mine),
         reasons=dict(collections.Counter(r.reason for r in mine if r.reason)),
@@ -143,7 +142,7 @@
 
 def is_refusal(record: CallRecord) -> bool:
     """Say whether a call was given up with a final answer."""
-    return record.status in (429, 503)
+    return record.verdict is Verdict.REFUSED
 
 
 def count_least(records: Sequence[CallRecord]) -> int:
--- /dev/null
+++ b/standins/caller.py
@@ -0,0 +1,179 @@
+"""A caller that checks whether an answer is its own and whole."""
+
+import json
+import time
+from collections.abc import Mapping
+from dataclasses import dataclass, replace
+from enum import Enum
+
+import aiohttp
+
+from standins.runner import build_answer
+
+DATA_PREFIX = b"data: "
+DONE_LINE = b"data: [DONE]"
+REFUSED_STATUSES = (429, 503)
+
+
+class Verdict(Enum):
+    """What an answer turned out to be."""
+
+    WHOLE = "whole"
+    #: It passed for whole and was not the caller's own whole answer.
+    WRONG = "wrong"
+    #: It was visibly cut off.
+    CUT = "cut"
+    #: It was given up with a final answer.
+    REFUSED = "refused"
+    #: It ended with any other error, or the connection broke.
+    FAILED = "failed"
+
+
+@dataclass(frozen=True, kw_only=True)
+class Answer:
+    """What a caller received; times are seconds of the monotonic clock."""
+
+    sent_s: float
+    ended_s: float
+    verdict: Verdict
+    status: int = 0
+    first_s: float = 0.0
+    body: bytes = b""
+    retry_after_s: float = 0.0
+    #: The typed error's code, or the name of a transport error.
+    reason: str = ""
+
+
+@dataclass(frozen=True, kw_only=True)
+class Prompt:
+    """A prompt to a stand-in runner; its text decides the right answer."""
+
+    text: str
+    tokens: int
+    model: str = "carob-small"
+    stream: bool = False
+    service_class: str = ""
+    #: A system message before the text, in common with other prompts.
+    prefix: str = ""
+
+    @property
+    def sized_text(self) -> str:
+        """The text with the mark that sets the answer's length."""
+        return f"{self.text} tokens={self.tokens}"
+
+    @property
+    def expected(self) -> str:
+        """The text of the right answer."""
+        return "".join(build_answer(self.sized_text, self.tokens))
+
+    def build_body(self) -> dict[str, object]:
+        """Return the body of the request."""
+        messages = [{"role": "user", "content": self.sized_text}]
+        if self.prefix:
+            messages.insert(0, {"role": "system", "content": self.prefix})
+        return {"model": self.model, "stream": self.stream, "messages": messages}
+
+
+class Caller:
+    """Calls entries with one workspace's key."""
+
+    def __init__(self, *, client: aiohttp.ClientSession, key: str) -> None:
+        self._client = client
+        self._key = key
+
+    async def complete(self, entry: str, prompt: Prompt) -> Answer:
+        """Ask for a chat answer and judge it."""
+        url = f"{entry}/v1/chat/completions"
+        headers = {"X-Carob-Class": prompt.service_class}
+        answer = await self._send(
+            "POST", url, prompt.build_body(), headers if prompt.service_class else {}
+        )
+        if answer.verdict is not Verdict.WHOLE:
+            return answer
+        return replace(answer, verdict=judge_completion(answer.body, prompt))
+
+    async def call(
+        self,
+        entry: str,
+        method: str,
+        path: str,
+        body: Mapping[str, object] | None = None,
+        headers: Mapping[str, str] | None = None,
+    ) -> Answer:
+        """Call a plain service; any answer below status 400 is whole."""
+        return await self._send(method, entry + path, body, headers or {})
+
+    async def _send(
+        self,
+        method: str,
+        url: str,
+        body: Mapping[str, object] | None,
+        headers: Mapping[str, str],
+    ) -> Answer:
+        sent = time.monotonic()
+        authorization = {"Authorization": f"Bearer {self._key}"}
+        first, pieces, status = 0.0, [], 0
+        try:
+            async with self._client.request(
+                method, url, json=body, headers=authorization | dict(headers)
+            ) as response:
+                status = response.status
+                async for data in response.content.iter_any():
+                    first = first or time.monotonic()
+                    pieces.append(data)
+        except (aiohttp.ClientError, OSError, TimeoutError) as error:
+            return Answer(
+                sent_s=sent,
+                first_s=first,
+                ended_s=time.monotonic(),
+                status=status,
+                body=b"".join(pieces),
+                verdict=Verdict.CUT if status else Verdict.FAILED,
+                reason=type(error).__name__,
+            )
+        answer = Answer(
+            sent_s=sent,
+            first_s=first,
+            ended_s=time.monotonic(),
+            status=status,
+            body=b"".join(pieces),
+            verdict=Verdict.WHOLE,
+        )
+        if status < 400:
+            return answer
+        return replace(
+            answer,
+            verdict=Verdict.REFUSED if status in REFUSED_STATUSES else Verdict.FAILED,
+            reason=read_reason(answer.body),
+            retry_after_s=float(response.headers.get("Retry-After", 0)),
+        )
+
+
+def judge_completion(body: bytes, prompt: Prompt) -> Verdict:
+    """Say whether a chat answer is the whole answer to this prompt."""
+    if prompt.stream:
+        if DONE_LINE not in body:
+            return Verdict.CUT
+        text = read_stream(body)
+    else:
+        text = json.loads(body)["choices"][0]["message"]["content"]
+    return Verdict.WHOLE if text == prompt.expected else Verdict.WRONG
+
+
+def read_stream(body: bytes) -> str:
+    """Return the text of a chat answer's events."""
+    pieces = []
+    for line in body.split(b"\n"):
+        if line.startswith(DATA_PREFIX) and line != DONE_LINE:
+            choices = json.loads(line[len(DATA_PREFIX) :]).get("choices") or [{}]
+            pieces.append(choices[0].get("delta", {}).get("content", ""))
+    return "".join(pieces)
+
+
+def read_reason(body: bytes) -> str:
+    """Return the code of a typed error."""
+    try:
+        error = json.loads(body)["error"]
+        return str(error.get("code") or error["message"])
+    except (ValueError, KeyError, TypeError, AttributeError):
+        return "untyped"
