--- a/bench/systems.py
+++ b/bench/systems.py
@@ -11,8 +11,8 @@
 import aiohttp
 
 from bench.profiles import Profile
-from standins.deployment import Deployment, RunningProgram, wait_until
-from standins.setup import apply_settings, read_ready
+from standins.deployment import Deployment, RunningProgram
+from standins.setup import apply_settings, wait_for_models
 
 LOAD_LAG_MS = 500
 
@@ -73,7 +73,7 @@
     async def start_routers(self) -> None:
         """Start control, agents and one entry a zone; apply the settings."""
         zones = self.profile.zones
-        await self.deployment.start_controls(list(zones))
+        await self.deployment.start_control(zone=zones[0])
         entries = await asyncio.gather(
             *(self.deployment.start_entry(f"e-{zone}", zone=zone) for zone in zones)
         )
@@ -114,12 +114,7 @@
         self.entries = [entry.url() for entry in entries]
         key = next(iter(self.keys.values()))
         for entry in self.entries:
-            await wait_until(
-                lambda url=entry: read_ready(  # type: ignore[misc]
-                    url, key=key, model=self.profile.model
-                ),
-                "the entry serves the model",
-            )
+            await wait_for_models(entry, key=key, model=self.profile.model)
 
 
 class BaselineSystem(System):
--- a/standins/deployment.py
+++ b/standins/deployment.py
@@ -308,7 +308,7 @@
     return [
         f"--{name.replace('_', '-')}={json.dumps(value) if value is True else value}"
         for name, value in flags.items()
-        if value not in ("", None, False)
+        if value is not False and value != ""
     ]
 
 
