--- a/tests/consensus/test_failures.py
+++ b/tests/consensus/test_failures.py
@@ -2,7 +2,8 @@
 
 import unittest
 
-from carobspring.consensus import DamagedRecordError, RoleName
+from carobspring.consensus import DamagedRecordError, MessageReceived, RoleName
+from carobspring.consensus.messages import VoteRequest
 from tests.consensus.simulation import Faults, SimulatedReplica, Simulation
 from tests.consensus.storage import MemoryStorage
 
@@ -129,6 +130,25 @@
         self.assertEqual(emptied.driver.node.vote, "")
         simulation.settle_down()
 
+    def test_empty_replica_is_asked_for_its_vote(self) -> None:
+        """It gives none, even when it's asked under its new identity."""
+        simulation = Simulation(seed=14)
+        replica = simulation.replicas["b"]
+        replica.start()
+        assert replica.driver is not None
+        simulation.run(3.0)
+        node = replica.driver.node
+        request = VoteRequest(
+            sender="x",
+            receiver=node.identity,
+            cluster="y",
+            term=9,
+            last_index=5,
+            last_term=5,
+        )
+        replica.run(MessageReceived(message=request))
+        self.assertEqual((node.term, node.vote), (0, ""))
+
     def test_all_but_one_emptied(self) -> None:
         """Emptied replicas found no second cluster beside the third one."""
         simulation = Simulation(seed=13).start()
@@ -166,6 +186,35 @@
                 simulation.commit(b"y")
                 simulation.settle_down()
 
+    def test_leader_lost_before_the_repaired_one_hears_of_its_vote(self) -> None:
+        """The repaired replica votes though it does not know that it may.
+
+        Only the leader and the second replica hold the promotion; without
+        the repaired one's vote, the second one could never lead.
+        """
+        simulation = Simulation(seed=27).start()
+        simulation.commit(b"x")
+        leader = simulation.find_leader()
+        assert leader is not None and leader.driver is not None
+        node = leader.driver.node
+        names = [name for name in "abc" if name != leader.name]
+        repaired, second = (simulation.replicas[name] for name in names)
+        lost = self._empty(repaired)
+        assert repaired.driver is not None and second.driver is not None
+        identity = repaired.driver.node.identity
+        simulation.run_until(lambda: node.configuration.find_member(lost) is None)
+        simulation.faults.cut = {(leader.name, repaired.name)}
+        simulation.run_until(lambda: node.configuration.is_voter(identity))
+        simulation.run(0.1)
+        known = second.driver.node.configuration
+        self.assertIs(known.is_voter(identity), True)
+        unaware = repaired.driver.node.configuration
+        self.assertIs(unaware.is_voter(identity), False)
+        leader.crash()
+        simulation.faults.cut.clear()
+        simulation.commit(b"y")
+        simulation.settle_down()
+
 
 class CutLeaderTest(unittest.TestCase):
     def test_frozen_leader_comes_back(self) -> None:
@@ -220,6 +269,36 @@
                 self.assertEqual(leader.driver.node.term, term)
                 simulation.settle_down()
 
+    def test_leader_whose_clock_stood_still(self) -> None:
+        """It reads nothing stale: a read rests on answers, not on time."""
+        simulation = Simulation(seed=42).start()
+        simulation.commit(b"x")
+        old = simulation.find_leader()
+        assert old is not None
+        old.frozen = True
+        frozen_at = simulation.now
+        simulation.run(5.0)
+        simulation.commit(b"y")
+        old.clock_lag_s = simulation.now - frozen_at
+        simulation.read(old)
+        old.thaw()
+        simulation.run(10.0)
+        simulation.settle_down()
+
+    def test_replica_that_does_not_hear_the_leader(self) -> None:
+        """The others hear the leader, so it takes nothing over."""
+        simulation = Simulation(seed=43).start()
+        simulation.commit(b"x")
+        leader = simulation.find_leader()
+        assert leader is not None and leader.driver is not None
+        term = leader.driver.node.term
+        deaf = next(name for name in "abc" if name != leader.name)
+        simulation.faults.cut = {(leader.name, deaf)}
+        simulation.run(30.0)
+        self.assertIs(simulation.find_leader(), leader)
+        self.assertEqual(leader.driver.node.term, term)
+        simulation.settle_down()
+
     def test_planned_handover(self) -> None:
         """Another replica leads within two heartbeats, nothing is lost."""
         simulation = Simulation(seed=50).start()
--- /dev/null
+++ b/tests/modelcheck/core_run.py
@@ -0,0 +1,225 @@
+"""Drives real cores along the steps of the specification."""
+
+from carobspring.consensus import (
+    Configuration,
+    Driver,
+    Entry,
+    EntryKind,
+    Event,
+    LearnerPromoted,
+    Member,
+    MemberRemoved,
+    Message,
+    MessageReceived,
+    Outcome,
+    Outlet,
+    RoleName,
+    Timing,
+)
+from carobspring.consensus.messages import (
+    AppendRequest,
+    SnapshotRequest,
+    VoteReply,
+    VoteRequest,
+)
+from carobspring.ports import RandomSource
+from tests.consensus.simulation import ListMachine
+from tests.consensus.storage import MemoryStorage
+from tests.modelcheck.consensus_spec import IDENTITIES, NOBODY, Replica, State
+
+ROLES = {
+    RoleName.FOLLOWER: "F",
+    RoleName.SUCCESSOR: "C",
+    RoleName.LEADER: "L",
+}
+
+
+class FixedRandom(RandomSource):
+    """Draws one number for ever, and so a known identity."""
+
+    def __init__(self, number: int) -> None:
+        self._number = number
+
+    def draw_uniform(self) -> float:
+        return 0.5
+
+    def draw_index(self, count: int) -> int:
+        return self._number
+
+
+class Recorder(Outlet):
+    """Keeps what a core sends."""
+
+    def __init__(self) -> None:
+        self.sent: list[Message] = []
+
+    def send(self, message: Message) -> None:
+        self.sent.append(message)
+
+    def settle(self, outcome: Outcome) -> None:
+        """The specification has no callers."""
+
+    def finish(self, entry: Entry, result: bytes) -> None:
+        """The specification has no callers."""
+
+
+class CoreRun:
+    """Four cores in the specification's initial state; time stands still."""
+
+    def __init__(self, voters: frozenset[int]) -> None:
+        self._storages = [MemoryStorage() for _ in IDENTITIES]
+        self._outlets = [Recorder() for _ in IDENTITIES]
+        self._lost: set[int] = set()
+        self.drivers = [self._start(i) for i in IDENTITIES]
+        self._names = [driver.node.identity for driver in self.drivers]
+        members = tuple(
+            Member(identity=self._names[i], name=str(i), voter=i in voters)
+            for i in IDENTITIES
+        )
+        founded = Configuration(cluster="c", members=members)
+        for i in IDENTITIES:
+            request = SnapshotRequest(
+                sender="",
+                receiver=self._names[i],
+                cluster="c",
+                term=0,
+                index=0,
+                index_term=0,
+                configuration=founded,
+                offset=0,
+                data=b"",
+                done=True,
+            )
+            self._step(i, MessageReceived(message=request))
+        self.take("stand 0")
+        for i in voters - {0}:
+            self.take(f"vote 0 {i}")
+        for i in IDENTITIES:
+            if i in voters - {0}:
+                self.take(f"append 0 {i} 1 answered")
+            elif i != 0:
+                self._deliver_append(0, i, 0, answered=False)
+
+    def take(self, label: str) -> None:
+        """Bring about one step of the specification."""
+        verb, *words = label.split()
+        if verb == "stand":
+            # Stands without a silence before, as after a leader's request.
+            node = self.drivers[int(words[0])].node
+            node._become(RoleName.SUCCESSOR, 0.0)
+            self.drivers[int(words[0])].carry_out(0.0)
+        elif verb == "vote":
+            self._deliver_vote(int(words[0]), int(words[1]))
+        elif verb == "append":
+            i, j, size = (int(word) for word in words[:3])
+            self._deliver_append(i, j, size, answered=words[3] == "answered")
+        elif verb == "change":
+            self._change(int(words[0]), words[1])
+        elif verb == "restart":
+            i = int(words[0])
+            self._storages[i].restart()
+            self.drivers[i] = self._start(i)
+        elif verb == "lose":
+            self._lost.add(int(words[0]))
+
+    def describe(self, state: State) -> list[Replica | None]:
+        """Return what the cores show, in the specification's terms.
+
+        What a core keeps otherwise than the specification is taken from the
+        state: votes and matches, and the commit of one that does not lead.
+        """
+        shown: list[Replica | None] = []
+        for i in IDENTITIES:
+            expected = state.replicas[i]
+            if i in self._lost:
+                shown.append(expected if expected.role == "X" else None)
+                continue
+            node = self.drivers[i].node
+            vote = self._names.index(node.vote) if node.vote else NOBODY
+            commit = node.commit if expected.commit else 0
+            shown.append(
+                expected._replace(
+                    term=node.term,
+                    vote=vote,
+                    role=ROLES[node.role],
+                    log=self._describe_log(i),
+                    commit=commit,
+                )
+            )
+        return shown
+
+    def _describe_log(self, i: int) -> tuple[tuple[int, str], ...]:
+        log = self.drivers[i].node.log
+        described = []
+        for entry in log.get_range(1, log.last_index):
+            kind = "N"
+            if entry.kind is EntryKind.CONFIGURATION:
+                before = set(log.find_configuration(entry.index - 1).find_voters())
+                after = set(log.find_configuration(entry.index).find_voters())
+                (changed,) = before ^ after
+                sign = "+" if changed in after else "-"
+                kind = f"{sign}{self._names.index(changed)}"
+            described.append((entry.term, kind))
+        return tuple(described)
+
+    def _start(self, i: int) -> Driver:
+        return Driver(
+            name=str(i),
+            peers=frozenset(str(other) for other in IDENTITIES),
+            founding=False,
+            timing=Timing(),
+            storage=self._storages[i],
+            random=FixedRandom(i),
+            machine=ListMachine(),
+            outlet=self._outlets[i],
+            now=0.0,
+        )
+
+    def _step(self, i: int, event: Event) -> list[Message]:
+        """Let a core take an event; return what it sends upon it."""
+        before = len(self._outlets[i].sent)
+        self.drivers[i].step(event, 0.0)
+        self.drivers[i].carry_out(0.0)
+        return self._outlets[i].sent[before:]
+
+    def _deliver_vote(self, i: int, j: int) -> None:
+        term = self.drivers[i].node.term
+        request = next(
+            message
+            for message in self._outlets[i].sent
+            if isinstance(message, VoteRequest)
+            and (message.receiver, message.term) == (self._names[j], term)
+        )
+        for reply in self._step(j, MessageReceived(message=request)):
+            if isinstance(reply, VoteReply):
+                self._step(i, MessageReceived(message=reply))
+
+    def _deliver_append(self, i: int, j: int, size: int, *, answered: bool) -> None:
+        """Deliver entries up to a size, as a batch that was cut there."""
+        leader, other = self.drivers[i].node, self.drivers[j].node
+        previous = 0
+        while previous < min(size, other.log.last_index):
+            ours = leader.log.find_term(previous + 1)
+            if ours != other.log.find_term(previous + 1):
+                break
+            previous += 1
+        request = AppendRequest(
+            sender=leader.identity,
+            receiver=other.identity,
+            cluster="c",
+            term=leader.term,
+            previous_index=previous,
+            previous_term=leader.log.find_term(previous) or 0,
+            entries=leader.log.get_range(previous + 1, size),
+            commit=min(leader.commit, size),
+        )
+        for reply in self._step(j, MessageReceived(message=request)):
+            if answered:
+                self._step(i, MessageReceived(message=reply))
+
+    def _change(self, i: int, kind: str) -> None:
+        identity = self._names[int(kind[1])]
+        if kind[0] == "+":
+            self._step(i, LearnerPromoted(token=1, identity=identity))
+        else:
+            self._step(i, MemberRemoved(token=1, identity=identity))
