--- a/carobspring/adapters/peer_link.py
+++ b/carobspring/adapters/peer_link.py
@@ -67,6 +67,8 @@
         self._sent_at = 0.0
         #: Streams opened since the start, for the metrics.
         self.opened = 0
+        #: Bytes of messages and gossip sent, without the transport's own.
+        self.sent_bytes = 0
 
     @property
     def is_open(self) -> bool:
@@ -133,6 +135,7 @@
         if self._reader is None:
             return
         self._waiting_bytes += len(data)
+        self.sent_bytes += len(data)
         if self._waiting_bytes > MAX_WAITING_BYTES:
             self._reader.cancel()
             return
--- a/carobspring/consensus/records.py
+++ b/carobspring/consensus/records.py
@@ -43,23 +43,20 @@
         DamagedRecordError: A record was changed after it was written.
     """
     offset = 0
-    while offset < len(stored):
+    #: Where nothing but zeros follows.
+    blank = len(stored.rstrip(b"\0"))
+    while offset < blank:
         start = offset + _HEADER.size
-        if start > len(stored) or _is_blank(stored, offset):
+        if start > len(stored):
             return
         length, length_check, check = _HEADER.unpack_from(stored, offset)
         if google_crc32c.value(_LENGTH.pack(length)) != length_check:
             raise DamagedRecordError(file=file, offset=offset, reason="length")
         end = start + length
-        if end >= len(stored) or _is_blank(stored, end):
+        if end >= blank:
             return
         content = stored[start:end]
         if stored[end : end + 1] != _END or google_crc32c.value(content) != check:
             raise DamagedRecordError(file=file, offset=offset, reason="checksum")
         yield Record(content=content, end=end + 1)
         offset = end + 1
-
-
-def _is_blank(stored: bytes, start: int) -> bool:
-    """Say whether nothing but zeros follows."""
-    return not stored[start:].strip(b"\0")
--- a/carobspring/consensus/state.py
+++ b/carobspring/consensus/state.py
@@ -25,7 +25,7 @@
 class Timing:
     """Intervals in seconds; the lease must be shorter than the election."""
 
-    heartbeat_s: float = 0.15
+    heartbeat_s: float = 0.25
     #: A follower stands for election after one to two of these in silence.
     election_s: float = 1.0
     #: A leader that hasn't heard a quorum for this long steps down.
--- a/carobspring/programs/replica.py
+++ b/carobspring/programs/replica.py
@@ -47,7 +47,7 @@
 
 logger = logging.getLogger(__name__)
 
-TICK_S = 0.05
+TICK_S = 0.1
 #: How long a command or read may wait for a quorum.
 WAIT_S = 5.0
 
@@ -128,6 +128,11 @@
         """Batches written and synced since the start."""
         return self._driver.syncs
 
+    @property
+    def sent_bytes(self) -> int:
+        """Bytes of messages sent to the peers since the start."""
+        return sum(link.sent_bytes for link in self._links.values())
+
     def list_methods(self) -> list[tuple[str, Handler]]:
         """Return the gRPC methods that the program's server must offer."""
         return [make_stream(EXCHANGE_PEER, self._serve_peer, PeerBatch, PeerBatch)]
--- a/tests/programs/test_replica.py
+++ b/tests/programs/test_replica.py
@@ -189,7 +189,7 @@
         )
 
     async def test_emptied_disk(self) -> None:
-        """An emptied replica gets the state and a vote under a new identity."""
+        """An emptied replica gets state and vote under a new identity."""
         leader = await self.start_all()
         await leader.propose(b"x")
         name = next(name for name in "abc" if name != leader.name)
