Split the greetings of peers from the core's dispatch

Change: greetings.py; the outlet gets links and callers. Ruled out: nothing to weigh. Conclusion: same behaviour, shorter modules.

--- /dev/null
+++ b/carobspring/consensus/greetings.py
@@ -0,0 +1,73 @@
+"""Who is there: the hellos of the peers, founding and inviting by them."""
+
+from carobspring.consensus.entries import Configuration
+from carobspring.consensus.founding import found_cluster
+from carobspring.consensus.messages import Hello, Invitation
+from carobspring.consensus.state import State
+
+
+class Greetings:
+    """Knows the last hello of each peer.
+
+    A hello is sent when a stream opens, so it was made after the receiving
+    process started: it can't speak of a cluster that is gone.
+    """
+
+    def __init__(
+        self, *, state: State, name: str, peers: frozenset[str], founding: bool
+    ) -> None:
+        self._state = state
+        self._name = name
+        self._peers = peers
+        self._founding = founding
+        #: The last hello of each name.
+        self.hellos: dict[str, Hello] = {}
+
+    def make_hello(self) -> Hello:
+        """Return the message that opens a connection."""
+        return Hello(
+            sender=self._state.identity,
+            receiver="",
+            cluster=self._state.cluster,
+            term=self._state.term,
+            name=self._name,
+            founding=self._founding,
+        )
+
+    def take_hello(self, hello: Hello) -> Configuration | None:
+        """Note a hello; return the configuration if a cluster is founded."""
+        if hello.name not in self._peers:
+            return None
+        self.hellos[hello.name] = hello
+        if self._state.cluster or not self._founding:
+            self._invite(hello)
+            return None
+        return found_cluster(
+            identity=self._state.identity,
+            name=self._name,
+            peers=self._peers,
+            hellos=self.hellos,
+            random=self._state.random,
+        )
+
+    def invite_all(self) -> None:
+        """Tell every founding member that said hello about the cluster."""
+        for hello in self.hellos.values():
+            self._invite(hello)
+
+    def _invite(self, hello: Hello) -> None:
+        """Tell a founding member of the cluster that it belongs to it."""
+        state = self._state
+        founded = state.log.snapshot.index == 0 and state.cluster
+        listed = state.log.snapshot.configuration.is_voter(hello.sender)
+        if not founded or not listed or hello.cluster:
+            return
+        state.send(
+            Invitation(
+                sender=state.identity,
+                receiver=hello.sender,
+                cluster=state.cluster,
+                term=0,
+                configuration=state.log.snapshot.configuration,
+            )
+        )
--- a/carobspring/consensus/node.py
+++ b/carobspring/consensus/node.py
@@ -19,7 +19,7 @@
     TransferAsked,
 )
 from carobspring.consensus.follower import Follower
-from carobspring.consensus.founding import found_cluster
+from carobspring.consensus.greetings import Greetings
 from carobspring.consensus.leader import Leader
 from carobspring.consensus.log import Log
 from carobspring.consensus.messages import (
@@ -63,8 +63,6 @@
         now: float,
     ) -> None:
         self.name = name
-        self._peers = peers - {name}
-        self._founding = founding
         self._state = State(
             identity=identity,
             timing=timing,
@@ -74,7 +72,9 @@
             now=now,
         )
         self._role: Follower | Candidate | Leader = Follower(state=self._state, now=now)
-        self._hellos: dict[str, Hello] = {}
+        self._greetings = Greetings(
+            state=self._state, name=name, peers=peers - {name}, founding=founding
+        )
         self._applied = snapshot.index
         self._snapshot: Snapshot | None = None
         self._restores = False
@@ -117,7 +117,7 @@
     @property
     def hellos(self) -> Mapping[str, Hello]:
         """The last hello of each name."""
-        return self._hellos
+        return self._greetings.hellos
 
     @property
     def configuration(self) -> Configuration:
@@ -130,14 +130,7 @@
 
     def make_hello(self) -> Hello:
         """Return the message that opens a connection."""
-        return Hello(
-            sender=self._state.identity,
-            receiver="",
-            cluster=self._state.cluster,
-            term=self._state.term,
-            name=self.name,
-            founding=self._founding,
-        )
+        return self._greetings.make_hello()
 
     def step(self, event: Event, now: float) -> None:
         """Take in one event."""
@@ -171,7 +164,7 @@
         """Return what the steps so far call for."""
         state = self._state
         if isinstance(self._role, Leader):
-            self._role.repair(self._hellos, now)
+            self._role.repair(self._greetings.hellos, now)
             self._role.send(now)
         hard_state = None
         if state.hard_state != state.kept:
@@ -211,48 +204,15 @@
 
     def _take_message(self, message: Message, now: float) -> None:
         if isinstance(message, Hello):
-            self._take_hello(message)
+            founded = self._greetings.take_hello(message)
+            if founded is not None:
+                self._take_over(founded)
         elif message.receiver == self._state.identity:
             if not self._state.cluster:
                 self._join(message, now)
             elif message.cluster == self._state.cluster:
                 self._take_term(message, now)
 
-    def _take_hello(self, hello: Hello) -> None:
-        state = self._state
-        if hello.name not in self._peers:
-            return
-        self._hellos[hello.name] = hello
-        if not state.cluster and self._founding:
-            configuration = found_cluster(
-                identity=state.identity,
-                name=self.name,
-                peers=self._peers,
-                hellos=self._hellos,
-                random=state.random,
-            )
-            if configuration is not None:
-                self._take_over(configuration)
-        else:
-            self._invite(hello)
-
-    def _invite(self, hello: Hello) -> None:
-        """Tell a founding member of the cluster that it belongs to it."""
-        state = self._state
-        founded = state.log.snapshot.index == 0 and state.cluster
-        listed = state.log.snapshot.configuration.is_voter(hello.sender)
-        if not founded or not listed or hello.cluster:
-            return
-        state.send(
-            Invitation(
-                sender=state.identity,
-                receiver=hello.sender,
-                cluster=state.cluster,
-                term=0,
-                configuration=state.log.snapshot.configuration,
-            )
-        )
-
     def _join(self, message: Message, now: float) -> None:
         """Let an empty replica into a cluster; until then it has no vote."""
         if isinstance(message, Invitation):
@@ -264,8 +224,7 @@
     def _take_over(self, founded: Configuration) -> None:
         self._snapshot = Snapshot(configuration=founded)
         self._state.log.restore(self._snapshot)
-        for hello in self._hellos.values():
-            self._invite(hello)
+        self._greetings.invite_all()
 
     def _take_term(self, message: Message, now: float) -> None:
         state = self._state
--- a/carobspring/programs/replica.py
+++ b/carobspring/programs/replica.py
@@ -82,18 +82,6 @@
         self.name = name
         self._clock = clock
         self._on_failure = on_failure
-        self._driver = Driver(
-            name=name,
-            peers=frozenset(peers),
-            founding=bootstrap,
-            timing=timing or Timing(),
-            storage=storage,
-            random=random,
-            machine=machine,
-            outlet=_ReplicaOutlet(self),
-            now=clock.read_monotonic(),
-            snapshot_every=snapshot_every,
-        )
         self._links = {
             peer: PeerLink(
                 own_name=name,
@@ -108,6 +96,20 @@
         }
         self._gossip_callbacks: list[Callable[[str, bytes], None]] = []
         self._waiting = Waiting()
+        self._driver = Driver(
+            name=name,
+            peers=frozenset(peers),
+            founding=bootstrap,
+            timing=timing or Timing(),
+            storage=storage,
+            random=random,
+            machine=machine,
+            outlet=_ReplicaOutlet(
+                replica=self, links=self._links, waiting=self._waiting
+            ),
+            now=clock.read_monotonic(),
+            snapshot_every=snapshot_every,
+        )
         self._scheduled = False
         self._ticker: asyncio.Task[None] | None = None
         self._leading = False
@@ -278,20 +280,6 @@
         self._waiting.note_applied(self._driver.applied)
         self._note_leader()
 
-    def _send(self, message: Message) -> None:
-        link = self._links.get(self._find_name(message.receiver))
-        if link is not None:
-            link.send(encode_message(message))
-
-    def _find_name(self, identity: str) -> str:
-        member = self.node.configuration.find_member(identity)
-        if member is not None:
-            return member.name
-        for hello in self.node.hellos.values():
-            if hello.sender == identity:
-                return hello.name
-        return ""
-
     def _note_leader(self) -> None:
         leading = self.node.leader == self.node.identity
         if self._leading and not leading:
@@ -312,23 +300,41 @@
 class _ReplicaOutlet(Outlet):
     """Sends a replica's messages over its links, answers its callers."""
 
-    def __init__(self, replica: Replica) -> None:
+    def __init__(
+        self, *, replica: Replica, links: Mapping[str, PeerLink], waiting: Waiting
+    ) -> None:
         self._replica = replica
+        self._links = links
+        self._waiting = waiting
 
     def send(self, message: Message) -> None:
-        self._replica._send(message)
+        """Send a message to the peer that has the receiver's identity."""
+        link = self._links.get(self._find_name(message.receiver))
+        if link is not None:
+            link.send(encode_message(message))
 
     def settle(self, outcome: Outcome) -> None:
+        """Answer a caller, or note what it waits for now."""
         replica = self._replica
-        replica._waiting.settle(
+        self._waiting.settle(
             outcome, applied=replica.applied_index, leader=replica.find_leader()
         )
 
     def finish(self, entry: Entry, result: bytes) -> None:
-        replica = self._replica
-        replica._waiting.finish(
+        """Answer the caller that proposed an entry, if it is here."""
+        self._waiting.finish(
             index=entry.index,
             term=entry.term,
             result=result,
-            leader=replica.find_leader(),
+            leader=self._replica.find_leader(),
         )
+
+    def _find_name(self, identity: str) -> str:
+        node = self._replica.node
+        member = node.configuration.find_member(identity)
+        if member is not None:
+            return member.name
+        for hello in node.hellos.values():
+            if hello.sender == identity:
+                return hello.name
+        return ""
--- /dev/null
+++ b/tests/consensus/test_reconfiguration.py
@@ -0,0 +1,144 @@
+import unittest
+
+from carobspring.consensus import (
+    ChangeRefusedError,
+    Configuration,
+    Entry,
+    EntryKind,
+    HardState,
+    LearnerAdded,
+    LearnerPromoted,
+    Member,
+    MemberRemoved,
+    Snapshot,
+    Timing,
+)
+from carobspring.consensus.log import Log, encode_configuration
+from carobspring.consensus.messages import Hello
+from carobspring.consensus.reconfiguration import (
+    MAX_LAG,
+    change_configuration,
+    choose_repair,
+)
+from carobspring.consensus.state import State
+from tests.consensus.simulation import SeededRandom
+
+VOTERS = tuple(Member(identity=name + "1", name=name) for name in "abc")
+LEARNER = Member(identity="b2", name="b", voter=False)
+FOUNDED = Configuration(cluster="x", members=VOTERS)
+WITH_LEARNER = FOUNDED.with_member(LEARNER)
+
+
+def make_state(
+    configuration: Configuration, *, commit: int = 1, pending: bool = False
+) -> State:
+    """Return the state of leader a in term 1, whose reign is at index 1."""
+    entries = [Entry(index=1, term=1, kind=EntryKind.START_OF_REIGN)]
+    if pending:
+        data = encode_configuration(configuration)
+        kind = EntryKind.CONFIGURATION
+        entries.append(Entry(index=2, term=1, kind=kind, data=data))
+    state = State(
+        identity="a1",
+        timing=Timing(),
+        random=SeededRandom("state"),
+        log=Log(snapshot=Snapshot(configuration=configuration), entries=tuple(entries)),
+        hard_state=HardState(term=1, vote="a1"),
+        now=0.0,
+    )
+    state.commit = commit
+    return state
+
+
+def make_hello(identity: str, *, cluster: str = "") -> dict[str, Hello]:
+    hello = Hello(sender=identity, receiver="", cluster=cluster, term=0, name="b")
+    return {"b": hello}
+
+
+class ChangeTest(unittest.TestCase):
+    def test_refusals(self) -> None:
+        """A change is refused with the condition that doesn't hold."""
+        add = LearnerAdded(token=1, identity="d1", name="d")
+        promote = LearnerPromoted(token=1, identity="b2")
+        cases = [
+            (make_state(FOUNDED, commit=0), add, None, "reign has committed nothing"),
+            (make_state(FOUNDED, pending=True), add, None, "change before is not"),
+            (
+                make_state(FOUNDED),
+                LearnerAdded(token=1, identity="b1", name="b"),
+                None,
+                "b1 is a member",
+            ),
+            (
+                make_state(FOUNDED),
+                MemberRemoved(token=1, identity="z"),
+                None,
+                "z is no member",
+            ),
+            (
+                make_state(FOUNDED),
+                MemberRemoved(token=1, identity="a1"),
+                None,
+                "must hand over first",
+            ),
+            (make_state(WITH_LEARNER), promote, None, "b has not caught up"),
+            (make_state(WITH_LEARNER), promote, MAX_LAG + 1, "b has not caught up"),
+        ]
+        for state, change, lag, reason in cases:
+            with self.subTest(reason=reason, lag=lag):
+                with self.assertRaisesRegex(ChangeRefusedError, reason):
+                    change_configuration(state=state, change=change, lag=lag)
+
+    def test_promotion(self) -> None:
+        """A learner that caught up becomes a voter; nothing else changes."""
+        promote = LearnerPromoted(token=1, identity="b2")
+        changed = change_configuration(
+            state=make_state(WITH_LEARNER), change=promote, lag=MAX_LAG
+        )
+        self.assertEqual(changed.find_voters(), ("a1", "b1", "b2", "c1"))
+
+
+class RepairTest(unittest.TestCase):
+    def test_steps(self) -> None:
+        """Learner first, then the old identity leaves, then the vote."""
+        replaced = WITH_LEARNER.without_member("b1")
+        behind = {"c1": 0, "b2": MAX_LAG + 1}
+        cases = [
+            ("nobody said hello", FOUNDED, {}, {"c1": 0}, None),
+            ("same identity", FOUNDED, make_hello("b1"), {"c1": 0}, None),
+            (
+                "empty newcomer",
+                FOUNDED,
+                make_hello("b2"),
+                {"c1": 0},
+                LearnerAdded(token=0, identity="b2", name="b"),
+            ),
+            ("old one is alive", FOUNDED, make_hello("b2"), {"b1": 0, "c1": 0}, None),
+            (
+                "newcomer holds another cluster's data",
+                FOUNDED,
+                make_hello("b2", cluster="y"),
+                {"c1": 0},
+                None,
+            ),
+            ("behind", WITH_LEARNER, make_hello("b2"), behind, None),
+            (
+                "caught up",
+                WITH_LEARNER,
+                make_hello("b2"),
+                {"c1": 0, "b2": 1},
+                MemberRemoved(token=0, identity="b1"),
+            ),
+            (
+                "old one gone",
+                replaced,
+                make_hello("b2"),
+                {"c1": 0, "b2": 1},
+                LearnerPromoted(token=0, identity="b2"),
+            ),
+        ]
+        for name, configuration, hellos, lags, expected in cases:
+            with self.subTest(name=name):
+                state = make_state(configuration)
+                step = choose_repair(state=state, hellos=hellos, lags=lags)
+                self.assertEqual(step, expected)
--- a/tests/programs/test_replica.py
+++ b/tests/programs/test_replica.py
@@ -129,6 +129,7 @@
         replica = self.replicas.pop(name)
         self.servers[name].close()
         await replica.stop()
+        await self.servers[name].wait_closed()
         self.disks[name].close()
 
     async def wait_for(self, condition: Callable[[], object]) -> None:
