Let the core refuse what the model refuses at the end of each walk

Change: at the end of a walk every vote and change that a guard of the model refuses is tried on the core, and no core may take more for committed than the model has. Ruled out: steps that only the bounds refuse, and a learner a few entries behind, which the core promotes by design.

--- a/tests/modelcheck/consensus_spec.py
+++ b/tests/modelcheck/consensus_spec.py
@@ -122,6 +122,31 @@
             return []
         return list(self._generate_steps(state))
 
+    def list_refused(self, state: State) -> list[str]:
+        """Return changes and votes that a guard refuses in a state.
+
+        Left out is what only the bounds refuse, and the promotion of a
+        learner that lacks a few entries, which the core allows.
+        """
+        refused = []
+        possible = {label for label, _ in self.list_steps(state)}
+        for i in IDENTITIES:
+            replica = state.replicas[i]
+            voters = find_voters(self._bounds.voters, replica.log)
+            if replica.role == "L" and len(replica.log) < self._bounds.entries:
+                for kind in self._bounds.changes:
+                    member = int(kind[1])
+                    behind = replica.match[member] < replica.commit
+                    if member in voters and kind[0] == "-":
+                        refused.append(f"change {i} {kind}")
+                    elif member not in voters and kind[0] == "+" and not behind:
+                        refused.append(f"change {i} {kind}")
+            if replica.role == "C":
+                for j in voters - {i} - replica.votes:
+                    if state.replicas[j].role != "X":
+                        refused.append(f"vote {i} {j}")
+        return sorted(set(refused) - possible)
+
     def _generate_steps(self, state: State) -> Iterator[tuple[str, State]]:
         for i in IDENTITIES:
             replica = state.replicas[i]
--- a/tests/modelcheck/core_run.py
+++ b/tests/modelcheck/core_run.py
@@ -126,7 +126,7 @@
         """Return what the cores show, in the specification's terms.
 
         What a core keeps otherwise than the specification is taken from the
-        state: votes and matches, and the commit of one that does not lead.
+        state: votes and matches. A core also knows commits of earlier reigns.
         """
         shown: list[Replica | None] = []
         for i in IDENTITIES:
@@ -136,7 +136,9 @@
                 continue
             node = self.drivers[i].node
             vote = self._names.index(node.vote) if node.vote else NOBODY
-            commit = node.commit if expected.commit else 0
+            own = node.log.find_term(node.commit) == node.term
+            leads = node.role is RoleName.LEADER
+            commit = node.commit if leads and own else 0
             shown.append(
                 expected._replace(
                     term=node.term,
@@ -148,6 +150,10 @@
             )
         return shown
 
+    def measure_commit(self) -> int:
+        """Return the largest index that any core takes for committed."""
+        return max(driver.node.commit for driver in self.drivers)
+
     def _describe_log(self, i: int) -> tuple[tuple[int, str], ...]:
         log = self.drivers[i].node.log
         described = []
--- a/tests/modelcheck/test_consensus.py
+++ b/tests/modelcheck/test_consensus.py
@@ -11,7 +11,13 @@
 from minicheck import Protocol, check_safety
 from minicheck._core import StateSpaceExceeded
 
-from tests.modelcheck.consensus_spec import Bounds, Guards, Specification, State
+from tests.modelcheck.consensus_spec import (
+    NOBODY,
+    Bounds,
+    Guards,
+    Specification,
+    State,
+)
 from tests.modelcheck.core_run import CoreRun
 
 ALL_FOUR = frozenset({0, 1, 2, 3})
@@ -80,7 +86,10 @@
 
 class CoreOnModelTest(unittest.TestCase):
     def test_same_states_on_random_walks(self) -> None:
-        """The core shows the specification's state after each step."""
+        """The core shows the specification's state after each step.
+
+        At the end of a walk it also refuses whatever a guard refuses there.
+        """
         for name, bounds in (
             ("restart", RESTART),
             ("long", LONG),
@@ -88,7 +97,7 @@
             ("changes", CHANGES),
         ):
             specification = Specification(bounds, Guards())
-            for seed in range(60):
+            for seed in range(150):
                 with self.subTest(name=name, seed=seed):
                     self._walk(specification, bounds, random.Random(f"{name}{seed}"))
 
@@ -99,10 +108,18 @@
         cores = CoreRun(bounds.voters)
         self.assertEqual(cores.describe(state), list(state.replicas))
         taken: list[str] = []
-        while steps := specification.list_steps(state):
+        length = source.randint(1, 25)
+        while len(taken) < length and (steps := specification.list_steps(state)):
             label, state = source.choice(steps)
             taken.append(label)
             cores.take(label)
             self.assertEqual(cores.describe(state), list(state.replicas), taken)
-            if len(taken) == 25:
-                break
+            self.assertLessEqual(cores.measure_commit(), len(state.committed), taken)
+        for label in specification.list_refused(state):
+            cores.take(label)
+            shown = cores.describe(state)
+            for before, after in zip(state.replicas, shown):
+                assert after is not None
+                self.assertEqual(after.log, before.log, (taken, label))
+                self.assertIn(after.vote, (before.vote, NOBODY), (taken, label))
+                self.assertIn(after.role, (before.role, "F"), (taken, label))
