--- /dev/null
+++ b/standins/demo.py
@@ -0,0 +1,202 @@
+"""The main job, shown end to end with separate programs on loopback.
+
+Starts a control replica, two entries, and agents beside two stand-in runners
+and a stand-in plain service; sets them up as an operator would; calls them as
+callers would; and stops everything it started.
+"""
+
+import asyncio
+import json
+import sys
+from collections.abc import Mapping
+
+import aiohttp
+
+from standins.deployment import Deployment, RunningProgram, open_client
+from standins.setup import wait_for_models
+
+MODEL = "carob-small"
+KEY = "meet.demo-key-that-is-not-secret"
+LARGE_BODY_BYTES = 9 * 1024 * 1024
+
+
+class Demo:
+    """Runs the steps of the demo on a deployment."""
+
+    def __init__(
+        self, *, deployment: Deployment, client: aiohttp.ClientSession
+    ) -> None:
+        self._deployment = deployment
+        self._client = client
+        self._entries: list[RunningProgram] = []
+
+    async def run(self) -> None:
+        """Run every step; raise at the first that goes wrong."""
+        await self._start_programs()
+        await self._set_up()
+        await self._call_models()
+        await self._call_plain_service()
+        await self._change_target()
+        await self._make_mistakes()
+        await self._stop_programs()
+
+    async def _start_programs(self) -> None:
+        deployment = self._deployment
+        say("Starting carob-control, two carob-entry, and an agent beside each")
+        await deployment.start_control("c1", "zone-a")
+        self._entries = [
+            await deployment.start_entry("e1", "zone-a"),
+            await deployment.start_entry("e2", "zone-b"),
+        ]
+        for name, zone in (("runner-1", "zone-a"), ("runner-2", "zone-b")):
+            runner = await deployment.start_runner()
+            await deployment.start_agent(name, runner, zone)
+        desk = await deployment.start_desk()
+        await deployment.start_agent(
+            "desk-1", desk, "zone-b", service="desk", kind="plain", models=""
+        )
+        for program in deployment.programs:
+            print(f"  {program.name} is running, pid {program.pid}")
+
+    async def _set_up(self) -> None:
+        say("The operator sets two classes, a workspace and a service")
+        for command in (
+            "class set chat --priority=90 --first-token-ms=420 --token-gap-ms=45",
+            "class set appraisal --priority=10 --total-ms=60000",
+            f"workspace set meet --default-class=chat --key={KEY}",
+        ):
+            await self._steer(*command.split())
+        await self._steer(
+            "service", "set", "desk", "--kind=plain", "--unrepeatable=POST /bookings"
+        )
+        for entry in self._entries:
+            await wait_for_models(entry.url(), key=KEY, model=MODEL)
+
+    async def _call_models(self) -> None:
+        say("A caller asks for a chat answer, whole and streamed, at each entry")
+        for entry in self._entries:
+            for stream in (False, True):
+                body = {
+                    "model": MODEL,
+                    "stream": stream,
+                    "messages": [{"role": "user", "content": f"{entry.name} tokens=5"}],
+                }
+                status, text = await self._send(
+                    entry, "POST", "/v1/chat/completions", body=body
+                )
+                ending = text.strip().rsplit("\n", 1)[-1][-90:]
+                print(f"  {entry.name} stream={stream}: {status} ...{ending}")
+                expect(status == 200, text)
+
+    async def _call_plain_service(self) -> None:
+        say("A caller books once and resends through the other entry")
+        headers = {"Idempotency-Key": "booking-1"}
+        answers = []
+        for entry in self._entries:
+            status, text = await self._send(
+                entry,
+                "POST",
+                "/services/desk/bookings",
+                body={"order": "issue 7"},
+                headers=headers,
+            )
+            print(f"  {entry.name}: {status} {text.strip()}")
+            answers.append((status, text))
+        expect(answers[0] == answers[1] and answers[0][0] == 200, str(answers))
+
+    async def _change_target(self) -> None:
+        say("The operator changes a target and waits until it is in force")
+        await self._steer("class", "set", "chat", "--first-token-ms=300", "--wait")
+        print(indent(await self._deployment.ctl("status")))
+
+    async def _make_mistakes(self) -> None:
+        say("A caller's mistakes get a typed error")
+        entry = self._entries[0]
+        path = "/v1/chat/completions"
+        body = {"model": MODEL, "messages": [{"role": "user", "content": "x"}]}
+        unknown = {"X-Carob-Class": "no-such-class"}
+        cases = (
+            ("no key", 401, {"key": ""}),
+            ("unknown model", 404, {"body": body | {"model": "no-such-model"}}),
+            ("unknown class", 400, {"body": body, "headers": unknown}),
+            ("bad JSON", 400, {"raw": b"{"}),
+            ("a body too large", 413, {"raw": b" " * LARGE_BODY_BYTES}),
+        )
+        for name, expected, request in cases:
+            status, text = await self._send(
+                entry, "POST", path, **request  # type: ignore[arg-type]
+            )
+            print(f"  {name}: {status} {text.strip()[:150]}")
+            expect(status == expected and "error" in json.loads(text), text)
+
+    async def _stop_programs(self) -> None:
+        say("Stopping every program by its pid")
+        for program in reversed(self._deployment.programs):
+            code = await program.stop()
+            print(f"  {program.name} ended with {code}")
+            expect(code == 0 or not program.name.startswith(("c", "e")), str(code))
+
+    async def _steer(self, *words: str) -> None:
+        shown = " ".join(word if " " not in word else f"'{word}'" for word in words)
+        print(f"  $ carobctl {shown}")
+        print(indent((await self._deployment.ctl(*words)).strip().rsplit("\n", 1)[-1]))
+
+    async def _send(
+        self,
+        entry: RunningProgram,
+        method: str,
+        path: str,
+        *,
+        body: Mapping[str, object] | None = None,
+        raw: bytes | None = None,
+        headers: Mapping[str, str] | None = None,
+        key: str = KEY,
+    ) -> tuple[int, str]:
+        data = raw if raw is not None else json.dumps(body or {}).encode()
+        sent = {"Content-Type": "application/json"} | dict(headers or {})
+        if key:
+            sent["Authorization"] = f"Bearer {key}"
+        async with self._client.request(
+            method, entry.url() + path, data=data, headers=sent
+        ) as answer:
+            return answer.status, await answer.text()
+
+
+class DemoError(Exception):
+    """A step of the demo did not give what it should."""
+
+
+def expect(condition: bool, seen: str) -> None:
+    """Raise DemoError with what was seen unless the condition holds."""
+    if not condition:
+        raise DemoError(seen)
+
+
+def say(text: str) -> None:
+    """Print the heading of a step."""
+    print(f"\n== {text}", flush=True)
+
+
+def indent(text: str) -> str:
+    """Return a text with each line moved to the right."""
+    return "\n".join(f"    {line}" for line in text.splitlines())
+
+
+async def run_demo() -> None:
+    """Run the demo; whatever still runs afterwards is killed by its pid."""
+    async with Deployment() as deployment, open_client() as client:
+        await Demo(deployment=deployment, client=client).run()
+
+
+def main() -> None:
+    """Run the demo and exit with 1 when a step goes wrong."""
+    try:
+        asyncio.run(run_demo())
+    except Exception as error:
+        print(f"the demo failed: {error}", file=sys.stderr)
+        sys.exit(1)
+    say("Done: all steps went as they should")
+
+
+if __name__ == "__main__":
+    main()
