--- a/carobspring/entry/authentication.py
+++ b/carobspring/entry/authentication.py
@@ -1,27 +1,16 @@
 """Finding the workspace that a caller's key belongs to."""
 
 import hashlib
-import hmac
 import os
 
 from carobspring.domain import Settings, Workspace
 from carobspring.entry.errors import CallError
+from carobspring.settings import matches_key
 
 MAX_KEY_BYTES = 512
 MAX_REMEMBERED = 8192
 
 
-def is_key_of(hashed: str, key: bytes) -> bool:
-    """Say whether a key has this salted hash, in constant time."""
-    salt, _, digest = hashed.partition(":")
-    try:
-        salt_bytes = bytes.fromhex(salt)
-        given = hashlib.blake2b(key, salt=salt_bytes, digest_size=32).hexdigest()
-    except ValueError:
-        return False
-    return hmac.compare_digest(given.encode(), digest.encode())
-
-
 class KeyDirectory:
     """Finds workspaces by key at one revision of the settings.
 
@@ -51,23 +40,25 @@
         if digest not in self._remembered:
             if len(self._remembered) >= MAX_REMEMBERED:
                 self._remembered.clear()
-            self._remembered[digest] = self._search(raw)
+            self._remembered[digest] = self._search(key.strip())
         workspace = self._remembered[digest]
         if workspace is None:
             message = "This key belongs to no workspace; ask your operator."
             raise CallError(code="invalid_api_key", message=message)
         return workspace
 
-    def _search(self, key: bytes) -> Workspace | None:
-        name, dot, _ = key.decode("utf-8", "replace").rpartition(".")
+    def _search(self, key: str) -> Workspace | None:
+        name, dot, _ = key.rpartition(".")
         if dot and name in self._workspaces:
-            return self._match(self._workspaces[name], key)
+            named = self._match(self._workspaces[name], key)
+            if named is not None:
+                return named
         for workspace in self._workspaces.values():
             if self._match(workspace, key):
                 return workspace
         return None
 
-    def _match(self, workspace: Workspace, key: bytes) -> Workspace | None:
-        if any(is_key_of(hashed, key) for hashed in workspace.key_hashes):
+    def _match(self, workspace: Workspace, key: str) -> Workspace | None:
+        if any(matches_key(key, hashed) for hashed in workspace.key_hashes):
             return workspace
         return None
