--- a/carobspring/membership/table.py
+++ b/carobspring/membership/table.py
@@ -227,9 +227,7 @@
         if known is not None:
             order = (news.boot, news.sequence)
             present = (known.server.boot, known.sequence)
-            if news.boot < known.server.boot or (
-                known.gone and news.boot == known.server.boot and order <= present
-            ):
+            if news.boot < known.server.boot:
                 return Announcement(accepted=False, minimum_boot=known.server.boot + 1)
             if order < present or (order == present and not news.left):
                 return Announcement(accepted=False)
--- a/carobspring/settings/keys.py
+++ b/carobspring/settings/keys.py
@@ -17,10 +17,10 @@
 FINGERPRINT_LENGTH = 8
 
 
-def generate_key(owner: str) -> str:
+def generate_key(owner: str = "key") -> str:
     """Return a new random key of 192 bits that names its owner.
 
-    The owner's name lets an entry find the hash without trying them all.
+    A workspace's name lets an entry find the hash without trying them all.
     """
     secret = secrets.token_urlsafe(24)
     return f"{owner}.{secret}"
--- a/tests/membership/test_table.py
+++ b/tests/membership/test_table.py
@@ -1,8 +1,15 @@
 import unittest
+import unittest.mock
 from dataclasses import replace
 
 from carobspring.domain import BackendServer, LoadReport, ServiceKind
-from carobspring.membership import Announcement, Delta, MemberNews, MembershipTable
+from carobspring.membership import (
+    Announcement,
+    Delta,
+    MemberNews,
+    MembershipTable,
+    table as table_module,
+)
 from carobspring.protocol import AgentReport
 
 SERVER = BackendServer(
@@ -83,6 +90,7 @@
         cases = {
             "late copy": (make_report(5), False),
             "late copy of the leave": (make_report(6, leaving=True), False),
+            "report from before the leave": (make_report(6), False),
             "later report": (make_report(7), True),
             "restart": (make_report(1, boot=8), True),
         }
@@ -258,6 +266,11 @@
             "later": (make_news(6), ACCEPTED, 4.0),
             "later but aged": (make_news(6, 500), ACCEPTED, 3.5),
             "older": (make_news(4), REFUSED, 3.0),
+            "renewal of a run not described": (
+                make_news(1, boot=8, server=None),
+                REFUSED,
+                3.0,
+            ),
             "only a renewal": (make_news(6, server=None, load=None), ACCEPTED, 4.0),
             "too old to matter": (make_news(6, 3000), REFUSED, 3.0),
         }
@@ -275,12 +288,21 @@
         self.assertEqual(table.note_news(make_news(6), 1.0), ACCEPTED)
         self.assertEqual(list_names(table), ["m1"])
 
+    def test_bound(self):
+        """A full table takes no new server and keeps those it has."""
+        with unittest.mock.patch.object(table_module, "MAX_MEMBERS", 1):
+            table = make_table()
+            news = make_news(6, server_id="m2")
+            self.assertEqual(table.note_news(news, 1.0), REFUSED)
+            self.assertEqual(table.note_news(make_news(6), 1.0), ACCEPTED)
+
     def test_leave_by_news(self):
         """A loss that another replica tells of counts if it knows as much."""
         cases = {
             "as recent": (make_news(5, left=True), []),
             "heard of since": (make_news(4, left=True), ["m1"]),
             "run before": (make_news(9, boot=6, left=True), ["m1"]),
+            "run not heard of": (make_news(1, boot=8, left=True), ["m1"]),
         }
         for name, (news, expected) in cases.items():
             with self.subTest(name):
--- a/tests/settings/test_keys.py
+++ b/tests/settings/test_keys.py
@@ -1,7 +1,7 @@
 import unittest
 
-from carobspring.domain import InvalidValueError
-from carobspring.entry.authentication import is_key_of
+from carobspring.domain import InvalidValueError, Settings, Workspace
+from carobspring.entry.authentication import KeyDirectory
 from carobspring.settings import (
     KeyAddition,
     find_fingerprint,
@@ -23,8 +23,11 @@
         self.assertNotEqual(stored, hash_key(key))
 
     def test_entries_read_the_same_form(self):
-        """The entry's check takes the stored form that is made here."""
-        self.assertIs(is_key_of(hash_key("k" * 16), b"k" * 16), True)
+        """The entry finds a workspace by the stored form made here."""
+        key = generate_key("acme")
+        acme = Workspace(name="acme", default_class="chat", key_hashes=(hash_key(key),))
+        directory = KeyDirectory(Settings(workspaces={"acme": acme}))
+        self.assertEqual(directory.find_workspace(f"Bearer {key}"), acme)
 
     def test_fingerprint(self):
         """The fingerprint is the start of the salted digest."""
