--- a/carobspring/control/replica_routes.py
+++ b/carobspring/control/replica_routes.py
@@ -2,24 +2,16 @@
 
 from abc import abstractmethod
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass
 from typing import Protocol
 
 import msgspec
 
 from carobspring.consensus import ConsensusError
 from carobspring.control.admin import AdminError, AdminRequest, Route
-from carobspring.control.reports import CountReport
+from carobspring.control.reports import CountReport, ReplicaOrder
 from carobspring.ports import NotLeaderError, QuorumLostError
 
 
-@dataclass(frozen=True, kw_only=True)
-class ReplicaOrder:
-    """Names the replica that an operator's order is about."""
-
-    name: str
-
-
 class Reconfigurable(Protocol):
     """A replica whose set of voters an operator may change."""
 
--- a/carobspring/control/reports.py
+++ b/carobspring/control/reports.py
@@ -113,6 +113,13 @@
     request_hash: str
 
 
+@dataclass(frozen=True, kw_only=True)
+class ReplicaOrder:
+    """Names the replica that an operator's order is about."""
+
+    name: str
+
+
 @dataclass(frozen=True, kw_only=True)
 class CountReport:
     """How many records an order touched."""
--- /dev/null
+++ b/carobspring/operator/command_line.py
@@ -0,0 +1,62 @@
+"""The words of ``carobctl``'s command line: common flags, and the rest."""
+
+import argparse
+from collections.abc import Mapping, Sequence
+
+from fire.parser import DefaultParseValue
+
+from carobspring.operator.client import AdminClient
+from carobspring.operator.editing import SettingsEditor
+from carobspring.operator.session import Session
+
+DEFAULT_ADMIN = "127.0.0.1:7101"
+
+
+def read_common_flags(
+    words: Sequence[str], environ: Mapping[str, str]
+) -> tuple[Session, list[str]]:
+    """Return what the flags of every command set, and the words left.
+
+    Fire builds the command from the words left, so that its help lists the
+    commands and not what they share.
+    """
+    parser = argparse.ArgumentParser(
+        prog="carobctl", add_help=False, allow_abbrev=False
+    )
+    parser.add_argument("--admin", default=environ.get("CAROB_ADMIN", DEFAULT_ADMIN))
+    parser.add_argument("--token", default=environ.get("CAROB_OPERATOR_TOKEN", ""))
+    parser.add_argument("--change-id", default="")
+    parser.add_argument("--base-revision", type=int, default=-1)
+    parser.add_argument("--dry-run", action="store_true")
+    parser.add_argument("--wait", action="store_true")
+    parser.add_argument("--wait-timeout-s", type=float, default=15.0)
+    flags, rest = parser.parse_known_args(list(words))
+    addresses = tuple(filter(None, (a.strip() for a in flags.admin.split(","))))
+    client = AdminClient(addresses=addresses, token=flags.token)
+    editor = SettingsEditor(
+        client=client,
+        change_id=flags.change_id,
+        base_revision=flags.base_revision,
+        dry_run=flags.dry_run,
+    )
+    session = Session(
+        client=client,
+        editor=editor,
+        wait=flags.wait,
+        wait_timeout_s=flags.wait_timeout_s,
+    )
+    return session, [quote_word(word) for word in rest]
+
+
+def quote_word(word: str) -> str:
+    """Return a word that fire takes as text, also where it looks a number.
+
+    Fire would read the key ``1_000`` as 1000 and the name ``1e5`` as a float.
+    """
+    flag, equals, value = word.partition("=")
+    if word.startswith("--") and equals:
+        quoted = quote_word(value)
+        return f"{flag}={quoted}"
+    if word.startswith("--") or DefaultParseValue(word) == word:
+        return word
+    return repr(word)
--- a/carobspring/operator/commands.py
+++ b/carobspring/operator/commands.py
@@ -1,347 +1,239 @@
 """The command tree of ``carobctl``, as fire reads it."""
 
-import os
-import sys
-from dataclasses import dataclass
 from datetime import UTC, datetime
-
-from fire.decorators import SetParseFn, SetParseFns
-
-from carobspring.control.reports import ChangeReport, StatusReport
-from carobspring.operator.client import AdminClient
-from carobspring.operator.editing import (
-    SettingsEditor,
-    plan_class,
-    plan_service,
-    plan_workspace,
+from pathlib import Path
+from typing import Any
+
+import msgspec
+
+from carobspring.control.reports import (
+    AttainmentReport,
+    CountReport,
+    DrainOrder,
+    ReleaseOrder,
+    ReplicaOrder,
+    StatusReport,
 )
-from carobspring.operator.tables import write_table
-from carobspring.operator.waiting import wait_until_in_force
-from carobspring.settings import (
-    Change,
-    KeyAddition,
-    KeyRemoval,
-    find_fingerprint,
-    generate_key,
-    hash_key,
+from carobspring.domain.errors import InvalidValueError
+from carobspring.operator.displays import (
+    write_attainment,
+    write_audit,
+    write_claim,
+    write_status,
+    write_strikes,
 )
+from carobspring.operator.session import Session
+from carobspring.operator.settings_commands import (
+    ClassCommands,
+    ServiceCommands,
+    WorkspaceCommands,
+)
+from carobspring.operator.settings_file import plan_file, read_settings_file
+from carobspring.protocol import Claim, Strike
+from carobspring.settings import AuditEntry, generate_key, hash_key
+
 
-DEFAULT_ADMIN = "127.0.0.1:7101"
-parse_text = SetParseFn(str)
-
-
-@dataclass(frozen=True, kw_only=True)
-class Session:
-    """What the flags that every command takes have set."""
-
-    client: AdminClient
-    editor: SettingsEditor
-    wait: bool
-    wait_timeout_s: float
-
-    def report(self, change: ChangeReport) -> None:
-        """Show a change, and wait for it when that was asked for."""
-        for subject in change.subjects:
-            print(f"{subject.subject}:")
-            print(f"  - {subject.before or '(none)'}")
-            print(f"  + {subject.after or '(none)'}")
-        if change.dry_run:
-            print(f"dry run on revision {change.revision}: nothing was changed")
-            return
-        print(f"accepted as revision {change.revision} (change {change.change_id})")
-        if self.wait:
-            wait_until_in_force(
-                self.client,
-                revision=change.revision,
-                timeout_s=self.wait_timeout_s,
-                show=lambda line: print(line, flush=True),
-            )
-
-
-class ClassCommands:
-    """Service classes: a priority and latency targets."""
+class CallCommands:
+    """Unique calls: what became of one."""
 
     def __init__(self, session: Session) -> None:
         self._session = session
 
-    @parse_text
-    def set(
-        self,
-        name: str,
-        priority: str | None = None,
-        first_token_ms: str | None = None,
-        token_gap_ms: str | None = None,
-        total_ms: str | None = None,
+    def show(
+        self, workspace: str = "", service: str = "", key: str = "", number: str = ""
     ) -> None:
-        """Create or change a class; what is not given stays.
+        """Show a unique call by workspace, service and key, or by number.
 
         Args:
-            name: the class, such as chat.
-            priority: 0 to 100; a larger one goes first.
-            first_token_ms: target for the first token, in milliseconds.
-            token_gap_ms: target for the mean gap between tokens.
-            total_ms: target for a whole answer.
+            workspace: whose call it is.
+            service: the service that was called.
+            key: its Idempotency-Key.
+            number: the number of its claim, as logs and headers show it.
         """
-        given = {
-            "first_token_ms": first_token_ms,
-            "token_gap_ms": token_gap_ms,
-            "total_ms": total_ms,
-        }
-        targets = {
-            field: read_number(field, value)
-            for field, value in given.items()
-            if value is not None
-        }
-        number = None if priority is None else read_number("priority", priority)
-        self._session.report(
-            self._session.editor.send(
-                lambda settings: plan_class(settings, name, number, targets)
-            )
-        )
-
-    @parse_text
-    def remove(self, name: str) -> None:
-        """Remove a class that no workspace has as its default."""
-        changes = (Change(remove_class=name),)
-        self._session.report(self._session.editor.send(lambda _: changes))
+        query = {"workspace": workspace, "service": service, "key": key}
+        if number:
+            query = {"number": number}
+        print(write_claim(self._session.client.get("/v1/calls", Claim, query)))
 
-    def list(self) -> None:
-        """Show every class, first served first."""
-        classes = self._session.editor.read_settings().classes.values()
-        rows = [
-            (
-                each.name,
-                each.priority,
-                each.target.first_token_ms,
-                each.target.token_gap_ms,
-                each.target.total_ms,
-            )
-            for each in sorted(classes, key=lambda each: (-each.priority, each.name))
-        ]
-        headings = ("CLASS", "PRIORITY", "FIRST_TOKEN_MS", "TOKEN_GAP_MS", "TOTAL_MS")
-        print(write_table(headings, rows))
-
-
-class WorkspaceCommands:
-    """Workspaces: a default class, a limit, and keys."""
+
+class QuarantineCommands:
+    """Requests that were running when a backend server crashed."""
 
     def __init__(self, session: Session) -> None:
         self._session = session
 
-    @parse_text
-    def set(
-        self,
-        name: str,
-        default_class: str = "",
-        concurrency_limit: str | None = None,
-        key: str = "",
-    ) -> None:
-        """Create or change a workspace; what is not given stays.
+    def list(self) -> None:
+        """Show every request with a strike."""
+        client = self._session.client
+        print(write_strikes(client.get("/v1/quarantine", tuple[Strike, ...])))
+
+    def release(self, workspace: str, request_hash: str) -> None:
+        """Forget a request's strikes, so that it is served again.
 
         Args:
-            name: the workspace.
-            default_class: class of calls that name none.
-            concurrency_limit: calls in flight at one entry; 0 for no limit.
-            key: a key to add; "new" makes one and prints it this once.
+            workspace: whose request it is.
+            request_hash: as `quarantine list` shows it.
         """
-        limit = None
-        if concurrency_limit is not None:
-            limit = read_number("concurrency_limit", concurrency_limit)
-        if key == "new":
-            key = generate_key(name)
-            print(f"key (shown this once): {key}")
-        additions: tuple[Change, ...] = ()
-        if key:
-            addition = KeyAddition(workspace=name, key_hash=hash_key(key))
-            additions = (Change(add_key=addition),)
-        self._session.report(
-            self._session.editor.send(
-                lambda settings: (
-                    Change(
-                        set_workspace=plan_workspace(
-                            settings, name, default_class, limit
-                        )
-                    ),
-                    *additions,
-                )
-            )
-        )
-
-    @parse_text
-    def remove(self, name: str) -> None:
-        """Remove a workspace and its keys."""
-        changes = (Change(remove_workspace=name),)
-        self._session.report(self._session.editor.send(lambda _: changes))
+        order = ReleaseOrder(workspace=workspace, request_hash=request_hash)
+        client = self._session.client
+        answer = client.post("/v1/quarantine/release", order, CountReport)
+        print(f"{answer.count} strikes forgotten")
 
-    @parse_text
-    def remove_key(self, name: str, fingerprint: str) -> None:
-        """Remove a key, by the fingerprint that `workspace list` shows."""
-        removal = KeyRemoval(workspace=name, fingerprint=fingerprint)
-        changes = (Change(remove_key=removal),)
-        self._session.report(self._session.editor.send(lambda _: changes))
 
-    def list(self) -> None:
-        """Show every workspace with the fingerprints of its keys."""
-        workspaces = self._session.editor.read_settings().workspaces
-        rows = [
-            (
-                name,
-                each.default_class,
-                each.concurrency_limit or "-",
-                ",".join(find_fingerprint(text) for text in each.key_hashes),
-            )
-            for name, each in sorted(workspaces.items())
-        ]
-        print(write_table(("WORKSPACE", "DEFAULT_CLASS", "LIMIT", "KEYS"), rows))
-
-
-class ServiceCommands:
-    """Services: their kind, and which of their calls run at most once."""
+class OperatorCommands:
+    """Operators' tokens."""
 
     def __init__(self, session: Session) -> None:
         self._session = session
 
-    @parse_text
-    def set(self, name: str, kind: str = "", unrepeatable: str | None = None) -> None:
-        """Declare or change a service; what is not given stays.
+    def new(self, name: str) -> None:
+        """Make a token for an operator; asks no replica.
 
         Args:
-            name: the service that agents announce.
-            kind: model or plain.
-            unrepeatable: routes such as "POST /bookings,PUT /records" whose
-                calls run at most once.
+            name: how the audit trail is to name the operator.
         """
-        self._session.report(
-            self._session.editor.send(
-                lambda settings: plan_service(settings, name, kind, unrepeatable)
-            )
-        )
+        token = generate_key(name)
+        print(f"token (shown this once): {token}")
+        print(f"add to --operators of every carob-control: {name}={hash_key(token)}")
+
+
+class ReplicaCommands:
+    """Control replicas: replace one whose disk is lost."""
+
+    def __init__(self, session: Session) -> None:
+        self._session = session
+
+    def add(self, name: str) -> None:
+        """Let an empty replica get the log, without a vote yet."""
+        self._order("add", name)
+        print(f"{name} gets the log now; then `carobctl replica promote {name}`")
+
+    def promote(self, name: str) -> None:
+        """Give a replica that caught up its vote."""
+        self._order("promote", name)
+        print(f"{name} votes now")
 
-    @parse_text
     def remove(self, name: str) -> None:
-        """Remove the declaration of a service."""
-        changes = (Change(remove_service=name),)
-        self._session.report(self._session.editor.send(lambda _: changes))
+        """Take a replica out, such as one whose disk is lost."""
+        self._order("remove", name)
+        print(f"{name} is out")
+
+    def _order(self, action: str, name: str) -> None:
+        client = self._session.client
+        client.post(f"/v1/replicas/{action}", ReplicaOrder(name=name), CountReport)
+
 
-    def list(self) -> None:
-        """Show every declared service."""
-        services = self._session.editor.read_settings().services
-        rows = [
-            (
-                name,
-                each.kind.value,
-                ", ".join(f"{r.method} {r.path}" for r in each.unrepeatable) or "-",
-            )
-            for name, each in sorted(services.items())
-        ]
-        print(write_table(("SERVICE", "KIND", "UNREPEATABLE"), rows))
-
-
-@SetParseFns(admin=str, token=str, change_id=str)
 class Carobctl:
-    """Steers carobspring by targets and priorities.
+    """Steer carobspring by targets and priorities.
+
+    Flags of every command: --admin=HOST:PORT,... names control replicas (or
+    CAROB_ADMIN); --token=TOKEN is the operator's (or CAROB_OPERATOR_TOKEN).
+
+    Flags of every change: --change-id=ID names it, give the same one to send
+    it again; --base-revision=N is the one that you looked at, else the
+    present one; --dry-run says what would change and changes nothing; --wait
+    waits until it is in force in every zone, --wait-timeout-s=15 at most.
 
     Exit codes: 0 done; 1 refused; 2 wrong usage; 3 another change came first;
     4 no replica answered; 5 accepted, not in force everywhere yet; 6 the
     token is wrong.
-
-    Args:
-        admin: control replicas as HOST:PORT with commas between (CAROB_ADMIN).
-        token: the operator's token (CAROB_OPERATOR_TOKEN).
-        change_id: identifier of the change; give the same one to resend it.
-        base_revision: revision that you looked at; else the present one.
-        dry_run: say what would change, and change nothing.
-        wait: wait until the change is in force in every zone.
-        wait_timeout_s: seconds to wait.
     """
 
-    def __init__(
+    def __init__(self, session: Session) -> None:
+        self._session = session
+        setattr(self, "class", ClassCommands(session))
+        self.workspace = WorkspaceCommands(session)
+        self.service = ServiceCommands(session)
+        self.calls = CallCommands(session)
+        self.quarantine = QuarantineCommands(session)
+        self.operator = OperatorCommands(session)
+        self.replica = ReplicaCommands(session)
+
+    def status(self, *, json: bool = False) -> None:
+        """Say what revision is in force where, and who changed it last.
+
+        Args:
+            json: print JSON for scripts.
+        """
+        status = self._session.client.get("/v1/status", StatusReport)
+        print(write_json(status) if json else write_status(status))
+
+    def attainment(self, *, json: bool = False) -> None:
+        """Show how many calls of each class met their target.
+
+        Args:
+            json: print JSON for scripts.
+        """
+        report = self._session.client.get("/v1/attainment", AttainmentReport)
+        print(write_json(report) if json else write_attainment(report))
+
+    def audit(
         self,
         *,
-        admin: str = "",
-        token: str = "",
-        change_id: str = "",
-        base_revision: int = -1,
-        dry_run: bool = False,
-        wait: bool = False,
-        wait_timeout_s: float = 15.0,
+        by: str = "",
+        subject: str = "",
+        change: str = "",
+        since: str = "",
+        limit: str = "50",
+        json: bool = False,
     ) -> None:
-        admin = admin or os.environ.get("CAROB_ADMIN", DEFAULT_ADMIN)
-        token = token or os.environ.get("CAROB_OPERATOR_TOKEN", "")
-        addresses = tuple(filter(None, (a.strip() for a in admin.split(","))))
-        client = AdminClient(addresses=addresses, token=token)
-        editor = SettingsEditor(
-            client=client,
-            change_id=change_id,
-            base_revision=base_revision,
-            dry_run=dry_run,
-        )
-        self._session = Session(
-            client=client, editor=editor, wait=wait, wait_timeout_s=wait_timeout_s
-        )
-        setattr(self, "class", ClassCommands(self._session))
-        self.workspace = WorkspaceCommands(self._session)
-        self.service = ServiceCommands(self._session)
-
-    def status(self) -> None:
-        """Say what revision is in force where, and who changed it last."""
-        status = self._session.client.get("/v1/status", StatusReport)
-        print(write_status(status))
-
-
-def write_status(status: StatusReport) -> str:
-    """Return the status as text for people."""
-    leader = status.leader or "none"
-    lines = [
-        f"revision {status.revision}, leader {leader}, asked {status.replica}",
-    ]
-    if status.last_change_ms:
-        when = write_time(status.last_change_ms)
-        lines.append(
-            f"last change by {status.last_operator} at {when} "
-            f"({status.last_change_id or 'no identifier'})"
-        )
-    zones = [
-        (z.zone, z.entries, z.revision, "yes" if z.in_force else "NOT YET")
-        for z in status.zones
-    ]
-    lines += ["", write_table(("ZONE", "ENTRIES", "REVISION", "IN_FORCE"), zones)]
-    servers = [
-        (
-            each.server_id,
-            each.service,
-            each.zone,
-            each.boot,
-            each.lease_ms,
-            f"{each.load.running}/{each.load.limit}",
-            sum((each.load.waiting_by_priority or {}).values()),
-            "draining" if each.drain_ordered or each.load.draining else "-",
-        )
-        for each in status.servers
-    ]
-    headings = (
-        "SERVER",
-        "SERVICE",
-        "ZONE",
-        "BOOT",
-        "LEASE_MS",
-        "RUNNING",
-        "WAITING",
-        "DRAIN",
-    )
-    lines += ["", write_table(headings, servers)]
-    return "\n".join(lines)
-
-
-def write_time(at_ms: int) -> str:
-    """Return a wall-clock time in milliseconds as UTC text."""
-    return datetime.fromtimestamp(at_ms / 1000, UTC).strftime("%Y-%m-%d %H:%M:%SZ")
-
-
-def read_number(field: str, text: str) -> int:
-    """Return a whole number; end with the exit code of wrong usage if not."""
+        """Show who changed what, when, from what to what; newest first.
+
+        Args:
+            by: only this operator's changes.
+            subject: only changes of subjects with this text, as "class chat".
+            change: only the change with this identifier.
+            since: only changes from this time on, as 2026-12-31T08:00Z.
+            limit: how many at most.
+            json: print JSON for scripts.
+        """
+        query = {"limit": limit, "subject": subject}
+        if by:
+            query["operator"] = by
+        if change:
+            query["change_id"] = change
+        if since:
+            query["since_ms"] = str(read_time(since))
+        entries = self._session.client.get("/v1/audit", tuple[AuditEntry, ...], query)
+        print(write_json(entries) if json else write_audit(entries))
+
+    def drain(self, server: str, *, undo: bool = False) -> None:
+        """Let a backend server take no new work; what it has goes on.
+
+        Args:
+            server: its name, as `status` shows it.
+            undo: end the drain instead.
+        """
+        order = DrainOrder(server_id=server, drain=not undo)
+        answer = self._session.client.post("/v1/drain", order, CountReport)
+        state = "in service again" if undo else "draining"
+        was = "" if answer.count else " (as before)"
+        print(f"{server} is {state}{was}; `carobctl status` shows what still runs")
+
+    def apply(self, file: str) -> None:
+        """Make the settings as a file says; see docs/OPERATIONS.md.
+
+        Args:
+            file: TOML, or JSON when its name ends in .json.
+        """
+        wanted = read_settings_file(Path(file))
+        editor = self._session.editor.with_base(wanted.base_revision)
+        report = editor.send(lambda settings: plan_file(settings, wanted))
+        self._session.show(report)
+
+
+def write_json(value: Any) -> str:
+    """Return a value as indented JSON."""
+    return msgspec.json.format(msgspec.json.encode(value), indent=2).decode()
+
+
+def read_time(text: str) -> int:
+    """Return a time given as text in milliseconds; UTC without a zone."""
     try:
-        return int(text)
-    except ValueError:
-        print(f"carobctl: --{field}: got {text!r}, expected a number", file=sys.stderr)
-        sys.exit(2)
+        time = datetime.fromisoformat(text)
+    except ValueError as error:
+        expected = "a time such as 2026-12-31T08:00Z"
+        raise InvalidValueError(field="since", value=text, expected=expected) from error
+    if time.tzinfo is None:
+        time = time.replace(tzinfo=UTC)
+    return int(time.timestamp() * 1000)
--- /dev/null
+++ b/carobspring/operator/displays.py
@@ -0,0 +1,126 @@
+"""Answers of the admin API as text for people."""
+
+from collections import defaultdict
+
+from carobspring.control.reports import AttainmentReport, StatusReport
+from carobspring.operator.session import write_subjects, write_time
+from carobspring.operator.tables import write_table
+from carobspring.protocol import Claim, ClaimState, Strike
+from carobspring.settings import AuditEntry
+
+ADVICE = {
+    ClaimState.CLAIMED: "an agent has it; ask again in a moment",
+    ClaimState.DONE: "it ran once; a resend with its key gets this answer",
+    ClaimState.NOT_RUN: "it did not run; a resend with its key may run it",
+    ClaimState.UNKNOWN: "nobody can say whether it ran; look at the service itself",
+}
+
+
+def write_status(status: StatusReport) -> str:
+    """Return the state of the whole system."""
+    leader = status.leader or "none"
+    lines = [f"revision {status.revision}, leader {leader}, asked {status.replica}"]
+    if status.last_change_ms:
+        when = write_time(status.last_change_ms)
+        lines.append(
+            f"last change by {status.last_operator} at {when} "
+            f"({status.last_change_id or 'no identifier'})"
+        )
+    zones = [
+        (z.zone, z.entries, z.revision, "yes" if z.in_force else "NOT YET")
+        for z in status.zones
+    ]
+    lines += ["", write_table(("ZONE", "ENTRIES", "REVISION", "IN_FORCE"), zones)]
+    entries = [(e.name, e.zone, e.revision, e.age_ms) for e in status.entries]
+    lines += ["", write_table(("ENTRY", "ZONE", "REVISION", "HEARD_MS"), entries)]
+    servers = [
+        (
+            each.server_id,
+            each.service,
+            each.zone,
+            each.boot,
+            each.lease_ms,
+            f"{each.load.running}/{each.load.limit}",
+            sum((each.load.waiting_by_priority or {}).values()),
+            _find_condition(each.shown, each.drain_ordered, each.load.draining),
+        )
+        for each in status.servers
+    ]
+    headings = ("SERVER", "SERVICE", "ZONE", "BOOT", "LEASE_MS", "RUNNING", "WAITING")
+    lines += ["", write_table((*headings, "STATE"), servers)]
+    return "\n".join(lines)
+
+
+def write_attainment(report: AttainmentReport) -> str:
+    """Return how many calls of each class met their target."""
+    rows = [
+        (
+            name,
+            counts.ended,
+            counts.met,
+            f"{100 * counts.met / counts.ended:.1f}%" if counts.ended else "-",
+            counts.shed,
+        )
+        for name, counts in report.classes.items()
+    ]
+    table = write_table(("CLASS", "ENDED", "MET", "ATTAINMENT", "SHED"), rows)
+    return f"since their start, at {report.entries} entries\n\n{table}"
+
+
+def write_audit(entries: tuple[AuditEntry, ...]) -> str:
+    """Return the audit trail, newest first."""
+    blocks = []
+    for entry in entries:
+        when = write_time(entry.at_ms)
+        identifier = entry.change_id or "-"
+        heading = f"revision {entry.revision} by {entry.operator} at {when}"
+        subjects = write_subjects(entry.subjects)
+        blocks.append(f"{heading} (change {identifier})\n{subjects}")
+    return "\n\n".join(blocks) or "no change fits"
+
+
+def write_claim(claim: Claim) -> str:
+    """Return what became of a unique call, and what that means."""
+    rows = [
+        ("state", claim.state.value),
+        ("claim", claim.number),
+        ("workspace", claim.workspace),
+        ("service", claim.service),
+        ("key", claim.key),
+        ("server", f"{claim.server_id} (boot {claim.boot})"),
+        ("changed", write_time(claim.changed_ms)),
+    ]
+    if claim.answer is not None:
+        size = len(claim.answer.body)
+        rows.append(("answer", f"status {claim.answer.status}, {size} bytes"))
+    lines = [f"{name:<10} {value}" for name, value in rows]
+    advice = ADVICE.get(claim.state, "")
+    return "\n".join([*lines, "", advice])
+
+
+def write_strikes(strikes: tuple[Strike, ...]) -> str:
+    """Return requests with their strikes, newest last."""
+    grouped: dict[tuple[str, str], list[Strike]] = defaultdict(list)
+    for strike in strikes:
+        grouped[strike.workspace, strike.request_hash].append(strike)
+    rows = [
+        (
+            workspace,
+            request_hash,
+            len(found),
+            ",".join(sorted({strike.server_id for strike in found})),
+            write_time(found[-1].at_ms),
+        )
+        for (workspace, request_hash), found in grouped.items()
+    ]
+    return write_table(
+        ("WORKSPACE", "REQUEST_HASH", "STRIKES", "SERVERS", "LAST"), rows
+    )
+
+
+def _find_condition(shown: bool, ordered: bool, draining: bool) -> str:
+    if not shown:
+        return "held back (flapping)"
+    if ordered:
+        return "draining (ordered)"
+    return "draining" if draining else "-"
--- a/carobspring/operator/editing.py
+++ b/carobspring/operator/editing.py
@@ -46,14 +46,33 @@
         """Return the present settings."""
         return self._client.get("/v1/settings", Settings)
 
-    def send(self, plan: Callable[[Settings], tuple[Change, ...]]) -> ChangeReport:
-        """Send the changes that a plan makes of the present settings."""
+    def with_base(self, base_revision: int | None) -> "SettingsEditor":
+        """Return an editor for this revision, unless a flag named one."""
+        if base_revision is None or self._base_revision >= 0:
+            return self
+        return SettingsEditor(
+            client=self._client,
+            change_id=self._change_id,
+            base_revision=base_revision,
+            dry_run=self._dry_run,
+        )
+
+    def send(
+        self, plan: Callable[[Settings], tuple[Change, ...]]
+    ) -> ChangeReport | None:
+        """Send the changes that a plan makes of the present settings.
+
+        Returns nothing when the plan is empty.
+        """
         settings = self.read_settings()
+        changes = plan(settings)
+        if not changes:
+            return None
         base = self._base_revision if self._base_revision >= 0 else settings.revision
         order = ChangeOrder(
             change_id=self._change_id,
             base_revision=base,
-            changes=plan(settings),
+            changes=changes,
             dry_run=self._dry_run,
         )
         return self._client.post("/v1/changes", order, ChangeReport)
--- /dev/null
+++ b/carobspring/operator/session.py
@@ -0,0 +1,72 @@
+"""What the flags that every command takes have set, and how answers show."""
+
+import sys
+from collections.abc import Callable
+from dataclasses import dataclass
+from datetime import UTC, datetime
+
+from carobspring.control.reports import ChangeReport
+from carobspring.domain import Settings
+from carobspring.operator.client import AdminClient
+from carobspring.operator.editing import SettingsEditor
+from carobspring.operator.waiting import wait_until_in_force
+from carobspring.settings import Change, SubjectChange
+
+EXIT_USAGE = 2
+
+
+@dataclass(frozen=True, kw_only=True)
+class Session:
+    """The client, the editor, and whether to wait for a change."""
+
+    client: AdminClient
+    editor: SettingsEditor
+    wait: bool
+    wait_timeout_s: float
+
+    def change(self, plan: Callable[[Settings], tuple[Change, ...]]) -> None:
+        """Send a change, show it, and wait for it when that was asked for."""
+        self.show(self.editor.send(plan))
+
+    def show(self, report: ChangeReport | None) -> None:
+        """Show a change's answer; wait for it when that was asked for."""
+        if report is None:
+            print("nothing differs; nothing was changed")
+            return
+        print(write_subjects(report.subjects))
+        if report.dry_run:
+            print(f"dry run on revision {report.revision}: nothing was changed")
+            return
+        print(f"accepted as revision {report.revision} (change {report.change_id})")
+        if self.wait:
+            wait_until_in_force(
+                self.client,
+                revision=report.revision,
+                timeout_s=self.wait_timeout_s,
+                show=lambda line: print(line, flush=True),
+            )
+
+
+def write_subjects(subjects: tuple[SubjectChange, ...]) -> str:
+    """Return how each subject changed, as the lines of a diff."""
+    lines = []
+    for change in subjects:
+        lines.append(f"{change.subject}:")
+        lines.append(f"  - {change.before or '(none)'}")
+        lines.append(f"  + {change.after or '(none)'}")
+    return "\n".join(lines) or "nothing differs"
+
+
+def write_time(at_ms: int) -> str:
+    """Return a wall-clock time in milliseconds as UTC text."""
+    return datetime.fromtimestamp(at_ms / 1000, UTC).strftime("%Y-%m-%d %H:%M:%SZ")
+
+
+def read_number(field: str, text: str) -> int:
+    """Return a whole number; end with the exit code of wrong usage if not."""
+    try:
+        return int(text)
+    except ValueError:
+        flag = field.replace("_", "-")
+        print(f"carobctl: --{flag}: got {text!r}, expected a number", file=sys.stderr)
+        sys.exit(EXIT_USAGE)
