--- a/carobspring/entry/parts.py
+++ b/carobspring/entry/parts.py
@@ -25,5 +25,7 @@
     measures: EntryMeasures
     clock: Clock
     random: RandomSource
+    #: Seconds that a commit of the ledger is waited for.
+    claim_timeout_s: float = 6.0
     #: Secret from which identifiers are made that nobody can guess.
     secret: bytes = b""
--- a/carobspring/entry/unique.py
+++ b/carobspring/entry/unique.py
@@ -23,7 +23,6 @@
 )
 from carobspring.routing import Choice
 
-CLAIM_TIMEOUT_S = 6.0
 #: Turns of claiming, fencing and running before the caller is told to wait.
 MAX_TURNS = 8
 ASK_AGAIN = "Ask again with the same Idempotency-Key."
@@ -97,7 +96,7 @@
             request_id=uuid.uuid4().hex,
         )
         reply = await self._parts.control.ask(
-            paths.CLAIM_CALL, request, ClaimReply, CLAIM_TIMEOUT_S
+            paths.CLAIM_CALL, request, ClaimReply, self._parts.claim_timeout_s
         )
         if reply is None:
             raise self._build_unavailable("no_quorum")
@@ -170,11 +169,12 @@
 
     async def _follow_not_run(self, claim: Claim) -> None:
         """Have it committed that a fenced claim did not run."""
-        committed = await self._commit(claim, RunStatus.NOT_RUN)
-        if committed.claim is not None and committed.claim.number == claim.number:
-            if committed.claim.state is ClaimState.NOT_RUN:
-                self._replaces = claim.number
-                self._is_fenced = True
+        committed = (await self._commit(claim, RunStatus.NOT_RUN)).claim
+        if committed is None:
+            raise self._build_unavailable("no_quorum")
+        if committed.state is ClaimState.NOT_RUN:
+            self._replaces = claim.number
+            self._is_fenced = True
 
     async def _settle_lost(self, claim: Claim) -> None:
         """Have a claim whose agent is gone committed as unknown.
@@ -189,7 +189,7 @@
     async def _commit(self, claim: Claim, status: RunStatus) -> OutcomeReply:
         report = OutcomeReport(number=claim.number, run_status=status, boot=claim.boot)
         reply = await self._parts.control.ask(
-            paths.REPORT_OUTCOME, report, OutcomeReply, CLAIM_TIMEOUT_S
+            paths.REPORT_OUTCOME, report, OutcomeReply, self._parts.claim_timeout_s
         )
         return reply or OutcomeReply(error="no_quorum")
 
--- a/carobspring/programs/entry.py
+++ b/carobspring/programs/entry.py
@@ -89,7 +89,7 @@
             addresses=addresses, open_channel=self._open_channel
         )
         self._measures = EntryMeasures(metrics)
-        parts = DriverParts(
+        self._parts = parts = DriverParts(
             router=self._router,
             pool=self._pool,
             control=self._control,
--- a/tests/entry/fakes.py
+++ b/tests/entry/fakes.py
@@ -33,11 +33,13 @@
     EntryReport,
     FenceClaim,
     FenceReply,
+    FetchSettings,
     OutcomeReply,
     OutcomeReport,
     ResponseHead,
     ResumeCall,
     RunCall,
+    SettingsReply,
     ViewUpdate,
 )
 from carobspring.settings import hash_key
@@ -106,6 +108,9 @@
         self.runs: list[RunCall] = []
         self.resumes: list[ResumeCall] = []
         self.cancels: list[str] = []
+        #: Cancels that get no answer, as on a silent connection.
+        self.lose_cancels = 0
+        self.settings_reply = SettingsReply()
         self.fences: list[FenceClaim] = []
         self.fence_reply = FenceReply(run_status=RunStatus.NOT_RUN)
         self.cancelled = asyncio.Event()
@@ -125,6 +130,9 @@
                 ),
                 make_unary(paths.CANCEL_CALL, self._cancel, CancelCall, CancelReply),
                 make_unary(paths.FENCE_CLAIM, self._fence, FenceClaim, FenceReply),
+                make_unary(
+                    paths.FETCH_SETTINGS, self._settings, FetchSettings, SettingsReply
+                ),
             ]
         )
         self._server = build_server(services=[service], secret=SECRET)
@@ -176,7 +184,13 @@
         self.resumes.append(request)
         await self.on_resume(request, stream.send_message)
 
+    async def _settings(self, request: FetchSettings) -> SettingsReply:
+        return self.settings_reply
+
     async def _cancel(self, request: CancelCall) -> CancelReply:
+        if self.lose_cancels:
+            self.lose_cancels -= 1
+            await asyncio.Event().wait()
         self.cancels.append(request.call_id)
         self.cancelled.set()
         return CancelReply(cancelled=True)
--- /dev/null
+++ b/tests/entry/test_driver.py
@@ -0,0 +1,269 @@
+import asyncio
+import json
+
+import aiohttp
+
+from carobspring.domain import LoadReport, RunStatus
+from carobspring.entry import FollowLimits
+from carobspring.protocol import (
+    CallEnd,
+    CallEvent,
+    ResponseHead,
+    SettingsReply,
+    Strike,
+    ViewUpdate,
+)
+from tests.entry.deployment import CHAT, EntryCase, wait_until
+from tests.entry.fakes import KEY_B, build_settings
+
+STREAM = {**CHAT, "stream": True}
+PATH = "/v1/chat/completions"
+SSE = (("Content-Type", "text/event-stream"),)
+FAILED = CallEnd(run_status=RunStatus.UNKNOWN, reason="backend_failed")
+START = [
+    CallEvent(head=ResponseHead(status=200, headers=SSE)),
+    CallEvent(data=b"data: 1\n\n", offset=0),
+]
+
+
+class CallDriverTest(EntryCase):
+    async def ask(self, body=CHAT, **headers):
+        """Send one completion call; return status, and error or text."""
+        named = {name.replace("_", "-"): value for name, value in headers.items()}
+        async with self.client.post(PATH, json=body, headers=named) as answer:
+            text = await answer.text()
+            if answer.status == 200:
+                return 200, text
+            return answer.status, json.loads(text)["error"]
+
+    def script_all(self, events):
+        """Let every model agent play the same events."""
+        for agent in self.agents:
+            agent.script = events
+
+    def count_runs(self):
+        """Return how many runs the model agents were asked for."""
+        return sum(len(agent.runs) for agent in self.agents)
+
+    async def test_cut_stream_is_never_whole(self):
+        """A stream cut in mid-answer ends in an error event, and abruptly."""
+        self.script_all([*START, CallEvent(end=FAILED, offset=9)])
+        got = b""
+        with self.assertRaises(aiohttp.ClientPayloadError):
+            async with self.client.post(PATH, json=STREAM) as answer:
+                async for piece in answer.content.iter_any():
+                    got += piece
+        self.assertEqual(got[:9], b"data: 1\n\n")
+        event = got[9:].strip().split(b"\n", 1)
+        self.assertEqual(event[0], b"event: error")
+        error = json.loads(event[1].removeprefix(b"data: "))["error"]
+        self.assertEqual((error["code"], error["ran"]), ("backend_lost", "unknown"))
+        self.assertNotIn(b"[DONE]", got)
+        self.assertEqual(self.count_runs(), 1)
+
+    async def test_cut_whole_answer_runs_again(self):
+        """A model call of which nothing was shown is run elsewhere."""
+        self.agents[0].script = [*START, CallEvent(end=FAILED, offset=9)]
+        for _ in range(8):
+            self.assertEqual(await self.ask(), (200, '{"id": "x"}'))
+
+    async def test_failure_of_every_server(self):
+        """When every attempt failed the caller hears that it may have run."""
+        lost = CallEnd(run_status=RunStatus.UNKNOWN, reason="stopped")
+        self.script_all([CallEvent(end=lost)])
+        status, error = await self.ask()
+        got = (status, error["code"], error["ran"], self.count_runs())
+        self.assertEqual(got, (502, "backend_lost", "unknown", 2))
+
+    async def test_plain_post_is_not_repeated(self):
+        """A plain POST that may have run is not run again by the entry."""
+        self.desk.script = [CallEvent(end=FAILED)]
+        async with self.client.post("/services/desk/x", data=b"1") as answer:
+            error = (await answer.json())["error"]
+        got = (answer.status, error["code"], error["ran"], len(self.desk.runs))
+        self.assertEqual(got, (502, "backend_lost", "unknown", 1))
+
+    async def test_caller_gone_is_cancelled_at_the_agent(self):
+        """A caller that leaves has its call cancelled, queued or running."""
+
+        async def hold(request, send):
+            await send(CallEvent())
+            await asyncio.Event().wait()
+
+        for agent in self.agents:
+            agent.on_run = hold
+        call = asyncio.ensure_future(self.ask())
+        await wait_until(lambda: self.count_runs() == 1)
+        call.cancel()
+        await wait_until(lambda: any(agent.cancels for agent in self.agents))
+        runs = [run.call_id for agent in self.agents for run in agent.runs]
+        cancels = [name for agent in self.agents for name in agent.cancels]
+        self.assertEqual(cancels, runs)
+
+    async def test_caller_gone_while_connection_is_silent(self):
+        """The cancel of a call on a silent connection goes by another."""
+        self.entry._parts.follower._limits = FollowLimits(silence_s=60)
+
+        async def hold(request, send):
+            await send(CallEvent())
+            await asyncio.Event().wait()
+
+        for agent in self.agents:
+            agent.on_run = hold
+            agent.lose_cancels = 1
+        call = asyncio.ensure_future(self.ask())
+        await wait_until(lambda: self.count_runs() == 1)
+        call.cancel()
+        await wait_until(lambda: any(agent.cancels for agent in self.agents))
+
+    async def test_retries_stay_within_the_budget(self):
+        """When all agents refuse all calls, retries are a share of calls."""
+        for agent in self.agents:
+            agent.on_run = agent.refuse
+        calls = 120
+        for _ in range(calls):
+            self.assertEqual((await self.ask())[0], 503)
+        self.assertLessEqual(self.count_runs(), calls * 1.2 + 10)
+
+    async def test_higher_call_goes_where_lower_work_is(self):
+        """Without any budget left, a higher call asks who has lower work."""
+        self.agents[0].on_run = self.agents[0].refuse
+        busy = LoadReport(sequence=5, running=4, limit=4, running_by_priority={10: 4})
+        self.control.push(ViewUpdate(loads={"r2": busy}))
+        await wait_until(lambda: self.entry._router._records["r2"].load_at > 0)
+        self.entry._router.budget.tokens = -1000.0
+        for _ in range(8):
+            self.assertEqual((await self.ask())[0], 200)
+        self.assertEqual(len(self.agents[1].runs), 8)
+        statuses = {(await self.ask(X_Carob_Class="batch"))[0] for _ in range(12)}
+        self.assertEqual(statuses, {200, 503})
+
+    async def test_request_that_crashes_servers(self):
+        """One crash: it runs alone. Two: it is refused, resends too."""
+        self.script_all([CallEvent(end=FAILED)])
+        status, error = await self.ask()
+        runs = [run for agent in self.agents for run in agent.runs]
+        self.assertEqual(sorted(run.alone for run in runs), [False, True])
+        self.assertEqual((status, error["ran"]), (502, "unknown"))
+        again = await self.ask()
+        got = (again[0], again[1]["code"], again[1]["ran"])
+        self.assertEqual(got, (422, "request_quarantined", "not_run"))
+        self.assertEqual(self.count_runs(), 2)
+
+    async def test_strikes_told_by_control(self):
+        """Crashes at other entries count here; a release forgets them."""
+        await self.ask()
+        run = [run for agent in self.agents for run in agent.runs][0]
+        strikes = tuple(
+            Strike(
+                workspace="shop-a",
+                request_hash=run.request_hash,
+                server_id=name,
+                boot=1,
+                at_ms=1,
+            )
+            for name in ("r1", "r2")
+        )
+        for update, expected in (
+            (ViewUpdate(strikes=strikes[:1]), (200, True)),
+            (ViewUpdate(strikes=strikes), (422, True)),
+            (ViewUpdate(released=strikes[:1]), (200, False)),
+        ):
+            settings = build_settings(revision=self.entry._state.settings.revision + 1)
+            self.control.push(update)
+            self.control.push(ViewUpdate(settings=settings))
+            revision = settings.revision
+            await wait_until(
+                lambda r=revision: self.entry._state.settings.revision == r
+            )
+            status, _ = await self.ask()
+            runs = [r for agent in self.agents for r in agent.runs]
+            alone = any(r.alone for r in runs if r.revision == revision)
+            other, _ = await self.ask(Authorization=f"Bearer {KEY_B}")
+            self.assertEqual((status, other), (expected[0], 200))
+            if status == 200:
+                self.assertIs(alone, expected[1])
+
+    async def test_resend_with_a_key_attaches(self):
+        """A keyed call has one identifier and one agent at every resend."""
+        for _ in range(3):
+            await self.ask(Idempotency_Key="k1")
+        runs = [(a.name, r.call_id) for a in self.agents for r in a.runs]
+        self.assertEqual((len(runs), len(set(runs))), (3, 1))
+        await self.ask(Idempotency_Key="k1", Authorization=f"Bearer {KEY_B}")
+        await self.ask(Idempotency_Key="k2")
+        runs = {r.call_id for a in self.agents for r in a.runs}
+        self.assertEqual(len(runs), 3)
+
+    async def test_workspace_limit(self):
+        """Calls above the workspace's limit are told when to come back."""
+        settings = build_settings(revision=2, limit=1)
+        self.control.push(ViewUpdate(settings=settings))
+        await wait_until(lambda: self.entry._state.settings.revision == 2)
+        gate = asyncio.Event()
+
+        async def hold(request, send):
+            await gate.wait()
+            await self.agents[0].play(request, send)
+
+        for agent in self.agents:
+            agent.on_run = hold
+        first = asyncio.ensure_future(self.ask())
+        await wait_until(lambda: self.count_runs() == 1)
+        status, error = await self.ask()
+        self.assertEqual((status, error["code"]), (429, "workspace_limit"))
+        self.assertGreater(error["retry_after_ms"], 0)
+        gate.set()
+        self.assertEqual((await first)[0], 200)
+        self.assertEqual((await self.ask())[0], 200)
+
+    async def test_settings_that_are_behind_serve_nothing(self):
+        """A revision named by an agent or caller is waited for, or refused."""
+        event = CallEvent(revision=2)
+        self.script_all([event, *self.agents[0].script])
+        self.assertEqual((await self.ask())[0], 200)
+        status, error = await self.ask()
+        got = (status, error["code"], error["ran"], self.count_runs())
+        self.assertEqual(got, (503, "settings_behind", "not_run", 1))
+        self.control.push(ViewUpdate(settings=build_settings(revision=2)))
+        await wait_until(lambda: self.entry._state.settings.revision == 2)
+        self.assertEqual((await self.ask(X_Carob_Revision="2"))[0], 200)
+        self.assertEqual((await self.ask(X_Carob_Revision="3"))[0], 503)
+        self.assertEqual((await self.ask())[0], 200)
+
+    async def test_settings_come_from_an_agent(self):
+        """An entry that control can't reach learns from an agent."""
+        newer = build_settings(revision=2)
+        self.agents[1].settings_reply = SettingsReply(settings=newer, revision=2)
+        self.assertEqual((await self.ask(X_Carob_Revision="2"))[0], 200)
+        self.assertEqual(self.entry._state.settings.revision, 2)
+
+    async def test_loss_of_control_stops_no_serving(self):
+        """With every control replica gone, calls are served as before."""
+        self.control.stop()
+        await wait_until(lambda: not self.entry._watch.connected)
+        for _ in range(4):
+            self.assertEqual((await self.ask())[0], 200)
+        async with self.client.get("/readyz") as answer:
+            self.assertEqual(answer.status, 200)
+
+    async def test_stop_drains_calls_in_flight(self):
+        """A planned stop lets an open call end and gets no new ones."""
+        gate = asyncio.Event()
+
+        async def hold(request, send):
+            await send(CallEvent())
+            await gate.wait()
+            await self.agents[0].play(request, send)
+
+        for agent in self.agents:
+            agent.on_run = hold
+        call = asyncio.ensure_future(self.ask())
+        await wait_until(lambda: self.count_runs() == 1)
+        stop = asyncio.ensure_future(self.entry.stop())
+        await wait_until(lambda: not self.entry._state.is_ready)
+        await asyncio.sleep(0.2)
+        self.assertIs(stop.done(), False)
+        gate.set()
+        self.assertEqual(await call, (200, '{"id": "x"}'))
+        await stop
