--- a/carobspring/settings/__init__.py
+++ b/carobspring/settings/__init__.py
@@ -16,8 +16,7 @@
 )
 from carobspring.settings.evaluation import UnsoundChangeError
 from carobspring.settings.keys import (
-    KeyIndex,
-    fingerprint_key,
+    find_fingerprint,
     generate_key,
     hash_key,
     matches_key,
@@ -31,14 +30,13 @@
     "ChangeRequest",
     "ChangeStatus",
     "KeyAddition",
-    "KeyIndex",
     "KeyRemoval",
     "SettingsMachine",
     "SettingsSnapshot",
     "SubjectChange",
     "UnsoundChangeError",
     "WorkspaceSpec",
-    "fingerprint_key",
+    "find_fingerprint",
     "generate_key",
     "hash_key",
     "matches_key",
