Send what was handed over before an abort, and linger after a refusal

Cause: a cut SSE answer reached its caller without the error event, and without the head when it was cut at once: abort closed the socket before circuits had handled the pieces (tests.entry.test_driver test_cut_stream_is_never_whole failed with ServerDisconnectedError). Change: abort closes after the pieces handed over are sent; a refusal (4xx before the body is read) ends sending and leaves the close to the caller for 2 s, so that no reset destroys the answer; a reader that takes nothing for 60 s counts as gone. Protocol: none.

--- a/carobspring/adapters/http_connection.py
+++ b/carobspring/adapters/http_connection.py
@@ -5,10 +5,10 @@
 import time
 from typing import Any
 
-from circuits.net.events import close
 from circuits.web.parsers import HttpParser
 from circuits.web.wrappers import Request, Response
 
+from carobspring.adapters.http_events import end_sending, end_writes
 from carobspring.adapters.http_framing import (
     HEAD_END,
     Framing,
@@ -54,6 +54,8 @@
         self._responder: CircuitsResponder | None = None
         self._task: asyncio.Task[None] | None = None
         self._unsent = 0
+        self._sent_at = time.monotonic()
+        self._ending_at: float | None = None
         self._writable = asyncio.Event()
         self._writable.set()
         self._closing = False
@@ -75,7 +77,14 @@
         self._read_request()
 
     def check_timeouts(self, now: float) -> None:
-        """End a request that is late in coming, or an idle connection."""
+        """End a late request, a stalled reader, or an idle connection."""
+        stalled_s = now - self._sent_at if self._unsent else 0.0
+        if stalled_s > self._limits.stall_timeout_s:
+            self.close_now()
+            return
+        if self._ending_at is not None and now > self._ending_at:
+            self.close_now()
+            return
         if self._responder is not None or self._closing:
             return
         waited = now - self._changed_at
@@ -103,6 +112,7 @@
     def note_sent(self, size: int) -> None:
         """Count bytes that were sent."""
         self._unsent = max(0, self._unsent - size)
+        self._sent_at = time.monotonic()
         if self._unsent < self._limits.write_buffer_bytes:
             self._writable.set()
 
@@ -112,6 +122,8 @@
 
     def note_written(self, size: int) -> None:
         """Count bytes that were handed over and are not sent yet."""
+        if not self._unsent:
+            self._sent_at = time.monotonic()
         self._unsent += size
         if self._unsent >= self._limits.write_buffer_bytes:
             self._writable.clear()
@@ -131,6 +143,13 @@
         if self._received and not self._closing:
             asyncio.get_running_loop().call_soon(self._read_request)
 
+    def close_after_sending(self) -> None:
+        """Send what was handed over, then close without marking an end."""
+        if not self._closed:
+            self._closing = True
+            self._ending_at = time.monotonic() + self._limits.stall_timeout_s
+            self._protocol.fire(end_writes(self._sock))
+
     def close_now(self) -> None:
         """Close without sending what is left."""
         if not self._closed:
@@ -285,5 +304,8 @@
             f"HTTP/1.1 {status} Refused\r\nContent-Type: application/json\r\n"
             f"Content-Length: {len(body)}\r\nConnection: close\r\n\r\n"
         )
+        # Closing while bytes come in would reset the connection, and the
+        # caller might never read why: so the close is left to the caller.
+        self._ending_at = time.monotonic() + self._limits.linger_s
         self._protocol.send_raw(self._sock, head.encode() + body)
-        self._protocol.fire(close(self._sock))
+        self._protocol.fire(end_sending(self._sock))
--- a/carobspring/adapters/http_responder.py
+++ b/carobspring/adapters/http_responder.py
@@ -43,8 +43,8 @@
     def end_request(self) -> None:
         """Let the next request of the connection begin."""
 
-    def close_now(self) -> None:
-        """Close without sending what is left."""
+    def close_after_sending(self) -> None:
+        """Send what was handed over, then close without marking an end."""
 
     def must_close(self) -> bool:
         """Say whether the connection is closed after this answer."""
@@ -101,7 +101,7 @@
     def abort(self) -> None:
         """Close the connection so that the caller sees a cut answer."""
         self.ended = True
-        self._connection.close_now()
+        self._connection.close_after_sending()
 
     def _prepare(self, status: int, headers: CallHeaders) -> None:
         self.started = True
--- a/carobspring/adapters/http_server.py
+++ b/carobspring/adapters/http_server.py
@@ -1,7 +1,9 @@
 """An HTTP server on circuits.web, with bounds on what a caller may send."""
 
 import asyncio
+import contextlib
 import logging
+import socket
 import time
 from typing import Any
 
@@ -12,6 +14,7 @@
 
 from carobspring.adapters.eventloop import EventLoopRoot
 from carobspring.adapters.http_connection import HttpConnection
+from carobspring.adapters.http_events import shut
 from carobspring.ports import HttpHandler, HttpLimits, HttpServer
 
 CHANNEL = "web"
@@ -33,6 +36,8 @@
     def __init__(self, bind: tuple[str, int], *, sent: Any) -> None:
         super().__init__(bind, channel=CHANNEL, bufsize=READ_SIZE_BYTES)
         self._report_sent = sent
+        #: Sockets whose sending ends with the bytes that are buffered.
+        self._shutting: set[Any] = set()
 
     @handler("write", override=True)
     def write(self, sock: Any, data: bytes) -> None:
@@ -40,6 +45,18 @@
         if sock in self._clients:
             super().write(sock, data)
 
+    @handler("shut")
+    def shut(self, sock: Any) -> None:
+        """Send the end of the stream once the buffered bytes are sent."""
+        if sock not in self._clients:
+            return
+        if self._buffers.get(sock):
+            self._shutting.add(sock)
+        else:
+            self._shutting.discard(sock)
+            with contextlib.suppress(OSError):
+                sock.shutdown(socket.SHUT_WR)
+
     def stop_listening(self) -> None:
         """Refuse new connections and keep the open ones."""
         if self._sock is not None:
@@ -52,6 +69,7 @@
         open_sockets = set(self._clients)
         for sock in [key for key in self._buffers if key not in open_sockets]:
             del self._buffers[sock]
+        self._shutting &= open_sockets
 
     def _write(self, sock: Any, data: bytes) -> None:
         before = len(self._buffers[sock])
@@ -59,6 +77,8 @@
         left = self._buffers.get(sock)
         unsent = len(left[0]) if left and len(left) > before else 0
         self._report_sent(sock, len(data) - unsent)
+        if sock in self._shutting and not left:
+            self.shut(sock)
 
 
 class BoundedHttp(HTTP):
@@ -103,6 +123,15 @@
         if connection is not None:
             connection.receive(data)
 
+    @handler("end_writes")
+    def _on_end_writes(self, sock: Any) -> None:
+        self.fire(close(sock))
+
+    @handler("end_sending")
+    def _on_end_sending(self, sock: Any) -> None:
+        # The writes that came before are handled, but maybe not sent yet.
+        self.fire(shut(sock))
+
     @handler("exception", channel="*")
     def _on_any_exception(self, *args: Any, **details: Any) -> None:
         logger.error("a circuits handler failed: %r", args[1:2])
--- a/carobspring/ports/http.py
+++ b/carobspring/ports/http.py
@@ -75,6 +75,10 @@
     request_timeout_s: float = 30.0
     #: Seconds that a connection without a request is kept.
     idle_timeout_s: float = 120.0
+    #: Seconds that a reader may take nothing of what waits for it.
+    stall_timeout_s: float = 60.0
+    #: Seconds that a refused caller may go on sending, so that it reads why.
+    linger_s: float = 2.0
     #: Unread bytes of an answer at which ``write`` waits.
     write_buffer_bytes: int = 256 * 1024
     max_connections: int = field(default=4096)
