--- a/carobspring/entry/driver.py
+++ b/carobspring/entry/driver.py
@@ -49,6 +49,13 @@
     return strikes > 0
 
 
+def check_quarantined(end: CallEnd, ran: RunStatus) -> None:
+    """Raise CallError when an agent refused a call for its crashes."""
+    if end.reason == QUARANTINED:
+        message = "This request crashed backend servers and is not run again."
+        raise CallError(code="request_quarantined", message=message, ran=ran)
+
+
 class CallDriver:
     """Takes one repeatable call to its answer or its final error."""
 
@@ -112,9 +119,7 @@
         return await self._attempts.run(choice, run)
 
     def _note_failure(self, choice: Choice, end: CallEnd) -> None:
-        if end.reason == QUARANTINED:
-            message = "This request crashed backend servers and is not run again."
-            raise CallError(code="request_quarantined", message=message, ran=self._ran)
+        check_quarantined(end, self._ran)
         if end.retry_after_ms:
             self._hints.append(end.retry_after_ms)
         if end.run_status is RunStatus.NOT_RUN:
--- a/carobspring/entry/unique.py
+++ b/carobspring/entry/unique.py
@@ -1,5 +1,6 @@
 """Driving a unique call: claimed by the quorum, then run at most once."""
 
+import asyncio
 import uuid
 
 from carobspring.adapters import paths
@@ -7,7 +8,7 @@
 from carobspring.entry.answers import CallerAnswer
 from carobspring.entry.asking import ask_fence
 from carobspring.entry.attempts import AttemptRunner
-from carobspring.entry.driver import advise_retry, check_strikes
+from carobspring.entry.driver import advise_retry, check_quarantined, check_strikes
 from carobspring.entry.errors import CallError
 from carobspring.entry.parts import DriverParts
 from carobspring.entry.requests import CallerRequest
@@ -25,6 +26,7 @@
 
 #: Turns of claiming, fencing and running before the caller is told to wait.
 MAX_TURNS = 8
+TURN_PAUSE_S = 0.05
 ASK_AGAIN = "Ask again with the same Idempotency-Key."
 STALE_BOOT = "stale_boot"
 EXPIRED = "expired"
@@ -66,7 +68,7 @@
             CallError: The outcome is not an answer, or not known.
         """
         self._parts.router.budget.record_call()
-        for _ in range(MAX_TURNS):
+        for turn in range(MAX_TURNS):
             choice = self._choose()
             reply = await self._ask_claim(choice)
             claim = reply.claim
@@ -80,6 +82,7 @@
             elif choice is None and claim.state is ClaimState.NOT_RUN:
                 raise self._build_refusal()
             self._attempts.restart()
+            await asyncio.sleep(TURN_PAUSE_S * turn)
         raise self._build_still_running()
 
     async def _ask_claim(self, choice: Choice | None) -> ClaimReply:
@@ -108,7 +111,7 @@
         try:
             alone = check_strikes(self._parts, self._call, RunStatus.NOT_RUN)
         except CallError:
-            await self._commit(claim, RunStatus.NOT_RUN)
+            await self._commit(claim, RunStatus.NOT_RUN, claim.boot)
             raise
         run = self._attempts.build_run(
             choice=choice, call_id=uuid.uuid4().hex, claim=claim.number, alone=alone
@@ -122,6 +125,7 @@
             if end.retry_after_ms:
                 self._hints.append(end.retry_after_ms)
             await self._follow_not_run(claim)
+            check_quarantined(end, RunStatus.NOT_RUN)
             if not self._parts.router.budget.spend():
                 raise self._build_refusal()
         return False
@@ -152,7 +156,7 @@
         if server is not None and server.boot == claim.boot:
             reply = await ask_fence(self._parts.pool, server, claim)
         if reply is None or server is None:
-            await self._settle_lost(claim)
+            await self._settle_lost(claim, boot=0)
             return False
         if reply.call_id:
             resume = ResumeCall(call_id=reply.call_id, offset=0, boot=claim.boot)
@@ -163,31 +167,33 @@
             return False
         if reply.run_status is RunStatus.NOT_RUN:
             await self._follow_not_run(claim)
-        else:
-            await self._settle_lost(claim)
+        elif reply.run_status is RunStatus.UNKNOWN:
+            await self._settle_lost(claim, boot=claim.boot)
         return False
 
     async def _follow_not_run(self, claim: Claim) -> None:
         """Have it committed that a fenced claim did not run."""
-        committed = (await self._commit(claim, RunStatus.NOT_RUN)).claim
+        reply = await self._commit(claim, RunStatus.NOT_RUN, claim.boot)
+        committed = reply.claim
         if committed is None:
             raise self._build_unavailable("no_quorum")
         if committed.state is ClaimState.NOT_RUN:
             self._replaces = claim.number
             self._is_fenced = True
 
-    async def _settle_lost(self, claim: Claim) -> None:
-        """Have a claim whose agent is gone committed as unknown.
+    async def _settle_lost(self, claim: Claim, boot: int) -> None:
+        """Have a claim whose outcome nobody knows committed as unknown.
 
-        Control agrees only when the agent's lease is over or it has another
-        boot number; until then the caller is asked to come back.
+        On the agent's own word, with its boot number, control takes it; else
+        only when the agent's lease is over or it has another boot number, and
+        until then the caller is asked to come back.
         """
-        reply = await self._commit(claim, RunStatus.UNKNOWN)
+        reply = await self._commit(claim, RunStatus.UNKNOWN, boot)
         if reply.claim is None or reply.claim.state is ClaimState.CLAIMED:
             raise self._build_still_running()
 
-    async def _commit(self, claim: Claim, status: RunStatus) -> OutcomeReply:
-        report = OutcomeReport(number=claim.number, run_status=status, boot=claim.boot)
+    async def _commit(self, claim: Claim, status: RunStatus, boot: int) -> OutcomeReply:
+        report = OutcomeReport(number=claim.number, run_status=status, boot=boot)
         reply = await self._parts.control.ask(
             paths.REPORT_OUTCOME, report, OutcomeReply, self._parts.claim_timeout_s
         )
