--- a/carobspring/routing/servers.py
+++ b/carobspring/routing/servers.py
@@ -1,6 +1,5 @@
 """What routing knows of one backend server."""
 
-from collections import deque
 from dataclasses import dataclass, field
 
 from carobspring.domain import BackendServer, LoadReport
@@ -8,7 +7,6 @@
 from carobspring.routing.limits import RoutingLimits
 from carobspring.routing.smoothing import SmoothedValue
 
-MAX_RECENT = 512
 #: Bounds of one observation of speed against the usual one.
 SLOWEST_RATIO = 5.0
 FASTEST_RATIO = 0.2
@@ -41,8 +39,8 @@
     load: LoadReport = field(default_factory=LoadReport)
     #: When the report came; zero before the first.
     load_at: float = 0.0
-    #: Times of own sends that the report may not show.
-    recent: deque[float] = field(default_factory=deque)
+    #: Own open calls that the report may not show, and when they were sent.
+    unseen: dict[str, float] = field(default_factory=dict)
     calls: dict[str, SentCall] = field(default_factory=dict)
     open_by_priority: dict[int, int] = field(default_factory=dict)
     #: Own observed duration against the usual one of the class.
@@ -57,8 +55,9 @@
         self.load = load
         self.load_at = now
         shown_until = now - self.limits.report_lag_s
-        while self.recent and self.recent[0] < shown_until:
-            self.recent.popleft()
+        shown = [name for name, sent in self.unseen.items() if sent < shown_until]
+        for name in shown:
+            del self.unseen[name]
         return True
 
     def take_sent(self, call_id: str, call: SentCall) -> None:
@@ -66,12 +65,11 @@
         self.calls[call_id] = call
         count = self.open_by_priority.get(call.priority, 0)
         self.open_by_priority[call.priority] = count + 1
-        self.recent.append(call.sent)
-        if len(self.recent) > MAX_RECENT:
-            self.recent.popleft()
+        self.unseen[call_id] = call.sent
 
     def take_end(self, call_id: str) -> SentCall | None:
         """Note that a call ended and return what was known of it."""
+        self.unseen.pop(call_id, None)
         call = self.calls.pop(call_id, None)
         if call is not None:
             self.open_by_priority[call.priority] -= 1
@@ -118,7 +116,7 @@
         own = sum(
             count for tier, count in self.open_by_priority.items() if tier >= priority
         )
-        return max(load.running + waiting + len(self.recent), float(own))
+        return max(load.running + waiting + len(self.unseen), float(own))
 
     def estimate_wait_ms(self, priority: int, service_ms: float, now: float) -> float:
         """Return the expected time until such a call would start."""
