Schedule by tiers, slack, shares and floors, within an adaptive limit

Change: scheduling as a sans-IO core: class queues with fair shares among workspaces, strict tiers, least slack inside a tier, a floor by count of starts, displacement of the lowest tier by a full queue, runs alone, an adaptive limit, headroom from recent bursts, Retry-After from the drain rate. Ruled out: a bound a class (it would refuse a higher call while lower ones keep their places); a floor of the same count for long and short calls. Conclusion: the order is proved on recorded decisions; not yet on the engine.

--- a/carobspring/agent/gate.py
+++ b/carobspring/agent/gate.py
@@ -14,7 +14,7 @@
 from carobspring.agent.records import CallRecord, CallState, CallTable
 from carobspring.agent.requests import build_backend_request
 from carobspring.agent.standing import Standing
-from carobspring.domain import LoadReport, RunStatus, ServiceKind
+from carobspring.domain import LoadReport, RunStatus, ServiceKind, Settings
 from carobspring.ports import (
     Backend,
     BackendCutError,
@@ -37,6 +37,7 @@
     CallArrived,
     CallEnded,
     CallWithdrawn,
+    ClassChanged,
     FirstTokenSeen,
     RefuseCall,
     Scheduler,
@@ -183,9 +184,16 @@
             sequence=self._sequence,
             draining=self.standing.draining,
             unhealthy=not self.health.healthy,
-            now=self._clock.read_monotonic(),
         )
 
+    def take_settings(self, settings: Settings) -> None:
+        """Take over newer settings, also for calls that wait."""
+        self.standing.take_settings(settings)
+        now = self._clock.read_monotonic()
+        for item in self.standing.settings.classes.values():
+            change = ClassChanged(service_class=item.name, priority=item.priority)
+            self._apply(self._scheduler.handle(change, now))
+
     def find_recent_strikes(self) -> tuple[Strike, ...]:
         """Return own strikes that control may not have heard of yet.
 
--- a/carobspring/programs/agent.py
+++ b/carobspring/programs/agent.py
@@ -11,7 +11,7 @@
 
 from carobspring.adapters.agent_service import AgentService
 from carobspring.adapters.backend_http import HttpBackend
-from carobspring.adapters.clock import SystemClock
+from carobspring.adapters.clock import SystemClock, SystemRandom
 from carobspring.adapters.control_link import ControlLink
 from carobspring.adapters.http_server import CircuitsHttpServer
 from carobspring.adapters.rpc import build_server
@@ -21,7 +21,7 @@
 from carobspring.programs.agent_status import AgentStatus
 from carobspring.programs.runner import Program, run_command_line
 from carobspring.protocol import AgentOrder, AgentReport
-from carobspring.scheduling import Scheduler
+from carobspring.scheduling import Scheduler, SchedulerLimits
 
 Port = Annotated[int, Meta(ge=0, le=65535)]
 Seconds = Annotated[float, Meta(ge=0.1, le=86400)]
@@ -59,6 +59,8 @@
     slots: Annotated[int, Meta(ge=1, le=100_000)] = 8
     #: Calls that may wait.
     queue_limit: Annotated[int, Meta(ge=1, le=1_000_000)] = 256
+    #: Calls above the limit for an engine that orders by ``priority`` itself.
+    overcommit: Annotated[int, Meta(ge=0, le=100_000)] = 0
     health_path: str = "/health"
     #: Seconds that a call goes on without a reader.
     orphan_s: Seconds = 30.0
@@ -110,7 +112,14 @@
         self._gate = Gate(
             standing=self._standing,
             backend=self._backend,
-            scheduler=Scheduler(slots=options.slots),
+            scheduler=Scheduler(
+                limits=SchedulerLimits(
+                    slots=options.slots,
+                    queue_calls=options.queue_limit,
+                    overcommit=options.overcommit,
+                ),
+                random=SystemRandom(),
+            ),
             clock=self._clock,
             table=CallTable(limits=TableLimits()),
             limits=GateLimits(orphan_s=options.orphan_s, hang_s=options.hang_s),
@@ -171,7 +180,7 @@
 
     def _take_order(self, order: AgentOrder) -> None:
         if order.settings is not None:
-            self._standing.take_settings(order.settings)
+            self._gate.take_settings(order.settings)
         if order.minimum_boot > self._standing.boot:
             self._standing.boot = order.minimum_boot
             self._link.hurry()
--- a/carobspring/scheduling/__init__.py
+++ b/carobspring/scheduling/__init__.py
@@ -7,6 +7,7 @@
     CallArrived,
     CallEnded,
     CallWithdrawn,
+    ClassChanged,
     FirstTokenSeen,
     RefuseCall,
     SchedulerAction,
@@ -14,15 +15,17 @@
     StartCall,
     TokensSeen,
 )
-from carobspring.scheduling.scheduler import Scheduler
+from carobspring.scheduling.scheduler import Scheduler, SchedulerLimits
 
 __all__ = [
     "CallArrived",
     "CallEnded",
     "CallWithdrawn",
+    "ClassChanged",
     "FirstTokenSeen",
     "RefuseCall",
     "Scheduler",
+    "SchedulerLimits",
     "SchedulerAction",
     "SchedulerEvent",
     "StartCall",
--- a/carobspring/scheduling/events.py
+++ b/carobspring/scheduling/events.py
@@ -57,7 +57,17 @@
     call_id: str
 
 
-SchedulerEvent = CallArrived | FirstTokenSeen | TokensSeen | CallEnded | CallWithdrawn
+@dataclass(frozen=True, kw_only=True)
+class ClassChanged:
+    """The operator gave a class another priority."""
+
+    service_class: str
+    priority: int
+
+
+SchedulerEvent = (
+    CallArrived | FirstTokenSeen | TokensSeen | CallEnded | CallWithdrawn | ClassChanged
+)
 
 
 @dataclass(frozen=True, kw_only=True)
--- a/carobspring/scheduling/scheduler.py
+++ b/carobspring/scheduling/scheduler.py
@@ -1,76 +1,308 @@
-"""The scheduler: which waiting call starts next."""
+"""The scheduler: which waiting call starts next, and which is refused."""
 
-from collections import deque
+from collections import Counter
+from dataclasses import dataclass
+from typing import Final
 
 from carobspring.domain import LoadReport
+from carobspring.ports import RandomSource
+from carobspring.scheduling.drain import DrainRate, RetryAdvisor
 from carobspring.scheduling.events import (
     CallArrived,
     CallEnded,
     CallWithdrawn,
+    ClassChanged,
+    FirstTokenSeen,
     RefuseCall,
     SchedulerAction,
     SchedulerEvent,
     StartCall,
+    TokensSeen,
 )
+from carobspring.scheduling.floor import ShareFloor, choose_window
+from carobspring.scheduling.headroom import Headroom
+from carobspring.scheduling.limit import FIRST_TOKEN_SHARE, ConcurrencyLimit
+from carobspring.scheduling.predictor import FadingMean, ServicePredictor
+from carobspring.scheduling.queues import ClassQueue, WaitingCall
 
-QUEUE_LIMIT = 256
+#: Engines take an integer where lower goes sooner.
+ENGINE_PRIORITY_BASE: Final = 100
+
+
+@dataclass(frozen=True, kw_only=True)
+class SchedulerLimits:
+    """Bounds of an agent's queues, and the size of its backend server."""
+
+    slots: int
+    #: Calls that may wait, of all classes together.
+    queue_calls: int = 256
+    #: Bytes of the requests that may wait.
+    queue_bytes: int = 16 * 1024 * 1024
+    #: Calls above the limit that engines with priorities are given, of tiers
+    #: above one that runs, so that they are next when a slot comes free.
+    overcommit: int = 0
+
+
+@dataclass(kw_only=True, eq=False)
+class RunningCall:
+    """A call in a slot."""
+
+    call: CallArrived
+    priority: int
+    expected_s: float
+    started_at: float
+    #: True when it was started above the limit, so its times say nothing.
+    over_limit: bool
 
 
 class Scheduler:
-    """First come, first served within a fixed limit."""
+    """Decides by events and the time alone; see docs/design/scheduling.md.
+
+    Example:
+        ``actions = scheduler.handle(CallArrived(...), now)``
+    """
 
-    def __init__(self, *, slots: int) -> None:
-        self._slots = slots
-        self._waiting: deque[CallArrived] = deque()
-        self._running: dict[str, CallArrived] = {}
+    def __init__(self, *, limits: SchedulerLimits, random: RandomSource) -> None:
+        self._limits = limits
+        self._limit = ConcurrencyLimit(slots=limits.slots)
+        self._headroom = Headroom()
+        self._floor = ShareFloor()
+        self._predictor = ServicePredictor()
+        self._drain = DrainRate()
+        self._advisor = RetryAdvisor(random=random)
+        self._queues: dict[str, ClassQueue] = {}
+        self._waiting: dict[str, WaitingCall] = {}
+        self._waiting_bytes = 0
+        self._running: dict[str, RunningCall] = {}
+        self._first_token = FadingMean()
+        self._token_gap = FadingMean()
 
     def handle(self, event: SchedulerEvent, now: float) -> list[SchedulerAction]:
         """Take in an event and return what the gate has to do."""
+        actions: list[SchedulerAction] = []
         match event:
             case CallArrived():
-                if len(self._waiting) >= QUEUE_LIMIT:
-                    call_id = event.call_id
-                    return [
-                        RefuseCall(
-                            call_id=call_id, reason="queue_full", retry_after_ms=1000
-                        )
-                    ]
-                self._waiting.append(event)
+                actions += self._take_arrival(event, now)
             case CallWithdrawn():
-                self._waiting = deque(
-                    call for call in self._waiting if call.call_id != event.call_id
-                )
+                self._remove(event.call_id)
+            case FirstTokenSeen():
+                self._note_first_token(event, now)
+            case TokensSeen():
+                self._note_tokens(event, now)
             case CallEnded():
-                self._running.pop(event.call_id, None)
-        actions: list[SchedulerAction] = []
-        while self._waiting and len(self._running) < self._slots:
-            call = self._waiting.popleft()
-            self._running[call.call_id] = call
-            actions.append(
-                StartCall(call_id=call.call_id, engine_priority=100 - call.priority)
-            )
-        return actions
+                self._note_end(event, now)
+            case ClassChanged():
+                queue = self._queues.get(event.service_class)
+                if queue is not None:
+                    queue.priority = event.priority
+        return actions + self._start_calls(now)
 
     def advise_retry(self, priority: int, now: float) -> int:
         """Return when it is worth asking again, in milliseconds."""
-        return 1000
+        ahead = sum(
+            queue.count for queue in self._queues.values() if queue.priority >= priority
+        )
+        rate = self._drain.read(now) if self._waiting else 0.0
+        if not rate:
+            service_s = self._predictor.predict_any()
+            rate = self._limit.value / service_s if service_s else 1.0
+        return self._advisor.advise(priority, ahead=ahead, rate=rate, now=now)
 
     def predict_service_s(self, service_class: str, workspace: str) -> float:
         """Return the time that such a call is expected to take in a slot."""
-        return 0.0
+        return self._predictor.predict(service_class, workspace)
 
     def count_running(self) -> int:
         """Return how many calls run now."""
         return len(self._running)
 
     def build_report(
-        self, *, sequence: int, draining: bool, unhealthy: bool, now: float
+        self, *, sequence: int, draining: bool, unhealthy: bool
     ) -> LoadReport:
         """Return the load as entries see it."""
+        waiting: Counter[int] = Counter()
+        for queue in self._queues.values():
+            if queue.count:
+                waiting[queue.priority] += queue.count
+        running = Counter(run.call.priority for run in self._running.values())
         return LoadReport(
             sequence=sequence,
             running=len(self._running),
-            limit=self._slots,
+            limit=self._limit.value,
+            waiting_by_priority=dict(waiting),
+            running_by_priority=dict(running),
+            service_ms=self._predictor.predict_any() * 1000,
+            first_token_ms=self._first_token.value * 1000,
+            token_gap_ms=self._token_gap.value * 1000,
             draining=draining,
             unhealthy=unhealthy,
         )
+
+    def _take_arrival(self, call: CallArrived, now: float) -> list[SchedulerAction]:
+        if call.target_s:
+            self._headroom.note_arrival(call.priority, now=now)
+        queue = self._queues.get(call.service_class)
+        if queue is None:
+            queue = ClassQueue(service_class=call.service_class, priority=call.priority)
+            self._queues[call.service_class] = queue
+        queue.priority = call.priority
+        refused: list[SchedulerAction] = []
+        while not self._has_room(call):
+            victim = self._find_victim(call)
+            if victim is None:
+                refused.append(self._refuse(call, now))
+                return refused
+            self._remove(victim.call.call_id)
+            refused.append(self._refuse(victim.call, now))
+        work_s = self._predictor.predict(call.service_class, call.workspace)
+        self._waiting[call.call_id] = queue.add(call, work_s=work_s, now=now)
+        self._waiting_bytes += call.size
+        window = self._choose_window(call.service_class)
+        self._floor.note_waiting(call.service_class, window=window)
+        return refused
+
+    def _has_room(self, call: CallArrived) -> bool:
+        if not self._waiting:
+            return True
+        return (
+            len(self._waiting) < self._limits.queue_calls
+            and self._waiting_bytes + call.size <= self._limits.queue_bytes
+        )
+
+    def _find_victim(self, call: CallArrived) -> WaitingCall | None:
+        """Return the waiting call that gives way to an arrival, if one does.
+
+        It is of the lowest tier; in the arrival's own tier only a workspace
+        that holds clearly more places than the arrival's gives way.
+        """
+        waiting = [queue for queue in self._queues.values() if queue.count]
+        lowest = min(queue.priority for queue in waiting)
+        if lowest > call.priority:
+            return None
+        tier = [queue for queue in waiting if queue.priority == lowest]
+        victim = max(tier, key=lambda queue: queue.count).find_victim()
+        if lowest < call.priority:
+            return victim
+        own = self._queues[call.service_class].count_of(call.workspace)
+        theirs = self._queues[victim.call.service_class].count_of(victim.call.workspace)
+        same = victim.call.workspace == call.workspace
+        return victim if theirs > own + 1 and not same else None
+
+    def _refuse(self, call: CallArrived, now: float) -> RefuseCall:
+        return RefuseCall(
+            call_id=call.call_id,
+            reason="queue_full",
+            retry_after_ms=self.advise_retry(call.priority, now),
+        )
+
+    def _remove(self, call_id: str) -> None:
+        item = self._waiting.pop(call_id, None)
+        if item is None:
+            return
+        queue = self._queues[item.call.service_class]
+        queue.remove(item)
+        self._waiting_bytes -= item.call.size
+        if not queue.count:
+            self._floor.note_empty(queue.service_class)
+
+    def _note_first_token(self, event: FirstTokenSeen, now: float) -> None:
+        run = self._running.get(event.call_id)
+        if run is None or not run.call.streamed:
+            return
+        took_s = now - run.started_at
+        self._first_token.add(took_s)
+        if not run.over_limit:
+            allowed_s = run.call.target_s * FIRST_TOKEN_SHARE
+            self._limit.add_sample(took_s, allowed_s, now=now)
+
+    def _note_tokens(self, event: TokensSeen, now: float) -> None:
+        run = self._running.get(event.call_id)
+        if run is not None:
+            self._token_gap.add(event.token_gap_s)
+            allowed_s = run.call.token_gap_s
+            self._limit.add_sample(event.token_gap_s, allowed_s, now=now)
+
+    def _note_end(self, event: CallEnded, now: float) -> None:
+        run = self._running.pop(event.call_id, None)
+        if run is None:
+            return
+        call = run.call
+        took_s = now - run.started_at
+        self._drain.add(now)
+        queue = self._queues[call.service_class]
+        queue.settle(call.workspace, expected_s=run.expected_s, took_s=took_s)
+        if event.whole:
+            self._predictor.add(call.service_class, call.workspace, took_s)
+            if not call.streamed:
+                self._limit.add_sample(took_s, call.target_s, now=now)
+
+    def _start_calls(self, now: float) -> list[SchedulerAction]:
+        actions: list[SchedulerAction] = []
+        while self._waiting:
+            item, priority = self._choose(now)
+            if not self._may_start(item.call, priority, now):
+                break
+            actions.append(self._start(item, priority, now))
+        return actions
+
+    def _choose(self, now: float) -> tuple[WaitingCall, int]:
+        """Return the next call, and the priority that it goes by.
+
+        A call whose class is due by the share floor goes by that of the
+        highest call that waits or runs, so that neither a reserve nor the
+        engine's own order holds it back.
+        """
+        waiting = [queue for queue in self._queues.values() if queue.count]
+        highest = max(queue.priority for queue in waiting)
+        overdue = self._floor.find_overdue()
+        if overdue is not None:
+            running = (run.priority for run in self._running.values())
+            return self._queues[overdue].find_next(now), max(highest, *running, 0)
+        tier = [queue for queue in waiting if queue.priority == highest]
+        queue = min(tier, key=lambda queue: queue.find_due(now))
+        return queue.find_next(now), highest
+
+    def _may_start(self, call: CallArrived, priority: int, now: float) -> bool:
+        running = len(self._running)
+        if not running:
+            return True
+        if call.alone or any(run.call.alone for run in self._running.values()):
+            return False
+        limit = self._limit.value
+        if running >= limit:
+            self._limit.note_full(now=now)
+            lowest = min(run.priority for run in self._running.values())
+            above = self._limits.overcommit if priority > lowest else 0
+            return running < limit + above
+        reserve = self._headroom.find_reserve(
+            priority, limit=limit, service_s=self._predictor.predict_any(), now=now
+        )
+        return running < limit - reserve
+
+    def _start(self, item: WaitingCall, priority: int, now: float) -> StartCall:
+        call = item.call
+        queue = self._queues[call.service_class]
+        queue.start(item)
+        del self._waiting[call.call_id]
+        self._waiting_bytes -= call.size
+        self._floor.note_start(
+            call.service_class,
+            window=self._choose_window(call.service_class),
+            waits=queue.count > 0,
+        )
+        self._running[call.call_id] = RunningCall(
+            call=call,
+            priority=priority,
+            expected_s=item.work_s,
+            started_at=now,
+            over_limit=len(self._running) >= self._limit.value,
+        )
+        return StartCall(
+            call_id=call.call_id, engine_priority=ENGINE_PRIORITY_BASE - priority
+        )
+
+    def _choose_window(self, service_class: str) -> int:
+        waiting = [queue for queue in self._queues.values() if queue.count]
+        others = (self._predictor.predict_class(q.service_class) for q in waiting)
+        work_s = self._predictor.predict_class(service_class)
+        return choose_window(work_s, others, classes=len(waiting))
--- /dev/null
+++ b/tests/scheduling/support.py
@@ -0,0 +1,72 @@
+"""A scheduler driven by name, and what it did."""
+
+from carobspring.ports import RandomSource
+from carobspring.scheduling import (
+    CallArrived,
+    CallEnded,
+    RefuseCall,
+    Scheduler,
+    SchedulerLimits,
+    StartCall,
+)
+
+
+class FixedRandom(RandomSource):
+    def draw_uniform(self) -> float:
+        return 0.0
+
+    def draw_index(self, count: int) -> int:
+        return 0
+
+
+class Driver:
+    """Feeds a scheduler and records starts, refusals and what runs."""
+
+    def __init__(self, *, slots=1, queue_calls=256, overcommit=0):
+        limits = SchedulerLimits(
+            slots=slots, queue_calls=queue_calls, overcommit=overcommit
+        )
+        self.scheduler = Scheduler(limits=limits, random=FixedRandom())
+        self.now = 0.0
+        self.calls = {}
+        self.waiting = set()
+        self.running = set()
+        self.starts = []
+        self.refused = []
+        self.advices = {}
+
+    def send(self, event):
+        actions = self.scheduler.handle(event, self.now)
+        for action in actions:
+            self.waiting.discard(action.call_id)
+            match action:
+                case StartCall():
+                    self.running.add(action.call_id)
+                    self.starts.append(action.call_id)
+                case RefuseCall():
+                    self.refused.append(action.call_id)
+                    self.advices[action.call_id] = action.retry_after_ms
+        return actions
+
+    def arrive(self, call_id, priority=0, service_class="", workspace="w", **fields):
+        call = CallArrived(
+            call_id=call_id,
+            workspace=workspace,
+            service_class=service_class or f"class-{priority}",
+            priority=priority,
+            **fields,
+        )
+        self.calls[call_id] = call
+        self.waiting.add(call_id)
+        return self.send(call)
+
+    def end(self, call_id, *, after=0.0, whole=True):
+        self.now += after
+        self.running.discard(call_id)
+        return self.send(CallEnded(call_id=call_id, whole=whole))
+
+    def run_all(self, *, after=1.0):
+        """End the calls one by one until none is left; return the starts."""
+        while self.running:
+            self.end(min(self.running, key=self.starts.index), after=after)
+        return self.starts
