--- /dev/null
+++ b/carobspring/control/sessions.py
@@ -0,0 +1,128 @@
+"""What one stream has been told, and what to tell it next."""
+
+from dataclasses import dataclass
+
+from carobspring.control.state import ControlState
+from carobspring.domain import Settings
+from carobspring.protocol import (
+    AgentOrder,
+    AgentReport,
+    EntryReport,
+    Strike,
+    ViewUpdate,
+)
+
+
+@dataclass(frozen=True, kw_only=True)
+class SharedNews:
+    """Settings and strikes that a stream has not been told yet."""
+
+    settings: Settings | None
+    strikes: tuple[Strike, ...]
+    released: tuple[Strike, ...]
+
+
+class SharedCursor:
+    """Finds what is new in settings and strikes for one stream."""
+
+    def __init__(self, *, state: ControlState) -> None:
+        self._state = state
+        self._revision = -1
+        self._strikes: tuple[Strike, ...] = ()
+        self._changes = -1
+
+    def take_news(self) -> SharedNews:
+        """Return what is new since the last call."""
+        settings = self._state.machine.settings.settings
+        book = self._state.machine.strikes
+        newer = settings.revision > self._revision
+        self._revision = max(self._revision, settings.revision)
+        added: tuple[Strike, ...] = ()
+        released: tuple[Strike, ...] = ()
+        if book.changes != self._changes:
+            strikes = book.list_all()
+            before, after = set(self._strikes), set(strikes)
+            added = tuple(strike for strike in strikes if strike not in before)
+            released = tuple(s for s in self._strikes if s not in after)
+            self._strikes, self._changes = strikes, book.changes
+        return SharedNews(
+            settings=settings if newer else None, strikes=added, released=released
+        )
+
+
+class AgentSession:
+    """One agent's stream: its reports in, orders out."""
+
+    def __init__(self, *, state: ControlState) -> None:
+        self._state = state
+        self._cursor = SharedCursor(state=state)
+        self._minimum_boot = 0
+        self._server_id = ""
+        self._boot = 0
+
+    def note_report(self, report: AgentReport) -> None:
+        """Take a report over into the table."""
+        state = self._state
+        if report.server is None:
+            return
+        self._server_id = report.server.server_id
+        self._boot = report.server.boot
+        view = state.members.view
+        was_own = state.members.is_own(self._server_id)
+        answer = state.members.note_report(report, state.clock.read_monotonic())
+        if answer.minimum_boot != self._minimum_boot:
+            self._minimum_boot = answer.minimum_boot
+            state.wakeups.wake_all()
+        if state.members.view != view:
+            state.own_changes += 1
+            state.wakeups.wake_all()
+        elif not was_own and answer.accepted:
+            # Peers must hear that the agent came over before they, who lost
+            # its stream, take it for gone.
+            state.own_changes += 1
+
+    def write_order(self) -> AgentOrder:
+        """Return the next order; an empty one is a heartbeat."""
+        news = self._cursor.take_news()
+        return AgentOrder(
+            settings=news.settings,
+            minimum_boot=self._minimum_boot,
+            strikes=news.strikes,
+            released=news.released,
+            drain=self._server_id in self._state.machine.drained,
+        )
+
+    def close(self) -> None:
+        """Note that the stream ended, planned or not."""
+        if self._server_id:
+            now = self._state.clock.read_monotonic()
+            self._state.members.note_broken_stream(self._server_id, self._boot, now)
+
+
+class EntrySession:
+    """One entry's stream: its reports in, the view and its deltas out."""
+
+    def __init__(self, *, state: ControlState) -> None:
+        self._state = state
+        self._cursor = SharedCursor(state=state)
+        self._view: int | None = None
+
+    def note_report(self, report: EntryReport) -> None:
+        """Take a report over into the table of entries."""
+        self._state.entries.note_report(report, self._state.clock.read_monotonic())
+
+    def write_update(self) -> ViewUpdate:
+        """Return what changed; an empty update is a heartbeat."""
+        delta = self._state.members.find_delta(self._view)
+        news = self._cursor.take_news()
+        self._view = delta.view
+        return ViewUpdate(
+            view=delta.view,
+            complete=delta.complete,
+            settings=news.settings,
+            servers=delta.servers,
+            loads=delta.loads or None,
+            removed=delta.removed,
+            strikes=news.strikes,
+            released=news.released,
+        )
--- a/carobspring/protocol/__init__.py
+++ b/carobspring/protocol/__init__.py
@@ -29,6 +29,7 @@
 from carobspring.protocol.control import (
     AgentOrder,
     AgentReport,
+    ClassAttainment,
     EntryReport,
     FetchSettings,
     SettingsReply,
@@ -47,6 +48,7 @@
     "ClaimReply",
     "ClaimRequest",
     "ClaimState",
+    "ClassAttainment",
     "EntryReport",
     "FenceClaim",
     "FenceReply",
--- a/carobspring/routing/__init__.py
+++ b/carobspring/routing/__init__.py
@@ -1,1 +1,20 @@
-"""Choice of a backend server, retries and limits at an entry."""
+"""The decision core of routing: which backend server a call goes to.
+
+Sans-IO: it takes typed events and the time, and returns typed choices.
+"""
+
+from carobspring.routing.errors import RoutingError, RoutingLimitError
+from carobspring.routing.limits import RoutingLimits
+from carobspring.routing.queries import AttemptEnd, Choice, PoolKey, RouteQuery
+from carobspring.routing.router import Router
+
+__all__ = [
+    "AttemptEnd",
+    "Choice",
+    "PoolKey",
+    "RouteQuery",
+    "Router",
+    "RoutingError",
+    "RoutingLimitError",
+    "RoutingLimits",
+]
