Write the page of options from their checked types, and hide secrets

Cause: agent's options were explained by half and a secret that is too short was printed by the error that refused it; control had a default secret. Before: the test of explained options failed for carob-agent, that of the hidden secret would print 'short' (seen by reading). After: both pass.

--- a/carobspring/programs/agent.py
+++ b/carobspring/programs/agent.py
@@ -33,40 +33,53 @@
 
 @dataclass(frozen=True, kw_only=True)
 class AgentOptions:
-    """Runs the agent of one backend server.
-
-    Flags, each with its variable CAROB_NAME: --server_id names the place,
-    --service the service that it belongs to, --kind is model or plain, --zone
-    its availability zone, --backend the base URL of the backend server,
-    --control the control replicas as host:port,host:port, --secret the secret
-    that the system's own processes share.
+    """Run the agent beside one backend server.
+
+    Every flag can be given as a variable too: --server-id as CAROB_SERVER_ID.
+
+    Args:
+        server_id: Name of the backend server's place, the same after a
+            restart.
+        service: Service that the backend server belongs to.
+        backend: Base URL of the backend server, with its IP number.
+        secret: Shared secret of the system's own processes.
+        control: Control replicas' gRPC addresses, as host:port,host:port.
+        kind: A model's runner, or any other application.
+        zone: Availability zone that this agent runs in.
+        host: IP number that is listened on and announced.
+        rpc_port: Port for entries; 0 takes a free one.
+        http_port: Port of /metrics, /healthz and /readyz; 0 takes a free one.
+        models: Names of the models that the backend server has, by commas.
+        slots: Calls that the backend server is said to work on at once.
+        queue_limit: Calls that may wait.
+        overcommit: Calls above the limit that are sent on to an engine which
+            orders by ``priority`` itself.
+        health_path: Path that answers 200 while the backend server is well.
+        orphan_s: Seconds that a call goes on without a reader.
+        hang_s: Seconds without a byte, at least, before an engine counts as
+            hanging.
+        drain_s: Seconds that a planned stop waits for calls in flight.
+        log_format: Form of the log lines.
+        log_level: DEBUG, INFO, WARNING or ERROR.
     """
 
     server_id: str
     service: str
     backend: str
-    secret: str
+    secret: Annotated[str, Meta(min_length=8)]
     control: str = ""
     kind: Literal["model", "plain"] = "model"
     zone: str = "a"
-    #: IP number that is listened on and announced.
     host: str = "127.0.0.1"
     rpc_port: Port = 0
     http_port: Port = 0
-    #: Names of the models that the backend server has, by commas.
     models: str = ""
-    #: Calls that the backend server works on at once.
     slots: Annotated[int, Meta(ge=1, le=100_000)] = 8
-    #: Calls that may wait.
     queue_limit: Annotated[int, Meta(ge=1, le=1_000_000)] = 256
-    #: Calls above the limit for an engine that orders by ``priority`` itself.
     overcommit: Annotated[int, Meta(ge=0, le=100_000)] = 0
     health_path: str = "/health"
-    #: Seconds that a call goes on without a reader.
     orphan_s: Seconds = 30.0
-    #: Seconds without a byte, at least, before an engine counts as hanging.
     hang_s: Seconds = 10.0
-    #: Seconds that a planned stop waits for calls in flight.
     drain_s: Seconds = 600.0
     log_format: Literal["text", "json"] = "text"
     log_level: str = "INFO"
--- a/carobspring/programs/control.py
+++ b/carobspring/programs/control.py
@@ -67,6 +67,7 @@
         log_level: DEBUG, INFO, WARNING or ERROR.
     """
 
+    secret: Annotated[str, Meta(min_length=8)]
     replica_id: Annotated[str, Meta(min_length=1, max_length=63)] = "control-1"
     zone: Annotated[str, Meta(min_length=1, max_length=63)] = "a"
     host: str = "127.0.0.1"
@@ -74,7 +75,6 @@
     admin_port: Annotated[int, Meta(ge=0, le=65535)] = 7101
     data_dir: str = ""
     peers: str = ""
-    secret: Annotated[str, Meta(min_length=8)] = "carob-loopback"
     operator_token: str = ""
     operators: str = ""
     log_format: Annotated[str, Meta(pattern="^(text|json)$")] = "text"
--- a/carobspring/programs/options.py
+++ b/carobspring/programs/options.py
@@ -18,6 +18,9 @@
 
 PREFIX = "CAROB_"
 
+#: Options whose values are secrets: no error, page or log shows them.
+SECRET_OPTIONS = frozenset({"secret", "operator_token", "operators"})
+
 Options = TypeVar("Options", bound="DataclassInstance")
 
 
@@ -79,5 +82,6 @@
     try:
         return msgspec.convert(text, hint, strict=False)  # type: ignore[call-overload]
     except msgspec.ValidationError as error:
-        reason = f"got {value!r}: {error}"
+        shown = "(hidden)" if name in SECRET_OPTIONS else repr(value)
+        reason = f"got {shown}: {error}"
         raise OptionError(name=name, source=source, reason=reason) from error
--- a/tests/programs/test_options.py
+++ b/tests/programs/test_options.py
@@ -11,6 +11,7 @@
 class ExampleOptions:
     port: Annotated[int, Meta(ge=1, le=65535)]
     zone: str = "a"
+    secret: Annotated[str, Meta(min_length=8)] = "not given"
     fast: bool = False
 
 
@@ -41,6 +42,11 @@
             "missing": ({}, {}, "--port: is needed .*CAROB_PORT"),
             "range": ({"port": 70000}, {}, "--port: got 70000: .*<= 65535"),
             "type": ({}, {"CAROB_PORT": "x"}, "CAROB_PORT: got 'x'"),
+            "secret": (
+                {"port": 1, "secret": "short"},
+                {},
+                r"--secret: got \(hidden\): .*length >= 8",
+            ),
             "unknown": ({"prt": 1}, {}, "--prt: no such flag; there are --port"),
         }
         for name, (flags, environ, message) in cases.items():
