--- a/carobspring/entry/channels.py
+++ b/carobspring/entry/channels.py
@@ -81,14 +81,22 @@
             shared.channel.close()
 
 
-async def connect(channel: Channel, timeout_s: float) -> None:
+async def connect(channel: Channel, timeout_s: float) -> float | None:
     """Make sure that a connection stands, before anything is sent on it.
 
+    Returns the seconds that a new one took, which is one round trip, or None
+    when it stood already.
+
     Raises:
         OSError: The address refuses, or doesn't answer in time.
     """
+    if channel._connected:
+        return None
+    loop = asyncio.get_running_loop()
+    began = loop.time()
     try:
         async with asyncio.timeout(timeout_s):
             await channel.__connect__()
     except TimeoutError as error:
         raise ConnectionError("no connection in time") from error
+    return loop.time() - began
--- a/carobspring/entry/control.py
+++ b/carobspring/entry/control.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass
 from typing import Any, TypeVar
 
+from aioprometheus import Gauge
 from grpclib.client import Channel
 from grpclib.const import Cardinality
 
@@ -62,6 +63,7 @@
         open_channel: ChannelOpener,
         build_report: Callable[[], EntryReport],
         apply_update: Callable[[ViewUpdate], None],
+        connected: Gauge,
         first: int = 0,
     ) -> None:
         self._addresses = addresses
@@ -69,8 +71,9 @@
         self._build_report = build_report
         self._apply_update = apply_update
         self._next = first
+        self._gauge = connected
+        self._gauge.set({}, 0)
         self.connected = False
-        self.reconnects = 0
 
     async def run(self) -> None:
         """Follow views until cancelled."""
@@ -86,8 +89,7 @@
                 channel.close()
             if self.connected:
                 logger.warning("lost control replica %s: %s", address, reason)
-            self.connected = False
-            self.reconnects += 1
+            self._note_connected(False)
             self._next += 1
             await asyncio.sleep(RECONNECT_PAUSE_S)
 
@@ -103,13 +105,18 @@
             try:
                 while (update := await stream.recv_message()) is not None:
                     patience.reschedule(loop.time() + SILENCE_S)
-                    self.connected = True
+                    self._note_connected(True)
                     self._apply_update(update)
                     if update.settings is not None:
                         await stream.send_message(self._build_report())
             finally:
                 reporter.cancel()
 
+    def _note_connected(self, connected: bool) -> None:
+        if connected is not self.connected:
+            self.connected = connected
+            self._gauge.set({}, int(connected))
+
     async def _report_often(self, stream: Any) -> None:
         while True:
             await asyncio.sleep(REPORT_INTERVAL_S)
--- a/carobspring/entry/following.py
+++ b/carobspring/entry/following.py
@@ -24,6 +24,8 @@
 AGENT_LOST = "agent_lost"
 
 Deliver = Callable[[CallEvent], Awaitable[None]]
+#: Takes a zone and the milliseconds of a round trip to it.
+NoteRoundTrip = Callable[[str, float], None]
 STREAM_ERRORS = (GRPCError, StreamTerminatedError, OSError, TimeoutError)
 
 
@@ -61,9 +63,16 @@
     then resumed at the offset.
     """
 
-    def __init__(self, *, pool: ChannelPool, limits: FollowLimits) -> None:
+    def __init__(
+        self,
+        *,
+        pool: ChannelPool,
+        limits: FollowLimits,
+        note_round_trip: NoteRoundTrip,
+    ) -> None:
         self._pool = pool
         self._limits = limits
+        self._note_round_trip = note_round_trip
 
     async def follow(
         self,
@@ -110,7 +119,9 @@
     ) -> None:
         with self._pool.share(server) as shared:
             try:
-                await connect(shared.channel, self._limits.connect_s)
+                round_trip_s = await connect(shared.channel, self._limits.connect_s)
+                if round_trip_s is not None:
+                    self._note_round_trip(server.zone, round_trip_s * 1000)
                 await self._read_events(shared, request, deliver, progress)
             except STREAM_ERRORS as error:
                 if not isinstance(error, GRPCError):
--- a/carobspring/programs/entry.py
+++ b/carobspring/programs/entry.py
@@ -84,7 +84,11 @@
         self._pool = ChannelPool(self._open_channel)
         self._canceller = CallCanceller(self._pool)
         self._router = Router(random=random, zone=options.zone)
-        follower = CallFollower(pool=self._pool, limits=FollowLimits())
+        follower = CallFollower(
+            pool=self._pool,
+            limits=FollowLimits(),
+            note_round_trip=self._router.zones.record_round_trip,
+        )
         self._control = ControlClient(
             addresses=addresses, open_channel=self._open_channel
         )
@@ -107,6 +111,7 @@
             open_channel=self._open_channel,
             build_report=self._build_report,
             apply_update=self._apply_update,
+            connected=self._measures.connected,
             first=random.draw_index(len(addresses)),
         )
         self._server = CircuitsHttpServer(
--- a/tests/entry/test_following.py
+++ b/tests/entry/test_following.py
@@ -20,16 +20,25 @@
         self.pool = ChannelPool(
             lambda host, port: open_channel(host=host, port=port, secret=SECRET)
         )
-        self.follower = CallFollower(pool=self.pool, limits=LIMITS)
+        self.follower = self.build_follower(LIMITS)
         self.progress = CallProgress(call_id="c1")
         self.statuses = []
         self.data = b""
+        self.zones = []
 
     async def asyncTearDown(self):
         """Stop the agent."""
         self.pool.close()
         self.agent.stop()
 
+    def build_follower(self, limits):
+        """Return a follower that keeps the zones it measured."""
+        return CallFollower(
+            pool=self.pool,
+            limits=limits,
+            note_round_trip=lambda zone, _: self.zones.append(zone),
+        )
+
     async def follow(self):
         """Run call c1 and return its end."""
 
@@ -107,6 +116,7 @@
         end = await self.follow()
         self.assertEqual((end, self.statuses, self.data), (RAN, [200], BODY))
         self.assertGreater(self.progress.duplicates, 0)
+        self.assertEqual(self.zones, ["z1"])
 
     async def test_end_of_stream_is_no_end_of_call(self):
         """A stream that closes without an end event is resumed."""
@@ -148,7 +158,7 @@
         self.agent.stop()
         end = await self.follow()
         never = CallEnd(run_status=RunStatus.NOT_RUN, reason="unreachable")
-        self.assertEqual(end, never)
+        self.assertEqual((end, self.zones), (never, []))
 
     async def test_refused_after_sending_is_unknown(self):
         """A call whose agent died after it was sent may have run."""
@@ -182,7 +192,7 @@
 
         self.agent.on_run = hold
         slow = replace(LIMITS, silence_s=60.0)
-        self.follower = CallFollower(pool=self.pool, limits=slow)
+        self.follower = self.build_follower(slow)
         calls = [asyncio.ensure_future(self.follow()) for _ in range(130)]
         async with asyncio.timeout(60):
             while len(self.agent.runs) < 130:
