Found a cluster of one replica at its first event

Cause: founding was tried only on another replica's hello, so a sole replica with a data folder never led; the demo ended with 'no control replica leads'. Ruled out: LocalLog for one replica, which forgets at a restart. Change: a replica that may found and has no peers founds at its first event. Before: tests.consensus.test_founding_alone fails; after: it passes, demo exits 0.

--- a/carobspring/consensus/node.py
+++ b/carobspring/consensus/node.py
@@ -141,6 +141,8 @@
 
     def step(self, event: Event, now: float) -> None:
         """Take in one event."""
+        if self._founding and not self._peers and not self._state.cluster:
+            self._found()
         self._pass_time(now)
         if isinstance(event, MessageReceived):
             self._take_message(event.message, now)
@@ -224,18 +226,23 @@
             return
         self._hellos[hello.name] = hello
         if not state.cluster and self._founding:
-            configuration = found_cluster(
-                identity=state.identity,
-                name=self.name,
-                peers=self._peers,
-                hellos=self._hellos,
-                random=state.random,
-            )
-            if configuration is not None:
-                self._take_over(configuration)
+            self._found()
         else:
             self._invite(hello)
 
+    def _found(self) -> None:
+        """Found the cluster when every other name has said hello."""
+        state = self._state
+        configuration = found_cluster(
+            identity=state.identity,
+            name=self.name,
+            peers=self._peers,
+            hellos=self._hellos,
+            random=state.random,
+        )
+        if configuration is not None:
+            self._take_over(configuration)
+
     def _invite(self, hello: Hello) -> None:
         """Tell a founding member of the cluster that it belongs to it."""
         state = self._state
