--- a/standins/caller.py
+++ b/standins/caller.py
@@ -97,25 +97,26 @@
         entry: str,
         method: str,
         path: str,
-        body: Mapping[str, object] | None = None,
+        body: Mapping[str, object] | bytes | None = None,
         headers: Mapping[str, str] | None = None,
     ) -> Answer:
-        """Call a plain service; any answer below status 400 is whole."""
+        """Call a path with JSON or bytes; a status below 400 is whole."""
         return await self._send(method, entry + path, body, headers or {})
 
     async def _send(
         self,
         method: str,
         url: str,
-        body: Mapping[str, object] | None,
+        body: Mapping[str, object] | bytes | None,
         headers: Mapping[str, str],
     ) -> Answer:
+        content = body if isinstance(body, bytes | None) else encode_body(body)
         sent = time.monotonic()
         authorization = {"Authorization": f"Bearer {self._key}"}
         first, pieces, status = 0.0, [], 0
         try:
             async with self._client.request(
-                method, url, json=body, headers=authorization | dict(headers)
+                method, url, data=content, headers=authorization | dict(headers)
             ) as response:
                 status = response.status
                 async for data in response.content.iter_any():
@@ -149,6 +150,11 @@
         )
 
 
+def encode_body(body: Mapping[str, object]) -> bytes:
+    """Return a JSON body."""
+    return json.dumps(body).encode()
+
+
 def judge_completion(body: bytes, prompt: Prompt) -> Verdict:
     """Say whether a chat answer is the whole answer to this prompt."""
     if prompt.stream:
--- a/standins/deployment.py
+++ b/standins/deployment.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import contextlib
-import json
 import os
 import secrets
 import signal
@@ -305,11 +304,14 @@
 
 def list_flags(flags: Mapping[str, object]) -> list[str]:
     """Return flags as a command line takes them; empty ones are left out."""
-    return [
-        f"--{name.replace('_', '-')}={json.dumps(value) if value is True else value}"
-        for name, value in flags.items()
-        if value is not None and value is not False and value != ""
-    ]
+    words = []
+    for name, value in flags.items():
+        if value is None or value is False or value == "":
+            continue
+        flag = name.replace("_", "-")
+        text = "true" if value is True else value
+        words.append(f"--{flag}={text}")
+    return words
 
 
 @contextlib.asynccontextmanager
--- a/standins/setup.py
+++ b/standins/setup.py
@@ -34,7 +34,7 @@
         workspaces: Each workspace's default class.
         plain_services: Each plain service's unrepeatable paths.
     """
-    keys = {name: generate_key() for name in workspaces}
+    keys = {name: generate_key(name) for name in workspaces}
     changes = [Change(set_class=service_class) for service_class in classes]
     for name, default_class in workspaces.items():
         spec = WorkspaceSpec(name=name, default_class=default_class)
