--- a/standins/deployment.py
+++ b/standins/deployment.py
@@ -154,6 +154,7 @@
         self.programs: list[RunningProgram] = []
         self.controls: list[str] = []
         self.admin = ""
+        self.peers = ""
         self._python = python
         self._source = source or Path(__file__).resolve().parent.parent
         self._folder = tempfile.TemporaryDirectory(prefix="carob-")
@@ -224,9 +225,11 @@
         """Start one replica a zone, each knowing all the others."""
         names = [f"c{index + 1}" for index in range(len(zones))]
         ports = {name: reserve_port() for name in names}
-        peers = ",".join(f"{name}={LOOPBACK}:{ports[name]}" for name in names)
+        addresses = (f"{LOOPBACK}:{port}" for port in ports.values())
+        pairs = zip(names, addresses, strict=True)
+        self.peers = ",".join("=".join(pair) for pair in pairs)
         starts = (
-            self.start_control(name, zone, rpc_port=ports[name], peers=peers)
+            self.start_control(name, zone, rpc_port=ports[name], peers=self.peers)
             for name, zone in zip(names, zones, strict=True)
         )
         return list(await asyncio.gather(*starts))
--- a/standins/setup.py
+++ b/standins/setup.py
@@ -57,7 +57,8 @@
 ) -> int:
     """Send one change to a control replica; return the new revision."""
     client = AdminClient(
-        addresses=(admin or deployment.admin,), token=deployment.operator_token
+        addresses=tuple((admin or deployment.admin).split(",")),
+        token=deployment.operator_token,
     )
     order = ChangeOrder(
         change_id=secrets.token_hex(8),
--- /dev/null
+++ b/tests/endtoend/test_control.py
@@ -0,0 +1,59 @@
+import re
+
+from carobspring.domain import ServiceClass
+from carobspring.settings import Change
+from standins.caller import Verdict
+from standins.deployment import wait_until
+from standins.setup import send_changes
+from tests.endtoend.cluster import TARGET, ClusterCase
+
+
+class ControlTests(ClusterCase):
+    replicas = 3
+
+    async def change_class(self, control, base_revision):
+        change = Change(
+            set_class=ServiceClass(name="blurb", priority=base_revision, target=TARGET)
+        )
+        return await send_changes(
+            self.deployment,
+            [change],
+            base_revision=base_revision,
+            admin=control.address("admin"),
+        )
+
+    async def read_revision(self, entry):
+        async with self.client.get(f"{entry.url()}/readyz") as response:
+            return (await response.json())["revision"]
+
+    async def wait_in_force(self, revision):
+        async def is_in_force():
+            seen = [await self.read_revision(entry) for entry in self.entries]
+            return all(number >= revision for number in seen)
+
+        await wait_until(is_in_force, f"revision {revision} at both entries")
+
+    async def test_settings_and_frozen_leader(self):
+        """A change through any replica is in force everywhere and stays."""
+        leader = await self.find_leader()
+        others = [control for control in self.controls if control is not leader]
+        revision = await self.change_class(others[0], 1)
+        await self.wait_in_force(revision)
+        leader.freeze()
+        revision = await self.change_class(others[1], revision)
+        leader.thaw()
+        status = await self.deployment.ctl("status", admin=leader.address("admin"))
+        seen = int(re.search(r"revision (\d+)", status)[1])
+        self.assertEqual(seen, revision)
+        await self.wait_in_force(revision)
+        revision = await self.change_class(leader, revision)
+        await self.wait_in_force(revision)
+
+    async def test_loss_of_all_replicas(self):
+        """Callers are served while every control replica is gone."""
+        for control in self.controls:
+            await control.kill()
+        for _ in range(10):
+            for entry in self.entries:
+                answer = await self.ask(entry, tokens=30)
+                self.assertIs(answer.verdict, Verdict.WHOLE, answer)
