--- a/carobspring/consensus/node.py
+++ b/carobspring/consensus/node.py
@@ -141,7 +141,7 @@
 
     def step(self, event: Event, now: float) -> None:
         """Take in one event."""
-        if self._founding and not self._peers and not self._state.cluster:
+        if not self._state.cluster and self._founding and not self._peers:
             self._found()
         self._pass_time(now)
         if isinstance(event, MessageReceived):
@@ -231,7 +231,7 @@
             self._invite(hello)
 
     def _found(self) -> None:
-        """Found the cluster when every other name has said hello."""
+        """Found the cluster once every other founder has said hello."""
         state = self._state
         configuration = found_cluster(
             identity=state.identity,
