Keep a stalled caller from its neighbours; name the revision in answers

Cause: one caller that reads nothing could hold the whole window of the connection that its call shares (grpclib: 4 MiB a stream and a connection). Change: 64 KiB a stream, 8 MiB a connection; a silent stream opens the breaker at once; answers and errors carry X-Carob-Revision; a model whose servers are all gone is 503, not 404. Proof: tests.entry.test_following test_stalled_caller_holds_up_no_other.

--- a/carobspring/adapters/rpc.py
+++ b/carobspring/adapters/rpc.py
@@ -22,6 +22,9 @@
 SECRET_METADATA_KEY = "carob-secret"
 KEEPALIVE_INTERVAL_S = 5.0
 KEEPALIVE_TIMEOUT_S = 3.0
+#: Unread bytes of one stream; a hundred stalled ones leave room for others.
+STREAM_WINDOW_BYTES = 64 * 1024
+CONNECTION_WINDOW_BYTES = 8 * 1024 * 1024
 
 Message = TypeVar("Message")
 
@@ -55,6 +58,8 @@
         _keepalive_time=KEEPALIVE_INTERVAL_S,
         _keepalive_timeout=KEEPALIVE_TIMEOUT_S,
         _keepalive_permit_without_calls=True,
+        http2_stream_window_size=STREAM_WINDOW_BYTES,
+        http2_connection_window_size=CONNECTION_WINDOW_BYTES,
     )
     channel = Channel(host, port, codec=MessagePackCodec(), config=config)
 
--- a/carobspring/entry/__init__.py
+++ b/carobspring/entry/__init__.py
@@ -11,8 +11,14 @@
 )
 from carobspring.entry.driver import CallDriver
 from carobspring.entry.errors import ERROR_KINDS, CallError
-from carobspring.entry.following import CallFollower, CallProgress, FollowLimits
+from carobspring.entry.following import (
+    CallFollower,
+    CallProgress,
+    FollowLimits,
+    LinkObserver,
+)
 from carobspring.entry.measures import CallTimes, EntryMeasures
+from carobspring.entry.observing import RouterObserver
 from carobspring.entry.parts import DriverParts
 from carobspring.entry.state import EntryState
 from carobspring.entry.unique import UniqueCallDriver
@@ -34,6 +40,8 @@
     "EntryMeasures",
     "EntryState",
     "FollowLimits",
+    "LinkObserver",
+    "RouterObserver",
     "UniqueCallDriver",
     "parse_addresses",
 ]
--- a/carobspring/entry/answers.py
+++ b/carobspring/entry/answers.py
@@ -14,6 +14,8 @@
 #: Bytes of a whole answer that are kept back; a longer one is streamed on.
 MAX_KEPT_BYTES = 4 * 1024 * 1024
 
+REVISION_HEADER = "X-Carob-Revision"
+
 #: Headers of the backend server's answer that hold for one hop.
 HOP_HEADERS = frozenset(
     {
@@ -25,6 +27,7 @@
         "trailer",
         "transfer-encoding",
         "upgrade",
+        REVISION_HEADER.lower(),
     }
 )
 
@@ -36,6 +39,14 @@
     )
 
 
+def name_revision(revision: int) -> tuple[str, str]:
+    """Return the header that names the settings an answer was given by.
+
+    A caller that sends it back is never served by older ones.
+    """
+    return (REVISION_HEADER, str(revision))
+
+
 class CallerAnswer(ABC):
     """The answer to one caller, fed by the call's driver.
 
@@ -43,8 +54,9 @@
     start over elsewhere, after ``restart``.
     """
 
-    def __init__(self, responder: HttpResponder) -> None:
+    def __init__(self, responder: HttpResponder, revision: int) -> None:
         self._responder = responder
+        self._revision = name_revision(revision)
         self._head: ResponseHead | None = None
         self.begun = False
 
@@ -80,15 +92,15 @@
 
     async def _send_error(self, error: CallError) -> None:
         self.begun = True
-        await self._responder.send(
-            error.status, error.build_headers(), error.build_body()
-        )
+        headers = (*error.build_headers(), self._revision)
+        await self._responder.send(error.status, headers, error.build_body())
 
     async def _begin(self) -> None:
         if not self.begun:
             self.begun = True
             head = self._head or ResponseHead(status=200)
-            await self._responder.start(head.status, pick_headers(head.headers))
+            headers = (*pick_headers(head.headers), self._revision)
+            await self._responder.start(head.status, headers)
 
 
 class StreamedAnswer(CallerAnswer):
@@ -117,8 +129,8 @@
 class WholeAnswer(CallerAnswer):
     """An answer that is kept back until it is whole."""
 
-    def __init__(self, responder: HttpResponder) -> None:
-        super().__init__(responder)
+    def __init__(self, responder: HttpResponder, revision: int) -> None:
+        super().__init__(responder, revision)
         self._kept = bytearray()
 
     def restart(self) -> None:
@@ -144,9 +156,8 @@
             return
         self.begun = True
         head = self._head or ResponseHead(status=200)
-        await self._responder.send(
-            head.status, pick_headers(head.headers), bytes(self._kept)
-        )
+        headers = (*pick_headers(head.headers), self._revision)
+        await self._responder.send(head.status, headers, bytes(self._kept))
 
     async def fail(self, error: CallError) -> None:
         """Send the error, or cut off an answer that has begun."""
--- a/carobspring/entry/api.py
+++ b/carobspring/entry/api.py
@@ -10,7 +10,12 @@
 
 from carobspring.adapters.metrics import CONTENT_TYPE, Metrics
 from carobspring.domain import RunStatus, ServiceKind, Workspace
-from carobspring.entry.answers import CallerAnswer, StreamedAnswer, WholeAnswer
+from carobspring.entry.answers import (
+    CallerAnswer,
+    StreamedAnswer,
+    WholeAnswer,
+    name_revision,
+)
 from carobspring.entry.driver import CallDriver, advise_retry
 from carobspring.entry.errors import CallError
 from carobspring.entry.parts import DriverParts
@@ -41,8 +46,9 @@
                 await self._serve_call(request, responder)
         except CallError as error:
             self._parts.measures.errors.inc({"code": error.code})
-            headers, body = error.build_headers(), error.build_body()
-            await responder.send(error.status, headers, body)
+            revision = self._parts.state.settings.revision
+            headers = (*error.build_headers(), name_revision(revision))
+            await responder.send(error.status, headers, error.build_body())
 
     async def _answer_locally(
         self, request: HttpRequest, responder: HttpResponder
@@ -76,7 +82,7 @@
         call = read_call(request, state.settings, workspace, now)
         self._check_target(call)
         answer_type = StreamedAnswer if call.stream else WholeAnswer
-        answer: CallerAnswer = answer_type(responder)
+        answer: CallerAnswer = answer_type(responder, state.settings.revision)
         with self._count_open(workspace):
             try:
                 await self._drive(call, answer, responder)
@@ -131,7 +137,7 @@
 
     def _check_target(self, call: CallerRequest) -> None:
         key = PoolKey(kind=call.kind, target=call.target)
-        if call.kind is ServiceKind.MODEL and not self._parts.router.has_pool(key):
+        if call.kind is ServiceKind.MODEL and not self._parts.router.knows_pool(key):
             message = f"There is no model {call.target!r} here; see /v1/models."
             raise CallError(code="model_not_found", message=message)
 
--- a/carobspring/entry/following.py
+++ b/carobspring/entry/following.py
@@ -1,6 +1,7 @@
 """Following a call's events to its end, across broken connections."""
 
 import asyncio
+from abc import ABC, abstractmethod
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 
@@ -16,7 +17,7 @@
 #: Seconds without any event after which a stream is taken for dead.
 SILENCE_S = 3.0
 CONNECT_S = 1.0
-RESUME_ATTEMPTS = 4
+RESUME_ATTEMPTS = 2
 RESUME_PAUSE_S = 0.1
 
 #: Reasons of ends that the entry itself found.
@@ -24,8 +25,6 @@
 AGENT_LOST = "agent_lost"
 
 Deliver = Callable[[CallEvent], Awaitable[None]]
-#: Takes a zone and the milliseconds of a round trip to it.
-NoteRoundTrip = Callable[[str, float], None]
 STREAM_ERRORS = (GRPCError, StreamTerminatedError, OSError, TimeoutError)
 
 
@@ -55,6 +54,18 @@
     duplicates: int = 0
 
 
+class LinkObserver(ABC):
+    """Hears what the follower learns of the way to an agent."""
+
+    @abstractmethod
+    def note_round_trip(self, server: BackendServer, round_trip_ms: float) -> None:
+        """Take a measured round trip; called for each new connection."""
+
+    @abstractmethod
+    def note_broken_stream(self, server: BackendServer) -> None:
+        """Take a stream that broke or went silent; called for each."""
+
+
 class CallFollower:
     """Runs or resumes calls at agents and hands over their events in order.
 
@@ -68,11 +79,11 @@
         *,
         pool: ChannelPool,
         limits: FollowLimits,
-        note_round_trip: NoteRoundTrip,
+        observer: LinkObserver,
     ) -> None:
         self._pool = pool
         self._limits = limits
-        self._note_round_trip = note_round_trip
+        self._observer = observer
 
     async def follow(
         self,
@@ -97,6 +108,7 @@
                 failures += 1
             except STREAM_ERRORS:
                 progress.broken_streams += 1
+                self._observer.note_broken_stream(server)
             if progress.end is not None:
                 return progress.end
             if not progress.sent:
@@ -121,7 +133,7 @@
             try:
                 round_trip_s = await connect(shared.channel, self._limits.connect_s)
                 if round_trip_s is not None:
-                    self._note_round_trip(server.zone, round_trip_s * 1000)
+                    self._observer.note_round_trip(server, round_trip_s * 1000)
                 await self._read_events(shared, request, deliver, progress)
             except STREAM_ERRORS as error:
                 if not isinstance(error, GRPCError):
--- a/carobspring/programs/entry.py
+++ b/carobspring/programs/entry.py
@@ -22,6 +22,7 @@
     EntryMeasures,
     EntryState,
     FollowLimits,
+    RouterObserver,
     parse_addresses,
 )
 from carobspring.ports import HttpLimits
@@ -87,7 +88,7 @@
         follower = CallFollower(
             pool=self._pool,
             limits=FollowLimits(),
-            note_round_trip=self._router.zones.record_round_trip,
+            observer=RouterObserver(router=self._router, clock=clock),
         )
         self._control = ControlClient(
             addresses=addresses, open_channel=self._open_channel
--- a/carobspring/routing/router.py
+++ b/carobspring/routing/router.py
@@ -38,6 +38,7 @@
         self._limits = limits or RoutingLimits()
         self._records: dict[str, ServerRecord] = {}
         self._pools: dict[PoolKey, ServerPool] = {}
+        self._known_pools: set[PoolKey] = set()
         self._probes: list[tuple[float, str]] = []
         self.zones = ZoneDistances(zone=zone, limits=self._limits)
         self.budget = RetryBudget(self._limits)
@@ -59,6 +60,7 @@
             if key not in self._pools:
                 self._pools[key] = ServerPool(zone=self.zones.zone, limits=self._limits)
             self._pools[key].names.add(server.server_id)
+            self._known_pools.add(key)
         self._place(record)
 
     def remove_server(self, server_id: str) -> None:
@@ -84,9 +86,9 @@
         """Return the models or plain services that some server offers."""
         return sorted(key.target for key in self._pools if key.kind is kind)
 
-    def has_pool(self, key: PoolKey) -> bool:
-        """Say whether any server, working or not, belongs to a pool."""
-        return key in self._pools
+    def knows_pool(self, key: PoolKey) -> bool:
+        """Say whether any server belongs to a pool, or ever did."""
+        return key in self._known_pools
 
     def record_load(self, server_id: str, load: LoadReport, now: float) -> None:
         """Take a report of a backend server's load."""
@@ -142,13 +144,16 @@
         if end in (AttemptEnd.ANSWERED, AttemptEnd.REFUSED):
             record.breaker.record_success()
         elif end in (AttemptEnd.FAILED, AttemptEnd.UNREACHABLE):
-            certain = end is AttemptEnd.UNREACHABLE
-            spread = self._random.draw_uniform()
-            record.breaker.record_failure(now, spread, certain)
-            if record.breaker.state is BreakerState.OPEN:
-                heapq.heappush(self._probes, (record.breaker.probe_at, server_id))
+            self._note_failure(record, end is AttemptEnd.UNREACHABLE, now)
         self._place(record)
 
+    def record_silence(self, server_id: str, now: float) -> None:
+        """Note that a stream of a server's agent broke or went silent."""
+        record = self._records.get(server_id)
+        if record is not None:
+            self._note_failure(record, True, now)
+            self._place(record)
+
     def choose(
         self, query: RouteQuery, excluded: Set[str], now: float
     ) -> Choice | None:
@@ -189,6 +194,13 @@
             return Choice(server=record.server, wait_ms=wait_ms)
         return None
 
+    def _note_failure(self, record: ServerRecord, certain: bool, now: float) -> None:
+        spread = self._random.draw_uniform()
+        record.breaker.record_failure(now, spread, certain)
+        if record.breaker.state is BreakerState.OPEN:
+            probe = (record.breaker.probe_at, record.server.server_id)
+            heapq.heappush(self._probes, probe)
+
     def _weigh(
         self,
         record: ServerRecord,
--- a/tests/entry/test_following.py
+++ b/tests/entry/test_following.py
@@ -4,7 +4,13 @@
 
 from carobspring.adapters.rpc import open_channel
 from carobspring.domain import RunStatus
-from carobspring.entry import CallFollower, CallProgress, ChannelPool, FollowLimits
+from carobspring.entry import (
+    CallFollower,
+    CallProgress,
+    ChannelPool,
+    FollowLimits,
+    LinkObserver,
+)
 from carobspring.protocol import CallEnd, CallEvent, ResponseHead, RunCall
 from tests.entry.fakes import SECRET, FakeAgent, build_answer
 
@@ -13,6 +19,20 @@
 LIMITS = FollowLimits(silence_s=0.3, resume_attempts=2, resume_pause_s=0.01)
 
 
+class RecordingObserver(LinkObserver):
+    """Keeps the zones that round trips were measured to."""
+
+    def __init__(self, zones):
+        self._zones = zones
+
+    def note_round_trip(self, server, round_trip_ms):
+        """Keep the zone."""
+        self._zones.append(server.zone)
+
+    def note_broken_stream(self, server):
+        """Take a broken stream."""
+
+
 class CallFollowerTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self):
         """Start one fake agent."""
@@ -20,11 +40,11 @@
         self.pool = ChannelPool(
             lambda host, port: open_channel(host=host, port=port, secret=SECRET)
         )
+        self.zones = []
         self.follower = self.build_follower(LIMITS)
         self.progress = CallProgress(call_id="c1")
         self.statuses = []
         self.data = b""
-        self.zones = []
 
     async def asyncTearDown(self):
         """Stop the agent."""
@@ -36,7 +56,7 @@
         return CallFollower(
             pool=self.pool,
             limits=limits,
-            note_round_trip=lambda zone, _: self.zones.append(zone),
+            observer=RecordingObserver(self.zones),
         )
 
     async def follow(self):
@@ -182,6 +202,45 @@
                 self.assertIsNot(after, before)
                 self.assertIs(before.retired, True)
 
+    async def test_stalled_caller_holds_up_no_other(self):
+        """A caller that reads nothing leaves its connection to others."""
+        slow = replace(LIMITS, silence_s=60.0)
+        self.follower = self.build_follower(slow)
+        stalled = asyncio.Event()
+
+        async def flood(request, send):
+            if len(self.agent.runs) > 1:
+                await self.agent.play(request, send)
+                return
+            for number in range(256):
+                piece = bytes(64 * 1024)
+                await send(CallEvent(data=piece, offset=number * len(piece)))
+
+        async def read_nothing(event):
+            stalled.set()
+            await asyncio.Event().wait()
+
+        self.agent.on_run = flood
+        server = self.agent.describe()
+        run = RunCall(
+            call_id="c0",
+            boot=1,
+            workspace="shop-a",
+            service_class="chat",
+            method="POST",
+            path="/x",
+        )
+        progress = CallProgress(call_id="c0")
+        task = asyncio.ensure_future(
+            self.follower.follow(server, run, read_nothing, progress)
+        )
+        await stalled.wait()
+        # Enough for the flood to fill every window that it may fill.
+        await asyncio.sleep(0.5)
+        async with asyncio.timeout(60):
+            self.assertEqual(await self.follow(), RAN)
+        task.cancel()
+
     async def test_more_calls_than_streams_of_a_connection(self):
         """Calls beyond one connection's streams don't wait for them."""
         gate = asyncio.Event()
--- a/tests/programs/test_entry.py
+++ b/tests/programs/test_entry.py
@@ -11,7 +11,9 @@
         """A call that isn't streamed gets the runner's answer whole."""
         async with self.client.post("/v1/chat/completions", json=CHAT) as answer:
             got = (answer.status, answer.headers["Content-Type"], await answer.read())
+            revision = answer.headers["X-Carob-Revision"]
         self.assertEqual(got, (200, "application/json", b'{"id": "x"}'))
+        self.assertEqual(revision, "1")
 
     async def test_streamed_answer(self):
         """A streamed call gets every byte in order."""
--- a/tests/routing/test_router.py
+++ b/tests/routing/test_router.py
@@ -280,6 +280,12 @@
         self.router.record_data("a", "probe2")
         self.assertGreater(self.count(HIGH, now=4.1)["a"], 0)
 
+    def test_silent_agent_rests_at_once(self):
+        """A stream that went silent keeps new calls away."""
+        self.add({"a": build_load(), "b": build_load()})
+        self.router.record_silence("a", 1.0)
+        self.assertEqual(self.count(HIGH, now=1.1), {"b": 100})
+
     def test_single_failure_of_a_call_opens_no_breaker(self):
         """One failed call says little; two in a row open the breaker."""
         self.add({"a": build_load(), "b": build_load()})
@@ -311,7 +317,8 @@
         self.router.remove_server("a")
         self.assertEqual(self.count(HIGH), {"b": 100})
         self.router.remove_server("b")
-        self.assertIs(self.router.has_pool(POOL), False)
+        self.assertIsNone(self.router.choose(HIGH, NONE, 0.01))
+        self.assertIs(self.router.knows_pool(POOL), True)
 
     def test_retry_budget(self):
         """Retries are a share of calls, plus a small store."""
