End a call at its end event, though the stream stays open

Cause: after the end event the entry waited for the stream's trailers without any bound: an agent whose connection went silent just then held the call for ever. Found by a mutant of the truncation guard that hung. Seen failing first: tests.entry.test_following test_end_counts_though_the_stream_stays_open, TimeoutError after 60 s on the code before; passes after.

--- a/carobspring/entry/following.py
+++ b/carobspring/entry/following.py
@@ -17,6 +17,7 @@
 #: Seconds without any event after which a stream is taken for dead.
 SILENCE_S = 3.0
 CONNECT_S = 1.0
+TRAILER_S = 0.5
 RESUME_ATTEMPTS = 2
 RESUME_PAUSE_S = 0.1
 
@@ -163,6 +164,8 @@
                     raise StreamTerminatedError("the stream ended before the call")
                 patience.reschedule(None)
                 await self._take(event, deliver, progress)
+            # The end is known; the stream's own end is waited for only briefly.
+            patience.reschedule(loop.time() + min(silence, TRAILER_S))
 
     async def _take(
         self, event: CallEvent, deliver: Deliver, progress: CallProgress
--- a/carobspring/programs/runner.py
+++ b/carobspring/programs/runner.py
@@ -84,6 +84,10 @@
 
     try:
         asyncio.run(run())
+    except OptionError as error:
+        # Found by the program itself, which knows more than the type does.
+        print(f"error: {error}", file=sys.stderr)
+        sys.exit(EXIT_USAGE)
     except OSError as error:
         # A port that is taken or a data folder that can't be used.
         print(f"error: can't start: {error}", file=sys.stderr)
--- a/tests/entry/test_following.py
+++ b/tests/entry/test_following.py
@@ -146,6 +146,14 @@
         self.assertEqual((end, self.data), (RAN, BODY))
         self.assertEqual([resume.offset for resume in self.agent.resumes], [10])
 
+    async def test_end_counts_though_the_stream_stays_open(self):
+        """A call whose end came is over, whatever its stream does then."""
+        self.break_after(build_answer(BODY))
+        async with asyncio.timeout(60):
+            end = await self.follow()
+        got = (end, self.data, self.agent.resumes)
+        self.assertEqual(got, (RAN, BODY, []))
+
     async def test_heartbeats_keep_a_quiet_call(self):
         """A call without output but with heartbeats is not given up."""
 
