--- a/carobspring/entry/following.py
+++ b/carobspring/entry/following.py
@@ -164,7 +164,7 @@
                     raise StreamTerminatedError("the stream ended before the call")
                 patience.reschedule(None)
                 await self._take(event, deliver, progress)
-            # The end is known; the stream's own end is waited for only briefly.
+            # The end is known; the stream's own end is not waited for long.
             patience.reschedule(loop.time() + min(silence, TRAILER_S))
 
     async def _take(
--- a/carobspring/routing/limits.py
+++ b/carobspring/routing/limits.py
@@ -16,6 +16,8 @@
     prefix_saving: float = 0.6
     #: Load, as a part of the limit, above which affinity counts for nothing.
     affinity_load: float = 1.25
+    #: Wait that a keyed call accepts to be found again by a resend, in ms.
+    sticky_wait_ms: float = 2000.0
     #: What a call to another zone costs beside its round trip, in ms.
     zone_cost_ms: float = 1.0
     #: Round trip assumed for a zone that none is known of, in ms.
--- a/carobspring/routing/router.py
+++ b/carobspring/routing/router.py
@@ -54,9 +54,10 @@
             server=server,
             limits=self._limits,
             breaker=CircuitBreaker(self._limits),
+            pools=list_pools(server),
         )
         self._records[server.server_id] = record
-        for key in list_pools(server):
+        for key in record.pools:
             if key not in self._pools:
                 self._pools[key] = ServerPool(zone=self.zones.zone, limits=self._limits)
             self._pools[key].names.add(server.server_id)
@@ -66,7 +67,7 @@
     def remove_server(self, server_id: str) -> None:
         """Give a backend server no more work."""
         record = self._records.pop(server_id, None)
-        for key in list_pools(record.server) if record else ():
+        for key in record.pools if record else ():
             pool = self._pools[key]
             pool.names.discard(server_id)
             pool.discard(server_id)
@@ -96,7 +97,7 @@
         if record is None or not record.take_load(load, now):
             return
         self._place(record)
-        for key in list_pools(record.server):
+        for key in record.pools:
             self._pools[key].take_load(record)
 
     def record_sent(
@@ -164,13 +165,14 @@
             return None
         names = pool.draw_candidates(query.affinity, self._random, excluded)
         favourite = pool.affinity.find(query.affinity) if query.affinity else ""
-        if query.sticky and favourite in names:
-            names = [favourite]
         best: Choice | None = None
         best_cost = 0.0
         for name in names:
             record = self._records[name]
             wait_ms, cost = self._weigh(record, pool, query, name == favourite, now)
+            if query.sticky and name == favourite:
+                if wait_ms <= self._limits.sticky_wait_ms:
+                    return Choice(server=record.server, wait_ms=wait_ms)
             if best is None or cost < best_cost:
                 best = Choice(server=record.server, wait_ms=wait_ms)
                 best_cost = cost
@@ -243,7 +245,7 @@
         is_open = is_open and state is not BreakerState.OPEN
         if state is BreakerState.PROBING and record.calls:
             is_open = False
-        for key in list_pools(record.server):
+        for key in record.pools:
             pool = self._pools[key]
             if not is_open:
                 pool.discard(record.server.server_id)
@@ -251,7 +253,7 @@
                 pool.add(record)
 
     def _withdraw(self, record: ServerRecord) -> None:
-        for key in list_pools(record.server):
+        for key in record.pools:
             self._pools[key].discard(record.server.server_id)
 
     def _start_probes(self, now: float) -> None:
--- a/carobspring/routing/servers.py
+++ b/carobspring/routing/servers.py
@@ -5,6 +5,7 @@
 from carobspring.domain import BackendServer, LoadReport
 from carobspring.routing.breaker import CircuitBreaker
 from carobspring.routing.limits import RoutingLimits
+from carobspring.routing.queries import PoolKey
 from carobspring.routing.smoothing import SmoothedValue
 
 #: Bounds of one observation of speed against the usual one.
@@ -36,6 +37,7 @@
     server: BackendServer
     limits: RoutingLimits
     breaker: CircuitBreaker
+    pools: tuple[PoolKey, ...]
     load: LoadReport = field(default_factory=LoadReport)
     #: When the report came; zero before the first.
     load_at: float = 0.0
--- a/tests/routing/test_router.py
+++ b/tests/routing/test_router.py
@@ -1,5 +1,6 @@
 import unittest
 from collections import Counter
+from dataclasses import replace
 
 from carobspring.adapters.clock import SystemRandom
 from carobspring.domain import BackendServer, LoadReport, ServiceKind
@@ -139,6 +140,15 @@
         self.assertEqual(sum(held), 40)
         self.assertGreaterEqual(min(held), 15)
 
+    def test_own_sends_come_on_top_of_the_report(self):
+        """Calls of others in a report and own later sends add up."""
+        self.add({"a": build_load(running=4), "b": build_load(running=4)})
+        for number in range(4):
+            self.send("a", f"c{number}", 0.01)
+        self.assertGreaterEqual(self.count(HIGH, now=0.02)["b"], 70)
+        self.router.record_load("a", build_load(sequence=2, running=4), 1.0)
+        self.assertLess(self.count(HIGH, now=1.0)["b"], 70)
+
     def test_frozen_report_does_not_draw_all_calls(self):
         """Own open calls are counted whatever a frozen report says."""
         self.add({"a": build_load(), "b": build_load(running=3)})
@@ -160,6 +170,9 @@
         self.add({"near1": build_load(), "near2": build_load()})
         self.add({"far1": build_load(), "far2": build_load()}, zone="z2")
         self.router.zones.record_round_trip("z2", 5.0)
+        quick = replace(build_load(sequence=2), first_token_ms=17.0)
+        for name in ("far1", "far2"):
+            self.router.record_load(name, quick, 0.002)
         chosen = self.count(HIGH)
         self.assertEqual(chosen["far1"] + chosen["far2"], 0)
         full = build_load(sequence=2, running=4, waiting={90: 4})
@@ -226,6 +239,18 @@
         self.assertEqual(favourites[0], favourites[1])
         self.assertEqual(set(favourites[0]), set(names) - {"s3"})
 
+    def test_keyed_call_waits_a_little_at_its_favourite(self):
+        """A resend finds its server unless that would cost too much."""
+        self.add({f"s{number}": build_load() for number in range(20)})
+        query = RouteQuery(
+            pool=POOL, priority=9, service_class="c", affinity=7, sticky=True
+        )
+        favourite = next(iter(self.count(query)))
+        for sequence, waiting, expected in ((2, 20, 100), (3, 400, 0)):
+            load = build_load(sequence=sequence, running=4, waiting={9: waiting})
+            self.router.record_load(favourite, load, 0.01)
+            self.assertEqual(self.count(query)[favourite], expected)
+
     def test_cost_does_not_grow_with_the_number_of_servers(self):
         """A decision draws as often among 600 servers as among 6."""
         draws = []
@@ -272,6 +297,7 @@
         self.assertEqual(self.count(HIGH, now=1.1, excluded={"b"}), {None: 100})
         self.assertGreater(self.count(HIGH, now=2.0)["a"], 0)
         self.send("a", "probe", 2.0)
+        self.router.record_load("a", build_load(sequence=2), 2.05)
         self.assertEqual(self.count(HIGH, now=2.1), {"b": 100})
         self.end("a", "probe", AttemptEnd.UNREACHABLE, 2.2)
         self.assertEqual(self.count(HIGH, now=2.9), {"b": 100})
