Count the attempts of lower calls instead of drawing both answers

Cause: test_higher_call_goes_where_lower_work_is asked 12 random choices to hit both servers; once they did not, and the run was red by chance. What it guards is that a lower call, unlike a higher one, makes no attempt beyond its first. Change: it counts exactly one attempt a call and matches each answer to where the call went; stricter, and the same verdict each time.

--- a/tests/entry/test_driver.py
+++ b/tests/entry/test_driver.py
@@ -135,8 +135,11 @@
         for _ in range(8):
             self.assertEqual((await self.ask())[0], 200)
         self.assertEqual(len(self.agents[1].runs), 8)
-        statuses = {(await self.ask(X_Carob_Class="batch"))[0] for _ in range(12)}
-        self.assertEqual(statuses, {200, 503})
+        before = self.count_runs()
+        statuses = [(await self.ask(X_Carob_Class="batch"))[0] for _ in range(12)]
+        served = len(self.agents[1].runs) - 8
+        self.assertEqual(sorted(statuses), [200] * served + [503] * (12 - served))
+        self.assertEqual(self.count_runs() - before, 12)
 
     async def test_request_that_crashes_servers(self):
         """One crash: it runs alone. Two: it is refused, resends too."""
