--- a/tests/control/harness.py
+++ b/tests/control/harness.py
@@ -77,6 +77,11 @@
                         return message
                 await self._changed.wait()
 
+    async def wait_for_end(self) -> None:
+        """Return when the replica ends the stream; raise its error."""
+        async with asyncio.timeout(WAIT_S):
+            await asyncio.shield(self._reader)
+
     async def _read(self) -> None:
         async for message in self._stream:
             async with self._changed:
--- a/tests/control/test_streams.py
+++ b/tests/control/test_streams.py
@@ -1,6 +1,9 @@
 import unittest
+import unittest.mock
+from dataclasses import replace
 
 from carobspring.adapters import paths
+from carobspring.control import streams
 from carobspring.control.commands import Command
 from carobspring.domain import LatencyTarget, RunStatus, ServiceClass
 from carobspring.protocol import (
@@ -23,6 +26,16 @@
     run_control,
 )
 
+REQUEST = ClaimRequest(
+    workspace="w",
+    service="booking",
+    key="k",
+    request_hash="h",
+    server_id="m1",
+    boot=7,
+    request_id="r1",
+)
+
 
 def make_change(change_id: str = "c1", base: int = 0) -> Command:
     chat = ServiceClass(name="chat", priority=90, target=LatencyTarget())
@@ -50,10 +63,14 @@
 
     async def test_change_is_pushed(self):
         """An accepted change reaches agents and entries unasked."""
+        # Without heartbeats, which would carry it too.
+        patch = unittest.mock.patch.object(streams, "HEARTBEAT_INTERVAL_S", 1e6)
         async with run_control() as (program, ports):
             port = ports["rpc"]
-            async with open_agent(port) as agent, open_entry(port) as entry:
-                await agent.send(make_report())
+            with patch:
+                agent = await self.enterAsyncContext(open_agent(port))
+                entry = await self.enterAsyncContext(open_entry(port))
+                await agent.wait_for(lambda order: order.settings)
                 await entry.wait_for(lambda update: update.complete)
                 await program.proposer.propose(make_change())
                 for client in (agent, entry):
@@ -77,27 +94,41 @@
                 order = await earlier.wait_for(lambda order: order.minimum_boot)
                 self.assertEqual(order.minimum_boot, 10)
 
+    async def test_unknown_needs_the_agent_gone(self):
+        """A suspicion counts only once the claim's boot was replaced."""
+        suspicion = OutcomeReport(number=1, run_status=RunStatus.UNKNOWN)
+        async with run_control() as (_, ports):
+            port = ports["rpc"]
+            async with open_agent(port) as agent, open_entry(port) as entry:
+                await agent.send(make_report(boot=7))
+                await entry.wait_for(lambda update: update.servers)
+                await ask(port, paths.CLAIM_CALL, REQUEST, ClaimReply)
+                early = await ask(port, paths.REPORT_OUTCOME, suspicion, OutcomeReply)
+                self.assertEqual(early.error, "agent_not_gone")
+                self.assertIs(early.claim.state, ClaimState.CLAIMED)
+                await agent.send(make_report(boot=8))
+                await entry.wait_for(
+                    lambda update: update.servers and update.servers[0].boot == 8
+                )
+                late = await ask(port, paths.REPORT_OUTCOME, suspicion, OutcomeReply)
+                self.assertEqual(late.error, "")
+                self.assertIs(late.claim.state, ClaimState.UNKNOWN)
+                stale = replace(REQUEST, key="k2")
+                refused = await ask(port, paths.CLAIM_CALL, stale, ClaimReply)
+                self.assertEqual(refused, ClaimReply(error="stale_boot"))
+
     async def test_unique_call(self):
         """A claim is granted once; a resend gets its outcome."""
-        request = ClaimRequest(
-            workspace="w",
-            service="booking",
-            key="k",
-            request_hash="h",
-            server_id="m1",
-            boot=7,
-            request_id="r1",
-        )
         answer = StoredAnswer(status=201, body=b"booked")
         async with run_control() as (_, ports):
             port = ports["rpc"]
-            first = await ask(port, paths.CLAIM_CALL, request, ClaimReply)
+            first = await ask(port, paths.CLAIM_CALL, REQUEST, ClaimReply)
             self.assertIs(first.granted, True)
             report = OutcomeReport(
                 number=1, run_status=RunStatus.RAN, answer=answer, boot=7
             )
             await ask(port, paths.REPORT_OUTCOME, report, OutcomeReply)
-            again = await ask(port, paths.CLAIM_CALL, request, ClaimReply)
+            again = await ask(port, paths.CLAIM_CALL, REQUEST, ClaimReply)
             expected = Claim(
                 number=1,
                 workspace="w",
