--- a/carobspring/adapters/backend_http.py
+++ b/carobspring/adapters/backend_http.py
@@ -48,6 +48,12 @@
     return tuple(pair for pair in headers if pair[0].lower() not in HOP_HEADERS)
 
 
+def describe(error: Exception) -> str:
+    """Return an error's kind and message; aiohttp's message may be empty."""
+    kind = type(error).__name__
+    return f"{kind}: {error}"
+
+
 class HttpBackendAnswer(BackendAnswer):
     """An answer of aiohttp's client, read as it comes."""
 
@@ -71,7 +77,7 @@
             while not data and not self._response.content.at_eof():
                 data, _ = await self._response.content.readchunk()
         except (aiohttp.ClientError, OSError, TimeoutError) as error:
-            raise BackendCutError(reason=repr(error)) from error
+            raise BackendCutError(reason=describe(error)) from error
         if not data and not self._bounded:
             raise BackendCutError(reason="the answer's length is not marked")
         return data
@@ -112,9 +118,9 @@
                 allow_redirects=False,
             )
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
-            raise BackendUnreachableError(reason=repr(error)) from error
+            raise BackendUnreachableError(reason=describe(error)) from error
         except (aiohttp.ClientError, OSError, TimeoutError) as error:
-            raise BackendCutError(reason=repr(error)) from error
+            raise BackendCutError(reason=describe(error)) from error
         return HttpBackendAnswer(response=response, method=request.method)
 
     async def probe(self, timeout_s: float) -> bool:
--- a/carobspring/agent/__init__.py
+++ b/carobspring/agent/__init__.py
@@ -5,8 +5,9 @@
 """
 
 from carobspring.agent.claims import ClaimTable
-from carobspring.agent.gate import Gate, GateLimits
+from carobspring.agent.gate import Gate
 from carobspring.agent.health import HealthProbe
+from carobspring.agent.limits import GateLimits
 from carobspring.agent.progress import RunProgress
 from carobspring.agent.quarantine import Quarantine
 from carobspring.agent.records import (
@@ -17,6 +18,7 @@
     TableLimits,
 )
 from carobspring.agent.requests import build_backend_request
+from carobspring.agent.runs import Runs
 from carobspring.agent.standing import Standing
 
 __all__ = [
@@ -30,6 +32,7 @@
     "OutputReader",
     "Quarantine",
     "RunProgress",
+    "Runs",
     "Standing",
     "TableLimits",
     "build_backend_request",
--- a/carobspring/agent/gate.py
+++ b/carobspring/agent/gate.py
@@ -1,26 +1,17 @@
 """The only gate to a backend server: takes calls in, runs and ends them."""
 
 import asyncio
-import contextlib
-import logging
-from collections import Counter, deque
+from collections import Counter
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass
 
 from carobspring.agent.claims import ClaimTable
-from carobspring.agent.health import HealthProbe
-from carobspring.agent.progress import RunProgress
+from carobspring.agent.limits import GateLimits
 from carobspring.agent.quarantine import QUARANTINE_STRIKES, Quarantine
 from carobspring.agent.records import CallRecord, CallState, CallTable
-from carobspring.agent.requests import build_backend_request
+from carobspring.agent.runs import Runs
 from carobspring.agent.standing import Standing
-from carobspring.domain import LoadReport, RunStatus, ServiceKind, Settings
-from carobspring.ports import (
-    Backend,
-    BackendCutError,
-    BackendUnreachableError,
-    Clock,
-)
+from carobspring.domain import LoadReport, RunStatus, Settings
+from carobspring.ports import Backend, Clock
 from carobspring.protocol import (
     CallEnd,
     CancelCall,
@@ -28,55 +19,23 @@
     FenceClaim,
     FenceReply,
     OutcomeReport,
-    ResponseHead,
     RunCall,
     StoredAnswer,
-    Strike,
 )
 from carobspring.scheduling import (
     CallArrived,
     CallEnded,
     CallWithdrawn,
     ClassChanged,
-    FirstTokenSeen,
     RefuseCall,
     Scheduler,
-    SchedulerAction,
+    SchedulerEvent,
     StartCall,
-    TokensSeen,
 )
 
-logger = logging.getLogger(__name__)
-
-RECENT_STRIKES = 256
-#: Milliseconds that a strike is reported for.
-STRIKE_REPORT_MS = 10_000
-
 CommitOutcome = Callable[[OutcomeReport, float], Awaitable[bool]]
 
 
-@dataclass(frozen=True, kw_only=True)
-class GateLimits:
-    """Times that the gate keeps."""
-
-    tick_s: float = 0.25
-    heartbeat_s: float = 0.9
-    #: Seconds that a call goes on without any reader.
-    orphan_s: float = 30.0
-    #: Seconds that a call waits for settings it was decided by.
-    settings_s: float = 1.0
-    #: Seconds without a byte, at least, before an engine counts as hanging.
-    hang_s: float = 10.0
-    #: The same for a call whose class and workspace were never observed.
-    unknown_hang_s: float = 120.0
-    #: Multiple of the expected time that may pass without a byte.
-    hang_factor: float = 8.0
-    #: Seconds that the entry waits for an outcome to be committed.
-    commit_s: float = 10.0
-    #: Seconds that the commit is tried again after that.
-    late_commit_s: float = 600.0
-
-
 class Gate:
     """Takes calls in, runs them in the scheduler's order, keeps their output.
 
@@ -99,35 +58,29 @@
         self.quarantine = Quarantine()
         self.claims = ClaimTable()
         self.table = table
-        self.health = HealthProbe(
+        self.runs = Runs(
+            standing=standing,
             backend=backend,
             clock=clock,
-            read_heard_at=lambda: self._heard_at,
-            note_change=self._note_health,
+            limits=limits,
+            quarantine=self.quarantine,
+            note_event=self._tell,
+            take_end=self._take_end,
+            note_health=self._note_health,
         )
         #: Ended calls by run status and reason, for metrics.
         self.ends: Counter[tuple[str, str]] = Counter()
-        self.wasted_tokens = 0
-        #: Strikes that this boot gave, for metrics.
-        self.strikes = 0
-        self._backend = backend
         self._scheduler = scheduler
         self._clock = clock
         self._limits = limits
         self._commit_outcome = commit_outcome
-        self._heard_at = 0.0
         self._sequence = 0
-        self._recent_strikes: deque[Strike] = deque(maxlen=RECENT_STRIKES)
-        self._runs: dict[str, asyncio.Task[None]] = {}
-        self._progress: dict[str, RunProgress] = {}
-        #: Why a running call is being stopped, by its identifier.
-        self._stops: dict[str, CallEnd] = {}
         self._chores: set[asyncio.Task[None]] = set()
         self._ticker: asyncio.Task[None] | None = None
 
     async def start(self) -> None:
         """Begin to probe the backend server and to keep time."""
-        await self.health.start()
+        await self.runs.health.start()
         self._ticker = asyncio.create_task(self._keep_time())
 
     async def submit(self, call: RunCall) -> CallRecord | CallEnd:
@@ -147,7 +100,9 @@
             self.claims.start(call.claim, call.call_id)
         refusal = self._check_standing(call)
         if refusal is None:
-            self._apply(self._scheduler.handle(self._describe(call), now))
+            arrival = self._describe(call)
+            record.alone = arrival.alone
+            self._tell(arrival)
         else:
             self._end(record, refusal)
         return record
@@ -183,42 +138,29 @@
         return self._scheduler.build_report(
             sequence=self._sequence,
             draining=self.standing.draining,
-            unhealthy=not self.health.healthy,
+            unhealthy=not self.runs.health.healthy,
         )
 
     def take_settings(self, settings: Settings) -> None:
         """Take over newer settings, also for calls that wait."""
         self.standing.take_settings(settings)
-        now = self._clock.read_monotonic()
         for item in self.standing.settings.classes.values():
-            change = ClassChanged(service_class=item.name, priority=item.priority)
-            self._apply(self._scheduler.handle(change, now))
-
-    def find_recent_strikes(self) -> tuple[Strike, ...]:
-        """Return own strikes that control may not have heard of yet.
-
-        Each goes with every report of a while, since a report may be lost.
-        """
-        after = self._clock.read_wall_ms() - STRIKE_REPORT_MS
-        return tuple(strike for strike in self._recent_strikes if strike.at_ms > after)
+            self._tell(ClassChanged(service_class=item.name, priority=item.priority))
 
     async def drain(self) -> None:
-        """Refuse new calls and wait until all have ended and been read."""
-        self.standing.draining = True
+        """Wait until all calls have ended and been read."""
         while len(self.table) or self.table.count_unread() or self._chores:
             await asyncio.sleep(0.02)
 
     async def close(self) -> None:
         """Stop everything at once."""
-        tasks = [*self._runs.values(), *self._chores]
+        tasks = [*self._chores]
         if self._ticker is not None:
             tasks.append(self._ticker)
         for task in tasks:
             task.cancel()
-        for task in tasks:
-            with contextlib.suppress(asyncio.CancelledError):
-                await task
-        await self.health.close()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        await self.runs.close()
 
     def _find_known(self, call: RunCall) -> CallRecord | CallEnd | None:
         record = self.table.find(call.call_id)
@@ -247,7 +189,7 @@
             reason = "draining"
         elif strikes >= QUARANTINE_STRIKES:
             return CallEnd(run_status=RunStatus.NOT_RUN, reason="quarantined")
-        elif not self.health.healthy:
+        elif not self.runs.health.healthy:
             reason = "backend_unhealthy"
         elif call.revision > self.standing.settings.revision:
             reason = "settings_behind"
@@ -282,107 +224,39 @@
             size=len(call.body),
         )
 
-    def _apply(self, actions: list[SchedulerAction]) -> None:
-        for action in actions:
+    def _tell(self, event: SchedulerEvent) -> None:
+        """Tell the scheduler of an event and do what it says."""
+        now = self._clock.read_monotonic()
+        for action in self._scheduler.handle(event, now):
             record = self.table.find(action.call_id)
             assert record is not None
             match action:
                 case StartCall():
                     record.state = CallState.RUNNING
-                    run = self._run(record, action.engine_priority)
-                    self._runs[action.call_id] = asyncio.create_task(run)
+                    self.runs.start(record, action.engine_priority)
                 case RefuseCall():
-                    self._end(
-                        record,
-                        CallEnd(
-                            run_status=RunStatus.NOT_RUN,
-                            reason=action.reason,
-                            retry_after_ms=action.retry_after_ms,
-                        ),
+                    end = CallEnd(
+                        run_status=RunStatus.NOT_RUN,
+                        reason=action.reason,
+                        retry_after_ms=action.retry_after_ms,
                     )
+                    self._end(record, end)
 
-    async def _run(self, record: CallRecord, engine_priority: int) -> None:
-        call = record.call
-        progress = RunProgress(call=call, now=self._clock.read_monotonic())
-        self._progress[call.call_id] = progress
-        try:
-            end = await self._relay(record, progress, engine_priority)
-        except asyncio.CancelledError:
-            stopped = CallEnd(run_status=RunStatus.UNKNOWN, reason="stopped")
-            end = self._stops.pop(call.call_id, stopped)
-            self.wasted_tokens += progress.tokens
-        except BackendUnreachableError:
-            self.health.mark_failed()
-            end = self._refuse(call, "backend_unreachable")
-        except BackendCutError as error:
-            await self._note_cut(call, error)
-            end = CallEnd(run_status=RunStatus.UNKNOWN, reason="backend_failed")
-        del self._progress[call.call_id], self._runs[call.call_id]
+    def _take_end(self, record: CallRecord, end: CallEnd) -> None:
         whole = end.run_status is RunStatus.RAN
-        if whole and call.request_hash and self._scheduler.count_running() == 1:
-            at_ms = self._clock.read_wall_ms()
-            self.quarantine.clear(call.workspace, call.request_hash, at_ms)
-        now = self._clock.read_monotonic()
-        ended = CallEnded(call_id=call.call_id, whole=whole)
-        self._apply(self._scheduler.handle(ended, now))
+        if end.run_status is RunStatus.NOT_RUN:
+            end = self._refuse(record.call, end.reason)
+        self._tell(CallEnded(call_id=record.call.call_id, whole=whole))
         self._end(record, end)
 
-    async def _relay(
-        self, record: CallRecord, progress: RunProgress, engine_priority: int
-    ) -> CallEnd:
-        call = record.call
-        kind = self.standing.kind
-        request = build_backend_request(
-            call, kind=kind, engine_priority=engine_priority
-        )
-        answer = await self._backend.send(request)
-        try:
-            head = ResponseHead(status=answer.status, headers=answer.headers)
-            self._heard_at = self._clock.read_monotonic()
-            is_model = kind is ServiceKind.MODEL
-            progress.note_head(head, self._heard_at, is_model=is_model)
-            record.set_head(head)
-            while data := await answer.read():
-                self._heard_at = now = self._clock.read_monotonic()
-                if progress.note_data(data, now):
-                    first = FirstTokenSeen(call_id=call.call_id)
-                    self._apply(self._scheduler.handle(first, now))
-                await record.write(data)
-                progress.heard_at = self._clock.read_monotonic()
-        finally:
-            answer.close()
-        if not progress.is_whole():
-            raise BackendCutError(reason="the stream ended without [DONE]")
-        return CallEnd(run_status=RunStatus.RAN)
-
-    async def _note_cut(self, call: RunCall, error: BackendCutError) -> None:
-        alone = self._scheduler.count_running() == 1
-        if await self._backend.is_listening():
-            return
-        logger.warning("the backend server crashed: %s", error)
-        self.health.mark_failed()
-        if not call.request_hash:
-            return
-        strike = Strike(
-            workspace=call.workspace,
-            request_hash=call.request_hash,
-            server_id=self.standing.server_id,
-            boot=self.standing.boot,
-            at_ms=self._clock.read_wall_ms(),
-            alone=alone,
-        )
-        self.quarantine.add([strike])
-        self.strikes += 1
-        self._recent_strikes.append(strike)
-        self.standing.note_change()
-
     def _end(self, record: CallRecord, end: CallEnd) -> None:
-        if record.call.claim:
-            chore = asyncio.create_task(self._end_claim(record, end))
-            self._chores.add(chore)
-            chore.add_done_callback(self._chores.discard)
-        else:
+        record.state = CallState.ENDING
+        if not record.call.claim:
             self._finish(record, end)
+            return
+        chore = asyncio.create_task(self._end_claim(record, end))
+        self._chores.add(chore)
+        chore.add_done_callback(self._chores.discard)
 
     def _finish(self, record: CallRecord, end: CallEnd) -> None:
         self.ends[end.run_status.value, end.reason] += 1
@@ -392,7 +266,7 @@
         call = record.call
         self.claims.finish(call.claim, end.run_status, call.call_id)
         answer = None
-        if end.run_status is RunStatus.RAN and record.head is not None:
+        if end.run_status is RunStatus.RAN and record.head and not record.base:
             head = record.head
             answer = StoredAnswer(
                 status=head.status, headers=head.headers, body=bytes(record.kept)
@@ -401,7 +275,7 @@
             number=call.claim,
             run_status=end.run_status,
             answer=answer,
-            boot=self.standing.boot,
+            boot=call.boot,
         )
         if await self._commit_outcome(report, self._limits.commit_s):
             self._finish(record, end)
@@ -411,67 +285,49 @@
         await self._commit_outcome(report, self._limits.late_commit_s)
 
     def _stop(self, record: CallRecord, reason: str) -> bool:
-        call_id = record.call.call_id
-        if record.state is CallState.ENDED:
-            return False
         if record.state is CallState.RUNNING:
-            run = self._runs.get(call_id)
-            if run is None:
-                return False
-            stopped = CallEnd(run_status=RunStatus.UNKNOWN, reason=reason)
-            self._stops.setdefault(call_id, stopped)
-            return run.cancel()
-        now = self._clock.read_monotonic()
-        self._apply(self._scheduler.handle(CallWithdrawn(call_id=call_id), now))
-        self._end(record, self._refuse(record.call, reason))
+            return self.runs.stop(record, reason)
+        if record.state is not CallState.WAITING:
+            return False
+        refusal = self._refuse(record.call, reason)
+        self._end(record, refusal)
+        self._tell(CallWithdrawn(call_id=record.call.call_id))
         return True
 
     def _note_health(self) -> None:
         self.standing.note_change()
-        if not self.health.healthy:
+        if not self.runs.health.healthy:
             for record in self.table:
-                if record.state is CallState.WAITING:
-                    self._stop(record, "backend_unhealthy")
+                self._stop_waiting(record, "backend_unhealthy")
+
+    def _stop_waiting(self, record: CallRecord, reason: str) -> None:
+        if record.state is CallState.WAITING:
+            self._stop(record, reason)
 
     async def _keep_time(self) -> None:
         while True:
             await asyncio.sleep(self._limits.tick_s)
-            now = self._clock.read_monotonic()
-            for record in self.table:
-                self._check_record(record, now)
-            self.table.forget_old(now)
+            self.check_calls()
 
-    def _check_record(self, record: CallRecord, now: float) -> None:
+    def check_calls(self) -> None:
+        """Send heartbeats, stop calls that nobody reads or that hang."""
+        now = self._clock.read_monotonic()
+        for record in self.table:
+            self._beat(record, now)
+            call = record.call
+            orphan = record.orphan_since
+            if orphan is not None and now - orphan > self._limits.orphan_s:
+                if not (call.claim and record.state is CallState.RUNNING):
+                    self._stop(record, "orphaned")
+            if record.state is CallState.RUNNING:
+                expected_s = self._scheduler.predict_service_s(
+                    call.service_class, call.workspace
+                )
+                self.runs.check(record, expected_s=expected_s, now=now)
+        self.table.forget_old(now)
+
+    def _beat(self, record: CallRecord, now: float) -> None:
         for reader in record.readers:
             if now - reader.read_at >= self._limits.heartbeat_s:
                 reader.beat = True
                 reader.wake.set()
-        call = record.call
-        orphan = record.orphan_since
-        if orphan is not None and now - orphan > self._limits.orphan_s:
-            if not (call.claim and record.state is CallState.RUNNING):
-                self._stop(record, "orphaned")
-        progress = self._progress.get(call.call_id)
-        if progress is None:
-            return
-        gap = progress.take_gap()
-        if gap is not None:
-            seen = TokensSeen(call_id=call.call_id, token_gap_s=gap)
-            self._apply(self._scheduler.handle(seen, now))
-        if self._is_hanging(call, progress, now):
-            logger.warning("the backend server hangs; a call is cancelled")
-            self._stop(record, "backend_hung")
-
-    def _is_hanging(self, call: RunCall, progress: RunProgress, now: float) -> bool:
-        limits = self._limits
-        failing = self.health.failing_since
-        if failing is not None and now - max(failing, self._heard_at) > limits.hang_s:
-            return True
-        expected = self._scheduler.predict_service_s(call.service_class, call.workspace)
-        allowed = limits.unknown_hang_s
-        if expected > 0:
-            allowed = max(limits.hang_s, limits.hang_factor * expected)
-        silence = now - progress.heard_at
-        if now - self._heard_at < limits.hang_s:
-            allowed *= 4
-        return silence > allowed
--- a/carobspring/agent/quarantine.py
+++ b/carobspring/agent/quarantine.py
@@ -37,6 +37,16 @@
         """Return the strikes of a request."""
         return len(self._strikes.get((workspace, request_hash), ()))
 
+    def release(self, strikes: Iterable[Strike]) -> None:
+        """Forget strikes that an operator released."""
+        for strike in strikes:
+            key = (strike.workspace, strike.request_hash)
+            left = self._strikes.get(key, set()) - {strike}
+            if left:
+                self._strikes[key] = left
+            else:
+                self._strikes.pop(key, None)
+
     def clear(self, workspace: str, request_hash: str, at_ms: int) -> None:
         """Void the strikes of a request that ran alone and ended well."""
         key = (workspace, request_hash)
--- a/carobspring/agent/records.py
+++ b/carobspring/agent/records.py
@@ -18,6 +18,8 @@
 
     #: Bytes of one call's output that are kept for a resume.
     call_bytes: int = 1024 * 1024
+    #: The same for a unique call, whose whole answer is stored by control.
+    claim_bytes: int = 4 * 1024 * 1024
     #: Bytes of all ended calls' output; the oldest go first.
     total_bytes: int = 8 * 1024 * 1024
     #: Seconds that an ended call's output is kept.
@@ -31,6 +33,8 @@
 
     WAITING = "waiting"
     RUNNING = "running"
+    #: Its outcome is known and is being committed.
+    ENDING = "ending"
     ENDED = "ended"
 
 
@@ -106,6 +110,8 @@
         #: Since when nobody reads; None while somebody does.
         self.orphan_since: float | None = now
         self.ended_at = 0.0
+        #: True when it may run only while no other call does.
+        self.alone = False
         #: Set when a reader made room for more output.
         self.room = asyncio.Event()
 
@@ -187,7 +193,9 @@
 
     def add(self, call: RunCall, now: float) -> CallRecord:
         """Take in a new call."""
-        record = CallRecord(call=call, now=now, limit=self._limits.call_bytes)
+        limits = self._limits
+        limit = limits.claim_bytes if call.claim else limits.call_bytes
+        record = CallRecord(call=call, now=now, limit=limit)
         self._live[call.call_id] = record
         return record
 
@@ -206,14 +214,12 @@
 
     def forget_old(self, now: float) -> None:
         """Drop the output of calls that ended too long ago or are too much."""
-        while self._ended:
-            record = next(iter(self._ended.values()))
+        for call_id, record in list(self._ended.items()):
             expired = now - record.ended_at > self._limits.keep_s
             if not expired and self._ended_bytes <= self._limits.total_bytes:
                 return
             if record.readers and not expired:
-                return
-            call_id = record.call.call_id
+                continue
             del self._ended[call_id]
             self._ended_bytes -= len(record.kept)
             assert record.end is not None
--- /dev/null
+++ b/carobspring/agent/runs.py
@@ -0,0 +1,217 @@
+"""Calls that are at the backend server: relayed, watched, stopped."""
+
+import asyncio
+import contextlib
+import logging
+from collections import deque
+from collections.abc import Callable
+
+from carobspring.agent.health import HealthProbe
+from carobspring.agent.limits import GateLimits
+from carobspring.agent.progress import RunProgress
+from carobspring.agent.quarantine import Quarantine
+from carobspring.agent.records import CallRecord
+from carobspring.agent.requests import build_backend_request
+from carobspring.agent.standing import Standing
+from carobspring.domain import RunStatus, ServiceKind
+from carobspring.ports import (
+    Backend,
+    BackendAnswer,
+    BackendCutError,
+    BackendUnreachableError,
+    Clock,
+)
+from carobspring.protocol import CallEnd, ResponseHead, RunCall, Strike
+from carobspring.scheduling import FirstTokenSeen, SchedulerEvent, TokensSeen
+
+RECENT_STRIKES = 256
+#: Milliseconds that a strike is reported for.
+STRIKE_REPORT_MS = 10_000
+
+logger = logging.getLogger(__name__)
+
+
+class Runs:
+    """Runs calls at the backend server and says how each ended.
+
+    ``note_event`` takes what the scheduler has to hear of; ``take_end`` is
+    called once for each call, however it ended.
+    """
+
+    def __init__(
+        self,
+        *,
+        standing: Standing,
+        backend: Backend,
+        clock: Clock,
+        limits: GateLimits,
+        quarantine: Quarantine,
+        note_event: Callable[[SchedulerEvent], None],
+        take_end: Callable[[CallRecord, CallEnd], None],
+        note_health: Callable[[], None],
+    ) -> None:
+        self.health = HealthProbe(
+            backend=backend,
+            clock=clock,
+            read_heard_at=lambda: self._heard_at,
+            note_change=note_health,
+        )
+        self.wasted_tokens = 0
+        #: Strikes that this boot gave.
+        self.strikes = 0
+        self._standing = standing
+        self._backend = backend
+        self._clock = clock
+        self._limits = limits
+        self._quarantine = quarantine
+        self._note_event = note_event
+        self._take_end = take_end
+        self._heard_at = 0.0
+        self._tasks: dict[str, asyncio.Task[CallEnd]] = {}
+        self._progress: dict[str, RunProgress] = {}
+        #: Why a running call is being stopped, by its identifier.
+        self._stops: dict[str, str] = {}
+        self._recent_strikes: deque[Strike] = deque(maxlen=RECENT_STRIKES)
+
+    def start(self, record: CallRecord, engine_priority: int) -> None:
+        """Send a call to the backend server."""
+        call_id = record.call.call_id
+        now = self._clock.read_monotonic()
+        self._progress[call_id] = RunProgress(call=record.call, now=now)
+        task = asyncio.create_task(self._attempt(record, engine_priority))
+        self._tasks[call_id] = task
+        task.add_done_callback(lambda done: self._finish(record, done))
+
+    def stop(self, record: CallRecord, reason: str) -> bool:
+        """Cancel a call at the backend server; say whether it still ran."""
+        call_id = record.call.call_id
+        task = self._tasks.get(call_id)
+        if task is None or task.done():
+            return False
+        self._stops.setdefault(call_id, reason)
+        return task.cancel()
+
+    def find_recent_strikes(self) -> tuple[Strike, ...]:
+        """Return own strikes that control may not have heard of yet.
+
+        Each goes with every report of a while, since a report may be lost.
+        """
+        after = self._clock.read_wall_ms() - STRIKE_REPORT_MS
+        return tuple(strike for strike in self._recent_strikes if strike.at_ms > after)
+
+    def check(self, record: CallRecord, *, expected_s: float, now: float) -> None:
+        """Report a running call's token gap, and stop it when it hangs."""
+        progress = self._progress.get(record.call.call_id)
+        if progress is None:
+            return
+        gap = progress.take_gap()
+        if gap is not None:
+            call_id = record.call.call_id
+            self._note_event(TokensSeen(call_id=call_id, token_gap_s=gap))
+        if self._is_hanging(progress, expected_s, now):
+            if self.stop(record, "backend_hung"):
+                logger.warning("the backend server hangs; a call is cancelled")
+
+    async def close(self) -> None:
+        """Cancel every call and stop probing."""
+        tasks = list(self._tasks.values())
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        await self.health.close()
+
+    async def _attempt(self, record: CallRecord, engine_priority: int) -> CallEnd:
+        try:
+            await self._relay(record, engine_priority)
+        except BackendUnreachableError:
+            self.health.mark_failed()
+            return CallEnd(run_status=RunStatus.NOT_RUN, reason="backend_unreachable")
+        except BackendCutError as error:
+            crashed = await self._note_cut(record.call, error)
+            reason = "backend_failed" if crashed else "answer_cut"
+            return CallEnd(run_status=RunStatus.UNKNOWN, reason=reason)
+        return CallEnd(run_status=RunStatus.RAN)
+
+    async def _relay(self, record: CallRecord, engine_priority: int) -> None:
+        kind = self._standing.kind
+        request = build_backend_request(
+            record.call, kind=kind, engine_priority=engine_priority
+        )
+        progress = self._progress[record.call.call_id]
+        answer = await self._backend.send(request)
+        with contextlib.closing(answer):
+            head = ResponseHead(status=answer.status, headers=answer.headers)
+            self._heard_at = self._clock.read_monotonic()
+            is_model = kind is ServiceKind.MODEL
+            progress.note_head(head, self._heard_at, is_model=is_model)
+            record.set_head(head)
+            await self._relay_body(record, progress, answer)
+        if not progress.is_whole():
+            raise BackendCutError(reason="the stream ended without [DONE]")
+
+    async def _relay_body(
+        self, record: CallRecord, progress: RunProgress, answer: BackendAnswer
+    ) -> None:
+        while data := await answer.read():
+            self._heard_at = now = self._clock.read_monotonic()
+            if progress.note_data(data, now):
+                self._note_event(FirstTokenSeen(call_id=record.call.call_id))
+            await record.write(data)
+            # Time that a slow reader took is no silence of the server.
+            progress.heard_at = self._clock.read_monotonic()
+
+    async def _note_cut(self, call: RunCall, error: BackendCutError) -> bool:
+        """Say whether a cut answer means a crash; if so, strike the call.
+
+        Every call in flight sees its own connection cut, so each takes its
+        own strike. A server that still listens cut this answer alone.
+        """
+        alone = len(self._tasks) == 1
+        if await self._backend.is_listening():
+            return False
+        logger.warning("the backend server crashed: %s", error)
+        self.health.mark_failed()
+        strike = Strike(
+            workspace=call.workspace,
+            request_hash=call.request_hash,
+            server_id=self._standing.server_id,
+            boot=self._standing.boot,
+            at_ms=self._clock.read_wall_ms(),
+            alone=alone,
+        )
+        if call.request_hash:
+            self.strikes += 1
+            self._quarantine.add([strike])
+            self._recent_strikes.append(strike)
+            self._standing.note_change()
+        return True
+
+    def _finish(self, record: CallRecord, task: asyncio.Task[CallEnd]) -> None:
+        call = record.call
+        progress = self._progress.pop(call.call_id)
+        del self._tasks[call.call_id]
+        reason = self._stops.pop(call.call_id, "stopped")
+        if task.cancelled():
+            self.wasted_tokens += progress.tokens
+            end = CallEnd(run_status=RunStatus.UNKNOWN, reason=reason)
+        elif (error := task.exception()) is not None:
+            logger.error("a call failed inside the agent", exc_info=error)
+            end = CallEnd(run_status=RunStatus.UNKNOWN, reason="internal_error")
+        else:
+            end = task.result()
+        if record.alone and end.run_status is RunStatus.RAN:
+            at_ms = self._clock.read_wall_ms()
+            self._quarantine.clear(call.workspace, call.request_hash, at_ms)
+        self._take_end(record, end)
+
+    def _is_hanging(self, progress: RunProgress, expected_s: float, now: float) -> bool:
+        limits = self._limits
+        failing = self.health.failing_since
+        if failing is not None:
+            return now - max(failing, progress.heard_at) > limits.hang_s
+        allowed = limits.unknown_hang_s
+        if expected_s > 0:
+            allowed = max(limits.hang_s, limits.hang_factor * expected_s)
+        if now - self._heard_at < limits.hang_s:
+            allowed *= limits.neighbour_factor
+        return now - progress.heard_at > allowed
--- a/carobspring/agent/standing.py
+++ b/carobspring/agent/standing.py
@@ -27,12 +27,20 @@
         self.boot = boot
         self.kind = kind
         self.note_change = note_change
-        self.draining = False
+        #: True once the agent was told to stop.
+        self.leaving = False
+        #: True while an operator has the backend server drained.
+        self.drained = False
         self.settings = Settings()
         #: The highest revision that was heard of.
         self.revision = 0
         self._changed = asyncio.Event()
 
+    @property
+    def draining(self) -> bool:
+        """Whether the agent takes no new work."""
+        return self.leaving or self.drained
+
     def take_settings(self, settings: Settings) -> None:
         """Take over newer settings; older ones are passed over."""
         self.note_revision(settings.revision)
--- a/carobspring/programs/agent.py
+++ b/carobspring/programs/agent.py
@@ -88,8 +88,6 @@
         self._options = options
         self._clock = SystemClock()
         self._rpc_port = 0
-        self._leaving = False
-        self._sent_strikes = 0
 
     async def start(self) -> dict[str, int]:
         """Build the parts, listen, and announce the backend server."""
@@ -142,8 +140,7 @@
 
     async def stop(self) -> None:
         """Announce leaving, end what is in flight, and close."""
-        self._leaving = True
-        self._standing.draining = True
+        self._standing.leaving = True
         self._link.hurry()
         await asyncio.sleep(LEAVING_REPORT_S)
         try:
@@ -173,8 +170,8 @@
         return AgentReport(
             server=server,
             load=self._gate.build_load(),
-            leaving=self._leaving,
-            strikes=self._gate.find_recent_strikes(),
+            leaving=self._standing.leaving,
+            strikes=self._gate.runs.find_recent_strikes(),
             revision=self._standing.settings.revision,
         )
 
@@ -184,7 +181,11 @@
         if order.minimum_boot > self._standing.boot:
             self._standing.boot = order.minimum_boot
             self._link.hurry()
+        if order.drain != self._standing.drained:
+            self._standing.drained = order.drain
+            self._link.hurry()
         self._gate.quarantine.add(order.strikes)
+        self._gate.quarantine.release(order.released)
 
 
 async def listen_rpc(server: Server, host: str, port: int) -> int:
--- a/carobspring/programs/agent_status.py
+++ b/carobspring/programs/agent_status.py
@@ -43,7 +43,7 @@
     async def answer(self, request: HttpRequest, responder: HttpResponder) -> None:
         """Answer one request."""
         gate = self._gate
-        ready = gate.health.healthy and not gate.standing.draining
+        ready = gate.runs.health.healthy and not gate.standing.draining
         match request.path:
             case "/healthz":
                 await responder.send(200, TEXT, b"ok\n")
@@ -66,7 +66,7 @@
             "limit": load.limit,
             "first": load.first_token_ms / 1000,
             "gap": load.token_gap_ms / 1000,
-            "healthy": int(gate.health.healthy),
+            "healthy": int(gate.runs.health.healthy),
             "connected": int(self._link.connected),
             "revision": gate.standing.settings.revision,
         }
@@ -75,5 +75,5 @@
         for (status, reason), count in gate.ends.items():
             labels = {"run_status": status, "reason": reason or "none"}
             self._ends.set(labels, count)
-        self._wasted.set({}, gate.wasted_tokens)
-        self._strikes.set({}, gate.strikes)
+        self._wasted.set({}, gate.runs.wasted_tokens)
+        self._strikes.set({}, gate.runs.strikes)
--- /dev/null
+++ b/tests/adapters/test_agent_service.py
@@ -0,0 +1,208 @@
+import asyncio
+import contextlib
+import unittest
+
+from grpclib.client import UnaryStreamMethod, UnaryUnaryMethod
+
+from carobspring.adapters.agent_service import AgentService
+from carobspring.adapters.control_link import ControlLink
+from carobspring.adapters.paths import (
+    CANCEL_CALL,
+    FETCH_SETTINGS,
+    REPORT_OUTCOME,
+    RESUME_CALL,
+    RUN_CALL,
+    WATCH_AGENT,
+)
+from carobspring.adapters.rpc import (
+    RpcService,
+    build_server,
+    make_stream,
+    make_unary,
+    open_channel,
+)
+from carobspring.domain import RunStatus
+from carobspring.programs.agent import listen_rpc
+from carobspring.protocol import (
+    AgentOrder,
+    AgentReport,
+    CallEnd,
+    CallEvent,
+    CancelCall,
+    CancelReply,
+    FetchSettings,
+    OutcomeReply,
+    OutcomeReport,
+    ResumeCall,
+    RunCall,
+    SettingsReply,
+)
+from tests.agent.support import PATIENCE_S, GateBench, build_settings
+
+SECRET = "secret"
+
+
+class ServiceTests(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.bench = GateBench()
+        service = AgentService(gate=self.bench.gate, clock=self.bench.clock)
+        self.server = build_server(services=[service.build()], secret=SECRET)
+        port = await listen_rpc(self.server, "127.0.0.1", 0)
+        self.channel = open_channel(host="127.0.0.1", port=port, secret=SECRET)
+
+    async def asyncTearDown(self):
+        self.channel.close()
+        self.server.close()
+        await self.server.wait_closed()
+
+    async def follow(self, path, request, *, stop_after=None):
+        method = UnaryStreamMethod(self.channel, path, type(request), CallEvent)
+        events = []
+        async with asyncio.timeout(PATIENCE_S), method.open() as stream:
+            await stream.send_message(request, end=True)
+            async for event in stream:
+                events.append(event)
+                if len(events) == stop_after:
+                    await stream.cancel()
+                    break
+        return events
+
+    async def test_resume_after_a_broken_stream(self):
+        """The call goes on; the rest comes from the offset that is asked."""
+        call = RunCall(
+            call_id="c",
+            boot=7,
+            workspace="w",
+            service_class="chat",
+            method="POST",
+            path="/",
+        )
+        feeding = asyncio.create_task(self.bench.backend.find(0))
+        running = asyncio.create_task(self.follow(RUN_CALL, call, stop_after=2))
+        answer = await feeding
+        answer.feed(b"abc")
+        with contextlib.suppress(Exception):
+            await running
+        answer.feed(b"def", b"")
+        events = await self.follow(RESUME_CALL, ResumeCall(call_id="c", offset=2))
+        self.assertEqual(b"".join(event.data for event in events), b"cdef")
+        self.assertEqual(events[-1].end, CallEnd(run_status=RunStatus.RAN))
+        self.assertEqual(len(self.bench.backend.answers), 1)
+
+    async def test_resume_of_a_call_never_seen(self):
+        """It is not run only under the agent's own boot; else unknown."""
+        cases = {7: RunStatus.NOT_RUN, 6: RunStatus.UNKNOWN, 0: RunStatus.UNKNOWN}
+        for boot, status in cases.items():
+            with self.subTest(boot=boot):
+                request = ResumeCall(call_id=f"c{boot}", offset=0, boot=boot)
+                events = await self.follow(RESUME_CALL, request)
+                self.assertEqual(events[-1].end.run_status, status)
+
+    async def test_unary_calls(self):
+        """Cancel and settings answer in one message."""
+        self.bench.gate.take_settings(build_settings(3))
+        cases = [
+            (CANCEL_CALL, CancelCall(call_id="x"), CancelReply(cancelled=False)),
+            (
+                FETCH_SETTINGS,
+                FetchSettings(revision=2),
+                SettingsReply(settings=build_settings(3), revision=3),
+            ),
+            (FETCH_SETTINGS, FetchSettings(revision=3), SettingsReply(revision=3)),
+        ]
+        for path, request, reply in cases:
+            with self.subTest(request=request):
+                method = UnaryUnaryMethod(
+                    self.channel, path, type(request), type(reply)
+                )
+                self.assertEqual(await method(request, timeout=PATIENCE_S), reply)
+
+
+class FakeControl:
+    """A control replica that records reports; it can refuse outcomes."""
+
+    def __init__(self, *, order, outcome_error="", silent=False):
+        self.order = order
+        self.outcome_error = outcome_error
+        self.silent = silent
+        self.reports = []
+        self.outcomes = []
+        self.reported = asyncio.Event()
+
+    async def start(self):
+        service = RpcService(
+            [
+                make_stream(WATCH_AGENT, self.watch, AgentReport, AgentOrder),
+                make_unary(
+                    REPORT_OUTCOME, self.take_outcome, OutcomeReport, OutcomeReply
+                ),
+            ]
+        )
+        self.server = build_server(services=[service], secret=SECRET)
+        return ("127.0.0.1", await listen_rpc(self.server, "127.0.0.1", 0))
+
+    async def watch(self, stream):
+        async for report in stream:
+            self.reports.append(report)
+            self.reported.set()
+            if not self.silent:
+                await stream.send_message(self.order)
+
+    async def take_outcome(self, report):
+        self.outcomes.append(report)
+        return OutcomeReply(error=self.outcome_error)
+
+
+class ControlLinkTests(unittest.IsolatedAsyncioTestCase):
+    async def test_next_replica_after_one_is_gone(self):
+        """Reports and orders go on with another replica, by themselves."""
+        orders = []
+        got = asyncio.Event()
+
+        def take_order(order):
+            orders.append(order)
+            got.set()
+
+        first = FakeControl(order=AgentOrder(minimum_boot=1))
+        second = FakeControl(order=AgentOrder(minimum_boot=2))
+        link = ControlLink(
+            addresses=[await first.start(), await second.start()],
+            secret=SECRET,
+            build_report=AgentReport,
+            take_order=take_order,
+        )
+        link.start()
+        async with asyncio.timeout(PATIENCE_S):
+            await got.wait()
+            self.assertEqual(orders[-1], AgentOrder(minimum_boot=1))
+            first.server.close()
+            await second.reported.wait()
+            while orders[-1].minimum_boot != 2:
+                await asyncio.sleep(0.01)
+        await link.close()
+        second.server.close()
+
+    async def test_outcome_is_tried_on_other_replicas(self):
+        """A replica that can't commit is passed over; silence is no yes."""
+        refusing = FakeControl(order=AgentOrder(), outcome_error="no_quorum")
+        taking = FakeControl(order=AgentOrder())
+        report = OutcomeReport(number=1, run_status=RunStatus.RAN)
+        cases = {"other takes it": ([refusing, taking], True), "none": ([], False)}
+        for name, (replicas, expected) in cases.items():
+            with self.subTest(name):
+                link = ControlLink(
+                    addresses=[await replica.start() for replica in replicas],
+                    secret=SECRET,
+                    build_report=AgentReport,
+                    take_order=orders_ignored,
+                )
+                committed = await link.commit_outcome(report, PATIENCE_S)
+                self.assertIs(committed, expected)
+                await link.close()
+        self.assertEqual(taking.outcomes, [report])
+        for replica in (refusing, taking):
+            replica.server.close()
+
+
+def orders_ignored(order):
+    pass
--- /dev/null
+++ b/tests/agent/support.py
@@ -0,0 +1,159 @@
+"""A gate over a backend server that the test scripts."""
+
+import asyncio
+from dataclasses import replace
+
+from carobspring.agent import CallTable, Gate, GateLimits, Standing, TableLimits
+from carobspring.domain import LatencyTarget, ServiceClass, ServiceKind, Settings
+from carobspring.ports import Backend, BackendAnswer, BackendCutError, Clock
+from carobspring.protocol import CallEnd, RunCall
+from carobspring.scheduling import Scheduler, SchedulerLimits
+from tests.scheduling.support import FixedRandom
+
+PATIENCE_S = 30.0
+EVENT_STREAM = (("Content-Type", "text/event-stream"),)
+DONE = b"data: [DONE]\n\n"
+
+
+class ManualClock(Clock):
+    def __init__(self):
+        self.now = 100.0
+
+    def read_monotonic(self):
+        return self.now
+
+    def read_wall_ms(self):
+        return int(self.now * 1000)
+
+
+class ScriptedAnswer(BackendAnswer):
+    def __init__(self, request, status=200, headers=()):
+        self.request = request
+        self.status = status
+        self.headers = headers
+        self.closed = asyncio.Event()
+        self.pieces = asyncio.Queue()
+
+    def feed(self, *pieces):
+        for piece in pieces:
+            self.pieces.put_nowait(piece)
+
+    async def read(self):
+        piece = await self.pieces.get()
+        if isinstance(piece, Exception):
+            raise piece
+        return piece
+
+    def close(self):
+        self.closed.set()
+
+
+class ScriptedBackend(Backend):
+    """Answers with ``headers``; pieces come as the test feeds them."""
+
+    def __init__(self):
+        self.answers = []
+        self.headers = ()
+        self.error = None
+        self.listening = True
+        self.well = True
+        self.sent = asyncio.Condition()
+
+    async def send(self, request):
+        if self.error is not None:
+            raise self.error
+        answer = ScriptedAnswer(request, headers=self.headers)
+        self.answers.append(answer)
+        async with self.sent:
+            self.sent.notify_all()
+        return answer
+
+    async def find(self, index):
+        async with asyncio.timeout(PATIENCE_S), self.sent:
+            await self.sent.wait_for(lambda: len(self.answers) > index)
+        return self.answers[index]
+
+    def crash(self):
+        self.listening = self.well = False
+        for answer in self.answers:
+            answer.feed(BackendCutError(reason="reset"))
+
+    async def probe(self, timeout_s):
+        return self.well
+
+    async def is_listening(self):
+        return self.listening
+
+    async def close(self):
+        pass
+
+
+class Ledger:
+    """Takes outcomes; confirms none while ``reachable`` is False."""
+
+    def __init__(self):
+        self.outcomes = []
+        self.reachable = True
+        self.allowed = asyncio.Event()
+        self.allowed.set()
+
+    async def commit(self, report, give_up_s):
+        await self.allowed.wait()
+        self.outcomes.append(report)
+        return self.reachable
+
+
+class GateBench:
+    def __init__(self, *, slots=1, kind=ServiceKind.PLAIN, table=None):
+        self.clock = ManualClock()
+        self.backend = ScriptedBackend()
+        self.ledger = Ledger()
+        self.standing = Standing(
+            server_id="r1", boot=7, kind=kind, note_change=lambda: None
+        )
+        self.gate = Gate(
+            standing=self.standing,
+            backend=self.backend,
+            scheduler=Scheduler(
+                limits=SchedulerLimits(slots=slots), random=FixedRandom()
+            ),
+            clock=self.clock,
+            table=CallTable(limits=table or TableLimits()),
+            limits=GateLimits(tick_s=3600, settings_s=0.01, late_commit_s=0),
+            commit_outcome=self.ledger.commit,
+        )
+
+    async def submit(self, call_id, **fields):
+        call = RunCall(
+            call_id=call_id,
+            boot=7,
+            workspace="w",
+            service_class="chat",
+            method="POST",
+            path="/x",
+        )
+        return await self.gate.submit(replace(call, **fields))
+
+    async def read_end(self, record):
+        """Return the whole output and the end, as a reader sees them."""
+        if isinstance(record, CallEnd):
+            return b"", record
+        reader = record.attach(0, self.clock.now)
+        output = b""
+        async with asyncio.timeout(PATIENCE_S):
+            while (event := await reader.read()) is not None:
+                output += event.data
+                end = event.end
+        record.detach(reader, self.clock.now)
+        return output, end
+
+    def advance(self, seconds):
+        self.clock.now += seconds
+        self.gate.check_calls()
+
+
+def build_settings(revision, priority=50):
+    chat = ServiceClass(
+        name="chat", priority=priority, target=LatencyTarget(total_ms=1000)
+    )
+    return Settings(revision=revision, classes={"chat": chat})
--- /dev/null
+++ b/tests/agent/test_claims.py
@@ -0,0 +1,17 @@
+import unittest
+
+from carobspring.agent import ClaimTable
+from carobspring.agent.claims import KnownClaim
+from carobspring.domain import RunStatus
+
+
+class ClaimTableTests(unittest.TestCase):
+    def test_forgotten_numbers_are_unknown(self):
+        """Below the watermark nobody can say, so nothing may start."""
+        table = ClaimTable(limit=2)
+        for number in (1, 2, 3):
+            table.start(number, f"c{number}")
+        unknown = KnownClaim(run_status=RunStatus.UNKNOWN)
+        self.assertEqual(table.find(1), unknown)
+        self.assertEqual(table.fence(1), unknown)
+        self.assertEqual(table.find(4), None)
--- /dev/null
+++ b/tests/agent/test_records.py
@@ -0,0 +1,106 @@
+import asyncio
+import unittest
+
+from carobspring.agent import CallTable, TableLimits
+from carobspring.domain import RunStatus
+from carobspring.protocol import CallEnd, CallEvent, ResponseHead, RunCall
+
+HEAD = ResponseHead(status=200)
+RAN = CallEnd(run_status=RunStatus.RAN)
+LOST = CallEnd(run_status=RunStatus.UNKNOWN, reason="lost")
+
+
+def build_call(call_id):
+    return RunCall(
+        call_id=call_id,
+        boot=1,
+        workspace="w",
+        service_class="chat",
+        method="POST",
+        path="/",
+    )
+
+
+async def read_all(reader):
+    events = []
+    while (event := await reader.read()) is not None:
+        events.append(event)
+    return events
+
+
+class ReaderTests(unittest.IsolatedAsyncioTestCase):
+    async def build_record(self, **limits):
+        table = CallTable(limits=TableLimits(**limits))
+        return table, table.add(build_call("c"), 0.0)
+
+    async def test_resume_from_an_offset(self):
+        """Head and the rest come from any offset that is still kept."""
+        table, record = await self.build_record()
+        record.set_head(HEAD)
+        await record.write(b"abcdef")
+        table.finish(record, RAN, 1.0)
+        cases = {0: b"abcdef", 4: b"ef"}
+        for offset, data in cases.items():
+            with self.subTest(offset=offset):
+                events = await read_all(record.attach(offset, 1.0))
+                expected = [
+                    CallEvent(head=HEAD),
+                    CallEvent(data=data, offset=offset),
+                    CallEvent(end=RAN, offset=6),
+                ]
+                self.assertEqual(events, expected)
+
+    async def test_pieces_are_small(self):
+        """A large answer goes in pieces of 64 KB at most."""
+        table, record = await self.build_record()
+        await record.write(b"x" * 150_000)
+        table.finish(record, RAN, 1.0)
+        events = await read_all(record.attach(0, 1.0))
+        sizes = [len(event.data) for event in events]
+        self.assertEqual(sizes, [65536, 65536, 18928, 0])
+
+    async def test_writer_waits_for_a_slow_reader(self):
+        """No more than the limit is kept, and nothing is skipped."""
+        table, record = await self.build_record(call_bytes=4)
+        reader = record.attach(0, 0.0)
+        await record.write(b"abcd")
+        writing = asyncio.create_task(record.write(b"ef"))
+        await asyncio.sleep(0)
+        self.assertIs(writing.done(), False)
+        self.assertEqual((await reader.read()).data, b"abcdef")
+        await writing
+        self.assertEqual((record.base, bytes(record.kept)), (2, b"cdef"))
+        table.finish(record, RAN, 1.0)
+        self.assertEqual((await read_all(record.attach(0, 1.0)))[0].end, LOST)
+
+    async def test_heartbeat_while_nothing_comes(self):
+        """A reader that is told to beat hands out an empty event."""
+        _, record = await self.build_record()
+        reader = record.attach(0, 0.0)
+        reading = asyncio.create_task(reader.read())
+        await asyncio.sleep(0)
+        reader.beat = True
+        reader.wake.set()
+        self.assertEqual(await reading, CallEvent())
+
+
+class TableTests(unittest.IsolatedAsyncioTestCase):
+    async def test_what_is_forgotten(self):
+        """The oldest go first, by age or by the bytes of all."""
+        cases = {
+            "kept": ({}, 5.0, {"a", "b"}),
+            "age": ({"keep_s": 3}, 5.0, {"b"}),
+            "bytes": ({"total_bytes": 5}, 5.0, {"b"}),
+        }
+        for name, (limits, now, kept) in cases.items():
+            with self.subTest(name):
+                table = CallTable(limits=TableLimits(**limits))
+                for call_id, ended_at in (("a", 1.0), ("b", 4.0)):
+                    record = table.add(build_call(call_id), 0.0)
+                    await record.write(b"abc")
+                    table.finish(record, RAN, ended_at)
+                table.forget_old(now)
+                found = {call_id for call_id in "ab" if table.find(call_id)}
+                self.assertEqual(found, kept)
+                for call_id in {"a", "b"} - kept:
+                    self.assertEqual(table.find_past(call_id), RunStatus.RAN)
