--- a/carobspring/programs/agent.py
+++ b/carobspring/programs/agent.py
@@ -77,6 +77,8 @@
     slots: Annotated[int, Meta(ge=1, le=100_000)] = 8
     queue_limit: Annotated[int, Meta(ge=1, le=1_000_000)] = 256
     overcommit: Annotated[int, Meta(ge=0, le=100_000)] = 0
+    #: Part of the limit, at most, that is kept free for bursts of tiers above.
+    headroom_share: Annotated[float, Meta(ge=0, le=0.9)] = 0.25
     health_path: str = "/health"
     orphan_s: Seconds = 30.0
     hang_s: Seconds = 10.0
@@ -128,6 +130,7 @@
                     slots=options.slots,
                     queue_calls=options.queue_limit,
                     overcommit=options.overcommit,
+                    headroom_share=options.headroom_share,
                 ),
                 random=SystemRandom(),
             ),
--- a/carobspring/scheduling/scheduler.py
+++ b/carobspring/scheduling/scheduler.py
@@ -41,6 +41,8 @@
     #: Calls above the limit that engines with priorities are given, of tiers
     #: above one that runs, so that they are next when a slot comes free.
     overcommit: int = 0
+    #: Part of the limit, at most, that is kept free for bursts of tiers above.
+    headroom_share: float = 0.25
 
 
 @dataclass(kw_only=True, eq=False)
@@ -65,7 +67,7 @@
     def __init__(self, *, limits: SchedulerLimits, random: RandomSource) -> None:
         self._limits = limits
         self._limit = ConcurrencyLimit(slots=limits.slots)
-        self._headroom = Headroom()
+        self._headroom = Headroom(max_share=limits.headroom_share)
         self._floor = ShareFloor()
         self._predictor = ServicePredictor()
         self._drain = DrainRate()
@@ -140,7 +142,7 @@
 
     def _take_arrival(self, call: CallArrived, now: float) -> list[SchedulerAction]:
         if call.target_s:
-            self._headroom.note_arrival(call.priority, now=now)
+            self._headroom.note_arrival(call.priority, target_s=call.target_s, now=now)
         queue = self._queues.get(call.service_class)
         if queue is None:
             queue = ClassQueue(service_class=call.service_class, priority=call.priority)
@@ -274,8 +276,10 @@
             lowest = min(run.priority for run in self._running.values())
             above = self._limits.overcommit if priority > lowest else 0
             return running < limit + above
+        expected = [run.expected_s for run in self._running.values()]
+        service_s = sum(expected) / running
         reserve = self._headroom.find_reserve(
-            priority, limit=limit, service_s=self._predictor.predict_any(), now=now
+            priority, limit=limit, service_s=service_s, now=now
         )
         return running < limit - reserve
 
