--- a/carobspring/programs/agent.py
+++ b/carobspring/programs/agent.py
@@ -77,6 +77,8 @@
     slots: Annotated[int, Meta(ge=1, le=100_000)] = 8
     queue_limit: Annotated[int, Meta(ge=1, le=1_000_000)] = 256
     overcommit: Annotated[int, Meta(ge=0, le=100_000)] = 0
+    #: Part of the limit, at most, that is kept free for bursts of tiers above.
+    headroom_share: Annotated[float, Meta(ge=0, le=0.9)] = 0.25
     health_path: str = "/health"
     orphan_s: Seconds = 30.0
     hang_s: Seconds = 10.0
@@ -101,8 +103,6 @@
         self._options = options
         self._clock = SystemClock()
         self._rpc_port = 0
-        self._leaving = False
-        self._sent_strikes = 0
 
     async def start(self) -> dict[str, int]:
         """Build the parts, listen, and announce the backend server."""
@@ -130,6 +130,7 @@
                     slots=options.slots,
                     queue_calls=options.queue_limit,
                     overcommit=options.overcommit,
+                    headroom_share=options.headroom_share,
                 ),
                 random=SystemRandom(),
             ),
@@ -155,8 +156,7 @@
 
     async def stop(self) -> None:
         """Announce leaving, end what is in flight, and close."""
-        self._leaving = True
-        self._standing.draining = True
+        self._standing.leaving = True
         self._link.hurry()
         await asyncio.sleep(LEAVING_REPORT_S)
         try:
@@ -186,8 +186,8 @@
         return AgentReport(
             server=server,
             load=self._gate.build_load(),
-            leaving=self._leaving,
-            strikes=self._gate.find_recent_strikes(),
+            leaving=self._standing.leaving,
+            strikes=self._gate.runs.find_recent_strikes(),
             revision=self._standing.settings.revision,
         )
 
@@ -197,7 +197,11 @@
         if order.minimum_boot > self._standing.boot:
             self._standing.boot = order.minimum_boot
             self._link.hurry()
+        if order.drain != self._standing.drained:
+            self._standing.drained = order.drain
+            self._link.hurry()
         self._gate.quarantine.add(order.strikes)
+        self._gate.quarantine.release(order.released)
 
 
 async def listen_rpc(server: Server, host: str, port: int) -> int:
