Send pieces that come together as one, without circuits' echo events

Cause: 188 us of processor time for each piece of a stream in the entry, and 70 MB resident after 150 streams of 200 pieces sent as fast as can be: circuits fired three more events for each piece about its success, and pieces piled up as events while a task did not yield. Ruled out: yielding after each piece (41 MB, but 242 us a piece, on a busier machine). Change: pieces written in one turn of the loop go as one chunk; events of answers fire no others about their success; 3 s to connect, since a busy loop took a healthy agent for unreachable at 1 s.

--- a/carobspring/adapters/http_responder.py
+++ b/carobspring/adapters/http_responder.py
@@ -5,15 +5,28 @@
 from typing import Any, Protocol
 
 import msgspec
+from circuits import Event
 from circuits.web.events import response, stream
 from circuits.web.wrappers import Response
 
 from carobspring.domain import CallHeaders
 from carobspring.ports import HttpResponder
 
+#: Pending bytes at which a writer lets the loop come round.
+PIECE_BYTES = 16 * 1024
 BODILESS_STATUSES = (204, 304)
 
 
+def quieten(event: Event) -> Event:
+    """Return an event that fires no others about its success.
+
+    Nothing listens to them, and they cost more than the event itself.
+    """
+    event.success = False
+    event.complete = False
+    return event
+
+
 class StatusLine(int):
     """A status code that prints with its reason, also when it is unusual."""
 
@@ -59,6 +72,8 @@
         self.ended = False
         self._connection = connection
         self._answer = answer
+        #: Written and not handed over: pieces that come together go together.
+        self._pending = bytearray()
 
     async def send(self, status: int, headers: CallHeaders, body: bytes) -> None:
         """Answer with a whole body; Content-Length is added."""
@@ -68,7 +83,7 @@
         if status in BODILESS_STATUSES:
             body = b""
         self._answer.body = body
-        self._connection.fire_event(response(self._answer))
+        self._connection.fire_event(quieten(response(self._answer)))
         if self._answer.request.method != "HEAD":
             self._connection.note_written(len(body))
         self._end()
@@ -81,28 +96,41 @@
         self._answer.stream = True
         # An empty tuple, unlike an empty list, adds no Content-Length.
         self._answer._body = ()
-        self._connection.fire_event(response(self._answer))
+        self._connection.fire_event(quieten(response(self._answer)))
 
     async def write(self, data: bytes) -> None:
         """Send a piece; waits while a slow reader has too much unread."""
         if self.gone.is_set() or self.ended or not data:
             return
         self._connection.note_written(len(data))
-        self._connection.fire_event(stream(self._answer, data))
+        if not self._pending:
+            asyncio.get_running_loop().call_soon(self._flush)
+        self._pending += data
+        if len(self._pending) >= PIECE_BYTES:
+            await asyncio.sleep(0)
         await self._connection.wait_writable()
 
     async def finish(self) -> None:
         """Mark the answer as whole."""
         if self.gone.is_set() or self.ended:
             return
-        self._connection.fire_event(stream(self._answer, None))
+        self._flush()
+        self._connection.fire_event(quieten(stream(self._answer, None)))
         self._end()
 
     def abort(self) -> None:
         """Close the connection so that the caller sees a cut answer."""
+        self._flush()
         self.ended = True
         self._connection.close_after_sending()
 
+    def _flush(self) -> None:
+        """Hand over what was written since the loop last came round."""
+        if self._pending and not self.gone.is_set() and not self.ended:
+            data = bytes(self._pending)
+            self._connection.fire_event(quieten(stream(self._answer, data)))
+        self._pending.clear()
+
     def _prepare(self, status: int, headers: CallHeaders) -> None:
         self.started = True
         self._answer._status = StatusLine(status)
--- a/carobspring/entry/following.py
+++ b/carobspring/entry/following.py
@@ -16,7 +16,7 @@
 
 #: Seconds without any event after which a stream is taken for dead.
 SILENCE_S = 3.0
-CONNECT_S = 1.0
+CONNECT_S = 3.0
 TRAILER_S = 0.5
 RESUME_ATTEMPTS = 2
 RESUME_PAUSE_S = 0.1
