--- /dev/null
+++ b/bench/path.py
@@ -0,0 +1,215 @@
+"""Measures what the path through entry and agent costs.
+
+Run as ``python -m bench.path``. Prints the latency that the path adds to a
+call at moderate load, the requests and chunks a second that one entry relays
+and its processor time for them, and each program's resident memory when idle.
+"""
+
+import asyncio
+import dataclasses
+import json
+import os
+import statistics
+import time
+from collections.abc import Sequence
+from dataclasses import dataclass
+from pathlib import Path
+
+from bench.processes import read_cpu_s, read_resident_mb
+from carobspring.domain import LatencyTarget, ServiceClass
+from standins.caller import Answer, Caller, Prompt, Verdict
+from standins.deployment import Deployment, RunningProgram, open_client
+from standins.programs import parse_options
+from standins.setup import apply_settings, wait_for_models
+
+MODEL = "carob-small"
+WORKSPACE = "workspace-0"
+TARGET = LatencyTarget(first_token_ms=5000, total_ms=60_000)
+MS_PER_S = 1000
+TOKENS = 20
+RUNNERS = 4
+SETTLE_S = 3.0
+
+
+@dataclass(frozen=True, kw_only=True)
+class PathOptions:
+    """The flags of the path bench."""
+
+    #: Calls to each of stand-in and entry for the latencies.
+    calls: int = 200
+    #: Pause between two calls.
+    pause_ms: float = 10.0
+    #: Seconds of each measurement of throughput.
+    duration_s: float = 8.0
+    chunks_per_s: int = 2000
+    json: str = ""
+
+
+@dataclass(frozen=True, kw_only=True)
+class LatencyFigures:
+    """Milliseconds to the first piece and to the end, and the path's part."""
+
+    kind: str
+    direct_first_ms: float
+    path_first_ms: float
+    added_first_ms: float
+    added_first_p99_ms: float
+    ratio: float
+    direct_total_ms: float
+    path_total_ms: float
+
+
+class PathBench:
+    """One entry, one control replica, and runners with their agents."""
+
+    def __init__(self, *, deployment: Deployment, options: PathOptions) -> None:
+        self._deployment = deployment
+        self._options = options
+        self._entry: RunningProgram
+        self._runners: list[RunningProgram] = []
+        self._caller: Caller
+        self.figures: dict[str, object] = {}
+
+    async def run(self) -> None:
+        """Measure everything."""
+        programs = await self._start()
+        await asyncio.sleep(SETTLE_S)
+        self.figures["idle_mb"] = {
+            name: read_resident_mb(program.pid) for name, program in programs.items()
+        }
+        async with open_client() as client:
+            self._caller = Caller(client=client, key=self._key)
+            for stream in (True, False):
+                figures = await self._measure_latency(stream=stream)
+                self.figures[figures.kind] = dataclasses.asdict(figures)
+            self.figures["relay"] = await self._measure_relay()
+            self.figures["requests"] = await self._measure_requests()
+        self.figures["load_average"] = os.getloadavg()[0]
+
+    async def _start(self) -> dict[str, RunningProgram]:
+        control = await self._deployment.start_control()
+        self._entry = await self._deployment.start_entry()
+        agents = []
+        for index in range(RUNNERS):
+            runner = await self._deployment.start_runner(
+                models=MODEL, token_ms=5, crowding=0.0, slots=64, prompt_word_ms=0
+            )
+            self._runners.append(runner)
+            agents.append(
+                await self._deployment.start_agent(f"runner-{index}", runner, slots=64)
+            )
+        keys = await apply_settings(
+            self._deployment,
+            classes=[ServiceClass(name="chat", priority=90, target=TARGET)],
+            workspaces={WORKSPACE: "chat"},
+            plain_services={},
+        )
+        self._key = keys[WORKSPACE]
+        await wait_for_models(self._entry.url(), key=self._key, model=MODEL)
+        return {"control": control, "entry": self._entry, "agent": agents[0]}
+
+    async def _measure_latency(self, *, stream: bool) -> LatencyFigures:
+        direct, path = [], []
+        for number in range(self._options.calls):
+            prompt = Prompt(text=f"call {number}", tokens=TOKENS, stream=stream)
+            runner = self._runners[number % len(self._runners)]
+            direct.append(await self._complete(runner.url(), prompt))
+            path.append(await self._complete(self._entry.url(), prompt))
+            await asyncio.sleep(self._options.pause_ms / MS_PER_S)
+        direct_first = [find_first_ms(answer) for answer in direct]
+        path_first = [find_first_ms(answer) for answer in path]
+        direct_ms = statistics.median(direct_first)
+        path_ms = statistics.median(path_first)
+        return LatencyFigures(
+            kind="streamed" if stream else "whole",
+            direct_first_ms=direct_ms,
+            path_first_ms=path_ms,
+            added_first_ms=path_ms - direct_ms,
+            added_first_p99_ms=find_p99(path_first) - find_p99(direct_first),
+            ratio=path_ms / direct_ms,
+            direct_total_ms=statistics.median(map(find_total_ms, direct)),
+            path_total_ms=statistics.median(map(find_total_ms, path)),
+        )
+
+    async def _complete(self, url: str, prompt: Prompt) -> Answer:
+        answer = await self._caller.complete(url, prompt)
+        if answer.verdict is not Verdict.WHOLE:
+            raise RuntimeError(f"{url}: {answer.verdict} {answer.reason}")
+        return answer
+
+    async def _measure_relay(self) -> dict[str, float]:
+        """Stream at a fixed rate of chunks and measure the entry."""
+        per_caller = MS_PER_S / 5.0
+        callers = max(round(self._options.chunks_per_s / per_caller), 1)
+        tokens = 0
+        deadline = time.monotonic() + self._options.duration_s
+
+        async def call_on(number: int) -> None:
+            nonlocal tokens
+            while time.monotonic() < deadline:
+                prompt = Prompt(text=f"caller {number}", tokens=200, stream=True)
+                await self._complete(self._entry.url(), prompt)
+                tokens += prompt.tokens
+
+        return await self._time_entry(call_on, callers, lambda: tokens, "chunks")
+
+    async def _measure_requests(self) -> dict[str, float]:
+        """Send short whole calls as fast as one entry takes them."""
+        calls = 0
+        deadline = time.monotonic() + self._options.duration_s
+
+        async def call_on(number: int) -> None:
+            nonlocal calls
+            while time.monotonic() < deadline:
+                await self._complete(
+                    self._entry.url(), Prompt(text=f"caller {number}", tokens=1)
+                )
+                calls += 1
+
+        return await self._time_entry(call_on, 64, lambda: calls, "requests")
+
+    async def _time_entry(self, call_on, callers, read_count, unit):  # type: ignore
+        started, cpu = time.monotonic(), read_cpu_s(self._entry.pid)
+        await asyncio.gather(*(call_on(number) for number in range(callers)))
+        elapsed = time.monotonic() - started
+        return {
+            f"{unit}_per_s": read_count() / elapsed,
+            "entry_core_share": (read_cpu_s(self._entry.pid) - cpu) / elapsed,
+        }
+
+
+def find_first_ms(answer: Answer) -> float:
+    """Return the time to the answer's first piece."""
+    return (answer.first_s - answer.sent_s) * MS_PER_S
+
+
+def find_total_ms(answer: Answer) -> float:
+    """Return the time to the answer's end."""
+    return (answer.ended_s - answer.sent_s) * MS_PER_S
+
+
+def find_p99(values: Sequence[float]) -> float:
+    """Return the 99th percentile."""
+    return statistics.quantiles(values, n=100)[98]
+
+
+async def measure(options: PathOptions) -> dict[str, object]:
+    """Run the bench in a deployment of its own and return the figures."""
+    async with Deployment() as deployment:
+        bench = PathBench(deployment=deployment, options=options)
+        await bench.run()
+        return bench.figures
+
+
+def main() -> None:
+    """Run the path bench."""
+    options = parse_options(PathOptions)
+    figures = asyncio.run(measure(options))
+    text = json.dumps(figures, indent=1)
+    print(text)
+    if options.json:
+        Path(options.json).write_text(text + os.linesep)
+
+
+if __name__ == "__main__":
+    main()
