--- /dev/null
+++ b/bench/capacity.py
@@ -0,0 +1,247 @@
+"""Measures how the costs of each role grow with the size of a deployment.
+
+Run as ``python -m bench.capacity``. At each size it starts one control
+replica, entries and agents (with one small stand-in behind all agents), lets
+them idle, then makes changes at a fixed rate, and prints per program of each
+role: processor time, bytes on the streams to control, and resident memory.
+"""
+
+import asyncio
+import dataclasses
+import json
+import os
+import statistics
+from collections.abc import Mapping, Sequence
+from dataclasses import dataclass
+from pathlib import Path
+
+from bench.processes import read_cpu_s, read_resident_mb
+from carobspring.domain import LatencyTarget, ServiceClass
+from carobspring.settings import Change
+from standins.deployment import (
+    LOOPBACK,
+    Deployment,
+    RunningProgram,
+    open_client,
+    wait_until,
+)
+from standins.link import Link
+from standins.programs import parse_options
+from standins.setup import apply_settings, send_changes
+
+TARGET = LatencyTarget(first_token_ms=500)
+SETTLE_S = 5.0
+#: Programs that are started at once.
+START_BATCH = 10
+KB = 1024
+
+
+@dataclass(frozen=True, kw_only=True)
+class CapacityOptions:
+    """The flags of the capacity bench; lists are separated by commas."""
+
+    agents: str = "10,20,40"
+    entries: str = "2"
+    workspaces: str = "10"
+    #: Seconds of each measurement.
+    duration_s: float = 10.0
+    changes_per_s: float = 1.0
+    json: str = ""
+
+
+@dataclass(frozen=True, kw_only=True)
+class RoleCost:
+    """The mean cost of one program of a role."""
+
+    core_share: float
+    #: Both ways on its stream to control; for control, of all streams.
+    stream_kb_per_s: float
+    resident_mb: float
+
+
+@dataclass(frozen=True, kw_only=True)
+class SizeFigures:
+    """Costs at one size, idle and while settings change."""
+
+    agents: int
+    entries: int
+    workspaces: int
+    changes_per_s: float
+    load_average: float
+    idle: Mapping[str, RoleCost]
+    changing: Mapping[str, RoleCost]
+    #: Seconds from accepted to in force at every entry, the worst seen.
+    in_force_s: float
+
+
+class SizedDeployment:
+    """A deployment of one size, with its programs by role."""
+
+    def __init__(
+        self, *, deployment: Deployment, agents: int, entries: int, workspaces: int
+    ) -> None:
+        self._deployment = deployment
+        self._sizes = (agents, entries, workspaces)
+        self._revision = 0
+        self.roles: dict[str, list[RunningProgram]] = {}
+        self._links: dict[str, Link] = {}
+
+    async def start(self) -> None:
+        """Start everything and wait until the replica knows all agents."""
+        agents, entries, workspaces = self._sizes
+        control = await self._deployment.start_control()
+        for role in ("entry", "agent"):
+            link = Link(target_host=LOOPBACK, target_port=control.ports["rpc"])
+            await link.start()
+            self._links[role] = link
+        runner = await self._deployment.start_runner()
+        self.roles = {"control": [control], "entry": [], "agent": []}
+        self._dial_through("entry")
+        for index in range(entries):
+            entry = await self._deployment.start_entry(f"e{index}")
+            self.roles["entry"].append(entry)
+        self._dial_through("agent")
+        for start in range(0, agents, START_BATCH):
+            batch = range(start, min(start + START_BATCH, agents))
+            started = await asyncio.gather(
+                *(
+                    self._deployment.start_agent(f"runner-{index}", runner)
+                    for index in batch
+                )
+            )
+            self.roles["agent"] += started
+        await apply_settings(
+            self._deployment,
+            classes=[ServiceClass(name="chat", priority=90, target=TARGET)],
+            workspaces={f"workspace-{index}": "chat" for index in range(workspaces)},
+            plain_services={},
+        )
+        self._revision = 1
+        await wait_until(self._knows_all, "control knows every agent")
+
+    def _dial_through(self, role: str) -> None:
+        """Have the programs started next dial control by the role's link."""
+        port = self._links[role].port
+        self._deployment.controls = [f"{LOOPBACK}:{port}"]
+
+    async def _knows_all(self) -> bool:
+        return (await self._deployment.ctl("status")).count("runner-") >= self._sizes[0]
+
+    async def measure(self, duration_s: float) -> dict[str, RoleCost]:
+        """Return what one program of each role costs on average."""
+        before = {role: self._read_usage(role) for role in self.roles}
+        await asyncio.sleep(duration_s)
+        return {
+            role: find_cost(before[role], self._read_usage(role), programs, duration_s)
+            for role, programs in self.roles.items()
+        }
+
+    def _read_usage(self, role: str) -> tuple[float, int]:
+        """Return processor seconds and stream bytes of a role so far."""
+        links = self._links.values() if role == "control" else [self._links[role]]
+        taken = sum(link.taken_bytes for link in links)
+        return sum(read_cpu_s(program.pid) for program in self.roles[role]), taken
+
+    async def close(self) -> None:
+        """Close the links."""
+        for link in self._links.values():
+            await link.close()
+
+    async def change(self, duration_s: float, changes_per_s: float) -> float:
+        """Change settings at a rate; return the longest time to in force."""
+        longest = 0.0
+        loop = asyncio.get_running_loop()
+        until = loop.time() + duration_s
+        async with open_client() as client:
+            while changes_per_s and loop.time() < until:
+                started = loop.time()
+                name = f"class-{self._revision % 7}"
+                service_class = ServiceClass(name=name, priority=1, target=TARGET)
+                self._revision = await send_changes(
+                    self._deployment,
+                    [Change(set_class=service_class)],
+                    base_revision=self._revision,
+                )
+                for entry in self.roles["entry"]:
+                    await wait_until(
+                        lambda url=entry.url(): self._is_in_force(  # type: ignore[misc]
+                            client, url
+                        ),
+                        "the change is in force",
+                    )
+                took = loop.time() - started
+                longest = max(longest, took)
+                await asyncio.sleep(max(1 / changes_per_s - took, 0))
+        return longest
+
+    async def _is_in_force(self, client, url: str) -> bool:  # type: ignore
+        async with client.get(f"{url}/readyz") as answer:
+            return bool((await answer.json())["revision"] >= self._revision)
+
+
+def find_cost(
+    before: tuple[float, int],
+    after: tuple[float, int],
+    programs: Sequence[RunningProgram],
+    duration_s: float,
+) -> RoleCost:
+    """Return the mean cost of a program between two readings."""
+    scale = 1 / (duration_s * len(programs))
+    return RoleCost(
+        core_share=(after[0] - before[0]) * scale,
+        stream_kb_per_s=(after[1] - before[1]) * scale / KB,
+        resident_mb=statistics.mean(read_resident_mb(one.pid) for one in programs),
+    )
+
+
+async def measure_size(
+    options: CapacityOptions, *, agents: int, entries: int, workspaces: int
+) -> SizeFigures:
+    """Return the figures of one size."""
+    async with Deployment() as deployment:
+        sized = SizedDeployment(
+            deployment=deployment,
+            agents=agents,
+            entries=entries,
+            workspaces=workspaces,
+        )
+        await sized.start()
+        await asyncio.sleep(SETTLE_S)
+        idle = await sized.measure(options.duration_s)
+        changing, in_force_s = await asyncio.gather(
+            sized.measure(options.duration_s),
+            sized.change(options.duration_s, options.changes_per_s),
+        )
+        await sized.close()
+        return SizeFigures(
+            agents=agents,
+            entries=entries,
+            workspaces=workspaces,
+            changes_per_s=options.changes_per_s,
+            load_average=os.getloadavg()[0],
+            idle=idle,
+            changing=changing,
+            in_force_s=in_force_s,
+        )
+
+
+def main() -> None:
+    """Run the capacity bench at each size."""
+    options = parse_options(CapacityOptions)
+    results = []
+    for agents in map(int, options.agents.split(",")):
+        for entries in map(int, options.entries.split(",")):
+            for workspaces in map(int, options.workspaces.split(",")):
+                figures = asyncio.run(
+                    measure_size(
+                        options, agents=agents, entries=entries, workspaces=workspaces
+                    )
+                )
+                results.append(dataclasses.asdict(figures))
+                print(json.dumps(results[-1]), flush=True)
+    if options.json:
+        Path(options.json).write_text(json.dumps(results, indent=1) + os.linesep)
+
+
+if __name__ == "__main__":
+    main()
--- a/bench/processes.py
+++ b/bench/processes.py
@@ -1,4 +1,4 @@
-"""Processor time, memory and traffic of a process, from Linux' proc files."""
+"""Processor time and memory of a process, from Linux' proc files."""
 
 import os
 from pathlib import Path
@@ -20,11 +20,3 @@
         if line.startswith("VmRSS:"):
             return int(line.split()[1]) / KB_PER_MB
     return 0.0
-
-
-def read_socket_bytes(pid: int) -> int:
-    """Return the bytes that a process has written, files included."""
-    for line in Path(f"/proc/{pid}/io").read_text().splitlines():
-        if line.startswith("wchar:"):
-            return int(line.split()[1])
-    return 0
--- a/standins/link.py
+++ b/standins/link.py
@@ -26,6 +26,8 @@
     ) -> None:
         self.port = 0
         self.is_cut = False
+        #: Bytes taken in, both ways together.
+        self.taken_bytes = 0
         self._target = (target_host, target_port)
         self._delay_s = delay_s
         self._jitter_s = jitter_s
@@ -92,6 +94,7 @@
 
         try:
             while data := await reader.read(CHUNK_BYTES):
+                self.taken_bytes += len(data)
                 delay_s = self._delay_s + self._random.random() * self._jitter_s
                 due = max(due, loop.time() + delay_s)
                 loop.call_at(due, deliver, lambda piece=data: writer.write(piece))
