Keep the concurrency limit within the engine's slots

Cause: under overload the limit grew to twice the slots, as blurbs and appraisals have large targets; the slots over the engine's own were low calls waiting in the engine, and a chat that came later waited for two ends in place of one. Ruled out: the gap between tokens (27 ms of 60). Change: the limit grows back to the slots at most.

--- a/carobspring/scheduling/limit.py
+++ b/carobspring/scheduling/limit.py
@@ -19,10 +19,12 @@
 
     A strain is an observed time divided by what the class allows of it: 1 is
     just right. While the smoothed strain is above 1 the limit falls, while it
-    is well below and all of the limit is used it grows, to twice the slots
-    that the backend server is said to have. When cuts don't bring the strain
-    down (a backend server that is slow by itself), the limit goes back to
-    the slots for a while: fewer calls at once would only waste it.
+    is well below and all of the limit is used it grows back, at most to the
+    slots that the backend server is said to have: a call beyond them would
+    wait in the engine, ahead of any higher call that comes later. When cuts
+    don't bring the strain down (a backend server that is slow by itself), the
+    limit goes back to the slots for a while: fewer calls at once would only
+    waste it.
     """
 
     def __init__(self, *, slots: int) -> None:
@@ -60,7 +62,7 @@
         """Take in that a call waits because the limit is used up."""
         room = self._samples > 0 and self._strain < ROOM_SHARE
         if room and now - self._changed_at >= INCREASE_INTERVAL_S:
-            self._limit = min(self._limit + 1, 2.0 * self._slots)
+            self._limit = min(self._limit + 1, float(self._slots))
             self._changed_at = now
             self._strain_at_cut = None
             self._useless_cuts = 0
