--- a/bench/replay.py
+++ b/bench/replay.py
@@ -43,11 +43,18 @@
             return False
         if not self.call.load.stream or not self.call.tokens:
             return self.wait_s * MS_PER_S <= target.total_ms
-        first_ms = (self.answer.first_s - self.answer.sent_s) * MS_PER_S
+        first_ms = self.first_ms
         gaps = max(self.call.tokens - 1, 1)
         gap_ms = (self.answer.ended_s - self.answer.first_s) * MS_PER_S / gaps
         return first_ms <= target.first_token_ms and gap_ms <= target.token_gap_ms
 
+    @property
+    def first_ms(self) -> float:
+        """Milliseconds from sending to the first piece of the answer."""
+        if self.answer is None:
+            return 0.0
+        return (self.answer.first_s - self.answer.sent_s) * MS_PER_S
+
     @property
     def wait_s(self) -> float:
         """Seconds from sending to the end of the answer."""
--- a/bench/report.py
+++ b/bench/report.py
@@ -29,6 +29,9 @@
     failed: int
     unanswered: int
     wrong: int
+    #: Times to the first piece of whole answers, in milliseconds.
+    first_p50_ms: float
+    first_p99_ms: float
     longest_wait_s: float
     #: Fewest answers in a minute in which the class had calls waiting.
     least_in_a_minute: int
@@ -118,6 +121,7 @@
     first = [record for record in mine if not record.returned]
     again = [record for record in mine if record.returned]
     refused = [record for record in first if is_refusal(record)]
+    firsts = [record.first_ms for record in first if record.whole]
     verdicts = collections.Counter(record.verdict for record in mine)
     return ClassFigures(
         name=name,
@@ -134,12 +138,20 @@
         failed=verdicts[Verdict.FAILED] + verdicts[Verdict.CUT],
         unanswered=verdicts[None],
         wrong=verdicts[Verdict.WRONG],
+        first_p50_ms=find_quantile(firsts, 0.5),
+        first_p99_ms=find_quantile(firsts, 0.99),
         longest_wait_s=max((record.wait_s for record in mine), default=0.0),
         least_in_a_minute=count_least(mine),
         reasons=dict(collections.Counter(r.reason for r in mine if r.reason)),
     )
 
 
+def find_quantile(values: Sequence[float], part: float) -> float:
+    """Return the value below which this part of the values lies."""
+    ordered = sorted(values)
+    return ordered[int(part * (len(ordered) - 1))] if ordered else 0.0
+
+
 def is_refusal(record: CallRecord) -> bool:
     """Say whether a call was given up with a final answer."""
     return record.verdict is Verdict.REFUSED
@@ -164,7 +176,8 @@
    {item.name:<15} met {item.attainment:.1%} of {item.sent}, answered \
 {item.answered}, refused {item.refused} ({item.refused_with_retry_after} told \
 when; back then: taken {item.returned_taken}, refused {item.returned_refused}), \
-failed {item.failed}, unanswered {item.unanswered}, wrong {item.wrong}, longest \
+failed {item.failed}, unanswered {item.unanswered}, wrong {item.wrong}, first \
+piece p50 {item.first_p50_ms:.0f} p99 {item.first_p99_ms:.0f} ms, longest \
 wait {item.longest_wait_s:.1f} s, least a minute {item.least_in_a_minute} \
 {item.reasons}
 """
