--- a/carobspring/adapters/http_connection.py
+++ b/carobspring/adapters/http_connection.py
@@ -5,7 +5,6 @@
 import time
 from typing import Any
 
-from circuits.net.events import close
 from circuits.web.parsers import HttpParser
 from circuits.web.wrappers import Request, Response
 
@@ -44,6 +43,7 @@
         self._sock = sock
         self._peer = peer
         self._protocol = protocol
+        self._tcp = protocol._server.server
         self._handle = handle
         self._limits = limits
         self._received = bytearray()
@@ -54,6 +54,8 @@
         self._responder: CircuitsResponder | None = None
         self._task: asyncio.Task[None] | None = None
         self._unsent = 0
+        self._sent_at = time.monotonic()
+        self._ending_at: float | None = None
         self._writable = asyncio.Event()
         self._writable.set()
         self._closing = False
@@ -75,7 +77,14 @@
         self._read_request()
 
     def check_timeouts(self, now: float) -> None:
-        """End a request that is late in coming, or an idle connection."""
+        """End a late request, a stalled reader, or an idle connection."""
+        stalled_s = now - self._sent_at if self._unsent else 0.0
+        if stalled_s > self._limits.stall_timeout_s:
+            self.close_now()
+            return
+        if self._ending_at is not None and now > self._ending_at:
+            self.close_now()
+            return
         if self._responder is not None or self._closing:
             return
         waited = now - self._changed_at
@@ -103,16 +112,18 @@
     def note_sent(self, size: int) -> None:
         """Count bytes that were sent."""
         self._unsent = max(0, self._unsent - size)
+        self._sent_at = time.monotonic()
         if self._unsent < self._limits.write_buffer_bytes:
             self._writable.set()
 
-    def fire_event(self, event: Any) -> None:
-        """Queue an event for circuits' server."""
-        self._protocol.fire(event)
-
-    def note_written(self, size: int) -> None:
-        """Count bytes that were handed over and are not sent yet."""
-        self._unsent += size
+    def send_bytes(self, data: bytes) -> None:
+        """Send bytes, or keep them until the caller reads on."""
+        if self._closed:
+            return
+        if not self._unsent:
+            self._sent_at = time.monotonic()
+        self._unsent += len(data)
+        self._tcp.write(self._sock, data)
         if self._unsent >= self._limits.write_buffer_bytes:
             self._writable.clear()
 
@@ -131,11 +142,18 @@
         if self._received and not self._closing:
             asyncio.get_running_loop().call_soon(self._read_request)
 
+    def close_after_sending(self) -> None:
+        """Send what was handed over, then close without marking an end."""
+        if not self._closed:
+            self._closing = True
+            self._ending_at = time.monotonic() + self._limits.stall_timeout_s
+            self._tcp.close(self._sock)
+
     def close_now(self) -> None:
         """Close without sending what is left."""
         if not self._closed:
             self._closing = True
-            self._protocol._server.server._close(self._sock)
+            self._tcp._close(self._sock)
 
     def _read_request(self) -> None:
         if self._responder is not None or self._closing:
@@ -167,7 +185,7 @@
             self._chunks = self._parse_head()
             self._chunk_bytes = 0
         if self._framing.expects_continue:
-            self._protocol.send_raw(self._sock, CONTINUE)
+            self.send_bytes(CONTINUE)
         return True
 
     def _parse_head(self) -> HttpParser:
@@ -285,5 +303,8 @@
             f"HTTP/1.1 {status} Refused\r\nContent-Type: application/json\r\n"
             f"Content-Length: {len(body)}\r\nConnection: close\r\n\r\n"
         )
-        self._protocol.send_raw(self._sock, head.encode() + body)
-        self._protocol.fire(close(self._sock))
+        # Closing while bytes come in would reset the connection, and the
+        # caller might never read why: so the close is left to the caller.
+        self._ending_at = time.monotonic() + self._limits.linger_s
+        self.send_bytes(head.encode() + body)
+        self._tcp.shut(self._sock)
--- a/carobspring/adapters/http_server.py
+++ b/carobspring/adapters/http_server.py
@@ -1,12 +1,14 @@
 """An HTTP server on circuits.web, with bounds on what a caller may send."""
 
 import asyncio
+import contextlib
 import logging
+import socket
 import time
 from typing import Any
 
 from circuits import BaseComponent, handler
-from circuits.net.events import close, write
+from circuits.net.events import close
 from circuits.net.sockets import TCPServer
 from circuits.web.http import HTTP
 
@@ -33,12 +35,31 @@
     def __init__(self, bind: tuple[str, int], *, sent: Any) -> None:
         super().__init__(bind, channel=CHANNEL, bufsize=READ_SIZE_BYTES)
         self._report_sent = sent
+        #: Sockets whose sending ends with the bytes that are buffered.
+        self._shutting: set[Any] = set()
 
     @handler("write", override=True)
     def write(self, sock: Any, data: bytes) -> None:
-        """Queue bytes, unless the connection was closed meanwhile."""
-        if sock in self._clients:
-            super().write(sock, data)
+        """Send bytes at once, and buffer what the system does not take."""
+        if sock not in self._clients:
+            return
+        if self._buffers[sock]:
+            self._buffers[sock].append(data)
+            return
+        self._write(sock, data)
+        if self._buffers.get(sock):
+            self._poller.addWriter(self, sock)
+
+    def shut(self, sock: Any) -> None:
+        """Send the end of the stream once the buffered bytes are sent."""
+        if sock not in self._clients:
+            return
+        if self._buffers.get(sock):
+            self._shutting.add(sock)
+        else:
+            self._shutting.discard(sock)
+            with contextlib.suppress(OSError):
+                sock.shutdown(socket.SHUT_WR)
 
     def stop_listening(self) -> None:
         """Refuse new connections and keep the open ones."""
@@ -52,6 +73,7 @@
         open_sockets = set(self._clients)
         for sock in [key for key in self._buffers if key not in open_sockets]:
             del self._buffers[sock]
+        self._shutting &= open_sockets
 
     def _write(self, sock: Any, data: bytes) -> None:
         before = len(self._buffers[sock])
@@ -59,6 +81,8 @@
         left = self._buffers.get(sock)
         unsent = len(left[0]) if left and len(left) > before else 0
         self._report_sent(sock, len(data) - unsent)
+        if sock in self._shutting and not left:
+            self.shut(sock)
 
 
 class BoundedHttp(HTTP):
@@ -90,13 +114,6 @@
         if connection is not None:
             connection.note_closed()
 
-    @handler("response", override=True)
-    def _on_response(self, res: Any) -> None:
-        super()._on_response(res)
-        # Circuits ends its handling of HEAD before it closes.
-        if res.request.method == "HEAD" and res.close:
-            self.fire(close(res.request.sock))
-
     @handler("read", override=True)
     def _on_read(self, sock: Any, data: bytes) -> None:
         connection = self.connections.get(sock)
@@ -113,10 +130,6 @@
         if connection is not None:
             connection.note_sent(size)
 
-    def send_raw(self, sock: Any, data: bytes) -> None:
-        """Queue bytes that are no response, such as "100 Continue"."""
-        self.fire(write(sock, data))
-
     def sweep(self, now: float) -> None:
         """End requests and idle connections that took too long."""
         for connection in list(self.connections.values()):
--- a/carobspring/consensus/greetings.py
+++ b/carobspring/consensus/greetings.py
@@ -34,13 +34,20 @@
             founding=self._founding,
         )
 
-    def take_hello(self, hello: Hello) -> Configuration | None:
-        """Note a hello; return the configuration if a cluster is founded."""
-        if hello.name not in self._peers:
-            return None
-        self.hellos[hello.name] = hello
-        if self._state.cluster or not self._founding:
+    @property
+    def is_alone(self) -> bool:
+        """Say whether there are no peers whose hello could come."""
+        return not self._peers
+
+    def take_hello(self, hello: Hello) -> None:
+        """Note a hello, and invite its sender if it belongs here."""
+        if hello.name in self._peers:
+            self.hellos[hello.name] = hello
             self._invite(hello)
+
+    def found(self) -> Configuration | None:
+        """Return the founding configuration, or none when it isn't time."""
+        if not self._founding:
             return None
         return found_cluster(
             identity=self._state.identity,
--- a/carobspring/consensus/node.py
+++ b/carobspring/consensus/node.py
@@ -134,6 +134,8 @@
 
     def step(self, event: Event, now: float) -> None:
         """Take in one event."""
+        if self._greetings.is_alone and not self._state.cluster:
+            self._found()
         self._pass_time(now)
         if isinstance(event, MessageReceived):
             self._take_message(event.message, now)
@@ -204,9 +206,9 @@
 
     def _take_message(self, message: Message, now: float) -> None:
         if isinstance(message, Hello):
-            founded = self._greetings.take_hello(message)
-            if founded is not None:
-                self._take_over(founded)
+            self._greetings.take_hello(message)
+            if not self._state.cluster:
+                self._found()
         elif message.receiver == self._state.identity:
             if not self._state.cluster:
                 self._join(message, now)
@@ -221,6 +223,12 @@
         elif isinstance(message, AppendRequest | SnapshotRequest):
             self._take_term(message, now)
 
+    def _found(self) -> None:
+        """Found the cluster, if every other founder has said hello."""
+        founded = self._greetings.found()
+        if founded is not None:
+            self._take_over(founded)
+
     def _take_over(self, founded: Configuration) -> None:
         self._snapshot = Snapshot(configuration=founded)
         self._state.log.restore(self._snapshot)
--- a/carobspring/programs/agent.py
+++ b/carobspring/programs/agent.py
@@ -11,7 +11,7 @@
 
 from carobspring.adapters.agent_service import AgentService
 from carobspring.adapters.backend_http import HttpBackend
-from carobspring.adapters.clock import SystemClock
+from carobspring.adapters.clock import SystemClock, SystemRandom
 from carobspring.adapters.control_link import ControlLink
 from carobspring.adapters.http_server import CircuitsHttpServer
 from carobspring.adapters.rpc import build_server
@@ -21,7 +21,7 @@
 from carobspring.programs.agent_status import AgentStatus
 from carobspring.programs.runner import Program, run_command_line
 from carobspring.protocol import AgentOrder, AgentReport
-from carobspring.scheduling import Scheduler
+from carobspring.scheduling import Scheduler, SchedulerLimits
 
 Port = Annotated[int, Meta(ge=0, le=65535)]
 Seconds = Annotated[float, Meta(ge=0.1, le=86400)]
@@ -33,38 +33,55 @@
 
 @dataclass(frozen=True, kw_only=True)
 class AgentOptions:
-    """Runs the agent of one backend server.
-
-    Flags, each with its variable CAROB_NAME: --server_id names the place,
-    --service the service that it belongs to, --kind is model or plain, --zone
-    its availability zone, --backend the base URL of the backend server,
-    --control the control replicas as host:port,host:port, --secret the secret
-    that the system's own processes share.
+    """Run the agent beside one backend server.
+
+    Every flag can be given as a variable too: --server-id as CAROB_SERVER_ID.
+
+    Args:
+        server_id: Name of the backend server's place, the same after a
+            restart.
+        service: Service that the backend server belongs to.
+        backend: Base URL of the backend server, with its IP number.
+        secret: Shared secret of the system's own processes.
+        control: Control replicas' gRPC addresses, as host:port,host:port.
+        kind: A model's runner, or any other application.
+        zone: Availability zone that this agent runs in.
+        host: IP number that is listened on and announced.
+        rpc_port: Port for entries; 0 takes a free one.
+        http_port: Port of /metrics, /healthz and /readyz; 0 takes a free one.
+        models: Names of the models that the backend server has, by commas.
+        slots: Calls that the backend server is said to work on at once.
+        queue_limit: Calls that may wait.
+        overcommit: Calls above the limit that are sent on to an engine which
+            orders by ``priority`` itself.
+        health_path: Path that answers 200 while the backend server is well.
+        orphan_s: Seconds that a call goes on without a reader.
+        hang_s: Seconds without a byte, at least, before an engine counts as
+            hanging.
+        drain_s: Seconds that a planned stop waits for calls in flight.
+        log_format: Form of the log lines.
+        log_level: DEBUG, INFO, WARNING or ERROR.
     """
 
     server_id: str
     service: str
     backend: str
-    secret: str
+    secret: Annotated[str, Meta(min_length=8)]
     control: str = ""
     kind: Literal["model", "plain"] = "model"
     zone: str = "a"
-    #: IP number that is listened on and announced.
     host: str = "127.0.0.1"
     rpc_port: Port = 0
     http_port: Port = 0
-    #: Names of the models that the backend server has, by commas.
     models: str = ""
-    #: Calls that the backend server works on at once.
     slots: Annotated[int, Meta(ge=1, le=100_000)] = 8
-    #: Calls that may wait.
     queue_limit: Annotated[int, Meta(ge=1, le=1_000_000)] = 256
+    overcommit: Annotated[int, Meta(ge=0, le=100_000)] = 0
+    #: Part of the limit, at most, that is kept free for bursts of tiers above.
+    headroom_share: Annotated[float, Meta(ge=0, le=0.9)] = 0.25
     health_path: str = "/health"
-    #: Seconds that a call goes on without a reader.
     orphan_s: Seconds = 30.0
-    #: Seconds without a byte, at least, before an engine counts as hanging.
     hang_s: Seconds = 10.0
-    #: Seconds that a planned stop waits for calls in flight.
     drain_s: Seconds = 600.0
     log_format: Literal["text", "json"] = "text"
     log_level: str = "INFO"
@@ -86,8 +103,6 @@
         self._options = options
         self._clock = SystemClock()
         self._rpc_port = 0
-        self._leaving = False
-        self._sent_strikes = 0
 
     async def start(self) -> dict[str, int]:
         """Build the parts, listen, and announce the backend server."""
@@ -110,7 +125,15 @@
         self._gate = Gate(
             standing=self._standing,
             backend=self._backend,
-            scheduler=Scheduler(slots=options.slots),
+            scheduler=Scheduler(
+                limits=SchedulerLimits(
+                    slots=options.slots,
+                    queue_calls=options.queue_limit,
+                    overcommit=options.overcommit,
+                    headroom_share=options.headroom_share,
+                ),
+                random=SystemRandom(),
+            ),
             clock=self._clock,
             table=CallTable(limits=TableLimits()),
             limits=GateLimits(orphan_s=options.orphan_s, hang_s=options.hang_s),
@@ -133,8 +156,7 @@
 
     async def stop(self) -> None:
         """Announce leaving, end what is in flight, and close."""
-        self._leaving = True
-        self._standing.draining = True
+        self._standing.leaving = True
         self._link.hurry()
         await asyncio.sleep(LEAVING_REPORT_S)
         try:
@@ -164,18 +186,22 @@
         return AgentReport(
             server=server,
             load=self._gate.build_load(),
-            leaving=self._leaving,
-            strikes=self._gate.find_recent_strikes(),
+            leaving=self._standing.leaving,
+            strikes=self._gate.runs.find_recent_strikes(),
             revision=self._standing.settings.revision,
         )
 
     def _take_order(self, order: AgentOrder) -> None:
         if order.settings is not None:
-            self._standing.take_settings(order.settings)
+            self._gate.take_settings(order.settings)
         if order.minimum_boot > self._standing.boot:
             self._standing.boot = order.minimum_boot
             self._link.hurry()
+        if order.drain != self._standing.drained:
+            self._standing.drained = order.drain
+            self._link.hurry()
         self._gate.quarantine.add(order.strikes)
+        self._gate.quarantine.release(order.released)
 
 
 async def listen_rpc(server: Server, host: str, port: int) -> int:
