--- a/carobspring/agent/gate.py
+++ b/carobspring/agent/gate.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections import Counter
 from collections.abc import Awaitable, Callable
+from dataclasses import replace
 
 from carobspring.agent.claims import ClaimTable
 from carobspring.agent.limits import GateLimits
@@ -23,14 +24,19 @@
     StoredAnswer,
 )
 from carobspring.scheduling import (
+    PATIENCE_SHARE,
     CallArrived,
     CallEnded,
+    CallPreempted,
     CallWithdrawn,
     ClassChanged,
+    PreemptCall,
+    Preemption,
     RefuseCall,
     Scheduler,
     SchedulerEvent,
     StartCall,
+    TimePassed,
 )
 
 CommitOutcome = Callable[[OutcomeReport, float], Awaitable[bool]]
@@ -66,6 +72,7 @@
             quarantine=self.quarantine,
             note_event=self._tell,
             take_end=self._take_end,
+            put_back=self._put_back,
             note_health=self._note_health,
         )
         #: Ended calls by run status and reason, for metrics.
@@ -78,6 +85,11 @@
         self._chores: set[asyncio.Task[None]] = set()
         self._ticker: asyncio.Task[None] | None = None
 
+    @property
+    def preemption(self) -> Preemption:
+        """Runs that gave way to higher calls, for metrics."""
+        return self._scheduler.preemption
+
     async def start(self) -> None:
         """Begin to probe the backend server and to keep time."""
         await self.runs.health.start()
@@ -103,6 +115,7 @@
             arrival = self._describe(call)
             record.alone = arrival.alone
             self._tell(arrival)
+            self._watch_patience(record, arrival)
         else:
             self._end(record, refusal)
         return record
@@ -221,6 +234,7 @@
             age_s=call.age_ms / 1000,
             streamed=call.stream,
             alone=call.alone or strikes > 0,
+            restartable=call.repeatable and not call.claim and not call.stream,
             size=len(call.body),
         )
 
@@ -234,6 +248,8 @@
                 case StartCall():
                     record.state = CallState.RUNNING
                     self.runs.start(record, action.engine_priority)
+                case PreemptCall():
+                    self.runs.preempt(record)
                 case RefuseCall():
                     end = CallEnd(
                         run_status=RunStatus.NOT_RUN,
@@ -242,6 +258,18 @@
                     )
                     self._end(record, end)
 
+    def _watch_patience(self, record: CallRecord, arrival: CallArrived) -> None:
+        """Have the scheduler look again when a waiting call may preempt."""
+        if record.state is CallState.WAITING and arrival.streamed:
+            patience_s = arrival.target_s * PATIENCE_SHARE - arrival.age_s
+            loop = asyncio.get_running_loop()
+            loop.call_later(max(0.0, patience_s), self._tell, TimePassed())
+
+    def _put_back(self, record: CallRecord) -> None:
+        record.state = CallState.WAITING
+        record.preempted = True
+        self._tell(CallPreempted(call_id=record.call.call_id))
+
     def _take_end(self, record: CallRecord, end: CallEnd) -> None:
         whole = end.run_status is RunStatus.RAN
         if end.run_status is RunStatus.NOT_RUN:
@@ -251,6 +279,9 @@
 
     def _end(self, record: CallRecord, end: CallEnd) -> None:
         record.state = CallState.ENDING
+        if record.preempted and end.run_status is RunStatus.NOT_RUN:
+            # Its first run was stopped half way, which is not "not run".
+            end = replace(end, run_status=RunStatus.UNKNOWN)
         if not record.call.claim:
             self._finish(record, end)
             return
--- a/carobspring/agent/records.py
+++ b/carobspring/agent/records.py
@@ -112,6 +112,8 @@
         self.ended_at = 0.0
         #: True when it may run only while no other call does.
         self.alone = False
+        #: True when a run of it was stopped before its answer began.
+        self.preempted = False
         #: Set when a reader made room for more output.
         self.room = asyncio.Event()
 
--- a/carobspring/agent/runs.py
+++ b/carobspring/agent/runs.py
@@ -28,6 +28,9 @@
 #: Milliseconds that a strike is reported for.
 STRIKE_REPORT_MS = 10_000
 
+#: Reason of a stop after which the call is started again.
+PREEMPTED = "preempted"
+
 logger = logging.getLogger(__name__)
 
 
@@ -35,7 +38,8 @@
     """Runs calls at the backend server and says how each ended.
 
     ``note_event`` takes what the scheduler has to hear of; ``take_end`` is
-    called once for each call, however it ended.
+    called once for each call, however it ended. A call that was preempted goes
+    to ``put_back`` instead and may be started again.
     """
 
     def __init__(
@@ -48,6 +52,7 @@
         quarantine: Quarantine,
         note_event: Callable[[SchedulerEvent], None],
         take_end: Callable[[CallRecord, CallEnd], None],
+        put_back: Callable[[CallRecord], None],
         note_health: Callable[[], None],
     ) -> None:
         self.health = HealthProbe(
@@ -66,6 +71,7 @@
         self._quarantine = quarantine
         self._note_event = note_event
         self._take_end = take_end
+        self._put_back = put_back
         self._heard_at = 0.0
         self._tasks: dict[str, asyncio.Task[CallEnd]] = {}
         self._progress: dict[str, RunProgress] = {}
@@ -88,9 +94,15 @@
         task = self._tasks.get(call_id)
         if task is None or task.done():
             return False
-        self._stops.setdefault(call_id, reason)
+        if self._stops.get(call_id, PREEMPTED) == PREEMPTED:
+            self._stops[call_id] = reason
         return task.cancel()
 
+    def preempt(self, record: CallRecord) -> None:
+        """Cancel a call whose answer has not begun, to start it again."""
+        if record.head is None:
+            self.stop(record, PREEMPTED)
+
     def find_recent_strikes(self) -> tuple[Strike, ...]:
         """Return own strikes that control may not have heard of yet.
 
@@ -191,6 +203,9 @@
         progress = self._progress.pop(call.call_id)
         del self._tasks[call.call_id]
         reason = self._stops.pop(call.call_id, "stopped")
+        if task.cancelled() and reason == PREEMPTED:
+            self._put_back(record)
+            return
         if task.cancelled():
             self.wasted_tokens += progress.tokens
             end = CallEnd(run_status=RunStatus.UNKNOWN, reason=reason)
--- a/carobspring/programs/agent_status.py
+++ b/carobspring/programs/agent_status.py
@@ -36,6 +36,12 @@
         self._wasted = self._metrics.add_counter(
             "carob_agent_wasted_tokens_total", "Tokens of calls that were cancelled."
         )
+        self._preemptions = self._metrics.add_counter(
+            "carob_agent_preemptions_total", "Runs stopped for a higher call."
+        )
+        self._preempted_s = self._metrics.add_counter(
+            "carob_agent_preempted_seconds_total", "Slot time of stopped runs."
+        )
         self._strikes = self._metrics.add_counter(
             "carob_agent_strikes_total", "Calls in flight at a crash."
         )
@@ -76,4 +82,6 @@
             labels = {"run_status": status, "reason": reason or "none"}
             self._ends.set(labels, count)
         self._wasted.set({}, gate.runs.wasted_tokens)
+        self._preemptions.set({}, gate.preemption.count)
+        self._preempted_s.set({}, gate.preemption.wasted_s)
         self._strikes.set({}, gate.runs.strikes)
--- a/carobspring/scheduling/events.py
+++ b/carobspring/scheduling/events.py
@@ -22,6 +22,8 @@
     streamed: bool = False
     #: True when it may run only while no other call does.
     alone: bool = False
+    #: True when it may be stopped and started again before its answer.
+    restartable: bool = False
     #: Bytes that the call holds while it waits.
     size: int = 0
 
@@ -65,8 +67,27 @@
     priority: int
 
 
+@dataclass(frozen=True, kw_only=True)
+class CallPreempted:
+    """A call that was to be preempted has stopped, before its answer."""
+
+    call_id: str
+
+
+@dataclass(frozen=True, kw_only=True)
+class TimePassed:
+    """A waiting call has waited for part of its target."""
+
+
 SchedulerEvent = (
-    CallArrived | FirstTokenSeen | TokensSeen | CallEnded | CallWithdrawn | ClassChanged
+    CallArrived
+    | FirstTokenSeen
+    | TokensSeen
+    | CallEnded
+    | CallPreempted
+    | CallWithdrawn
+    | ClassChanged
+    | TimePassed
 )
 
 
@@ -88,4 +109,14 @@
     retry_after_ms: int
 
 
-SchedulerAction = StartCall | RefuseCall
+@dataclass(frozen=True, kw_only=True)
+class PreemptCall:
+    """Stop the call at the backend server, and say so with CallPreempted.
+
+    Nothing is to be done when its answer has begun: it then ends by itself.
+    """
+
+    call_id: str
+
+
+SchedulerAction = StartCall | RefuseCall | PreemptCall
--- a/carobspring/scheduling/queues.py
+++ b/carobspring/scheduling/queues.py
@@ -3,7 +3,7 @@
 import heapq
 import itertools
 from collections import deque
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from carobspring.scheduling.events import CallArrived
 
@@ -25,6 +25,8 @@
     work_s: float
     late: bool = False
     removed: bool = False
+    #: True once it was stopped in a slot and put back.
+    preempted: bool = False
 
 
 @dataclass(kw_only=True, eq=False)
@@ -111,6 +113,18 @@
         self._starts += 1
         self.remove(item)
 
+    def put_back(self, item: WaitingCall) -> WaitingCall:
+        """Queue a started call again, first of its workspace and uncharged."""
+        again = replace(item, late=False, removed=False, preempted=True)
+        workspace = item.call.workspace
+        queue = self._workspaces.setdefault(workspace, WorkspaceQueue())
+        queue.finish -= max(item.work_s, 0.001)
+        queue.on_time.appendleft(again)
+        heapq.heappush(self._due, (again.due, next(self._order), again))
+        self.count += 1
+        self._counts[workspace] = self._counts.get(workspace, 0) + 1
+        return again
+
     def settle(self, workspace: str, *, expected_s: float, took_s: float) -> None:
         """Correct the charge of a call by the time that it took."""
         queue = self._workspaces.get(workspace)
@@ -126,6 +140,11 @@
             self._late.popleft()
         return True, self._late[0].due if self._late else 0.0
 
+    def find_most_urgent(self, now: float) -> WaitingCall | None:
+        """Return the call that is due first and not late yet."""
+        self._mark_late(now)
+        return self._due[0][2] if self._due else None
+
     def find_next(self, now: float) -> WaitingCall:
         """Return the call that the class starts next; it must have one."""
         only_late, _ = self.find_due(now)
--- a/carobspring/scheduling/scheduler.py
+++ b/carobspring/scheduling/scheduler.py
@@ -10,9 +10,11 @@
 from carobspring.scheduling.events import (
     CallArrived,
     CallEnded,
+    CallPreempted,
     CallWithdrawn,
     ClassChanged,
     FirstTokenSeen,
+    PreemptCall,
     RefuseCall,
     SchedulerAction,
     SchedulerEvent,
@@ -23,6 +25,7 @@
 from carobspring.scheduling.headroom import Headroom
 from carobspring.scheduling.limit import FIRST_TOKEN_SHARE, ConcurrencyLimit
 from carobspring.scheduling.predictor import FadingMean, ServicePredictor
+from carobspring.scheduling.preemption import Preemption, RunningCall
 from carobspring.scheduling.queues import ClassQueue, WaitingCall
 
 #: Engines take an integer where lower goes sooner.
@@ -45,18 +48,6 @@
     headroom_share: float = 0.25
 
 
-@dataclass(kw_only=True, eq=False)
-class RunningCall:
-    """A call in a slot."""
-
-    call: CallArrived
-    priority: int
-    expected_s: float
-    started_at: float
-    #: True when it was started above the limit, so its times say nothing.
-    over_limit: bool
-
-
 class Scheduler:
     """Decides by events and the time alone; see docs/design/scheduling.md.
 
@@ -76,6 +67,9 @@
         self._waiting: dict[str, WaitingCall] = {}
         self._waiting_bytes = 0
         self._running: dict[str, RunningCall] = {}
+        #: Runs that are being stopped and will be put back.
+        self._leaving: dict[str, RunningCall] = {}
+        self.preemption = Preemption(slots=limits.slots)
         self._first_token = FadingMean()
         self._token_gap = FadingMean()
 
@@ -93,6 +87,8 @@
                 self._note_tokens(event, now)
             case CallEnded():
                 self._note_end(event, now)
+            case CallPreempted():
+                self._put_back(event.call_id)
             case ClassChanged():
                 queue = self._queues.get(event.service_class)
                 if queue is not None:
@@ -126,7 +122,7 @@
         for queue in self._queues.values():
             if queue.count:
                 waiting[queue.priority] += queue.count
-        running = Counter(run.call.priority for run in self._running.values())
+        running = Counter(run.item.call.priority for run in self._running.values())
         return LoadReport(
             sequence=sequence,
             running=len(self._running),
@@ -209,27 +205,29 @@
 
     def _note_first_token(self, event: FirstTokenSeen, now: float) -> None:
         run = self._running.get(event.call_id)
-        if run is None or not run.call.streamed:
+        if run is None or not run.item.call.streamed:
             return
         took_s = now - run.started_at
         self._first_token.add(took_s)
         if not run.over_limit:
-            allowed_s = run.call.target_s * FIRST_TOKEN_SHARE
+            allowed_s = run.item.call.target_s * FIRST_TOKEN_SHARE
             self._limit.add_sample(took_s, allowed_s, now=now)
 
     def _note_tokens(self, event: TokensSeen, now: float) -> None:
         run = self._running.get(event.call_id)
         if run is not None:
             self._token_gap.add(event.token_gap_s)
-            allowed_s = run.call.token_gap_s
+            allowed_s = run.item.call.token_gap_s
             self._limit.add_sample(event.token_gap_s, allowed_s, now=now)
 
     def _note_end(self, event: CallEnded, now: float) -> None:
         run = self._running.pop(event.call_id, None)
+        run = run or self._leaving.pop(event.call_id, None)
         if run is None:
             return
-        call = run.call
+        call = run.item.call
         took_s = now - run.started_at
+        self.preemption.note_run(took_s)
         self._drain.add(now)
         queue = self._queues[call.service_class]
         queue.settle(call.workspace, expected_s=run.expected_s, took_s=took_s)
@@ -243,10 +241,43 @@
         while self._waiting:
             item, priority = self._choose(now)
             if not self._may_start(item.call, priority, now):
-                break
+                urgent, victim = self._find_preemption(item, now)
+                if urgent is None or victim is None:
+                    break
+                actions.append(self._preempt(victim, now))
+                item, priority = urgent, urgent.call.priority
             actions.append(self._start(item, priority, now))
         return actions
 
+    def _find_preemption(
+        self, item: WaitingCall, now: float
+    ) -> tuple[WaitingCall | None, RunningCall | None]:
+        """Return the most urgent call beside the next one, and its victim."""
+        runs = self._running.values()
+        if any(run.item.call.alone for run in runs):
+            return None, None
+        urgent = self._queues[item.call.service_class].find_most_urgent(now)
+        if urgent is None:
+            return None, None
+        return urgent, self.preemption.find_victim(urgent, runs, now)
+
+    def _preempt(self, run: RunningCall, now: float) -> PreemptCall:
+        call_id = run.item.call.call_id
+        self._leaving[call_id] = self._running.pop(call_id)
+        self.preemption.spend(run, now)
+        return PreemptCall(call_id=call_id)
+
+    def _put_back(self, call_id: str) -> None:
+        run = self._leaving.pop(call_id, None)
+        if run is None:
+            return
+        call = run.item.call
+        queue = self._queues[call.service_class]
+        self._waiting[call_id] = queue.put_back(run.item)
+        self._waiting_bytes += call.size
+        window = self._choose_window(call.service_class)
+        self._floor.note_waiting(call.service_class, window=window)
+
     def _choose(self, now: float) -> tuple[WaitingCall, int]:
         """Return the next call, and the priority that it goes by.
 
@@ -268,7 +299,7 @@
         running = len(self._running)
         if not running:
             return True
-        if call.alone or any(run.call.alone for run in self._running.values()):
+        if call.alone or any(run.item.call.alone for run in self._running.values()):
             return False
         limit = self._limit.value
         if running >= limit:
@@ -295,9 +326,8 @@
             waits=queue.count > 0,
         )
         self._running[call.call_id] = RunningCall(
-            call=call,
+            item=item,
             priority=priority,
-            expected_s=item.work_s,
             started_at=now,
             over_limit=len(self._running) >= self._limit.value,
         )
