--- a/tests/agent/test_records.py
+++ b/tests/agent/test_records.py
@@ -4,6 +4,7 @@
 from carobspring.agent import CallTable, TableLimits
 from carobspring.domain import RunStatus
 from carobspring.protocol import CallEnd, CallEvent, ResponseHead, RunCall
+from tests.agent.support import PATIENCE_S
 
 HEAD = ResponseHead(status=200)
 RAN = CallEnd(run_status=RunStatus.RAN)
@@ -81,7 +82,8 @@
         await asyncio.sleep(0)
         reader.beat = True
         reader.wake.set()
-        self.assertEqual(await reading, CallEvent())
+        async with asyncio.timeout(PATIENCE_S):
+            self.assertEqual(await reading, CallEvent())
 
 
 class TableTests(unittest.IsolatedAsyncioTestCase):
