--- a/carobspring/programs/agent.py
+++ b/carobspring/programs/agent.py
@@ -54,6 +54,8 @@
         queue_limit: Calls that may wait.
         overcommit: Calls above the limit that are sent on to an engine which
             orders by ``priority`` itself.
+        headroom_share: Part of the slots that is kept free, at most, for
+            bursts of higher tiers.
         health_path: Path that answers 200 while the backend server is well.
         orphan_s: Seconds that a call goes on without a reader.
         hang_s: Seconds without a byte, at least, before an engine counts as
