Preempt restartable lower runs within a small budget

Change: a streamed call that has waited for half its first-token target takes the slot of the youngest lower run that is not streamed, repeatable and not stopped before, out of a budget of 1% of slot time. A stopped call is put back first, is never said to be "not run", and a caller's cancel during the stop wins. A gate that closes starts nothing in place of what it cancels.

--- a/carobspring/agent/gate.py
+++ b/carobspring/agent/gate.py
@@ -11,7 +11,7 @@
 from carobspring.agent.records import CallRecord, CallState, CallTable
 from carobspring.agent.runs import Runs
 from carobspring.agent.standing import Standing
-from carobspring.domain import LoadReport, RunStatus, Settings
+from carobspring.domain import LoadReport, RunStatus, ServiceKind, Settings
 from carobspring.ports import Backend, Clock
 from carobspring.protocol import (
     CallEnd,
@@ -224,6 +224,7 @@
         if call.stream and target.first_token_ms:
             target_ms = target.first_token_ms
         strikes = self.quarantine.count(call.workspace, call.request_hash)
+        is_model = self.standing.kind is ServiceKind.MODEL
         return CallArrived(
             call_id=call.call_id,
             workspace=call.workspace,
@@ -234,7 +235,7 @@
             age_s=call.age_ms / 1000,
             streamed=call.stream,
             alone=call.alone or strikes > 0,
-            restartable=call.repeatable and not call.claim and not call.stream,
+            restartable=is_model and call.repeatable and not call.stream,
             size=len(call.body),
         )
 
--- a/carobspring/agent/runs.py
+++ b/carobspring/agent/runs.py
@@ -73,6 +73,7 @@
         self._take_end = take_end
         self._put_back = put_back
         self._heard_at = 0.0
+        self._closing = False
         self._tasks: dict[str, asyncio.Task[CallEnd]] = {}
         self._progress: dict[str, RunProgress] = {}
         #: Why a running call is being stopped, by its identifier.
@@ -125,7 +126,8 @@
                 logger.warning("the backend server hangs; a call is cancelled")
 
     async def close(self) -> None:
-        """Cancel every call and stop probing."""
+        """Cancel every call, start none in their place, and stop probing."""
+        self._closing = True
         tasks = list(self._tasks.values())
         for task in tasks:
             task.cancel()
@@ -203,6 +205,8 @@
         progress = self._progress.pop(call.call_id)
         del self._tasks[call.call_id]
         reason = self._stops.pop(call.call_id, "stopped")
+        if self._closing:
+            return
         if task.cancelled() and reason == PREEMPTED:
             self._put_back(record)
             return
--- a/tests/agent/support.py
+++ b/tests/agent/support.py
@@ -58,10 +58,16 @@
         self.listening = True
         self.well = True
         self.sent = asyncio.Condition()
+        #: Clear to hold heads back, as engines do for whole answers.
+        self.heads = asyncio.Event()
+        self.heads.set()
+        self.requests = 0
 
     async def send(self, request):
         if self.error is not None:
             raise self.error
+        self.requests += 1
+        await self.heads.wait()
         answer = ScriptedAnswer(request, headers=self.headers)
         self.answers.append(answer)
         async with self.sent:
