--- a/carobspring/ledger/ledger.py
+++ b/carobspring/ledger/ledger.py
@@ -28,10 +28,11 @@
 RETENTION_MS = 24 * 60 * 60 * 1000
 #: A claim that nobody reported on for this long becomes ``unknown``.
 CLAIM_TIMEOUT_MS = 60 * 60 * 1000
-#: Claims that are kept at once; more are refused, none is dropped early.
-MAX_CLAIMS = 50_000
+#: Claims that are kept at once; more are refused, none is dropped early. Each
+#: takes about 1 KB of memory, of which a replica has 64 MB.
+MAX_CLAIMS = 10_000
 #: Bytes of all answers that are kept at once.
-MAX_ANSWER_BYTES = 16 * 1024 * 1024
+MAX_ANSWER_BYTES = 4 * 1024 * 1024
 #: Bytes of one answer; a larger one is noted as done without its content.
 MAX_ONE_ANSWER_BYTES = 256 * 1024
 
