--- a/carobspring/routing/router.py
+++ b/carobspring/routing/router.py
@@ -38,6 +38,7 @@
         self._limits = limits or RoutingLimits()
         self._records: dict[str, ServerRecord] = {}
         self._pools: dict[PoolKey, ServerPool] = {}
+        self._known_pools: set[PoolKey] = set()
         self._probes: list[tuple[float, str]] = []
         self.zones = ZoneDistances(zone=zone, limits=self._limits)
         self.budget = RetryBudget(self._limits)
@@ -53,18 +54,20 @@
             server=server,
             limits=self._limits,
             breaker=CircuitBreaker(self._limits),
+            pools=list_pools(server),
         )
         self._records[server.server_id] = record
-        for key in list_pools(server):
+        for key in record.pools:
             if key not in self._pools:
                 self._pools[key] = ServerPool(zone=self.zones.zone, limits=self._limits)
             self._pools[key].names.add(server.server_id)
+            self._known_pools.add(key)
         self._place(record)
 
     def remove_server(self, server_id: str) -> None:
         """Give a backend server no more work."""
         record = self._records.pop(server_id, None)
-        for key in list_pools(record.server) if record else ():
+        for key in record.pools if record else ():
             pool = self._pools[key]
             pool.names.discard(server_id)
             pool.discard(server_id)
@@ -84,9 +87,9 @@
         """Return the models or plain services that some server offers."""
         return sorted(key.target for key in self._pools if key.kind is kind)
 
-    def has_pool(self, key: PoolKey) -> bool:
-        """Say whether any server, working or not, belongs to a pool."""
-        return key in self._pools
+    def knows_pool(self, key: PoolKey) -> bool:
+        """Say whether any server belongs to a pool, or ever did."""
+        return key in self._known_pools
 
     def record_load(self, server_id: str, load: LoadReport, now: float) -> None:
         """Take a report of a backend server's load."""
@@ -94,7 +97,7 @@
         if record is None or not record.take_load(load, now):
             return
         self._place(record)
-        for key in list_pools(record.server):
+        for key in record.pools:
             self._pools[key].take_load(record)
 
     def record_sent(
@@ -142,13 +145,16 @@
         if end in (AttemptEnd.ANSWERED, AttemptEnd.REFUSED):
             record.breaker.record_success()
         elif end in (AttemptEnd.FAILED, AttemptEnd.UNREACHABLE):
-            certain = end is AttemptEnd.UNREACHABLE
-            spread = self._random.draw_uniform()
-            record.breaker.record_failure(now, spread, certain)
-            if record.breaker.state is BreakerState.OPEN:
-                heapq.heappush(self._probes, (record.breaker.probe_at, server_id))
+            self._note_failure(record, end is AttemptEnd.UNREACHABLE, now)
         self._place(record)
 
+    def record_silence(self, server_id: str, now: float) -> None:
+        """Note that a stream of a server's agent broke or went silent."""
+        record = self._records.get(server_id)
+        if record is not None:
+            self._note_failure(record, True, now)
+            self._place(record)
+
     def choose(
         self, query: RouteQuery, excluded: Set[str], now: float
     ) -> Choice | None:
@@ -159,13 +165,14 @@
             return None
         names = pool.draw_candidates(query.affinity, self._random, excluded)
         favourite = pool.affinity.find(query.affinity) if query.affinity else ""
-        if query.sticky and favourite in names:
-            names = [favourite]
         best: Choice | None = None
         best_cost = 0.0
         for name in names:
             record = self._records[name]
             wait_ms, cost = self._weigh(record, pool, query, name == favourite, now)
+            if query.sticky and name == favourite:
+                if wait_ms <= self._limits.sticky_wait_ms:
+                    return Choice(server=record.server, wait_ms=wait_ms)
             if best is None or cost < best_cost:
                 best = Choice(server=record.server, wait_ms=wait_ms)
                 best_cost = cost
@@ -189,6 +196,13 @@
             return Choice(server=record.server, wait_ms=wait_ms)
         return None
 
+    def _note_failure(self, record: ServerRecord, certain: bool, now: float) -> None:
+        spread = self._random.draw_uniform()
+        record.breaker.record_failure(now, spread, certain)
+        if record.breaker.state is BreakerState.OPEN:
+            probe = (record.breaker.probe_at, record.server.server_id)
+            heapq.heappush(self._probes, probe)
+
     def _weigh(
         self,
         record: ServerRecord,
@@ -231,7 +245,7 @@
         is_open = is_open and state is not BreakerState.OPEN
         if state is BreakerState.PROBING and record.calls:
             is_open = False
-        for key in list_pools(record.server):
+        for key in record.pools:
             pool = self._pools[key]
             if not is_open:
                 pool.discard(record.server.server_id)
@@ -239,7 +253,7 @@
                 pool.add(record)
 
     def _withdraw(self, record: ServerRecord) -> None:
-        for key in list_pools(record.server):
+        for key in record.pools:
             self._pools[key].discard(record.server.server_id)
 
     def _start_probes(self, now: float) -> None:
