Show which replicas vote, and replace a lost disk

Cause: an order to add a replica, asked of one that does not lead, was refused for a reason of its own instead of going on to the leader; and nobody could see whether a replaced replica counts already. Ruled out: that the leader had not heard the hello; it had. Change: replica orders go to the leader only; status lists the replicas with identity and vote. A replica with an empty folder is taken in by consensus itself: a test over processes shows it, then loses a second replica.

--- a/carobspring/control/admin_routes.py
+++ b/carobspring/control/admin_routes.py
@@ -1,5 +1,6 @@
 """The routes of the admin API."""
 
+from collections.abc import Callable
 from typing import TypeVar
 
 import msgspec
@@ -14,6 +15,7 @@
     CountReport,
     DrainOrder,
     ReleaseOrder,
+    ReplicaStatus,
 )
 from carobspring.control.state import ControlState
 from carobspring.control.status import sum_attainment, write_status
@@ -47,11 +49,17 @@
     """
 
     def __init__(
-        self, *, state: ControlState, proposer: CommandProposer, log: ReplicatedLog
+        self,
+        *,
+        state: ControlState,
+        proposer: CommandProposer,
+        log: ReplicatedLog,
+        list_replicas: Callable[[], tuple[ReplicaStatus, ...]] = tuple,
     ) -> None:
         self._state = state
         self._proposer = proposer
         self._log = log
+        self._list_replicas = list_replicas
 
     def list_routes(self) -> dict[tuple[str, str], Route]:
         """Return each route by method and path."""
@@ -98,7 +106,7 @@
     async def read_status(self, request: AdminRequest) -> object:
         """Return where what is in force."""
         await self._proposer.confirm_read()
-        return write_status(self._state, self._log.find_leader())
+        return write_status(self._state, self._log.find_leader(), self._list_replicas())
 
     async def read_attainment(self, request: AdminRequest) -> AttainmentReport:
         """Return how many calls met their target, by class."""
--- a/carobspring/control/replica_routes.py
+++ b/carobspring/control/replica_routes.py
@@ -15,6 +15,14 @@
 class Reconfigurable(Protocol):
     """A replica whose set of voters an operator may change."""
 
+    @abstractmethod
+    def is_leader(self) -> bool:
+        """Say whether this replica leads at present."""
+
+    @abstractmethod
+    def find_leader(self) -> str:
+        """Return the name of the leader, or empty when not known."""
+
     @abstractmethod
     async def add_learner(self, name: str) -> None:
         """Let an empty replica that said hello get the log."""
@@ -46,6 +54,8 @@
         async def answer(request: AdminRequest) -> CountReport:
             order = msgspec.json.decode(request.body, type=ReplicaOrder)
             try:
+                if not self._replica.is_leader():
+                    raise NotLeaderError(leader=self._replica.find_leader())
                 await change(order.name)
             except NotLeaderError as error:
                 # The client goes on to the next replica at this status.
--- a/carobspring/control/reports.py
+++ b/carobspring/control/reports.py
@@ -81,6 +81,15 @@
     load: LoadReport
 
 
+@dataclass(frozen=True, kw_only=True)
+class ReplicaStatus:
+    """A control replica; a new disk gives it a new identity."""
+
+    name: str
+    identity: str
+    votes: bool
+
+
 @dataclass(frozen=True, kw_only=True)
 class StatusReport:
     """The answer to "did it take, and where"."""
@@ -91,6 +100,7 @@
     zones: tuple[ZoneStatus, ...] = ()
     entries: tuple[ProgramStatus, ...] = ()
     servers: tuple[ServerStatus, ...] = ()
+    replicas: tuple[ReplicaStatus, ...] = ()
     #: The last change, so that one command says who made it.
     last_change_id: str = ""
     last_operator: str = ""
--- a/carobspring/control/status.py
+++ b/carobspring/control/status.py
@@ -5,6 +5,7 @@
 from carobspring.control.reports import (
     AttainmentReport,
     ProgramStatus,
+    ReplicaStatus,
     ServerStatus,
     StatusReport,
     ZoneStatus,
@@ -13,7 +14,9 @@
 from carobspring.protocol import ClassAttainment
 
 
-def write_status(state: ControlState, leader: str) -> StatusReport:
+def write_status(
+    state: ControlState, leader: str, replicas: tuple[ReplicaStatus, ...]
+) -> StatusReport:
     """Return the state of the whole system as this replica knows it."""
     settings = state.machine.settings
     last = settings.find_last_change()
@@ -25,6 +28,7 @@
         zones=_list_zones(entries, settings.settings.revision),
         entries=entries,
         servers=_list_servers(state),
+        replicas=replicas,
         last_change_id=last.change_id if last else "",
         last_operator=last.operator if last else "",
         last_change_ms=last.at_ms if last else 0,
--- a/carobspring/operator/displays.py
+++ b/carobspring/operator/displays.py
@@ -26,6 +26,11 @@
             f"last change by {status.last_operator} at {when} "
             f"({status.last_change_id or 'no identifier'})"
         )
+    votes = [
+        f"{each.name} {'votes' if each.votes else 'learns'}" for each in status.replicas
+    ]
+    if votes:
+        lines.append("replicas: " + ", ".join(votes))
     zones = [
         (z.zone, z.entries, z.revision, "yes" if z.in_force else "NOT YET")
         for z in status.zones
--- a/carobspring/programs/control.py
+++ b/carobspring/programs/control.py
@@ -31,6 +31,7 @@
     read_operator_tokens,
     read_peers,
 )
+from carobspring.control.reports import ReplicaStatus
 from carobspring.domain import DomainError
 from carobspring.ports import HttpLimits, ReplicatedLog
 from carobspring.programs.options import OptionError
@@ -198,7 +199,12 @@
         return self._replica
 
     def _build_admin(self) -> AdminApi:
-        routes = AdminRoutes(state=self.state, proposer=self.proposer, log=self.log)
+        routes = AdminRoutes(
+            state=self.state,
+            proposer=self.proposer,
+            log=self.log,
+            list_replicas=self._list_replicas,
+        )
         all_routes = routes.list_routes()
         if self._replica is not None:
             all_routes |= ReplicaRoutes(replica=self._replica).list_routes()
@@ -209,6 +215,15 @@
             render_metrics=self._metrics.render_text,
         )
 
+    def _list_replicas(self) -> tuple[ReplicaStatus, ...]:
+        if self._replica is None:
+            return ()
+        members = self._replica.node.configuration.members
+        return tuple(
+            ReplicaStatus(name=each.name, identity=each.identity, votes=each.voter)
+            for each in sorted(members, key=lambda each: each.name)
+        )
+
     async def _run_ticks(self) -> None:
         while True:
             await asyncio.sleep(TICK_INTERVAL_S)
--- a/tests/programs/test_control.py
+++ b/tests/programs/test_control.py
@@ -1,13 +1,19 @@
 """Three control replicas as processes, killed and restarted."""
 
 import asyncio
+import shutil
 import unittest
 
 from grpclib import GRPCError
 from grpclib.exceptions import StreamTerminatedError
 
 from carobspring.adapters import paths
-from carobspring.control.reports import ChangeOrder, ChangeReport, StatusReport
+from carobspring.control.reports import (
+    ChangeOrder,
+    ChangeReport,
+    ReplicaStatus,
+    StatusReport,
+)
 from carobspring.domain import LatencyTarget, RunStatus, ServiceClass, Settings
 from carobspring.operator import AdminClient, ApiError
 from carobspring.protocol import (
@@ -177,6 +183,39 @@
         self.assertEqual(report.revision, 2)
 
 
+class ReplacementTests(ControlCase):
+    async def list_replicas(self) -> tuple[ReplicaStatus, ...]:
+        """Return the replicas as the running ones know them."""
+        running = [n for n, p in self.replicas.items() if p.returncode is None]
+        client = self.make_client(*running)
+        status = await asyncio.to_thread(client.get, "/v1/status", StatusReport)
+        return status.replicas
+
+    async def test_lost_disk(self):
+        """A replica with a new disk gets a new identity and then counts."""
+        await self.change(make_order("c1", 0))
+        before = await self.list_replicas()
+        self.assertEqual([each.name for each in before], ["c1", "c2", "c3"])
+        lost, other, _ = self.replicas.values()
+        await lost.kill()
+        shutil.rmtree(self.deployment.folder / f"data-{lost.name}")
+        await self.restart(lost)
+        async with asyncio.timeout(WAIT_S):
+            while True:
+                after = await self.list_replicas()
+                names = [each.name for each in after if each.votes]
+                is_new = after[0].identity != before[0].identity
+                if names == ["c1", "c2", "c3"] and is_new:
+                    break
+                await asyncio.sleep(0.1)
+        await other.kill()
+        alive = [name for name in self.replicas if name != other.name]
+        report = await self.change(make_order("c2", 1), *alive)
+        self.assertEqual(report.revision, 2)
+        settings = await self.read_settings(lost.name)
+        self.assertEqual(settings.revision, 2)
+
+
 class UniqueCallTests(ControlCase):
     async def test_leader_killed_between_claim_and_outcome(self):
         """Claim and outcome outlive the leaders that committed them."""
