Keep streams apart from slow commits and stuck peers

Cause, found by reading: a report with strikes waited for the log, so without a leader the reports behind it waited too and the lease ran out; a writer to a peer that reads no more was never ended; an expiry that waited for a commit held up the ticks that end leases; a workspace with a bad name was refused only when the log was applied, as 500; a call's name had no bound. Change: strikes and expiry go in the background; reader and writer of a stream end each other; names are checked before the log; names of unique calls have 512 characters at most. Seen failing first: on the code before, test_stuck_writer, the bad name, the long name and test_strikes_wait_apart fail (the last passed at first, as the lease ran out instead, and now asks by which report the server left); test_silent_peers passes there too.

--- a/carobspring/control/expiry.py
+++ b/carobspring/control/expiry.py
@@ -1,5 +1,6 @@
 """The leader's commands that let go of old records of unique calls."""
 
+import asyncio
 import contextlib
 from collections.abc import Callable
 
@@ -30,13 +31,21 @@
         self._proposer = proposer
         self._is_leader = is_leader
         self._checked_at = float("-inf")
+        self._chore: asyncio.Task[None] | None = None
 
-    async def pass_time(self, now: float) -> None:
-        """Propose an expiry when it is time, on the leader only."""
+    def pass_time(self, now: float) -> None:
+        """Propose an expiry when it is time, on the leader only.
+
+        It goes on in the background, as a commit may take long and leases
+        must be looked at meanwhile.
+        """
         if now - self._checked_at < CHECK_INTERVAL_S or not self._is_leader():
             return
         self._checked_at = now
         at_ms = self._state.clock.read_wall_ms()
         if self._state.machine.ledger.needs_expiry(at_ms):
-            with contextlib.suppress(ControlError):
-                await self._proposer.propose(Command(expire=ExpireCommand(at_ms=at_ms)))
+            self._chore = asyncio.create_task(self._propose(at_ms))
+
+    async def _propose(self, at_ms: int) -> None:
+        with contextlib.suppress(ControlError):
+            await self._proposer.propose(Command(expire=ExpireCommand(at_ms=at_ms)))
--- a/carobspring/control/streams.py
+++ b/carobspring/control/streams.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import contextlib
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable
 from typing import Any
 
 from grpclib import GRPCError, Status
@@ -15,7 +15,13 @@
 from carobspring.control.proposals import CommandProposer
 from carobspring.control.sessions import AgentSession, EntrySession
 from carobspring.control.state import ControlState, Wakeups
-from carobspring.protocol import AgentOrder, AgentReport, EntryReport, ViewUpdate
+from carobspring.protocol import (
+    AgentOrder,
+    AgentReport,
+    EntryReport,
+    Strike,
+    ViewUpdate,
+)
 
 HEARTBEAT_INTERVAL_S = 1.0
 #: A peer that is silent for this long is taken for gone.
@@ -28,6 +34,8 @@
     def __init__(self, *, state: ControlState, proposer: CommandProposer) -> None:
         self._state = state
         self._proposer = proposer
+        #: Strikes on their way to the log; reports don't wait for them.
+        self._chores: set[asyncio.Task[None]] = set()
 
     def build_service(self) -> RpcService:
         """Return the gRPC methods."""
@@ -46,13 +54,9 @@
         """Take an agent's reports and send it orders until either ends."""
         session = AgentSession(state=self._state)
 
-        async def note(report: AgentReport) -> None:
+        def note(report: AgentReport) -> None:
             session.note_report(report)
-            # An agent repeats its strikes, so what is lost here comes again.
-            new = self._state.machine.strikes.find_new(report.strikes)
-            if new:
-                with contextlib.suppress(ControlError):
-                    await self._proposer.propose(Command(strikes=new))
+            self._commit_strikes(report)
 
         try:
             wakeups = self._state.agent_wakeups
@@ -68,51 +72,63 @@
             raise GRPCError(Status.UNAVAILABLE, error.message) from error
         session = EntrySession(state=self._state)
 
-        async def note(report: EntryReport) -> None:
-            session.note_report(report)
-
         wakeups = self._state.entry_wakeups
-        await self._run(stream, note, session.write_update, wakeups)
+        await self._run(stream, session.note_report, session.write_update, wakeups)
 
     async def _run(
         self,
         stream: Stream[Any, Any],
-        note: Callable[[Any], Awaitable[None]],
+        note: Callable[[Any], None],
         write: Callable[[], Any],
         wakeups: Wakeups,
     ) -> None:
         wake = wakeups.open()
         wake.set()
-        reader = asyncio.ensure_future(_read_all(stream, note, wake))
+        # Whichever ends first ends the other: a peer that hangs may read no
+        # more, so that its writer would wait for ever.
+        tasks = {
+            asyncio.create_task(_read_all(stream, note)),
+            asyncio.create_task(self._write_all(stream, write, wake)),
+        }
         try:
-            while not reader.done() and not self._state.draining:
-                await _wait(wake, HEARTBEAT_INTERVAL_S)
-                wake.clear()
-                if not reader.done():
-                    await stream.send_message(write())
-            if reader.done():
-                reader.result()
+            done, _ = await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
+            for task in done:
+                task.result()
         finally:
             wakeups.close(wake)
-            reader.cancel()
+            for task in tasks:
+                task.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
 
-
-async def _read_all(
-    stream: Stream[Any, Any],
-    note: Callable[[Any], Awaitable[None]],
-    wake: asyncio.Event,
-) -> None:
-    try:
+    async def _write_all(
+        self, stream: Stream[Any, Any], write: Callable[[], Any], wake: asyncio.Event
+    ) -> None:
+        while not self._state.draining:
+            await _wait(wake, HEARTBEAT_INTERVAL_S)
+            wake.clear()
+            await stream.send_message(write())
+
+    def _commit_strikes(self, report: AgentReport) -> None:
+        # An agent repeats its strikes, so what is lost here comes again.
+        new = self._state.machine.strikes.find_new(report.strikes)
+        if new and not self._chores:
+            chore = asyncio.create_task(self._propose_strikes(new))
+            self._chores.add(chore)
+            chore.add_done_callback(self._chores.discard)
+
+    async def _propose_strikes(self, strikes: tuple[Strike, ...]) -> None:
+        with contextlib.suppress(ControlError):
+            await self._proposer.propose(Command(strikes=strikes))
+
+
+async def _read_all(stream: Stream[Any, Any], note: Callable[[Any], None]) -> None:
+    with contextlib.suppress(TimeoutError):
         while True:
             async with asyncio.timeout(SILENCE_TIMEOUT_S):
                 message = await stream.recv_message()
             if message is None:
                 return
-            await note(message)
-    except TimeoutError:
-        return
-    finally:
-        wake.set()
+            note(message)
 
 
 async def _wait(event: asyncio.Event, timeout_s: float) -> None:
--- a/carobspring/ledger/ledger.py
+++ b/carobspring/ledger/ledger.py
@@ -35,6 +35,8 @@
 MAX_ANSWER_BYTES = 4 * 1024 * 1024
 #: Bytes of one answer; a larger one is noted as done without its content.
 MAX_ONE_ANSWER_BYTES = 256 * 1024
+#: Characters of a call's name: its workspace, service and idempotency key.
+MAX_NAME_LENGTH = 512
 
 CallKey = tuple[str, str, str]
 
@@ -165,6 +167,8 @@
             # The claim that this one follows was forgotten, so nobody can
             # say that no later attempt ran.
             error = "expired"
+        elif sum(len(part) for part in key) > MAX_NAME_LENGTH:
+            error = "name_too_long"
         elif len(self._records) >= MAX_CLAIMS:
             error = "ledger_full"
         elif self._answer_bytes >= MAX_ANSWER_BYTES:
--- a/carobspring/programs/control.py
+++ b/carobspring/programs/control.py
@@ -231,7 +231,7 @@
             self.state.pass_time(now)
             if self._gossip is not None:
                 self._gossip.pass_time(now)
-            await self._expiry.pass_time(now)
+            self._expiry.pass_time(now)
 
 
 def find_port(server: Server) -> int:
--- a/carobspring/settings/changes.py
+++ b/carobspring/settings/changes.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 from enum import Enum
 
-from carobspring.domain import Service, ServiceClass
+from carobspring.domain import Service, ServiceClass, Workspace
 from carobspring.domain.errors import InvalidValueError, check_name, check_range
 from carobspring.settings.keys import KEY_HASH_PATTERN
 
@@ -18,6 +18,14 @@
     default_class: str
     concurrency_limit: int = 0
 
+    def __post_init__(self) -> None:
+        # A workspace checks its own fields, here before it goes into the log.
+        Workspace(
+            name=self.name,
+            default_class=self.default_class,
+            concurrency_limit=self.concurrency_limit,
+        )
+
 
 @dataclass(frozen=True, kw_only=True)
 class KeyAddition:
--- a/tests/control/test_admin.py
+++ b/tests/control/test_admin.py
@@ -72,6 +72,15 @@
                 400,
                 "invalid",
             ),
+            "bad name": (
+                "POST",
+                "/v1/changes",
+                BODY
+                | {"changes": [{"set_workspace": {"name": "/", "default_class": "x"}}]},
+                TOKEN,
+                400,
+                "invalid",
+            ),
             "not sound": ("POST", "/v1/changes", BODY, TOKEN, 400, "invalid"),
             "conflict": ("POST", "/v1/changes", stale, TOKEN, 409, "conflict"),
             "conflict, dry": (
--- a/tests/control/test_streams.py
+++ b/tests/control/test_streams.py
@@ -1,10 +1,16 @@
+import asyncio
+import contextlib
 import unittest
 import unittest.mock
 from dataclasses import replace
 
+from grpclib.exceptions import StreamTerminatedError
+
 from carobspring.adapters import paths
+from carobspring.adapters.clock import SystemClock
 from carobspring.control import streams
 from carobspring.control.commands import Command
+from carobspring.control.state import ControlState
 from carobspring.domain import LatencyTarget, RunStatus, ServiceClass
 from carobspring.protocol import (
     Claim,
@@ -15,6 +21,7 @@
     OutcomeReply,
     OutcomeReport,
     StoredAnswer,
+    Strike,
 )
 from carobspring.settings import Change, ChangeRequest
 from tests.control.harness import (
@@ -26,6 +33,20 @@
     run_control,
 )
 
+
+class StuckStream:
+    """A stream whose peer neither sends nor reads."""
+
+    was_sending = False
+
+    async def recv_message(self) -> None:
+        await asyncio.Event().wait()
+
+    async def send_message(self, message: object) -> None:
+        self.was_sending = True
+        await asyncio.Event().wait()
+
+
 REQUEST = ClaimRequest(
     workspace="w",
     service="booking",
@@ -79,6 +100,49 @@
                     )
                     self.assertEqual(list(update.settings.classes), ["chat"])
 
+    async def test_silent_peers(self):
+        """A stream on which nothing comes is ended, also in mid-send."""
+        patch = unittest.mock.patch.object(streams, "SILENCE_TIMEOUT_S", 0.1)
+        with patch:
+            async with run_control() as (program, ports):
+                entry = await self.enterAsyncContext(open_entry(ports["rpc"]))
+                agent = await self.enterAsyncContext(open_agent(ports["rpc"]))
+                for client in (entry, agent):
+                    with contextlib.suppress(StreamTerminatedError):
+                        await client.wait_for_end()
+                state = program.state
+                counts = state.entry_wakeups.count(), state.agent_wakeups.count()
+                self.assertEqual(counts, (0, 0))
+
+    async def test_strikes_wait_apart(self):
+        """Reports go on while strikes wait for a leader."""
+        strike = Strike(
+            workspace="w", request_hash="h", server_id="m1", boot=7, at_ms=1
+        )
+        async with run_control() as (program, ports):
+            port = ports["rpc"]
+            async with open_agent(port) as agent, open_entry(port) as entry:
+                await entry.wait_for(lambda update: update.complete)
+                program.proposer.propose = lambda command: asyncio.sleep(1e6)
+                await agent.send(replace(make_report(), strikes=(strike,)))
+                await entry.wait_for(lambda update: update.servers)
+                await agent.send(make_report(2, leaving=True))
+                await entry.wait_for(lambda update: update.removed == ("m1",))
+            # By its report, and not because its lease ran out.
+            self.assertEqual(program.state.members.members["m1"].sequence, 2)
+
+    async def test_stuck_writer(self):
+        """A peer that reads no more does not keep its stream for ever."""
+        stuck = StuckStream()
+        service = streams.WatchService(
+            state=ControlState(replica_id="c1", clock=SystemClock()),
+            proposer=unittest.mock.Mock(),
+        )
+        with unittest.mock.patch.object(streams, "SILENCE_TIMEOUT_S", 0.1):
+            async with asyncio.timeout(20):
+                await service.watch_agent(stuck)
+        self.assertIs(stuck.was_sending, True)
+
     async def test_taken_boot(self):
         """An agent with a replaced boot number is told which one to use."""
         async with run_control() as (_, ports):
--- a/tests/ledger/test_ledger.py
+++ b/tests/ledger/test_ledger.py
@@ -146,6 +146,11 @@
                 {"workspace": "x", "at_ms": 100},
                 ClaimReply(claim=replace(FIRST, number=2, workspace="x"), granted=True),
             ),
+            "key that is too long": (
+                (),
+                {"key": "k" * 512},
+                ClaimReply(error="name_too_long"),
+            ),
             "attempt after a forgotten one": (
                 (),
                 {"key": "k9", "replaces": 1},
