Send pieces that are written in one turn of the loop as one chunk

Cause: when the entry is busy, pieces of one stream come in bunches, and each cost a chunk and a system call. A piece that comes alone goes at the same turn's end. Test changed: tests.adapters.test_http_server 'chunked answer' pinned the chunk boundaries of two writes in one turn; its handler now lets the loop come round between them, the expected bytes are the same, and a new case pins the bytes of two writes in one turn.

--- a/carobspring/adapters/http_responder.py
+++ b/carobspring/adapters/http_responder.py
@@ -10,6 +10,8 @@
 from carobspring.domain import CallHeaders
 from carobspring.ports import HttpResponder
 
+#: Pending bytes that are sent without waiting for the loop to come round.
+PIECE_BYTES = 16 * 1024
 BODILESS_STATUSES = (204, 304)
 LAST_CHUNK = b"0\r\n\r\n"
 
@@ -60,6 +62,8 @@
         self.ended = False
         self._connection = connection
         self._answer = answer
+        #: Written and not sent: pieces of one turn of the loop go together.
+        self._pending = bytearray()
 
     async def send(self, status: int, headers: CallHeaders, body: bytes) -> None:
         """Answer with a whole body; Content-Length is added."""
@@ -85,24 +89,38 @@
         """Send a piece; waits while a slow reader has too much unread."""
         if self.gone.is_set() or self.ended or not data:
             return
-        if self._answer.chunked:
-            data = b"%x\r\n%b\r\n" % (len(data), data)
-        self._connection.send_bytes(data)
+        if not self._pending:
+            asyncio.get_running_loop().call_soon(self._flush)
+        self._pending += data
+        if len(self._pending) >= PIECE_BYTES:
+            self._flush()
         await self._connection.wait_writable()
 
     async def finish(self) -> None:
         """Mark the answer as whole."""
         if self.gone.is_set() or self.ended:
             return
+        self._flush()
         if self._answer.chunked:
             self._connection.send_bytes(LAST_CHUNK)
         self._end()
 
     def abort(self) -> None:
         """Close the connection so that the caller sees a cut answer."""
+        self._flush()
         self.ended = True
         self._connection.close_after_sending()
 
+    def _flush(self) -> None:
+        """Send what was written since the loop last came round."""
+        data = bytes(self._pending)
+        self._pending.clear()
+        if not data or self.gone.is_set():
+            return
+        if self._answer.chunked:
+            data = b"%x\r\n%b\r\n" % (len(data), data)
+        self._connection.send_bytes(data)
+
     def _build_head(self, status: int, headers: CallHeaders) -> bytes:
         self.started = True
         answer = self._answer
--- a/tests/adapters/test_http_server.py
+++ b/tests/adapters/test_http_server.py
@@ -12,10 +12,13 @@
     """Echo the request; /stream answers in pieces, /fail raises."""
     if request.path == "/fail":
         raise ValueError("on purpose")
-    if request.path == "/stream":
+    if request.path in ("/stream", "/together"):
         await responder.start(200, TEXT)
         for piece in (b"one", b"two"):
             await responder.write(piece)
+            if request.path == "/stream":
+                # Pieces of one turn of the loop go together.
+                await asyncio.sleep(0)
         await responder.finish()
         return
     if request.path == "/cut":
@@ -54,6 +57,10 @@
                 (b"GET /a?b=c HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n",),
                 b"Content-Length: 11\r\nConnection: close\r\n\r\nGET /a?b=c ",
             ),
+            "pieces of one turn": (
+                (b"GET /together HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n",),
+                b"\r\n\r\n6\r\nonetwo\r\n0\r\n\r\n",
+            ),
             "chunked answer": (
                 (b"GET /stream HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n",),
                 b"\r\n\r\n3\r\none\r\n3\r\ntwo\r\n0\r\n\r\n",
