Let a resend run anew after a former run that was given up

Cause: a keyed model call has one identifier at every resend. After a cancel the resend attached to the ended run, took its end for a failure of the server, and with one server left ended in 502; after a crash a resend took the old end for a second crash. Change: the ends past, cancelled, orphaned and lost of an attached run start a new one at no cost; the end of a former crash of the same boot counts once.

--- a/carobspring/entry/driver.py
+++ b/carobspring/entry/driver.py
@@ -19,6 +19,8 @@
 MAX_ATTEMPTS = 16
 QUARANTINED = "quarantined"
 CRASHED = "backend_failed"
+#: Ends of a former run whose caller or entry was gone: a resend starts anew.
+FORMER_ENDS = frozenset({"past", "cancelled", "orphaned", "lost"})
 
 
 def advise_retry(parts: DriverParts, hints: list[int]) -> int:
@@ -70,6 +72,8 @@
         self._hints: list[int] = []
         self._ran = RunStatus.NOT_RUN
         self._call_id = self._derive_call_id()
+        #: True while an attempt may attach to the run of a former send.
+        self._may_be_former = bool(call.idempotency_key)
 
     @property
     def wasted_bytes(self) -> int:
@@ -93,8 +97,13 @@
             if end.run_status is RunStatus.RAN:
                 await self._attempts.finish()
                 return
+            if self._is_former_end(end):
+                self._may_be_former = False
+                self._attempts.restart()
+                continue
             self._excluded.add(choice.server.server_id)
             self._note_failure(choice, end)
+            self._may_be_former = False
             self._attempts.restart()
             may_retry = self._parts.router.budget.spend()
             self._parts.measures.retries.inc({"reason": end.run_status.value})
@@ -118,6 +127,10 @@
         self._call_id = uuid.uuid4().hex
         return await self._attempts.run(choice, run)
 
+    def _is_former_end(self, end: CallEnd) -> bool:
+        is_former = self._may_be_former and end.reason in FORMER_ENDS
+        return is_former and not self._answer.begun
+
     def _note_failure(self, choice: Choice, end: CallEnd) -> None:
         check_quarantined(end, self._ran)
         if end.retry_after_ms:
@@ -132,6 +145,7 @@
                 server_id=choice.server.server_id,
                 boot=choice.server.boot,
                 at_ms=self._parts.clock.read_wall_ms(),
+                may_be_former=self._may_be_former,
             )
         if self._answer.begun or not self._call.repeatable:
             message = (
--- a/carobspring/entry/state.py
+++ b/carobspring/entry/state.py
@@ -51,7 +51,7 @@
         if crash in crashes:
             return
         for index, other in enumerate(crashes):
-            if not other.told and _is_same(other, crash):
+            if not other.told and _is_same(other, crash, False):
                 crashes[index] = crash
                 return
         crashes.append(crash)
@@ -64,11 +64,16 @@
         server_id: str,
         boot: int,
         at_ms: int,
+        may_be_former: bool,
     ) -> None:
-        """Take a failure that this entry saw and that may be a crash."""
+        """Take a failure that this entry saw and that may be a crash.
+
+        With ``may_be_former`` it may be the end of a former run that a resend
+        attached to, so any crash of that boot counts as the same.
+        """
         crash = Crash(server_id=server_id, boot=boot, at_ms=at_ms, told=False)
         crashes = self._find(workspace, request_hash)
-        if not any(_is_same(other, crash) for other in crashes):
+        if not any(_is_same(other, crash, may_be_former) for other in crashes):
             crashes.append(crash)
 
     def release(self, workspace: str, request_hash: str) -> None:
@@ -88,9 +93,10 @@
         return self._crashes.setdefault(key, [])
 
 
-def _is_same(one: Crash, other: Crash) -> bool:
-    same_run = (one.server_id, one.boot) == (other.server_id, other.boot)
-    return same_run and abs(one.at_ms - other.at_ms) < SAME_CRASH_MS
+def _is_same(one: Crash, other: Crash, at_any_time: bool) -> bool:
+    if (one.server_id, one.boot) != (other.server_id, other.boot):
+        return False
+    return at_any_time or abs(one.at_ms - other.at_ms) < SAME_CRASH_MS
 
 
 class EntryState:
--- a/tests/entry/test_driver.py
+++ b/tests/entry/test_driver.py
@@ -198,6 +198,40 @@
         runs = {r.call_id for a in self.agents for r in a.runs}
         self.assertEqual(len(runs), 3)
 
+    async def test_resend_after_a_cancel_runs_anew(self):
+        """A former run that was given up costs neither retry nor server."""
+        self.control.push(ViewUpdate(removed=("r2",)))
+        await wait_until(lambda: self.entry._router.find_server("r2") is None)
+        self.entry._router.budget.tokens = 0.0
+        agent = self.agents[0]
+
+        async def give_former(request, send):
+            if len(agent.runs) == 1:
+                end = CallEnd(run_status=RunStatus.UNKNOWN, reason="cancelled")
+                await send(CallEvent(end=end))
+                return
+            await agent.play(request, send)
+
+        agent.on_run = give_former
+        got = await self.ask(Idempotency_Key="k1")
+        self.assertEqual(got, (200, '{"id": "x"}'))
+        self.assertNotEqual(agent.runs[0].call_id, agent.runs[1].call_id)
+
+    async def test_end_of_a_former_crash_is_no_second_one(self):
+        """A resend that finds the end of a crashed run strikes it once."""
+        strikes = self.entry._state.strikes
+        crash = {"workspace": "w", "request_hash": "h", "server_id": "r1", "boot": 1}
+        told = Strike(**crash, at_ms=1_000)
+        strikes.record_told(told)
+        for at_ms, former, expected in (
+            (1_500, False, 1),
+            (90_000, True, 1),
+            (90_000, False, 2),
+        ):
+            strikes.record_seen(**crash, at_ms=at_ms, may_be_former=former)
+            self.assertEqual(strikes.count("w", "h", 90_001), expected)
+        self.assertEqual(strikes.count("w", "h", 200_000), 1)
+
     async def test_workspace_limit(self):
         """Calls above the workspace's limit are told when to come back."""
         settings = build_settings(revision=2, limit=1)
