Play the delay between zones in the load bench

Cause: the deployments' zones are milliseconds apart. Ruled out: network settings of the machine. Change: standins/distant_entry.py delays the channels that an entry opens to agents of other zones.

--- a/bench/profiles.py
+++ b/bench/profiles.py
@@ -62,6 +62,9 @@
     desks: int
     unrepeatable_path: str
     classes: tuple[ClassLoad, ...]
+    #: Delay one way between zones, and its largest random addition.
+    zone_delay_ms: float = 0.0
+    zone_jitter_ms: float = 1.0
     speed: EngineSpeed = EngineSpeed(slots=8, token_ms=20, crowding=0.05)
 
     @property
@@ -107,6 +110,7 @@
     runners=6,
     desks=3,
     unrepeatable_path="/bookings",
+    zone_delay_ms=2.0,
     classes=(
         ClassLoad(
             service_class=build_class("chat", 90, first_token_ms=420, token_gap_ms=60),
@@ -144,6 +148,7 @@
     runners=9,
     desks=3,
     unrepeatable_path="/releases",
+    zone_delay_ms=5.0,
     classes=(
         ClassLoad(
             service_class=build_class(
--- a/bench/systems.py
+++ b/bench/systems.py
@@ -68,15 +68,13 @@
 
 
 class CarobSystem(System):
-    """The programs of this repository, of this or another commit."""
+    """The programs of this repository."""
 
     async def start_routers(self) -> None:
         """Start control, agents and one entry a zone; apply the settings."""
         zones = self.profile.zones
         await self.deployment.start_control(zone=zones[0])
-        entries = await asyncio.gather(
-            *(self.deployment.start_entry(f"e-{zone}", zone=zone) for zone in zones)
-        )
+        entries = await asyncio.gather(*(self._start_entry(zone) for zone in zones))
         starts = [
             self.deployment.start_agent(
                 f"runner-{index}",
@@ -116,6 +114,22 @@
         for entry in self.entries:
             await wait_for_models(entry, key=key, model=self.profile.model)
 
+    async def _start_entry(self, zone: str) -> RunningProgram:
+        return await self.deployment.start_entry(
+            f"e-{zone}",
+            zone,
+            module="standins.distant_entry",
+            zone_delay_ms=self.profile.zone_delay_ms,
+            zone_jitter_ms=self.profile.zone_jitter_ms,
+        )
+
+
+class ThinSystem(CarobSystem):
+    """The programs of the thin commit, which knows no delay of zones."""
+
+    async def _start_entry(self, zone: str) -> RunningProgram:
+        return await self.deployment.start_entry(f"e-{zone}", zone)
+
 
 class BaselineSystem(System):
     """First come, first served, with round robin."""
@@ -130,6 +144,13 @@
         self.entries = [router.url()]
 
 
+SYSTEMS: dict[str, type[System]] = {
+    "carob": CarobSystem,
+    "thin": ThinSystem,
+    "baseline": BaselineSystem,
+}
+
+
 @asynccontextmanager
 async def open_system(
     name: str, profile: Profile, thin_commit: str = ""
@@ -140,7 +161,7 @@
         if name == "thin":
             source = Path(folder) / "tree"
             await asyncio.to_thread(check_out, thin_commit, source)
-        kind = BaselineSystem if name == "baseline" else CarobSystem
+        kind = SYSTEMS[name]
         try:
             async with Deployment(source=source) as deployment:
                 system = kind(deployment=deployment, profile=profile)
--- a/standins/deployment.py
+++ b/standins/deployment.py
@@ -235,13 +235,17 @@
         return list(await asyncio.gather(*starts))
 
     async def start_entry(
-        self, entry_id: str = "e1", zone: str = "zone-a", **flags: object
+        self,
+        entry_id: str = "e1",
+        zone: str = "zone-a",
+        module: str = "carobspring.programs.entry",
+        **flags: object,
     ) -> RunningProgram:
         """Start one entry."""
         base: dict[str, object] = {"entry_id": entry_id, "zone": zone}
         base |= {"http_port": 0, "control": ",".join(self.controls)}
         base |= {"secret": self.secret}
-        return await self.start("carobspring.programs.entry", base | flags, entry_id)
+        return await self.start(module, base | flags, entry_id)
 
     async def start_agent(
         self,
--- /dev/null
+++ b/standins/distant_entry.py
@@ -0,0 +1,78 @@
+"""An entry whose connections to other zones are delayed.
+
+Run as ``python -m standins.distant_entry`` with an entry's flags. The delay is
+in the channels that the entry opens, so it needs no network settings.
+"""
+
+from dataclasses import dataclass
+
+from grpclib.client import Channel
+
+from carobspring.programs.entry import EntryOptions, EntryProgram
+from carobspring.programs.runner import run_command_line
+from standins.link import Link
+
+MS_PER_S = 1000
+
+
+@dataclass(frozen=True, kw_only=True)
+class DistantEntryOptions(EntryOptions):
+    """Run an entry with delayed connections to other zones.
+
+    Args:
+        zone_delay_ms: Delay one way to agents of another zone.
+        zone_jitter_ms: Largest random addition to the delay.
+    """
+
+    zone_delay_ms: float = 5.0
+    zone_jitter_ms: float = 1.0
+
+
+class DistantEntry(EntryProgram):
+    """An entry that reaches agents of other zones through a delayed link."""
+
+    def __init__(self, options: DistantEntryOptions) -> None:
+        super().__init__(options)
+        self._distance = options
+
+    def _open_channel(self, host: str, port: int) -> Channel:
+        channel = super()._open_channel(host, port)
+        if self._is_distant(host, port):
+            link = Link(
+                target_host=host,
+                target_port=port,
+                delay_s=self._distance.zone_delay_ms / MS_PER_S,
+                jitter_s=self._distance.zone_jitter_ms / MS_PER_S,
+            )
+            delay_channel(channel, link)
+        return channel
+
+    def _is_distant(self, host: str, port: int) -> bool:
+        zones = [
+            server.zone
+            for server in self._router.list_servers()
+            if (server.host, server.port) == (host, port)
+        ]
+        return bool(zones) and zones[0] != self._distance.zone
+
+
+def delay_channel(channel: Channel, link: Link) -> None:
+    """Have a channel connect through a link, which starts with it."""
+    connect = channel._create_connection
+
+    async def connect_through():  # type: ignore[no-untyped-def]
+        if not link.port:
+            await link.start()
+            channel._host, channel._port = "127.0.0.1", link.port
+        return await connect()
+
+    channel._create_connection = connect_through  # type: ignore[method-assign]
+
+
+def main() -> None:
+    """Run the entry."""
+    run_command_line("distant-entry", DistantEntry, DistantEntryOptions)
+
+
+if __name__ == "__main__":
+    main()
