--- a/carobspring/scheduling/scheduler.py
+++ b/carobspring/scheduling/scheduler.py
@@ -296,6 +296,8 @@
         return queue.find_next(now), highest
 
     def _may_start(self, call: CallArrived, priority: int, now: float) -> bool:
+        if call.alone and self._leaving:
+            return False
         running = len(self._running)
         if not running:
             return True
--- a/tests/scheduling/test_scheduler.py
+++ b/tests/scheduling/test_scheduler.py
@@ -1,7 +1,7 @@
 import unittest
 
 from carobspring.domain import LoadReport
-from carobspring.scheduling import CallWithdrawn, ClassChanged
+from carobspring.scheduling import CallPreempted, CallWithdrawn, ClassChanged
 from tests.scheduling.support import Driver
 
 
@@ -119,6 +119,20 @@
         driver.end("struck")
         self.assertEqual(driver.running, {"c"})
 
+    def test_waits_for_a_preempted_call_to_stop(self):
+        """A run that was told to stop is still there until it says so."""
+        driver = Driver()
+        driver.arrive("low", 1, restartable=True)
+        driver.now = 0.3
+        driver.arrive("high", 9, streamed=True, target_s=0.5, age_s=0.3)
+        self.assertEqual(driver.starts, ["low", "high"])
+        driver.arrive("struck", 9, alone=True)
+        driver.end("high")
+        self.assertEqual(driver.starts, ["low", "high"])
+        driver.running.discard("low")
+        driver.send(CallPreempted(call_id="low"))
+        self.assertEqual(driver.running, {"struck"})
+
 
 class RefusalTests(unittest.TestCase):
     def test_who_is_refused_by_a_full_queue(self):
