Keep servers that a fresh replica's first view doesn't name yet

Cause: a control replica that has just started sends a complete view before it has heard of the agents; an entry that reconnects to it dropped every server (503 no_backend) until they had announced themselves. Change: such servers are kept for 3 s, the length of a lease, and while no replica is connected; a server that is called removed goes at once. Ruled out: trusting own observations alone; an entry has none of most servers when there are hundreds.

--- a/carobspring/entry/__init__.py
+++ b/carobspring/entry/__init__.py
@@ -22,6 +22,7 @@
 from carobspring.entry.parts import DriverParts
 from carobspring.entry.state import EntryState
 from carobspring.entry.unique import UniqueCallDriver
+from carobspring.entry.views import ViewFollower
 
 __all__ = [
     "ERROR_KINDS",
@@ -43,5 +44,6 @@
     "LinkObserver",
     "RouterObserver",
     "UniqueCallDriver",
+    "ViewFollower",
     "parse_addresses",
 ]
--- a/carobspring/entry/control.py
+++ b/carobspring/entry/control.py
@@ -1,6 +1,7 @@
 """The entry's side of control replicas: views, and questions."""
 
 import asyncio
+import contextlib
 import logging
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -118,9 +119,10 @@
             self._gauge.set({}, int(connected))
 
     async def _report_often(self, stream: Any) -> None:
-        while True:
-            await asyncio.sleep(REPORT_INTERVAL_S)
-            await stream.send_message(self._build_report())
+        with contextlib.suppress(*STREAM_ERRORS):
+            while True:
+                await asyncio.sleep(REPORT_INTERVAL_S)
+                await stream.send_message(self._build_report())
 
 
 class ControlClient:
--- a/carobspring/programs/entry.py
+++ b/carobspring/programs/entry.py
@@ -23,12 +23,13 @@
     EntryState,
     FollowLimits,
     RouterObserver,
+    ViewFollower,
     parse_addresses,
 )
 from carobspring.ports import HttpLimits
 from carobspring.programs.options import OptionError
 from carobspring.programs.runner import Program, run_command_line
-from carobspring.protocol import EntryReport, ViewUpdate
+from carobspring.protocol import EntryReport
 from carobspring.routing import Router
 
 DRAIN_S = 24 * 60 * 60.0
@@ -80,7 +81,6 @@
         clock = SystemClock()
         random = SystemRandom()
         metrics = Metrics(labels={"zone": options.zone})
-        self._clock = clock
         self._state = EntryState()
         self._pool = ChannelPool(self._open_channel)
         self._canceller = CallCanceller(self._pool)
@@ -106,12 +106,19 @@
             random=random,
             secret=options.secret.encode(),
         )
+        self._views = ViewFollower(
+            state=self._state,
+            router=self._router,
+            pool=self._pool,
+            clock=clock,
+            is_connected=lambda: self._watch.connected,
+        )
         self._api = CallersApi(parts=parts, metrics=metrics)
         self._watch = ControlWatch(
             addresses=addresses,
             open_channel=self._open_channel,
             build_report=self._build_report,
-            apply_update=self._apply_update,
+            apply_update=self._views.apply,
             connected=self._measures.connected,
             first=random.draw_index(len(addresses)),
         )
@@ -152,30 +159,6 @@
             attainment=dict(self._measures.attainment),
         )
 
-    def _apply_update(self, update: ViewUpdate) -> None:
-        now = self._clock.read_monotonic()
-        if update.settings is not None:
-            self._state.take_settings(update.settings)
-        gone = set(update.removed)
-        if update.complete:
-            named = {server.server_id for server in update.servers}
-            listed = {server.server_id for server in self._router.list_servers()}
-            gone |= listed - named
-            self._state.has_view = True
-        for name in gone:
-            server = self._router.find_server(name)
-            if server is not None:
-                self._router.remove_server(name)
-                self._pool.forget(server)
-        for server in update.servers:
-            self._router.add_server(server)
-        for name, load in (update.loads or {}).items():
-            self._router.record_load(name, load, now)
-        for strike in update.strikes:
-            self._state.strikes.record_told(strike)
-        for strike in update.released:
-            self._state.strikes.release(strike.workspace, strike.request_hash)
-
 
 def main() -> None:
     """Run carob-entry."""
