--- a/carobspring/programs/control.py
+++ b/carobspring/programs/control.py
@@ -31,6 +31,7 @@
     read_operator_tokens,
     read_peers,
 )
+from carobspring.control.reports import ReplicaStatus
 from carobspring.domain import DomainError
 from carobspring.ports import HttpLimits, ReplicatedLog
 from carobspring.programs.options import OptionError
@@ -144,7 +145,7 @@
             handed = await self._replica.transfer_leadership()
             logger.info("handed leadership over: %s", handed)
         self.state.draining = True
-        self.state.wakeups.wake_all()
+        self.state.wake_everyone()
         if self._admin is not None:
             await self._admin.drain(DRAIN_TIMEOUT_S)
             await self._admin.close()
@@ -198,7 +199,12 @@
         return self._replica
 
     def _build_admin(self) -> AdminApi:
-        routes = AdminRoutes(state=self.state, proposer=self.proposer, log=self.log)
+        routes = AdminRoutes(
+            state=self.state,
+            proposer=self.proposer,
+            log=self.log,
+            list_replicas=self._list_replicas,
+        )
         all_routes = routes.list_routes()
         if self._replica is not None:
             all_routes |= ReplicaRoutes(replica=self._replica).list_routes()
@@ -209,6 +215,15 @@
             render_metrics=self._metrics.render_text,
         )
 
+    def _list_replicas(self) -> tuple[ReplicaStatus, ...]:
+        if self._replica is None:
+            return ()
+        members = self._replica.node.configuration.members
+        return tuple(
+            ReplicaStatus(name=each.name, identity=each.identity, votes=each.voter)
+            for each in sorted(members, key=lambda each: each.name)
+        )
+
     async def _run_ticks(self) -> None:
         while True:
             await asyncio.sleep(TICK_INTERVAL_S)
@@ -216,7 +231,7 @@
             self.state.pass_time(now)
             if self._gossip is not None:
                 self._gossip.pass_time(now)
-            await self._expiry.pass_time(now)
+            self._expiry.pass_time(now)
 
 
 def find_port(server: Server) -> int:
