Tell a crash from a cut answer though the port is still closing

Change: a connection has to last 250 ms to count as a living server's. Proof: the new test fails with the code before; with it, nose2 -s tests adapters.test_backend_http adapters.test_agent_service programs.test_agent agent scheduling: 62 tests pass. Ruled out: taking the health path's answer, which a hanging server does not give either. Cost: a call whose answer was cut hears of it up to 250 ms later.

--- a/carobspring/adapters/backend_http.py
+++ b/carobspring/adapters/backend_http.py
@@ -7,7 +7,6 @@
 """
 
 import asyncio
-import contextlib
 from urllib.parse import urlsplit
 
 import aiohttp
@@ -25,6 +24,8 @@
 
 READ_BUFFER_BYTES = 64 * 1024
 CONNECT_TIMEOUT_S = 2.0
+#: A connection that lasts this long was taken by a living server.
+LASTING_S = 0.25
 #: Headers that belong to one connection and are not relayed.
 HOP_HEADERS = frozenset(
     {
@@ -135,16 +136,26 @@
             return False
 
     async def is_listening(self) -> bool:
-        """Say whether the backend server accepts connections at present."""
+        """Say whether the backend server accepts connections at present.
+
+        The port of a process that is ending may still take a connection and
+        reset it a moment later, so a connection has to last for a while.
+        """
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
-                _, writer = await asyncio.open_connection(*self._address)
+                reader, writer = await asyncio.open_connection(*self._address)
         except (OSError, TimeoutError):
             return False
-        writer.close()
-        with contextlib.suppress(OSError):
-            await writer.wait_closed()
-        return True
+        try:
+            async with asyncio.timeout(LASTING_S):
+                await reader.read(1)
+        except TimeoutError:
+            return True
+        except OSError:
+            return False
+        finally:
+            writer.close()
+        return False
 
     async def close(self) -> None:
         """Close every connection."""
--- a/tests/adapters/test_backend_http.py
+++ b/tests/adapters/test_backend_http.py
@@ -101,6 +101,26 @@
         self.assertIs(await backend.probe(1.0), False)
         await backend.close()
 
+    async def test_port_of_an_ending_process(self):
+        """A connection that is taken and closed at once is no sign of life."""
+        cases = {"closes": (True, False), "stays": (False, True)}
+        for name, (closes, listening) in cases.items():
+            with self.subTest(name):
+
+                async def take(reader, writer, closes=closes):
+                    if not closes:
+                        await reader.read()
+                    writer.close()
+
+                server = await asyncio.start_server(take, "127.0.0.1", 0)
+                port = server.sockets[0].getsockname()[1]
+                backend = HttpBackend(
+                    url=f"http://127.0.0.1:{port}", health_path="/health"
+                )
+                self.assertIs(await backend.is_listening(), listening)
+                await backend.close()
+                server.close()
+
     async def test_close_reaches_the_server(self):
         """Closing an answer, or cancelling its wait, closes the connection."""
         for name, answer in {
