Move a waiting call to a server that is free

Ruled out (trials): reports with every piece, more candidates, no affinity. Change: a streamed call that has waited for a quarter of its first-token target looks again, and if a sampled server is expected to be free, has its agent withdraw it. The agent does so only while it waits, and ends it as not run.

--- a/carobspring/agent/gate.py
+++ b/carobspring/agent/gate.py
@@ -39,6 +39,9 @@
     TimePassed,
 )
 
+#: Reason of the end of a call that its entry sends elsewhere.
+MOVED = "moved"
+
 CommitOutcome = Callable[[OutcomeReport, float], Awaitable[bool]]
 
 
@@ -127,6 +130,10 @@
         to a resend.
         """
         record = self.table.find(request.call_id)
+        if request.only_waiting:
+            waits = record is not None and record.state is CallState.WAITING
+            moved = record is not None and waits and self._stop(record, MOVED)
+            return CancelReply(cancelled=moved)
         if record is None:
             if self.table.find_past(request.call_id) is None:
                 self.table.fence(request.call_id)
--- a/carobspring/entry/asking.py
+++ b/carobspring/entry/asking.py
@@ -1,6 +1,7 @@
 """Single questions to agents: what became of a claim, and settings."""
 
 import asyncio
+import contextlib
 from typing import Any, TypeVar
 
 from grpclib.const import Cardinality
@@ -72,6 +73,17 @@
     return reply is not None
 
 
+async def ask_withdrawal(
+    pool: ChannelPool, server: BackendServer, call_id: str, timeout_s: float
+) -> None:
+    """Have a call ended as not run if it still waits; its stream tells."""
+    request = CancelCall(call_id=call_id, only_waiting=True)
+    with contextlib.suppress(ConnectionRefusedError):
+        await ask_agent(
+            pool, server, paths.CANCEL_CALL, request, CancelReply, timeout_s
+        )
+
+
 async def ask_fence(
     pool: ChannelPool, server: BackendServer, claim: Claim
 ) -> FenceReply | None:
--- a/carobspring/entry/attempts.py
+++ b/carobspring/entry/attempts.py
@@ -1,5 +1,7 @@
 """One attempt of a call at one agent, as both kinds of driver make it."""
 
+from collections.abc import Callable
+
 from carobspring.domain import RunStatus, ServiceKind
 from carobspring.entry.answers import CallerAnswer
 from carobspring.entry.following import AGENT_LOST, UNREACHABLE, CallProgress
@@ -43,6 +45,8 @@
         self._answer = answer
         self.query = build_query(call)
         self.times = CallTimes(received=call.received)
+        #: Called when the agent has something of the answer.
+        self.on_answer: Callable[[], object] = lambda: None
 
     def build_run(
         self, *, choice: Choice, call_id: str, claim: int = 0, alone: bool = False
@@ -84,6 +88,7 @@
             if event.load is not None:
                 parts.router.record_load(server.server_id, event.load, now)
             if event.head is not None:
+                self.on_answer()
                 self._answer.take_head(event.head)
             if event.data:
                 parts.router.record_data(server.server_id, call_id)
--- a/carobspring/entry/driver.py
+++ b/carobspring/entry/driver.py
@@ -1,5 +1,6 @@
 """Driving a repeatable call: choosing servers, retrying, giving up."""
 
+import asyncio
 import hashlib
 import uuid
 
@@ -7,6 +8,7 @@
 from carobspring.entry.answers import CallerAnswer
 from carobspring.entry.attempts import AttemptRunner
 from carobspring.entry.errors import CallError
+from carobspring.entry.moving import MOVED, CallMover
 from carobspring.entry.parts import DriverParts
 from carobspring.entry.requests import CallerRequest
 from carobspring.entry.state import STRIKE_LIMIT
@@ -68,6 +70,7 @@
         self._call = call
         self._answer = answer
         self._attempts = AttemptRunner(parts=parts, call=call, answer=answer)
+        self._mover = CallMover(parts=parts, call=call, query=self._attempts.query)
         self._excluded: set[str] = set()
         self._hints: list[int] = []
         self._ran = RunStatus.NOT_RUN
@@ -101,10 +104,14 @@
                 self._may_be_former = False
                 self._attempts.restart()
                 continue
-            self._excluded.add(choice.server.server_id)
             self._note_failure(choice, end)
             self._may_be_former = False
             self._attempts.restart()
+            if end.reason == MOVED:
+                # One move a call, which has not run: no retry to be paid for.
+                self._parts.measures.retries.inc({"reason": MOVED})
+                continue
+            self._excluded.add(choice.server.server_id)
             may_retry = self._parts.router.budget.spend()
             self._parts.measures.retries.inc({"reason": end.run_status.value})
         raise self._build_refusal()
@@ -125,7 +132,14 @@
             choice=choice, call_id=self._call_id, alone=alone
         )
         self._call_id = uuid.uuid4().hex
-        return await self._attempts.run(choice, run)
+        move = asyncio.create_task(
+            self._mover.watch(choice, run.call_id, self._excluded)
+        )
+        self._attempts.on_answer = move.cancel
+        try:
+            return await self._attempts.run(choice, run)
+        finally:
+            move.cancel()
 
     def _is_former_end(self, end: CallEnd) -> bool:
         is_former = self._may_be_former and end.reason in FORMER_ENDS
--- a/carobspring/protocol/calls.py
+++ b/carobspring/protocol/calls.py
@@ -95,6 +95,8 @@
     """Tells an agent that nobody waits for a call any more."""
 
     call_id: str
+    #: True to end the call only if it still waits, to send it elsewhere.
+    only_waiting: bool = False
 
 
 @dataclass(frozen=True, kw_only=True)
--- a/tests/agent/test_gate.py
+++ b/tests/agent/test_gate.py
@@ -339,3 +339,25 @@
         record = await bench.submit("d", revision=3)
         (await bench.backend.find(0)).feed(b"")
         self.assertEqual(await bench.read_end(record), (b"", RAN))
+
+
+class WithdrawTests(unittest.IsolatedAsyncioTestCase):
+    async def test_only_a_waiting_call_is_withdrawn(self):
+        """A call that runs, or is not known, is left alone and not barred."""
+        bench = GateBench()
+        self.addAsyncCleanup(bench.gate.close)
+        runs = await bench.submit("runs")
+        waits = await bench.submit("waits")
+        cases = {"runs": False, "waits": True, "unknown": False}
+        for call_id, cancelled in cases.items():
+            with self.subTest(call_id):
+                request = CancelCall(call_id=call_id, only_waiting=True)
+                reply = bench.gate.cancel(request)
+                self.assertEqual(reply, CancelReply(cancelled=cancelled))
+        _, end = await bench.read_end(waits)
+        self.assertEqual((end.run_status, end.reason), (RunStatus.NOT_RUN, "moved"))
+        (await bench.backend.find(0)).feed(b"a", b"")
+        self.assertEqual(await bench.read_end(runs), (b"a", RAN))
+        later = await bench.submit("unknown")
+        (await bench.backend.find(1)).feed(b"b", b"")
+        self.assertEqual(await bench.read_end(later), (b"b", RAN))
--- a/tests/entry/fakes.py
+++ b/tests/entry/fakes.py
@@ -108,6 +108,7 @@
         self.runs: list[RunCall] = []
         self.resumes: list[ResumeCall] = []
         self.cancels: list[str] = []
+        self.withdrawals: list[str] = []
         #: Cancels that get no answer, as on a silent connection.
         self.lose_cancels = 0
         self.settings_reply = SettingsReply()
@@ -191,7 +192,9 @@
         if self.lose_cancels:
             self.lose_cancels -= 1
             await asyncio.Event().wait()
-        self.cancels.append(request.call_id)
+        (self.withdrawals if request.only_waiting else self.cancels).append(
+            request.call_id
+        )
         self.cancelled.set()
         return CancelReply(cancelled=True)
 
