Archive answered unique calls by digest instead of refusing new ones

Bookings would have stopped during a meet. Change: past the bound the oldest answered calls move to an archive of 100,000 digests; a resend of one learns that it ran and never runs again. Open, unknown and not-run claims stay whole; with the archive full new calls are refused as before. Before: call 10,001 refused.

--- a/carobspring/ledger/ledger.py
+++ b/carobspring/ledger/ledger.py
@@ -6,10 +6,12 @@
 nothing else changes a final state.
 """
 
-from collections import Counter
+from collections import Counter, OrderedDict
 from dataclasses import dataclass, replace
+from itertools import islice
 
 from carobspring.domain import RunStatus
+from carobspring.ledger.archive import CallArchive
 from carobspring.ledger.commands import (
     ClaimCommand,
     ExpireCommand,
@@ -28,8 +30,8 @@
 RETENTION_MS = 24 * 60 * 60 * 1000
 #: A claim that nobody reported on for this long becomes ``unknown``.
 CLAIM_TIMEOUT_MS = 60 * 60 * 1000
-#: Claims that are kept at once; more are refused, none is dropped early. Each
-#: takes about 1 KB of memory, of which a replica has 64 MB.
+#: Claims that are kept whole at once; beyond them the oldest answered ones are
+#: archived. Each takes about 1 KB of memory, of which a replica has 64 MB.
 MAX_CLAIMS = 10_000
 #: Bytes of all answers that are kept at once.
 MAX_ANSWER_BYTES = 4 * 1024 * 1024
@@ -38,6 +40,9 @@
 #: Characters of a call's name: its workspace, service and idempotency key.
 MAX_NAME_LENGTH = 512
 
+#: Records that are looked at, oldest first, to make room for one claim.
+ARCHIVE_SCAN = 64
+
 CallKey = tuple[str, str, str]
 
 
@@ -55,6 +60,8 @@
 
     last_number: int = 0
     records: tuple[Record, ...] = ()
+    #: The calls that are known by a digest alone, as the archive encodes them.
+    archive: bytes = b""
 
 
 class UniqueCallLedger:
@@ -68,7 +75,8 @@
         self.last_number = 0
         #: Claims and outcomes refused, by reason; not part of the state.
         self.refused: Counter[str] = Counter()
-        self._records: dict[CallKey, Record] = {}
+        self._records: OrderedDict[CallKey, Record] = OrderedDict()
+        self._archive = CallArchive()
         self._keys: dict[int, CallKey] = {}
         self._answer_bytes = 0
 
@@ -78,6 +86,9 @@
         key = (request.workspace, request.service, request.key)
         record = self._records.get(key)
         if record is None:
+            archived = self._find_archived(key)
+            if archived is not None:
+                return ClaimReply(claim=archived)
             return self._grant_first(key, command)
         claim = record.claim
         if claim.request_hash != request.request_hash:
@@ -123,10 +134,12 @@
             elif age_ms >= RETENTION_MS:
                 self._forget(key)
                 changed += 1
-        return changed
+        return changed + self._archive.forget_older(command.at_ms - RETENTION_MS)
 
     def needs_expiry(self, at_ms: int) -> bool:
         """Say whether an expiry at this time would change anything."""
+        if self._archive.has_older(at_ms - RETENTION_MS):
+            return True
         for record in self._records.values():
             claimed = record.claim.state is ClaimState.CLAIMED
             allowed_ms = CLAIM_TIMEOUT_MS if claimed else RETENTION_MS
@@ -136,8 +149,13 @@
 
     def find_claim(self, workspace: str, service: str, key: str) -> Claim | None:
         """Return the claim of a call, or None."""
-        record = self._records.get((workspace, service, key))
-        return record.claim if record else None
+        name = (workspace, service, key)
+        record = self._records.get(name)
+        return record.claim if record else self._find_archived(name)
+
+    def count_archived(self) -> int:
+        """Return how many calls are known by a digest alone."""
+        return len(self._archive)
 
     def find_number(self, number: int) -> Claim | None:
         """Return the claim with this number, unless it was replaced."""
@@ -151,17 +169,23 @@
     def take_snapshot(self) -> LedgerSnapshot:
         """Return the whole state."""
         return LedgerSnapshot(
-            last_number=self.last_number, records=tuple(self._records.values())
+            last_number=self.last_number,
+            records=tuple(self._records.values()),
+            archive=self._archive.encode(),
         )
 
     def restore(self, snapshot: LedgerSnapshot) -> None:
         """Take over the state of a snapshot."""
         self.last_number = snapshot.last_number
-        self._records = {_name_call(r.claim): r for r in snapshot.records}
+        self._records = OrderedDict(
+            (_name_call(record.claim), record) for record in snapshot.records
+        )
+        self._archive.restore(snapshot.archive)
         self._keys = {r.claim.number: _name_call(r.claim) for r in snapshot.records}
         self._answer_bytes = sum(_measure_answer(r.claim) for r in snapshot.records)
 
     def _grant_first(self, key: CallKey, command: ClaimCommand) -> ClaimReply:
+        self._make_room()
         error = ""
         if command.request.replaces:
             # The claim that this one follows was forgotten, so nobody can
@@ -178,6 +202,35 @@
             return ClaimReply(error=error)
         return self._grant(key, command)
 
+    def _make_room(self) -> None:
+        """Archive the oldest answered calls while there are too many."""
+        for key, record in list(islice(self._records.items(), ARCHIVE_SCAN)):
+            crowded = len(self._records) >= MAX_CLAIMS
+            if not crowded and self._answer_bytes < MAX_ANSWER_BYTES:
+                return
+            if self._archive.is_full:
+                return
+            if record.claim.state is ClaimState.DONE:
+                self._archive.add(key, record.claim.changed_ms)
+                self._forget(key)
+
+    def _find_archived(self, key: CallKey) -> Claim | None:
+        changed_ms = self._archive.find_changed_ms(key)
+        if changed_ms is None:
+            return None
+        workspace, service, name = key
+        return Claim(
+            number=0,
+            workspace=workspace,
+            service=service,
+            key=name,
+            request_hash="",
+            server_id="",
+            boot=0,
+            state=ClaimState.DONE,
+            changed_ms=changed_ms,
+        )
+
     def _grant(self, key: CallKey, command: ClaimCommand) -> ClaimReply:
         request = command.request
         self._forget(key)
