Read addresses in one place, and name the call in every event

Events carried no call identifier, so a crossed one was known by its offset alone. grpclib's INFO lines filled the logs.

--- a/carobspring/adapters/agent_service.py
+++ b/carobspring/adapters/agent_service.py
@@ -58,16 +58,16 @@
         """Take a call in and send its events."""
         taken = await self._gate.submit(call)
         if isinstance(taken, CallEnd):
-            await self._send(stream, CallEvent(end=taken))
+            await self._send(stream, CallEvent(end=taken), call.call_id)
         else:
-            await self._follow(taken, 0, stream)
+            await self._follow(taken, 0, stream, call.call_id)
 
     async def resume_call(self, request: ResumeCall, stream: Stream[Any, Any]) -> None:
         """Send a call's events from an offset of its answer."""
         table = self._gate.table
         record = table.find(request.call_id)
         if record is not None:
-            await self._follow(record, request.offset, stream)
+            await self._follow(record, request.offset, stream, request.call_id)
             return
         status = table.find_past(request.call_id)
         if status is None:
@@ -78,7 +78,8 @@
             table.fence(request.call_id, status)
         not_run = status is RunStatus.NOT_RUN
         kept = RunStatus.NOT_RUN if not_run else RunStatus.UNKNOWN
-        await self._send(stream, CallEvent(end=CallEnd(run_status=kept, reason="past")))
+        event = CallEvent(end=CallEnd(run_status=kept, reason="past"))
+        await self._send(stream, event, request.call_id)
 
     async def cancel_call(self, request: CancelCall) -> CancelReply:
         """Stop a call that nobody waits for."""
@@ -97,17 +98,23 @@
         )
 
     async def _follow(
-        self, record: CallRecord, offset: int, stream: Stream[Any, Any]
+        self,
+        record: CallRecord,
+        offset: int,
+        stream: Stream[Any, Any],
+        call_id: str,
     ) -> None:
         reader = record.attach(offset, self._clock.read_monotonic())
         try:
             while (event := await reader.read()) is not None:
-                await self._send(stream, event)
+                await self._send(stream, event, call_id)
                 reader.read_at = self._clock.read_monotonic()
         finally:
             record.detach(reader, self._clock.read_monotonic())
 
-    async def _send(self, stream: Stream[Any, Any], event: CallEvent) -> None:
+    async def _send(
+        self, stream: Stream[Any, Any], event: CallEvent, call_id: str
+    ) -> None:
         load = None
         if event.end is not None or not (event.head or event.data):
             load = self._gate.build_load()
@@ -120,5 +127,6 @@
                 offset=event.offset,
                 load=load,
                 revision=revision,
+                call_id=call_id,
             )
         )
--- a/carobspring/adapters/control_link.py
+++ b/carobspring/adapters/control_link.py
@@ -13,6 +13,7 @@
 
 from carobspring.adapters.paths import REPORT_OUTCOME, WATCH_AGENT
 from carobspring.adapters.rpc import open_channel
+from carobspring.domain import Address
 from carobspring.protocol import (
     AgentOrder,
     AgentReport,
@@ -40,7 +41,7 @@
     def __init__(
         self,
         *,
-        addresses: Sequence[tuple[str, int]],
+        addresses: Sequence[Address],
         secret: str,
         build_report: Callable[[], AgentReport],
         take_order: Callable[[AgentOrder], None],
@@ -49,7 +50,7 @@
         self._secret = secret
         self._build_report = build_report
         self._take_order = take_order
-        self._channels: dict[tuple[str, int], Channel] = {}
+        self._channels: dict[Address, Channel] = {}
         self._next = 0
         self._hurry = asyncio.Event()
         self._left = asyncio.Event()
@@ -100,10 +101,11 @@
             await asyncio.sleep(0.05)
         return False
 
-    def _open(self, address: tuple[str, int]) -> Channel:
+    def _open(self, address: Address) -> Channel:
         if address not in self._channels:
-            host, port = address
-            channel = open_channel(host=host, port=port, secret=self._secret)
+            channel = open_channel(
+                host=address.host, port=address.port, secret=self._secret
+            )
             self._channels[address] = channel
         return self._channels[address]
 
@@ -119,7 +121,7 @@
             self._next += 1
             await asyncio.sleep(RECONNECT_DELAY_S)
 
-    async def _follow(self, address: tuple[str, int]) -> None:
+    async def _follow(self, address: Address) -> None:
         request = self._open(address).request(
             WATCH_AGENT, Cardinality.STREAM_STREAM, AgentReport, AgentOrder
         )
@@ -136,7 +138,7 @@
                         return
                     if not self.connected:
                         self.connected = True
-                        logger.info("announced to control replica %s:%d", *address)
+                        logger.info("announced to control replica %s", address)
                     self._take_order(order)
             finally:
                 reporter.cancel()
--- a/carobspring/control/peers.py
+++ b/carobspring/control/peers.py
@@ -8,7 +8,8 @@
 from carobspring.adapters.peer_link import PeerAddress
 from carobspring.adapters.rpc import open_channel
 from carobspring.control.proposals import ForwardReply, ForwardRequest, Peer
-from carobspring.domain.errors import InvalidValueError, check_name, check_range
+from carobspring.domain import InvalidValueError, parse_address
+from carobspring.domain.errors import check_name
 
 
 class RpcPeer(Peer):
@@ -51,12 +52,11 @@
     """
     found: dict[str, PeerAddress] = {}
     for part in filter(None, (part.strip() for part in peers.split(","))):
-        name, _, address = part.partition("=")
-        host, _, port = address.rpartition(":")
+        name, _, text = part.partition("=")
         check_name("peers", name)
-        if not host or not port.isdigit() or name in found:
+        if name in found:
             expected = "ID=HOST:PORT for each replica once, commas between them"
             raise InvalidValueError(field="peers", value=part, expected=expected)
-        check_range("peers", int(port), 1, 65535, "as the port")
-        found[name] = PeerAddress(name=name, host=host, port=int(port))
+        address = parse_address("peers", text)
+        found[name] = PeerAddress(name=name, host=address.host, port=address.port)
     return found
--- a/carobspring/domain/__init__.py
+++ b/carobspring/domain/__init__.py
@@ -4,6 +4,7 @@
 built. Nothing here does input or output, reads a clock or knows a transport.
 """
 
+from carobspring.domain.addresses import Address, parse_address, parse_addresses
 from carobspring.domain.backends import BackendServer, LoadReport, ServiceKind
 from carobspring.domain.calls import CallHeaders, RunStatus, hash_request
 from carobspring.domain.classes import LatencyTarget, ServiceClass
@@ -13,6 +14,7 @@
 from carobspring.domain.workspaces import Workspace
 
 __all__ = [
+    "Address",
     "BackendServer",
     "CallHeaders",
     "DomainError",
@@ -27,4 +29,6 @@
     "UnrepeatableRoute",
     "Workspace",
     "hash_request",
+    "parse_address",
+    "parse_addresses",
 ]
--- a/carobspring/entry/__init__.py
+++ b/carobspring/entry/__init__.py
@@ -4,10 +4,8 @@
 from carobspring.entry.cancelling import CallCanceller
 from carobspring.entry.channels import ChannelPool
 from carobspring.entry.control import (
-    ControlAddress,
     ControlClient,
     ControlWatch,
-    parse_addresses,
 )
 from carobspring.entry.driver import CallDriver
 from carobspring.entry.errors import ERROR_KINDS, CallError
@@ -34,7 +32,6 @@
     "CallTimes",
     "CallersApi",
     "ChannelPool",
-    "ControlAddress",
     "ControlClient",
     "ControlWatch",
     "DriverParts",
@@ -45,5 +42,4 @@
     "RouterObserver",
     "UniqueCallDriver",
     "ViewFollower",
-    "parse_addresses",
 ]
--- a/carobspring/entry/control.py
+++ b/carobspring/entry/control.py
@@ -4,7 +4,6 @@
 import contextlib
 import logging
 from collections.abc import Callable
-from dataclasses import dataclass
 from typing import Any, TypeVar
 
 from aioprometheus import Gauge
@@ -12,6 +11,7 @@
 from grpclib.const import Cardinality
 
 from carobspring.adapters import paths
+from carobspring.domain import Address
 from carobspring.entry.channels import ChannelOpener, connect
 from carobspring.entry.following import STREAM_ERRORS
 from carobspring.protocol import EntryReport, ViewUpdate
@@ -28,39 +28,13 @@
 Reply = TypeVar("Reply")
 
 
-@dataclass(frozen=True, kw_only=True)
-class ControlAddress:
-    """Where a control replica listens."""
-
-    host: str
-    port: int
-
-    def __str__(self) -> str:
-        return f"{self.host}:{self.port}"
-
-
-def parse_addresses(text: str) -> tuple[ControlAddress, ...]:
-    """Return the addresses of ``host:port,host:port``.
-
-    Raises:
-        ValueError: An item has no port, or one that is no number.
-    """
-    addresses = []
-    for item in text.split(","):
-        host, _, port = item.strip().rpartition(":")
-        if not host or not port.isdecimal() or not 0 < int(port) < 65536:
-            raise ValueError(f"{item.strip()!r} is not an address like 10.0.0.1:7000")
-        addresses.append(ControlAddress(host=host, port=int(port)))
-    return tuple(addresses)
-
-
 class ControlWatch:
     """Keeps one stream to any control replica, and moves on when it fails."""
 
     def __init__(
         self,
         *,
-        addresses: tuple[ControlAddress, ...],
+        addresses: tuple[Address, ...],
         open_channel: ChannelOpener,
         build_report: Callable[[], EntryReport],
         apply_update: Callable[[ViewUpdate], None],
@@ -129,11 +103,11 @@
     """Asks any control replica one question at a time."""
 
     def __init__(
-        self, *, addresses: tuple[ControlAddress, ...], open_channel: ChannelOpener
+        self, *, addresses: tuple[Address, ...], open_channel: ChannelOpener
     ) -> None:
         self._addresses = addresses
         self._open_channel = open_channel
-        self._channels: dict[ControlAddress, Channel] = {}
+        self._channels: dict[Address, Channel] = {}
         self._first = 0
 
     async def ask(
@@ -171,7 +145,7 @@
         self._channels.clear()
 
     async def _ask_one(
-        self, address: ControlAddress, path: str, request: Any, reply_type: Any
+        self, address: Address, path: str, request: Any, reply_type: Any
     ) -> Any:
         if address not in self._channels:
             self._channels[address] = self._open_channel(address.host, address.port)
--- a/carobspring/programs/agent.py
+++ b/carobspring/programs/agent.py
@@ -16,9 +16,15 @@
 from carobspring.adapters.http_server import CircuitsHttpServer
 from carobspring.adapters.rpc import build_server
 from carobspring.agent import CallTable, Gate, GateLimits, Standing, TableLimits
-from carobspring.domain import BackendServer, ServiceKind
+from carobspring.domain import (
+    BackendServer,
+    InvalidValueError,
+    ServiceKind,
+    parse_addresses,
+)
 from carobspring.ports import HttpLimits
 from carobspring.programs.agent_status import AgentStatus
+from carobspring.programs.options import OptionError
 from carobspring.programs.runner import Program, run_command_line
 from carobspring.protocol import AgentOrder, AgentReport
 from carobspring.scheduling import Scheduler, SchedulerLimits
@@ -89,20 +95,17 @@
     log_level: str = "INFO"
 
 
-def parse_addresses(text: str) -> list[tuple[str, int]]:
-    """Return the hosts and ports of ``host:port,host:port``."""
-    addresses = []
-    for item in filter(None, text.split(",")):
-        host, _, port = item.strip().rpartition(":")
-        addresses.append((host, int(port)))
-    return addresses
-
-
 class AgentProgram(Program):
     """The agent: its gate, its gRPC server, its stream to control."""
 
     def __init__(self, options: AgentOptions) -> None:
         self._options = options
+        try:
+            self._control = parse_addresses("control", options.control)
+        except InvalidValueError as error:
+            raise OptionError(
+                name="control", source="--control", reason=str(error)
+            ) from error
         self._clock = SystemClock()
         self._rpc_port = 0
 
@@ -110,7 +113,7 @@
         """Build the parts, listen, and announce the backend server."""
         options = self._options
         self._link = ControlLink(
-            addresses=parse_addresses(options.control),
+            addresses=self._control,
             secret=options.secret,
             build_report=self._build_report,
             take_order=self._take_order,
--- a/carobspring/programs/entry.py
+++ b/carobspring/programs/entry.py
@@ -11,6 +11,7 @@
 from carobspring.adapters.http_server import CircuitsHttpServer
 from carobspring.adapters.metrics import Metrics
 from carobspring.adapters.rpc import open_channel
+from carobspring.domain import InvalidValueError, parse_addresses
 from carobspring.entry import (
     CallCanceller,
     CallersApi,
@@ -24,7 +25,6 @@
     FollowLimits,
     RouterObserver,
     ViewFollower,
-    parse_addresses,
 )
 from carobspring.ports import HttpLimits
 from carobspring.programs.options import OptionError
@@ -73,8 +73,8 @@
     def __init__(self, options: EntryOptions) -> None:
         self._options = options
         try:
-            addresses = parse_addresses(options.control)
-        except ValueError as error:
+            addresses = parse_addresses("control", options.control)
+        except InvalidValueError as error:
             raise OptionError(
                 name="control", source="--control", reason=str(error)
             ) from error
--- a/carobspring/programs/logs.py
+++ b/carobspring/programs/logs.py
@@ -41,3 +41,5 @@
     else:
         stream.setFormatter(logging.Formatter(TEXT_FORMAT))
     logging.basicConfig(level=log_level.upper(), handlers=[stream], force=True)
+    # Its lines tell of single requests, which counters do already.
+    logging.getLogger("grpclib").setLevel(logging.WARNING)
--- a/tests/adapters/test_agent_service.py
+++ b/tests/adapters/test_agent_service.py
@@ -21,7 +21,7 @@
     make_unary,
     open_channel,
 )
-from carobspring.domain import RunStatus
+from carobspring.domain import Address, RunStatus
 from carobspring.programs.agent import listen_rpc
 from carobspring.protocol import (
     AgentOrder,
@@ -139,7 +139,8 @@
             ]
         )
         self.server = build_server(services=[service], secret=SECRET)
-        return ("127.0.0.1", await listen_rpc(self.server, "127.0.0.1", 0))
+        port = await listen_rpc(self.server, "127.0.0.1", 0)
+        return Address(host="127.0.0.1", port=port)
 
     async def watch(self, stream):
         async for report in stream:
