Keep the order of bytes on a delayed stand-in link

Pieces that fall due at one time go through the loop's heap, which keeps no order among equals, so the link swapped bytes. Ruled out: the agent (no protocol error in its debug log), the new withdrawal (the same error without a move on the connection), grpclib's keepalive. Change: due times on a connection grow strictly.

--- a/standins/link.py
+++ b/standins/link.py
@@ -5,6 +5,8 @@
 from collections.abc import Awaitable, Callable
 
 CHUNK_BYTES = 65536
+#: Least time between two pieces of a connection.
+LEAST_GAP_S = 1e-6
 
 
 class Link:
@@ -96,7 +98,8 @@
             while data := await reader.read(CHUNK_BYTES):
                 self.taken_bytes += len(data)
                 delay_s = self._delay_s + self._random.random() * self._jitter_s
-                due = max(due, loop.time() + delay_s)
+                # The loop keeps no order among timers of one time.
+                due = max(due + LEAST_GAP_S, loop.time() + delay_s)
                 loop.call_at(due, deliver, lambda piece=data: writer.write(piece))
         except asyncio.CancelledError:
             writer.transport.abort()
@@ -104,4 +107,4 @@
         except OSError:
             pass
         finally:
-            loop.call_at(max(due, loop.time()), deliver, writer.close)
+            loop.call_at(max(due + LEAST_GAP_S, loop.time()), deliver, writer.close)
