--- a/carobspring/adapters/backend_http.py
+++ b/carobspring/adapters/backend_http.py
@@ -45,8 +45,15 @@
 
 
 def relay_headers(headers: CallHeaders) -> CallHeaders:
-    """Return the headers without those of one connection."""
-    return tuple(pair for pair in headers if pair[0].lower() not in HOP_HEADERS)
+    """Return the headers without those of one connection.
+
+    A ``Connection`` header may name further ones.
+    """
+    dropped = set(HOP_HEADERS)
+    for name, value in headers:
+        if name.lower() == "connection":
+            dropped.update(item.strip().lower() for item in value.split(","))
+    return tuple(pair for pair in headers if pair[0].lower() not in dropped)
 
 
 def describe(error: Exception) -> str:
@@ -58,14 +65,22 @@
 class HttpBackendAnswer(BackendAnswer):
     """An answer of aiohttp's client, read as it comes."""
 
-    def __init__(self, *, response: aiohttp.ClientResponse, method: str) -> None:
+    def __init__(
+        self,
+        *,
+        response: aiohttp.ClientResponse,
+        method: str,
+        takes_unmarked_end: bool = False,
+    ) -> None:
         self._response = response
         self.status = response.status
         # Names come as a subclass of str that no codec takes.
         received = tuple((str(name), value) for name, value in response.headers.items())
         self.headers = relay_headers(received)
+        self.length = response.content_length
         self._bounded = (
-            "Content-Length" in response.headers
+            takes_unmarked_end
+            or "Content-Length" in response.headers
             or "chunked" in response.headers.get("Transfer-Encoding", "").lower()
             or method == "HEAD"
             or response.status in (204, 304)
@@ -94,7 +109,16 @@
     Build it inside a running loop.
     """
 
-    def __init__(self, *, url: str, health_path: str) -> None:
+    def __init__(
+        self,
+        *,
+        url: str,
+        health_path: str,
+        relays_host: bool = False,
+        takes_unmarked_end: bool = False,
+    ) -> None:
+        self._relays_host = relays_host
+        self._takes_unmarked_end = takes_unmarked_end
         self._url = url.rstrip("/")
         self._health_path = health_path
         parts = urlsplit(self._url)
@@ -111,10 +135,15 @@
     async def send(self, request: BackendRequest) -> BackendAnswer:
         """Send a request and return once status and headers are there."""
         try:
+            headers = CIMultiDict(relay_headers(request.headers))
+            if self._relays_host:
+                hosts = [v for k, v in request.headers if k.lower() == "host"]
+                if hosts:
+                    headers["Host"] = hosts[0]
             response = await self._session.request(
                 request.method,
                 URL(self._url + request.path, encoded=True),
-                headers=CIMultiDict(relay_headers(request.headers)),
+                headers=headers,
                 data=request.body or None,
                 allow_redirects=False,
             )
@@ -122,7 +151,11 @@
             raise BackendUnreachableError(reason=describe(error)) from error
         except (aiohttp.ClientError, OSError, TimeoutError) as error:
             raise BackendCutError(reason=describe(error)) from error
-        return HttpBackendAnswer(response=response, method=request.method)
+        return HttpBackendAnswer(
+            response=response,
+            method=request.method,
+            takes_unmarked_end=self._takes_unmarked_end,
+        )
 
     async def probe(self, timeout_s: float) -> bool:
         """Say whether the health path answers in time, by no server error."""
--- a/carobspring/adapters/disk.py
+++ b/carobspring/adapters/disk.py
@@ -48,11 +48,15 @@
 
     def close(self) -> None:
         """Give the folder free."""
-        for name in list(self._open):
-            self._close_file(name)
+        self.forget_open_files()
         os.close(self._lock)
         os.close(self._folder_file)
 
+    def forget_open_files(self) -> None:
+        """Close the files, so that the next use opens them anew."""
+        for name in list(self._open):
+            self._close_file(name)
+
     def list_names(self) -> list[str]:
         """Return the names of all files, sorted."""
         names = [path.name for path in self._folder.iterdir()]
--- /dev/null
+++ b/carobspring/adapters/greeter.py
@@ -0,0 +1,103 @@
+"""Asks other control daemons for those that they know, again and again."""
+
+import asyncio
+import logging
+from collections.abc import Callable
+from typing import Final
+
+from grpclib import GRPCError
+from grpclib.client import Channel, UnaryUnaryMethod
+from grpclib.const import Handler
+from grpclib.exceptions import StreamTerminatedError
+
+from carobspring.adapters import paths
+from carobspring.adapters.rpc import make_unary, open_channel
+from carobspring.control.discovery import DaemonDirectory, Greeting
+from carobspring.domain import parse_address
+from carobspring.ports import Clock
+
+#: Seconds between rounds until the replicas are known, and afterwards.
+SEARCH_INTERVAL_S: Final = 0.3
+REFRESH_INTERVAL_S: Final = 2.0
+#: A daemon that does not answer within this is asked again next round.
+ANSWER_TIMEOUT_S: Final = 1.0
+
+_ERRORS = (GRPCError, StreamTerminatedError, OSError, TimeoutError)
+
+logger = logging.getLogger(__name__)
+
+
+class Greeter:
+    """Exchanges greetings with every known control daemon.
+
+    ``on_news`` is called after each round.
+    """
+
+    def __init__(
+        self,
+        *,
+        directory: DaemonDirectory,
+        secret: str,
+        clock: Clock,
+        on_news: Callable[[], None],
+    ) -> None:
+        self._directory = directory
+        self._secret = secret
+        self._clock = clock
+        self._on_news = on_news
+        self._channels: dict[str, Channel] = {}
+        self._silent: set[str] = set()
+
+    def list_methods(self) -> list[tuple[str, Handler]]:
+        """Return the gRPC methods that the program's server must offer."""
+        return [make_unary(paths.GREET, self._answer, Greeting, Greeting)]
+
+    async def run(self) -> None:
+        """Exchange greetings until cancelled."""
+        while True:
+            addresses = self._directory.list_addresses()
+            await asyncio.gather(*(self._greet(name) for name in addresses))
+            self._directory.settle_founders(self._clock.read_monotonic())
+            self._on_news()
+            known = self._directory.members
+            await asyncio.sleep(REFRESH_INTERVAL_S if known else SEARCH_INTERVAL_S)
+
+    def close(self) -> None:
+        """Close every connection."""
+        for channel in self._channels.values():
+            channel.close()
+        self._channels.clear()
+
+    async def _answer(self, greeting: Greeting) -> Greeting:
+        self._directory.take_greeting(greeting, self._clock.read_monotonic())
+        return self._directory.make_greeting()
+
+    async def _greet(self, name: str) -> None:
+        if name not in self._channels:
+            address = parse_address("daemon", name)
+            self._channels[name] = open_channel(
+                host=address.host, port=address.port, secret=self._secret
+            )
+        method = UnaryUnaryMethod[Greeting, Greeting](
+            self._channels[name], paths.GREET, Greeting, Greeting
+        )
+        try:
+            async with asyncio.timeout(ANSWER_TIMEOUT_S):
+                reply = await method(self._directory.make_greeting())
+        except _ERRORS as error:
+            self._note_silence(name, error)
+            return
+        if reply is not None:
+            self._directory.take_greeting(reply, self._clock.read_monotonic())
+        if name in self._silent:
+            self._silent.discard(name)
+            logger.info("control daemon answers", extra={"daemon": name})
+
+    def _note_silence(self, name: str, error: BaseException) -> None:
+        self._channels.pop(name).close()
+        if name not in self._silent:
+            self._silent.add(name)
+            logger.warning(
+                "control daemon does not answer",
+                extra={"daemon": name, "error": f"{type(error).__name__} {error}"},
+            )
--- a/carobspring/adapters/metrics.py
+++ b/carobspring/adapters/metrics.py
@@ -1,9 +1,12 @@
 """Counters, gauges and histograms by aioprometheus."""
 
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 
 from aioprometheus import Counter, Gauge, Histogram, Registry, render
 
+from carobspring.adapters.http_server import CircuitsHttpServer
+from carobspring.ports import HttpRequest, HttpResponder
+
 CONTENT_TYPE = "text/plain; version=0.0.4; charset=utf-8"
 LATENCY_BUCKETS_S = (0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10, 30, 60)
 
@@ -52,3 +55,16 @@
         """Return all metrics in Prometheus' text form."""
         content, _ = render(self._registry, ["text/plain"])
         return bytes(content)
+
+
+async def serve_metrics(
+    *, host: str, port: int, render: Callable[[], bytes]
+) -> CircuitsHttpServer:
+    """Answer every request at an address with the metrics, and return it."""
+
+    async def handle(request: HttpRequest, responder: HttpResponder) -> None:
+        await responder.send(200, (("Content-Type", CONTENT_TYPE),), render())
+
+    server = CircuitsHttpServer(host=host, port=port, handler=handle)
+    await server.start()
+    return server
--- a/carobspring/consensus/__init__.py
+++ b/carobspring/consensus/__init__.py
@@ -36,7 +36,7 @@
 )
 from carobspring.consensus.journal import Journal
 from carobspring.consensus.messages import Message
-from carobspring.consensus.node import Node
+from carobspring.consensus.node import KEPT_ENTRIES, Node
 from carobspring.consensus.state import RoleName, Timing
 
 __all__ = [
@@ -54,6 +54,7 @@
     "HardState",
     "Journal",
     "JournalFailedError",
+    "KEPT_ENTRIES",
     "LearnerAdded",
     "LearnerPromoted",
     "LogSynced",
--- a/carobspring/consensus/driver.py
+++ b/carobspring/consensus/driver.py
@@ -16,7 +16,7 @@
 )
 from carobspring.consensus.journal import Journal
 from carobspring.consensus.messages import Message
-from carobspring.consensus.node import Node
+from carobspring.consensus.node import KEPT_ENTRIES, Node
 from carobspring.consensus.state import Timing
 from carobspring.ports import RandomSource, StateMachine, Storage
 
@@ -62,6 +62,7 @@
         outlet: Outlet,
         now: float,
         snapshot_every: int = SNAPSHOT_EVERY,
+        kept_entries: int = KEPT_ENTRIES,
     ) -> None:
         self._journal = Journal(storage=storage, random=random)
         self._machine = machine
@@ -85,6 +86,7 @@
             entries=self._journal.entries,
             hard_state=self._journal.hard_state,
             now=now,
+            kept_entries=kept_entries,
         )
 
     def step(self, event: Event, now: float) -> None:
--- a/carobspring/consensus/greetings.py
+++ b/carobspring/consensus/greetings.py
@@ -20,6 +20,8 @@
         self._name = name
         self._peers = peers
         self._founding = founding
+        #: Names that were learned after the start.
+        self._late_peers: set[str] = set()
         #: The last hello of each name.
         self.hellos: dict[str, Hello] = {}
 
@@ -34,6 +36,11 @@
             founding=self._founding,
         )
 
+    def add_peer(self, name: str) -> None:
+        """Take the hello of another name; it takes no part in the founding."""
+        if name != self._name and name not in self._peers:
+            self._late_peers.add(name)
+
     @property
     def is_alone(self) -> bool:
         """Say whether there are no peers whose hello could come."""
@@ -41,7 +48,7 @@
 
     def take_hello(self, hello: Hello) -> None:
         """Note a hello, and invite its sender if it belongs here."""
-        if hello.name in self._peers:
+        if hello.name in self._peers or hello.name in self._late_peers:
             self.hellos[hello.name] = hello
             self._invite(hello)
 
--- a/carobspring/consensus/node.py
+++ b/carobspring/consensus/node.py
@@ -61,8 +61,10 @@
         entries: tuple[Entry, ...],
         hard_state: HardState,
         now: float,
+        kept_entries: int = KEPT_ENTRIES,
     ) -> None:
         self.name = name
+        self._kept_entries = kept_entries
         self._state = State(
             identity=identity,
             timing=timing,
@@ -128,6 +130,10 @@
         """Say whether this replica leads and no other can at this time."""
         return isinstance(self._role, Leader) and self._role.holds_lease(now)
 
+    def add_peer(self, name: str) -> None:
+        """Take the hello of another name from now on."""
+        self._greetings.add_peer(name)
+
     def make_hello(self) -> Hello:
         """Return the message that opens a connection."""
         return self._greetings.make_hello()
@@ -298,7 +304,7 @@
             configuration=log.find_configuration(event.index),
             data=event.data,
         )
-        log.compact(self._snapshot, keep=KEPT_ENTRIES)
+        log.compact(self._snapshot, keep=self._kept_entries)
 
     def _forward_read(self, event: ReadAsked) -> None:
         state = self._state
--- a/carobspring/control/commands.py
+++ b/carobspring/control/commands.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass
 
+from carobspring.control.routing import RoutingAnswer, RoutingChange
 from carobspring.ledger import ClaimCommand, ExpireCommand, OutcomeCommand
 from carobspring.protocol import ClaimReply, OutcomeReply, Strike
 from carobspring.settings import ChangeAnswer, ChangeRequest
@@ -38,6 +39,7 @@
     strikes: tuple[Strike, ...] = ()
     release: StrikeRelease | None = None
     drain: DrainChange | None = None
+    routing: RoutingChange | None = None
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -51,5 +53,6 @@
     change: ChangeAnswer | None = None
     claim: ClaimReply | None = None
     outcome: OutcomeReply | None = None
+    routing: RoutingAnswer | None = None
     count: int = 0
     error: str = ""
--- a/carobspring/control/machine.py
+++ b/carobspring/control/machine.py
@@ -11,10 +11,12 @@
     DrainChange,
     StrikeRelease,
 )
+from carobspring.control.routing import RoutingAnswer, RoutingBook, RoutingChange
 from carobspring.control.strikes import StrikeBook, StrikeSnapshot
 from carobspring.domain import DomainError
 from carobspring.ledger import LedgerSnapshot, UniqueCallLedger
 from carobspring.ports import StateMachine
+from carobspring.protocol import RoutingContent
 from carobspring.settings import (
     AuditEntry,
     SettingsMachine,
@@ -33,6 +35,7 @@
     ledger: LedgerSnapshot = field(default_factory=LedgerSnapshot)
     strikes: StrikeSnapshot = field(default_factory=StrikeSnapshot)
     drained: tuple[str, ...] = ()
+    routing: RoutingContent = field(default_factory=RoutingContent)
 
 
 class ControlMachine(StateMachine):
@@ -47,6 +50,7 @@
         self.ledger = UniqueCallLedger()
         self.strikes = StrikeBook()
         self.drained: frozenset[str] = frozenset()
+        self.routing = RoutingBook()
         self.on_applied = on_applied
 
     def apply(self, index: int, command: bytes) -> bytes:
@@ -73,6 +77,8 @@
             return CommandResult(count=self._release(command.release))
         if command.drain is not None:
             return CommandResult(count=self._drain(command.drain))
+        if command.routing is not None:
+            return CommandResult(routing=self._route(command.routing))
         return CommandResult(count=self.strikes.add(command.strikes))
 
     def take_snapshot(self) -> bytes:
@@ -83,6 +89,7 @@
                 ledger=self.ledger.take_snapshot(),
                 strikes=self.strikes.take_snapshot(),
                 drained=tuple(sorted(self.drained)),
+                routing=self.routing.content,
             )
         )
 
@@ -93,6 +100,7 @@
         self.ledger.restore(state.ledger)
         self.strikes.restore(state.strikes)
         self.drained = frozenset(state.drained)
+        self.routing.restore(state.routing)
         self.on_applied()
 
     def _release(self, release: StrikeRelease) -> int:
@@ -116,6 +124,22 @@
         self._record(change.operator, change.at_ms, subject)
         return 1
 
+    def _route(self, change: RoutingChange) -> RoutingAnswer:
+        before = self.routing.content.version
+        answer = self.routing.apply(change)
+        if answer.taken:
+            subject = SubjectChange(
+                subject="routes",
+                before=f"version {before}",
+                after=f"version {answer.version}",
+            )
+            self._record("", change.at_ms, subject)
+        return answer
+
+    def reset(self) -> None:
+        """Forget everything, before the log is read again from its start."""
+        self.restore(msgspec.msgpack.encode(ControlSnapshot()))
+
     def _record(self, operator: str, at_ms: int, change: SubjectChange) -> None:
         entry = AuditEntry(
             revision=self.settings.settings.revision,
--- /dev/null
+++ b/carobspring/control/routing.py
@@ -0,0 +1,48 @@
+"""The operator's routes in the replicated log: the highest version stands."""
+
+from dataclasses import dataclass
+
+from carobspring.protocol import RoutingContent
+
+
+@dataclass(frozen=True, kw_only=True)
+class RoutingChange:
+    """A configuration that was checked, on its way through the log."""
+
+    content: RoutingContent
+    at_ms: int = 0
+
+
+@dataclass(frozen=True, kw_only=True)
+class RoutingAnswer:
+    """What became of a configuration.
+
+    ``taken`` is false when a version as high or higher stood already; that
+    changes nothing and is no error, since an operator sends again what lost
+    its answer.
+    """
+
+    taken: bool
+    version: int
+
+
+class RoutingBook:
+    """Holds the configuration with the highest version, for good.
+
+    The content under a version never changes: the first one committed under
+    it stays, also when another operator sends a different one.
+    """
+
+    def __init__(self) -> None:
+        self.content = RoutingContent()
+
+    def apply(self, change: RoutingChange) -> RoutingAnswer:
+        """Take a configuration over if its version is higher."""
+        taken = change.content.version > self.content.version
+        if taken:
+            self.content = change.content
+        return RoutingAnswer(taken=taken, version=self.content.version)
+
+    def restore(self, content: RoutingContent) -> None:
+        """Take over the content of a snapshot."""
+        self.content = content
--- a/carobspring/control/sessions.py
+++ b/carobspring/control/sessions.py
@@ -8,6 +8,7 @@
     AgentOrder,
     AgentReport,
     EntryReport,
+    RoutingContent,
     Strike,
     ViewUpdate,
 )
@@ -103,6 +104,8 @@
         self._state = state
         self._cursor = SharedCursor(state=state)
         self._view: int | None = None
+        self._routing = 0
+        self._replicas: tuple[str, ...] = ()
 
     def note_report(self, report: EntryReport) -> None:
         """Take a report over into the table of entries."""
@@ -122,4 +125,21 @@
             removed=delta.removed,
             strikes=news.strikes,
             released=news.released,
+            routing=self._take_routing(),
+            replicas=self._take_replicas(),
+            entry_count=len(self._state.entries.entries),
         )
+
+    def _take_routing(self) -> RoutingContent | None:
+        content = self._state.machine.routing.content
+        if content.version <= self._routing:
+            return None
+        self._routing = content.version
+        return content
+
+    def _take_replicas(self) -> tuple[str, ...]:
+        replicas = self._state.replicas
+        if replicas == self._replicas:
+            return ()
+        self._replicas = replicas
+        return replicas
--- a/carobspring/control/state.py
+++ b/carobspring/control/state.py
@@ -3,7 +3,7 @@
 import asyncio
 
 from carobspring.control.machine import ControlMachine
-from carobspring.membership import EntryTable, MembershipTable
+from carobspring.membership import LEASE_S, EntryTable, MembershipTable
 from carobspring.ports import Clock
 
 
@@ -36,19 +36,23 @@
 class ControlState:
     """The replicated state, the soft state, and who waits for changes."""
 
-    def __init__(self, *, replica_id: str, clock: Clock) -> None:
+    def __init__(
+        self, *, replica_id: str, clock: Clock, lease_s: float = LEASE_S
+    ) -> None:
         self.replica_id = replica_id
         self.clock = clock
         self.agent_wakeups = Wakeups()
         self.entry_wakeups = Wakeups()
         self.machine = ControlMachine(on_applied=self.note_applied)
-        self.members = MembershipTable(now=clock.read_monotonic())
+        self.members = MembershipTable(now=clock.read_monotonic(), lease_s=lease_s)
         self.entries = EntryTable()
         self.draining = False
         self._seen_changes = 0
         #: Grows when an agent on an own stream changes what peers must know.
         self.own_changes = 0
         self.unreadable_gossip = 0
+        #: gRPC addresses of all control replicas, where entries are told them.
+        self.replicas: tuple[str, ...] = ()
 
     def note_applied(self) -> None:
         """Pass on what a command or a restored snapshot changed."""
--- /dev/null
+++ b/carobspring/gateway/api.py
@@ -0,0 +1,191 @@
+"""The callers' side of the entry: route, key, limits, then the exchange."""
+
+import asyncio
+import logging
+from collections.abc import Callable
+from typing import Final
+
+from carobspring import platform
+from carobspring.dispatch import DispatchQuery
+from carobspring.domain.routes import Route, RoutingTable
+from carobspring.gateway.budget import RepeatBudget
+from carobspring.gateway.exchange import (
+    Exchange,
+    ExchangeParts,
+    ExchangeReport,
+    FinalAnswer,
+    encode_problem,
+)
+from carobspring.gateway.measures import GatewayMeasures
+from carobspring.gateway.state import GatewayState
+from carobspring.ports import HttpRequest, HttpResponder, RandomSource
+
+#: Retry-After of an entry that knows no routes yet, seconds.
+STARTING_RETRY_S: Final = 0.3
+#: Bytes of a prompt's token, to guess tokens that a caller does not tell.
+BYTES_PER_TOKEN: Final = 4
+
+logger = logging.getLogger(__name__)
+
+
+class GatewayApi:
+    """Answers callers' requests by the routing table in force."""
+
+    def __init__(
+        self,
+        *,
+        state: GatewayState,
+        parts: ExchangeParts,
+        budgets: Callable[[str], RepeatBudget],
+        random: RandomSource,
+        measures: GatewayMeasures,
+    ) -> None:
+        self._state = state
+        self._parts = parts
+        self._budgets = budgets
+        self._random = random
+        self._measures = measures
+        #: Requests under way.
+        self.open_requests = 0
+
+    async def handle(self, request: HttpRequest, responder: HttpResponder) -> None:
+        """Answer one request."""
+        began = self._parts.read_clock()
+        facts = platform.read_request_facts(request.headers)
+        table = self._state.table
+        if table is None:
+            await self._refuse(responder, facts, 503, "starting", STARTING_RETRY_S)
+            return
+        route = table.find_route(facts.host, request.path)
+        if route is None:
+            await self._refuse(responder, facts, 404, "no_route")
+            return
+        owner = None
+        if table.requires_keys and not route.public:
+            owner = table.find_owner(facts.key)
+            if owner is None:
+                await self._refuse(responder, facts, 401, "unknown_key")
+                return
+        rank = route.priority
+        if owner is not None and owner.priority is not None:
+            rank = owner.priority
+        query = self._build_query(request, facts, route, rank, began)
+        service = table.services[query.service]
+        exchange = Exchange(
+            parts=self._parts,
+            request=request,
+            responder=responder,
+            facts=facts,
+            route=route,
+            query=query,
+            workspace=owner.name if owner else "",
+            engine_priority=rank if service.engine else None,
+        )
+        self._budgets(query.service).note_request(began)
+        self.open_requests += 1
+        try:
+            report = await self._run_until_gone(exchange, responder)
+        finally:
+            self.open_requests -= 1
+        self._note_end(table, route, query, facts, report, began)
+
+    async def _run_until_gone(
+        self, exchange: Exchange, responder: HttpResponder
+    ) -> ExchangeReport:
+        """Run the exchange, and cancel it when the caller leaves."""
+        work = asyncio.create_task(exchange.run())
+        gone = asyncio.create_task(responder.gone.wait())
+        try:
+            await asyncio.wait({work, gone}, return_when=asyncio.FIRST_COMPLETED)
+            if work.done():
+                return work.result()
+            return exchange.note_abandoned()
+        finally:
+            gone.cancel()
+            if not work.done():
+                work.cancel()
+                await asyncio.gather(work, return_exceptions=True)
+
+    def _build_query(
+        self,
+        request: HttpRequest,
+        facts: platform.RequestFacts,
+        route: Route,
+        rank: int,
+        began: float,
+    ) -> DispatchQuery:
+        limit_ms = route.time_limit_ms
+        if facts.patience_ms:
+            limit_ms = min(limit_ms, facts.patience_ms)
+        prompt = facts.prompt_tokens or len(request.body) // BYTES_PER_TOKEN
+        return DispatchQuery(
+            request_id=facts.request_id,
+            service=route.choose_service(self._random.draw_uniform()),
+            priority=rank,
+            deadline=began + limit_ms / 1000,
+            target_s=route.target_ms / 1000,
+            is_stream=route.repeatability.is_stream,
+            prompt_tokens=prompt,
+            output_tokens=facts.expected_output_tokens or facts.max_output_tokens,
+            parts=tuple((part.part_id, part.tokens) for part in facts.prompt_parts),
+            body_bytes=len(request.body),
+        )
+
+    async def _refuse(
+        self,
+        responder: HttpResponder,
+        facts: platform.RequestFacts,
+        status: int,
+        reason: str,
+        retry_after_s: float | None = None,
+    ) -> None:
+        table = self._state.table
+        self._measures.note_refusal(reason)
+        logger.info(
+            "request refused",
+            extra={
+                "request": facts.request_id,
+                "status": status,
+                "reason": reason,
+                "routes": table.version if table else None,
+            },
+        )
+        headers = platform.build_refusal_headers(
+            request_id=facts.request_id, retry_after_s=retry_after_s
+        )
+        await responder.send(status, headers, encode_problem(reason))
+
+    def _note_end(
+        self,
+        table: RoutingTable,
+        route: Route,
+        query: DispatchQuery,
+        facts: platform.RequestFacts,
+        report: ExchangeReport,
+        began: float,
+    ) -> None:
+        now = self._parts.read_clock()
+        first_s = None if report.first_at is None else report.first_at - began
+        self._measures.note_end(report, first_s, now - began)
+        logger.info(
+            "request ended",
+            extra={
+                "request": facts.request_id,
+                "answer": report.answer.value,
+                "status": report.status,
+                "reason": report.reason,
+                "server": report.server,
+                "sends": report.sends,
+                "route": route.name,
+                "routes": table.version,
+                "service": query.service,
+                "rank": query.priority,
+                "first_ms": None if first_s is None else round(first_s * 1000, 1),
+                "took_ms": round((now - began) * 1000, 1),
+                "left_ms": round((query.deadline - now) * 1000, 1),
+                "prompt": query.prompt_tokens,
+            },
+        )
+
+
+__all__ = ["FinalAnswer", "GatewayApi"]
--- /dev/null
+++ b/carobspring/gateway/exchange.py
@@ -0,0 +1,397 @@
+"""One caller's request: placed, sent, repeated where allowed, relayed."""
+
+import asyncio
+import logging
+from collections.abc import Callable
+from dataclasses import dataclass
+from enum import Enum
+from typing import Final
+
+import msgspec
+
+from carobspring import platform
+from carobspring.adapters.backend_http import HttpBackend
+from carobspring.dispatch import (
+    AttemptOutcome,
+    Dispatcher,
+    DispatchQuery,
+    Placement,
+    Refusal,
+    RefusalReason,
+)
+from carobspring.domain import CallHeaders
+from carobspring.domain.routes import Route
+from carobspring.gateway.backends import BackendConnections
+from carobspring.gateway.events import EventSplitter, StreamEvent
+from carobspring.ports import (
+    BackendAnswer,
+    BackendCutError,
+    BackendRequest,
+    BackendUnreachableError,
+    HttpRequest,
+    HttpResponder,
+)
+
+#: Answers up to this size are relayed only once they are whole, so that the
+#: caller never gets a part of one that breaks off.
+WHOLE_ANSWER_BYTES: Final = 256 * 1024
+
+#: Retry-After when the budget of repeated sends is used up, seconds.
+REPEAT_RETRY_S: Final = 0.5
+
+#: Outcomes after which a request has certainly not run.
+_NOT_RUN: Final = frozenset(
+    {AttemptOutcome.NOT_RUN, AttemptOutcome.MISDIRECTED, AttemptOutcome.UNREACHABLE}
+)
+
+logger = logging.getLogger(__name__)
+
+
+class FinalAnswer(str, Enum):
+    """How a request ended for its caller."""
+
+    #: A backend server's whole answer.
+    RELAYED = "relayed"
+    #: Turned away; the request has not run.
+    REFUSED = "refused"
+    #: A failure of the system's own; the request may have run.
+    FAILED = "failed"
+    #: An answer that had begun was broken off.
+    BROKEN_OFF = "broken_off"
+    #: The caller closed its connection.
+    ABANDONED = "abandoned"
+
+
+@dataclass(frozen=True, kw_only=True)
+class ExchangeReport:
+    """What is logged and counted once a request has ended."""
+
+    answer: FinalAnswer
+    status: int = 0
+    reason: str = ""
+    server: str = ""
+    sends: int = 0
+    #: Monotonic time of the first byte for the caller.
+    first_at: float | None = None
+
+
+@dataclass(frozen=True, kw_only=True)
+class KeptReply:
+    """A server's failure that is relayed if no other server does better."""
+
+    status: int
+    headers: CallHeaders
+    body: bytes
+
+
+@dataclass(frozen=True, kw_only=True)
+class AttemptResult:
+    """How an attempt at one server ended."""
+
+    outcome: AttemptOutcome
+    detail: str = ""
+    reply: KeptReply | None = None
+
+
+@dataclass(frozen=True, kw_only=True)
+class ExchangeParts:
+    """What all exchanges of an entry share."""
+
+    dispatcher: Dispatcher
+    connections: BackendConnections
+    read_clock: Callable[[], float]
+    #: Takes one repeated send to a service out of the budget, if it may be.
+    spend_repeat: Callable[[str], bool]
+
+
+class Exchange:
+    """Carries out one request until its caller has a final answer.
+
+    A request that may run once is sent again only after a backend server has
+    said that it has not run it, or when nothing was sent. The head of an event
+    stream is held until its first event, so that a server that breaks before
+    can still be replaced; after that a resumable stream goes on at another
+    server inside the same answer.
+    """
+
+    def __init__(
+        self,
+        *,
+        parts: ExchangeParts,
+        request: HttpRequest,
+        responder: HttpResponder,
+        facts: platform.RequestFacts,
+        route: Route,
+        query: DispatchQuery,
+        workspace: str,
+        engine_priority: int | None,
+    ) -> None:
+        self._parts = parts
+        self._request = request
+        self._responder = responder
+        self._facts = facts
+        self._route = route
+        self._query = query
+        self._workspace = workspace
+        self._engine_priority = engine_priority
+        self._excluded: set[str] = set()
+        #: Servers that may have run the request.
+        self._ran_at: set[str] = set()
+        self._sends = 0
+        self._server = ""
+        #: Identifier of the last event that the caller was sent.
+        self._last_event = ""
+        self._first_at: float | None = None
+        self._kept: KeptReply | None = None
+
+    async def run(self) -> ExchangeReport:
+        """Answer the caller, at the latest at the query's deadline."""
+        left_s = self._query.deadline - self._parts.read_clock()
+        try:
+            async with asyncio.timeout(max(0.001, left_s)):
+                return await self._try_servers()
+        except TimeoutError:
+            return await self._fail(504, "time_limit")
+
+    def note_abandoned(self) -> ExchangeReport:
+        """Return the report of a request whose caller left."""
+        return self._report(FinalAnswer.ABANDONED, 0, "caller_left")
+
+    async def _try_servers(self) -> ExchangeReport:
+        while True:
+            now = self._parts.read_clock()
+            placed = self._parts.dispatcher.place(self._query, self._excluded, now)
+            if isinstance(placed, Refusal):
+                return await self._give_up(placed)
+            if self._sends and not self._parts.spend_repeat(self._query.service):
+                return await self._give_up(
+                    Refusal(
+                        reason=RefusalReason.BUDGET,
+                        retry_after_s=REPEAT_RETRY_S,
+                    )
+                )
+            result = await self._try_server(placed)
+            if result.outcome is AttemptOutcome.ANSWERED:
+                return self._report(FinalAnswer.RELAYED, 0, "")
+            self._excluded.add(placed.server.server_id)
+            self._kept = result.reply or self._kept
+            if result.outcome not in _NOT_RUN and not self._may_repeat():
+                return await self._end_failed(result.detail)
+
+    def _may_repeat(self) -> bool:
+        """Say whether one more server may run the request."""
+        attempts = self._route.max_attempts
+        return self._route.repeatability.may_repeat and len(self._ran_at) < attempts
+
+    async def _try_server(self, placed: Placement) -> AttemptResult:
+        parts, query = self._parts, self._query
+        server_id = self._server = placed.server.server_id
+        now = parts.read_clock()
+        client = parts.connections.find(server_id)
+        if client is None:
+            return AttemptResult(outcome=AttemptOutcome.UNREACHABLE, detail="unlisted")
+        parts.dispatcher.note_sent(server_id, query, now)
+        self._sends += 1
+        result = AttemptResult(outcome=AttemptOutcome.ABANDONED)
+        try:
+            result = await self._send(client, server_id)
+        finally:
+            end = parts.read_clock()
+            parts.dispatcher.note_end(server_id, query.request_id, result.outcome, end)
+            if result.outcome is not AttemptOutcome.ANSWERED:
+                self._log_attempt(placed, result, end - now)
+        return result
+
+    async def _send(self, client: HttpBackend, server_id: str) -> AttemptResult:
+        left_s = self._query.deadline - self._parts.read_clock()
+        request = self._request
+        query = f"?{request.query}" if request.query else ""
+        sent = BackendRequest(
+            method=request.method,
+            path=request.path + query,
+            headers=platform.build_backend_headers(
+                request.headers,
+                server_id=server_id,
+                workspace=self._workspace,
+                left_ms=left_s * 1000,
+                priority=self._engine_priority,
+                last_event_id=self._last_event,
+            ),
+            body=request.body,
+        )
+        self._ran_at.add(server_id)
+        try:
+            answer = await client.send(sent)
+        except BackendUnreachableError as error:
+            self._ran_at.discard(server_id)
+            outcome = AttemptOutcome.UNREACHABLE
+            return AttemptResult(outcome=outcome, detail=error.reason)
+        except BackendCutError as error:
+            return AttemptResult(outcome=AttemptOutcome.CUT, detail=error.reason)
+        try:
+            return await self._take_answer(answer, server_id)
+        except BackendCutError as error:
+            return AttemptResult(outcome=AttemptOutcome.CUT, detail=error.reason)
+        finally:
+            answer.close()
+
+    async def _take_answer(
+        self, answer: BackendAnswer, server_id: str
+    ) -> AttemptResult:
+        facts = platform.read_answer_facts(answer.status, answer.headers)
+        now = self._parts.read_clock()
+        if facts.load is not None:
+            self._parts.dispatcher.note_load(server_id, facts.load, now)
+        if facts.not_run:
+            self._ran_at.discard(server_id)
+            misdirected = answer.status == 421
+            outcome = AttemptOutcome.NOT_RUN
+            if misdirected:
+                outcome = AttemptOutcome.MISDIRECTED
+            return AttemptResult(outcome=outcome, detail=f"status {answer.status}")
+        if facts.request_id != self._facts.request_id:
+            detail = f"answer to {facts.request_id or 'no request'}"
+            return AttemptResult(outcome=AttemptOutcome.CUT, detail=detail)
+        if answer.status < 300 and facts.is_event_stream:
+            return await self._relay_events(answer, server_id)
+        return await self._relay_body(answer)
+
+    async def _relay_body(self, answer: BackendAnswer) -> AttemptResult:
+        """Relay an answer once it is whole, unless it is large."""
+        body = bytearray()
+        while data := await answer.read():
+            body += data
+            if len(body) > WHOLE_ANSWER_BYTES and self._first_at is None:
+                return await self._relay_large_body(answer, bytes(body))
+        detail = f"status {answer.status}"
+        reply = KeptReply(
+            status=answer.status, headers=answer.headers, body=bytes(body)
+        )
+        if answer.status >= 500:
+            return AttemptResult(
+                outcome=AttemptOutcome.SERVER_ERROR, detail=detail, reply=reply
+            )
+        if self._first_at is not None:
+            # A stream has begun: this can't be its continuation.
+            return AttemptResult(outcome=AttemptOutcome.CUT, detail=detail)
+        await self._relay_reply(reply)
+        return AttemptResult(outcome=AttemptOutcome.ANSWERED)
+
+    async def _relay_large_body(
+        self, answer: BackendAnswer, begun: bytes
+    ) -> AttemptResult:
+        self._first_at = self._parts.read_clock()
+        await self._responder.start(answer.status, answer.headers)
+        await self._responder.write(begun)
+        while data := await answer.read():
+            await self._responder.write(data)
+        await self._responder.finish()
+        return AttemptResult(outcome=AttemptOutcome.ANSWERED)
+
+    async def _relay_reply(self, reply: KeptReply) -> None:
+        self._first_at = self._parts.read_clock()
+        await self._responder.send(reply.status, reply.headers, reply.body)
+
+    async def _relay_events(
+        self, answer: BackendAnswer, server_id: str
+    ) -> AttemptResult:
+        splitter = EventSplitter()
+        while data := await answer.read():
+            for event in splitter.add(data):
+                await self._relay_event(event, answer, server_id)
+        if splitter.held_bytes:
+            detail = "the stream ended inside an event"
+            return AttemptResult(outcome=AttemptOutcome.CUT, detail=detail)
+        if self._first_at is None:
+            await self._begin_stream(answer)
+        await self._responder.finish()
+        return AttemptResult(outcome=AttemptOutcome.ANSWERED)
+
+    async def _relay_event(
+        self, event: StreamEvent, answer: BackendAnswer, server_id: str
+    ) -> None:
+        if self._first_at is None:
+            now = self._parts.read_clock()
+            request_id = self._query.request_id
+            self._parts.dispatcher.note_begun(server_id, request_id, now)
+            await self._begin_stream(answer)
+        elif _is_repeated(event.event_id, self._last_event):
+            return
+        self._last_event = event.event_id or self._last_event
+        await self._responder.write(event.data)
+
+    async def _begin_stream(self, answer: BackendAnswer) -> None:
+        self._first_at = self._parts.read_clock()
+        await self._responder.start(answer.status, answer.headers)
+
+    async def _give_up(self, refusal: Refusal) -> ExchangeReport:
+        """Answer a request that goes to no further server."""
+        if self._ran_at or self._first_at is not None:
+            return await self._end_failed(refusal.reason.value)
+        left_s = self._query.deadline - self._parts.read_clock()
+        retry_after_s = min(refusal.retry_after_s, max(0.0, left_s / 3))
+        await self._answer_problem(503, refusal.reason.value, retry_after_s)
+        return self._report(FinalAnswer.REFUSED, 503, refusal.reason.value)
+
+    async def _end_failed(self, reason: str) -> ExchangeReport:
+        """Relay a server's own failure if there is one, else say so."""
+        if self._kept is not None and self._first_at is None:
+            await self._relay_reply(self._kept)
+            return self._report(FinalAnswer.RELAYED, self._kept.status, reason)
+        return await self._fail(502, reason)
+
+    async def _fail(self, status: int, reason: str) -> ExchangeReport:
+        if self._first_at is not None:
+            self._responder.abort()
+            return self._report(FinalAnswer.BROKEN_OFF, 0, reason)
+        if not self._ran_at:
+            await self._answer_problem(503, reason, None)
+            return self._report(FinalAnswer.REFUSED, 503, reason)
+        await self._answer_problem(status, reason, None)
+        return self._report(FinalAnswer.FAILED, status, reason)
+
+    async def _answer_problem(
+        self, status: int, reason: str, retry_after_s: float | None
+    ) -> None:
+        headers = platform.build_refusal_headers(
+            request_id=self._facts.request_id, retry_after_s=retry_after_s
+        )
+        await self._responder.send(status, headers, encode_problem(reason))
+
+    def _report(self, answer: FinalAnswer, status: int, reason: str) -> ExchangeReport:
+        return ExchangeReport(
+            answer=answer,
+            status=status,
+            reason=reason,
+            server=self._server,
+            sends=self._sends,
+            first_at=self._first_at,
+        )
+
+    def _log_attempt(
+        self, placed: Placement, result: AttemptResult, took_s: float
+    ) -> None:
+        logger.info(
+            "attempt failed",
+            extra={
+                "request": self._query.request_id,
+                "server": placed.server.server_id,
+                "boot": placed.server.boot,
+                "outcome": result.outcome.value,
+                "detail": result.detail,
+                "took_ms": round(took_s * 1000, 1),
+                "placement": placed.reason,
+                "last_event": self._last_event,
+            },
+        )
+
+
+def encode_problem(reason: str) -> bytes:
+    """Return the body of an answer of the system's own."""
+    return msgspec.json.encode({"error": reason})
+
+
+def _is_repeated(event_id: str, last_event: str) -> bool:
+    if not (event_id.isdigit() and last_event.isdigit()):
+        return False
+    return int(event_id) <= int(last_event)
--- /dev/null
+++ b/carobspring/gateway/state.py
@@ -0,0 +1,31 @@
+"""What an entry knows, and how old it is."""
+
+from carobspring.domain.routes import RoutingTable
+
+
+class GatewayState:
+    """The routing table in force and whether the process is stopping.
+
+    The table never goes back to an earlier version while the process runs.
+    """
+
+    def __init__(self) -> None:
+        self.table: RoutingTable | None = None
+        #: Monotonic time at which the table came in force.
+        self.table_at = 0.0
+        self.stopping = False
+        #: Entries that share the budget of repeated sends, this one too.
+        self.entry_count = 1
+
+    def take_table(self, table: RoutingTable, now: float) -> bool:
+        """Put a newer table in force and say whether it was newer."""
+        if self.table is not None and table.version <= self.table.version:
+            return False
+        self.table = table
+        self.table_at = now
+        return True
+
+    @property
+    def is_ready(self) -> bool:
+        """Say whether callers should be sent here."""
+        return self.table is not None and not self.stopping
--- a/carobspring/membership/__init__.py
+++ b/carobspring/membership/__init__.py
@@ -6,7 +6,12 @@
 
 from carobspring.membership.entries import EntryState, EntryTable
 from carobspring.membership.gossip import EntryNews, MemberNews, ReplicaNews
-from carobspring.membership.table import Announcement, Member, MembershipTable
+from carobspring.membership.table import (
+    LEASE_S,
+    Announcement,
+    Member,
+    MembershipTable,
+)
 from carobspring.membership.views import Delta
 
 __all__ = [
@@ -15,6 +20,7 @@
     "EntryNews",
     "EntryState",
     "EntryTable",
+    "LEASE_S",
     "Member",
     "MemberNews",
     "MembershipTable",
--- a/carobspring/membership/table.py
+++ b/carobspring/membership/table.py
@@ -74,9 +74,10 @@
 class MembershipTable:
     """Holds backend servers by name and numbers each change as a view."""
 
-    def __init__(self, *, now: float) -> None:
+    def __init__(self, *, now: float, lease_s: float = LEASE_S) -> None:
         self.view = 0
         self.started_at = now
+        self._lease_s = lease_s
         self.members: OrderedDict[str, Member] = OrderedDict()
         #: Grows when a server comes or goes, drains or fails: entries must
         #: hear of that at once.
@@ -155,7 +156,7 @@
             if member.server.boot != boot:
                 return member.server.boot > boot
             return member.gone
-        return True if now - self.started_at > 2 * LEASE_S else None
+        return True if now - self.started_at > 2 * self._lease_s else None
 
     def find_boot(self, server_id: str) -> int:
         """Return the largest boot number heard of, or zero."""
@@ -246,7 +247,7 @@
         if known is None and len(self.members) >= MAX_MEMBERS:
             return Announcement(accepted=False)
         heard_at = now - news.age_ms / 1000
-        if heard_at + LEASE_S <= now:
+        if heard_at + self._lease_s <= now:
             return Announcement(accepted=False)
         self._renew(known, news, server, heard_at, now, is_own)
         return Announcement(accepted=True)
@@ -268,7 +269,7 @@
             load=load,
             sequence=news.sequence,
             heard_at=heard_at,
-            lease_until=heard_at + LEASE_S,
+            lease_until=heard_at + self._lease_s,
             is_own=is_own,
         )
         if known is not None:
--- /dev/null
+++ b/carobspring/platform/node.py
@@ -0,0 +1,158 @@
+"""The settings file that the platform writes for each process."""
+
+import os
+from collections.abc import Mapping
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any, Final
+
+import msgspec
+
+from carobspring.domain import Address, InvalidValueError, parse_address
+
+FILE_VARIABLE: Final = "CAROBSPRING_NODE_FILE"
+DEFAULT_FILE: Final = "/etc/carobspring/local.json"
+
+
+class NodeFileError(Exception):
+    """The settings file can't be used.
+
+    Args:
+        path: Where the file is.
+        reason: What is wrong with it.
+    """
+
+    def __init__(self, *, path: str, reason: str) -> None:
+        super().__init__(f"{path}: {reason}")
+        self.path = path
+        self.reason = reason
+
+
+class _Listen(msgspec.Struct):
+    frontend: str = ""
+    readiness: str = ""
+    control: str = ""
+
+
+class _Limits(msgspec.Struct):
+    memory_mb: float = 0.0
+    max_fds: int = 0
+
+
+class _Tolerance(msgspec.Struct):
+    machines: int = 0
+
+
+class _NodeFile(msgspec.Struct):
+    node_name: str
+    ip: str
+    zone: str
+    port_range: tuple[int, int]
+    role: str = ""
+    listen: _Listen = msgspec.field(default_factory=_Listen)
+    seeds: list[str] = []
+    bootstrap: bool = False
+    fault_counted: bool = False
+    limits: _Limits = msgspec.field(default_factory=_Limits)
+    data_dir: str | None = None
+    heartbeat_ms: float = 1000.0
+    fault_tolerance: _Tolerance = msgspec.field(default_factory=_Tolerance)
+    bounds: dict[str, Any] = {}
+
+
+@dataclass(frozen=True, kw_only=True)
+class InstanceSettings:
+    """What a process is told of its instance and of the others."""
+
+    instance: str
+    role: str
+    ip: str
+    availability_zone: str
+    callers: Address | None = None
+    readiness: Address | None = None
+    control: Address | None = None
+    #: Ports for the system's own protocol, the same on every instance.
+    inner_ports: tuple[int, int]
+    #: Control addresses of a few other instances, perhaps out of date.
+    seeds: tuple[Address, ...] = ()
+    #: True only when the whole system starts for the first time.
+    is_first_start: bool = False
+    #: True where the loss of this instance counts against what is tolerated.
+    is_counted: bool = False
+    #: Folder for durable state, or empty.
+    data_folder: str = ""
+    memory_mb: float = 0.0
+    #: Interval of the backend servers' check-ins.
+    check_in_s: float = 1.0
+    tolerated_losses: int = 0
+    #: Seconds from SIGTERM to SIGKILL.
+    stop_grace_s: float = 8.0
+    #: Seconds within which a confirmed configuration is in force everywhere.
+    configuration_bound_s: float = 2.0
+    #: Share and number of repeated sends to a service in a window, all
+    #: instances together.
+    retry_share: float = 0.2
+    retry_slack: float = 0.0
+    retry_window_s: float = 10.0
+
+
+def find_node_file(environ: Mapping[str, str] | None = None) -> Path:
+    """Return the path of the settings file."""
+    environ = os.environ if environ is None else environ
+    return Path(environ.get(FILE_VARIABLE, DEFAULT_FILE))
+
+
+def read_node_file(path: Path | None = None) -> InstanceSettings:
+    """Return the settings of this process.
+
+    Raises:
+        NodeFileError: The file is missing, unreadable or malformed.
+    """
+    path = path or find_node_file()
+    try:
+        return decode_node_file(path.read_bytes())
+    except OSError as error:
+        reason = error.strerror or str(error)
+        raise NodeFileError(path=str(path), reason=reason) from error
+    except (msgspec.MsgspecError, InvalidValueError, UnicodeDecodeError) as error:
+        raise NodeFileError(path=str(path), reason=str(error)) from error
+
+
+def decode_node_file(data: bytes) -> InstanceSettings:
+    """Return the settings that the file's content holds."""
+    file = msgspec.json.decode(data, type=_NodeFile)
+    bounds = file.bounds
+    return InstanceSettings(
+        instance=file.node_name,
+        role=file.role,
+        ip=file.ip,
+        availability_zone=file.zone,
+        callers=_read_address("listen.frontend", file.listen.frontend),
+        readiness=_read_address("listen.readiness", file.listen.readiness),
+        control=_read_address("listen.control", file.listen.control),
+        inner_ports=file.port_range,
+        seeds=tuple(parse_address("seeds", seed) for seed in file.seeds),
+        is_first_start=file.bootstrap,
+        is_counted=file.fault_counted,
+        data_folder=file.data_dir or "",
+        memory_mb=file.limits.memory_mb,
+        check_in_s=file.heartbeat_ms / 1000,
+        tolerated_losses=file.fault_tolerance.machines,
+        stop_grace_s=_read_bound(bounds, "grace_s", 8.0),
+        configuration_bound_s=_read_bound(bounds, "config_apply_ms", 2000.0) / 1000,
+        retry_share=_read_bound(bounds, "retry_budget", 0.2),
+        retry_slack=_read_bound(bounds, "retry_slack", 0.0),
+        retry_window_s=_read_bound(bounds, "retry_window_s", 10.0),
+    )
+
+
+def _read_address(name: str, text: str) -> Address | None:
+    return parse_address(name, text) if text else None
+
+
+def _read_bound(bounds: Mapping[str, Any], name: str, default: float) -> float:
+    value = bounds.get(name, default)
+    if isinstance(value, bool) or not isinstance(value, int | float):
+        expected = "a number"
+        raise InvalidValueError(field=f"bounds.{name}", value=value, expected=expected)
+    return float(value)
--- a/carobspring/programs/replica.py
+++ b/carobspring/programs/replica.py
@@ -12,6 +12,7 @@
 from carobspring.adapters.peer_link import PeerAddress, PeerLink
 from carobspring.adapters.rpc import make_stream
 from carobspring.consensus import (
+    KEPT_ENTRIES,
     SNAPSHOT_EVERY,
     ChangeRefusedError,
     CommandProposed,
@@ -77,23 +78,19 @@
         secret: str,
         timing: Timing | None = None,
         snapshot_every: int = SNAPSHOT_EVERY,
+        kept_entries: int = KEPT_ENTRIES,
         on_failure: Callable[[ConsensusError], None] = lambda error: None,
     ) -> None:
         self.name = name
         self._clock = clock
+        self._secret = secret
         self._on_failure = on_failure
         self._links = {
-            peer: PeerLink(
-                own_name=name,
-                peer=address,
-                secret=secret,
-                clock=clock,
-                on_open=self._greet,
-                on_batch=self._take_batch,
-            )
+            peer: self._build_link(address)
             for peer, address in peers.items()
             if peer != name
         }
+        self._started = False
         self._gossip_callbacks: list[Callable[[str, bytes], None]] = []
         self._waiting = Waiting()
         self._driver = Driver(
@@ -109,6 +106,7 @@
             ),
             now=clock.read_monotonic(),
             snapshot_every=snapshot_every,
+            kept_entries=kept_entries,
         )
         self._scheduled = False
         self._ticker: asyncio.Task[None] | None = None
@@ -137,15 +135,25 @@
 
     def list_methods(self) -> list[tuple[str, Handler]]:
         """Return the gRPC methods that the program's server must offer."""
-        return [make_stream(EXCHANGE_PEER, self._serve_peer, PeerBatch, PeerBatch)]
+        return [make_stream(EXCHANGE_PEER, self.serve_peer, PeerBatch, PeerBatch)]
 
     async def start(self) -> None:
         """Start timers and dial the peers."""
         self._ticker = asyncio.create_task(self._tick())
+        self._started = True
         for link in self._links.values():
             link.start()
         self._step(TimePassed())
 
+    def add_peer(self, address: PeerAddress) -> None:
+        """Keep a stream to another replica too."""
+        if address.name == self.name or address.name in self._links:
+            return
+        self._links[address.name] = self._build_link(address)
+        self.node.add_peer(address.name)
+        if self._started:
+            self._links[address.name].start()
+
     async def stop(self) -> None:
         """End all streams and timers; hand over first for a planned stop."""
         if self._ticker is not None:
@@ -223,6 +231,16 @@
         """Return the names of the other replicas with a stream at present."""
         return sorted(name for name, link in self._links.items() if link.is_open)
 
+    def _build_link(self, address: PeerAddress) -> PeerLink:
+        return PeerLink(
+            own_name=self.name,
+            peer=address,
+            secret=self._secret,
+            clock=self._clock,
+            on_open=self._greet,
+            on_batch=self._take_batch,
+        )
+
     def _find_identity(self, name: str) -> str:
         for member in self.node.configuration.members:
             if member.name == name:
@@ -234,7 +252,8 @@
             raise QuorumLostError(waited_s=0.0)
         return self._waiting.make_token()
 
-    async def _serve_peer(self, stream: Stream[Any, Any]) -> None:
+    async def serve_peer(self, stream: Stream[Any, Any]) -> None:
+        """Exchange messages on a stream that a peer opened, until it ends."""
         first: PeerBatch | None = await stream.recv_message()
         if first is not None and first.name in self._links and not self.failure:
             self._take_batch(first.name, first)
--- /dev/null
+++ b/carobspring/programs/replica_host.py
@@ -0,0 +1,202 @@
+"""The replica of a control daemon that finds its peers while it runs."""
+
+import asyncio
+import logging
+from collections.abc import Callable, Iterable
+from typing import Any, Final
+
+from grpclib.const import Handler
+from grpclib.server import Stream
+
+from carobspring.adapters.disk import DiskStorage
+from carobspring.adapters.paths import EXCHANGE_PEER
+from carobspring.adapters.peer_link import PeerAddress
+from carobspring.adapters.rpc import make_stream
+from carobspring.consensus import ConsensusError
+from carobspring.control import ControlMachine, GossipTransport
+from carobspring.domain import parse_address
+from carobspring.ports import Clock, NotLeaderError, RandomSource, ReplicatedLog
+from carobspring.programs.replica import Replica
+from carobspring.protocol.peers import PeerBatch
+
+#: Entries between two snapshots, and kept after one: a configuration may take
+#: tens of kilobytes, and the disks are small.
+SNAPSHOT_EVERY: Final = 64
+KEPT_ENTRIES: Final = 16
+#: Seconds after which a replica whose disk refused a write is opened again.
+REOPEN_INTERVAL_S: Final = 1.0
+
+logger = logging.getLogger(__name__)
+
+
+def make_peer_address(name: str) -> PeerAddress:
+    """Return the address of a replica that is named by its gRPC address."""
+    address = parse_address("replica", name)
+    return PeerAddress(name=name, host=address.host, port=address.port)
+
+
+class ReplicaHost(ReplicatedLog, GossipTransport):
+    """Starts the replica once its peers are known, and after disk failures.
+
+    A replica whose disk refused a write acknowledges nothing any more. It is
+    opened again from what the disk holds, until that succeeds, while the
+    process goes on.
+    """
+
+    def __init__(
+        self,
+        *,
+        name: str,
+        storage: DiskStorage,
+        clock: Clock,
+        random: RandomSource,
+        machine: ControlMachine,
+        secret: str,
+    ) -> None:
+        self.name = name
+        self._storage = storage
+        self._clock = clock
+        self._random = random
+        self._machine = machine
+        self._secret = secret
+        self._replica: Replica | None = None
+        self._peers: dict[str, PeerAddress] = {}
+        self._founding = False
+        self._callbacks: list[Callable[[str, bytes], None]] = []
+        self._reopening: asyncio.Task[None] | None = None
+
+    @property
+    def is_started(self) -> bool:
+        """Say whether there is a replica, or one to be opened again."""
+        return self._replica is not None or self._reopening is not None
+
+    @property
+    def replica(self) -> Replica | None:
+        """The replica at present."""
+        return self._replica
+
+    def list_methods(self) -> list[tuple[str, Handler]]:
+        """Return the gRPC methods that the program's server must offer."""
+        return [make_stream(EXCHANGE_PEER, self._serve_peer, PeerBatch, PeerBatch)]
+
+    async def start(self, *, peers: Iterable[str], founding: bool) -> None:
+        """Open the replica; the founders are among the peers."""
+        self._founding = founding
+        self._peers = {name: make_peer_address(name) for name in peers}
+        await self._open()
+
+    def add_peers(self, names: Iterable[str]) -> None:
+        """Keep streams to these replicas too."""
+        for name in names:
+            if name != self.name and name not in self._peers:
+                self._peers[name] = make_peer_address(name)
+                if self._replica is not None:
+                    self._replica.add_peer(self._peers[name])
+
+    def list_members(self) -> tuple[str, ...]:
+        """Return the names of the replicas that the log lists."""
+        if self._replica is None:
+            return ()
+        members = self._replica.node.configuration.members
+        return tuple(sorted({member.name for member in members}))
+
+    async def stop(self) -> None:
+        """Hand leadership over and end all streams."""
+        if self._reopening is not None:
+            self._reopening.cancel()
+        replica = self._replica
+        if replica is not None:
+            if replica.is_leader() and len(self._peers) > 1:
+                handed = await replica.transfer_leadership()
+                logger.info("handed leadership over", extra={"done": handed})
+            await replica.stop()
+
+    async def propose(self, command: bytes) -> bytes:
+        """Commit a command and return what applying it gave."""
+        return await self._find_replica().propose(command)
+
+    async def confirm_read(self) -> None:
+        """Wait until the local state holds all that was committed before."""
+        await self._find_replica().confirm_read()
+
+    def find_leader(self) -> str:
+        """Return the name of the leader, or empty when not known."""
+        return self._replica.find_leader() if self._replica is not None else ""
+
+    def is_leader(self) -> bool:
+        """Say whether this replica leads and no other can at present."""
+        return self._replica is not None and self._replica.is_leader()
+
+    def list_peers(self) -> list[str]:
+        """Return the names of the replicas with a stream at present."""
+        return self._replica.list_peers() if self._replica is not None else []
+
+    def send_gossip(self, peer: str, gossip: bytes) -> None:
+        """Send soft state to another replica; lost when there's no stream."""
+        if self._replica is not None:
+            self._replica.send_gossip(peer, gossip)
+
+    def on_gossip(self, callback: Callable[[str, bytes], None]) -> None:
+        """Have a callback get the soft state of others: their name, bytes."""
+        self._callbacks.append(callback)
+
+    def _find_replica(self) -> Replica:
+        if self._replica is None:
+            raise NotLeaderError(leader="")
+        return self._replica
+
+    async def _open(self) -> None:
+        replica = Replica(
+            name=self.name,
+            peers=self._peers,
+            bootstrap=self._founding,
+            storage=self._storage,
+            clock=self._clock,
+            random=self._random,
+            machine=self._machine,
+            secret=self._secret,
+            snapshot_every=SNAPSHOT_EVERY,
+            kept_entries=KEPT_ENTRIES,
+            on_failure=self._note_failure,
+        )
+        for member in replica.node.configuration.members:
+            if member.name not in self._peers:
+                self._peers[member.name] = make_peer_address(member.name)
+                replica.add_peer(self._peers[member.name])
+        for callback in self._callbacks:
+            replica.on_gossip(callback)
+        self._replica = replica
+        await replica.start()
+        logger.info(
+            "replica opened",
+            extra={
+                "replica": self.name,
+                "peers": sorted(self._peers),
+                "founding": self._founding,
+                "applied": replica.applied_index,
+                "term": replica.node.term,
+            },
+        )
+
+    def _note_failure(self, error: ConsensusError) -> None:
+        logger.error("replica failed", extra={"error": str(error)})
+        if self._reopening is None:
+            self._reopening = asyncio.create_task(self._reopen())
+
+    async def _reopen(self) -> None:
+        failed, self._replica = self._replica, None
+        if failed is not None:
+            await failed.stop()
+        while self._replica is None:
+            await asyncio.sleep(REOPEN_INTERVAL_S)
+            try:
+                self._storage.forget_open_files()
+                self._machine.reset()
+                await self._open()
+            except ConsensusError as error:
+                logger.error("replica can't be opened", extra={"error": str(error)})
+        self._reopening = None
+
+    async def _serve_peer(self, stream: Stream[Any, Any]) -> None:
+        if self._replica is not None:
+            await self._replica.serve_peer(stream)
--- a/carobspring/programs/runner.py
+++ b/carobspring/programs/runner.py
@@ -31,6 +31,9 @@
     async def stop(self) -> None:
         """Hand over, drain and close; called once, after SIGTERM or SIGINT."""
 
+    def reload(self) -> None:
+        """Read settings again that may have changed; called at SIGHUP."""
+
 
 async def run_until_signal(program: Program) -> None:
     """Start a program, say where it listens, and stop it on a signal.
@@ -46,6 +49,7 @@
 
     for number in STOP_SIGNALS:
         loop.add_signal_handler(number, note_signal)
+    loop.add_signal_handler(signal.SIGHUP, program.reload)
     ports = await program.start()
     listening = " ".join(f"{name}={port}" for name, port in ports.items())
     print(f"listening {listening}", flush=True)
--- a/carobspring/protocol/control.py
+++ b/carobspring/protocol/control.py
@@ -73,6 +73,15 @@
     attainment: dict[str, ClassAttainment] | None = None
 
 
+@dataclass(frozen=True, kw_only=True)
+class RoutingContent:
+    """One version of all routes, as the operator sent it."""
+
+    version: int = 0
+    #: The operator's body, compressed by zlib.
+    body: bytes = b""
+
+
 @dataclass(frozen=True, kw_only=True)
 class ViewUpdate:
     """A change of what an entry routes by.
@@ -91,6 +100,12 @@
     strikes: tuple[Strike, ...] = ()
     #: Strikes that an operator released: forget them.
     released: tuple[Strike, ...] = ()
+    #: Set when it is newer than what this stream was told before.
+    routing: RoutingContent | None = None
+    #: gRPC addresses of all control replicas, when they changed.
+    replicas: tuple[str, ...] = ()
+    #: Entries that this replica hears of; zero when it does not say.
+    entry_count: int = 0
 
 
 @dataclass(frozen=True, kw_only=True)
--- a/carobspring/routing/__init__.py
+++ b/carobspring/routing/__init__.py
@@ -3,6 +3,7 @@
 Sans-IO: it takes typed events and the time, and returns typed choices.
 """
 
+from carobspring.routing.breaker import BreakerState, CircuitBreaker
 from carobspring.routing.errors import RoutingError, RoutingLimitError
 from carobspring.routing.limits import RoutingLimits
 from carobspring.routing.queries import AttemptEnd, Choice, PoolKey, RouteQuery
@@ -10,7 +11,9 @@
 
 __all__ = [
     "AttemptEnd",
+    "BreakerState",
     "Choice",
+    "CircuitBreaker",
     "PoolKey",
     "RouteQuery",
     "Router",
