Start from the last known state and keep connections to backend servers

Ruled out: shorter election timeouts alone, since the lease needs them longer than a stalled disk; reading uncommitted log entries, which may be replaced.

Change: control daemons keep the last committed routes and the backend servers in a file of their own and tell entries of them at once, marked as unconfirmed; an entry holds requests for its first routes and servers for a moment instead of refusing them; aiohttp gives way to h11, with kept connections for repeatable requests and late second answers passed over; entries no longer import the control plane.

--- a/carobspring/adapters/backend_http.py
+++ b/carobspring/adapters/backend_http.py
@@ -1,18 +1,19 @@
-"""Backend servers over HTTP, by the aiohttp client.
+"""Backend servers over HTTP, by h11 on the asyncio loop.
 
 The client of circuits.web hands an answer over only when it is complete, so it
-can't stream; aiohttp is its nearest kin that can. Each call gets a connection
-of its own: a kept one that the server has just closed can't be told from a
-crash, and aiohttp would send some requests a second time on it.
+can't stream; h11 is a well-kept parser that leaves connections to its user.
+A kept connection that the server has just closed can't be told from a crash,
+so only requests that may be repeated are sent on one.
 """
 
 import asyncio
+from collections import deque
+from typing import Any, Final
 from urllib.parse import urlsplit
 
-import aiohttp
-from multidict import CIMultiDict
-from yarl import URL
+import h11
 
+from carobspring.adapters.backend_connection import BackendConnection
 from carobspring.domain import CallHeaders
 from carobspring.ports import (
     Backend,
@@ -22,12 +23,14 @@
     BackendUnreachableError,
 )
 
-READ_BUFFER_BYTES = 64 * 1024
-CONNECT_TIMEOUT_S = 2.0
+CONNECT_TIMEOUT_S: Final = 2.0
 #: A connection that lasts this long was taken by a living server.
-LASTING_S = 0.25
+LASTING_S: Final = 0.25
+#: Part of the time that a server keeps idle connections for which they are
+#: used, so that none is used as it is closed.
+KEPT_SHARE: Final = 0.5
 #: Headers that belong to one connection and are not relayed.
-HOP_HEADERS = frozenset(
+HOP_HEADERS: Final = frozenset(
     {
         "connection",
         "content-length",
@@ -56,57 +59,83 @@
     return tuple(pair for pair in headers if pair[0].lower() not in dropped)
 
 
-def describe(error: Exception) -> str:
-    """Return an error's kind and message; aiohttp's message may be empty."""
-    kind = type(error).__name__
-    return f"{kind}: {error}"
-
-
 class HttpBackendAnswer(BackendAnswer):
-    """An answer of aiohttp's client, read as it comes."""
+    """An answer that is read from its connection as it comes."""
 
     def __init__(
         self,
         *,
-        response: aiohttp.ClientResponse,
-        method: str,
-        takes_unmarked_end: bool = False,
+        backend: "HttpBackend",
+        connection: BackendConnection,
+        response: h11.Response,
+        bounded: bool,
     ) -> None:
-        self._response = response
-        self.status = response.status
-        # Names come as a subclass of str that no codec takes.
-        received = tuple((str(name), value) for name, value in response.headers.items())
-        self.headers = relay_headers(received)
-        self.length = response.content_length
-        self._bounded = (
-            takes_unmarked_end
-            or "Content-Length" in response.headers
-            or "chunked" in response.headers.get("Transfer-Encoding", "").lower()
-            or method == "HEAD"
-            or response.status in (204, 304)
-        )
+        self._backend = backend
+        self._connection = connection
+        self._ended = False
+        self._take_head(response, bounded)
 
     async def read(self) -> bytes:
         """Return the next piece, or nothing once the answer is whole."""
-        try:
-            data, _ = await self._response.content.readchunk()
-            while not data and not self._response.content.at_eof():
-                data, _ = await self._response.content.readchunk()
-        except (aiohttp.ClientError, OSError, TimeoutError) as error:
-            raise BackendCutError(reason=describe(error)) from error
-        if not data and not self._bounded:
-            raise BackendCutError(reason="the answer's length is not marked")
-        return data
+        while not self._ended:
+            event = await self._connection.read_event()
+            if isinstance(event, h11.Data):
+                if event.data:
+                    return bytes(event.data)
+                continue
+            self._ended = True
+            if not self._bounded:
+                raise BackendCutError(reason="the answer's length is not marked")
+        return b""
+
+    async def read_next_answer(self) -> bool:
+        """Pass over this whole answer for the next one to the same request.
+
+        A server may send a second answer to an earlier request, which arrives
+        where the present one is due. Returns False when there can't be one.
+        """
+        while await self.read():
+            pass
+        if not self._connection.skip_answer():
+            return False
+        event = await self._connection.read_event()
+        if not isinstance(event, h11.Response):
+            return False
+        self._ended = False
+        self._take_head(event, _is_bounded(event) or self._takes_unmarked)
+        return True
 
     def close(self) -> None:
-        """Close the connection, which cancels work that goes on."""
-        self._response.close()
+        """Keep the connection of a whole answer; close it otherwise."""
+        if self._connection.is_lost:
+            return
+        if self._ended and self._bounded and not self._closes:
+            self._backend.keep(self._connection)
+        else:
+            self._connection.close()
+
+    def _take_head(self, response: h11.Response, bounded: bool) -> None:
+        received = tuple(
+            (name.decode("latin-1"), value.decode("latin-1"))
+            for name, value in response.headers.raw_items()
+        )
+        values = {name.lower(): value for name, value in received}
+        self.status = response.status_code
+        self.headers = relay_headers(received)
+        self._bounded = bounded
+        self._takes_unmarked = bounded
+        self._closes = "close" in values.get("connection", "").lower()
+        timeout = values.get("keep-alive", "").lower().partition("timeout=")[2]
+        digits = timeout.partition(",")[0].strip()
+        if digits.isdigit():
+            self._connection.kept_s = float(digits)
 
 
 class HttpBackend(Backend):
     """A backend server at a base URL.
 
-    Build it inside a running loop.
+    Build it inside a running loop. With ``keep_s`` a connection whose answer
+    is whole is kept for that long and used for requests that may be repeated.
     """
 
     def __init__(
@@ -116,57 +145,67 @@
         health_path: str,
         relays_host: bool = False,
         takes_unmarked_end: bool = False,
+        keep_s: float = 0.0,
     ) -> None:
+        parts = urlsplit(url)
+        self._address = (parts.hostname or "127.0.0.1", parts.port or 80)
+        self._base_path = parts.path.rstrip("/")
+        self._health_path = health_path
         self._relays_host = relays_host
         self._takes_unmarked_end = takes_unmarked_end
-        self._url = url.rstrip("/")
-        self._health_path = health_path
-        parts = urlsplit(self._url)
-        self._address = (parts.hostname or "127.0.0.1", parts.port or 80)
-        self._session = aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(limit=0, force_close=True),
-            timeout=aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_S),
-            auto_decompress=False,
-            read_bufsize=READ_BUFFER_BYTES,
-            cookie_jar=aiohttp.DummyCookieJar(),
-            skip_auto_headers=("User-Agent", "Accept", "Accept-Encoding"),
-        )
+        self._keep_s = keep_s
+        self._kept: deque[BackendConnection] = deque()
+        self._open: set[BackendConnection] = set()
+        self._closed = False
+        #: Connections opened since the start, for the metrics.
+        self.opened = 0
 
     async def send(self, request: BackendRequest) -> BackendAnswer:
         """Send a request and return once status and headers are there."""
+        connection = self._take_kept() if request.repeatable else None
+        if connection is None:
+            connection = await self._connect()
         try:
-            headers = CIMultiDict(relay_headers(request.headers))
-            if self._relays_host:
-                hosts = [v for k, v in request.headers if k.lower() == "host"]
-                if hosts:
-                    headers["Host"] = hosts[0]
-            response = await self._session.request(
-                request.method,
-                URL(self._url + request.path, encoded=True),
-                headers=headers,
-                data=request.body or None,
-                allow_redirects=False,
+            connection.send(
+                method=request.method,
+                target=self._base_path + request.path,
+                headers=self._build_headers(request),
+                body=request.body,
             )
-        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
-            raise BackendUnreachableError(reason=describe(error)) from error
-        except (aiohttp.ClientError, OSError, TimeoutError) as error:
-            raise BackendCutError(reason=describe(error)) from error
+            event = await connection.read_event()
+        except h11.LocalProtocolError as error:
+            connection.close()
+            raise BackendUnreachableError(reason=f"not sendable: {error}") from error
+        except BaseException:
+            connection.close()
+            raise
+        bounded = _is_bounded(event) or request.method == "HEAD"
         return HttpBackendAnswer(
-            response=response,
-            method=request.method,
-            takes_unmarked_end=self._takes_unmarked_end,
+            backend=self,
+            connection=connection,
+            response=event,
+            bounded=bounded or self._takes_unmarked_end,
         )
 
+    def keep(self, connection: BackendConnection) -> None:
+        """Take back a connection whose answer is whole."""
+        self._open.discard(connection)
+        now = asyncio.get_running_loop().time()
+        if self._keep_s <= 0 or self._closed:
+            connection.close()
+        elif connection.finish(now):
+            self._kept.append(connection)
+
     async def probe(self, timeout_s: float) -> bool:
         """Say whether the health path answers in time, by no server error."""
-        timeout = aiohttp.ClientTimeout(total=timeout_s)
+        request = BackendRequest(method="GET", path=self._health_path)
         try:
-            async with self._session.get(
-                self._url + self._health_path, timeout=timeout
-            ) as response:
-                return response.status < 500
-        except (aiohttp.ClientError, OSError, TimeoutError):
+            async with asyncio.timeout(timeout_s):
+                answer = await self.send(request)
+        except (BackendCutError, BackendUnreachableError, TimeoutError):
             return False
+        answer.close()
+        return answer.status < 500
 
     async def is_listening(self) -> bool:
         """Say whether the backend server accepts connections at present.
@@ -192,4 +231,58 @@
 
     async def close(self) -> None:
         """Close every connection."""
-        await self._session.close()
+        self._closed = True
+        for connection in (*self._kept, *self._open):
+            connection.close()
+        self._kept.clear()
+        self._open.clear()
+
+    def _take_kept(self) -> BackendConnection | None:
+        now = asyncio.get_running_loop().time()
+        while self._kept:
+            connection = self._kept.pop()
+            longest_s = self._keep_s
+            if connection.kept_s is not None:
+                longest_s = min(longest_s, connection.kept_s * KEPT_SHARE)
+            if connection.is_lost:
+                continue
+            if now - connection.idle_since < longest_s:
+                self._open.add(connection)
+                return connection
+            connection.close("idle for too long")
+        return None
+
+    async def _connect(self) -> BackendConnection:
+        loop = asyncio.get_running_loop()
+        try:
+            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                _, connection = await loop.create_connection(
+                    BackendConnection, *self._address
+                )
+        except (OSError, TimeoutError) as error:
+            reason = f"Cannot connect: {type(error).__name__} {error}"
+            raise BackendUnreachableError(reason=reason) from error
+        self.opened += 1
+        self._open.add(connection)
+        return connection
+
+    def _build_headers(self, request: BackendRequest) -> list[tuple[str, str]]:
+        host = f"{self._address[0]}:{self._address[1]}"
+        if self._relays_host:
+            named = [v for k, v in request.headers if k.lower() == "host"]
+            host = named[0] if named else host
+        headers = [("Host", host), *relay_headers(request.headers)]
+        if request.body or request.method in ("POST", "PUT", "PATCH"):
+            headers.append(("Content-Length", str(len(request.body))))
+        return headers
+
+
+def _is_bounded(response: Any) -> bool:
+    """Say whether an answer's end is marked by more than the connection's."""
+    names = {name: value.lower() for name, value in response.headers}
+    chunked = b"chunked" in names.get(b"transfer-encoding", b"")
+    bodiless = response.status_code in (204, 304)
+    return bodiless or chunked or b"content-length" in names
+
+
+__all__ = ["HttpBackend", "HttpBackendAnswer", "relay_headers"]
--- a/carobspring/adapters/control_link.py
+++ b/carobspring/adapters/control_link.py
@@ -6,13 +6,11 @@
 from collections.abc import Callable, Sequence
 from typing import Any
 
-from grpclib import GRPCError
 from grpclib.client import Channel, Stream, UnaryUnaryMethod
 from grpclib.const import Cardinality
-from grpclib.exceptions import StreamTerminatedError
 
 from carobspring.adapters.paths import REPORT_OUTCOME, WATCH_AGENT
-from carobspring.adapters.rpc import open_channel
+from carobspring.adapters.rpc import STREAM_ERRORS, open_channel
 from carobspring.domain import Address
 from carobspring.protocol import (
     AgentOrder,
@@ -26,8 +24,6 @@
 RECONNECT_DELAY_S = 0.25
 OUTCOME_TIMEOUT_S = 2.0
 
-LINK_ERRORS = (OSError, TimeoutError, GRPCError, StreamTerminatedError)
-
 logger = logging.getLogger(__name__)
 
 
@@ -96,7 +92,7 @@
                     reply = await method(report)
                 if not reply.error:
                     return True
-            except LINK_ERRORS as error:
+            except STREAM_ERRORS as error:
                 logger.debug("outcome not committed by %s: %r", address, error)
             await asyncio.sleep(0.05)
         return False
@@ -114,7 +110,7 @@
             address = self._addresses[self._next % len(self._addresses)]
             try:
                 await self._follow(address)
-            except LINK_ERRORS as error:
+            except STREAM_ERRORS as error:
                 if self.connected:
                     logger.warning("lost control replica %s: %r", address, error)
             self.connected = False
@@ -142,9 +138,9 @@
                     self._take_order(order)
             finally:
                 reporter.cancel()
-                with contextlib.suppress(asyncio.CancelledError, *LINK_ERRORS):
+                with contextlib.suppress(asyncio.CancelledError, *STREAM_ERRORS):
                     await reporter
-                with contextlib.suppress(*LINK_ERRORS):
+                with contextlib.suppress(*STREAM_ERRORS):
                     await stream.cancel()
 
     async def _send_reports(self, stream: Stream[Any, Any]) -> None:
--- /dev/null
+++ b/carobspring/adapters/control_watch.py
@@ -0,0 +1,96 @@
+"""An entry's stream to a control replica."""
+
+import asyncio
+import contextlib
+import logging
+from collections.abc import Callable
+from typing import Any
+
+from aioprometheus import Gauge
+from grpclib.client import Channel
+from grpclib.const import Cardinality
+
+from carobspring.adapters import paths
+from carobspring.adapters.rpc import STREAM_ERRORS, ChannelOpener, connect
+from carobspring.domain import Address
+from carobspring.protocol import EntryReport, ViewUpdate
+
+REPORT_INTERVAL_S = 1.0
+SILENCE_S = 3.0
+CONNECT_S = 1.0
+RECONNECT_PAUSE_S = 0.3
+
+logger = logging.getLogger(__name__)
+
+
+class ControlWatch:
+    """Keeps one stream to any control replica, and moves on when it fails."""
+
+    def __init__(
+        self,
+        *,
+        addresses: tuple[Address, ...],
+        open_channel: ChannelOpener,
+        build_report: Callable[[], EntryReport],
+        apply_update: Callable[[ViewUpdate], None],
+        connected: Gauge,
+        first: int = 0,
+        reconnect_pause_s: float = RECONNECT_PAUSE_S,
+    ) -> None:
+        self._addresses = addresses
+        self._open_channel = open_channel
+        self._build_report = build_report
+        self._apply_update = apply_update
+        self._next = first
+        self._reconnect_pause_s = reconnect_pause_s
+        self._gauge = connected
+        self._gauge.set({}, 0)
+        self.connected = False
+
+    async def run(self) -> None:
+        """Follow views until cancelled."""
+        while True:
+            address = self._addresses[self._next % len(self._addresses)]
+            channel = self._open_channel(address.host, address.port)
+            try:
+                await self._follow(channel)
+                reason = "the stream ended"
+            except STREAM_ERRORS as error:
+                reason = f"{type(error).__name__} {error}"
+            finally:
+                channel.close()
+            if self.connected:
+                logger.warning("lost control replica %s: %s", address, reason)
+            self._note_connected(False)
+            self._next += 1
+            await asyncio.sleep(self._reconnect_pause_s)
+
+    async def _follow(self, channel: Channel) -> None:
+        await connect(channel, CONNECT_S)
+        stream = channel.request(
+            paths.WATCH_ENTRY, Cardinality.STREAM_STREAM, EntryReport, ViewUpdate
+        )
+        loop = asyncio.get_running_loop()
+        async with asyncio.timeout(SILENCE_S) as patience, stream:
+            await stream.send_message(self._build_report())
+            reporter = loop.create_task(self._report_often(stream))
+            try:
+                while (update := await stream.recv_message()) is not None:
+                    patience.reschedule(loop.time() + SILENCE_S)
+                    self._note_connected(update.confirmed)
+                    self._apply_update(update)
+                    if update.settings is not None:
+                        await stream.send_message(self._build_report())
+            finally:
+                reporter.cancel()
+
+    def _note_connected(self, connected: bool) -> None:
+        if connected is not self.connected:
+            self.connected = connected
+            self._gauge.set({}, int(connected))
+
+    async def _report_often(self, stream: Any) -> None:
+        with contextlib.suppress(*STREAM_ERRORS):
+            while True:
+                await asyncio.sleep(REPORT_INTERVAL_S)
+                await stream.send_message(self._build_report())
--- a/carobspring/adapters/greeter.py
+++ b/carobspring/adapters/greeter.py
@@ -5,13 +5,11 @@
 from collections.abc import Callable
 from typing import Final
 
-from grpclib import GRPCError
 from grpclib.client import Channel, UnaryUnaryMethod
 from grpclib.const import Handler
-from grpclib.exceptions import StreamTerminatedError
 
 from carobspring.adapters import paths
-from carobspring.adapters.rpc import make_unary, open_channel
+from carobspring.adapters.rpc import STREAM_ERRORS, make_unary, open_channel
 from carobspring.control.discovery import DaemonDirectory, Greeting
 from carobspring.domain import parse_address
 from carobspring.ports import Clock
@@ -22,8 +20,6 @@
 #: A daemon that does not answer within this is asked again next round.
 ANSWER_TIMEOUT_S: Final = 1.0
 
-_ERRORS = (GRPCError, StreamTerminatedError, OSError, TimeoutError)
-
 logger = logging.getLogger(__name__)
 
 
@@ -84,7 +80,7 @@
         try:
             async with asyncio.timeout(ANSWER_TIMEOUT_S):
                 reply = await method(self._directory.make_greeting())
-        except _ERRORS as error:
+        except STREAM_ERRORS as error:
             self._note_silence(name, error)
             return
         if reply is not None:
--- a/carobspring/adapters/peer_link.py
+++ b/carobspring/adapters/peer_link.py
@@ -6,12 +6,10 @@
 from dataclasses import dataclass
 from typing import Any
 
-from grpclib import GRPCError
 from grpclib.const import Cardinality
-from grpclib.exceptions import StreamTerminatedError
 
 from carobspring.adapters.paths import EXCHANGE_PEER
-from carobspring.adapters.rpc import open_channel
+from carobspring.adapters.rpc import STREAM_ERRORS, open_channel
 from carobspring.ports import Clock
 from carobspring.protocol.peers import PeerBatch
 
@@ -22,8 +20,6 @@
 RETRY_S = 0.2
 MAX_WAITING_BYTES = 64 * 1024 * 1024
 
-_LINK_ERRORS = (GRPCError, StreamTerminatedError, OSError, TimeoutError)
-
 
 @dataclass(frozen=True, kw_only=True)
 class PeerAddress:
@@ -155,7 +151,7 @@
             request = channel.request(
                 EXCHANGE_PEER, Cardinality.STREAM_STREAM, PeerBatch, PeerBatch
             )
-            with contextlib.suppress(*_LINK_ERRORS):
+            with contextlib.suppress(*STREAM_ERRORS):
                 async with request as stream:
                     async with asyncio.timeout(SILENCE_S):
                         await stream.send_request()
@@ -165,14 +161,14 @@
             await asyncio.sleep(RETRY_S)
 
     async def _receive(self, stream: Any) -> None:
-        with contextlib.suppress(*_LINK_ERRORS):
+        with contextlib.suppress(*STREAM_ERRORS):
             while (batch := await stream.recv_message()) is not None:
                 self._received_at = self._clock.read_monotonic()
                 self._on_batch(self._peer.name, batch)
 
     async def _send(self, stream: Any) -> None:
         name = self._own_name
-        with contextlib.suppress(*_LINK_ERRORS):
+        with contextlib.suppress(*STREAM_ERRORS):
             while True:
                 batch = PeerBatch(
                     name=name,
--- a/carobspring/adapters/rpc.py
+++ b/carobspring/adapters/rpc.py
@@ -5,6 +5,7 @@
 and a server refuses one without it.
 """
 
+import asyncio
 import functools
 import hmac
 from collections.abc import Awaitable, Callable, Mapping
@@ -17,6 +18,7 @@
 from grpclib.const import Cardinality, Handler
 from grpclib.encoding.base import CodecBase
 from grpclib.events import RecvRequest, SendRequest, listen
+from grpclib.exceptions import StreamTerminatedError
 from grpclib.server import Server, Stream
 
 SECRET_METADATA_KEY = "carob-secret"
@@ -26,7 +28,12 @@
 STREAM_WINDOW_BYTES = 64 * 1024
 CONNECTION_WINDOW_BYTES = 8 * 1024 * 1024
 
+#: What a call or stream may raise when its connection or peer fails.
+STREAM_ERRORS = (GRPCError, StreamTerminatedError, OSError, TimeoutError)
+
 Message = TypeVar("Message")
+#: Takes a host and a port.
+ChannelOpener = Callable[[str, int], Channel]
 
 
 class MessagePackCodec(CodecBase):
@@ -70,6 +77,27 @@
     return channel
 
 
+async def connect(channel: Channel, timeout_s: float) -> float | None:
+    """Make sure that a connection stands, before anything is sent on it.
+
+    Returns the seconds that a new one took, which is one round trip, or None
+    when it stood already.
+
+    Raises:
+        OSError: The address refuses, or doesn't answer in time.
+    """
+    if channel._connected:
+        return None
+    loop = asyncio.get_running_loop()
+    began = loop.time()
+    try:
+        async with asyncio.timeout(timeout_s):
+            await channel.__connect__()
+    except TimeoutError as error:
+        raise ConnectionError("no connection in time") from error
+    return loop.time() - began
+
+
 def build_server(*, services: list[Any], secret: str) -> Server:
     """Return a server that refuses calls without the shared secret."""
     server = Server(services, codec=MessagePackCodec())
--- a/carobspring/consensus/__init__.py
+++ b/carobspring/consensus/__init__.py
@@ -34,9 +34,10 @@
     TimePassed,
     TransferAsked,
 )
-from carobspring.consensus.journal import Journal
+from carobspring.consensus.journal import IDENTITY_FILE, Journal
 from carobspring.consensus.messages import Message
 from carobspring.consensus.node import KEPT_ENTRIES, Node
+from carobspring.consensus.records import frame_record, split_records
 from carobspring.consensus.state import RoleName, Timing
 
 __all__ = [
@@ -52,6 +53,7 @@
     "EntryKind",
     "Event",
     "HardState",
+    "IDENTITY_FILE",
     "Journal",
     "JournalFailedError",
     "KEPT_ENTRIES",
@@ -77,4 +79,6 @@
     "TransferAsked",
     "decode_message",
     "encode_message",
+    "frame_record",
+    "split_records",
 ]
--- a/carobspring/consensus/node.py
+++ b/carobspring/consensus/node.py
@@ -126,6 +126,12 @@
         """The members at present."""
         return self._state.log.configuration
 
+    def follows_leader(self, now: float) -> bool:
+        """Say whether this replica leads, or heard its leader lately."""
+        if isinstance(self._role, Leader):
+            return self._role.holds_lease(now)
+        return bool(self._state.leader) and self._state.hears_leader(now)
+
     def leads(self, now: float) -> bool:
         """Say whether this replica leads and no other can at this time."""
         return isinstance(self._role, Leader) and self._role.holds_lease(now)
--- a/carobspring/control/sessions.py
+++ b/carobspring/control/sessions.py
@@ -1,5 +1,6 @@
 """What one stream has been told, and what to tell it next."""
 
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from carobspring.control.state import ControlState
@@ -100,8 +101,11 @@
 class EntrySession:
     """One entry's stream: its reports in, the view and its deltas out."""
 
-    def __init__(self, *, state: ControlState) -> None:
+    def __init__(
+        self, *, state: ControlState, is_confirmed: Callable[[], bool] = lambda: True
+    ) -> None:
         self._state = state
+        self._is_confirmed = is_confirmed
         self._cursor = SharedCursor(state=state)
         self._view: int | None = None
         self._routing = 0
@@ -127,11 +131,12 @@
             released=news.released,
             routing=self._take_routing(),
             replicas=self._take_replicas(),
+            confirmed=self._is_confirmed(),
             entry_count=len(self._state.entries.entries),
         )
 
     def _take_routing(self) -> RoutingContent | None:
-        content = self._state.machine.routing.content
+        content = self._state.find_routing()
         if content.version <= self._routing:
             return None
         self._routing = content.version
--- a/carobspring/control/state.py
+++ b/carobspring/control/state.py
@@ -5,6 +5,7 @@
 from carobspring.control.machine import ControlMachine
 from carobspring.membership import LEASE_S, EntryTable, MembershipTable
 from carobspring.ports import Clock
+from carobspring.protocol import RoutingContent
 
 
 class Wakeups:
@@ -53,6 +54,14 @@
         self.unreadable_gossip = 0
         #: gRPC addresses of all control replicas, where entries are told them.
         self.replicas: tuple[str, ...] = ()
+        #: Routes that were committed before this start, as last known.
+        self.recalled_routing = RoutingContent()
+
+    def find_routing(self) -> RoutingContent:
+        """Return the newest routes that are known to be committed."""
+        applied = self.machine.routing.content
+        recalled = self.recalled_routing
+        return applied if applied.version >= recalled.version else recalled
 
     def note_applied(self) -> None:
         """Pass on what a command or a restored snapshot changed."""
--- a/carobspring/control/streams.py
+++ b/carobspring/control/streams.py
@@ -31,9 +31,25 @@
 class WatchService:
     """Serves the agents' and the entries' streams of this replica."""
 
-    def __init__(self, *, state: ControlState, proposer: CommandProposer) -> None:
+    def __init__(
+        self,
+        *,
+        state: ControlState,
+        proposer: CommandProposer,
+        is_confirmed: Callable[[], bool] | None = None,
+    ) -> None:
+        """Serve streams.
+
+        Args:
+            state: What the streams tell of.
+            proposer: Confirms reads and commits strikes.
+            is_confirmed: Says whether the state is kept up with the quorum.
+                When given, entries get what is known before it is confirmed,
+                marked as such; without it they are refused until then.
+        """
         self._state = state
         self._proposer = proposer
+        self._is_confirmed = is_confirmed
         #: Strikes on their way to the log; reports don't wait for them.
         self._chores: set[asyncio.Task[None]] = set()
 
@@ -66,11 +82,14 @@
 
     async def watch_entry(self, stream: Stream[EntryReport, ViewUpdate]) -> None:
         """Send an entry the view and its changes until either ends."""
-        try:
-            await self._proposer.confirm_read()
-        except ControlError as error:
-            raise GRPCError(Status.UNAVAILABLE, error.message) from error
-        session = EntrySession(state=self._state)
+        if self._is_confirmed is None:
+            try:
+                await self._proposer.confirm_read()
+            except ControlError as error:
+                raise GRPCError(Status.UNAVAILABLE, error.message) from error
+            session = EntrySession(state=self._state)
+        else:
+            session = EntrySession(state=self._state, is_confirmed=self._is_confirmed)
 
         wakeups = self._state.entry_wakeups
         await self._run(stream, session.note_report, session.write_update, wakeups)
--- a/carobspring/domain/routes.py
+++ b/carobspring/domain/routes.py
@@ -113,7 +113,11 @@
 
 @dataclass(frozen=True, kw_only=True)
 class KeyOwner:
-    """A workspace with its keys; its priority goes before a route's."""
+    """A workspace with its keys.
+
+    Requests of a workspace with a smaller priority go before all others;
+    inside one priority the routes' own decide.
+    """
 
     name: str
     keys: tuple[str, ...] = ()
@@ -143,6 +147,7 @@
     services: Mapping[str, RoutedService] = field(default_factory=dict)
     owners: tuple[KeyOwner, ...] = ()
     limits: CallerLimits = field(default_factory=CallerLimits)
+    _route_ranks: int = field(init=False, repr=False, compare=False)
     _by_host: dict[str, list[Route]] = field(init=False, repr=False, compare=False)
     _by_key: dict[str, KeyOwner] = field(init=False, repr=False, compare=False)
 
@@ -150,9 +155,16 @@
         """Refuse contradictions and index the routes and keys."""
         if self.version < 0:
             _refuse("version", self.version, "a whole number of 0 or more")
+        ranks = 1 + max((route.priority for route in self.routes), default=0)
+        object.__setattr__(self, "_route_ranks", ranks)
         object.__setattr__(self, "_by_host", self._index_routes())
         object.__setattr__(self, "_by_key", self._index_keys(self.owners))
 
+    def find_rank(self, route: Route, owner: KeyOwner | None) -> int:
+        """Return the place of a request in the order of service, 0 first."""
+        priority = owner.priority if owner is not None else None
+        return (priority or 0) * self._route_ranks + route.priority
+
     @property
     def requires_keys(self) -> bool:
         """Say whether routes that aren't public need a workspace's key."""
--- a/carobspring/entry/__init__.py
+++ b/carobspring/entry/__init__.py
@@ -5,7 +5,6 @@
 from carobspring.entry.channels import ChannelPool
 from carobspring.entry.control import (
     ControlClient,
-    ControlWatch,
 )
 from carobspring.entry.driver import CallDriver
 from carobspring.entry.errors import ERROR_KINDS, CallError
@@ -33,7 +32,6 @@
     "CallersApi",
     "ChannelPool",
     "ControlClient",
-    "ControlWatch",
     "DriverParts",
     "EntryMeasures",
     "EntryState",
--- a/carobspring/entry/asking.py
+++ b/carobspring/entry/asking.py
@@ -7,9 +7,9 @@
 from grpclib.const import Cardinality
 
 from carobspring.adapters import paths
+from carobspring.adapters.rpc import STREAM_ERRORS, connect
 from carobspring.domain import BackendServer
-from carobspring.entry.channels import ChannelPool, connect
-from carobspring.entry.following import STREAM_ERRORS
+from carobspring.entry.channels import ChannelPool
 from carobspring.protocol import (
     CancelCall,
     CancelReply,
--- a/carobspring/entry/channels.py
+++ b/carobspring/entry/channels.py
@@ -1,19 +1,17 @@
 """Connections to agents: shared by calls, replaced when they go silent."""
 
-import asyncio
-from collections.abc import Callable, Iterator
+from collections.abc import Iterator
 from contextlib import contextmanager
 from dataclasses import dataclass
 
 from grpclib.client import Channel
 
+from carobspring.adapters.rpc import ChannelOpener
 from carobspring.domain import BackendServer
 
 #: Streams on one connection; HTTP/2 servers allow 100 unless they say more.
 MAX_STREAMS = 90
 
-ChannelOpener = Callable[[str, int], Channel]
-
 
 @dataclass(kw_only=True)
 class SharedChannel:
@@ -79,24 +77,3 @@
     def _close_if_done(self, shared: SharedChannel) -> None:
         if shared.retired and shared.streams == 0:
             shared.channel.close()
-
-
-async def connect(channel: Channel, timeout_s: float) -> float | None:
-    """Make sure that a connection stands, before anything is sent on it.
-
-    Returns the seconds that a new one took, which is one round trip, or None
-    when it stood already.
-
-    Raises:
-        OSError: The address refuses, or doesn't answer in time.
-    """
-    if channel._connected:
-        return None
-    loop = asyncio.get_running_loop()
-    began = loop.time()
-    try:
-        async with asyncio.timeout(timeout_s):
-            await channel.__connect__()
-    except TimeoutError as error:
-        raise ConnectionError("no connection in time") from error
-    return loop.time() - began
--- a/carobspring/entry/following.py
+++ b/carobspring/entry/following.py
@@ -10,8 +10,9 @@
 from grpclib.exceptions import StreamTerminatedError
 
 from carobspring.adapters import paths
+from carobspring.adapters.rpc import STREAM_ERRORS, connect
 from carobspring.domain import BackendServer, RunStatus
-from carobspring.entry.channels import ChannelPool, SharedChannel, connect
+from carobspring.entry.channels import ChannelPool, SharedChannel
 from carobspring.protocol import CallEnd, CallEvent, ResumeCall, RunCall
 
 #: Seconds without any event after which a stream is taken for dead.
@@ -26,7 +27,6 @@
 AGENT_LOST = "agent_lost"
 
 Deliver = Callable[[CallEvent], Awaitable[None]]
-STREAM_ERRORS = (GRPCError, StreamTerminatedError, OSError, TimeoutError)
 
 
 @dataclass(frozen=True, kw_only=True)
--- a/carobspring/gateway/api.py
+++ b/carobspring/gateway/api.py
@@ -20,6 +20,9 @@
 from carobspring.gateway.state import GatewayState
 from carobspring.ports import HttpRequest, HttpResponder, RandomSource
 
+#: Seconds that a request waits for the first routes of an entry that has just
+#: started: less than an election and a stream to a control replica take.
+STARTING_WAIT_S: Final = 1.5
 #: Retry-After of an entry that knows no routes yet, seconds.
 STARTING_RETRY_S: Final = 0.3
 #: Bytes of a prompt's token, to guess tokens that a caller does not tell.
@@ -52,7 +55,7 @@
         """Answer one request."""
         began = self._parts.read_clock()
         facts = platform.read_request_facts(request.headers)
-        table = self._state.table
+        table = await self._state.wait_for_table(STARTING_WAIT_S)
         if table is None:
             await self._refuse(responder, facts, 503, "starting", STARTING_RETRY_S)
             return
@@ -66,9 +69,7 @@
             if owner is None:
                 await self._refuse(responder, facts, 401, "unknown_key")
                 return
-        rank = route.priority
-        if owner is not None and owner.priority is not None:
-            rank = owner.priority
+        rank = table.find_rank(route, owner)
         query = self._build_query(request, facts, route, rank, began)
         service = table.services[query.service]
         exchange = Exchange(
@@ -181,6 +182,8 @@
                 "service": query.service,
                 "rank": query.priority,
                 "first_ms": None if first_s is None else round(first_s * 1000, 1),
+                "pause_ms": round(report.longest_pause_s * 1000, 1),
+                "events": report.events,
                 "took_ms": round((now - began) * 1000, 1),
                 "left_ms": round((query.deadline - now) * 1000, 1),
                 "prompt": query.prompt_tokens,
--- a/carobspring/gateway/backends.py
+++ b/carobspring/gateway/backends.py
@@ -5,6 +5,8 @@
 from carobspring.adapters.backend_http import HttpBackend
 from carobspring.domain import BackendServer
 
+#: Seconds that a connection without a request is kept.
+KEEP_S = 4.0
 #: Seconds that exchanges with a server may go on after it left the list.
 LONGEST_EXCHANGE_S = 60.0
 
@@ -24,6 +26,7 @@
             health_path="/",
             relays_host=True,
             takes_unmarked_end=True,
+            keep_s=KEEP_S,
         )
 
     def remove(self, server_id: str) -> None:
--- a/carobspring/gateway/control.py
+++ b/carobspring/gateway/control.py
@@ -5,15 +5,17 @@
 from collections.abc import Callable, Iterable
 from typing import Final
 
+from carobspring.adapters.control_watch import ControlWatch
 from carobspring.adapters.metrics import Metrics
+from carobspring.adapters.rpc import ChannelOpener
 from carobspring.domain import Address, parse_address
-from carobspring.entry.channels import ChannelOpener
-from carobspring.entry.control import ControlWatch
 from carobspring.protocol import EntryReport, ViewUpdate
 
 #: Replicas that are followed at a time: with one disk to lose, two may be down
 #: or cut off and a third still tells of changes.
 FOLLOWED_REPLICAS: Final = 3
+#: Seconds until a stream that broke is opened again.
+RECONNECT_PAUSE_S: Final = 0.1
 #: Seconds after which a replica that does not answer is exchanged.
 EXCHANGE_AFTER_S: Final = 1.5
 CHECK_INTERVAL_S: Final = 0.5
@@ -111,6 +113,7 @@
             build_report=self._build_report,
             apply_update=apply,
             connected=self._gauge,
+            reconnect_pause_s=RECONNECT_PAUSE_S,
         )
         task = asyncio.create_task(watch.run())
         self._watches[name] = (watch, task, now)
--- a/carobspring/gateway/exchange.py
+++ b/carobspring/gateway/exchange.py
@@ -36,6 +36,10 @@
 #: caller never gets a part of one that breaks off.
 WHOLE_ANSWER_BYTES: Final = 256 * 1024
 
+#: Seconds after its start in which an entry may not know all servers yet, and
+#: between two looks for them.
+STARTING_S: Final = 4.0
+SERVERS_LOOK_S: Final = 0.05
 #: Retry-After when the budget of repeated sends is used up, seconds.
 REPEAT_RETRY_S: Final = 0.5
 
@@ -73,6 +77,9 @@
     sends: int = 0
     #: Monotonic time of the first byte for the caller.
     first_at: float | None = None
+    #: Longest pause between two pieces for the caller, seconds.
+    longest_pause_s: float = 0.0
+    events: int = 0
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -102,6 +109,8 @@
     read_clock: Callable[[], float]
     #: Takes one repeated send to a service out of the budget, if it may be.
     spend_repeat: Callable[[str], bool]
+    #: Monotonic time at which this entry started.
+    started_at: float
 
 
 class Exchange:
@@ -143,6 +152,9 @@
         self._last_event = ""
         self._first_at: float | None = None
         self._kept: KeptReply | None = None
+        self._event_at = 0.0
+        self._longest_pause_s = 0.0
+        self._events = 0
 
     async def run(self) -> ExchangeReport:
         """Answer the caller, at the latest at the query's deadline."""
@@ -162,6 +174,8 @@
             now = self._parts.read_clock()
             placed = self._parts.dispatcher.place(self._query, self._excluded, now)
             if isinstance(placed, Refusal):
+                if await self._wait_for_servers(placed, now):
+                    continue
                 return await self._give_up(placed)
             if self._sends and not self._parts.spend_repeat(self._query.service):
                 return await self._give_up(
@@ -178,6 +192,15 @@
             if result.outcome not in _NOT_RUN and not self._may_repeat():
                 return await self._end_failed(result.detail)
 
+    async def _wait_for_servers(self, refusal: Refusal, now: float) -> bool:
+        """Wait for the first servers of an entry that has just started."""
+        parts = self._parts
+        waits = refusal.reason is RefusalReason.NO_SERVERS and not self._sends
+        if waits and now - parts.started_at < STARTING_S:
+            await asyncio.sleep(SERVERS_LOOK_S)
+            return True
+        return False
+
     def _may_repeat(self) -> bool:
         """Say whether one more server may run the request."""
         attempts = self._route.max_attempts
@@ -218,6 +241,7 @@
                 last_event_id=self._last_event,
             ),
             body=request.body,
+            repeatable=self._route.repeatability.may_repeat,
         )
         self._ran_at.add(server_id)
         try:
@@ -239,6 +263,12 @@
         self, answer: BackendAnswer, server_id: str
     ) -> AttemptResult:
         facts = platform.read_answer_facts(answer.status, answer.headers)
+        while facts.request_id not in ("", self._facts.request_id):
+            # A late second answer to an earlier request on this connection.
+            if not await answer.read_next_answer():
+                detail = f"answer to {facts.request_id or 'no request'}"
+                return AttemptResult(outcome=AttemptOutcome.CUT, detail=detail)
+            facts = platform.read_answer_facts(answer.status, answer.headers)
         now = self._parts.read_clock()
         if facts.load is not None:
             self._parts.dispatcher.note_load(server_id, facts.load, now)
@@ -249,8 +279,8 @@
             if misdirected:
                 outcome = AttemptOutcome.MISDIRECTED
             return AttemptResult(outcome=outcome, detail=f"status {answer.status}")
-        if facts.request_id != self._facts.request_id:
-            detail = f"answer to {facts.request_id or 'no request'}"
+        if not facts.request_id:
+            detail = "an answer without a request's identifier"
             return AttemptResult(outcome=AttemptOutcome.CUT, detail=detail)
         if answer.status < 300 and facts.is_event_stream:
             return await self._relay_events(answer, server_id)
@@ -318,6 +348,12 @@
         elif _is_repeated(event.event_id, self._last_event):
             return
         self._last_event = event.event_id or self._last_event
+        now = self._parts.read_clock()
+        if self._events:
+            pause_s = now - self._event_at
+            self._longest_pause_s = max(self._longest_pause_s, pause_s)
+        self._event_at = now
+        self._events += 1
         await self._responder.write(event.data)
 
     async def _begin_stream(self, answer: BackendAnswer) -> None:
@@ -366,6 +402,8 @@
             server=self._server,
             sends=self._sends,
             first_at=self._first_at,
+            longest_pause_s=self._longest_pause_s,
+            events=self._events,
         )
 
     def _log_attempt(
--- a/carobspring/gateway/state.py
+++ b/carobspring/gateway/state.py
@@ -1,5 +1,7 @@
 """What an entry knows, and how old it is."""
 
+import asyncio
+
 from carobspring.domain.routes import RoutingTable
 
 
@@ -14,6 +16,7 @@
         #: Monotonic time at which the table came in force.
         self.table_at = 0.0
         self.stopping = False
+        self._has_table = asyncio.Event()
         #: Entries that share the budget of repeated sends, this one too.
         self.entry_count = 1
 
@@ -23,8 +26,19 @@
             return False
         self.table = table
         self.table_at = now
+        self._has_table.set()
         return True
 
+    async def wait_for_table(self, timeout_s: float) -> RoutingTable | None:
+        """Return the table, waiting for the first one if there is none."""
+        if self.table is None:
+            try:
+                async with asyncio.timeout(timeout_s):
+                    await self._has_table.wait()
+            except TimeoutError:
+                return None
+        return self.table
+
     @property
     def is_ready(self) -> bool:
         """Say whether callers should be sent here."""
--- a/carobspring/ports/backend.py
+++ b/carobspring/ports/backend.py
@@ -35,6 +35,9 @@
     path: str
     headers: CallHeaders = ()
     body: bytes = b""
+    #: True when it may run again, so that a kept connection may be used,
+    #: which the server might close as the request is on its way.
+    repeatable: bool = False
 
 
 class BackendAnswer(ABC):
@@ -51,9 +54,17 @@
             BackendCutError: The connection ended before the answer's end.
         """
 
+    async def read_next_answer(self) -> bool:
+        """Pass over an answer that belongs to an earlier request.
+
+        Returns False when no other answer can come; otherwise ``status`` and
+        ``headers`` are those of the next one.
+        """
+        return False
+
     @abstractmethod
     def close(self) -> None:
-        """Close the connection, which cancels work that goes on."""
+        """End the exchange, which cancels work that goes on."""
 
 
 class Backend(ABC):
--- a/carobspring/programs/entry.py
+++ b/carobspring/programs/entry.py
@@ -8,6 +8,7 @@
 from msgspec import Meta
 
 from carobspring.adapters.clock import SystemClock, SystemRandom
+from carobspring.adapters.control_watch import ControlWatch
 from carobspring.adapters.http_server import CircuitsHttpServer
 from carobspring.adapters.metrics import Metrics
 from carobspring.adapters.rpc import open_channel
@@ -18,7 +19,6 @@
     CallFollower,
     ChannelPool,
     ControlClient,
-    ControlWatch,
     DriverParts,
     EntryMeasures,
     EntryState,
--- a/carobspring/programs/instance_control.py
+++ b/carobspring/programs/instance_control.py
@@ -16,6 +16,7 @@
 from carobspring.adapters.http_server import CircuitsHttpServer
 from carobspring.adapters.metrics import Metrics, serve_metrics
 from carobspring.adapters.rpc import RpcService, build_server
+from carobspring.consensus import IDENTITY_FILE
 from carobspring.control import (
     ClaimService,
     CommandProposer,
@@ -28,12 +29,16 @@
 )
 from carobspring.control.discovery import DaemonCard, DaemonDirectory
 from carobspring.control.instance_api import InstanceApi, ReplicaFinder
-from carobspring.platform import InstanceSettings, NodeFileError, read_node_file
+from carobspring.control.recollection import RecollectionFile
+from carobspring.platform import InstanceSettings, read_node_file
 from carobspring.ports import HttpLimits
 from carobspring.programs.options import OptionError
 from carobspring.programs.replica_host import ReplicaHost, make_peer_address
 from carobspring.programs.runner import Program, run_command_line
-from carobspring.programs.settings_file import SettingsFileWatch
+from carobspring.programs.settings_file import (
+    SettingsFileWatch,
+    read_instance_settings,
+)
 
 TICK_INTERVAL_S: Final = 0.1
 #: Check-ins that may be missed before a backend server counts as gone.
@@ -64,20 +69,6 @@
     log_level: Annotated[str, Meta(pattern="^(DEBUG|INFO|WARNING|ERROR)$")] = "INFO"
 
 
-def read_instance_settings() -> InstanceSettings:
-    """Return the settings file's content.
-
-    Raises:
-        OptionError: The file can't be used.
-    """
-    try:
-        return read_node_file()
-    except NodeFileError as error:
-        raise OptionError(
-            name="settings", source="settings file", reason=str(error)
-        ) from error
-
-
 class InstanceControlProgram(Program, ReplicaFinder):
     """A control daemon: holds the log where it has a disk, or points there."""
 
@@ -94,16 +85,18 @@
         self._clock = SystemClock()
         self._random = SystemRandom()
         now = self._clock.read_monotonic()
+        lease_s = settings.check_in_s * MISSED_CHECK_INS
         self.state = ControlState(
-            replica_id=self._name,
-            clock=self._clock,
-            lease_s=settings.check_in_s * MISSED_CHECK_INS,
+            replica_id=self._name, clock=self._clock, lease_s=lease_s
         )
         self._host: ReplicaHost | None = None
+        self._recollection: RecollectionFile | None = None
         is_empty = True
         if settings.data_folder:
             storage = DiskStorage(Path(settings.data_folder))
-            is_empty = not storage.list_names()
+            is_empty = IDENTITY_FILE not in storage.list_names()
+            self._recollection = RecollectionFile(storage=storage, state=self.state)
+            self._recollection.read_back(lease_s=lease_s)
             self._host = ReplicaHost(
                 name=self._name,
                 storage=storage,
@@ -148,7 +141,11 @@
             proposer = CommandProposer(
                 log=self._host, peers=self._peers, clock=self._clock
             )
-            watch = WatchService(state=self.state, proposer=proposer)
+            watch = WatchService(
+                state=self.state,
+                proposer=proposer,
+                is_confirmed=self._host.is_current,
+            )
             services.append(watch.build_service())
             services.append(RpcService(self._host.list_methods()))
             claims = ClaimService(state=self.state, proposer=proposer)
@@ -281,6 +278,8 @@
             self.state.pass_time(now)
             if self._gossip is not None:
                 self._gossip.pass_time(now)
+            if self._recollection is not None:
+                self._recollection.write_if_due()
 
     def _render_metrics(self) -> bytes:
         if self._host is not None:
--- a/carobspring/programs/instance_entry.py
+++ b/carobspring/programs/instance_entry.py
@@ -28,10 +28,12 @@
 from carobspring.gateway.exchange import ExchangeParts
 from carobspring.gateway.measures import GatewayMeasures
 from carobspring.ports import HttpLimits, HttpRequest, HttpResponder
-from carobspring.programs.instance_control import read_instance_settings
 from carobspring.programs.options import OptionError
 from carobspring.programs.runner import Program, run_command_line
-from carobspring.programs.settings_file import SettingsFileWatch
+from carobspring.programs.settings_file import (
+    SettingsFileWatch,
+    read_instance_settings,
+)
 from carobspring.protocol import EntryReport, ViewUpdate
 
 #: Seconds after SIGTERM for which new connections are still taken: callers
@@ -87,6 +89,7 @@
                 connections=self._connections,
                 read_clock=self._clock.read_monotonic,
                 spend_repeat=self._spend_repeat,
+                started_at=self._clock.read_monotonic(),
             ),
             budgets=self._find_budget,
             random=random,
@@ -200,6 +203,7 @@
                 "before": held.version if held else None,
                 "replica": replica,
                 "count": len(table.routes),
+                "workspace_ranks": [owner.priority for owner in table.owners],
             },
         )
 
--- a/carobspring/programs/replica_host.py
+++ b/carobspring/programs/replica_host.py
@@ -127,6 +127,13 @@
         """Say whether this replica leads and no other can at present."""
         return self._replica is not None and self._replica.is_leader()
 
+    def is_current(self) -> bool:
+        """Say whether the log is kept up with a leader that has a quorum."""
+        replica = self._replica
+        if replica is None or replica.failure is not None:
+            return False
+        return replica.node.follows_leader(self._clock.read_monotonic())
+
     def list_peers(self) -> list[str]:
         """Return the names of the replicas with a stream at present."""
         return self._replica.list_peers() if self._replica is not None else []
--- a/carobspring/programs/settings_file.py
+++ b/carobspring/programs/settings_file.py
@@ -5,7 +5,8 @@
 from collections.abc import Callable
 from typing import Final, Generic, TypeVar
 
-from carobspring.platform import NodeFileError
+from carobspring.platform import InstanceSettings, NodeFileError, read_node_file
+from carobspring.programs.options import OptionError
 
 #: Seconds between two looks at the file.
 LOOK_INTERVAL_S: Final = 1.0
@@ -15,6 +16,20 @@
 logger = logging.getLogger(__name__)
 
 
+def read_instance_settings() -> InstanceSettings:
+    """Return the settings file's content.
+
+    Raises:
+        OptionError: The file can't be used.
+    """
+    try:
+        return read_node_file()
+    except NodeFileError as error:
+        raise OptionError(
+            name="settings", source="settings file", reason=str(error)
+        ) from error
+
+
 class SettingsFileWatch(Generic[Settings]):
     """Applies the file's content whenever it differs from what was applied.
 
--- a/carobspring/protocol/control.py
+++ b/carobspring/protocol/control.py
@@ -104,6 +104,8 @@
     routing: RoutingContent | None = None
     #: gRPC addresses of all control replicas, when they changed.
     replicas: tuple[str, ...] = ()
+    #: False while the replica can't tell whether the quorum knows newer.
+    confirmed: bool = True
     #: Entries that this replica hears of; zero when it does not say.
     entry_count: int = 0
 
