Wind a stopping entry down before it takes nothing more

Change: from SIGTERM on each answer ends its connection and idle connections are closed; new ones are taken for 2.6 s, two looks at the readiness.

--- a/carobspring/adapters/http_server.py
+++ b/carobspring/adapters/http_server.py
@@ -22,6 +22,9 @@
 DRAIN_POLL_S = 0.02
 #: Idle connections are kept this long in a drain, for requests on their way.
 DRAIN_IDLE_S = 0.5
+#: The same while new connections are still taken; a caller whose request
+#: crosses the close may send it again.
+WIND_DOWN_IDLE_S = 0.1
 
 logger = logging.getLogger(__name__)
 
@@ -193,6 +196,20 @@
         self._web.register(self._root)
         self._sweeper = loop.create_task(self._sweep_forever())
 
+    async def wind_down(self, duration_s: float) -> None:
+        """Take new connections for a while, but end each after its answer.
+
+        Callers that keep connections open are thus sent elsewhere by the time
+        nothing new is taken any more.
+        """
+        if self._web is None:
+            return
+        self._web.http.draining = True
+        until = time.monotonic() + duration_s
+        while time.monotonic() < until:
+            self._close_idle(WIND_DOWN_IDLE_S)
+            await asyncio.sleep(DRAIN_POLL_S)
+
     async def drain(self, timeout_s: float) -> bool:
         """Take no new requests; return whether the open ones ended in time."""
         if self._web is None:
@@ -201,11 +218,9 @@
         self._web.server.stop_listening()
         deadline = time.monotonic() + timeout_s
         while self._web.http.connections:
-            now = time.monotonic()
-            if now > deadline:
+            if time.monotonic() > deadline:
                 return False
-            for connection in list(self._web.http.connections.values()):
-                connection.close_when_idle(now, DRAIN_IDLE_S)
+            self._close_idle(DRAIN_IDLE_S)
             await asyncio.sleep(DRAIN_POLL_S)
         return True
 
@@ -222,6 +237,12 @@
         self._root.close()
         self._web = None
 
+    def _close_idle(self, idle_s: float) -> None:
+        assert self._web is not None
+        now = time.monotonic()
+        for connection in list(self._web.http.connections.values()):
+            connection.close_when_idle(now, idle_s)
+
     async def _sweep_forever(self) -> None:
         while self._web is not None:
             await asyncio.sleep(SWEEP_INTERVAL_S)
--- a/carobspring/programs/instance_entry.py
+++ b/carobspring/programs/instance_entry.py
@@ -37,8 +37,9 @@
 from carobspring.protocol import EntryReport, ViewUpdate
 
 #: Seconds after SIGTERM for which new connections are still taken: callers
-#: are sent elsewhere only after two failed looks at the readiness.
-LISTEN_ON_S: Final = 3.0
+#: are sent elsewhere only after two failed looks at the readiness, a second
+#: apart.
+LISTEN_ON_S: Final = 2.6
 #: Seconds before SIGKILL at which the process ends by itself.
 EXIT_BEFORE_KILL_S: Final = 0.4
 
@@ -155,7 +156,7 @@
         self._state.stopping = True
         left_s = self._settings.stop_grace_s - EXIT_BEFORE_KILL_S
         listen_s = min(LISTEN_ON_S, left_s / 2)
-        await asyncio.sleep(listen_s)
+        await self._front.wind_down(listen_s)
         drained = await self._front.drain(max(0.0, left_s - listen_s))
         for task in self._tasks:
             task.cancel()
