Send prompts to home servers and learn waits and pauses

Ruled out: one home in each zone (all starts of a zone don't fit two engines' memory); asking engines for reports, which is priced.

Change: rendezvous hashing of the last shared part names a home server, of all zones for long starts; elsewhere the start is copied from there.

--- a/carobspring/dispatch/dispatcher.py
+++ b/carobspring/dispatch/dispatcher.py
@@ -1,8 +1,11 @@
 """Chooses backend servers for requests, by the expected time."""
 
-from collections.abc import Set
+from collections.abc import Sequence, Set
+from typing import Final
 
+from carobspring.dispatch.homes import find_home, find_shared_parts
 from carobspring.dispatch.limits import DispatchLimits
+from carobspring.dispatch.placement import estimate_cost
 from carobspring.dispatch.queries import (
     AttemptOutcome,
     DispatchQuery,
@@ -10,11 +13,14 @@
     Refusal,
     RefusalReason,
 )
-from carobspring.dispatch.servers import InFlight, ServerRecord
+from carobspring.dispatch.servers import ServerRecord
 from carobspring.domain import BackendServer
 from carobspring.ports import RandomSource
 from carobspring.routing import BreakerState, CircuitBreaker, RoutingLimits
 
+#: Seconds within which costs count as equal and chance decides.
+TIE_S: Final = 0.001
+
 
 class Dispatcher:
     """Decides for the requests of one entry; see docs/design/machines.md."""
@@ -39,8 +45,8 @@
             server=server,
             limits=self._limits,
             breaker=CircuitBreaker(RoutingLimits()),
-            draining=draining,
         )
+        record.draining = draining
         self._records[server.server_id] = record
         self._by_service.setdefault(server.service, {})[server.server_id] = record
 
@@ -70,31 +76,49 @@
         ]
         if not open_ones:
             return self._refuse(RefusalReason.ALL_TRIED)
-        costs = [(self._weigh(record, query, now), record) for record in open_ones]
-        cost, best = min(costs, key=lambda pair: pair[0])
+        home = self._find_home(query, open_ones)
+        best, estimate, best_cost = open_ones[0], None, 0.0
+        for record in open_ones:
+            found = estimate_cost(
+                record,
+                query,
+                zone=self._zone,
+                is_home=record is home,
+                limits=self._limits,
+                now=now,
+            )
+            cost = found.cost_s + self._random.draw_uniform() * TIE_S
+            if estimate is None or cost < best_cost:
+                best, estimate, best_cost = record, found, cost
+        assert estimate is not None
         return Placement(
             server=best.server,
-            reason=f"cost={cost:.3f} running={best.estimate_running(now)} "
-            f"unread={best.count_unread_tokens(query, now)} of={len(open_ones)}",
+            unread_tokens=estimate.unread_tokens,
+            prompt_source=self._find_source(query, best, home),
+            reason=f"wait={estimate.wait_s:.3f} read={estimate.read_s:.3f} "
+            f"far={estimate.far_s:.3f} pause={estimate.pause_s:.3f} "
+            f"running={best.estimate_running(now)} home={best is home} "
+            f"of={len(open_ones)}",
         )
 
-    def note_sent(self, server_id: str, query: DispatchQuery, now: float) -> None:
-        """Note that a request goes to a server."""
-        record = self._records.get(server_id)
-        if record is None:
-            return
-        unread = record.count_unread_tokens(query, now)
-        record.in_flight[query.request_id] = InFlight(
-            query=query, sent_at=now, unread_tokens=unread
-        )
-        record.note_parts(query.parts, now)
+    def note_sent(self, placed: Placement, query: DispatchQuery, now: float) -> None:
+        """Note that a request goes to the server that was chosen."""
+        record = self._records.get(placed.server.server_id)
+        if record is not None:
+            record.note_sent(query, placed.unread_tokens, now)
 
     def note_begun(self, server_id: str, request_id: str, now: float) -> None:
         """Note that a request's answer has begun to come."""
         record = self._records.get(server_id)
         call = record.in_flight.get(request_id) if record else None
-        if call is not None:
-            call.has_begun = True
+        if record is not None and call is not None:
+            record.note_begun(call, now)
+
+    def note_pause(self, server_id: str, pause_s: float) -> None:
+        """Note the time between two events of a stream."""
+        record = self._records.get(server_id)
+        if record is not None:
+            record.pauses.observe(pause_s)
 
     def note_load(self, server_id: str, load: tuple[int, int, int], now: float) -> None:
         """Take over the load that a response told: running, waiting, slots."""
@@ -109,7 +133,9 @@
         record = self._records.get(server_id)
         if record is None:
             return
-        record.in_flight.pop(request_id, None)
+        call = record.in_flight.pop(request_id, None)
+        if call is not None and outcome is AttemptOutcome.ANSWERED:
+            record.work_s.observe(now - call.sent_at)
         if outcome in (AttemptOutcome.ANSWERED, AttemptOutcome.SERVER_ERROR):
             record.breaker.record_success()
         elif outcome in (AttemptOutcome.UNREACHABLE, AttemptOutcome.MISDIRECTED):
@@ -125,14 +151,23 @@
             return not record.in_flight
         return breaker.state is BreakerState.CLOSED
 
-    def _weigh(self, record: ServerRecord, query: DispatchQuery, now: float) -> float:
-        limits = self._limits
-        unread = record.count_unread_tokens(query, now) + record.count_backlog_tokens()
-        cost = unread / limits.prefill_tokens_per_s
-        cost += record.estimate_running(now) * limits.sharing_cost_s
-        if record.server.zone != self._zone:
-            cost += limits.far_zone_cost_s
-        return cost + self._random.draw_uniform() * 0.001
+    def _find_home(
+        self, query: DispatchQuery, records: Sequence[ServerRecord]
+    ) -> ServerRecord | None:
+        shared = sum(tokens for _, tokens in find_shared_parts(query))
+        if shared >= self._limits.global_home_tokens:
+            return find_home(query, records)
+        near = [record for record in records if record.server.zone == self._zone]
+        return find_home(query, near)
+
+    def _find_source(
+        self, query: DispatchQuery, chosen: ServerRecord, home: ServerRecord | None
+    ) -> BackendServer | None:
+        """Return the home to copy a long shared start from, if not chosen."""
+        shared = sum(tokens for _, tokens in find_shared_parts(query))
+        if home is None or home is chosen or shared < self._limits.global_home_tokens:
+            return None
+        return home.server
 
     def _refuse(self, reason: RefusalReason) -> Refusal:
         spread = 0.5 + self._random.draw_uniform()
--- a/carobspring/dispatch/limits.py
+++ b/carobspring/dispatch/limits.py
@@ -7,19 +7,40 @@
 class DispatchLimits:
     """Named constants of the decisions, each with its unit."""
 
-    #: Prompt tokens that an engine reads in a second, until it is learned.
-    prefill_tokens_per_s: float = 90_000.0
-    #: Seconds that one more running request adds for those that share a
-    #: server, as a stand-in for its slower steps.
-    sharing_cost_s: float = 0.004
-    #: Seconds that a request in another availability zone costs besides the
-    #: link's delay, for the bytes that cross.
-    far_zone_cost_s: float = 0.03
+    #: Prompt tokens that an engine reads in a second while it also generates:
+    #: a chunk of 1,024 between steps takes 15 to 18 ms.
+    prefill_tokens_per_s: float = 60_000.0
+    #: Seconds from the start of reading to the first event, at rest.
+    first_event_s: float = 0.07
+    #: Seconds that one more running request adds for a new one, by slower
+    #: steps: 0.12 ms a step, and some 16 steps to the first event.
+    sharing_cost_s: float = 0.002
+    #: Seconds that a plain service works on a request, until it is learned.
+    plain_work_s: float = 0.04
+    #: Seconds of delay to a server in another availability zone and back.
+    far_delay_s: float = 0.008
+    #: Seconds that a kilobyte across zones weighs, since those links cost.
+    far_kilobyte_s: float = 0.0004
     #: Seconds that a prompt's part is believed to stay in a server's memory.
     residency_s: float = 20.0
     #: Parts remembered for one server.
     residency_parts: int = 512
+    #: Share of a prompt's shared parts that its home server probably keeps.
+    home_kept_share: float = 0.8
+    #: Shared tokens from which all entries send a prompt to one home server of
+    #: all zones; smaller prompts have one home in each zone.
+    global_home_tokens: int = 2000
     #: Seconds after which what a response told of the load is ignored.
     load_age_s: float = 1.0
-    #: Retry-After of a refusal when nothing better is known.
+    #: Weight of a new observation of waits and work.
+    smoothing: float = 0.4
+    #: Quantile of the pauses between events that placement goes by.
+    pause_quantile: float = 0.97
+    #: Seconds by which one observation moves the estimate of that quantile.
+    pause_step_s: float = 0.004
+    #: Part of its pause target up to which a server's pauses don't matter.
+    pause_share: float = 0.75
+    #: Seconds that a stream which will stall weighs against its placement.
+    pause_cost_s: float = 0.3
+    #: Retry-After of a refusal when nothing better is known, seconds.
     default_retry_s: float = 0.3
--- /dev/null
+++ b/carobspring/dispatch/placement.py
@@ -0,0 +1,93 @@
+"""What a request would cost at a backend server, in seconds.
+
+Answers long prompts beside live streams: prompts with a long shared start go
+to one home server that has read it, away from there only when it is busy, and
+live streams go where events come without long pauses.
+"""
+
+from dataclasses import dataclass
+
+from carobspring.dispatch.homes import find_shared_parts
+from carobspring.dispatch.limits import DispatchLimits
+from carobspring.dispatch.queries import DispatchQuery
+from carobspring.dispatch.servers import ServerRecord
+
+
+@dataclass(frozen=True, kw_only=True)
+class Estimate:
+    """The parts of a cost, for the choice and for the log."""
+
+    wait_s: float
+    read_s: float
+    far_s: float
+    pause_s: float
+    unread_tokens: float
+
+    @property
+    def cost_s(self) -> float:
+        """All parts together."""
+        return self.wait_s + self.read_s + self.far_s + self.pause_s
+
+
+def estimate_unread_tokens(
+    record: ServerRecord,
+    query: DispatchQuery,
+    *,
+    is_home: bool,
+    limits: DispatchLimits,
+    now: float,
+) -> float:
+    """Return the prompt tokens that a server probably has to read."""
+    unread = float(record.count_unread_tokens(query, now))
+    if is_home:
+        shared = sum(tokens for _, tokens in find_shared_parts(query))
+        kept = shared * limits.home_kept_share
+        unread = min(unread, max(0.0, query.prompt_tokens - kept))
+    return unread
+
+
+def estimate_cost(
+    record: ServerRecord,
+    query: DispatchQuery,
+    *,
+    zone: str,
+    is_home: bool,
+    limits: DispatchLimits,
+    now: float,
+) -> Estimate:
+    """Return what a request would cost at a server."""
+    running = record.estimate_running(now)
+    far_s = 0.0
+    if record.server.zone != zone:
+        far_s = limits.far_delay_s + limits.far_kilobyte_s * query.body_bytes / 1000
+    if not record.is_engine:
+        slots = max(1, record.server.slots)
+        work_s = record.work_s.value or limits.plain_work_s
+        wait_s = max(0, running - slots + 1) * work_s / slots
+        wait_s += running * work_s * 0.05 / slots
+        return Estimate(
+            wait_s=wait_s, read_s=0.0, far_s=far_s, pause_s=0.0, unread_tokens=0.0
+        )
+    unread = estimate_unread_tokens(
+        record, query, is_home=is_home, limits=limits, now=now
+    )
+    backlog_s = record.count_backlog_tokens() / limits.prefill_tokens_per_s
+    wait_s = max(backlog_s, record.estimate_told_wait_s(now))
+    wait_s += running * limits.sharing_cost_s
+    return Estimate(
+        wait_s=wait_s,
+        read_s=unread / limits.prefill_tokens_per_s,
+        far_s=far_s,
+        pause_s=_weigh_pauses(record, query, limits),
+        unread_tokens=unread,
+    )
+
+
+def _weigh_pauses(
+    record: ServerRecord, query: DispatchQuery, limits: DispatchLimits
+) -> float:
+    """Return the cost of a stream whose events would come with long pauses."""
+    if not query.pause_target_s:
+        return 0.0
+    strain = record.pauses.value_s / query.pause_target_s - limits.pause_share
+    return max(0.0, strain) * limits.pause_cost_s
--- a/carobspring/dispatch/queries.py
+++ b/carobspring/dispatch/queries.py
@@ -19,6 +19,8 @@
     #: Seconds to the first event, or the answer, at full benefit.
     target_s: float = 0.0
     is_stream: bool = False
+    #: Longest pause between events of a stream that is on time, seconds.
+    pause_target_s: float = 0.0
     prompt_tokens: int = 0
     output_tokens: int = 0
     #: Parts of the prompt in order, as identifier and tokens.
@@ -31,6 +33,11 @@
     """The backend server that a request goes to."""
 
     server: BackendServer
+    #: Prompt tokens that the server probably has to read.
+    unread_tokens: float = 0.0
+    #: A server that probably keeps the prompt's shared parts, to copy them
+    #: from, or None.
+    prompt_source: BackendServer | None = None
     #: Why this one: the figures that decided, for the log.
     reason: str = ""
 
--- a/carobspring/dispatch/servers.py
+++ b/carobspring/dispatch/servers.py
@@ -1,12 +1,12 @@
 """What the dispatcher knows of one backend server."""
 
 from collections import OrderedDict
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 from carobspring.dispatch.limits import DispatchLimits
 from carobspring.dispatch.queries import DispatchQuery
-from carobspring.domain import BackendServer
-from carobspring.routing import CircuitBreaker
+from carobspring.domain import BackendServer, ServiceKind
+from carobspring.routing import CircuitBreaker, SmoothedValue
 
 
 @dataclass(kw_only=True)
@@ -16,42 +16,86 @@
     query: DispatchQuery
     sent_at: float
     #: Prompt tokens that the server probably has to read.
-    unread_tokens: int
+    unread_tokens: float
     has_begun: bool = False
 
 
-@dataclass(kw_only=True)
+class PauseQuantile:
+    """Follows a high quantile of the pauses between a server's events."""
+
+    def __init__(self, *, quantile: float, step_s: float) -> None:
+        self._quantile = quantile
+        self._step_s = step_s
+        self.value_s = 0.0
+
+    def observe(self, pause_s: float) -> None:
+        """Take in a pause: more often exceeded, the estimate rises."""
+        if pause_s > self.value_s:
+            self.value_s += self._step_s * self._quantile
+        else:
+            falling_s = self._step_s * (1.0 - self._quantile)
+            self.value_s = max(0.0, self.value_s - falling_s)
+
+
 class ServerRecord:
-    """A backend server with the own requests there and what it told."""
-
-    server: BackendServer
-    limits: DispatchLimits
-    breaker: CircuitBreaker
-    draining: bool = False
-    in_flight: dict[str, InFlight] = field(default_factory=dict)
-    #: Running and waiting requests of everyone as last told, and when.
-    told_running: int = 0
-    told_waiting: int = 0
-    told_at: float = float("-inf")
-    _parts: OrderedDict[str, float] = field(default_factory=OrderedDict)
+    """A backend server with the own requests there and what was observed."""
+
+    def __init__(
+        self, *, server: BackendServer, limits: DispatchLimits, breaker: CircuitBreaker
+    ) -> None:
+        self.server = server
+        self.breaker = breaker
+        self.draining = False
+        self.in_flight: dict[str, InFlight] = {}
+        self.pauses = PauseQuantile(
+            quantile=limits.pause_quantile, step_s=limits.pause_step_s
+        )
+        self.work_s = SmoothedValue(limits.smoothing)
+        self._limits = limits
+        self._told_running = 0
+        self._told_waiting = 0
+        self._told_at = float("-inf")
+        self._wait_s = 0.0
+        self._wait_at = float("-inf")
+        self._parts: OrderedDict[str, float] = OrderedDict()
+
+    @property
+    def is_engine(self) -> bool:
+        """Say whether the server is a model engine."""
+        return self.server.kind is ServiceKind.MODEL
 
     def note_load(self, running: int, waiting: int, now: float) -> None:
         """Take over what a response said of the load."""
-        self.told_running = running
-        self.told_waiting = waiting
-        self.told_at = now
+        self._told_running = running
+        self._told_waiting = waiting
+        self._told_at = now
 
-    def note_parts(self, parts: tuple[tuple[str, int], ...], now: float) -> None:
-        """Remember that the server reads these parts of a prompt."""
-        for part, _ in parts:
+    def note_sent(self, query: DispatchQuery, unread: float, now: float) -> None:
+        """Note a request on its way, and the parts that it brings."""
+        self.in_flight[query.request_id] = InFlight(
+            query=query, sent_at=now, unread_tokens=unread
+        )
+        for part, _ in query.parts:
             self._parts[part] = now
             self._parts.move_to_end(part)
-        while len(self._parts) > self.limits.residency_parts:
+        while len(self._parts) > self._limits.residency_parts:
             self._parts.popitem(last=False)
 
-    def forget_parts(self) -> None:
-        """Note that the server's memory is empty, as after a restart."""
-        self._parts.clear()
+    def note_begun(self, call: InFlight, now: float) -> None:
+        """Learn from a first event how long requests wait here."""
+        if call.has_begun:
+            return
+        call.has_begun = True
+        expected_s = self._limits.first_event_s
+        expected_s += call.unread_tokens / self._limits.prefill_tokens_per_s
+        wait_s = max(0.0, now - call.sent_at - expected_s)
+        weight = self._limits.smoothing
+        self._wait_s = self.estimate_told_wait_s(now) * (1 - weight) + wait_s * weight
+        self._wait_at = now
+
+    def estimate_told_wait_s(self, now: float) -> float:
+        """Return the wait that first events showed, less what has drained."""
+        return max(0.0, self._wait_s - (now - self._wait_at))
 
     def count_unread_tokens(self, query: DispatchQuery, now: float) -> int:
         """Return the prompt tokens that the server would have to read.
@@ -61,7 +105,7 @@
         kept = 0
         for part, tokens in query.parts:
             at = self._parts.get(part)
-            if at is None or now - at > self.limits.residency_s:
+            if at is None or now - at > self._limits.residency_s:
                 break
             kept += tokens
         return max(0, query.prompt_tokens - kept)
@@ -69,12 +113,12 @@
     def estimate_running(self, now: float) -> int:
         """Return how many requests run or wait there, of all entries."""
         own = len(self.in_flight)
-        if now - self.told_at > self.limits.load_age_s:
+        if now - self._told_at > self._limits.load_age_s:
             return own
-        since = sum(call.sent_at > self.told_at for call in self.in_flight.values())
-        return max(own, self.told_running + self.told_waiting + since)
+        since = sum(call.sent_at > self._told_at for call in self.in_flight.values())
+        return max(own, self._told_running + self._told_waiting + since)
 
-    def count_backlog_tokens(self) -> int:
+    def count_backlog_tokens(self) -> float:
         """Return the prompt tokens of own requests that have not begun."""
         calls = self.in_flight.values()
         return sum(call.unread_tokens for call in calls if not call.has_begun)
--- a/carobspring/gateway/api.py
+++ b/carobspring/gateway/api.py
@@ -126,6 +126,7 @@
             deadline=began + limit_ms / 1000,
             target_s=route.target_ms / 1000,
             is_stream=route.repeatability.is_stream,
+            pause_target_s=route.pause_target_ms / 1000,
             prompt_tokens=prompt,
             output_tokens=facts.expected_output_tokens or facts.max_output_tokens,
             parts=tuple((part.part_id, part.tokens) for part in facts.prompt_parts),
--- a/carobspring/gateway/exchange.py
+++ b/carobspring/gateway/exchange.py
@@ -213,11 +213,11 @@
         client = parts.connections.find(server_id)
         if client is None:
             return AttemptResult(outcome=AttemptOutcome.UNREACHABLE, detail="unlisted")
-        parts.dispatcher.note_sent(server_id, query, now)
+        parts.dispatcher.note_sent(placed, query, now)
         self._sends += 1
         result = AttemptResult(outcome=AttemptOutcome.ABANDONED)
         try:
-            result = await self._send(client, server_id)
+            result = await self._send(client, placed)
         finally:
             end = parts.read_clock()
             parts.dispatcher.note_end(server_id, query.request_id, result.outcome, end)
@@ -225,7 +225,9 @@
                 self._log_attempt(placed, result, end - now)
         return result
 
-    async def _send(self, client: HttpBackend, server_id: str) -> AttemptResult:
+    async def _send(self, client: HttpBackend, placed: Placement) -> AttemptResult:
+        server_id = placed.server.server_id
+        source = placed.prompt_source
         left_s = self._query.deadline - self._parts.read_clock()
         request = self._request
         query = f"?{request.query}" if request.query else ""
@@ -239,6 +241,7 @@
                 left_ms=left_s * 1000,
                 priority=self._engine_priority,
                 last_event_id=self._last_event,
+                prompt_source=f"{source.host}:{source.port}" if source else "",
             ),
             body=request.body,
             repeatable=self._route.repeatability.may_repeat,
@@ -351,6 +354,7 @@
         now = self._parts.read_clock()
         if self._events:
             pause_s = now - self._event_at
+            self._parts.dispatcher.note_pause(server_id, pause_s)
             self._longest_pause_s = max(self._longest_pause_s, pause_s)
         self._event_at = now
         self._events += 1
--- a/carobspring/platform/headers.py
+++ b/carobspring/platform/headers.py
@@ -16,6 +16,7 @@
 _EXPECTED: Final = "Carobspring-Expected-Instance"
 _WORKSPACE: Final = "Carobspring-Tenant"
 _PRIORITY: Final = "Carobspring-Request-Priority"
+_PROMPT_SOURCE: Final = "Kv-Fetch"
 _LEAST_PRIORITY: Final = 9
 _SCHEME: Final = "bearer "
 
@@ -108,6 +109,7 @@
     left_ms: float,
     priority: int | None,
     last_event_id: str = "",
+    prompt_source: str = "",
 ) -> CallHeaders:
     """Return the headers of a request as it goes to a backend server.
 
@@ -118,6 +120,7 @@
         left_ms: Time that is left to the caller.
         priority: Rank at the engine, 0 first; None for plain services.
         last_event_id: Set where a stream goes on after this event.
+        prompt_source: Address of a server to copy the prompt's parts from.
     """
     dropped = _SYSTEM_HEADERS | {_LAST_EVENT} if last_event_id else _SYSTEM_HEADERS
     kept = [pair for pair in headers if pair[0].lower() not in dropped]
@@ -130,6 +133,8 @@
         kept.append((_PRIORITY, str(rank)))
     if last_event_id:
         kept.append(("Last-Event-Id", last_event_id))
+    if prompt_source:
+        kept.append((_PROMPT_SOURCE, prompt_source))
     return tuple(kept)
 
 
--- a/carobspring/routing/__init__.py
+++ b/carobspring/routing/__init__.py
@@ -3,11 +3,13 @@
 Sans-IO: it takes typed events and the time, and returns typed choices.
 """
 
+from carobspring.routing.affinity import score_server
 from carobspring.routing.breaker import BreakerState, CircuitBreaker
 from carobspring.routing.errors import RoutingError, RoutingLimitError
 from carobspring.routing.limits import RoutingLimits
 from carobspring.routing.queries import AttemptEnd, Choice, PoolKey, RouteQuery
 from carobspring.routing.router import Router
+from carobspring.routing.smoothing import SmoothedValue
 
 __all__ = [
     "AttemptEnd",
@@ -20,4 +22,6 @@
     "RoutingError",
     "RoutingLimitError",
     "RoutingLimits",
+    "SmoothedValue",
+    "score_server",
 ]
