Listen before loading and leave silent servers

Change: the entry's socket listens before the libraries are loaded; a silent own request weighs against its server; a resumable stream moves when nothing at all comes from its server, or when it alone hangs there.

--- a/carobspring/adapters/http_server.py
+++ b/carobspring/adapters/http_server.py
@@ -14,6 +14,7 @@
 
 from carobspring.adapters.eventloop import EventLoopRoot
 from carobspring.adapters.http_connection import HttpConnection
+from carobspring.adapters.listeners import take_listener
 from carobspring.ports import HttpHandler, HttpLimits, HttpServer
 
 CHANNEL = "web"
@@ -35,7 +36,7 @@
     channel = CHANNEL
     _sock: Any
 
-    def __init__(self, bind: tuple[str, int], *, sent: Any) -> None:
+    def __init__(self, bind: Any, *, sent: Any) -> None:
         super().__init__(bind, channel=CHANNEL, bufsize=READ_SIZE_BYTES)
         self._report_sent = sent
         #: Sockets whose sending ends with the bytes that are buffered.
@@ -146,9 +147,7 @@
     secure = False
     display_banner = False
 
-    def __init__(
-        self, *, bind: tuple[str, int], handle: HttpHandler, limits: HttpLimits
-    ) -> None:
+    def __init__(self, *, bind: Any, handle: HttpHandler, limits: HttpLimits) -> None:
         super().__init__()
         self.http = BoundedHttp(self, handle=handle, limits=limits).register(self)
         self.server = BoundedTcpServer(bind, sent=self.http.note_sent).register(self)
@@ -190,7 +189,8 @@
         """Listen."""
         loop = asyncio.get_running_loop()
         self._root = EventLoopRoot(loop=loop)
-        bind = (self.host, self.port)
+        listener = take_listener(self.host, self.port)
+        bind = listener or (self.host, self.port)
         self._web = _WebServer(bind=bind, handle=self._handle, limits=self._limits)
         self.port = self._web.port
         self._web.register(self._root)
--- a/carobspring/dispatch/dispatcher.py
+++ b/carobspring/dispatch/dispatcher.py
@@ -114,11 +114,52 @@
         if record is not None and call is not None:
             record.note_begun(call, now)
 
-    def note_pause(self, server_id: str, pause_s: float) -> None:
-        """Note the time between two events of a stream."""
+    def note_event(
+        self, server_id: str, request_id: str, pause_s: float, now: float
+    ) -> None:
+        """Note a further event of a stream and the pause before it."""
         record = self._records.get(server_id)
-        if record is not None:
-            record.pauses.observe(pause_s)
+        if record is None:
+            return
+        record.pauses.observe(pause_s)
+        call = record.in_flight.get(request_id)
+        if call is not None:
+            call.last_at = record.heard_at = now
+
+    def should_move(
+        self, query: DispatchQuery, server_id: str, excluded: Set[str], now: float
+    ) -> bool:
+        """Say whether a stream that waits at a server should go elsewhere.
+
+        It should when nothing at all comes from the server, or when this
+        request alone hangs there though others don't wait long. A server that
+        is merely busy is not left: that would only add to the load.
+        """
+        if not self._has_other(query, excluded | {server_id}, now):
+            return False
+        record = self._records.get(server_id)
+        call = record.in_flight.get(query.request_id) if record else None
+        if record is None or call is None:
+            return True
+        limits = self._limits
+        waited_s = now - call.last_at
+        if now - max(record.heard_at, call.sent_at) >= limits.dead_after_s:
+            return True
+        hung_after_s = limits.dead_after_s
+        if not call.has_begun:
+            hung_after_s = max(limits.hung_after_s, 2 * query.target_s)
+        is_idle = record.estimate_told_wait_s(now) < waited_s / 2
+        return waited_s >= hung_after_s and is_idle
+
+    def _has_other(self, query: DispatchQuery, excluded: Set[str], now: float) -> bool:
+        """Say whether a server is left to which a request could move."""
+        return any(
+            record.server.server_id not in excluded
+            and not record.draining
+            and record.breaker.state is BreakerState.CLOSED
+            and record.estimate_silence_s(now) <= 0
+            for record in self._by_service.get(query.service, {}).values()
+        )
 
     def note_load(self, server_id: str, load: tuple[int, int, int], now: float) -> None:
         """Take over the load that a response told: running, waiting, slots."""
--- a/carobspring/dispatch/placement.py
+++ b/carobspring/dispatch/placement.py
@@ -65,6 +65,7 @@
         work_s = record.work_s.value or limits.plain_work_s
         wait_s = max(0, running - slots + 1) * work_s / slots
         wait_s += running * work_s * 0.05 / slots
+        wait_s += record.estimate_silence_s(now)
         return Estimate(
             wait_s=wait_s, read_s=0.0, far_s=far_s, pause_s=0.0, unread_tokens=0.0
         )
@@ -73,6 +74,7 @@
     )
     backlog_s = record.count_backlog_tokens() / limits.prefill_tokens_per_s
     wait_s = max(backlog_s, record.estimate_told_wait_s(now))
+    wait_s += record.estimate_silence_s(now)
     wait_s += running * limits.sharing_cost_s
     return Estimate(
         wait_s=wait_s,
--- a/carobspring/dispatch/servers.py
+++ b/carobspring/dispatch/servers.py
@@ -18,6 +18,8 @@
     #: Prompt tokens that the server probably has to read.
     unread_tokens: float
     has_begun: bool = False
+    #: When the last event came, or the request was sent.
+    last_at: float = 0.0
 
 
 class PauseQuantile:
@@ -50,6 +52,8 @@
         self.pauses = PauseQuantile(
             quantile=limits.pause_quantile, step_s=limits.pause_step_s
         )
+        #: When anything last came from the server for an own request.
+        self.heard_at = float("-inf")
         self.work_s = SmoothedValue(limits.smoothing)
         self._limits = limits
         self._told_running = 0
@@ -73,7 +77,7 @@
     def note_sent(self, query: DispatchQuery, unread: float, now: float) -> None:
         """Note a request on its way, and the parts that it brings."""
         self.in_flight[query.request_id] = InFlight(
-            query=query, sent_at=now, unread_tokens=unread
+            query=query, sent_at=now, unread_tokens=unread, last_at=now
         )
         for part, _ in query.parts:
             self._parts[part] = now
@@ -86,6 +90,7 @@
         if call.has_begun:
             return
         call.has_begun = True
+        call.last_at = self.heard_at = now
         expected_s = self._limits.first_event_s
         expected_s += call.unread_tokens / self._limits.prefill_tokens_per_s
         wait_s = max(0.0, now - call.sent_at - expected_s)
@@ -93,6 +98,21 @@
         self._wait_s = self.estimate_told_wait_s(now) * (1 - weight) + wait_s * weight
         self._wait_at = now
 
+    def estimate_silence_s(self, now: float) -> float:
+        """Return how long the most overdue own request has been silent.
+
+        Zero while every request is within the time that it may take; this
+        shows a server that hangs or is cut off before any connection ends.
+        """
+        limits = self._limits
+        longest = 0.0
+        for call in self.in_flight.values():
+            allowed_s = limits.patience_s
+            if not call.has_begun:
+                allowed_s += call.unread_tokens / limits.prefill_tokens_per_s
+            longest = max(longest, now - call.last_at - allowed_s)
+        return longest
+
     def estimate_told_wait_s(self, now: float) -> float:
         """Return the wait that first events showed, less what has drained."""
         return max(0.0, self._wait_s - (now - self._wait_at))
--- a/carobspring/gateway/exchange.py
+++ b/carobspring/gateway/exchange.py
@@ -2,10 +2,10 @@
 
 import asyncio
 import logging
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 from enum import Enum
-from typing import Final
+from typing import Final, TypeVar
 
 import msgspec
 
@@ -20,7 +20,7 @@
     RefusalReason,
 )
 from carobspring.domain import CallHeaders
-from carobspring.domain.routes import Route
+from carobspring.domain.routes import Repeatability, Route
 from carobspring.gateway.backends import BackendConnections
 from carobspring.gateway.events import EventSplitter, StreamEvent
 from carobspring.ports import (
@@ -43,11 +43,16 @@
 #: Retry-After when the budget of repeated sends is used up, seconds.
 REPEAT_RETRY_S: Final = 0.5
 
+#: Seconds between two looks at whether a silent server should be left.
+WATCH_INTERVAL_S: Final = 0.25
+
 #: Outcomes after which a request has certainly not run.
 _NOT_RUN: Final = frozenset(
     {AttemptOutcome.NOT_RUN, AttemptOutcome.MISDIRECTED, AttemptOutcome.UNREACHABLE}
 )
 
+T = TypeVar("T")
+
 logger = logging.getLogger(__name__)
 
 
@@ -248,7 +253,7 @@
         )
         self._ran_at.add(server_id)
         try:
-            answer = await client.send(sent)
+            answer = await self._watch(client.send(sent))
         except BackendUnreachableError as error:
             self._ran_at.discard(server_id)
             outcome = AttemptOutcome.UNREACHABLE
@@ -329,7 +334,7 @@
         self, answer: BackendAnswer, server_id: str
     ) -> AttemptResult:
         splitter = EventSplitter()
-        while data := await answer.read():
+        while data := await self._watch(answer.read()):
             for event in splitter.add(data):
                 await self._relay_event(event, answer, server_id)
         if splitter.held_bytes:
@@ -354,12 +359,37 @@
         now = self._parts.read_clock()
         if self._events:
             pause_s = now - self._event_at
-            self._parts.dispatcher.note_pause(server_id, pause_s)
+            self._parts.dispatcher.note_event(
+                server_id, self._query.request_id, pause_s, now
+            )
             self._longest_pause_s = max(self._longest_pause_s, pause_s)
         self._event_at = now
         self._events += 1
         await self._responder.write(event.data)
 
+    async def _watch(self, step: Awaitable[T]) -> T:
+        """Await a step of an attempt, and leave a server that is silent.
+
+        Only a stream that another server can go on with is moved, and once
+        there is no other it is awaited for as long as the caller waits.
+        """
+        waiting = asyncio.ensure_future(step)
+        try:
+            while not (await asyncio.wait({waiting}, timeout=WATCH_INTERVAL_S))[0]:
+                if self._should_move():
+                    raise BackendCutError(reason="the server is silent")
+            return waiting.result()
+        finally:
+            waiting.cancel()
+
+    def _should_move(self) -> bool:
+        if self._route.repeatability is not Repeatability.RESUMABLE_STREAM:
+            return False
+        now = self._parts.read_clock()
+        return self._may_repeat() and self._parts.dispatcher.should_move(
+            self._query, self._server, self._excluded, now
+        )
+
     async def _begin_stream(self, answer: BackendAnswer) -> None:
         self._first_at = self._parts.read_clock()
         await self._responder.start(answer.status, answer.headers)
--- /dev/null
+++ b/carobspring/programs/entry_start.py
@@ -0,0 +1,22 @@
+"""Starts ``carob-entry`` on the users' machines: listens first, then loads."""
+
+import contextlib
+
+from carobspring.adapters.listeners import listen_early
+from carobspring.platform.node import NodeFileError, read_node_file
+
+
+def main() -> None:
+    """Listen for callers, load the entry, and run it."""
+    # What is wrong with the file or the address, the entry itself reports.
+    with contextlib.suppress(NodeFileError, OSError):
+        callers = read_node_file().callers
+        if callers is not None:
+            listen_early(callers.host, callers.port)
+    from carobspring.programs.instance_entry import main as run_entry
+
+    run_entry()
+
+
+if __name__ == "__main__":
+    main()
