Test the adapter, gateway and dispatch; read a new start at its home

Cause: the replay of an opening burst read shared starts 1.52 times as often as there are sessions, above its bound of 1.5: a start that its home had not read yet was read elsewhere and then there too. Change: away from home a start counts as copied only if the home is known to keep it, else reading it weighs twice.

--- a/carobspring/dispatch/dispatcher.py
+++ b/carobspring/dispatch/dispatcher.py
@@ -83,7 +83,7 @@
                 record,
                 query,
                 zone=self._zone,
-                is_home=record is home,
+                home=home,
                 limits=self._limits,
                 now=now,
             )
--- a/carobspring/dispatch/limits.py
+++ b/carobspring/dispatch/limits.py
@@ -30,6 +30,8 @@
     #: Shared tokens from which all entries send a prompt to one home server of
     #: all zones; smaller prompts have one home in each zone.
     global_home_tokens: int = 2000
+    #: Seconds that copying a shared start from its home weighs.
+    copy_cost_s: float = 0.01
     #: Seconds after which what a response told of the load is ignored.
     load_age_s: float = 1.0
     #: Weight of a new observation of waits and work.
--- a/carobspring/dispatch/placement.py
+++ b/carobspring/dispatch/placement.py
@@ -29,21 +29,36 @@
         return self.wait_s + self.read_s + self.far_s + self.pause_s
 
 
-def estimate_unread_tokens(
+def estimate_reading(
     record: ServerRecord,
     query: DispatchQuery,
     *,
-    is_home: bool,
+    home: ServerRecord | None,
     limits: DispatchLimits,
     now: float,
-) -> float:
-    """Return the prompt tokens that a server probably has to read."""
+) -> tuple[float, float]:
+    """Return the prompt tokens that a server has to read, and what it costs.
+
+    Away from its home a long start is copied, if the home is known to keep
+    it. If not, reading it elsewhere means that the home will read it too, so
+    it weighs twice.
+    """
     unread = float(record.count_unread_tokens(query, now))
-    if is_home:
-        shared = sum(tokens for _, tokens in find_shared_parts(query))
+    rate = limits.prefill_tokens_per_s
+    if home is None:
+        return unread, unread / rate
+    shared = sum(tokens for _, tokens in find_shared_parts(query))
+    if record is home:
         kept = shared * limits.home_kept_share
         unread = min(unread, max(0.0, query.prompt_tokens - kept))
-    return unread
+        return unread, unread / rate
+    missing = unread - (query.prompt_tokens - shared)
+    if shared < limits.global_home_tokens or missing <= 0:
+        return unread, unread / rate
+    if home.keeps_shared(query, now):
+        unread -= missing
+        return unread, unread / rate + limits.copy_cost_s
+    return unread, (unread + missing) / rate
 
 
 def estimate_cost(
@@ -51,7 +66,7 @@
     query: DispatchQuery,
     *,
     zone: str,
-    is_home: bool,
+    home: ServerRecord | None,
     limits: DispatchLimits,
     now: float,
 ) -> Estimate:
@@ -69,16 +84,14 @@
         return Estimate(
             wait_s=wait_s, read_s=0.0, far_s=far_s, pause_s=0.0, unread_tokens=0.0
         )
-    unread = estimate_unread_tokens(
-        record, query, is_home=is_home, limits=limits, now=now
-    )
+    unread, read_s = estimate_reading(record, query, home=home, limits=limits, now=now)
     backlog_s = record.count_backlog_tokens() / limits.prefill_tokens_per_s
     wait_s = max(backlog_s, record.estimate_told_wait_s(now))
     wait_s += record.estimate_silence_s(now)
     wait_s += running * limits.sharing_cost_s
     return Estimate(
         wait_s=wait_s,
-        read_s=unread / limits.prefill_tokens_per_s,
+        read_s=read_s,
         far_s=far_s,
         pause_s=_weigh_pauses(record, query, limits),
         unread_tokens=unread,
--- a/carobspring/dispatch/servers.py
+++ b/carobspring/dispatch/servers.py
@@ -130,6 +130,14 @@
             kept += tokens
         return max(0, query.prompt_tokens - kept)
 
+    def keeps_shared(self, query: DispatchQuery, now: float) -> bool:
+        """Say whether own requests brought the shared parts here lately."""
+        last = query.parts[-2:-1] or query.parts
+        return all(
+            now - self._parts.get(part, float("-inf")) <= self._limits.residency_s
+            for part, _ in last
+        )
+
     def estimate_running(self, now: float) -> int:
         """Return how many requests run or wait there, of all entries."""
         own = len(self.in_flight)
--- /dev/null
+++ b/tests/dispatch/support.py
@@ -0,0 +1,105 @@
+"""Records of servers, and a load that is replayed in simulated time."""
+
+from dataclasses import dataclass, field
+
+from carobspring.adapters.clock import SystemRandom
+from carobspring.dispatch import AttemptOutcome, Dispatcher, DispatchQuery, Placement
+from carobspring.domain import BackendServer, ServiceKind
+
+#: Tokens that the replayed engine reads in a second beside its streams.
+READ_TOKENS_S = 60_000.0
+
+
+def build_server(name, *, zone="a", kind=ServiceKind.MODEL, boot=1, slots=64):
+    return BackendServer(
+        server_id=name,
+        boot=boot,
+        service="svc",
+        kind=kind,
+        zone=zone,
+        host="127.0.0.1",
+        port=1000 + sum(name.encode()) % 60_000,
+        slots=slots,
+    )
+
+
+def build_dispatcher(*servers, zone="a", seed=1):
+    dispatcher = Dispatcher(zone=zone, random=SystemRandom(seed=seed))
+    for server in servers:
+        dispatcher.add_server(server, draining=False)
+    return dispatcher
+
+
+def build_query(request_id="q", *, parts=(), priority=0, now=0.0, **values):
+    prompt = sum(tokens for _, tokens in parts)
+    return DispatchQuery(
+        request_id=request_id,
+        service="svc",
+        priority=priority,
+        deadline=now + values.pop("patience_s", 4.0),
+        prompt_tokens=values.pop("prompt_tokens", prompt),
+        parts=parts,
+        is_stream=True,
+        **values,
+    )
+
+
+@dataclass
+class Engine:
+    """Reads prompts one after the other and keeps what it has read."""
+
+    free_at: float = 0.0
+    read_tokens: int = 0
+    kept: set = field(default_factory=set)
+
+    def take(self, query, now, copied=frozenset()):
+        """Return when the first event of a request comes.
+
+        What another engine keeps is copied in no time and not read.
+        """
+        unread = 0
+        self.kept |= copied & {part for part, _ in query.parts}
+        for part, tokens in query.parts:
+            if part not in self.kept:
+                unread += tokens
+                self.kept.add(part)
+        self.read_tokens += unread
+        self.free_at = max(self.free_at, now) + unread / READ_TOKENS_S
+        return self.free_at + 0.07
+
+
+class Replay:
+    """Plays arrivals through the dispatchers of several entries."""
+
+    def __init__(self, servers, *, entries=("a", "b", "c")):
+        self.engines = {server.server_id: Engine() for server in servers}
+        self.dispatchers = [
+            build_dispatcher(*servers, zone=zone, seed=place)
+            for place, zone in enumerate(entries)
+        ]
+        self.first_s = []
+        self._due = []
+
+    def run(self, arrivals):
+        """Play (time, entry, query) in order and return times to first events."""
+        for now, entry, query in arrivals:
+            self._settle(now)
+            dispatcher = self.dispatchers[entry]
+            placed = dispatcher.place(query, frozenset(), now)
+            assert isinstance(placed, Placement), placed
+            dispatcher.note_sent(placed, query, now)
+            server_id = placed.server.server_id
+            source = placed.prompt_source
+            copied = self.engines[source.server_id].kept if source else frozenset()
+            at = self.engines[server_id].take(query, now, copied)
+            self.first_s.append(at - now)
+            self._due.append((at, dispatcher, server_id, query.request_id))
+        return self.first_s
+
+    def _settle(self, now):
+        for at, dispatcher, server_id, request_id in sorted(
+            (due for due in self._due if due[0] <= now), key=lambda due: due[0]
+        ):
+            dispatcher.note_begun(server_id, request_id, at)
+            dispatcher.note_end(server_id, request_id, AttemptOutcome.ANSWERED, at)
+        self._due = [due for due in self._due if due[0] > now]
--- /dev/null
+++ b/tests/dispatch/test_dispatcher.py
@@ -0,0 +1,190 @@
+import unittest
+from dataclasses import replace
+
+from carobspring.dispatch import (
+    AttemptOutcome,
+    Placement,
+    Refusal,
+    RefusalReason,
+)
+from carobspring.domain import ServiceKind
+from tests.dispatch.support import build_dispatcher, build_query, build_server
+
+NONE = frozenset()
+LONG = (("aa01", 2500), ("bb02", 3800), ("cc03", 2900))
+
+
+def place(dispatcher, query=None, excluded=NONE, now=0.0):
+    found = dispatcher.place(query or build_query(), excluded, now)
+    return found.server.server_id if isinstance(found, Placement) else found.reason
+
+
+class PlacementTests(unittest.TestCase):
+    def test_refusals(self):
+        """A request is refused only when no server is left for it."""
+        dispatcher = build_dispatcher(build_server("s1"))
+        self.assertEqual(place(dispatcher), "s1")
+        self.assertIs(place(dispatcher, excluded={"s1"}), RefusalReason.ALL_TRIED)
+        dispatcher.add_server(build_server("s1"), draining=True)
+        self.assertIs(place(dispatcher), RefusalReason.NO_SERVERS)
+        dispatcher.remove_server("s1")
+        self.assertIs(place(dispatcher), RefusalReason.NO_SERVERS)
+
+    def test_near_server_first(self):
+        """At equal load the own zone's server is taken."""
+        dispatcher = build_dispatcher(
+            build_server("far", zone="b"), build_server("near", zone="a")
+        )
+        self.assertEqual({place(dispatcher) for _ in range(20)}, {"near"})
+
+    def test_busy_plain_server_is_left(self):
+        """A near plain server with all slots taken is worse than a far one."""
+        kind = ServiceKind.PLAIN
+        dispatcher = build_dispatcher(
+            build_server("near", kind=kind, slots=6),
+            build_server("far", zone="b", kind=kind, slots=6),
+        )
+        query = build_query()
+        dispatcher.note_load("near", (6, 12, 6), 0.0)
+        self.assertEqual(place(dispatcher, query), "far")
+        self.assertEqual(place(dispatcher, query, now=1.5), "near")
+
+    def test_failing_server_rests(self):
+        """An unreachable server gets one request at a time after a pause."""
+        dispatcher = build_dispatcher(build_server("s1"), build_server("s2", zone="b"))
+        query = build_query()
+        placed = dispatcher.place(query, NONE, 0.0)
+        dispatcher.note_sent(placed, query, 0.0)
+        dispatcher.note_end("s1", "q", AttemptOutcome.UNREACHABLE, 0.1)
+        self.assertEqual(place(dispatcher, now=0.2), "s2")
+        probe = dispatcher.place(build_query("p"), NONE, 60.0)
+        self.assertEqual(probe.server.server_id, "s1")
+        dispatcher.note_sent(probe, build_query("p"), 60.0)
+        self.assertEqual(place(dispatcher, build_query("r"), now=60.0), "s2")
+        dispatcher.note_end("s1", "p", AttemptOutcome.ANSWERED, 60.1)
+        self.assertEqual(place(dispatcher, build_query("r"), now=60.1), "s1")
+
+    def test_new_boot_starts_anew(self):
+        """A server that restarted keeps nothing of what was known."""
+        dispatcher = build_dispatcher(build_server("s1"))
+        query = build_query(parts=LONG)
+        dispatcher.note_sent(dispatcher.place(query, NONE, 0.0), query, 0.0)
+        again = dispatcher.place(replace(query, request_id="r"), NONE, 0.1)
+        self.assertEqual(again.unread_tokens, 0.0)
+        dispatcher.add_server(build_server("s1", boot=2), draining=False)
+        fresh = dispatcher.place(build_query("r", parts=LONG), NONE, 0.1)
+        self.assertGreater(fresh.unread_tokens, 2900)
+
+
+class HomeTests(unittest.TestCase):
+    def setUp(self):
+        self.servers = [build_server(f"s{n}", zone="abc"[n % 3]) for n in range(6)]
+
+    def test_all_entries_agree(self):
+        """A long shared start has one home, whichever entry asks."""
+        for place_no in range(40):
+            parts = (("aa", 2500), (f"{place_no:x}f", 3800), (f"{place_no:x}e", 900))
+            homes = {
+                place(
+                    build_dispatcher(*self.servers, zone=zone), build_query(parts=parts)
+                )
+                for zone in "abc"
+            }
+            with self.subTest(parts=parts):
+                self.assertEqual(len(homes), 1)
+
+    def test_short_starts_stay_near(self):
+        """A short shared start has its home in the own zone."""
+        for zone in "abc":
+            dispatcher = build_dispatcher(*self.servers, zone=zone)
+            for number in range(20):
+                parts = (("aa", 300), (f"{number:x}f", 200), (f"{number:x}e", 900))
+                server = place(dispatcher, build_query(parts=parts))
+                found = next(s for s in self.servers if s.server_id == server)
+                with self.subTest(zone=zone, number=number):
+                    self.assertEqual(found.zone, zone)
+
+    def test_busy_home_is_copied_from(self):
+        """Away from a busy home, the start is copied from there."""
+        dispatcher = build_dispatcher(*self.servers)
+        home = place(dispatcher, build_query(parts=LONG))
+        for number in range(30):
+            query = build_query(f"w{number}", prompt_tokens=9000)
+            placed = dispatcher.place(build_query(parts=LONG), NONE, 0.0)
+            if placed.server.server_id != home:
+                break
+            dispatcher.note_sent(placed, query, 0.0)
+        self.assertNotEqual(placed.server.server_id, home)
+        self.assertEqual(placed.prompt_source.server_id, home)
+
+    def test_home_that_drains(self):
+        """The next home takes over from one that drains; others keep theirs."""
+        dispatcher = build_dispatcher(*self.servers)
+        queries = [
+            build_query(parts=(("aa", 2500), (f"{n:x}f", 3800), (f"{n:x}e", 900)))
+            for n in range(40)
+        ]
+        before = [place(dispatcher, query) for query in queries]
+        dispatcher.add_server(self.servers[0], draining=True)
+        after = [place(dispatcher, query) for query in queries]
+        moved = [b for b, a in zip(before, after, strict=True) if b != a]
+        self.assertEqual(set(moved), {"s0"})
+        self.assertNotIn("s0", after)
+
+
+class MoveTests(unittest.TestCase):
+    def setUp(self):
+        self.dispatcher = build_dispatcher(build_server("s1"), build_server("s2"))
+        self.query = build_query(target_s=0.25)
+        self.placed = self.dispatcher.place(self.query, NONE, 0.0)
+        self.server = self.placed.server.server_id
+        self.dispatcher.note_sent(self.placed, self.query, 0.0)
+
+    def moves(self, now, excluded=NONE):
+        return self.dispatcher.should_move(self.query, self.server, excluded, now)
+
+    def test_silent_server(self):
+        """A server that says nothing at all is left after a second."""
+        self.assertEqual([self.moves(0.9), self.moves(1.0)], [False, True])
+
+    def test_nowhere_to_go(self):
+        """Without another server a stream waits on."""
+        others = {"s1", "s2"} - {self.server}
+        self.assertIs(self.moves(3.0, excluded=others), False)
+
+    def test_busy_server(self):
+        """A server that works for others is left only if this one hangs."""
+        other = build_query("other")
+        self.dispatcher.note_sent(self.placed, other, 0.0)
+        self.dispatcher.note_begun(self.server, "other", 0.9)
+        self.assertIs(self.moves(1.1), False)
+        self.dispatcher.note_event(self.server, "other", 0.9, 2.2)
+        self.assertIs(self.moves(2.3), True)
+
+    def test_long_queue(self):
+        """Where first events come late for all, a late one is no hang."""
+        for number in range(8):
+            name = f"o{number}"
+            self.dispatcher.note_sent(self.placed, build_query(name), 0.0)
+            self.dispatcher.note_begun(self.server, name, 1.2)
+        self.assertIs(self.moves(1.3), False)
+
+    def test_silence_weighs(self):
+        """New requests avoid a server where an own one is overdue."""
+        other = ({"s1", "s2"} - {self.server}).pop()
+        found = {place(self.dispatcher, build_query("n"), now=0.9) for _ in range(20)}
+        self.assertEqual(found, {other})
+
+
+class PauseTests(unittest.TestCase):
+    def test_streams_avoid_long_pauses(self):
+        """A stream with a pause target goes where events come evenly."""
+        dispatcher = build_dispatcher(build_server("slow"), build_server("even"))
+        for number in range(200):
+            dispatcher.note_event("slow", "x", 0.16, number * 0.1)
+            dispatcher.note_event("even", "x", 0.09, number * 0.1)
+        query = build_query(pause_target_s=0.15)
+        found = {place(dispatcher, query, now=30.0) for _ in range(20)}
+        self.assertEqual(found, {"even"})
+        self.assertIsInstance(dispatcher.place(query, {"even"}, 30.0), Placement)
+        self.assertIsInstance(dispatcher.place(query, {"even", "slow"}, 30.0), Refusal)
--- /dev/null
+++ b/tests/domain/test_routes.py
@@ -0,0 +1,108 @@
+import unittest
+
+from carobspring.domain import InvalidValueError
+from carobspring.domain.routes import (
+    KeyOwner,
+    Repeatability,
+    Route,
+    RoutedService,
+    RouteShare,
+    RoutingTable,
+)
+
+
+def build_route(prefix="/", host="h", priority=0, weights=(1,)):
+    shares = tuple(
+        RouteShare(service=f"s{place}", weight=weight)
+        for place, weight in enumerate(weights)
+    )
+    return Route(
+        name=f"{host}{prefix}",
+        host=host,
+        path_prefix=prefix,
+        repeatability=Repeatability.IDEMPOTENT,
+        shares=shares,
+        time_limit_ms=1000,
+        priority=priority,
+    )
+
+
+def build_table(*routes, owners=()):
+    services = {f"s{n}": RoutedService(name=f"s{n}") for n in range(3)}
+    return RoutingTable(version=1, routes=routes, services=services, owners=owners)
+
+
+class TableTests(unittest.TestCase):
+    def test_longest_prefix(self):
+        """Of a host's routes the one with the longest prefix applies."""
+        table = build_table(
+            build_route("/"),
+            build_route("/a/"),
+            build_route("/a/b/"),
+            build_route("/a/", host="other"),
+        )
+        cases = {
+            ("h", "/a/b/c"): "h/a/b/",
+            ("h", "/a/b"): "h/a/",
+            ("h", "/a"): "h/",
+            ("other", "/a/x"): "other/a/",
+            ("other", "/"): None,
+            ("none", "/"): None,
+        }
+        for (host, path), expected in cases.items():
+            with self.subTest(host=host, path=path):
+                route = table.find_route(host, path)
+                self.assertEqual(route.name if route else None, expected)
+
+    def test_shares(self):
+        """A point of the weights names the service; weight 0 gets nothing."""
+        route = build_route(weights=(90, 0, 10))
+        found = [route.choose_service(point) for point in (0.0, 0.89, 0.9, 0.999)]
+        self.assertEqual(found, ["s0", "s0", "s2", "s2"])
+        self.assertEqual(build_route(weights=(1, 0)).choose_service(0.9999999), "s0")
+
+    def test_rank(self):
+        """A workspace's priority goes first, then the route's."""
+        table = build_table(build_route("/a/", priority=2), build_route("/b/"))
+        low, high = table.routes
+        cases = {
+            (None, 0): 0,
+            (None, 2): 2,
+            (0, 2): 2,
+            (1, 0): 3,
+            (1, 2): 5,
+        }
+        for (owner_priority, route_priority), rank in cases.items():
+            with self.subTest(owner=owner_priority, route=route_priority):
+                route = low if route_priority else high
+                owner = KeyOwner(name="w", priority=owner_priority)
+                self.assertEqual(table.find_rank(route, owner), rank)
+        self.assertEqual(table.find_rank(low, None), 2)
+
+    def test_keys(self):
+        """A key names its workspace; without workspaces none is needed."""
+        owner = KeyOwner(name="w", keys=("k1", "k2"))
+        table = build_table(owners=(owner,))
+        self.assertIs(table.find_owner("k2"), owner)
+        self.assertIsNone(table.find_owner("k3"))
+        found = (table.requires_keys, build_table().requires_keys)
+        self.assertEqual(found, (True, False))
+
+    def test_contradictions(self):
+        """A table that contradicts itself can't exist."""
+        cases = {
+            "a place twice": lambda: build_table(build_route(), build_route()),
+            "an unknown service": lambda: build_table(build_route(weights=(1,) * 4)),
+            "a shared key": lambda: build_table(
+                owners=(
+                    KeyOwner(name="a", keys=("k",)),
+                    KeyOwner(name="b", keys=("k",)),
+                )
+            ),
+            "weights of nothing": lambda: build_route(weights=(0, 0)),
+            "a negative weight": lambda: build_route(weights=(2, -1)),
+            "an open prefix": lambda: build_route("/a"),
+        }
+        for name, build in cases.items():
+            with self.subTest(name), self.assertRaises(InvalidValueError):
+                build()
--- /dev/null
+++ b/tests/gateway/fakes.py
@@ -0,0 +1,213 @@
+"""Backend servers that answer as told, and a responder that keeps it all."""
+
+import asyncio
+
+from carobspring.adapters.clock import SystemRandom
+from carobspring.adapters.metrics import Metrics
+from carobspring.dispatch import Dispatcher
+from carobspring.domain import BackendServer, ServiceKind
+from carobspring.domain.routes import (
+    Repeatability,
+    Route,
+    RoutedService,
+    RouteShare,
+    RoutingTable,
+)
+from carobspring.gateway import GatewayApi, GatewayState
+from carobspring.gateway.budget import RepeatBudget
+from carobspring.gateway.exchange import ExchangeParts
+from carobspring.gateway.measures import GatewayMeasures
+from carobspring.ports import (
+    BackendAnswer,
+    BackendCutError,
+    HttpRequest,
+    HttpResponder,
+)
+
+REQUEST_ID = "9c41"
+OWN = (("Carobspring-Attempt-Id", REQUEST_ID), ("Carobspring-Upstream-Signature", "s"))
+STREAM = (*OWN, ("Content-Type", "text/event-stream"))
+
+
+class FakeAnswer(BackendAnswer):
+    """Gives pieces in order; an error among them is raised, a wait waits."""
+
+    def __init__(self, status, headers, pieces):
+        self.status = status
+        self.headers = headers
+        self._pieces = list(pieces)
+        self.closed = False
+
+    async def read(self):
+        if not self._pieces:
+            return b""
+        piece = self._pieces.pop(0)
+        if isinstance(piece, Exception):
+            raise piece
+        if isinstance(piece, asyncio.Event):
+            await piece.wait()
+            return await self.read()
+        return piece
+
+    def close(self):
+        self.closed = True
+
+
+class FakeClient:
+    """Answers the requests to one server, one script each."""
+
+    def __init__(self, scripts):
+        self.scripts = list(scripts)
+        self.requests = []
+        self.answers = []
+
+    async def send(self, request):
+        self.requests.append(request)
+        script = self.scripts.pop(0) if len(self.scripts) > 1 else self.scripts[0]
+        if isinstance(script, Exception):
+            raise script
+        if isinstance(script, asyncio.Event):
+            await script.wait()
+        answer = FakeAnswer(*script)
+        self.answers.append(answer)
+        return answer
+
+
+class FakeResponder(HttpResponder):
+    """Keeps what the caller would get."""
+
+    def __init__(self):
+        self.gone = asyncio.Event()
+        self.status = 0
+        self.headers = ()
+        self.body = b""
+        self.ended = ""
+
+    async def send(self, status, headers, body):
+        await self.start(status, headers)
+        self.body = body
+        self.ended = "whole"
+
+    async def start(self, status, headers):
+        assert not self.status, "answered twice"
+        self.status, self.headers = status, headers
+
+    async def write(self, data):
+        self.body += data
+
+    async def finish(self):
+        self.ended = "whole"
+
+    def abort(self):
+        self.ended = "cut"
+
+    @property
+    def retry_after(self):
+        return dict(self.headers).get("Retry-After")
+
+
+def event(number):
+    return b"id: %d\ndata: x\n\n" % number
+
+
+def cut(reason="reset"):
+    return BackendCutError(reason=reason)
+
+
+class Clients:
+    """Finds the clients of servers by their names."""
+
+    def __init__(self, clients):
+        self.clients = clients
+
+    def find(self, server_id):
+        return self.clients.get(server_id)
+
+
+class Gateway:
+    """A gateway before scripted servers ``s1``, ``s2``, ... in that order."""
+
+    def __init__(
+        self,
+        *scripts,
+        repeatability=Repeatability.IDEMPOTENT,
+        attempts=2,
+        limit_ms=2000,
+        repeats=100.0,
+        owners=(),
+        public=False,
+    ):
+        loop = asyncio.get_running_loop()
+        self.clients = {
+            f"s{place}": FakeClient(script)
+            for place, script in enumerate(scripts, start=1)
+        }
+        dispatcher = Dispatcher(zone="a", random=SystemRandom(seed=1))
+        for place, name in enumerate(self.clients):
+            server = BackendServer(
+                server_id=name,
+                boot=1,
+                service="svc",
+                kind=ServiceKind.PLAIN,
+                # Farther zones are tried later, so the order is fixed.
+                zone="a" if not place else "b",
+                host="127.0.0.1",
+                port=1000 + place,
+                slots=6,
+            )
+            dispatcher.add_server(server, draining=False)
+        route = Route(
+            name="r",
+            host="h",
+            path_prefix="/a/",
+            repeatability=repeatability,
+            shares=(RouteShare(service="svc", weight=1),),
+            time_limit_ms=limit_ms,
+            max_attempts=attempts,
+            public=public,
+        )
+        self.state = GatewayState()
+        self.table = RoutingTable(
+            version=3,
+            routes=(route,),
+            services={"svc": RoutedService(name="svc")},
+            owners=owners,
+        )
+        self.state.take_table(self.table, 0.0)
+        budget = RepeatBudget(
+            share=0.0, slack=repeats, window_s=10.0, count_entries=lambda: 1
+        )
+        self.api = GatewayApi(
+            state=self.state,
+            parts=ExchangeParts(
+                dispatcher=dispatcher,
+                connections=Clients(self.clients),
+                read_clock=loop.time,
+                spend_repeat=lambda service: budget.spend(loop.time()),
+                started_at=loop.time() - 60,
+            ),
+            budgets=lambda service: budget,
+            random=SystemRandom(seed=1),
+            measures=GatewayMeasures(Metrics()),
+        )
+
+    async def call(self, *, path="/a/x", headers=(), responder=None):
+        """Send one request and return what its caller got."""
+        responder = responder or FakeResponder()
+        request = HttpRequest(
+            method="POST",
+            path=path,
+            query="q=1",
+            headers=(
+                ("Host", "h"),
+                ("Carobspring-Attempt-Id", REQUEST_ID),
+                ("Carobspring-Deadline-Ms", "5000"),
+                *headers,
+            ),
+            body=b"body",
+        )
+        await self.api.handle(request, responder)
+        return responder
+
+    def count_sent(self):
+        return {name: len(client.requests) for name, client in self.clients.items()}
--- /dev/null
+++ b/tests/gateway/test_budget.py
@@ -0,0 +1,40 @@
+import unittest
+
+from carobspring.gateway.budget import RepeatBudget
+
+
+class RepeatBudgetTests(unittest.TestCase):
+    def build(self, *, entries=1, share=0.2, slack=10.0):
+        return RepeatBudget(
+            share=share, slack=slack, window_s=10.0, count_entries=lambda: entries
+        )
+
+    def count_allowed(self, budget, now):
+        allowed = 0
+        while budget.spend(now):
+            allowed += 1
+        return allowed
+
+    def test_share_and_slack(self):
+        """Repeats stay within the share of requests and the part of slack."""
+        cases = {
+            "slack alone": (1, 0, 8),
+            "slack of one of five": (5, 0, 1),
+            "with requests": (1, 100, 24),
+            "with requests, one of five": (5, 100, 17),
+        }
+        for name, (entries, requests, expected) in cases.items():
+            with self.subTest(name):
+                budget = self.build(entries=entries)
+                for _ in range(requests):
+                    budget.note_request(1.0)
+                self.assertEqual(self.count_allowed(budget, 1.0), expected)
+
+    def test_window_slides(self):
+        """What left the window counts no more, requests and repeats alike."""
+        budget = self.build()
+        for _ in range(100):
+            budget.note_request(0.0)
+        self.assertEqual(self.count_allowed(budget, 0.0), 24)
+        self.assertEqual(self.count_allowed(budget, 9.0), 0)
+        self.assertEqual(self.count_allowed(budget, 10.5), 8)
--- /dev/null
+++ b/tests/platform/test_checkins.py
@@ -0,0 +1,72 @@
+import json
+import unittest
+
+from carobspring.domain import (
+    BackendServer,
+    InvalidValueError,
+    LoadReport,
+    ServiceKind,
+)
+from carobspring.platform import CheckIn, decode_check_in
+
+BODY = {
+    "service": "svc",
+    "address": "10.128.0.9:8080",
+    "zone": "a",
+    "version": "v1",
+    "slots": 64,
+    "state": "ready",
+    "cold_left_ms": 0,
+    "phase": "unified",
+    "models": [{"name": "m", "version": 1, "adapters": []}],
+    "seq": 4,
+    "born": 1787293114537,
+}
+
+
+class CheckInTests(unittest.TestCase):
+    def test_ready_engine(self):
+        """The start time is the boot, and the place is the server's own."""
+        self.assertEqual(
+            decode_check_in("i-1", json.dumps(BODY).encode()),
+            CheckIn(
+                server=BackendServer(
+                    server_id="i-1",
+                    boot=1787293114537,
+                    service="svc",
+                    kind=ServiceKind.MODEL,
+                    zone="a",
+                    host="10.128.0.9",
+                    port=8080,
+                    slots=64,
+                ),
+                load=LoadReport(sequence=4, limit=64, draining=False),
+            ),
+        )
+
+    def test_plain_draining(self):
+        """A service without model fields is plain; draining is told."""
+        body = {k: v for k, v in BODY.items() if k not in ("phase", "models")}
+        told = decode_check_in("i-1", json.dumps(body | {"state": "draining"}).encode())
+        found = (told.server.kind, told.load.draining)
+        self.assertEqual(found, (ServiceKind.PLAIN, True))
+
+    def test_foreign_check_ins(self):
+        """What another writer sent, or nobody can read, names no server."""
+        cases = {
+            "bytes": b"\xff\xfe",
+            "a list": b"[]",
+            "no address": json.dumps({**BODY, "address": None}).encode(),
+            "a name for an address": json.dumps({**BODY, "address": "x:1"}).encode(),
+            "another state": json.dumps({**BODY, "state": "lost"}).encode(),
+            "a start that is text": json.dumps({**BODY, "born": "1"}).encode(),
+            "a start with a fraction": json.dumps({**BODY, "born": 1.5}).encode(),
+            "no start": json.dumps({k: BODY[k] for k in BODY if k != "born"}).encode(),
+            "no slots": json.dumps({**BODY, "slots": 0}).encode(),
+        }
+        for name, body in cases.items():
+            with self.subTest(name), self.assertRaises(InvalidValueError):
+                decode_check_in("i-1", body)
+        with self.subTest("an identifier with a slash"):
+            with self.assertRaisesRegex(InvalidValueError, "server_id"):
+                decode_check_in("i/1", json.dumps(BODY).encode())
--- /dev/null
+++ b/tests/platform/test_headers.py
@@ -0,0 +1,175 @@
+import unittest
+
+from carobspring.platform import (
+    AnswerFacts,
+    RequestFacts,
+    build_backend_headers,
+    build_refusal_headers,
+    read_answer_facts,
+    read_request_facts,
+)
+from carobspring.platform.headers import PromptPart
+
+REQUEST = (
+    ("Host", "h.example"),
+    ("Carobspring-Attempt-Id", "9c41"),
+    ("Last-Event-Id", "12"),
+    ("Carobspring-Model", "m"),
+    ("Carobspring-Token-Usage", "1460,80"),
+    ("Carobspring-Prefix-Hash", "5c1e:800,91bd:410,e440:250"),
+    ("Carobspring-Output-Length-Hint", "60"),
+    ("Carobspring-Deadline-Ms", "5000"),
+    ("Authorization", "Bearer key-1"),
+)
+
+
+class RequestTests(unittest.TestCase):
+    def test_facts(self):
+        """What a caller says is read once, whatever the case of names."""
+        headers = tuple((name.upper(), value) for name, value in REQUEST)
+        self.assertEqual(
+            read_request_facts(headers),
+            RequestFacts(
+                request_id="9c41",
+                host="h.example",
+                key="key-1",
+                patience_ms=5000,
+                prompt_tokens=1460,
+                max_output_tokens=80,
+                expected_output_tokens=60,
+                prompt_parts=(
+                    PromptPart(part_id="5c1e", tokens=800),
+                    PromptPart(part_id="91bd", tokens=410),
+                    PromptPart(part_id="e440", tokens=250),
+                ),
+                last_event_id="12",
+            ),
+        )
+
+    def test_malformed_values_say_nothing(self):
+        """Values that can't be read count as not given."""
+        cases = {
+            "Carobspring-Deadline-Ms": ("-1", "x", "nan", "inf"),
+            "Carobspring-Token-Usage": ("a,b", "", "-1,2"),
+            "Carobspring-Prefix-Hash": ("5c1e", "5c1e:x", ":"),
+            "Authorization": ("Basic abc", "key-1"),
+        }
+        for name, values in cases.items():
+            for value in values:
+                with self.subTest(name=name, value=value):
+                    facts = read_request_facts(((name, value),))
+                    self.assertEqual(facts, RequestFacts())
+
+    def test_backend_headers(self):
+        """The system's own headers replace whatever the caller set."""
+        forged = (
+            ("carobspring-tenant", "other"),
+            ("CAROBSPRING-EXPECTED-INSTANCE", "i-9"),
+            ("Carobspring-Request-Priority", "0"),
+            ("Carobspring-Expected-Version", "1"),
+            ("Carobspring-Cache-Pin-Ms", "9"),
+            ("Carobspring-Cache-Retention", "x"),
+            ("Carobspring-Kv-Replica", "10.0.0.1:1"),
+            ("kv-from", "10.0.0.1:1/x"),
+            ("Kv-Fetch", "10.0.0.1:1"),
+            ("X-Own", "kept"),
+        )
+        sent = build_backend_headers(
+            REQUEST[:6] + forged + REQUEST[7:],
+            server_id="i-1",
+            workspace="acme",
+            left_ms=4321.9,
+            priority=12,
+        )
+        self.assertEqual(
+            sent,
+            REQUEST[:6]
+            + (
+                ("X-Own", "kept"),
+                ("Carobspring-Deadline-Ms", "4321"),
+                ("Carobspring-Expected-Instance", "i-1"),
+                ("Carobspring-Tenant", "acme"),
+                ("Carobspring-Request-Priority", "9"),
+            ),
+        )
+
+    def test_continued_stream(self):
+        """A stream goes on after the system's event, not the caller's."""
+        sent = build_backend_headers(
+            REQUEST,
+            server_id="i-1",
+            workspace="",
+            left_ms=0.2,
+            priority=None,
+            last_event_id="30",
+            prompt_source="10.0.0.1:80",
+        )
+        self.assertEqual(
+            sent[-4:],
+            (
+                ("Carobspring-Deadline-Ms", "1"),
+                ("Carobspring-Expected-Instance", "i-1"),
+                ("Last-Event-Id", "30"),
+                ("Kv-Fetch", "10.0.0.1:80"),
+            ),
+        )
+        self.assertEqual([v for k, v in sent if k == "Last-Event-Id"], ["30"])
+
+
+class AnswerTests(unittest.TestCase):
+    def test_facts(self):
+        """An answer's head tells whether the request ran and for whom it is."""
+        stream = ("Content-Type", "text/event-stream; charset=utf-8")
+        cases = {
+            "success": (
+                200,
+                (
+                    ("Carobspring-Attempt-Id", "9c41"),
+                    ("Carobspring-Upstream-Signature", "3e1b"),
+                    ("Carobspring-Upstream-Load", "3,0,8"),
+                    stream,
+                ),
+                AnswerFacts(
+                    request_id="9c41",
+                    receipt="3e1b",
+                    load=(3, 0, 8),
+                    is_event_stream=True,
+                ),
+            ),
+            "shed": (
+                503,
+                (("Carobspring-Not-Executed", "1"),),
+                AnswerFacts(not_run=True),
+            ),
+            "another server": (421, (), AnswerFacts(not_run=True)),
+            "not executed on a success says nothing": (
+                200,
+                (("Carobspring-Not-Executed", "1"),),
+                AnswerFacts(),
+            ),
+            "a failure that ran": (503, (), AnswerFacts()),
+            "closes": (200, (("Connection", "Close"),), AnswerFacts(closes=True)),
+            "malformed load": (
+                200,
+                (("Carobspring-Upstream-Load", "3,0"),),
+                AnswerFacts(),
+            ),
+        }
+        for name, (status, headers, expected) in cases.items():
+            with self.subTest(name):
+                self.assertEqual(read_answer_facts(status, headers), expected)
+
+    def test_refusals(self):
+        """A refusal bears the request's identifier and when to come back."""
+        self.assertEqual(
+            build_refusal_headers(request_id="9c41", retry_after_s=0.25),
+            (
+                ("Content-Type", "application/json"),
+                ("Carobspring-Attempt-Id", "9c41"),
+                ("Retry-After", "0.250"),
+            ),
+        )
+        self.assertEqual(
+            build_refusal_headers(request_id="", retry_after_s=None),
+            (("Content-Type", "application/json"),),
+        )
--- /dev/null
+++ b/tests/platform/test_node.py
@@ -0,0 +1,102 @@
+import json
+import tempfile
+import unittest
+from pathlib import Path
+
+from carobspring.domain import Address
+from carobspring.platform import InstanceSettings, NodeFileError, read_node_file
+
+FILE = {
+    "node_name": "edge-a-1",
+    "role": "carob-entry",
+    "machine_class": "edge",
+    "serves": ["edge"],
+    "ip": "10.1.0.40",
+    "zone": "a",
+    "region": "r",
+    "listen": {"frontend": "10.1.0.40:8227", "readiness": "10.1.0.40:8220"},
+    "port_range": [7340, 7355],
+    "seeds": ["10.1.0.40:8229", "10.2.0.29:8229"],
+    "bootstrap": True,
+    "fault_counted": True,
+    "limits": {"memory_mb": 150, "max_fds": 4100},
+    "data_dir": "/data/x",
+    "heartbeat_ms": 1200,
+    "fault_tolerance": {"machines": 1, "zones": 0},
+    "bounds": {
+        "grace_s": 8,
+        "config_apply_ms": 2000,
+        "retry_budget": 0.2,
+        "retry_slack": 58,
+        "retry_window_s": 10,
+        "fail_closed": False,
+    },
+    "a_field_to_come": {"x": 1},
+}
+
+
+class NodeFileTests(unittest.TestCase):
+    def setUp(self):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.path = Path(folder.name) / "local.json"
+
+    def read(self, **changes):
+        self.path.write_text(json.dumps(FILE | changes))
+        return read_node_file(self.path)
+
+    def test_whole_file(self):
+        """Every field that is used arrives under the project's own name."""
+        self.assertEqual(
+            self.read(),
+            InstanceSettings(
+                instance="edge-a-1",
+                role="carob-entry",
+                ip="10.1.0.40",
+                availability_zone="a",
+                callers=Address(host="10.1.0.40", port=8227),
+                readiness=Address(host="10.1.0.40", port=8220),
+                control=None,
+                inner_ports=(7340, 7355),
+                seeds=(
+                    Address(host="10.1.0.40", port=8229),
+                    Address(host="10.2.0.29", port=8229),
+                ),
+                is_first_start=True,
+                is_counted=True,
+                data_folder="/data/x",
+                memory_mb=150,
+                check_in_s=1.2,
+                tolerated_losses=1,
+                stop_grace_s=8.0,
+                configuration_bound_s=2.0,
+                retry_share=0.2,
+                retry_slack=58.0,
+                retry_window_s=10.0,
+            ),
+        )
+
+    def test_side_instance(self):
+        """An instance without addresses for callers or a disk has none."""
+        settings = self.read(listen={}, data_dir=None, seeds=[])
+        found = (settings.callers, settings.data_folder, settings.seeds)
+        self.assertEqual(found, (None, "", ()))
+
+    def test_unusable_files(self):
+        """A file that can't be used is refused with its path and the reason."""
+        cases = {
+            "not JSON": ("{", "truncated"),
+            "a field is missing": (json.dumps({"ip": "10.0.0.1"}), "node_name"),
+            "a seed is no address": (json.dumps(FILE | {"seeds": ["x"]}), "seeds"),
+            "a bound is no number": (
+                json.dumps(FILE | {"bounds": {"grace_s": True}}),
+                "bounds.grace_s",
+            ),
+        }
+        for name, (content, reason) in cases.items():
+            with self.subTest(name):
+                self.path.write_text(content)
+                with self.assertRaisesRegex(NodeFileError, reason):
+                    read_node_file(self.path)
+        with self.subTest("no file"), self.assertRaisesRegex(NodeFileError, "No such"):
+            read_node_file(self.path.parent / "none")
