Test control on the instances, kept connections, logs and settings files

Cause found by a test that failed first: a late second answer to an earlier request could not be passed over, since the parser was primed with a request whose body it never saw.

--- a/carobspring/adapters/backend_connection.py
+++ b/carobspring/adapters/backend_connection.py
@@ -116,7 +116,13 @@
         if not is_done or is_eof or self._request is None or self.is_lost:
             return False
         self._parser = _make_parser()
-        self._parser.send(self._request)
+        # The method decides how an answer is framed; the body was sent before.
+        asked = h11.Request(
+            method=self._request.method,
+            target=self._request.target,
+            headers=[("Host", "x")],
+        )
+        self._parser.send(asked)
         self._parser.send(h11.EndOfMessage())
         if rest:
             self._feed(rest)
--- a/tests/adapters/test_backend_http.py
+++ b/tests/adapters/test_backend_http.py
@@ -1,6 +1,9 @@
 import asyncio
 import contextlib
+import socket
+import struct
 import unittest
+from dataclasses import replace
 
 from carobspring.adapters.backend_http import HttpBackend
 from carobspring.agent import build_backend_request
@@ -137,6 +140,146 @@
                         await server.gone.wait()
 
 
+class ScriptedServer(RawServer):
+    """Answers the requests of each connection in turn and stays open."""
+
+    async def handle(self, reader, writer):
+        self.connections = getattr(self, "connections", 0) + 1
+        for answer in self.answer:
+            try:
+                head = await reader.readuntil(b"\r\n\r\n")
+            except asyncio.IncompleteReadError:
+                break
+            self.requests.append(head)
+            await reader.readexactly(len(REQUEST.body))
+            writer.write(answer)
+            await writer.drain()
+        await reader.read()
+        writer.close()
+
+
+def whole(body, *headers):
+    lines = "".join(f"{header}\r\n" for header in headers).encode()
+    size = len(body)
+    return b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n%b\r\n%b" % (size, lines, body)
+
+
+class KeptConnectionTests(unittest.IsolatedAsyncioTestCase):
+    async def fetch_all(self, answers, requests, **options):
+        """Return the bodies and how many connections were opened."""
+        async with ScriptedServer(answers) as server:
+            backend = HttpBackend(
+                url=server.url, health_path="/", **({"keep_s": 5.0} | options)
+            )
+            bodies = []
+            for request in requests:
+                answer = await backend.send(request)
+                body = b""
+                while data := await answer.read():
+                    body += data
+                answer.close()
+                # What came after the answer has to arrive.
+                await asyncio.sleep(0.02)
+                bodies.append(body)
+            await backend.close()
+            return bodies, backend.opened
+
+    async def test_when_kept(self):
+        """A connection serves again only after a whole answer, and in time."""
+        again = replace(REQUEST, repeatable=True)
+        cases = {
+            "kept": ([whole(b"a"), whole(b"b")], (again, again), {}, 1),
+            "may run once": ([whole(b"a"), whole(b"b")], (again, REQUEST), {}, 2),
+            "not asked to": ([whole(b"a")], (again, again), {"keep_s": 0.0}, 2),
+            "about to close": (
+                [whole(b"a", "Connection: close")],
+                (again, again),
+                {},
+                2,
+            ),
+            "bytes after it": ([whole(b"a") + b"more"], (again, again), {}, 2),
+            "kept for no time": (
+                [whole(b"a", "Keep-Alive: timeout=0")],
+                (again, again),
+                {},
+                2,
+            ),
+        }
+        for name, (answers, requests, options, opened) in cases.items():
+            with self.subTest(name):
+                bodies, found = await self.fetch_all(answers, requests, **options)
+                self.assertEqual(found, opened)
+                self.assertEqual(bodies[0], b"a")
+
+    async def test_late_second_answer(self):
+        """A second answer to an earlier request is passed over."""
+        late = whole(b"late", "X-For: old") + whole(b"own", "X-For: new")
+        async with ScriptedServer([late]) as server:
+            backend = HttpBackend(url=server.url, health_path="/", keep_s=5.0)
+            answer = await backend.send(REQUEST)
+            self.assertEqual(dict(answer.headers)["X-For"], "old")
+            self.assertIs(await answer.read_next_answer(), True)
+            self.assertEqual(dict(answer.headers)["X-For"], "new")
+            self.assertEqual(await answer.read(), b"own")
+            self.assertEqual(await answer.read(), b"")
+            answer.close()
+            await backend.close()
+
+    async def test_answer_that_ends_with_its_connection(self):
+        """Where allowed, an orderly close ends an answer; a reset does not."""
+        start = b"HTTP/1.1 200 OK\r\n\r\nabc"
+        for resets in (False, True):
+            with self.subTest(resets=resets):
+
+                async def take(reader, writer, resets=resets):
+                    await reader.readuntil(b"\r\n\r\n")
+                    writer.write(start)
+                    await writer.drain()
+                    await asyncio.sleep(0.05)
+                    if resets:
+                        linger = struct.pack("ii", 1, 0)
+                        sock = writer.get_extra_info("socket")
+                        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+                    writer.close()
+
+                server = await asyncio.start_server(take, "127.0.0.1", 0)
+                port = server.sockets[0].getsockname()[1]
+                backend = HttpBackend(
+                    url=f"http://127.0.0.1:{port}",
+                    health_path="/",
+                    takes_unmarked_end=True,
+                )
+                answer = await backend.send(REQUEST)
+                self.assertEqual(await answer.read(), b"abc")
+                if resets:
+                    with self.assertRaises(BackendCutError):
+                        await answer.read()
+                else:
+                    self.assertEqual(await answer.read(), b"")
+                await backend.close()
+                server.close()
+
+    async def test_host_and_hop_headers(self):
+        """The host goes on where asked; headers of one connection don't."""
+        request = replace(
+            REQUEST,
+            headers=(
+                ("Host", "shop.example"),
+                ("Connection", "close, X-Hop"),
+                ("X-Hop", "1"),
+                ("X-One", "1"),
+            ),
+        )
+        async with RawServer(whole(b"")) as server:
+            backend = HttpBackend(url=server.url, health_path="/", relays_host=True)
+            (await backend.send(request)).close()
+            await backend.close()
+        self.assertEqual(
+            server.requests[0].split(b"\r\n")[1:-2],
+            [b"Host: shop.example", b"X-One: 1", b"Content-Length: 4"],
+        )
+
+
 class RequestTests(unittest.TestCase):
     def test_priority_and_fencing_token(self):
         """Both are the system's to set; other values stay untouched."""
--- /dev/null
+++ b/tests/control/test_recollection.py
@@ -0,0 +1,117 @@
+import tempfile
+import unittest
+from pathlib import Path
+
+from carobspring.adapters.disk import DiskStorage
+from carobspring.control.recollection import FILE_NAME, RecollectionFile
+from carobspring.control.state import ControlState
+from carobspring.domain import LoadReport
+from carobspring.ports import Clock, StorageError
+from carobspring.protocol import AgentReport, RoutingContent
+from tests.control.harness import make_server
+
+LEASE_S = 6.0
+
+
+class SetClock(Clock):
+    """Shows the time that a test sets."""
+
+    def __init__(self):
+        self.now = 100.0
+
+    def read_monotonic(self):
+        return self.now
+
+    def read_wall_ms(self):
+        return 0
+
+
+class RecollectionTests(unittest.TestCase):
+    def setUp(self):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.folder = Path(folder.name)
+        self.storage = DiskStorage(self.folder)
+        self.addCleanup(self.storage.close)
+        self.clock = SetClock()
+
+    def build(self):
+        state = ControlState(replica_id="r", clock=self.clock, lease_s=LEASE_S)
+        return state, RecollectionFile(storage=self.storage, state=state)
+
+    def write(self):
+        state, file = self.build()
+        state.recalled_routing = RoutingContent(version=7, body=b"routes")
+        for name, draining in (("s1", False), ("s2", True)):
+            load = LoadReport(sequence=40, limit=4, draining=draining)
+            report = AgentReport(server=make_server(name), load=load)
+            state.members.note_report(report, self.clock.now)
+        file.write_if_due()
+
+    def test_read_back(self):
+        """A next start knows routes and servers, for a short while only."""
+        self.write()
+        state, file = self.build()
+        file.read_back(lease_s=LEASE_S)
+        self.assertEqual(
+            state.find_routing(), RoutingContent(version=7, body=b"routes")
+        )
+        present = state.members.list_present()
+        self.assertEqual(
+            [(m.server.server_id, m.load.draining) for m in present],
+            [("s1", False), ("s2", True)],
+        )
+        self.clock.now += 3.0
+        state.pass_time(self.clock.now)
+        self.assertEqual(state.members.list_present(), [])
+
+    def test_check_in_renews(self):
+        """The first check-in of a server that still runs is newer."""
+        self.write()
+        state, file = self.build()
+        file.read_back(lease_s=LEASE_S)
+        report = AgentReport(server=make_server("s1"), load=LoadReport(sequence=1))
+        answer = state.members.note_report(report, self.clock.now)
+        self.assertIs(answer.accepted, True)
+        self.clock.now += 3.0
+        state.pass_time(self.clock.now)
+        names = [m.server.server_id for m in state.members.list_present()]
+        self.assertEqual(names, ["s1"])
+
+    def test_torn_file(self):
+        """A file that a loss of power tore is passed over."""
+        self.write()
+        path = self.folder / FILE_NAME
+        whole = path.read_bytes()
+        for size in (0, 5, len(whole) // 2, len(whole) - 1):
+            with self.subTest(size=size):
+                path.write_bytes(whole[:size])
+                state, file = self.build()
+                file.read_back(lease_s=LEASE_S)
+                self.assertEqual(state.find_routing(), RoutingContent())
+
+    def test_newer_routes_of_the_log(self):
+        """What the log holds counts as soon as it is newer."""
+        self.write()
+        state, file = self.build()
+        file.read_back(lease_s=LEASE_S)
+        state.machine.routing.restore(RoutingContent(version=8, body=b"new"))
+        self.assertEqual(state.find_routing().version, 8)
+
+    def test_full_disk(self):
+        """A write that fails is logged and tried again later."""
+        state, file = self.build()
+        state.recalled_routing = RoutingContent(version=7, body=b"routes")
+
+        def refuse(name, data):
+            raise StorageError(path=name, action="write", reason="no space")
+
+        self.storage.write_new = refuse
+        with self.assertLogs("carobspring.control.recollection", "WARNING"):
+            file.write_if_due()
+        del self.storage.write_new
+        file.write_if_due()
+        self.assertIs((self.folder / FILE_NAME).exists(), False)
+        self.clock.now += 11.0
+        file.write_if_due()
+        self.assertIs((self.folder / FILE_NAME).exists(), True)
--- /dev/null
+++ b/tests/control/test_routing.py
@@ -0,0 +1,60 @@
+import unittest
+
+import msgspec
+
+from carobspring.control.commands import Command, CommandResult
+from carobspring.control.machine import ControlMachine
+from carobspring.control.routing import RoutingAnswer, RoutingChange
+from carobspring.protocol import RoutingContent
+
+
+def apply(machine, version, body=b"x"):
+    content = RoutingContent(version=version, body=body)
+    command = Command(routing=RoutingChange(content=content, at_ms=5))
+    answer = machine.apply(1, msgspec.msgpack.encode(command))
+    return msgspec.msgpack.decode(answer, type=CommandResult).routing
+
+
+class RoutingBookTests(unittest.TestCase):
+    def setUp(self):
+        self.machine = ControlMachine()
+
+    def test_highest_version_stands(self):
+        """A version that isn't higher changes nothing and is no error."""
+        cases = [(3, True, 3), (3, False, 3), (2, False, 3), (9, True, 9)]
+        for version, taken, stands in cases:
+            with self.subTest(version=version):
+                answer = apply(self.machine, version)
+                self.assertEqual(answer, RoutingAnswer(taken=taken, version=stands))
+
+    def test_content_is_fixed(self):
+        """Other content under a version that stands is never taken over."""
+        apply(self.machine, 3, b"first")
+        apply(self.machine, 3, b"second")
+        self.assertEqual(self.machine.routing.content.body, b"first")
+
+    def test_snapshot(self):
+        """A snapshot holds the routes; a reset forgets them."""
+        apply(self.machine, 3, b"first")
+        other = ControlMachine()
+        other.restore(self.machine.take_snapshot())
+        self.assertEqual(other.routing.content, self.machine.routing.content)
+        other.reset()
+        self.assertEqual(other.routing.content, RoutingContent())
+
+    def test_audit(self):
+        """Each version that was taken is in the audit trail, newest first."""
+        for version in (3, 3, 5):
+            apply(self.machine, version)
+        subjects = [
+            (subject.subject, subject.before, subject.after)
+            for entry in self.machine.settings.list_audit()
+            for subject in entry.subjects
+        ]
+        self.assertEqual(
+            subjects,
+            [
+                ("routes", "version 3", "version 5"),
+                ("routes", "version 0", "version 3"),
+            ],
+        )
--- a/tests/dispatch/support.py
+++ b/tests/dispatch/support.py
@@ -81,7 +81,7 @@
         self._due = []
 
     def run(self, arrivals):
-        """Play (time, entry, query) in order and return times to first events."""
+        """Play (time, entry, query) and return times to first events."""
         for now, entry, query in arrivals:
             self._settle(now)
             dispatcher = self.dispatchers[entry]
--- a/tests/dispatch/test_dispatcher.py
+++ b/tests/dispatch/test_dispatcher.py
@@ -118,7 +118,7 @@
         self.assertEqual(placed.prompt_source.server_id, home)
 
     def test_home_that_drains(self):
-        """The next home takes over from one that drains; others keep theirs."""
+        """The next home takes over from one that drains; others stay."""
         dispatcher = build_dispatcher(*self.servers)
         queries = [
             build_query(parts=(("aa", 2500), (f"{n:x}f", 3800), (f"{n:x}e", 900)))
--- a/tests/gateway/test_directory.py
+++ b/tests/gateway/test_directory.py
@@ -49,7 +49,7 @@
         self.assertEqual(self.changes[-1], ("s1", None))
 
     def test_draining_is_final_for_a_boot(self):
-        """A replica that has not heard yet can't end a drain; a new boot can."""
+        """A replica that lags can't end a drain; a new boot can."""
         self.directory.apply("r1", build_update(build_server(), draining=("s1",)))
         self.directory.apply("r2", build_update(build_server(), sequence=9))
         self.assertEqual(self.state(), {"s1": (1, True)})
--- a/tests/gateway/test_exchange.py
+++ b/tests/gateway/test_exchange.py
@@ -22,7 +22,7 @@
 
 class RepeatTests(unittest.IsolatedAsyncioTestCase):
     async def test_what_is_sent_again(self):
-        """A request is sent again only where its kind and its fate allow it."""
+        """A request is sent again only where its kind and fate allow it."""
         cases = {
             # name: (kind, first server's script, sends, status, body)
             "whole": (ONCE, WHOLE, (1, 0), 200, b"answer"),
@@ -96,7 +96,7 @@
 
 class StreamTests(unittest.IsolatedAsyncioTestCase):
     async def test_resumed_inside_one_answer(self):
-        """A stream that breaks goes on at another server after its last event."""
+        """A stream that breaks goes on elsewhere after its last event."""
         first = (200, STREAM, [event(1) + event(2)[:5], cut()])
         # The second repeats an event that the caller has; it is left out.
         second = (200, (*STREAM, ("X-From", "s2")), [event(1), event(2), event(3)])
--- a/tests/platform/test_configuration.py
+++ b/tests/platform/test_configuration.py
@@ -137,7 +137,7 @@
         )
 
     def test_repeatability(self):
-        """The kind of a route says what may be repeated; unknown ones least."""
+        """A route's kind says what may be repeated; an unknown one least."""
         cases = {
             ("idempotent", False): Repeatability.IDEMPOTENT,
             ("idempotent", True): Repeatability.IDEMPOTENT,
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -118,7 +118,7 @@
 
 class AnswerTests(unittest.TestCase):
     def test_facts(self):
-        """An answer's head tells whether the request ran and for whom it is."""
+        """An answer's head tells whether the request ran, and whose it is."""
         stream = ("Content-Type", "text/event-stream; charset=utf-8")
         cases = {
             "success": (
--- a/tests/platform/test_node.py
+++ b/tests/platform/test_node.py
@@ -83,7 +83,7 @@
         self.assertEqual(found, (None, "", ()))
 
     def test_unusable_files(self):
-        """A file that can't be used is refused with its path and the reason."""
+        """A file that can't be used is refused with path and reason."""
         cases = {
             "not JSON": ("{", "truncated"),
             "a field is missing": (json.dumps({"ip": "10.0.0.1"}), "node_name"),
--- /dev/null
+++ b/tests/programs/test_logs.py
@@ -0,0 +1,78 @@
+import fcntl
+import json
+import logging
+import os
+import unittest
+
+from carobspring.programs.logs import MAX_WAITING_BYTES, BoundedOutput, JsonFormatter
+
+LINE = "x" * 999 + "\n"
+
+
+class BoundedOutputTests(unittest.TestCase):
+    def setUp(self):
+        self.reader, writer = os.pipe()
+        fcntl.fcntl(writer, fcntl.F_SETPIPE_SZ, 4096)
+        self.addCleanup(os.close, self.reader)
+        self.addCleanup(os.close, writer)
+        os.set_blocking(self.reader, False)
+        self.output = BoundedOutput(descriptor=writer)
+
+    def read_all(self):
+        data = b""
+        while True:
+            self.output.flush()
+            try:
+                data += os.read(self.reader, 1 << 20)
+            except BlockingIOError:
+                return data
+
+    def test_reader_that_stops(self):
+        """A reader that stops reading blocks nothing and bounds the memory."""
+        count = 2 * MAX_WAITING_BYTES // len(LINE)
+        for _ in range(count):
+            self.output.write(LINE)
+        self.assertLessEqual(self.output._waiting_bytes, MAX_WAITING_BYTES)
+        dropped = self.output.dropped
+        self.assertGreater(dropped, count // 3)
+        lines = self.read_all().splitlines()
+        self.assertEqual(len(lines), count - dropped)
+        self.assertEqual({len(line) for line in lines}, {999})
+        self.output.write("next\n")
+        told, following = self.read_all().splitlines()
+        self.assertEqual(
+            json.loads(told), {"message": "log lines dropped", "count": dropped}
+        )
+        self.assertEqual(following, b"next")
+
+    def test_reader_that_is_gone(self):
+        """Without a reader lines go nowhere, and nothing fails."""
+        reader, writer = os.pipe()
+        os.close(reader)
+        output = BoundedOutput(descriptor=writer)
+        output.write(LINE)
+        output.write(LINE)
+        self.assertEqual(output._waiting_bytes, 0)
+        os.close(writer)
+
+
+class JsonFormatterTests(unittest.TestCase):
+    def test_fields(self):
+        """Numbers stay numbers, and other values are written as text."""
+        record = logging.makeLogRecord(
+            {"msg": "ended", "levelname": "INFO", "name": "x", "took_ms": 1.5}
+        )
+        record.__dict__ |= {"server": None, "ranks": (1, 2)}
+        fields = json.loads(JsonFormatter().format(record))
+        del fields["time"]
+        self.assertEqual(
+            fields,
+            {
+                "level": "INFO",
+                "logger": "x",
+                "message": "ended",
+                "took_ms": 1.5,
+                "server": None,
+                "ranks": "(1, 2)",
+            },
+        )
--- /dev/null
+++ b/tests/programs/test_settings_file.py
@@ -0,0 +1,45 @@
+import unittest
+
+from carobspring.platform import NodeFileError
+from carobspring.programs.settings_file import SettingsFileWatch
+
+LOGGER = "carobspring.programs.settings_file"
+
+
+class SettingsFileWatchTests(unittest.TestCase):
+    def setUp(self):
+        self.content = "first"
+        self.applied = []
+        self.watch = SettingsFileWatch(read=self.read, apply=self.applied.append)
+        self.watch.check()
+
+    def read(self):
+        if isinstance(self.content, Exception):
+            raise self.content
+        return self.content
+
+    def test_changes(self):
+        """A change is applied once, with or without a signal."""
+        self.watch.check()
+        self.content = "second"
+        self.watch.check(forced=True)
+        self.watch.check()
+        self.assertEqual(self.applied, ["first", "second"])
+
+    def test_signal_without_a_change(self):
+        """A reload that finds nothing new says so."""
+        with self.assertLogs(LOGGER, "INFO") as logs:
+            self.watch.check(forced=True)
+        self.assertIn("unchanged", logs.output[0])
+        self.assertEqual(self.applied, ["first"])
+
+    def test_unreadable_file(self):
+        """An unreadable file changes nothing and is told of once."""
+        self.content = NodeFileError(path="p", reason="cut short")
+        with self.assertLogs(LOGGER, "WARNING") as logs:
+            self.watch.check()
+            self.watch.check()
+        self.assertEqual(len(logs.output), 1)
+        self.content = "second"
+        self.watch.check()
+        self.assertEqual(self.applied, ["first", "second"])
