Drive the instances' programs end to end on loopback

Change: stand-ins for settings files, operator and backend servers, each instance on a loopback address of its own; tests of the whole path, a planned stop, all processes killed, a lost disk followed by a lost daemon, and failing servers. A replica logs each change of the members and whether it votes.

--- a/carobspring/programs/replica.py
+++ b/carobspring/programs/replica.py
@@ -16,6 +16,7 @@
     SNAPSHOT_EVERY,
     ChangeRefusedError,
     CommandProposed,
+    Configuration,
     ConsensusError,
     Driver,
     Entry,
@@ -111,6 +112,7 @@
         self._scheduled = False
         self._ticker: asyncio.Task[None] | None = None
         self._leading = False
+        self._configuration = Configuration()
         self.failure: ConsensusError | None = None
 
     @property
@@ -298,6 +300,23 @@
             return
         self._waiting.note_applied(self._driver.applied)
         self._note_leader()
+        self._note_members()
+
+    def _note_members(self) -> None:
+        configuration = self.node.configuration
+        if configuration == self._configuration:
+            return
+        self._configuration = configuration
+        own = configuration.find_member(self.node.identity)
+        logger.info(
+            "members changed",
+            extra={
+                "voters": [m.name for m in configuration.members if m.voter],
+                "learners": [m.name for m in configuration.members if not m.voter],
+                "votes": own is not None and own.voter,
+                "cluster": configuration.cluster,
+            },
+        )
 
     def _note_leader(self) -> None:
         leading = self.node.leader == self.node.identity
--- a/standins/deployment.py
+++ b/standins/deployment.py
@@ -80,7 +80,7 @@
         return f"http://{LOOPBACK}:{self.ports[port]}"
 
     def read_log(self) -> str:
-        """Return what the program wrote to its standard error."""
+        """Return what the program wrote, but for the line of its ports."""
         return self._log.read_text(errors="replace")
 
     async def read_ports(self) -> None:
@@ -102,8 +102,9 @@
         raise DeploymentError(f"{self.name} ended at start: {self.read_log()[-2000:]}")
 
     async def _discard(self, stdout: asyncio.StreamReader) -> None:
-        while await stdout.read(65536):
-            pass
+        with self._log.open("ab") as log:
+            while data := await stdout.read(65536):
+                log.write(data)
 
     def send_signal(self, number: signal.Signals) -> None:
         """Send a signal to this process, by its identifier."""
@@ -179,7 +180,11 @@
         self._folder.cleanup()
 
     async def start(
-        self, module: str, flags: Mapping[str, object], name: str = ""
+        self,
+        module: str,
+        flags: Mapping[str, object],
+        name: str = "",
+        environ: Mapping[str, str] | None = None,
     ) -> RunningProgram:
         """Start ``python -m module`` with flags and wait for its ports."""
         self._logs += 1
@@ -194,7 +199,7 @@
                 stdout=asyncio.subprocess.PIPE,
                 stderr=stderr,
                 cwd=self._source,
-                env=self._build_environ(),
+                env=self._build_environ() | dict(environ or {}),
             )
         program = RunningProgram(name=name or module, process=process, log=log)
         self.programs.append(program)
--- /dev/null
+++ b/tests/endtoend/test_instances.py
@@ -0,0 +1,208 @@
+"""The programs as the users' machines start them, on loopback addresses."""
+
+import asyncio
+import itertools
+import json
+import shutil
+import signal
+import time
+import unittest
+
+import aiohttp
+
+from standins.deployment import Deployment, open_client, wait_until
+from standins.instances import (
+    READINESS_PORT,
+    InstanceSet,
+    Operator,
+    StandInServer,
+    build_configuration,
+)
+
+#: Seconds in which a confirmed configuration is in force everywhere.
+IN_FORCE_S = 2.0
+#: Seconds after the confirmation of a drain in which no new work may come.
+DRAIN_S = 2.0
+#: Seconds in which service is back after every process was killed.
+RECOVERY_S = 12.0
+
+NETWORKS = itertools.count(20)
+
+
+class InstancesCase(unittest.IsolatedAsyncioTestCase):
+    """Three control daemons, four entries and two backend servers."""
+
+    async def asyncSetUp(self):
+        self.deployment = await self.enterAsyncContext(Deployment())
+        self.client = await self.enterAsyncContext(open_client(20))
+        self.operator_client = await self.enterAsyncContext(open_client(1))
+        self.network = next(NETWORKS)
+        self.instances = InstanceSet(self.deployment, network=self.network)
+        await self.instances.start_all()
+        controls = [each.control_url for each in self.instances.controls]
+        self.controls = controls
+        self.operator = Operator(controls, self.operator_client)
+        self.servers = [
+            StandInServer(
+                service="svc", ip=f"127.{self.network}.{200 + n}.1", controls=controls
+            )
+            for n in range(2)
+        ]
+        for server in self.servers:
+            await server.start()
+            self.addAsyncCleanup(server.crash)
+        self.identifiers = itertools.count(1)
+        await self.operator.put(build_configuration(1))
+        await self.wait_serving()
+
+    async def call(self, entry, path, *, key="key-1", method="GET"):
+        """Return the status and body that a caller gets at an entry."""
+        headers = {
+            "Host": "shop.example",
+            "Carobspring-Attempt-Id": f"a{next(self.identifiers)}",
+            "Carobspring-Deadline-Ms": "10000",
+            "Authorization": f"Bearer {key}",
+            "Connection": "close",
+        }
+        async with self.client.request(
+            method, entry.callers_url + path, headers=headers
+        ) as answer:
+            return answer.status, await answer.text()
+
+    async def try_call(self, entry, path):
+        try:
+            return (await self.call(entry, path))[0] == 200
+        except (aiohttp.ClientError, TimeoutError, OSError):
+            return False
+
+    async def wait_serving(self):
+        async def serves_everywhere():
+            served = [
+                await self.try_call(entry, "/read/x")
+                for entry in self.instances.instances
+            ]
+            return all(served)
+
+        await wait_until(serves_everywhere, "every entry serves")
+
+    async def read_versions(self):
+        """Return what each control daemon shows, once each shows one."""
+
+        async def all_read():
+            return None not in [await self.operator.read(c) for c in self.controls]
+
+        await wait_until(all_read, "every control daemon answers a read")
+        return [await self.operator.read(control) for control in self.controls]
+
+
+class PathTests(InstancesCase):
+    async def test_whole_path(self):
+        """Requests, keys, streams, drains and new routes, everywhere."""
+        entries = self.instances.instances
+        with self.subTest("requests"):
+            status, body = await self.call(entries[0], "/book/x", method="POST")
+            self.assertEqual((status, body.split()[0]), (200, "POST"))
+            found = [(await self.call(entry, "/none/x"))[0] for entry in entries] + [
+                (await self.call(entry, "/read/x", key="k"))[0] for entry in entries
+            ]
+            self.assertEqual(found, [404] * 4 + [401] * 4)
+        with self.subTest("a stream"):
+            _, body = await self.call(entries[3], "/stream/x")
+            expected = "".join(f"id: {n}\ndata: {n}\n\n" for n in range(1, 6))
+            self.assertEqual(body, expected)
+        with self.subTest("what may run once ran once"):
+            for server in self.servers:
+                self.assertLessEqual(max(server.ran.values(), default=0), 1)
+        with self.subTest("a new version and a key that is taken away"):
+            owners = [{"name": "acme", "api_keys": ["key-2"]}]
+            await self.operator.put(build_configuration(4, tenants=owners))
+            confirmed = time.monotonic()
+            await asyncio.sleep(IN_FORCE_S)
+            self.assertLess(time.monotonic() - confirmed, 2 * IN_FORCE_S)
+            found = [(await self.call(e, "/read/x"))[0] for e in entries]
+            self.assertEqual(found, [401] * 4)
+            found = [(await self.call(e, "/read/x", key="key-2"))[0] for e in entries]
+            self.assertEqual(found, [200] * 4)
+            self.assertEqual(await self.read_versions(), [4, 4, 4])
+        with self.subTest("a drain"):
+            drained, other = self.servers
+            await drained.drain()
+            await asyncio.sleep(DRAIN_S)
+            before = len(drained.arrived_at)
+            for entry in entries * 5:
+                self.assertEqual(
+                    (await self.call(entry, "/read/x", key="key-2"))[0], 200
+                )
+            self.assertEqual(len(drained.arrived_at), before)
+            self.assertGreater(len(other.arrived_at), 0)
+
+    async def test_planned_stop(self):
+        """A stopping entry says so at once and cuts no stream."""
+        entry = self.instances.instances[3]
+        for server in self.servers:
+            server.events, server.event_pause_s = 30, 0.1
+        streaming = asyncio.create_task(self.call(entry, "/stream/x"))
+        await asyncio.sleep(0.5)
+        program = entry.programs["carob-entry"]
+        program.send_signal(signal.SIGTERM)
+        url = f"http://{entry.ip}:{READINESS_PORT}/v1/readyz"
+
+        async def is_unready():
+            async with self.client.get(url) as answer:
+                return answer.status == 503
+
+        await wait_until(is_unready, "the entry is unready")
+        status, body = await streaming
+        self.assertEqual((status, body.count("data: ")), (200, 30))
+        self.assertEqual(await program.stop(), 0)
+
+
+class FaultTests(InstancesCase):
+    async def test_everything_killed(self):
+        """After all processes were killed nothing confirmed is lost."""
+        await self.operator.put(build_configuration(9))
+        await self.instances.kill_all()
+        killed = time.monotonic()
+        await self.instances.start_all()
+        await self.wait_serving()
+        self.assertLess(time.monotonic() - killed, RECOVERY_S)
+        self.assertEqual(await self.read_versions(), [9, 9, 9])
+
+    async def test_lost_disk(self):
+        """A daemon that lost its disk comes back; then another may be lost."""
+        await self.operator.put(build_configuration(5))
+        first, second, _ = self.instances.controls
+        await first.programs["carob-control"].kill()
+        shutil.rmtree(first.data_folder)
+        await self.instances.start(first, "carob-control")
+        self.assertEqual(await self.read_versions(), [5, 5, 5])
+        await self.operator.put(build_configuration(6))
+        await self.wait_voting(first)
+        await second.programs["carob-control"].kill()
+        await self.operator.put(build_configuration(7))
+        for control in (self.controls[0], self.controls[2]):
+            self.assertIn(await self.operator.read(control), (7, None))
+
+    async def wait_voting(self, instance):
+        """Wait until a daemon with a new disk has its vote back."""
+        program = instance.programs["carob-control"]
+
+        async def votes():
+            lines = program.read_log().splitlines()
+            changes = [line for line in lines if "members changed" in line]
+            return bool(changes) and json.loads(changes[-1])["votes"]
+
+        await wait_until(votes, f"{program.name} votes")
+
+    async def test_server_that_fails(self):
+        """Requests go past a server that sheds, cuts or is gone."""
+        entry = self.instances.instances[0]
+        for fault in ("shed", "cut", "error"):
+            self.servers[0].fault = fault
+            for _ in range(4):
+                with self.subTest(fault):
+                    self.assertEqual((await self.call(entry, "/read/x"))[0], 200)
+        self.servers[0].fault = ""
+        await self.servers[0].crash()
+        for _ in range(6):
+            self.assertEqual((await self.call(entry, "/read/x"))[0], 200)
