--- a/carobspring/dispatch/dispatcher.py
+++ b/carobspring/dispatch/dispatcher.py
@@ -124,16 +124,16 @@
         record.pauses.observe(pause_s)
         call = record.in_flight.get(request_id)
         if call is not None:
-            call.last_at = record.heard_at = now
+            call.last_at = now
 
     def should_move(
         self, query: DispatchQuery, server_id: str, excluded: Set[str], now: float
     ) -> bool:
         """Say whether a stream that waits at a server should go elsewhere.
 
-        It should when nothing at all comes from the server, or when this
-        request alone hangs there though others don't wait long. A server that
-        is merely busy is not left: that would only add to the load.
+        It should when its events have stopped, or when its first one does not
+        come although first events don't come late there. A server that is
+        merely busy is not left: that would only add to the load.
         """
         if not self._has_other(query, excluded | {server_id}, now):
             return False
@@ -143,13 +143,10 @@
             return True
         limits = self._limits
         waited_s = now - call.last_at
-        if now - max(record.heard_at, call.sent_at) >= limits.dead_after_s:
-            return True
-        hung_after_s = limits.dead_after_s
-        if not call.has_begun:
-            hung_after_s = max(limits.hung_after_s, 2 * query.target_s)
-        is_idle = record.estimate_told_wait_s(now) < waited_s / 2
-        return waited_s >= hung_after_s and is_idle
+        if call.has_begun:
+            return waited_s >= limits.stalled_after_s
+        is_late = waited_s >= max(limits.hung_after_s, 2 * query.target_s)
+        return is_late and record.estimate_told_wait_s(now) < waited_s / 2
 
     def _has_other(self, query: DispatchQuery, excluded: Set[str], now: float) -> bool:
         """Say whether a server is left to which a request could move."""
--- a/carobspring/dispatch/limits.py
+++ b/carobspring/dispatch/limits.py
@@ -40,10 +40,9 @@
     pause_quantile: float = 0.97
     #: Seconds of silence of a request that say nothing of its server.
     patience_s: float = 0.4
-    #: Seconds without a byte for any own request after which a server is left,
-    #: and without a first event for one request: callers of short streams give
-    #: up after about two seconds.
-    dead_after_s: float = 1.0
+    #: Seconds without a further event after which a stream is moved, and
+    #: without its first one: callers give up after about two seconds.
+    stalled_after_s: float = 1.0
     hung_after_s: float = 1.2
     #: Seconds by which one observation moves the estimate of that quantile.
     pause_step_s: float = 0.004
--- a/carobspring/dispatch/servers.py
+++ b/carobspring/dispatch/servers.py
@@ -52,8 +52,6 @@
         self.pauses = PauseQuantile(
             quantile=limits.pause_quantile, step_s=limits.pause_step_s
         )
-        #: When anything last came from the server for an own request.
-        self.heard_at = float("-inf")
         self.work_s = SmoothedValue(limits.smoothing)
         self._limits = limits
         self._told_running = 0
@@ -90,7 +88,7 @@
         if call.has_begun:
             return
         call.has_begun = True
-        call.last_at = self.heard_at = now
+        call.last_at = now
         expected_s = self._limits.first_event_s
         expected_s += call.unread_tokens / self._limits.prefill_tokens_per_s
         wait_s = max(0.0, now - call.sent_at - expected_s)
--- a/standins/deployment.py
+++ b/standins/deployment.py
@@ -102,7 +102,7 @@
         raise DeploymentError(f"{self.name} ended at start: {self.read_log()[-2000:]}")
 
     async def _discard(self, stdout: asyncio.StreamReader) -> None:
-        with self._log.open("ab") as log:
+        with self._log.open("ab", buffering=0) as log:
             while data := await stdout.read(65536):
                 log.write(data)
 
--- a/tests/gateway/test_exchange.py
+++ b/tests/gateway/test_exchange.py
@@ -149,6 +149,20 @@
         self.assertEqual((got.body, got.ended), (event(1) + event(2), "whole"))
         self.assertIs(gateway.clients["s1"].answers[0].closed, True)
 
+    async def test_busy_server_is_not_left_without_budget(self):
+        """Without budget for another send a silent stream waits on."""
+        resumes = asyncio.Event()
+        first = (200, STREAM, [event(1), resumes, event(2)])
+        gateway = Gateway(
+            [first], [WHOLE], repeatability=RESUMABLE, limit_ms=9000, repeats=0.0
+        )
+        call = asyncio.create_task(gateway.call())
+        await asyncio.sleep(1.6)
+        resumes.set()
+        got = await call
+        self.assertEqual((got.body, got.ended), (event(1) + event(2), "whole"))
+        self.assertEqual(gateway.count_sent(), {"s1": 1, "s2": 0})
+
 
 class EndTests(unittest.IsolatedAsyncioTestCase):
     async def test_time_limit(self):
