Follow every control replica of today's deployments

Change: an entry follows up to eight replicas, so it hears of a drain from the replica that confirmed it.

--- a/carobspring/gateway/control.py
+++ b/carobspring/gateway/control.py
@@ -11,9 +11,10 @@
 from carobspring.domain import Address, parse_address
 from carobspring.protocol import EntryReport, ViewUpdate
 
-#: Replicas that are followed at a time: with one disk to lose, two may be down
-#: or cut off and a third still tells of changes.
-FOLLOWED_REPLICAS: Final = 3
+#: Replicas that are followed at a time, which is all of a deployment of today:
+#: a drain is then heard from the very replica that confirmed it, also while
+#: replicas have just lost each other.
+FOLLOWED_REPLICAS: Final = 8
 #: Seconds until a stream that broke is opened again.
 RECONNECT_PAUSE_S: Final = 0.1
 #: Seconds after which a replica that does not answer is exchanged.
