Refuse chunks too large, requests without one Host, control characters

Cause: found on the entry before: a chunk size of 18 f's was waited for, an HTTP/1.1 request without Host was served, and a zero byte in the target got as far as authentication. Change: checks of the request line and Host in the framing; the chunk parser refuses a size above the body's bound. Existing requests of two test files get a Host, since they were no proper HTTP/1.1 requests; their expectations stay. Measured: five new refusals fail without the checks and pass with them; the tests of the HTTP server pass.

--- a/carobspring/adapters/http_connection.py
+++ b/carobspring/adapters/http_connection.py
@@ -10,6 +10,7 @@
 
 from carobspring.adapters.http_framing import (
     HEAD_END,
+    BoundedChunkParser,
     Framing,
     FramingError,
     read_framing,
@@ -189,7 +190,8 @@
         return True
 
     def _parse_head(self) -> HttpParser:
-        parser = HttpParser(0, False)
+        most = self._limits.max_body_bytes
+        parser = BoundedChunkParser(max_body_bytes=most)
         # The parser decodes escapes; doubled backslashes come out as sent.
         raw = self._head.replace(b"\\", b"\\\\") + HEAD_END
         parser.execute(raw, len(raw))
--- a/carobspring/adapters/http_framing.py
+++ b/carobspring/adapters/http_framing.py
@@ -6,6 +6,9 @@
 
 from dataclasses import dataclass
 
+from circuits.web.parsers import HttpParser
+from circuits.web.parsers.http import InvalidChunkSize
+
 HEAD_END = b"\r\n\r\n"
 MAX_LENGTH_DIGITS = 18
 
@@ -41,18 +44,24 @@
     Raises:
         FramingError: The head is malformed or announces too large a body.
     """
-    lines = head.split(b"\r\n")[1:]
+    first, *lines = head.split(b"\r\n")
+    _check_request_line(first)
+    hosts = 0
     lengths: list[bytes] = []
     codings: list[bytes] = []
     expects_continue = False
     for line in lines:
         name, value = _split_line(line)
+        hosts += name == b"host"
         if name == b"content-length":
             lengths.append(value)
         elif name == b"transfer-encoding":
             codings.append(value.lower())
         elif name == b"expect":
             expects_continue = value.lower() == b"100-continue"
+    if hosts != 1 and first.endswith(b"HTTP/1.1"):
+        message = "a request needs one Host header"
+        raise FramingError(status=400, code="bad_host", message=message)
     if codings:
         _check_codings(codings, lengths)
         return Framing(length=None, expects_continue=expects_continue)
@@ -63,6 +72,26 @@
     return Framing(length=length, expects_continue=expects_continue)
 
 
+class BoundedChunkParser(HttpParser):
+    """Circuits' parser, which refuses a chunk that can't be taken whole."""
+
+    def __init__(self, *, max_body_bytes: int) -> None:
+        super().__init__(0, False)
+        self._max_body_bytes = max_body_bytes
+
+    def _parse_chunk_size(self, data: bytes) -> tuple[int | None, bytes | None]:
+        size, rest = super()._parse_chunk_size(data)
+        if size is not None and not 0 <= size <= self._max_body_bytes:
+            raise InvalidChunkSize(str(size))
+        return size, rest
+
+
+def _check_request_line(line: bytes) -> None:
+    if any(byte < 0x20 or byte == 0x7F for byte in line):
+        message = "the request line holds a control character"
+        raise FramingError(status=400, code="bad_request", message=message)
+
+
 def _split_line(line: bytes) -> tuple[bytes, bytes]:
     name, colon, value = line.partition(b":")
     if not colon or not name or name != name.strip() or b"\n" in line or b"\0" in line:
--- a/tests/adapters/test_http_edge.py
+++ b/tests/adapters/test_http_edge.py
@@ -14,6 +14,7 @@
     stall_timeout_s=0.5,
     write_buffer_bytes=64 * 1024,
 )
+POST = b"POST / HTTP/1.1\r\nHost: x\r\n"
 GOOD = b"GET /good HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n"
 BIG = 64 * 1024
 
@@ -68,7 +69,9 @@
         """The answer to too large a body survives the rest of that body."""
         for _ in range(5):
             reader, writer = await self.open()
-            writer.write(b"POST / HTTP/1.1\r\nContent-Length: 3000000\r\n\r\n")
+            writer.write(
+                b"POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 3000000\r\n\r\n"
+            )
             for _ in range(46):
                 writer.write(bytes(BIG))
                 await asyncio.sleep(0)
@@ -80,10 +83,8 @@
         pieces = {
             "nothing more": b"GET / HT",
             "a head without its end": b"GET / HTTP/1.1\r\nHost: x\r\n",
-            "a body that stops": b"POST / HTTP/1.1\r\nContent-Length: 9\r\n\r\n1234",
-            "a chunk that stops": (
-                b"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n5\r\n12"
-            ),
+            "a body that stops": POST + b"Content-Length: 9\r\n\r\n1234",
+            "a chunk that stops": (POST + b"Transfer-Encoding: chunked\r\n\r\n5\r\n12"),
         }
         for name, piece in pieces.items():
             with self.subTest(name):
@@ -96,7 +97,7 @@
         """A caller that reads nothing holds a bounded buffer, and not long."""
         _, writer = await self.open()
         writer.transport.pause_reading()
-        writer.write(b"GET /flood HTTP/1.1\r\n\r\n")
+        writer.write(b"GET /flood HTTP/1.1\r\nHost: x\r\n\r\n")
         async with asyncio.timeout(60):
             await self.handler.gone.wait()
         # What the operating system buffers on loopback comes on top.
@@ -109,7 +110,7 @@
             b"",
             b"GET",
             GOOD[:30],
-            b"POST / HTTP/1.1\r\nContent-Length: 9\r\n",
+            b"POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 9\r\n",
         ):
             for _ in range(20):
                 _, writer = await self.open()
--- a/tests/adapters/test_http_server.py
+++ b/tests/adapters/test_http_server.py
@@ -4,6 +4,7 @@
 from carobspring.adapters.http_server import CircuitsHttpServer
 from carobspring.ports import HttpLimits, HttpRequest, HttpResponder
 
+POST = b"POST / HTTP/1.1\r\nHost: x\r\n"
 TEXT = (("Content-Type", "text/plain"),)
 LIMITS = HttpLimits(max_header_bytes=1024, max_body_bytes=64)
 
@@ -67,14 +68,14 @@
             ),
             "chunked body": (
                 (
-                    b"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n3\r\n",
+                    POST + b"Transfer-Encoding: chunked\r\n\r\n3\r\n",
                     b"abc\r\n0\r\n\r\n",
                 ),
                 b"POST /? abc",
             ),
             "body in pieces": (
                 (
-                    b"POST / HTTP/1.1\r\nContent-Length: 4\r\n",
+                    b"POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 4\r\n",
                     b"Connection: close\r\n\r\nab",
                     b"cd",
                 ),
@@ -102,21 +103,23 @@
 
     async def test_refusals(self):
         """Malformed and oversized requests get a typed error and a close."""
-        chunked = b"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n"
+        chunked = b"POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n"
         cases = {
             "junk": (b"junk\r\n\r\n", 400, b"bad_request"),
             "two lengths": (
-                b"POST / HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n",
+                POST + b"Content-Length: 1\r\nContent-Length: 2\r\n\r\n",
                 400,
                 b"bad_content_length",
             ),
             "negative length": (
-                b"POST / HTTP/1.1\r\nContent-Length: -1\r\n\r\n",
+                b"POST / HTTP/1.1\r\nHost: x\r\nContent-Length: -1\r\n\r\n",
                 400,
                 b"bad_content_length",
             ),
             "huge length": (
-                b"POST / HTTP/1.1\r\nContent-Length: " + b"9" * 40 + b"\r\n\r\n",
+                b"POST / HTTP/1.1\r\nHost: x\r\nContent-Length: "
+                + b"9" * 40
+                + b"\r\n\r\n",
                 400,
                 b"bad_content_length",
             ),
@@ -126,24 +129,45 @@
                 b"conflicting_length",
             ),
             "other coding": (
-                b"POST / HTTP/1.1\r\nTransfer-Encoding: gzip\r\n\r\n",
+                b"POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: gzip\r\n\r\n",
                 501,
                 b"transfer_encoding",
             ),
             "bad chunk": (chunked + b"\r\nzz\r\n", 400, b"bad_chunk"),
             "large body": (
-                b"POST / HTTP/1.1\r\nContent-Length: 65\r\n\r\n",
+                b"POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 65\r\n\r\n",
                 413,
                 b"body_too_large",
             ),
             "large chunks": (chunked + b"\r\n50\r\n" + b"a" * 80, 413, b"too_large"),
-            "large head": (b"GET / HTTP/1.1\r\nX: " + b"a" * 2000, 431, b"header"),
+            "large head": (
+                b"GET / HTTP/1.1\r\nHost: x\r\nX: " + b"a" * 2000,
+                431,
+                b"header",
+            ),
             "header without colon": (
-                b"GET / HTTP/1.1\r\nfolded\r\n\r\n",
+                b"GET / HTTP/1.1\r\nHost: x\r\nfolded\r\n\r\n",
                 400,
                 b"bad_header",
             ),
-            "bad target": (b"GET /\xff HTTP/1.1\r\n\r\n", 400, b"bad_request"),
+            "bad target": (
+                b"GET /\xff HTTP/1.1\r\nHost: x\r\n\r\n",
+                400,
+                b"bad_request",
+            ),
+            "huge chunk": (chunked + b"\r\n" + b"f" * 18 + b"\r\n", 400, b"bad_chunk"),
+            "negative chunk": (chunked + b"\r\n-1\r\n", 400, b"bad_chunk"),
+            "no host": (b"GET / HTTP/1.1\r\n\r\n", 400, b"bad_host"),
+            "two hosts": (
+                b"GET / HTTP/1.1\r\nHost: x\r\nHost: y\r\n\r\n",
+                400,
+                b"bad_host",
+            ),
+            "a zero byte in the target": (
+                b"GET /a\x00b HTTP/1.1\r\nHost: x\r\n\r\n",
+                400,
+                b"bad_request",
+            ),
             "HTTP/2": (b"GET / HTTP/2.0\r\n\r\n", 505, b"http_version"),
         }
         for name, (request, status, code) in cases.items():
