--- a/carobspring/domain/backends.py
+++ b/carobspring/domain/backends.py
@@ -17,7 +17,7 @@
 
 @dataclass(frozen=True, kw_only=True)
 class BackendServer:
-    """A backend server and the agent beside it, as the agent announces them.
+    """A backend server, as its agent or it itself announces it.
 
     ``server_id`` names the place and outlives restarts; ``boot`` is the number
     of the agent's present run, larger than that of any run before it.
@@ -28,7 +28,8 @@
     service: str
     kind: ServiceKind
     zone: str
-    #: Address of the agent's gRPC port, by IP number.
+    #: By IP number: the agent's gRPC port, or the server's own where it
+    #: checks in by itself.
     host: str
     port: int
     models: tuple[str, ...] = ()
--- a/carobspring/gateway/api.py
+++ b/carobspring/gateway/api.py
@@ -13,7 +13,6 @@
     Exchange,
     ExchangeParts,
     ExchangeReport,
-    FinalAnswer,
     encode_problem,
 )
 from carobspring.gateway.measures import GatewayMeasures
@@ -190,6 +189,3 @@
                 "prompt": query.prompt_tokens,
             },
         )
-
-
-__all__ = ["FinalAnswer", "GatewayApi"]
--- a/carobspring/gateway/control.py
+++ b/carobspring/gateway/control.py
@@ -34,7 +34,6 @@
     def __init__(
         self,
         *,
-        name: str,
         seeds: Iterable[str],
         open_channel: ChannelOpener,
         build_report: Callable[[], EntryReport],
@@ -43,7 +42,6 @@
         prefer: Callable[[str], int],
         metrics: Metrics,
     ) -> None:
-        self._name = name
         self._open_channel = open_channel
         self._build_report = build_report
         self._apply_update = apply_update
--- a/carobspring/programs/instance_control.py
+++ b/carobspring/programs/instance_control.py
@@ -3,12 +3,10 @@
 import asyncio
 import contextlib
 import logging
-from dataclasses import dataclass
 from pathlib import Path
-from typing import Annotated, Any, Final
+from typing import Any, Final
 
 from grpclib.server import Server
-from msgspec import Meta
 
 from carobspring.adapters.clock import SystemClock, SystemRandom
 from carobspring.adapters.disk import DiskStorage
@@ -32,6 +30,7 @@
 from carobspring.control.recollection import RecollectionFile
 from carobspring.platform import InstanceSettings, read_node_file
 from carobspring.ports import HttpLimits
+from carobspring.programs.instance_options import InstanceOptions
 from carobspring.programs.options import OptionError
 from carobspring.programs.replica_host import ReplicaHost, make_peer_address
 from carobspring.programs.runner import Program, run_command_line
@@ -39,6 +38,7 @@
     SettingsFileWatch,
     read_instance_settings,
 )
+from carobspring.programs.standstill import StandstillWatch
 
 TICK_INTERVAL_S: Final = 0.1
 #: Check-ins that may be missed before a backend server counts as gone.
@@ -50,29 +50,10 @@
 logger = logging.getLogger(__name__)
 
 
-@dataclass(frozen=True, kw_only=True)
-class InstanceControlOptions:
-    """Run a control daemon by the settings file that the platform writes.
-
-    Every flag can be given as a variable too: --secret as CAROB_SECRET.
-
-    Args:
-        secret: Shared secret of the system's own processes.
-        metrics_port: Port of the metrics; 0 serves none.
-        log_format: text or json.
-        log_level: DEBUG, INFO, WARNING or ERROR.
-    """
-
-    secret: Annotated[str, Meta(min_length=8)]
-    metrics_port: Annotated[int, Meta(ge=0, le=65535)] = 0
-    log_format: Annotated[str, Meta(pattern="^(text|json)$")] = "json"
-    log_level: Annotated[str, Meta(pattern="^(DEBUG|INFO|WARNING|ERROR)$")] = "INFO"
-
-
 class InstanceControlProgram(Program, ReplicaFinder):
     """A control daemon: holds the log where it has a disk, or points there."""
 
-    def __init__(self, options: InstanceControlOptions) -> None:
+    def __init__(self, options: InstanceOptions) -> None:
         self._options = options
         settings = self._settings = read_instance_settings()
         if settings.control is None:
@@ -186,6 +167,7 @@
             asyncio.create_task(self._greeter.run()),
             asyncio.create_task(self._run_ticks()),
             asyncio.create_task(self._file.run()),
+            asyncio.create_task(StandstillWatch().run()),
         ]
         logger.info(
             "started",
@@ -305,7 +287,7 @@
 
 def main() -> None:
     """Run the control daemon."""
-    run_command_line("carob-control", InstanceControlProgram, InstanceControlOptions)
+    run_command_line("carob-control", InstanceControlProgram, InstanceOptions)
 
 
 if __name__ == "__main__":
--- a/carobspring/programs/instance_entry.py
+++ b/carobspring/programs/instance_entry.py
@@ -4,11 +4,9 @@
 import contextlib
 import logging
 import zlib
-from dataclasses import dataclass
-from typing import Annotated, Final
+from typing import Final
 
 from grpclib.client import Channel
-from msgspec import Meta
 
 from carobspring import platform
 from carobspring.adapters.clock import SystemClock, SystemRandom
@@ -28,12 +26,14 @@
 from carobspring.gateway.exchange import ExchangeParts
 from carobspring.gateway.measures import GatewayMeasures
 from carobspring.ports import HttpLimits, HttpRequest, HttpResponder
+from carobspring.programs.instance_options import InstanceOptions
 from carobspring.programs.options import OptionError
 from carobspring.programs.runner import Program, run_command_line
 from carobspring.programs.settings_file import (
     SettingsFileWatch,
     read_instance_settings,
 )
+from carobspring.programs.standstill import StandstillWatch
 from carobspring.protocol import EntryReport, ViewUpdate
 
 #: Seconds after SIGTERM for which new connections are still taken: callers
@@ -46,29 +46,10 @@
 logger = logging.getLogger(__name__)
 
 
-@dataclass(frozen=True, kw_only=True)
-class InstanceEntryOptions:
-    """Serve callers by the settings file that the platform writes.
-
-    Every flag can be given as a variable too: --secret as CAROB_SECRET.
-
-    Args:
-        secret: Shared secret of the system's own processes.
-        metrics_port: Port of the metrics; 0 serves none.
-        log_format: text or json.
-        log_level: DEBUG, INFO, WARNING or ERROR.
-    """
-
-    secret: Annotated[str, Meta(min_length=8)]
-    metrics_port: Annotated[int, Meta(ge=0, le=65535)] = 0
-    log_format: Annotated[str, Meta(pattern="^(text|json)$")] = "json"
-    log_level: Annotated[str, Meta(pattern="^(DEBUG|INFO|WARNING|ERROR)$")] = "INFO"
-
-
 class InstanceEntryProgram(Program):
     """An entry that routes by the operator's table to listed servers."""
 
-    def __init__(self, options: InstanceEntryOptions) -> None:
+    def __init__(self, options: InstanceOptions) -> None:
         self._options = options
         settings = self._settings = read_instance_settings()
         if settings.callers is None or settings.readiness is None:
@@ -97,7 +78,6 @@
             measures=GatewayMeasures(metrics),
         )
         self._streams = ControlStreams(
-            name=settings.instance,
             seeds=self._name_seeds(settings),
             open_channel=self._open_channel,
             build_report=self._build_report,
@@ -139,6 +119,7 @@
         self._tasks = [
             asyncio.create_task(self._streams.run()),
             asyncio.create_task(self._file.run()),
+            asyncio.create_task(StandstillWatch().run()),
         ]
         logger.info(
             "started",
@@ -270,7 +251,7 @@
 
 def main() -> None:
     """Run the entry."""
-    run_command_line("carob-entry", InstanceEntryProgram, InstanceEntryOptions)
+    run_command_line("carob-entry", InstanceEntryProgram, InstanceOptions)
 
 
 if __name__ == "__main__":
--- a/standins/instances.py
+++ b/standins/instances.py
@@ -6,7 +6,9 @@
 
 import asyncio
 import json
+import os
 import secrets
+import socket
 import time
 from collections import Counter
 from dataclasses import dataclass, field
@@ -17,13 +19,19 @@
 from aiohttp import web
 
 from carobspring.platform.node import FILE_VARIABLE
-from standins.deployment import Deployment, RunningProgram, wait_until
+from standins.deployment import (
+    Deployment,
+    DeploymentError,
+    RunningProgram,
+    wait_until,
+)
 
 CALLERS_PORT = 8227
 READINESS_PORT = 8220
 CONTROL_PORT = 8229
 INNER_PORTS = (7340, 7355)
 SERVER_PORT = 8080
+NETWORKS = range(20, 250)
 CHECK_IN_S = 0.4
 ANSWER_TIMEOUT_S = 1.0
 
@@ -53,6 +61,23 @@
         return f"http://{self.ip}:{CALLERS_PORT}"
 
 
+def find_free_network() -> int:
+    """Return the second number of loopback addresses that nobody uses now.
+
+    Several runs of the tests on one machine thus keep apart.
+    """
+    first = os.getpid() % len(NETWORKS)
+    for place in range(len(NETWORKS)):
+        network = NETWORKS[(first + place) % len(NETWORKS)]
+        with socket.socket() as probe:
+            try:
+                probe.bind((f"127.{network}.1.1", CALLERS_PORT))
+            except OSError:
+                continue
+            return network
+    raise DeploymentError("every loopback network is in use")
+
+
 class InstanceSet:
     """Instances with control daemons and entries, started as processes.
 
--- a/tests/endtoend/test_instances.py
+++ b/tests/endtoend/test_instances.py
@@ -17,6 +17,7 @@
     Operator,
     StandInServer,
     build_configuration,
+    find_free_network,
 )
 
 #: Seconds in which a confirmed configuration is in force everywhere.
@@ -26,8 +27,6 @@
 #: Seconds in which service is back after every process was killed.
 RECOVERY_S = 12.0
 
-NETWORKS = itertools.count(20)
-
 
 class InstancesCase(unittest.IsolatedAsyncioTestCase):
     """Three control daemons, four entries and two backend servers."""
@@ -36,7 +35,7 @@
         self.deployment = await self.enterAsyncContext(Deployment())
         self.client = await self.enterAsyncContext(open_client(20))
         self.operator_client = await self.enterAsyncContext(open_client(1))
-        self.network = next(NETWORKS)
+        self.network = find_free_network()
         self.instances = InstanceSet(self.deployment, network=self.network)
         await self.instances.start_all()
         controls = [each.control_url for each in self.instances.controls]
