--- /dev/null
+++ b/tests/adapters/test_metrics.py
@@ -0,0 +1,23 @@
+import unittest
+
+from carobspring.adapters.metrics import Metrics, serve_metrics
+from standins.deployment import open_client
+
+
+class ServeMetricsTests(unittest.IsolatedAsyncioTestCase):
+    async def test_text_at_any_path(self):
+        """Counters and histograms are served as Prometheus' text."""
+        metrics = Metrics(labels={"zone": "a"})
+        metrics.add_counter("carob_x_total", "Things.").inc({"reason": "r"})
+        metrics.add_histogram("carob_x_seconds", "Times.").observe({}, 0.02)
+        server = await serve_metrics(
+            host="127.0.0.1", port=0, render=metrics.render_text
+        )
+        self.addAsyncCleanup(server.close)
+        async with open_client(10) as client:
+            url = f"http://127.0.0.1:{server.port}/metrics"
+            async with client.get(url) as answer:
+                self.assertEqual(answer.status, 200)
+                text = await answer.text()
+        self.assertIn('carob_x_total{reason="r",zone="a"} 1', text)
+        self.assertIn('carob_x_seconds_bucket{le="0.025",zone="a"} 1', text)
--- /dev/null
+++ b/tests/benchmarks/test_rounds.py
@@ -0,0 +1,43 @@
+import unittest
+
+from bench.rounds import PlayedDay, read_days, render
+
+DAY = {
+    "name": "quiet-1",
+    "G": 0.78,
+    "rules": {"LOST": 1},
+    "fault": None,
+    "parts": [["whole day", 0.75, 0.9], ["worst windows", 0.25, 1.0]],
+    "prices": [["machine-seconds", 336.0, 0.023], ["probes", 0.0, 0.0]],
+}
+
+
+class RoundsTests(unittest.TestCase):
+    def test_losses_by_cause(self):
+        """Losses are parts of what was owed, the largest first."""
+        (day,) = read_days({"site": "s", "days": [DAY]})
+        self.assertEqual(
+            day,
+            PlayedDay(
+                site="s",
+                name="quiet-1",
+                worth=0.78,
+                broken="LOST 1",
+                losses=(
+                    ("whole day not served in time", day.losses[0][1]),
+                    ("machine-seconds", 0.023),
+                ),
+            ),
+        )
+        self.assertAlmostEqual(day.losses[0][1], 0.075)
+
+    def test_table(self):
+        """A day is a line; an entry whose run was ended has none."""
+        days = read_days({"site": "s", "days": [DAY]}) + read_days({"site": None})
+        self.assertEqual(
+            render(days).splitlines()[2:],
+            [
+                "| s | quiet-1 | 0.780 | LOST 1 | whole day not served in time 0.075, "
+                "machine-seconds 0.023 |"
+            ],
+        )
