Split how exchanges end from the exchange

Change: FinalAnswer, ExchangeReport, KeptReply, AttemptResult and the body of the system's own answers move to gateway/outcomes.py; nothing else changes. Ruled out: splitting the relay of events off, since it shares the attempt's state.

--- a/carobspring/gateway/api.py
+++ b/carobspring/gateway/api.py
@@ -9,13 +9,9 @@
 from carobspring.dispatch import DispatchQuery
 from carobspring.domain.routes import Route, RoutingTable
 from carobspring.gateway.budget import RepeatBudget
-from carobspring.gateway.exchange import (
-    Exchange,
-    ExchangeParts,
-    ExchangeReport,
-    encode_problem,
-)
+from carobspring.gateway.exchange import Exchange, ExchangeParts
 from carobspring.gateway.measures import GatewayMeasures
+from carobspring.gateway.outcomes import ExchangeReport, encode_problem
 from carobspring.gateway.state import GatewayState
 from carobspring.ports import HttpRequest, HttpResponder, RandomSource
 
--- a/carobspring/gateway/exchange.py
+++ b/carobspring/gateway/exchange.py
@@ -4,11 +4,8 @@
 import logging
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
-from enum import Enum
 from typing import Final, TypeVar
 
-import msgspec
-
 from carobspring import platform
 from carobspring.adapters.backend_http import HttpBackend
 from carobspring.dispatch import (
@@ -19,10 +16,16 @@
     Refusal,
     RefusalReason,
 )
-from carobspring.domain import CallHeaders
 from carobspring.domain.routes import Repeatability, Route
 from carobspring.gateway.backends import BackendConnections
 from carobspring.gateway.events import EventSplitter, StreamEvent
+from carobspring.gateway.outcomes import (
+    AttemptResult,
+    ExchangeReport,
+    FinalAnswer,
+    KeptReply,
+    encode_problem,
+)
 from carobspring.ports import (
     BackendAnswer,
     BackendCutError,
@@ -56,55 +59,6 @@
 logger = logging.getLogger(__name__)
 
 
-class FinalAnswer(str, Enum):
-    """How a request ended for its caller."""
-
-    #: A backend server's whole answer.
-    RELAYED = "relayed"
-    #: Turned away; the request has not run.
-    REFUSED = "refused"
-    #: A failure of the system's own; the request may have run.
-    FAILED = "failed"
-    #: An answer that had begun was broken off.
-    BROKEN_OFF = "broken_off"
-    #: The caller closed its connection.
-    ABANDONED = "abandoned"
-
-
-@dataclass(frozen=True, kw_only=True)
-class ExchangeReport:
-    """What is logged and counted once a request has ended."""
-
-    answer: FinalAnswer
-    status: int = 0
-    reason: str = ""
-    server: str = ""
-    sends: int = 0
-    #: Monotonic time of the first byte for the caller.
-    first_at: float | None = None
-    #: Longest pause between two pieces for the caller, seconds.
-    longest_pause_s: float = 0.0
-    events: int = 0
-
-
-@dataclass(frozen=True, kw_only=True)
-class KeptReply:
-    """A server's failure that is relayed if no other server does better."""
-
-    status: int
-    headers: CallHeaders
-    body: bytes
-
-
-@dataclass(frozen=True, kw_only=True)
-class AttemptResult:
-    """How an attempt at one server ended."""
-
-    outcome: AttemptOutcome
-    detail: str = ""
-    reply: KeptReply | None = None
-
-
 @dataclass(frozen=True, kw_only=True)
 class ExchangeParts:
     """What all exchanges of an entry share."""
@@ -471,11 +425,6 @@
         )
 
 
-def encode_problem(reason: str) -> bytes:
-    """Return the body of an answer of the system's own."""
-    return msgspec.json.encode({"error": reason})
-
-
 def _is_repeated(event_id: str, last_event: str) -> bool:
     if not (event_id.isdigit() and last_event.isdigit()):
         return False
--- a/carobspring/gateway/measures.py
+++ b/carobspring/gateway/measures.py
@@ -1,7 +1,7 @@
 """Counters and latency histograms of the entry on the users' machines."""
 
 from carobspring.adapters.metrics import Metrics
-from carobspring.gateway.exchange import ExchangeReport
+from carobspring.gateway.outcomes import ExchangeReport
 
 
 class GatewayMeasures:
