Wait for today's servers where those of last time say they are others

Cause: after a final loss of power engines come back under other names. Ruled out: sending to the name that the 421 tells. The address may belong to another service by then, and an entry that has just started can't know.

--- a/carobspring/gateway/exchange.py
+++ b/carobspring/gateway/exchange.py
@@ -110,6 +110,8 @@
         self._turned_away: set[str] = set()
         self._wait_s = float("inf")
         self._gates_asked = 0
+        #: True once a server that takes requests had no room for this one.
+        self._was_shed = False
         self._asking_s = 0.0
         #: Servers that may have run the request.
         self._ran_at: set[str] = set()
@@ -167,6 +169,7 @@
             if result.outcome is AttemptOutcome.ANSWERED:
                 return self._report(FinalAnswer.RELAYED, 0, "")
             self._excluded.add(placed.server.server_id)
+            self._was_shed |= result.outcome is AttemptOutcome.NOT_RUN
             self._kept = result.reply or self._kept
             if result.outcome not in _NOT_RUN and not self._may_repeat():
                 return await self._end_failed(result.detail)
@@ -193,13 +196,20 @@
         return False
 
     async def _wait_for_servers(self, refusal: Refusal, now: float) -> bool:
-        """Wait for the first servers of an entry that has just started."""
+        """Wait for servers that an entry which has just started doesn't know.
+
+        After a loss of power the list of last time names servers that have
+        other names now; each says that it has not run the request.
+        """
         parts = self._parts
-        waits = refusal.reason is RefusalReason.NO_SERVERS and not self._sends
-        if waits and now - parts.started_at < STARTING_S:
-            await asyncio.sleep(SERVERS_LOOK_S)
-            return True
-        return False
+        reasons = (RefusalReason.NO_SERVERS, RefusalReason.ALL_TRIED)
+        is_untouched = not self._ran_at and not self._was_shed
+        if refusal.reason not in reasons or not is_untouched:
+            return False
+        if now - parts.started_at >= STARTING_S:
+            return False
+        await asyncio.sleep(SERVERS_LOOK_S)
+        return True
 
     def _take_repeat(self, *, in_advance: bool = False) -> bool:
         """Take one repeated send out of the budget, unless it was before."""
--- a/tests/gateway/fakes.py
+++ b/tests/gateway/fakes.py
@@ -164,15 +164,16 @@
         public=False,
         kind=ServiceKind.PLAIN,
         waits=None,
+        age_s=60.0,
     ):
         loop = asyncio.get_running_loop()
         self.clients = {
             f"s{place}": FakeClient(script)
             for place, script in enumerate(scripts, start=1)
         }
-        dispatcher = Dispatcher(zone="a", random=SystemRandom(seed=1))
-        for place, name in enumerate(self.clients):
-            server = BackendServer(
+        dispatcher = self.dispatcher = Dispatcher(zone="a", random=SystemRandom(seed=1))
+        self.servers = {
+            name: BackendServer(
                 server_id=name,
                 boot=1,
                 service="svc",
@@ -183,6 +184,9 @@
                 port=1000 + place,
                 slots=6,
             )
+            for place, name in enumerate(self.clients)
+        }
+        for server in self.servers.values():
             dispatcher.add_server(server, draining=False)
         route = Route(
             name="r",
@@ -214,7 +218,7 @@
                 gates=self.gates,
                 read_clock=loop.time,
                 spend_repeat=lambda service: budget.spend(loop.time()),
-                started_at=loop.time() - 60,
+                started_at=loop.time() - age_s,
             ),
             budgets=lambda service: budget,
             random=SystemRandom(seed=1),
--- a/tests/gateway/test_exchange.py
+++ b/tests/gateway/test_exchange.py
@@ -201,6 +201,32 @@
         self.assertEqual(gateway.api.open_requests, 0)
 
 
+class StartingTests(unittest.IsolatedAsyncioTestCase):
+    """An entry after a loss of power knows servers by names of last time."""
+
+    async def call_then_list(self, script, age_s):
+        """Call while only the first server is listed, then list the second."""
+        gateway = Gateway([script], [WHOLE], age_s=age_s)
+        gateway.dispatcher.remove_server("s2")
+        call = asyncio.create_task(gateway.call())
+        await asyncio.sleep(0.2)
+        answered = call.done()
+        gateway.dispatcher.add_server(gateway.servers["s2"], draining=False)
+        return answered, (await call).status
+
+    async def test_renamed_servers_are_awaited(self):
+        """A request that no server of last time takes waits for today's."""
+        cases = {
+            "renamed, just started": (MISDIRECTED, 0.0, (False, 200)),
+            "not there, just started": (UNREACHABLE, 0.0, (False, 200)),
+            "renamed, long started": (MISDIRECTED, 60.0, (True, 503)),
+            "full, just started": (SHED, 0.0, (True, 503)),
+        }
+        for name, (script, age_s, expected) in cases.items():
+            with self.subTest(name):
+                self.assertEqual(await self.call_then_list(script, age_s), expected)
+
+
 class AdmissionTests(unittest.IsolatedAsyncioTestCase):
     """Long prompts ask the gates of their engines first."""
 
