--- a/carobspring/adapters/admission_service.py
+++ b/carobspring/adapters/admission_service.py
@@ -1,4 +1,4 @@
-"""The gate's gRPC service: entries' streams and the ticks of its time."""
+"""The gRPC service of gates: entries' streams, and the ticks of their time."""
 
 import asyncio
 import contextlib
@@ -11,7 +11,7 @@
 from carobspring.adapters.metrics import Metrics
 from carobspring.adapters.paths import ADMIT
 from carobspring.adapters.rpc import STREAM_ERRORS, RpcService, make_stream
-from carobspring.admission import AdmissionGate, GateDecision
+from carobspring.admission import AdmissionGate, AdmissionLimits, GateDecision
 from carobspring.ports import Clock
 from carobspring.protocol import (
     AdmissionDecision,
@@ -22,16 +22,18 @@
 
 #: Seconds between two looks at what has become hopeless.
 TICK_INTERVAL_S: Final = 0.1
-#: Seconds between two words of the load to an entry that asks nothing, and
-#: tokens by which it has to change: 0.1 s of reading.
+#: Seconds between two words of loads to an entry that asks nothing, and
+#: tokens by which one has to change: 0.1 s of reading.
 LOAD_INTERVAL_S: Final = 0.25
 LOAD_STEP_TOKENS: Final = 6000
 #: Seconds after which an entry is told something in any case, and one whose
 #: requests wait.
 HEARTBEAT_S: Final = 2.5
-WAITING_HEARTBEAT_S: Final = 0.5
+WAITING_HEARTBEAT_S: Final = 0.25
 #: Seconds after which an entry that says nothing is dropped.
 SILENCE_S: Final = 6.0
+#: Seconds without a request after which a gate is forgotten.
+IDLE_GATE_S: Final = 30.0
 
 logger = logging.getLogger(__name__)
 
@@ -42,21 +44,23 @@
     def __init__(self) -> None:
         self.decisions: list[AdmissionDecision] = []
         self.wake = asyncio.Event()
-        self.told_tokens = 0
+        #: Engine to the tokens before it, as this entry was told.
+        self.told_tokens: dict[str, int] = {}
         self.told_at = 0.0
 
 
 class AdmissionService:
-    """Answers entries by the gate, and tells them of the engine's load."""
+    """Keeps the gates of the engines that entries ask for here."""
 
     def __init__(
-        self, *, gate: AdmissionGate, clock: Clock, metrics: Metrics | None = None
+        self, *, clock: Clock, metrics: Metrics, limits: AdmissionLimits | None = None
     ) -> None:
-        self._gate = gate
         self._clock = clock
+        self._limits = limits
+        self._gates: dict[str, AdmissionGate] = {}
+        self._used_at: dict[str, float] = {}
         self._outboxes: dict[str, _Outbox] = {}
         self._streams = 0
-        metrics = metrics or Metrics(labels={})
         self._decided = metrics.add_counter(
             "carob_gate_decisions_total", "Requests admitted and turned away."
         )
@@ -67,6 +71,11 @@
             "carob_gate_waiting_requests", "Requests that wait for room."
         )
 
+    @property
+    def waiting_count(self) -> int:
+        """How many requests wait at all gates."""
+        return sum(gate.waiting_count for gate in self._gates.values())
+
     def build(self) -> RpcService:
         """Return the service with its method."""
         return RpcService(
@@ -74,13 +83,18 @@
         )
 
     async def run(self) -> None:
-        """Let time pass at the gate until cancelled."""
+        """Let time pass at the gates until cancelled."""
         while True:
             await asyncio.sleep(TICK_INTERVAL_S)
-            self._deliver(self._gate.pass_time(self._clock.read_monotonic()))
-            self._wake_untold()
-            self._reading.set({}, self._gate.reading_tokens)
-            self._waiting.set({}, self._gate.waiting_count)
+            now = self._clock.read_monotonic()
+            for server_id, gate in list(self._gates.items()):
+                self._deliver(server_id, gate.pass_time(now))
+                if now - self._used_at[server_id] > IDLE_GATE_S:
+                    del self._gates[server_id], self._used_at[server_id]
+            self._wake_untold(now)
+            reading = sum(gate.reading_tokens for gate in self._gates.values())
+            self._reading.set({}, reading)
+            self._waiting.set({}, self.waiting_count)
 
     async def serve(self, stream: Stream[Any, Any]) -> None:
         """Serve one entry's stream."""
@@ -89,7 +103,7 @@
         outbox = self._outboxes[entry] = _Outbox()
         outbox.wake.set()
         writer = asyncio.create_task(self._write(stream, outbox))
-        logger.info("entry joined", extra={"entry": entry})
+        logger.info("entry joined gates", extra={"entry": entry})
         reason = "the stream ended"
         try:
             while True:
@@ -106,31 +120,41 @@
             with contextlib.suppress(asyncio.CancelledError):
                 await writer
             now = self._clock.read_monotonic()
-            self._deliver(self._gate.drop_entry(entry, now))
-            logger.info("entry left", extra={"entry": entry, "reason": reason})
+            for server_id, gate in self._gates.items():
+                self._deliver(server_id, gate.drop_entry(entry, now))
+            extra = {"entry": entry, "reason": reason}
+            logger.info("entry left gates", extra=extra)
+
+    def _find_gate(self, server_id: str, now: float) -> AdmissionGate:
+        self._used_at[server_id] = now
+        if server_id not in self._gates:
+            self._gates[server_id] = AdmissionGate(limits=self._limits)
+        return self._gates[server_id]
 
     def _take(self, entry: str, news: AdmissionNews) -> None:
         now = self._clock.read_monotonic()
-        for request_id in news.left:
-            self._deliver(self._gate.note_left(entry, request_id, now))
+        for left in news.left:
+            gate = self._find_gate(left.server_id, now)
+            self._deliver(left.server_id, gate.note_left(entry, left.request_id, now))
         for ask in news.asks:
-            self._deliver(self._gate.ask(entry, ask, now))
+            gate = self._find_gate(ask.server_id, now)
+            self._deliver(ask.server_id, gate.ask(entry, ask, now))
 
-    def _deliver(self, decisions: Iterable[GateDecision]) -> None:
+    def _deliver(self, server_id: str, decisions: Iterable[GateDecision]) -> None:
         for each in decisions:
-            decision = each.decision
+            decision, gate = each.decision, self._gates[server_id]
             self._decided.inc({"admitted": str(decision.admitted).lower()})
             logger.info(
                 "admitted" if decision.admitted else "turned away",
                 extra={
                     "request": decision.request_id,
-                    "entry": each.entry,
+                    "server": server_id,
                     "rank": each.rank,
                     "tokens": each.tokens,
                     "wait_ms": decision.wait_ms,
-                    "reading": self._gate.reading_tokens,
-                    "waiting": self._gate.waiting_count,
-                    "tokens_per_s": round(self._gate.tokens_per_s),
+                    "reading": gate.reading_tokens,
+                    "waiting": gate.waiting_count,
+                    "tokens_per_s": round(gate.tokens_per_s),
                 },
             )
             outbox = self._outboxes.get(each.entry)
@@ -138,33 +162,43 @@
                 outbox.decisions.append(decision)
                 outbox.wake.set()
 
-    def _wake_untold(self) -> None:
+    def _wake_untold(self, now: float) -> None:
         """Have entries told that have not heard what they should."""
-        now = self._clock.read_monotonic()
-        tokens = count_tokens(self._gate.build_load())
+        loads = self._build_loads()
         for entry, outbox in self._outboxes.items():
             told_s = now - outbox.told_at
-            has_changed = abs(tokens - outbox.told_tokens) >= LOAD_STEP_TOKENS
-            is_waiting = self._gate.has_waiting(entry)
+            is_waiting = any(gate.has_waiting(entry) for gate in self._gates.values())
             heartbeat_s = WAITING_HEARTBEAT_S if is_waiting else HEARTBEAT_S
-            if told_s >= heartbeat_s or (has_changed and told_s >= LOAD_INTERVAL_S):
+            if told_s >= heartbeat_s or (
+                told_s >= LOAD_INTERVAL_S and find_changed(loads, outbox.told_tokens)
+            ):
                 outbox.wake.set()
 
+    def _build_loads(self) -> dict[str, EngineLoad]:
+        return {name: gate.build_load() for name, gate in self._gates.items()}
+
     async def _write(self, stream: Stream[Any, Any], outbox: _Outbox) -> None:
-        """Send decisions with the load whenever woken."""
+        """Send decisions and the loads that changed whenever woken."""
         with contextlib.suppress(*STREAM_ERRORS):
             while True:
                 await outbox.wake.wait()
                 outbox.wake.clear()
-                load = self._gate.build_load()
-                outbox.told_tokens = count_tokens(load)
+                changed = find_changed(self._build_loads(), outbox.told_tokens)
+                for name, load in changed.items():
+                    outbox.told_tokens[name] = load.all_tokens
                 outbox.told_at = self._clock.read_monotonic()
                 decisions = tuple(outbox.decisions)
                 outbox.decisions.clear()
-                update = AdmissionUpdate(decisions=decisions, load=load)
+                update = AdmissionUpdate(decisions=decisions, loads=changed or None)
                 await stream.send_message(update)
 
 
-def count_tokens(load: EngineLoad) -> int:
-    """Return all prompt tokens before an engine."""
-    return load.reading_tokens + sum((load.waiting_tokens or {}).values())
+def find_changed(
+    loads: dict[str, EngineLoad], told_tokens: dict[str, int]
+) -> dict[str, EngineLoad]:
+    """Return the loads that differ much from what was told."""
+    return {
+        name: load
+        for name, load in loads.items()
+        if abs(load.all_tokens - told_tokens.get(name, 0)) >= LOAD_STEP_TOKENS
+    }
--- a/carobspring/adapters/backend_http.py
+++ b/carobspring/adapters/backend_http.py
@@ -26,6 +26,9 @@
 CONNECT_TIMEOUT_S: Final = 2.0
 #: A connection that lasts this long was taken by a living server.
 LASTING_S: Final = 0.25
+#: Seconds after which a server that has too many connections has reset a new
+#: one; it takes about a millisecond to accept one.
+ACCEPTED_S: Final = 0.003
 #: Part of the time that a server keeps idle connections for which they are
 #: used, so that none is used as it is closed.
 KEPT_SHARE: Final = 0.5
@@ -165,6 +168,8 @@
         connection = self._take_kept() if request.repeatable else None
         if connection is None:
             connection = await self._connect()
+            if not request.repeatable:
+                await self._outlast_accepting(connection)
         try:
             connection.send(
                 method=request.method,
@@ -266,6 +271,17 @@
         self._open.add(connection)
         return connection
 
+    async def _outlast_accepting(self, connection: BackendConnection) -> None:
+        """Wait until a server that is full would have reset a connection.
+
+        A request that may run once could not go elsewhere after a reset that
+        comes when it is on its way.
+        """
+        await asyncio.sleep(ACCEPTED_S)
+        if connection.is_lost:
+            connection.close()
+            raise BackendUnreachableError(reason="reset before anything was sent")
+
     def _build_headers(self, request: BackendRequest) -> list[tuple[str, str]]:
         host = f"{self._address[0]}:{self._address[1]}"
         if self._relays_host:
--- a/carobspring/adapters/gate_link.py
+++ b/carobspring/adapters/gate_link.py
@@ -1,4 +1,4 @@
-"""An entry's stream to the gate beside an engine."""
+"""An entry's stream to a process that keeps gates of engines."""
 
 import asyncio
 import contextlib
@@ -11,14 +11,19 @@
 from carobspring.adapters.paths import ADMIT
 from carobspring.adapters.rpc import STREAM_ERRORS, ChannelOpener, connect
 from carobspring.domain import Address
-from carobspring.protocol import AdmissionAsk, AdmissionNews, AdmissionUpdate
+from carobspring.protocol import (
+    AdmissionAsk,
+    AdmissionLeft,
+    AdmissionNews,
+    AdmissionUpdate,
+)
 
 CONNECT_S: Final = 1.0
-#: Seconds between two messages at most, and after which a gate that says
+#: Seconds between two messages at most, and after which a host that says
 #: nothing is given up.
 HEARTBEAT_S: Final = 2.5
 SILENCE_S: Final = 6.0
-#: Seconds until a lost gate is called again; doubled up to the last.
+#: Seconds until a lost host is called again; doubled up to the last.
 FIRST_PAUSE_S: Final = 0.5
 LAST_PAUSE_S: Final = 4.0
 
@@ -26,7 +31,7 @@
 
 
 class GateLink:
-    """Keeps one stream to a gate and tells what comes in.
+    """Keeps one stream to a host of gates and tells what comes in.
 
     ``take`` gets each update, or None when the stream is lost: what was asked
     on it will not be answered any more.
@@ -39,11 +44,11 @@
         open_channel: ChannelOpener,
         take: Callable[[AdmissionUpdate | None], None],
     ) -> None:
-        self._address = address
+        self.address = address
         self._open_channel = open_channel
         self._take = take
         self._asks: list[AdmissionAsk] = []
-        self._left: list[str] = []
+        self._left: list[AdmissionLeft] = []
         self._wake = asyncio.Event()
         self._task: asyncio.Task[None] | None = None
         self.connected = False
@@ -62,10 +67,10 @@
         self._asks.append(ask)
         self._wake.set()
 
-    def tell_left(self, request_id: str) -> None:
+    def tell_left(self, left: AdmissionLeft) -> None:
         """Send that a prompt is read, or that its request has ended."""
         if self.connected:
-            self._left.append(request_id)
+            self._left.append(left)
             self._wake.set()
 
     async def _run(self) -> None:
@@ -84,13 +89,13 @@
                 self._take(None)
             if was_connected:
                 pause_s = FIRST_PAUSE_S
-                extra = {"gate": str(self._address), "reason": reason}
-                logger.warning("lost gate", extra=extra)
+                extra = {"gate_host": str(self.address), "reason": reason}
+                logger.warning("lost gate host", extra=extra)
             await asyncio.sleep(pause_s)
             pause_s = min(LAST_PAUSE_S, pause_s * 2)
 
     async def _follow(self) -> None:
-        channel = self._open_channel(self._address.host, self._address.port)
+        channel = self._open_channel(self.address.host, self.address.port)
         try:
             await connect(channel, CONNECT_S)
             request = channel.request(
@@ -114,7 +119,7 @@
                 return
             if not self.connected:
                 self.connected = True
-                logger.info("gate joined", extra={"gate": str(self._address)})
+                logger.info("gate host joined", extra={"gate_host": str(self.address)})
             self._take(update)
 
     async def _write(self, stream: Any) -> None:
--- a/carobspring/admission/__init__.py
+++ b/carobspring/admission/__init__.py
@@ -1,4 +1,4 @@
-"""The gate beside an engine: how prompts wait and which are turned away."""
+"""The gate of an engine: how prompts wait and which are turned away."""
 
 from carobspring.admission.gate import AdmissionGate, GateDecision
 from carobspring.admission.limits import AdmissionLimits
--- a/carobspring/admission/gate.py
+++ b/carobspring/admission/gate.py
@@ -205,7 +205,8 @@
         reading = self.reading_tokens
         for waiting in sorted(self._waiting.values(), key=lambda w: w.order):
             # One prompt always goes, however long it is.
-            if reading and reading + waiting.tokens > self.room_tokens:
+            room = self._find_room(waiting.rank, now)
+            if reading and reading + waiting.tokens > room:
                 break
             del self._waiting[waiting.key]
             self._admitted[waiting.key] = Admitted(tokens=waiting.tokens, at=now)
@@ -214,6 +215,13 @@
             decisions.append(_decide(waiting, admitted=True, wait_s=waited_s))
         return decisions
 
+    def _find_room(self, rank: int, now: float) -> float:
+        """Return the room for a rank: some stays free for higher ones."""
+        higher = self._arrivals.count_before(rank, now)
+        if higher < self._limits.reserving_tokens_per_s:
+            return self.room_tokens
+        return self.room_tokens - self._limits.reserved_tokens
+
     def _note_time(self, now: float) -> None:
         if self._seen_at is not None and self._is_busy:
             self._rate.note_busy(max(0.0, now - self._seen_at))
--- a/carobspring/admission/limits.py
+++ b/carobspring/admission/limits.py
@@ -1,4 +1,4 @@
-"""Bounds of the gate beside an engine."""
+"""Bounds of the gate of an engine."""
 
 from dataclasses import dataclass
 
@@ -10,6 +10,11 @@
     #: Prompt tokens that wait inside the engine beside what it has read and
     #: nobody has told of yet: two long prompts.
     queued_tokens: int = 6_000
+    #: Part of the room that lower ranks leave free while higher ones come, so
+    #: that these don't wait: two prompts of middle length.
+    reserved_tokens: int = 4_000
+    #: Tokens a second of higher ranks from which on that is done.
+    reserving_tokens_per_s: float = 1_000.0
     #: Seconds from the end of reading until that is told: some eight steps to
     #: the first event, and its way over a busy entry.
     told_after_s: float = 0.25
--- a/carobspring/consensus/leader.py
+++ b/carobspring/consensus/leader.py
@@ -106,7 +106,13 @@
         if busy or state.log.find_term(state.commit) != state.term:
             return
         lags = self._measure_lags(now)
-        change = choose_repair(state=state, hellos=hellos, lags=lags)
+        silent = frozenset(
+            voter
+            for voter in state.log.configuration.find_voters()
+            if voter != state.identity
+            and self._lease.measure_silence(voter, now) > state.timing.replace_after_s
+        )
+        change = choose_repair(state=state, hellos=hellos, lags=lags, silent=silent)
         if change is not None:
             self.change(change, now)
 
--- a/carobspring/consensus/lease.py
+++ b/carobspring/consensus/lease.py
@@ -20,6 +20,7 @@
         self.round = 0
         self.confirmed_round = 0
         self._confirmed_at = now
+        self._began_at = now
         self.is_given_up = False
 
     def start_round(self, now: float) -> int:
@@ -64,6 +65,10 @@
         proved = self.confirmed_round > 0 and not self.is_given_up
         return proved and not self.is_lost(now)
 
+    def measure_silence(self, identity: str, now: float) -> float:
+        """Return the seconds since a member answered, or the reign began."""
+        return now - self._heard_at.get(identity, self._began_at)
+
     def heard_lately(self, identity: str, now: float) -> bool:
         """Say whether a member answered within the election interval."""
         heard = self._heard_at.get(identity)
--- a/carobspring/consensus/reconfiguration.py
+++ b/carobspring/consensus/reconfiguration.py
@@ -1,6 +1,6 @@
 """Changes of the members: one at a time, learners first."""
 
-from collections.abc import Mapping
+from collections.abc import Mapping, Set
 
 from carobspring.consensus.entries import Configuration, Member
 from carobspring.consensus.errors import ChangeRefusedError
@@ -58,20 +58,30 @@
 
 
 def choose_repair(
-    *, state: State, hellos: Mapping[str, Hello], lags: Mapping[str, int]
+    *,
+    state: State,
+    hellos: Mapping[str, Hello],
+    lags: Mapping[str, int],
+    silent: Set[str] = frozenset(),
 ) -> ChangeAsked | None:
-    """Return the next step of replacing a replica that lost its disk.
+    """Return the next step of replacing a replica that is lost.
 
-    Such a replica says hello under the name of a member, with an identity
-    that is not listed. It becomes a learner; once it has caught up, the old
-    identity, which can't come back, leaves, and the learner gets the vote.
+    One that lost its disk says hello under the name of a member, with an
+    identity that is not listed. It becomes a learner; once it has caught up,
+    the old identity, which can't come back, leaves, and the learner gets the
+    vote. One that is silent for long is replaced in the same steps by a spare,
+    an empty replica under a name that no member has.
 
     Args:
         state: The leader's state.
         hellos: The last hello of each name.
         lags: Entries that a member lacks, of those that answered lately.
+        silent: Voters that have been silent for long.
     """
     configuration = state.log.configuration
+    replacement = _replace_silent(state, hellos, lags, silent)
+    if replacement is not None:
+        return replacement
     for member in configuration.members:
         if member.identity == state.identity:
             continue
@@ -92,6 +102,42 @@
     return None
 
 
+def _replace_silent(
+    state: State,
+    hellos: Mapping[str, Hello],
+    lags: Mapping[str, int],
+    silent: Set[str],
+) -> ChangeAsked | None:
+    """Return the next step of replacing a silent voter by a spare."""
+    members = state.log.configuration.members
+    names = {member.name for member in members}
+    # One whose place has a new identity already is repaired under its name.
+    gone = [
+        member
+        for member in members
+        if member.identity in silent and not _has_namesake(state, member)
+    ]
+    if not gone:
+        return None
+    learners = [
+        member
+        for member in members
+        if not member.voter and not _has_namesake(state, member)
+    ]
+    for learner in learners:
+        if lags.get(learner.identity, MAX_LAG + 1) <= MAX_LAG:
+            return MemberRemoved(token=0, identity=gone[0].identity)
+    spares = [
+        hello
+        for name, hello in sorted(hellos.items())
+        if name not in names and not hello.cluster
+    ]
+    if learners or not spares:
+        return None
+    spare = spares[0]
+    return LearnerAdded(token=0, identity=spare.sender, name=spare.name)
+
+
 def _has_namesake(state: State, member: Member) -> bool:
     members = state.log.configuration.members
     return sum(other.name == member.name for other in members) > 1
--- a/carobspring/consensus/state.py
+++ b/carobspring/consensus/state.py
@@ -30,6 +30,10 @@
     election_s: float = 1.0
     #: A leader that hasn't heard a quorum for this long steps down.
     lease_s: float = 0.8
+    #: A voter that is silent for this long is replaced by a spare replica, if
+    #: there is one. Longer than instances freeze, are cut off or start again;
+    #: one that comes back later finds itself replaced.
+    replace_after_s: float = 12.0
 
     def __post_init__(self) -> None:
         """Refuse a lease that could outlast the promise not to vote."""
--- a/carobspring/control/discovery.py
+++ b/carobspring/control/discovery.py
@@ -69,6 +69,17 @@
         """Return the names of the replicas, as far as they are known."""
         return self.members or self.founders
 
+    def list_spares(self) -> tuple[str, ...]:
+        """Return the durable daemons that hold no replica of the log yet."""
+        replicas = self.list_replicas()
+        return tuple(
+            sorted(
+                card.name
+                for card in self._cards.values()
+                if card.durable and card.name not in replicas
+            )
+        )
+
     def make_greeting(self) -> Greeting:
         """Return what to tell another daemon."""
         return Greeting(
--- a/carobspring/control/sessions.py
+++ b/carobspring/control/sessions.py
@@ -133,6 +133,7 @@
             replicas=self._take_replicas(),
             confirmed=self._is_confirmed(),
             entry_count=len(self._state.entries.entries),
+            generating=self._state.entries.sum_generating() or None,
         )
 
     def _take_routing(self) -> RoutingContent | None:
--- a/carobspring/dispatch/dispatcher.py
+++ b/carobspring/dispatch/dispatcher.py
@@ -1,6 +1,6 @@
 """Chooses backend servers for requests, by the expected time."""
 
-from collections.abc import Sequence, Set
+from collections.abc import Mapping, Sequence, Set
 from typing import Final
 
 from carobspring.dispatch.homes import find_home, find_shared_parts
@@ -79,6 +79,10 @@
         if not open_ones:
             return self._refuse(RefusalReason.ALL_TRIED)
         generating = self._find_generating(query, present, now)
+        generating_rank = 0
+        if present[0].is_engine:
+            specialization = self._find_specialization(query.service)
+            generating_rank = specialization.generating_rank
         # The home stays the home while its gate turns requests away.
         fitting = self._choose_fitting(query, sound, generating)
         home = self._find_home(query, fitting)
@@ -90,6 +94,7 @@
                 zone=self._zone,
                 home=home,
                 generating=generating,
+                generating_rank=generating_rank,
                 limits=self._limits,
                 now=now,
             )
@@ -236,6 +241,21 @@
             return not record.in_flight
         return breaker.state is BreakerState.CLOSED
 
+    def read_generating(self, now: float) -> dict[str, float]:
+        """Return the engine time a second that generating asks for here.
+
+        By service; control replicas add it up over all entries.
+        """
+        return {
+            service: round(specialization.read_generating(now), 4)
+            for service, specialization in self._specializations.items()
+        }
+
+    def note_generating(self, told: Mapping[str, float], now: float) -> None:
+        """Take over what all entries together ask for, by service."""
+        for service, seconds in told.items():
+            self._find_specialization(service).note_told(seconds, now)
+
     def _find_specialization(self, service: str) -> Specialization:
         if service not in self._specializations:
             self._specializations[service] = Specialization(limits=self._limits)
--- a/carobspring/dispatch/limits.py
+++ b/carobspring/dispatch/limits.py
@@ -42,7 +42,7 @@
     #: Unread tokens from which on a request asks the gate of an engine.
     asking_tokens: int = 1000
     #: Engines whose gates a request asks before it is turned away.
-    most_asked: int = 3
+    most_asked: int = 2
     #: Weight of a new observation of waits and work.
     smoothing: float = 0.4
     #: Quantile of the pauses between events that placement goes by.
@@ -63,17 +63,25 @@
     #: makes a token of each.
     output_token_s: float = 0.00024
     #: Seconds over which the mix of reading and generating is remembered.
-    mix_memory_s: float = 10.0
+    mix_memory_s: float = 5.0
+    #: Seconds after which what control replicas told of it is ignored; they
+    #: tell it every second.
+    told_mix_age_s: float = 5.0
+    #: Part of its time that an engine kept for generating is to be used; above
+    #: it, the prompts of the streams themselves make their pauses long.
+    generating_use: float = 0.65
     #: Engine time, in seconds, that has to be seen before engines are kept
     #: apart.
     least_mix_s: float = 0.5
     #: Engines of a service from which on they are kept apart.
     least_engines: int = 3
     #: Engines by which the mix has to change the number kept for generating.
-    mix_play: float = 0.75
-    #: Seconds that the wrong kind of engine weighs: a stream among prompts
-    #: loses its pauses, a prompt among streams costs all of them theirs.
+    mix_play: float = 0.6
+    #: Seconds that the wrong kind of engine weighs. A stream among prompts has
+    #: long pauses; a prompt among streams costs all of them theirs, so one of
+    #: lower rank waits longer than any caller does.
     stream_among_prompts_s: float = 0.15
     prompt_among_streams_s: float = 1.0
+    lower_among_streams_s: float = 10.0
     #: Retry-After of a refusal when nothing better is known, seconds.
     default_retry_s: float = 0.3
--- a/carobspring/dispatch/placement.py
+++ b/carobspring/dispatch/placement.py
@@ -73,12 +73,14 @@
     zone: str,
     home: ServerRecord | None,
     generating: Set[str],
+    generating_rank: int,
     limits: DispatchLimits,
     now: float,
 ) -> Estimate:
     """Return what a request would cost at a server.
 
-    ``generating`` names the engines kept for requests that mostly generate.
+    ``generating`` names the engines kept for requests that mostly generate,
+    and ``generating_rank`` is the rank of those.
     """
     running = record.estimate_running(now)
     far_s = 0.0
@@ -111,7 +113,7 @@
         read_s=read_s,
         far_s=far_s,
         pause_s=_weigh_pauses(record, query, limits),
-        mixing_s=_weigh_mixing(record, query, generating, limits),
+        mixing_s=_weigh_mixing(record, query, generating, generating_rank, limits),
         unread_tokens=unread,
     )
 
@@ -130,10 +132,15 @@
     record: ServerRecord,
     query: DispatchQuery,
     generating: Set[str],
+    generating_rank: int,
     limits: DispatchLimits,
 ) -> float:
     """Return the cost of a long prompt among streams, or the reverse."""
     reads = mostly_reads(query)
     if not generating or reads is not (record.server.server_id in generating):
         return 0.0
-    return limits.prompt_among_streams_s if reads else limits.stream_among_prompts_s
+    if not reads:
+        return limits.stream_among_prompts_s
+    if query.priority > generating_rank:
+        return limits.lower_among_streams_s
+    return limits.prompt_among_streams_s
--- a/carobspring/dispatch/servers.py
+++ b/carobspring/dispatch/servers.py
@@ -102,7 +102,7 @@
         self._wait_at = now
 
     def note_backlog(self, load: EngineLoad, now: float) -> None:
-        """Take over what the gate beside the engine says of its work."""
+        """Take over what the gate of the engine says of its work."""
         self._backlog = load
         self._backlog_at = now
 
--- a/carobspring/dispatch/specialization.py
+++ b/carobspring/dispatch/specialization.py
@@ -28,10 +28,12 @@
         self._reading_s = 0.0
         self._generating_s = 0.0
         self._at = 0.0
+        self._began: float | None = None
 
     def note(self, query: DispatchQuery, unread_tokens: float, now: float) -> None:
         """Count a request that is sent to an engine."""
         self._fade(now)
+        self._began = now if self._began is None else self._began
         limits = self._limits
         read_s = unread_tokens / limits.prefill_tokens_per_s
         if mostly_reads(query):
@@ -40,6 +42,13 @@
             self._generating_s += read_s
             self._generating_s += query.output_tokens * limits.output_token_s
 
+    def read_generating(self, now: float) -> float:
+        """Return the engine time a second that generating asks for."""
+        self._fade(now)
+        since_s = now - self._began if self._began is not None else 0.0
+        span_s = max(1.0, min(self._limits.mix_memory_s, since_s))
+        return self._generating_s / span_s
+
     def read_share(self, now: float) -> float | None:
         """Return the part of generating; None while little was seen."""
         self._fade(now)
@@ -58,8 +67,9 @@
 class Specialization:
     """Names the engines of one service that mostly generate.
 
-    The number follows the mix of work, with some play so that it doesn't go
-    back and forth. The engines are the first of an order by rendezvous
+    The number follows what all entries together ask for, or, while that is not
+    told, the own mix of work; with some play, so that it doesn't go back and
+    forth. The engines are the first of an order by rendezvous
     hashing that goes round the availability zones; an engine that leaves
     changes little of it.
 
@@ -72,27 +82,48 @@
         self._limits = limits
         self._mix = WorkMix(limits=limits)
         self._count = 0
+        #: Rank of the last request that mostly generates.
+        self.generating_rank = 0
         self._names: tuple[str, ...] = ()
         self._order: tuple[str, ...] = ()
+        self._told_s = 0.0
+        self._told_at = float("-inf")
 
     def note(self, query: DispatchQuery, unread_tokens: float, now: float) -> None:
         """Count a request that is sent to an engine of the service."""
         self._mix.note(query, unread_tokens, now)
+        if not mostly_reads(query):
+            self.generating_rank = query.priority
+
+    def read_generating(self, now: float) -> float:
+        """Return the engine time a second that generating asks for here."""
+        return self._mix.read_generating(now)
+
+    def note_told(self, seconds: float, now: float) -> None:
+        """Take over what all entries together ask for."""
+        self._told_s = seconds
+        self._told_at = now
 
     def find_generating(
         self, records: Sequence[ServerRecord], now: float
     ) -> frozenset[str]:
         """Return the names of the engines kept for generating."""
         total = len(records)
-        share = self._mix.read_share(now)
-        if share is None or total < self._limits.least_engines:
+        wanted = self._find_wanted(total, now)
+        if wanted is None or total < self._limits.least_engines:
             return frozenset()
-        wanted = share * total
         if abs(wanted - self._count) > self._limits.mix_play:
             self._count = round(wanted)
         count = max(0, min(self._count, total - 1))
         return frozenset(self._sort(records)[:count])
 
+    def _find_wanted(self, total: int, now: float) -> float | None:
+        limits = self._limits
+        if now - self._told_at <= limits.told_mix_age_s:
+            return self._told_s / limits.generating_use
+        share = self._mix.read_share(now)
+        return None if share is None else share * total
+
     def _sort(self, records: Sequence[ServerRecord]) -> tuple[str, ...]:
         names = tuple(record.server.server_id for record in records)
         if names == self._names:
--- a/carobspring/gateway/admission.py
+++ b/carobspring/gateway/admission.py
@@ -1,8 +1,8 @@
-"""Asks the gates beside engines for room before long prompts are sent."""
+"""Asks the gates of engines for room before long prompts are sent."""
 
 import asyncio
 import logging
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 from enum import Enum
 from typing import Final
@@ -10,16 +10,18 @@
 from carobspring.adapters.gate_link import GateLink
 from carobspring.adapters.rpc import ChannelOpener
 from carobspring.dispatch import Dispatcher, DispatchQuery, Placement
-from carobspring.domain import Address, BackendServer, ServiceKind
+from carobspring.domain import Address, parse_address
 from carobspring.protocol import (
     AdmissionAsk,
     AdmissionDecision,
+    AdmissionLeft,
     AdmissionUpdate,
 )
+from carobspring.routing import score_server
 
-#: Seconds without a word of a gate after which a request doesn't wait for it:
-#: a gate says something every half second while it waits.
-GATE_SILENCE_S: Final = 1.2
+#: Seconds without a word of a host after which a request doesn't wait for it:
+#: a host says something every quarter second while one waits.
+HOST_SILENCE_S: Final = 0.8
 
 logger = logging.getLogger(__name__)
 
@@ -44,148 +46,171 @@
     wait_s: float = 0.0
 
 
+UNGUARDED: Final = Admission(outcome=AdmissionOutcome.UNGUARDED)
+
+
 @dataclass(kw_only=True)
-class _GuardedServer:
-    """An engine with its gate, and what was asked there."""
+class _GateHost:
+    """A control replica that keeps gates, and what was asked there."""
 
-    server: BackendServer
     link: GateLink
     heard_at: float = float("-inf")
+    #: True from a request that it kept waiting without a word until it is
+    #: heard again; its gates are then found elsewhere.
+    silent: bool = False
+    #: Requests that wait for a decision.
     waiting: dict[str, asyncio.Future[Admission]] = field(default_factory=dict)
-    #: Requests admitted whose prompt is not known to be read.
-    unread: set[str] = field(default_factory=set)
+    #: Requests admitted whose prompt is not known to be read, to the engine.
+    unread: dict[str, str] = field(default_factory=dict)
 
 
 class EngineGates:
-    """The gates of all listed engines, as one entry sees them.
+    """The gates of all engines, as one entry finds them.
 
-    A gate only advises: where none answers, requests go without it, and the
-    engine itself says whether it has run them.
+    The gate of an engine is kept by one of the control replicas; by
+    rendezvous hashing all entries find the same one while they reach the
+    same replicas. A gate only advises: where none answers, requests go
+    without it, and the engine itself says whether it has run them.
     """
 
     def __init__(
         self,
         *,
-        port: int,
         open_channel: ChannelOpener,
         dispatcher: Dispatcher,
         read_clock: Callable[[], float],
     ) -> None:
-        self._port = port
         self._open_channel = open_channel
         self._dispatcher = dispatcher
         self._read_clock = read_clock
-        self._servers: dict[str, _GuardedServer] = {}
-
-    def add(self, server: BackendServer) -> None:
-        """Connect to the gate beside an engine."""
-        known = self._servers.get(server.server_id)
-        if server.kind is not ServiceKind.MODEL or (
-            known is not None and known.server.host == server.host
-        ):
-            return
-        self.remove(server.server_id)
-        name = server.server_id
-
-        def take(update: AdmissionUpdate | None) -> None:
-            self._take(name, update)
-
-        link = GateLink(
-            address=Address(host=server.host, port=self._port),
-            open_channel=self._open_channel,
-            take=take,
-        )
-        self._servers[name] = _GuardedServer(server=server, link=link)
-        link.start()
+        self._hosts: dict[str, _GateHost] = {}
 
-    def remove(self, server_id: str) -> None:
-        """Ask the gate of an engine that is gone no more."""
-        guarded = self._servers.pop(server_id, None)
-        if guarded is not None:
-            guarded.link.close()
-            self._release(guarded)
+    def take_hosts(self, names: Iterable[str]) -> None:
+        """Follow these control replicas, by ``host:port``, and no others."""
+        names = set(names)
+        for name in sorted(set(self._hosts) - names):
+            self._remove(name)
+        for name in sorted(names - set(self._hosts)):
+            self._add(name)
 
     def close(self) -> None:
         """End all streams."""
-        for name in list(self._servers):
-            self.remove(name)
+        self.take_hosts(())
 
     async def ask(self, query: DispatchQuery, placed: Placement) -> Admission:
         """Return whether a request may go to an engine, once that is known."""
-        server_id = placed.server.server_id
-        guarded = self._servers.get(server_id)
-        if guarded is None or not guarded.link.connected:
-            return Admission(outcome=AdmissionOutcome.UNGUARDED)
+        server_id, request_id = placed.server.server_id, query.request_id
         now = self._read_clock()
+        host = self._find_host(server_id)
+        if host is None or request_id in host.waiting:
+            return UNGUARDED
         tokens = round(placed.unread_tokens)
-        guarded.link.ask(
+        due_at = min(query.due_at, query.deadline)
+        host.link.ask(
             AdmissionAsk(
-                request_id=query.request_id,
+                request_id=request_id,
+                server_id=server_id,
                 rank=query.priority,
                 unread_tokens=tokens,
-                target_left_ms=round((query.due_at - now) * 1000),
+                target_left_ms=round((due_at - now) * 1000),
                 deadline_left_ms=round((query.deadline - now) * 1000),
             )
         )
         answer: asyncio.Future[Admission] = asyncio.Future()
-        guarded.waiting[query.request_id] = answer
-        self._dispatcher.note_asked(server_id, query.request_id, tokens)
+        host.waiting[request_id] = answer
+        self._dispatcher.note_asked(server_id, request_id, tokens)
+        admission = UNGUARDED
         try:
-            return await self._wait(guarded, answer, now)
+            admission = await self._wait(host, answer, now)
+            return admission
         finally:
-            self._dispatcher.note_answered(server_id, query.request_id)
-            if guarded.waiting.pop(query.request_id, None) is not None:
-                guarded.link.tell_left(query.request_id)
+            self._dispatcher.note_answered(server_id, request_id)
+            host.waiting.pop(request_id, None)
+            if admission.outcome is AdmissionOutcome.ADMITTED:
+                host.unread[request_id] = server_id
+            elif admission.outcome is AdmissionOutcome.UNGUARDED:
+                # The caller left, or the host is silent.
+                self._tell_left(host, server_id, request_id)
 
     def note_read(self, server_id: str, request_id: str) -> None:
         """Note that a prompt is read, or that its request has ended."""
-        guarded = self._servers.get(server_id)
-        if guarded is not None and request_id in guarded.unread:
-            guarded.unread.remove(request_id)
-            guarded.link.tell_left(request_id)
+        for host in self._hosts.values():
+            if host.unread.get(request_id) == server_id:
+                del host.unread[request_id]
+                self._tell_left(host, server_id, request_id)
+
+    def _add(self, name: str) -> None:
+        address: Address = parse_address("replica", name)
+
+        def take(update: AdmissionUpdate | None) -> None:
+            self._take(name, update)
+
+        link = GateLink(address=address, open_channel=self._open_channel, take=take)
+        self._hosts[name] = _GateHost(link=link)
+        link.start()
+
+    def _remove(self, name: str) -> None:
+        host = self._hosts.pop(name)
+        host.link.close()
+        self._release(host)
+
+    def _find_host(self, server_id: str) -> _GateHost | None:
+        found = [
+            name
+            for name, host in self._hosts.items()
+            if host.link.connected and not host.silent
+        ]
+        if not found:
+            return None
+        return self._hosts[max(found, key=lambda n: score_server(0, n + server_id))]
 
     async def _wait(
-        self, guarded: _GuardedServer, answer: asyncio.Future[Admission], began: float
+        self, host: _GateHost, answer: asyncio.Future[Admission], began: float
     ) -> Admission:
         while not answer.done():
-            silent_s = self._read_clock() - max(guarded.heard_at, began)
-            if silent_s >= GATE_SILENCE_S:
-                extra = {"server": guarded.server.server_id, "silent_s": silent_s}
-                logger.warning("gate is silent", extra=extra)
-                return Admission(outcome=AdmissionOutcome.UNGUARDED)
-            await asyncio.wait({answer}, timeout=GATE_SILENCE_S - silent_s)
+            now = self._read_clock()
+            silent_s = now - max(host.heard_at, began)
+            if silent_s >= HOST_SILENCE_S:
+                host.silent = True
+                extra = {"gate_host": str(host.link.address), "silent_s": silent_s}
+                logger.warning("gate host is silent", extra=extra)
+                return UNGUARDED
+            await asyncio.wait({answer}, timeout=HOST_SILENCE_S - silent_s)
         return answer.result()
 
-    def _take(self, server_id: str, update: AdmissionUpdate | None) -> None:
-        guarded = self._servers.get(server_id)
-        if guarded is None:
+    def _take(self, name: str, update: AdmissionUpdate | None) -> None:
+        host = self._hosts.get(name)
+        if host is None:
             return
         if update is None:
-            self._release(guarded)
+            self._release(host)
             return
-        now = guarded.heard_at = self._read_clock()
+        now = host.heard_at = self._read_clock()
+        host.silent = False
         for decision in update.decisions:
-            self._decide(guarded, decision)
-        if update.load is not None:
-            self._dispatcher.note_backlog(server_id, update.load, now)
+            self._decide(host, decision)
+        for server_id, load in (update.loads or {}).items():
+            self._dispatcher.note_backlog(server_id, load, now)
 
-    def _decide(self, guarded: _GuardedServer, decision: AdmissionDecision) -> None:
-        answer = guarded.waiting.pop(decision.request_id, None)
+    def _decide(self, host: _GateHost, decision: AdmissionDecision) -> None:
+        # One that nobody waits for any more has been told as left.
+        answer = host.waiting.pop(decision.request_id, None)
         if answer is None or answer.done():
-            if decision.admitted:
-                guarded.link.tell_left(decision.request_id)
             return
         outcome = AdmissionOutcome.TURNED_AWAY
         if decision.admitted:
             outcome = AdmissionOutcome.ADMITTED
-            guarded.unread.add(decision.request_id)
         admission = Admission(outcome=outcome, wait_s=decision.wait_ms / 1000)
         answer.set_result(admission)
 
-    def _release(self, guarded: _GuardedServer) -> None:
+    def _release(self, host: _GateHost) -> None:
         """Let requests go that no gate will answer."""
-        for answer in guarded.waiting.values():
+        for answer in host.waiting.values():
             if not answer.done():
-                answer.set_result(Admission(outcome=AdmissionOutcome.UNGUARDED))
-        guarded.waiting.clear()
-        guarded.unread.clear()
+                answer.set_result(UNGUARDED)
+        host.waiting.clear()
+        host.unread.clear()
+
+    def _tell_left(self, host: _GateHost, server_id: str, request_id: str) -> None:
+        left = AdmissionLeft(request_id=request_id, server_id=server_id)
+        host.link.tell_left(left)
--- a/carobspring/gateway/control.py
+++ b/carobspring/gateway/control.py
@@ -40,6 +40,7 @@
         apply_update: Callable[[str, ViewUpdate], None],
         forget: Callable[[str], None],
         prefer: Callable[[str], int],
+        take_replicas: Callable[[Iterable[str]], None],
         metrics: Metrics,
     ) -> None:
         self._open_channel = open_channel
@@ -47,6 +48,7 @@
         self._apply_update = apply_update
         self._forget = forget
         self._prefer = prefer
+        self._take_replicas = take_replicas
         self._gauge = metrics.add_gauge(
             "carob_entry_control_connected", "1 while a control replica is followed."
         )
@@ -104,6 +106,7 @@
         def apply(update: ViewUpdate) -> None:
             if update.replicas:
                 self._replicas = update.replicas
+                self._take_replicas(update.replicas)
             self._apply_update(name, update)
 
         watch = ControlWatch(
--- a/carobspring/membership/entries.py
+++ b/carobspring/membership/entries.py
@@ -53,6 +53,17 @@
             revisions[report.zone] = min(oldest, report.revision)
         return revisions
 
+    def sum_generating(self) -> dict[str, float]:
+        """Return the engine time for generating that all entries ask for.
+
+        By service, in seconds a second.
+        """
+        sums: dict[str, float] = {}
+        for entry in self.entries.values():
+            for service, seconds in (entry.report.generating or {}).items():
+                sums[service] = sums.get(service, 0.0) + seconds
+        return sums
+
     def expire(self, now: float) -> list[str]:
         """Drop entries that were not heard of for long; return their names."""
         gone = [
--- a/carobspring/programs/instance_control.py
+++ b/carobspring/programs/instance_control.py
@@ -8,6 +8,7 @@
 
 from grpclib.server import Server
 
+from carobspring.adapters.admission_service import AdmissionService
 from carobspring.adapters.clock import SystemClock, SystemRandom
 from carobspring.adapters.disk import DiskStorage
 from carobspring.adapters.greeter import Greeter
@@ -106,6 +107,7 @@
         self._peers: dict[str, Peer] = {}
         self._rpc_peers: dict[str, RpcPeer] = {}
         self._metrics = Metrics(labels={"zone": settings.availability_zone})
+        self._admissions = AdmissionService(clock=self._clock, metrics=self._metrics)
         self._tasks: list[asyncio.Task[None]] = []
         self._starting: asyncio.Task[None] | None = None
         self._rpc: Server | None = None
@@ -131,6 +133,7 @@
             services.append(RpcService(self._host.list_methods()))
             claims = ClaimService(state=self.state, proposer=proposer)
             services.append(claims.build_service())
+            services.append(self._admissions.build())
             self._gossip = GossipExchange(state=self.state, transport=self._host)
             api = InstanceApi(
                 state=self.state,
@@ -166,6 +169,7 @@
         self._tasks = [
             asyncio.create_task(self._greeter.run()),
             asyncio.create_task(self._run_ticks()),
+            asyncio.create_task(self._admissions.run()),
             asyncio.create_task(self._file.run()),
             asyncio.create_task(StandstillWatch().run()),
         ]
@@ -232,7 +236,7 @@
             if host.is_started:
                 directory.note_members(host.list_members())
                 replicas = directory.list_replicas()
-                host.add_peers(replicas)
+                host.add_peers((*replicas, *directory.list_spares()))
             elif replicas and self._starting is None:
                 is_founder = self._name in directory.founders
                 founding = directory.card.founding and is_founder
--- a/carobspring/programs/instance_entry.py
+++ b/carobspring/programs/instance_entry.py
@@ -64,7 +64,6 @@
         self._connections = BackendConnections()
         self._dispatcher = Dispatcher(zone=settings.availability_zone, random=random)
         self._gates = EngineGates(
-            port=settings.inner_ports[0],
             open_channel=self._open_channel,
             dispatcher=self._dispatcher,
             read_clock=self._clock.read_monotonic,
@@ -92,6 +91,7 @@
             apply_update=self._apply_update,
             forget=self._directory.forget_replica,
             prefer=self._rank_replica,
+            take_replicas=self._gates.take_hosts,
             metrics=metrics,
         )
         self._file = SettingsFileWatch(
@@ -173,6 +173,9 @@
         self._directory.apply(replica, update)
         if update.entry_count:
             self._state.entry_count = update.entry_count
+        if update.generating:
+            now = self._clock.read_monotonic()
+            self._dispatcher.note_generating(update.generating, now)
         content = update.routing
         if content is None:
             return
@@ -202,7 +205,6 @@
         if listed is None:
             self._dispatcher.remove_server(server_id)
             self._connections.remove(server_id)
-            self._gates.remove(server_id)
             logger.info("backend server gone", extra={"server": server_id})
             return
         server = listed.server
@@ -210,7 +212,6 @@
             server
         ):
             self._connections.add(server)
-        self._gates.add(server)
         self._dispatcher.add_server(server, draining=listed.draining)
         logger.info(
             "backend server listed",
@@ -257,6 +258,7 @@
             entry_id=self._settings.instance,
             zone=self._settings.availability_zone,
             revision=table.version if table else 0,
+            generating=self._dispatcher.read_generating(self._clock.read_monotonic()),
         )
 
 
--- a/carobspring/protocol/__init__.py
+++ b/carobspring/protocol/__init__.py
@@ -9,6 +9,7 @@
 from carobspring.protocol.admission import (
     AdmissionAsk,
     AdmissionDecision,
+    AdmissionLeft,
     AdmissionNews,
     AdmissionUpdate,
     EngineLoad,
@@ -48,6 +49,7 @@
 __all__ = [
     "AdmissionAsk",
     "AdmissionDecision",
+    "AdmissionLeft",
     "AdmissionNews",
     "AdmissionUpdate",
     "AgentOrder",
--- a/carobspring/protocol/admission.py
+++ b/carobspring/protocol/admission.py
@@ -1,7 +1,7 @@
-"""Messages between entries and the gate beside an engine.
+"""Messages between entries and the gates of engines.
 
-An entry sends AdmissionNews and receives AdmissionUpdate. The gate never
-sends a request itself: an admission only says that the engine has room now.
+An entry sends AdmissionNews and receives AdmissionUpdate. A gate never sends
+a request itself: an admission only says that the engine has room now.
 """
 
 from dataclasses import dataclass
@@ -9,9 +9,10 @@
 
 @dataclass(frozen=True, kw_only=True)
 class AdmissionAsk:
-    """Asks for room for one request at the engine."""
+    """Asks for room for one request at an engine."""
 
     request_id: str
+    server_id: str = ""
     #: Rank; 0 goes first.
     rank: int = 0
     #: Prompt tokens that the engine probably has to read.
@@ -22,18 +23,25 @@
     deadline_left_ms: int = 0
 
 
+@dataclass(frozen=True, kw_only=True)
+class AdmissionLeft:
+    """Names a request whose prompt is read, or that ended or gave up."""
+
+    request_id: str
+    server_id: str = ""
+
+
 @dataclass(frozen=True, kw_only=True)
 class AdmissionNews:
     """What happened at an entry since its last message."""
 
     asks: tuple[AdmissionAsk, ...] = ()
-    #: Requests whose prompt is read, or that ended or gave up before.
-    left: tuple[str, ...] = ()
+    left: tuple[AdmissionLeft, ...] = ()
 
 
 @dataclass(frozen=True, kw_only=True)
 class AdmissionDecision:
-    """Says whether a request may go to the engine."""
+    """Says whether a request may go to its engine."""
 
     request_id: str
     admitted: bool
@@ -53,10 +61,16 @@
     #: Tokens read in a second lately.
     tokens_per_s: float = 0.0
 
+    @property
+    def all_tokens(self) -> int:
+        """Tokens at the engine and before it."""
+        return self.reading_tokens + sum((self.waiting_tokens or {}).values())
+
 
 @dataclass(frozen=True, kw_only=True)
 class AdmissionUpdate:
-    """Decisions for an entry, and the load; without both a heartbeat."""
+    """Decisions for an entry, and loads; without both a heartbeat."""
 
     decisions: tuple[AdmissionDecision, ...] = ()
-    load: EngineLoad | None = None
+    #: Loads that changed, by the engine's name.
+    loads: dict[str, EngineLoad] | None = None
--- a/carobspring/protocol/control.py
+++ b/carobspring/protocol/control.py
@@ -71,6 +71,9 @@
     revision: int = 0
     #: Class name to counts; only sent when they changed.
     attainment: dict[str, ClassAttainment] | None = None
+    #: Service to the engine time, in seconds a second, that requests which
+    #: mostly generate ask for at this entry.
+    generating: dict[str, float] | None = None
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -108,6 +111,8 @@
     confirmed: bool = True
     #: Entries that this replica hears of; zero when it does not say.
     entry_count: int = 0
+    #: Service to what all of them together say of generating.
+    generating: dict[str, float] | None = None
 
 
 @dataclass(frozen=True, kw_only=True)
--- a/tests/adapters/test_backend_http.py
+++ b/tests/adapters/test_backend_http.py
@@ -61,6 +61,29 @@
         await backend.close()
 
 
+class FullServerTests(unittest.IsolatedAsyncioTestCase):
+    async def test_reset_while_accepting(self):
+        """A new connection that a full server resets has taken no request.
+
+        Where the request may run once, that decides whether another server
+        may get it.
+        """
+
+        def reset(reader, writer):
+            linger = struct.pack("ii", 1, 0)
+            sock = writer.get_extra_info("socket")
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+            writer.transport.abort()
+
+        server = await asyncio.start_server(reset, "127.0.0.1", 0)
+        self.addCleanup(server.close)
+        port = server.sockets[0].getsockname()[1]
+        backend = HttpBackend(url=f"http://127.0.0.1:{port}", health_path="/health")
+        with self.assertRaises(BackendUnreachableError):
+            await backend.send(replace(REQUEST, repeatable=False))
+        await backend.close()
+
+
 class SendTests(unittest.IsolatedAsyncioTestCase):
     async def test_whole_and_cut_answers(self):
         """An answer counts as whole only when its end is marked and came."""
--- a/tests/admission/test_gate.py
+++ b/tests/admission/test_gate.py
@@ -1,5 +1,6 @@
 import random
 import unittest
+from dataclasses import replace
 
 from carobspring.admission import AdmissionGate, AdmissionLimits
 from carobspring.protocol import AdmissionAsk
@@ -13,6 +14,7 @@
     least_tokens_per_s=10_000.0,
     most_tokens_per_s=10_000.0,
     first_event_s=0.0,
+    reserved_tokens=0,
 )
 
 
@@ -63,6 +65,18 @@
             order += name_all(self.gate.note_left("e", name, 0.1))
         self.assertEqual(order, ["soon", "later", "low"])
 
+    def test_lower_ranks_leave_room(self):
+        """While higher ranks come, a lower one doesn't take the last room."""
+        limits = replace(LIMITS, queued_tokens=3000, reserved_tokens=1000)
+        gate = AdmissionGate(limits=limits)
+        for name in ("a", "b", "c"):
+            gate.ask("e", ask(name, rank=1), 0.0)
+        self.assertEqual(gate.ask("e", ask("low", rank=2), 0.0), [])
+        self.assertEqual(gate.note_left("e", "a", 0.1), [])
+        self.assertEqual(name_all(gate.ask("e", ask("d", rank=1), 0.1)), ["d"])
+        gate.note_left("e", "b", 0.1)
+        self.assertEqual(name_all(gate.note_left("e", "c", 0.1)), ["low"])
+
     def test_entries_are_told_apart(self):
         """The same identifier from two entries is two requests."""
         self.gate.ask("e", ask("a"), 0.0)
