Split what the caller gets and the way past the gates from the exchange

Change: AnswerRelay (gateway/relay.py) sends the caller's answer and follows its events, RoomSeeker (gateway/seeking.py) asks the gates; the exchange places, sends and repeats. A request whose server vanishes between admission and sending gives its room back at once. Ruled out: any change of behaviour beside that one.

--- a/carobspring/gateway/exchange.py
+++ b/carobspring/gateway/exchange.py
@@ -17,16 +17,16 @@
     RefusalReason,
 )
 from carobspring.domain.routes import Repeatability, Route
-from carobspring.gateway.admission import AdmissionOutcome, EngineGates
+from carobspring.gateway.admission import EngineGates
 from carobspring.gateway.backends import BackendConnections
-from carobspring.gateway.events import EventSplitter, StreamEvent
 from carobspring.gateway.outcomes import (
     AttemptResult,
     ExchangeReport,
     FinalAnswer,
     KeptReply,
-    encode_problem,
 )
+from carobspring.gateway.relay import AnswerRelay
+from carobspring.gateway.seeking import RoomSeeker
 from carobspring.ports import (
     BackendAnswer,
     BackendCutError,
@@ -36,10 +36,6 @@
     HttpResponder,
 )
 
-#: Answers up to this size are relayed only once they are whole, so that the
-#: caller never gets a part of one that breaks off.
-WHOLE_ANSWER_BYTES: Final = 256 * 1024
-
 #: Seconds after its start in which an entry may not know all servers yet, and
 #: between two looks for them.
 STARTING_S: Final = 4.0
@@ -98,34 +94,35 @@
     ) -> None:
         self._parts = parts
         self._request = request
-        self._responder = responder
         self._facts = facts
         self._route = route
         self._query = query
         self._workspace = workspace
         self._engine_priority = engine_priority
+        self._relay = AnswerRelay(
+            request_id=facts.request_id,
+            responder=responder,
+            dispatcher=parts.dispatcher,
+            gates=parts.gates,
+            read_clock=parts.read_clock,
+        )
+        self._seeker = RoomSeeker(
+            query=query,
+            dispatcher=parts.dispatcher,
+            gates=parts.gates,
+            read_clock=parts.read_clock,
+        )
+        #: Servers that are not tried again.
         self._excluded: set[str] = set()
-        #: Servers whose gates have turned the request away, and the shortest
-        #: wait that they told.
-        self._turned_away: set[str] = set()
-        self._wait_s = float("inf")
-        self._gates_asked = 0
-        #: True once a server that takes requests had no room for this one.
-        self._was_shed = False
-        self._asking_s = 0.0
         #: Servers that may have run the request.
         self._ran_at: set[str] = set()
+        #: True once a server that takes requests had no room for this one.
+        self._was_shed = False
         self._sends = 0
         self._server = ""
-        #: Identifier of the last event that the caller was sent.
-        self._last_event = ""
-        self._first_at: float | None = None
         self._kept: KeptReply | None = None
         #: True when a repeated send was taken out of the budget in advance.
         self._paid = False
-        self._event_at = 0.0
-        self._longest_pause_s = 0.0
-        self._events = 0
 
     async def run(self) -> ExchangeReport:
         """Answer the caller, at the latest at the query's deadline."""
@@ -143,11 +140,10 @@
     async def _try_servers(self) -> ExchangeReport:
         while True:
             now = self._parts.read_clock()
-            excluded = self._excluded | self._turned_away
+            excluded = self._excluded | self._seeker.turned_away
             placed = self._parts.dispatcher.place(self._query, excluded, now)
             if isinstance(placed, Refusal):
-                if self._turned_away and placed.reason is RefusalReason.ALL_TRIED:
-                    placed = self._parts.dispatcher.refuse_overload(self._wait_s)
+                placed = self._seeker.explain(placed)
                 if await self._wait_for_servers(placed, now):
                     continue
                 return await self._give_up(placed)
@@ -158,13 +154,14 @@
                         retry_after_s=REPEAT_RETRY_S,
                     )
                 )
-            if not await self._is_admitted(placed):
+            # A stream that has begun goes on without asking: its caller waits
+            # for the next event.
+            if not (self._relay.has_begun or await self._seeker.is_admitted(placed)):
                 # What was paid for the repeat holds for the next server.
                 self._paid = self._sends > 0
-                if self._parts.dispatcher.may_ask_on(len(self._turned_away)):
+                if self._seeker.may_go_on:
                     continue
-                overload = self._parts.dispatcher.refuse_overload(self._wait_s)
-                return await self._give_up(overload)
+                return await self._give_up(self._seeker.refuse())
             result = await self._try_server(placed)
             if result.outcome is AttemptOutcome.ANSWERED:
                 return self._report(FinalAnswer.RELAYED, 0, "")
@@ -174,27 +171,6 @@
             if result.outcome not in _NOT_RUN and not self._may_repeat():
                 return await self._end_failed(result.detail)
 
-    async def _is_admitted(self, placed: Placement) -> bool:
-        """Ask the gate of the engine whether it has room.
-
-        A stream that has begun goes on without: its caller waits for the next
-        event.
-        """
-        parts = self._parts
-        if self._first_at is not None:
-            return True
-        if not parts.dispatcher.should_ask(self._query, placed):
-            return True
-        began = parts.read_clock()
-        admission = await parts.gates.ask(self._query, placed)
-        self._gates_asked += 1
-        self._asking_s += parts.read_clock() - began
-        if admission.outcome is not AdmissionOutcome.TURNED_AWAY:
-            return True
-        self._turned_away.add(placed.server.server_id)
-        self._wait_s = min(self._wait_s, admission.wait_s)
-        return False
-
     async def _wait_for_servers(self, refusal: Refusal, now: float) -> bool:
         """Wait for servers that an entry which has just started doesn't know.
 
@@ -231,6 +207,7 @@
         now = parts.read_clock()
         client = parts.connections.find(server_id)
         if client is None:
+            parts.gates.note_read(server_id, query.request_id)
             return AttemptResult(outcome=AttemptOutcome.UNREACHABLE, detail="unlisted")
         parts.dispatcher.note_sent(placed, query, now)
         self._sends += 1
@@ -260,7 +237,7 @@
                 workspace=self._workspace,
                 left_ms=left_s * 1000,
                 priority=self._engine_priority,
-                last_event_id=self._last_event,
+                last_event_id=self._relay.last_event,
                 prompt_source=f"{source.host}:{source.port}" if source else "",
             ),
             body=request.body,
@@ -306,82 +283,8 @@
             detail = "an answer without a request's identifier"
             return AttemptResult(outcome=AttemptOutcome.CUT, detail=detail)
         if answer.status < 300 and facts.is_event_stream:
-            return await self._relay_events(answer, server_id)
-        return await self._relay_body(answer)
-
-    async def _relay_body(self, answer: BackendAnswer) -> AttemptResult:
-        """Relay an answer once it is whole, unless it is large."""
-        body = bytearray()
-        while data := await answer.read():
-            body += data
-            if len(body) > WHOLE_ANSWER_BYTES and self._first_at is None:
-                return await self._relay_large_body(answer, bytes(body))
-        detail = f"status {answer.status}"
-        reply = KeptReply(
-            status=answer.status, headers=answer.headers, body=bytes(body)
-        )
-        if answer.status >= 500:
-            return AttemptResult(
-                outcome=AttemptOutcome.SERVER_ERROR, detail=detail, reply=reply
-            )
-        if self._first_at is not None:
-            # A stream has begun: this can't be its continuation.
-            return AttemptResult(outcome=AttemptOutcome.CUT, detail=detail)
-        await self._relay_reply(reply)
-        return AttemptResult(outcome=AttemptOutcome.ANSWERED)
-
-    async def _relay_large_body(
-        self, answer: BackendAnswer, begun: bytes
-    ) -> AttemptResult:
-        self._first_at = self._parts.read_clock()
-        await self._responder.start(answer.status, answer.headers)
-        await self._responder.write(begun)
-        while data := await answer.read():
-            await self._responder.write(data)
-        await self._responder.finish()
-        return AttemptResult(outcome=AttemptOutcome.ANSWERED)
-
-    async def _relay_reply(self, reply: KeptReply) -> None:
-        self._first_at = self._parts.read_clock()
-        await self._responder.send(reply.status, reply.headers, reply.body)
-
-    async def _relay_events(
-        self, answer: BackendAnswer, server_id: str
-    ) -> AttemptResult:
-        splitter = EventSplitter()
-        while data := await self._watch(answer.read()):
-            for event in splitter.add(data):
-                await self._relay_event(event, answer, server_id)
-        if splitter.held_bytes:
-            detail = "the stream ended inside an event"
-            return AttemptResult(outcome=AttemptOutcome.CUT, detail=detail)
-        if self._first_at is None:
-            await self._begin_stream(answer)
-        await self._responder.finish()
-        return AttemptResult(outcome=AttemptOutcome.ANSWERED)
-
-    async def _relay_event(
-        self, event: StreamEvent, answer: BackendAnswer, server_id: str
-    ) -> None:
-        if self._first_at is None:
-            now = self._parts.read_clock()
-            request_id = self._query.request_id
-            self._parts.dispatcher.note_begun(server_id, request_id, now)
-            self._parts.gates.note_read(server_id, request_id)
-            await self._begin_stream(answer)
-        elif _is_repeated(event.event_id, self._last_event):
-            return
-        self._last_event = event.event_id or self._last_event
-        now = self._parts.read_clock()
-        if self._events:
-            pause_s = now - self._event_at
-            self._parts.dispatcher.note_event(
-                server_id, self._query.request_id, pause_s, now
-            )
-            self._longest_pause_s = max(self._longest_pause_s, pause_s)
-        self._event_at = now
-        self._events += 1
-        await self._responder.write(event.data)
+            return await self._relay.relay_events(answer, server_id, self._watch)
+        return await self._relay.relay_body(answer)
 
     async def _watch(self, step: Awaitable[T]) -> T:
         """Await a step of an attempt, and leave a server that is silent.
@@ -408,44 +311,32 @@
         # The repeat is paid for before the server is left.
         return should_move and self._take_repeat(in_advance=True)
 
-    async def _begin_stream(self, answer: BackendAnswer) -> None:
-        self._first_at = self._parts.read_clock()
-        await self._responder.start(answer.status, answer.headers)
-
     async def _give_up(self, refusal: Refusal) -> ExchangeReport:
         """Answer a request that goes to no further server."""
-        if self._ran_at or self._first_at is not None:
+        if self._ran_at or self._relay.has_begun:
             return await self._end_failed(refusal.reason.value)
         left_s = self._query.deadline - self._parts.read_clock()
         retry_after_s = min(refusal.retry_after_s, max(0.0, left_s / 3))
-        await self._answer_problem(503, refusal.reason.value, retry_after_s)
+        await self._relay.send_problem(503, refusal.reason.value, retry_after_s)
         return self._report(FinalAnswer.REFUSED, 503, refusal.reason.value)
 
     async def _end_failed(self, reason: str) -> ExchangeReport:
         """Relay a server's own failure if there is one, else say so."""
-        if self._kept is not None and self._first_at is None:
-            await self._relay_reply(self._kept)
+        if self._kept is not None and not self._relay.has_begun:
+            await self._relay.send_reply(self._kept)
             return self._report(FinalAnswer.RELAYED, self._kept.status, reason)
         return await self._fail(502, reason)
 
     async def _fail(self, status: int, reason: str) -> ExchangeReport:
-        if self._first_at is not None:
-            self._responder.abort()
+        if self._relay.has_begun:
+            self._relay.abort()
             return self._report(FinalAnswer.BROKEN_OFF, 0, reason)
         if not self._ran_at:
-            await self._answer_problem(503, reason, None)
+            await self._relay.send_problem(503, reason)
             return self._report(FinalAnswer.REFUSED, 503, reason)
-        await self._answer_problem(status, reason, None)
+        await self._relay.send_problem(status, reason)
         return self._report(FinalAnswer.FAILED, status, reason)
 
-    async def _answer_problem(
-        self, status: int, reason: str, retry_after_s: float | None
-    ) -> None:
-        headers = platform.build_refusal_headers(
-            request_id=self._facts.request_id, retry_after_s=retry_after_s
-        )
-        await self._responder.send(status, headers, encode_problem(reason))
-
     def _report(self, answer: FinalAnswer, status: int, reason: str) -> ExchangeReport:
         return ExchangeReport(
             answer=answer,
@@ -453,11 +344,11 @@
             reason=reason,
             server=self._server,
             sends=self._sends,
-            gates_asked=self._gates_asked,
-            asking_s=self._asking_s,
-            first_at=self._first_at,
-            longest_pause_s=self._longest_pause_s,
-            events=self._events,
+            gates_asked=self._seeker.asked,
+            asking_s=self._seeker.asking_s,
+            first_at=self._relay.first_at,
+            longest_pause_s=self._relay.longest_pause_s,
+            events=self._relay.events,
         )
 
     def _log_attempt(
@@ -473,12 +364,6 @@
                 "detail": result.detail,
                 "took_ms": round(took_s * 1000, 1),
                 "placement": placed.reason,
-                "last_event": self._last_event,
+                "last_event": self._relay.last_event,
             },
         )
-
-
-def _is_repeated(event_id: str, last_event: str) -> bool:
-    if not (event_id.isdigit() and last_event.isdigit()):
-        return False
-    return int(event_id) <= int(last_event)
