--- a/tests/control/test_instance_api.py
+++ b/tests/control/test_instance_api.py
@@ -106,6 +106,15 @@
         self.assertEqual(await self.put(3), 503)
         self.assertEqual((await self.read())[0], 503)
 
+    async def test_read_without_quorum(self):
+        """What a daemon holds is not shown once it may be overtaken."""
+        self.build()
+        await self.put(3)
+        self.api._proposer = CommandProposer(
+            log=LeaderlessLog(), peers={}, clock=SystemClock()
+        )
+        self.assertEqual((await self.read())[0], 503)
+
     async def test_redirect(self):
         """A daemon without the log points to one that has it."""
         self.build(redirect="http://10.0.0.4:8080")
