Take the list of replicas from those that know it, one copy of the heartbeat

A replica that was replaced while it was away comes back with the list of before. An entry took any list that it was told, so it could stop following the new replica and look for gates at the old one. The heartbeat of gates stood in both adapters, and each tick of a host asked every gate about every entry. Ruled out: letting such a replica in again as a spare; its log is of the same cluster, but the model checks don't cover its return. Change: KnownReplicas takes a list only from an update that is confirmed, unless there is none yet; a list told before it is confirmed counts once it is. ADMISSION_HEARTBEAT_S and ADMISSION_SILENCE_S stand in the protocol. Gates name the entries that wait once a tick. Conclusion: a returning replica can't lead entries away.

--- a/carobspring/adapters/admission_service.py
+++ b/carobspring/adapters/admission_service.py
@@ -14,6 +14,8 @@
 from carobspring.admission import AdmissionGate, AdmissionLimits, GateDecision
 from carobspring.ports import Clock
 from carobspring.protocol import (
+    ADMISSION_HEARTBEAT_S,
+    ADMISSION_SILENCE_S,
     AdmissionDecision,
     AdmissionNews,
     AdmissionUpdate,
@@ -26,12 +28,9 @@
 #: tokens by which one has to change: 0.1 s of reading.
 LOAD_INTERVAL_S: Final = 0.25
 LOAD_STEP_TOKENS: Final = 6000
-#: Seconds after which an entry is told something in any case, and one whose
-#: requests wait.
-HEARTBEAT_S: Final = 2.5
+#: Seconds after which an entry whose requests wait is told something in any
+#: case.
 WAITING_HEARTBEAT_S: Final = 0.25
-#: Seconds after which an entry that says nothing is dropped.
-SILENCE_S: Final = 6.0
 #: Seconds without a request after which a gate is forgotten.
 IDLE_GATE_S: Final = 30.0
 
@@ -107,7 +106,7 @@
         reason = "the stream ended"
         try:
             while True:
-                async with asyncio.timeout(SILENCE_S):
+                async with asyncio.timeout(ADMISSION_SILENCE_S):
                     news = await stream.recv_message()
                 if news is None:
                     break
@@ -165,10 +164,14 @@
     def _wake_untold(self, now: float) -> None:
         """Have entries told that have not heard what they should."""
         loads = self._build_loads()
+        waiting: set[str] = set()
+        for gate in self._gates.values():
+            waiting |= gate.find_waiting_entries()
         for entry, outbox in self._outboxes.items():
             told_s = now - outbox.told_at
-            is_waiting = any(gate.has_waiting(entry) for gate in self._gates.values())
-            heartbeat_s = WAITING_HEARTBEAT_S if is_waiting else HEARTBEAT_S
+            heartbeat_s = ADMISSION_HEARTBEAT_S
+            if entry in waiting:
+                heartbeat_s = WAITING_HEARTBEAT_S
             if told_s >= heartbeat_s or (
                 told_s >= LOAD_INTERVAL_S and find_changed(loads, outbox.told_tokens)
             ):
--- a/carobspring/adapters/gate_link.py
+++ b/carobspring/adapters/gate_link.py
@@ -12,6 +12,8 @@
 from carobspring.adapters.rpc import STREAM_ERRORS, ChannelOpener, connect
 from carobspring.domain import Address
 from carobspring.protocol import (
+    ADMISSION_HEARTBEAT_S,
+    ADMISSION_SILENCE_S,
     AdmissionAsk,
     AdmissionLeft,
     AdmissionNews,
@@ -19,10 +21,6 @@
 )
 
 CONNECT_S: Final = 1.0
-#: Seconds between two messages at most, and after which a host that says
-#: nothing is given up.
-HEARTBEAT_S: Final = 2.5
-SILENCE_S: Final = 6.0
 #: Seconds until a lost host is called again; doubled up to the last.
 FIRST_PAUSE_S: Final = 0.5
 LAST_PAUSE_S: Final = 4.0
@@ -113,7 +111,7 @@
 
     async def _read(self, stream: Any) -> None:
         while True:
-            async with asyncio.timeout(SILENCE_S):
+            async with asyncio.timeout(ADMISSION_SILENCE_S):
                 update = await stream.recv_message()
             if update is None:
                 return
@@ -126,7 +124,7 @@
         with contextlib.suppress(*STREAM_ERRORS):
             while True:
                 with contextlib.suppress(TimeoutError):
-                    async with asyncio.timeout(HEARTBEAT_S):
+                    async with asyncio.timeout(ADMISSION_HEARTBEAT_S):
                         await self._wake.wait()
                 self._wake.clear()
                 news = AdmissionNews(asks=tuple(self._asks), left=tuple(self._left))
--- a/carobspring/admission/gate.py
+++ b/carobspring/admission/gate.py
@@ -79,9 +79,9 @@
         """How many requests wait."""
         return len(self._waiting)
 
-    def has_waiting(self, entry: str) -> bool:
-        """Say whether a request of this entry waits."""
-        return any(key[0] == entry for key in self._waiting)
+    def find_waiting_entries(self) -> set[str]:
+        """Return the entries whose requests wait."""
+        return {entry for entry, _ in self._waiting}
 
     @property
     def tokens_per_s(self) -> float:
--- a/carobspring/gateway/control.py
+++ b/carobspring/gateway/control.py
@@ -9,6 +9,7 @@
 from carobspring.adapters.metrics import Metrics
 from carobspring.adapters.rpc import ChannelOpener
 from carobspring.domain import Address, parse_address
+from carobspring.gateway.replicas import KnownReplicas
 from carobspring.protocol import EntryReport, ViewUpdate
 
 #: Replicas that are followed at a time, which is all of a deployment of today:
@@ -53,7 +54,7 @@
             "carob_entry_control_connected", "1 while a control replica is followed."
         )
         self._seeds = tuple(seeds)
-        self._replicas: tuple[str, ...] = ()
+        self._replicas = KnownReplicas()
         self._watches: dict[str, tuple[ControlWatch, asyncio.Task[None], float]] = {}
         self._rested: dict[str, float] = {}
 
@@ -77,7 +78,7 @@
                 task.cancel()
 
     def _list_candidates(self, now: float) -> list[str]:
-        names = dict.fromkeys((*self._replicas, *self._seeds))
+        names = dict.fromkeys((*self._replicas.names, *self._seeds))
         ranked = sorted(names, key=self._prefer)
         return sorted(ranked, key=lambda name: self._rested.get(name, 0.0) > now)
 
@@ -93,6 +94,7 @@
                 task.cancel()
                 del self._watches[name]
                 self._rested[name] = now + 2 * EXCHANGE_AFTER_S
+                self._replicas.forget(name)
                 self._forget(name)
         for name in candidates:
             if len(self._watches) >= FOLLOWED_REPLICAS:
@@ -104,9 +106,8 @@
         address: Address = parse_address("replica", name)
 
         def apply(update: ViewUpdate) -> None:
-            if update.replicas:
-                self._replicas = update.replicas
-                self._take_replicas(update.replicas)
+            if self._replicas.take(name, update):
+                self._take_replicas(self._replicas.names)
             self._apply_update(name, update)
 
         watch = ControlWatch(
--- a/carobspring/protocol/__init__.py
+++ b/carobspring/protocol/__init__.py
@@ -7,6 +7,8 @@
 """
 
 from carobspring.protocol.admission import (
+    ADMISSION_HEARTBEAT_S,
+    ADMISSION_SILENCE_S,
     AdmissionAsk,
     AdmissionDecision,
     AdmissionLeft,
@@ -47,6 +49,8 @@
 )
 
 __all__ = [
+    "ADMISSION_HEARTBEAT_S",
+    "ADMISSION_SILENCE_S",
     "AdmissionAsk",
     "AdmissionDecision",
     "AdmissionLeft",
--- a/carobspring/protocol/admission.py
+++ b/carobspring/protocol/admission.py
@@ -5,6 +5,12 @@
 """
 
 from dataclasses import dataclass
+from typing import Final
+
+#: Seconds between two messages of either side at most, and after which one
+#: that says nothing is given up.
+ADMISSION_HEARTBEAT_S: Final = 2.5
+ADMISSION_SILENCE_S: Final = 6.0
 
 
 @dataclass(frozen=True, kw_only=True)
