Let no background task end unseen, and reopen streams after a planned stop

Cause: a control replica that stops ends its streams first. grpclib then raises ProtocolError when the client leaves the stream, which STREAM_ERRORS lacked, so the task of EntryControlStream ended for good without a log line and the entry's settings stayed behind; its 'connected' stayed true, so the entries of the instances did not replace it either. AdmissionStream died in the same way.

Ruled out: a lost change at the replicas (a second entry on another replica had it).

Change: adapters/tasks.py starts all background tasks. start_task logs the error that ends a task, start_service_task also runs it again. ProtocolError is a stream error, and both streams are cancelled when the replica ends them. A replica that could not be started is started again at the next discovery round.

Also mended: a server hidden as flapping is removed from views whatever changed before it; archived unique calls expire in order of their end; streams are woken in order of subscription; the stand-in deployment holds ports until it ends; bench.scheduling runs when a class has no call; three unused names.

Archived calls: a replica of the former release keeps a digest that expired out of order for longer than one of this release, so during a rolling upgrade a resend of a call more than 24 h old can be answered differently by them.

--- a/bench/scheduling.py
+++ b/bench/scheduling.py
@@ -137,9 +137,7 @@
         return {
             "way": self.policy,
             "met": {
-                load_class.name: round(
-                    self.met[load_class.name] / self.offered[load_class.name], 4
-                )
+                load_class.name: self.compute_met_share(load_class.name)
                 for load_class in SIMULATED_CLASSES
             },
             "done": {
@@ -150,6 +148,11 @@
             "wasted_share": round(self.wasted_s / (SLOTS * seconds), 4),
         }
 
+    def compute_met_share(self, service_class):
+        """Return the share of calls that met the target; None without calls."""
+        offered = self.offered[service_class]
+        return round(self.met[service_class] / offered, 4) if offered else None
+
     def finish_due_calls(self, until):
         """End the calls whose service time is over."""
         while self.completions and self.completions[0][0] <= until:
--- a/carobspring/adapters/admission_service.py
+++ b/carobspring/adapters/admission_service.py
@@ -15,6 +15,7 @@
     RpcService,
     make_bidirectional_method,
 )
+from carobspring.adapters.tasks import start_task
 from carobspring.admission import AdmissionController, AdmissionLimits, EntryDecision
 from carobspring.ports import Clock
 from carobspring.protocol import (
@@ -113,7 +114,9 @@
         entry = f"entry-{self._stream_count}"
         outbox = self._outboxes[entry] = _Outbox()
         outbox.wakeup.set()
-        writer = asyncio.create_task(self._send_updates(stream, outbox))
+        writer = start_task(
+            self._send_updates(stream, outbox), name=f"admission updates {entry}"
+        )
         logger.info("entry connected for admission", extra={"entry": entry})
         reason = "the stream ended"
         try:
--- a/carobspring/adapters/admission_stream.py
+++ b/carobspring/adapters/admission_stream.py
@@ -10,6 +10,7 @@
 
 from carobspring.adapters.paths import ADMIT
 from carobspring.adapters.rpc import STREAM_ERRORS, ChannelOpener, connect
+from carobspring.adapters.tasks import start_service_task, start_task
 from carobspring.domain import Address
 from carobspring.protocol import (
     ADMISSION_HEARTBEAT_INTERVAL_S,
@@ -53,7 +54,9 @@
 
     def start(self) -> None:
         """Start connecting."""
-        self._task = asyncio.create_task(self._run())
+        self._task = start_service_task(
+            self._run, name=f"admission stream {self.address}"
+        )
 
     def close(self) -> None:
         """Close the stream and stop reconnecting."""
@@ -101,11 +104,15 @@
             )
             async with request as stream:
                 await stream.send_message(AdmissionReport())
-                report_task = asyncio.create_task(self._send_reports(stream))
+                report_task = start_task(
+                    self._send_reports(stream), name="admission reports"
+                )
                 try:
                     await self._receive_updates(stream)
                 finally:
                     report_task.cancel()
+                    with contextlib.suppress(*STREAM_ERRORS):
+                        await stream.cancel()
         finally:
             channel.close()
 
--- a/carobspring/adapters/agent_control_stream.py
+++ b/carobspring/adapters/agent_control_stream.py
@@ -11,6 +11,7 @@
 
 from carobspring.adapters.paths import REPORT_OUTCOME, WATCH_AGENT
 from carobspring.adapters.rpc import STREAM_ERRORS, open_channel
+from carobspring.adapters.tasks import start_service_task, start_task
 from carobspring.domain import Address
 from carobspring.protocol import (
     AgentReport,
@@ -52,7 +53,6 @@
         self._channels: dict[Address, Channel] = {}
         self._next_index = 0
         self._report_requested = asyncio.Event()
-        self._left = asyncio.Event()
         self._task: asyncio.Task[None] | None = None
         self.connected = False
         #: Number of streams opened so far, for metrics.
@@ -61,7 +61,7 @@
     def start(self) -> None:
         """Start connecting, if any addresses are configured."""
         if self._addresses:
-            self._task = asyncio.create_task(self._run())
+            self._task = start_service_task(self._run, name="control stream")
 
     def request_report(self) -> None:
         """Send the next report immediately."""
@@ -130,7 +130,7 @@
             async with asyncio.timeout(SILENCE_TIMEOUT_S):
                 await stream.send_message(self._build_report())
             self.opened_streams += 1
-            report_task = asyncio.create_task(self._send_reports(stream))
+            report_task = start_task(self._send_reports(stream), name="agent reports")
             try:
                 while True:
                     async with asyncio.timeout(SILENCE_TIMEOUT_S):
--- a/carobspring/adapters/agent_service.py
+++ b/carobspring/adapters/agent_service.py
@@ -32,8 +32,6 @@
     SettingsReply,
 )
 
-SUBMIT_HEARTBEAT_S = 1.0
-
 
 class AgentService:
     """Serves the requests of entries with the call manager."""
--- a/carobspring/adapters/entry_control_stream.py
+++ b/carobspring/adapters/entry_control_stream.py
@@ -12,6 +12,7 @@
 
 from carobspring.adapters import paths
 from carobspring.adapters.rpc import STREAM_ERRORS, ChannelOpener, connect
+from carobspring.adapters.tasks import start_task
 from carobspring.domain import Address
 from carobspring.protocol import EntryReport, ViewUpdate
 
@@ -79,7 +80,7 @@
         loop = asyncio.get_running_loop()
         async with asyncio.timeout(SILENCE_TIMEOUT_S) as silence_timeout, stream:
             await stream.send_message(self._build_report())
-            report_task = loop.create_task(self._send_reports(stream))
+            report_task = start_task(self._send_reports(stream), name="entry reports")
             try:
                 while (update := await stream.recv_message()) is not None:
                     silence_timeout.reschedule(loop.time() + SILENCE_TIMEOUT_S)
@@ -89,6 +90,8 @@
                         await stream.send_message(self._build_report())
             finally:
                 report_task.cancel()
+                with contextlib.suppress(*STREAM_ERRORS):
+                    await stream.cancel()
 
     def _set_connected(self, connected: bool) -> None:
         if connected is not self.connected:
--- a/carobspring/adapters/http_connection.py
+++ b/carobspring/adapters/http_connection.py
@@ -16,6 +16,7 @@
     parse_framing,
 )
 from carobspring.adapters.http_responder import CircuitsResponder, encode_error
+from carobspring.adapters.tasks import start_task
 from carobspring.ports import HttpHandler, HttpLimits, HttpRequest
 
 CONTINUE_RESPONSE = b"HTTP/1.1 100 Continue\r\n\r\n"
@@ -254,8 +255,8 @@
             body=body,
             peer=self._peer,
         )
-        self._task = asyncio.get_running_loop().create_task(
-            self._run_handler(http_request, self._responder)
+        self._task = start_task(
+            self._run_handler(http_request, self._responder), name="handle request"
         )
 
     def _build_request_and_response(
--- a/carobspring/adapters/http_server.py
+++ b/carobspring/adapters/http_server.py
@@ -15,6 +15,7 @@
 from carobspring.adapters.eventloop import EventLoopRoot
 from carobspring.adapters.http_connection import HttpConnection
 from carobspring.adapters.listeners import take_listener
+from carobspring.adapters.tasks import start_service_task
 from carobspring.ports import HttpHandler, HttpLimits, HttpServer
 
 CHANNEL = "web"
@@ -200,7 +201,9 @@
         self._web = _WebServer(bind=bind, handle=self._handle, limits=self._limits)
         self.port = self._web.port
         self._web.register(self._root)
-        self._timeout_task = loop.create_task(self._check_timeouts())
+        self._timeout_task = start_service_task(
+            self._check_timeouts, name="connection timeouts"
+        )
 
     async def disable_keep_alive(self, duration_s: float) -> None:
         """Close each connection after its response, for a while.
--- a/carobspring/adapters/peer_link.py
+++ b/carobspring/adapters/peer_link.py
@@ -10,6 +10,7 @@
 
 from carobspring.adapters.paths import EXCHANGE_BATCHES
 from carobspring.adapters.rpc import STREAM_ERRORS, open_channel
+from carobspring.adapters.tasks import start_service_task, start_task
 from carobspring.ports import Clock
 from carobspring.protocol.peers import PeerBatch
 
@@ -75,7 +76,9 @@
     def start(self) -> None:
         """Start dialing the peer, if this side dials."""
         if self._own_name < self._peer.name:
-            self._dial_task = asyncio.create_task(self._dial())
+            self._dial_task = start_service_task(
+                self._dial, name=f"peer link {self._peer.name}"
+            )
 
     def send(self, message: bytes) -> None:
         """Send a consensus message in the next batch."""
@@ -111,8 +114,8 @@
         """Send and receive batches until the stream ends or is replaced."""
         if self._receive_task is not None:
             self._receive_task.cancel()
-        receive_task = asyncio.create_task(self._receive(stream))
-        send_task = asyncio.create_task(self._send(stream))
+        receive_task = start_task(self._receive(stream), name="receive batches")
+        send_task = start_task(self._send(stream), name="send batches")
         self._receive_task = receive_task
         self._received_at = self._clock.read_monotonic()
         self._clear_queues()
--- a/carobspring/adapters/rpc.py
+++ b/carobspring/adapters/rpc.py
@@ -18,7 +18,7 @@
 from grpclib.const import Cardinality, Handler
 from grpclib.encoding.base import CodecBase
 from grpclib.events import RecvRequest, SendRequest, listen
-from grpclib.exceptions import StreamTerminatedError
+from grpclib.exceptions import ProtocolError, StreamTerminatedError
 from grpclib.server import Server, Stream
 
 SECRET_METADATA_KEY = "carob-secret"
@@ -30,7 +30,15 @@
 CONNECTION_WINDOW_BYTES = 8 * 1024 * 1024
 
 #: Errors that a call or stream may raise when its connection or peer fails.
-STREAM_ERRORS = (GRPCError, StreamTerminatedError, OSError, TimeoutError)
+#: grpclib raises ProtocolError if a peer ends a stream before this side does,
+#: as a replica does at a planned stop.
+STREAM_ERRORS = (
+    GRPCError,
+    ProtocolError,
+    StreamTerminatedError,
+    OSError,
+    TimeoutError,
+)
 
 Message = TypeVar("Message")
 #: Opens a channel to a host and port.
--- a/carobspring/agent/executor.py
+++ b/carobspring/agent/executor.py
@@ -6,6 +6,7 @@
 from collections import deque
 from collections.abc import Callable
 
+from carobspring.adapters.tasks import start_task
 from carobspring.agent.health import HealthProbe
 from carobspring.agent.progress import RunProgress
 from carobspring.agent.quarantine import Quarantine
@@ -93,7 +94,7 @@
         call_id = record.call.call_id
         now = self._clock.read_monotonic()
         self._progress[call_id] = RunProgress(call=record.call, now=now)
-        task = asyncio.create_task(self._run(record, engine_priority))
+        task = start_task(self._run(record, engine_priority), name="run call")
         self._tasks[call_id] = task
         task.add_done_callback(lambda done: self._on_task_done(record, done))
 
--- a/carobspring/agent/health.py
+++ b/carobspring/agent/health.py
@@ -5,6 +5,7 @@
 import logging
 from collections.abc import Callable
 
+from carobspring.adapters.tasks import start_service_task
 from carobspring.ports import Backend, Clock
 
 PROBE_TIMEOUT_S = 2.0
@@ -45,7 +46,7 @@
     async def start(self) -> None:
         """Probe once, then continue in the background."""
         await self._probe()
-        self._task = asyncio.create_task(self._run())
+        self._task = start_service_task(self._run, name="probe backend server")
 
     def mark_failed(self) -> None:
         """Mark the server unhealthy after it accepted no connection.
--- a/carobspring/agent/manager.py
+++ b/carobspring/agent/manager.py
@@ -5,6 +5,7 @@
 from collections.abc import Awaitable, Callable
 from dataclasses import replace
 
+from carobspring.adapters.tasks import start_service_task, start_task
 from carobspring.agent.claims import ClaimTable
 from carobspring.agent.executor import CallExecutor
 from carobspring.agent.quarantine import QUARANTINE_STRIKES, Quarantine
@@ -104,7 +105,9 @@
     async def start(self) -> None:
         """Start probing the backend server and checking calls."""
         await self.executor.health.start()
-        self._check_task = asyncio.create_task(self._check_periodically())
+        self._check_task = start_service_task(
+            self._check_periodically, name="check calls"
+        )
 
     async def submit(self, call: RunCall) -> CallRecord | CallEnd:
         """Accept a call; return its record, or an end that says why not.
@@ -316,7 +319,7 @@
         if not record.call.claim:
             self._finish_call(record, end)
             return
-        task = asyncio.create_task(self._end_claim(record, end))
+        task = start_task(self._end_claim(record, end), name="end claim")
         self._outcome_tasks.add(task)
         task.add_done_callback(self._outcome_tasks.discard)
 
--- a/carobspring/control/expiry.py
+++ b/carobspring/control/expiry.py
@@ -1,9 +1,9 @@
 """Expiry of old records of unique calls, proposed by the leader."""
 
-import asyncio
 import contextlib
 from collections.abc import Callable
 
+from carobspring.adapters.tasks import start_task
 from carobspring.control.commands import Command
 from carobspring.control.errors import ControlError
 from carobspring.control.proposals import CommandProposer
@@ -31,7 +31,6 @@
         self._proposer = proposer
         self._is_leader = is_leader
         self._checked_at = float("-inf")
-        self._task: asyncio.Task[None] | None = None
 
     def tick(self, now: float) -> None:
         """Propose an expiry when a check is due and this replica leads.
@@ -44,7 +43,7 @@
         self._checked_at = now
         at_ms = self._state.clock.read_wall_ms()
         if self._state.machine.ledger.needs_expiry(at_ms):
-            self._task = asyncio.create_task(self._propose(at_ms))
+            start_task(self._propose(at_ms), name="expire claims")
 
     async def _propose(self, at_ms: int) -> None:
         with contextlib.suppress(ControlError):
--- a/carobspring/control/instance_api.py
+++ b/carobspring/control/instance_api.py
@@ -13,6 +13,7 @@
 import msgspec
 
 from carobspring import platform
+from carobspring.adapters.tasks import start_task
 from carobspring.control.commands import Command
 from carobspring.control.errors import ControlError
 from carobspring.control.proposals import CommandProposer
@@ -24,9 +25,6 @@
 
 #: Less than the second after which callers try another daemon.
 RESPONSE_TIMEOUT_S: Final = 0.9
-#: A proposal continues for up to this time after its caller has moved on to
-#: another daemon.
-PROPOSAL_TIMEOUT_S: Final = 4.0
 #: Sequence of the report that removes a server; no check-in of the same boot
 #: is newer.
 FINAL_SEQUENCE: Final = 2**53
@@ -106,7 +104,7 @@
             return
         body = zlib.compress(request.body, COMPRESSION_LEVEL)
         content = RoutingConfiguration(version=table.version, body=body)
-        task = asyncio.create_task(self._commit(content))
+        task = start_task(self._commit(content), name="commit routes")
         self._proposals.add(task)
         task.add_done_callback(self._proposals.discard)
         done, _ = await asyncio.wait({task}, timeout=RESPONSE_TIMEOUT_S)
--- a/carobspring/control/state.py
+++ b/carobspring/control/state.py
@@ -9,20 +9,23 @@
 
 
 class StreamNotifier:
-    """Notifies every open stream that there may be something to send."""
+    """Notifies every open stream that there may be something to send.
+
+    Streams are notified in the order in which they subscribed.
+    """
 
     def __init__(self) -> None:
-        self._events: set[asyncio.Event] = set()
+        self._events: dict[asyncio.Event, None] = {}
 
     def subscribe(self) -> asyncio.Event:
         """Return an event that is set at each change until unsubscribed."""
         event = asyncio.Event()
-        self._events.add(event)
+        self._events[event] = None
         return event
 
     def unsubscribe(self, event: asyncio.Event) -> None:
         """Stop setting an event."""
-        self._events.discard(event)
+        self._events.pop(event, None)
 
     def notify_all(self) -> None:
         """Set the events of all streams."""
--- a/carobspring/control/streams.py
+++ b/carobspring/control/streams.py
@@ -10,6 +10,7 @@
 
 from carobspring.adapters import paths
 from carobspring.adapters.rpc import RpcService, make_bidirectional_method
+from carobspring.adapters.tasks import start_task
 from carobspring.control.commands import Command
 from carobspring.control.errors import ControlError
 from carobspring.control.proposals import CommandProposer
@@ -136,7 +137,7 @@
         # proposed or not committed here are proposed at a later report.
         new = self._state.machine.strikes.find_unknown(report.strikes)
         if new and not self._strike_proposals:
-            proposal = asyncio.create_task(self._propose_strikes(new))
+            proposal = start_task(self._propose_strikes(new), name="strikes")
             self._strike_proposals.add(proposal)
             proposal.add_done_callback(self._strike_proposals.discard)
 
--- a/carobspring/entry/canceller.py
+++ b/carobspring/entry/canceller.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from carobspring.adapters.tasks import start_task
 from carobspring.domain import BackendServer
 from carobspring.entry.agent_client import cancel_call
 from carobspring.entry.channels import ChannelPool
@@ -24,7 +25,7 @@
 
     def cancel(self, server: BackendServer, call_id: str) -> None:
         """Cancel a call at a server's agent without waiting for the reply."""
-        task = asyncio.get_running_loop().create_task(self._cancel(server, call_id))
+        task = start_task(self._cancel(server, call_id), name="cancel call")
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
--- a/carobspring/entry/driver.py
+++ b/carobspring/entry/driver.py
@@ -1,9 +1,9 @@
 """Driving a repeatable call: choosing servers, retrying and failing."""
 
-import asyncio
 import hashlib
 import uuid
 
+from carobspring.adapters.tasks import start_task
 from carobspring.domain import RunStatus, ServiceKind
 from carobspring.entry.attempts import AttemptRunner
 from carobspring.entry.dependencies import DriverDependencies
@@ -151,8 +151,8 @@
             choice=choice, call_id=self._call_id, alone=alone
         )
         self._call_id = uuid.uuid4().hex
-        move_task = asyncio.create_task(
-            self._mover.watch(choice, run.call_id, self._excluded)
+        move_task = start_task(
+            self._mover.watch(choice, run.call_id, self._excluded), name="move call"
         )
         self._attempts.on_response_start = move_task.cancel
         try:
--- a/carobspring/entry/settings_updater.py
+++ b/carobspring/entry/settings_updater.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from carobspring.adapters.tasks import start_task
 from carobspring.entry.agent_client import fetch_settings
 from carobspring.entry.dependencies import DriverDependencies
 
@@ -27,7 +28,7 @@
         """Wait briefly for a revision; return whether it is in force."""
         if self._task is None or self._task.done():
             fetch = self._fetch(revision)
-            self._task = asyncio.get_running_loop().create_task(fetch)
+            self._task = start_task(fetch, name="fetch settings")
         await asyncio.wait({self._task})
         return self._dependencies.state.settings.revision >= revision
 
--- a/carobspring/gateway/api.py
+++ b/carobspring/gateway/api.py
@@ -6,6 +6,7 @@
 from typing import Final
 
 from carobspring import platform
+from carobspring.adapters.tasks import start_task
 from carobspring.dispatch import DispatchQuery
 from carobspring.domain.routes import Route, RoutingTable
 from carobspring.gateway.budget import RetryBudget
@@ -91,8 +92,10 @@
         self, exchange: Exchange, responder: HttpResponder
     ) -> ExchangeReport:
         """Run the exchange, and cancel it if the caller leaves."""
-        exchange_task = asyncio.create_task(exchange.run())
-        disconnect_task = asyncio.create_task(responder.disconnected.wait())
+        exchange_task = start_task(exchange.run(), name="exchange")
+        disconnect_task = start_task(
+            responder.disconnected.wait(), name="await disconnect"
+        )
         try:
             await asyncio.wait(
                 {exchange_task, disconnect_task}, return_when=asyncio.FIRST_COMPLETED
--- a/carobspring/gateway/backends.py
+++ b/carobspring/gateway/backends.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from carobspring.adapters.backend_http import HttpBackend
+from carobspring.adapters.tasks import start_task
 from carobspring.domain import BackendServer
 
 #: Seconds after which an idle connection is closed.
@@ -16,7 +17,6 @@
 
     def __init__(self) -> None:
         self._clients: dict[str, HttpBackend] = {}
-        self._close_tasks: set[asyncio.Task[None]] = set()
 
     def add(self, server: BackendServer) -> None:
         """Create a client for a server, in place of an earlier one."""
@@ -33,9 +33,7 @@
         """Stop using a client; requests in flight continue."""
         client = self._clients.pop(server_id, None)
         if client is not None:
-            task = asyncio.create_task(self._close_after_requests(client))
-            self._close_tasks.add(task)
-            task.add_done_callback(self._close_tasks.discard)
+            start_task(self._close_after_requests(client), name="close client")
 
     def find(self, server_id: str) -> HttpBackend | None:
         """Return the client of a server, or None."""
--- a/carobspring/gateway/control.py
+++ b/carobspring/gateway/control.py
@@ -8,6 +8,7 @@
 from carobspring.adapters.entry_control_stream import EntryControlStream
 from carobspring.adapters.metrics import Metrics
 from carobspring.adapters.rpc import ChannelOpener
+from carobspring.adapters.tasks import start_service_task
 from carobspring.domain import Address, parse_address
 from carobspring.gateway.replicas import KnownReplicas
 from carobspring.protocol import EntryReport, ViewUpdate
@@ -122,5 +123,5 @@
             connected_gauge=self._connected_gauge,
             reconnect_delay_s=RECONNECT_DELAY_S,
         )
-        task = asyncio.create_task(stream.run())
+        task = start_service_task(stream.run, name=f"control stream {name}")
         self._streams[name] = (stream, task, now)
--- a/carobspring/ledger/archive.py
+++ b/carobspring/ledger/archive.py
@@ -2,7 +2,6 @@
 
 import hashlib
 import struct
-from itertools import takewhile
 
 #: Largest number of archived calls; each takes about 200 bytes of memory.
 MAX_ARCHIVED_CALLS = 100_000
@@ -11,7 +10,7 @@
 
 
 class CallArchive:
-    """Digests of calls that ran, oldest first, without their responses.
+    """Digests of calls that ran, by order of claim, without their responses.
 
     A full ledger moves its oldest completed calls here, so that a late resend
     is still recognised and never runs again, although its response is lost.
@@ -40,24 +39,24 @@
         return self._changed_ms.get(_hash_call_key(key))
 
     def has_expired(self, cutoff_ms: int) -> bool:
-        """Return whether the oldest call changed at or before the cutoff."""
-        oldest = next(iter(self._changed_ms.values()), None)
-        return oldest is not None and oldest <= cutoff_ms
+        """Return whether any call changed at or before the cutoff.
+
+        Calls are archived in the order of their claims, and a call that was
+        claimed first may have ended last.
+        """
+        return min(self._changed_ms.values(), default=cutoff_ms + 1) <= cutoff_ms
 
     def remove_expired(self, cutoff_ms: int) -> int:
         """Remove calls changed at or before the cutoff; return how many."""
         if not self.has_expired(cutoff_ms):
             return 0
-        items = self._changed_ms.items()
-        expired = [
-            digest for digest, _ in takewhile(lambda item: item[1] <= cutoff_ms, items)
-        ]
-        for digest in expired:
-            del self._changed_ms[digest]
-        # The deleted entries still take up slots at the start of the dict. A
-        # copy drops them, so that finding the oldest call takes constant time.
-        self._changed_ms = dict(self._changed_ms)
-        return len(expired)
+        count = len(self._changed_ms)
+        self._changed_ms = {
+            digest: changed_ms
+            for digest, changed_ms in self._changed_ms.items()
+            if changed_ms > cutoff_ms
+        }
+        return count - len(self._changed_ms)
 
     def encode(self) -> bytes:
         """Return the encoded archive."""
--- a/carobspring/membership/table.py
+++ b/carobspring/membership/table.py
@@ -310,6 +310,7 @@
                 )
                 if is_flapping and member.is_visible:
                     member = self._record_change(replace(member, is_visible=False))
+                    self._store_newest(member)
         self.members[server.server_id] = member
         if not member.is_visible:
             if now >= member.visible_from:
--- a/carobspring/programs/control.py
+++ b/carobspring/programs/control.py
@@ -15,6 +15,7 @@
 from carobspring.adapters.http_server import CircuitsHttpServer
 from carobspring.adapters.metrics import Metrics
 from carobspring.adapters.rpc import RpcService, build_server
+from carobspring.adapters.tasks import start_service_task
 from carobspring.control import (
     AdminApi,
     AdminRoutes,
@@ -139,7 +140,7 @@
             limits=HttpLimits(),
         )
         await self._admin_server.start()
-        self._tick_task = asyncio.create_task(self._tick_periodically())
+        self._tick_task = start_service_task(self._tick_periodically, name="tick")
         return {
             "rpc": get_bound_port(self._rpc_server),
             "admin": self._admin_server.port,
--- a/carobspring/programs/entry.py
+++ b/carobspring/programs/entry.py
@@ -12,6 +12,7 @@
 from carobspring.adapters.http_server import CircuitsHttpServer
 from carobspring.adapters.metrics import Metrics
 from carobspring.adapters.rpc import open_channel
+from carobspring.adapters.tasks import start_service_task
 from carobspring.domain import InvalidValueError, parse_addresses
 from carobspring.entry import (
     CallCanceller,
@@ -133,7 +134,9 @@
 
     async def start(self) -> dict[str, int]:
         """Connect to control, listen for callers, and return the ports."""
-        self._control_task = asyncio.create_task(self._control_stream.run())
+        self._control_task = start_service_task(
+            self._control_stream.run, name="control stream"
+        )
         await self._http_server.start()
         return {"http": self._http_server.port}
 
--- a/carobspring/programs/instance_control.py
+++ b/carobspring/programs/instance_control.py
@@ -15,6 +15,7 @@
 from carobspring.adapters.http_server import CircuitsHttpServer
 from carobspring.adapters.metrics import Metrics, serve_metrics
 from carobspring.adapters.rpc import RpcService, build_server
+from carobspring.adapters.tasks import start_service_task, start_task
 from carobspring.consensus import IDENTITY_FILE
 from carobspring.control import (
     ClaimService,
@@ -181,11 +182,11 @@
                 render=self._render_metrics,
             )
         self._tasks = [
-            asyncio.create_task(self._discovery.run()),
-            asyncio.create_task(self._tick_periodically()),
-            asyncio.create_task(self._admission_service.run()),
-            asyncio.create_task(self._node_file_watcher.run()),
-            asyncio.create_task(StallDetector().run()),
+            start_service_task(self._discovery.run, name="discovery"),
+            start_service_task(self._tick_periodically, name="tick"),
+            start_service_task(self._admission_service.run, name="admission"),
+            start_service_task(self._node_file_watcher.run, name="node file"),
+            start_service_task(StallDetector().run, name="stall detector"),
         ]
         logger.info(
             "started",
@@ -251,14 +252,14 @@
                 directory.update_members(supervisor.list_members())
                 replicas = directory.list_replicas()
                 supervisor.add_peers((*replicas, *directory.list_spare_daemons()))
-            elif replicas and self._start_task is None:
+            elif replicas and (self._start_task is None or self._start_task.done()):
                 is_initial_member = self._name in directory.initial_members
                 bootstrap = directory.own_info.founding and is_initial_member
                 if bootstrap or directory.members:
                     start = supervisor.start(
                         peers={*replicas, self._name}, bootstrap=bootstrap
                     )
-                    self._start_task = asyncio.create_task(start)
+                    self._start_task = start_task(start, name="start replica")
         for name in replicas:
             if name != self._name and name not in self._rpc_peers:
                 address = parse_peer_address(name)
--- a/carobspring/programs/instance_entry.py
+++ b/carobspring/programs/instance_entry.py
@@ -13,6 +13,7 @@
 from carobspring.adapters.http_server import CircuitsHttpServer
 from carobspring.adapters.metrics import Metrics, serve_metrics
 from carobspring.adapters.rpc import open_channel
+from carobspring.adapters.tasks import start_service_task
 from carobspring.dispatch import Dispatcher
 from carobspring.gateway import (
     AdmissionClient,
@@ -128,9 +129,9 @@
                 )
             )
         self._tasks = [
-            asyncio.create_task(self._control_streams.run()),
-            asyncio.create_task(self._node_file_watcher.run()),
-            asyncio.create_task(StallDetector().run()),
+            start_service_task(self._control_streams.run, name="control streams"),
+            start_service_task(self._node_file_watcher.run, name="node file"),
+            start_service_task(StallDetector().run, name="stall detector"),
         ]
         logger.info(
             "started",
--- a/carobspring/programs/replica.py
+++ b/carobspring/programs/replica.py
@@ -11,6 +11,7 @@
 from carobspring.adapters.paths import EXCHANGE_BATCHES
 from carobspring.adapters.peer_link import PeerAddress, PeerLink
 from carobspring.adapters.rpc import make_bidirectional_method
+from carobspring.adapters.tasks import start_service_task
 from carobspring.consensus import (
     KEPT_ENTRIES,
     SNAPSHOT_EVERY,
@@ -147,7 +148,9 @@
 
     async def start(self) -> None:
         """Start the timer and connect to the peers."""
-        self._tick_task = asyncio.create_task(self._tick_periodically())
+        self._tick_task = start_service_task(
+            self._tick_periodically, name="consensus tick"
+        )
         self._is_started = True
         for link in self._links.values():
             link.start()
--- a/carobspring/programs/replica_supervisor.py
+++ b/carobspring/programs/replica_supervisor.py
@@ -12,6 +12,7 @@
 from carobspring.adapters.paths import EXCHANGE_BATCHES
 from carobspring.adapters.peer_link import PeerAddress
 from carobspring.adapters.rpc import make_bidirectional_method
+from carobspring.adapters.tasks import start_task
 from carobspring.consensus import ConsensusError
 from carobspring.control import ControlMachine, GossipTransport
 from carobspring.domain import parse_address
@@ -192,7 +193,7 @@
     def _handle_failure(self, error: ConsensusError) -> None:
         logger.error("replica failed", extra={"error": str(error)})
         if self._reopen_task is None:
-            self._reopen_task = asyncio.create_task(self._reopen())
+            self._reopen_task = start_task(self._reopen(), name="reopen replica")
 
     async def _reopen(self) -> None:
         failed, self._replica = self._replica, None
--- a/standins/deployment.py
+++ b/standins/deployment.py
@@ -25,11 +25,16 @@
     """A process failed, or a condition was not met in time."""
 
 
-def find_free_port() -> int:
-    """Return a free port, for peers that must know it before the start."""
-    with socket.socket() as probe:
-        probe.bind((LOOPBACK, 0))
-        return int(probe.getsockname()[1])
+def reserve_port() -> socket.socket:
+    """Return a socket that reserves a free port until it is closed.
+
+    It is bound but doesn't listen. A program that binds the same port with
+    SO_REUSEADDR, as asyncio does, gets the port; nothing else is given it.
+    """
+    reservation = socket.socket()
+    reservation.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    reservation.bind((LOOPBACK, 0))
+    return reservation
 
 
 async def wait_until(
@@ -161,6 +166,7 @@
         self._folder = tempfile.TemporaryDirectory(prefix="carob-")
         self.folder = Path(self._folder.name)
         self._log_count = 0
+        self._reservations: list[socket.socket] = []
 
     async def __aenter__(self) -> "Deployment":
         return self
@@ -177,6 +183,8 @@
         """Kill by process identifier what still runs, and delete the files."""
         running = [program for program in self.programs if program.returncode is None]
         await asyncio.gather(*(program.kill() for program in running))
+        for reservation in self._reservations:
+            reservation.close()
         self._folder.cleanup()
 
     async def start(
@@ -229,7 +237,12 @@
     async def start_controls(self, zones: list[str]) -> list[RunningProgram]:
         """Start one replica per zone; each gets the addresses of all."""
         names = [f"c{index + 1}" for index in range(len(zones))]
-        ports = {name: find_free_port() for name in names}
+        reservations = {name: reserve_port() for name in names}
+        self._reservations += reservations.values()
+        ports = {
+            name: reservation.getsockname()[1]
+            for name, reservation in reservations.items()
+        }
         addresses = (f"{LOOPBACK}:{port}" for port in ports.values())
         pairs = zip(names, addresses, strict=True)
         self.peers = ",".join("=".join(pair) for pair in pairs)
--- a/tests/endtoend/test_stops.py
+++ b/tests/endtoend/test_stops.py
@@ -1,10 +1,17 @@
 import asyncio
+from dataclasses import replace
 
+from carobspring.domain import ServiceClass
+from carobspring.settings import Change
 from standins.caller import Verdict
 from standins.deployment import wait_until
-from tests.endtoend.cluster import ZONES, ClusterTestCase, LoadGenerator
+from standins.setup import send_changes
+from tests.endtoend.cluster import TARGET, ZONES, ClusterTestCase, LoadGenerator
 
 STOP_NOTICE_S = 3.0
+#: Time within which a change must be in force everywhere.
+IN_FORCE_S = 8.0
+CHAT = ServiceClass(name="chat", priority=90, target=TARGET)
 #: Enough that a call ends only when its caller disconnects.
 ENDLESS_TOKENS = 100_000
 
@@ -53,6 +60,36 @@
         ]
         self.assertEqual(failed, [])
 
+    async def read_revision(self, entry):
+        async with self.client.get(f"{entry.url()}/readyz") as response:
+            return (await response.json())["revision"]
+
+    async def test_settings_after_planned_stops(self):
+        """Entries get every change, whichever replica was stopped before."""
+        for index, control in enumerate(list(self.controls)):
+            self.assertEqual(await control.stop(), 0)
+            running = [c for c in self.controls if c.returncode is None]
+            revision = await send_changes(
+                self.deployment,
+                [Change(set_class=replace(CHAT, priority=80 + index))],
+                base_revision=await self.read_revision(self.entries[0]),
+                admin=",".join(c.address("admin") for c in running),
+            )
+            for entry in self.entries:
+
+                async def is_in_force(entry=entry, revision=revision):
+                    return await self.read_revision(entry) == revision
+
+                await wait_until(is_in_force, "the change is in force", IN_FORCE_S)
+            self.controls[index] = await self.deployment.start_control(
+                control.name,
+                ZONES[index],
+                rpc_port=control.ports["rpc"],
+                admin_port=control.ports["admin"],
+                peers=self.deployment.peers,
+            )
+            await self.find_leader()
+
     async def keep_busy(self, name):
         """Start endless calls until one runs at this runner; return them."""
         calls = []
--- a/tests/ledger/test_ledger.py
+++ b/tests/ledger/test_ledger.py
@@ -238,6 +238,16 @@
                 ledger.apply_expiry(ExpireCommand(at_ms=at_ms))
                 self.assertEqual(ledger.count_archived(), 0 if is_removed else 1)
 
+    def test_expiry_out_of_order(self):
+        """A digest is removed in time behind one that was claimed earlier."""
+        archive = archive_module.CallArchive()
+        archive.add(("w", "booking", "claimed first, ended last"), 500)
+        archive.add(("w", "booking", "ended first"), 200)
+        for cutoff_ms, removed in ((199, 0), (200, 1), (499, 0), (500, 1)):
+            with self.subTest(cutoff_ms):
+                self.assertIs(archive.has_expired(cutoff_ms), removed == 1)
+                self.assertEqual(archive.remove_expired(cutoff_ms), removed)
+
     def test_only_completed_calls_are_archived(self):
         """A call that is claimed, not run or unknown is never archived."""
         with unittest.mock.patch.object(ledger_module, "MAX_CLAIMS", 1):
--- a/tests/membership/test_table.py
+++ b/tests/membership/test_table.py
@@ -200,6 +200,19 @@
         )
         self.assertEqual(list_visible(table), ["m2"])
 
+    def test_flapping_server_is_removed(self):
+        """A server hidden as flapping is removed, whatever changed before."""
+        table = build_table()
+        for boot in (8, 9):
+            table.apply_report(build_report(1, boot=boot), float(boot - 7))
+        other = replace(SERVER, server_id="m2")
+        table.apply_report(AgentReport(server=other, load=LoadReport(sequence=1)), 2.5)
+        before = table.view
+        table.apply_report(build_report(1, boot=10), 3.0)
+        self.assertEqual(
+            table.compute_delta(before), ViewDelta(view=table.view, removed=("m1",))
+        )
+
     def test_expired_removals(self):
         """The delta is complete if a removal after its view was deleted."""
         table = build_table()
