Confirm a drain once all reachable replicas know it, and follow fewer of them

Cause: gossip that was on its way when a stream between two replicas went silent was lost, and the record of what was sent stayed, so the drain reached the other replica with the complete state only, up to 10 s later.

Ruled out: that the next check-in repairs it. A check-in that only repeats 'draining' changes no view, so later gossip carried the lease alone.

Change: what was sent is forgotten when a stream opens, so the next tick sends the complete state. Peers acknowledge each view, and a check-in that says draining or gone is answered 200 once every reachable replica has merged it, else 503 after 0.6 s, so that the server asks another daemon. A server that begins to report to another replica is announced by it anew. A stopping daemon confirms no check-in. Entries follow one replica more than may be lost at once (from the settings), near ones first and at least one in another zone. Daemons without a replica tell entries where the replicas are. The last view of replicas that are no longer followed is dropped when another arrives.

Peers of the former release send no views; they count as having what was sent on the stream, as before.

--- a/bench/scheduling.py
+++ b/bench/scheduling.py
@@ -149,7 +149,7 @@
         }
 
     def compute_met_share(self, service_class):
-        """Return the share of calls that met the target; None without calls."""
+        """Return the share of calls that met the target, or None."""
         offered = self.offered[service_class]
         return round(self.met[service_class] / offered, 4) if offered else None
 
--- a/carobspring/adapters/peer_link.py
+++ b/carobspring/adapters/peer_link.py
@@ -110,8 +110,11 @@
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
 
-    async def exchange(self, stream: Any) -> None:
-        """Send and receive batches until the stream ends or is replaced."""
+    async def exchange(self, stream: Any, first_batch: PeerBatch | None = None) -> None:
+        """Send and receive batches until the stream ends or is replaced.
+
+        ``first_batch`` was received before the peer was known.
+        """
         if self._receive_task is not None:
             self._receive_task.cancel()
         receive_task = start_task(self._receive(stream), name="receive batches")
@@ -121,6 +124,8 @@
         self._clear_queues()
         self.opened_streams += 1
         self._on_open(self._peer.name)
+        if first_batch is not None:
+            self._on_batch(self._peer.name, first_batch)
         try:
             await asyncio.wait(
                 {receive_task, send_task}, return_when=asyncio.FIRST_COMPLETED
--- a/carobspring/control/__init__.py
+++ b/carobspring/control/__init__.py
@@ -14,7 +14,7 @@
 from carobspring.control.proposals import CommandProposer, Peer
 from carobspring.control.replica_routes import Reconfigurable, ReplicaRoutes
 from carobspring.control.state import ControlState
-from carobspring.control.streams import WatchService
+from carobspring.control.streams import ReplicaLocatorService, WatchService
 
 __all__ = [
     "AdminApi",
@@ -34,6 +34,7 @@
     "Peer",
     "Reconfigurable",
     "ReplicaRoutes",
+    "ReplicaLocatorService",
     "RpcPeer",
     "WatchService",
     "parse_operator_tokens",
--- a/carobspring/control/discovery.py
+++ b/carobspring/control/discovery.py
@@ -78,6 +78,12 @@
         """Return the known replicas, or before them the initial members."""
         return self.members or self.initial_members
 
+    def find_zones(self, names: Iterable[str]) -> dict[str, str]:
+        """Return the availability zone of each of these daemons, if known."""
+        return {
+            name: self._daemons[name].zone for name in names if name in self._daemons
+        }
+
     def list_spare_daemons(self) -> tuple[str, ...]:
         """Return the durable daemons that do not hold a replica of the log."""
         replicas = self.list_replicas()
--- a/carobspring/control/gossip.py
+++ b/carobspring/control/gossip.py
@@ -1,8 +1,10 @@
 """Gossip between replicas on the agents and entries connected to each."""
 
+import asyncio
 from abc import abstractmethod
 from collections.abc import Callable
-from typing import Protocol
+from dataclasses import dataclass, replace
+from typing import Final, Protocol
 
 import msgspec
 
@@ -10,16 +12,21 @@
 from carobspring.membership import GossipMessage
 
 #: Seconds between two messages to a peer when nothing changed.
-GOSSIP_INTERVAL_S = 1.0
-#: Seconds after which a peer is sent the complete state again, to make up for
-#: lost messages.
-COMPLETE_INTERVAL_S = 10.0
+GOSSIP_INTERVAL_S: Final = 1.0
+#: Seconds after which a peer is sent the complete state again.
+COMPLETE_INTERVAL_S: Final = 10.0
+#: The view of a replica of which nothing was received.
+NO_VIEW: Final = -1
 
 _decoder = msgspec.msgpack.Decoder(GossipMessage)
 
 
 class GossipTransport(Protocol):
-    """Carries soft state between replicas; messages may be lost."""
+    """Carries soft state between replicas, over one stream to each.
+
+    Messages arrive in order while a stream is open. When it ends, those on
+    their way are lost.
+    """
 
     @abstractmethod
     def list_peers(self) -> list[str]:
@@ -33,22 +40,41 @@
     def on_gossip(self, callback: Callable[[str, bytes], None]) -> None:
         """Add a callback that receives each sender's name and message."""
 
+    @abstractmethod
+    def on_open(self, callback: Callable[[str], None]) -> None:
+        """Add a callback that receives the peer's name of each new stream."""
+
+
+@dataclass(kw_only=True)
+class _PeerState:
+    """What was sent and received on the current stream to a peer."""
+
+    sent_view: int = NO_VIEW
+    acknowledged_view: int = NO_VIEW
+    merged_view: int = NO_VIEW
+    #: False for a peer of an earlier release, None until its first message.
+    sends_views: bool | None = None
+
 
 class GossipExchange:
     """Sends local changes to each peer and merges the changes of peers.
 
     ``tick`` is called regularly. Changes of members that entries must learn at
-    once are sent by the next call, lease renewals every GOSSIP_INTERVAL_S.
+    once are sent by the next call, lease renewals every GOSSIP_INTERVAL_S. A
+    peer acknowledges each view at once, so that a change can be confirmed
+    when all peers have it.
     """
 
     def __init__(self, *, state: ControlState, transport: GossipTransport) -> None:
         self._state = state
         self._transport = transport
-        self._sent_views: dict[str, int] = {}
+        self._peers: dict[str, _PeerState] = {}
         self._sent_at = float("-inf")
         self._sent_change_count = -1
         self._complete_sent_at = float("-inf")
+        self._acknowledged = asyncio.Event()
         transport.on_gossip(self.handle_gossip)
+        transport.on_open(self.handle_open)
 
     def tick(self, now: float) -> None:
         """Send every peer the changes that are due."""
@@ -58,22 +84,43 @@
         if not is_due and not has_changed:
             return
         self._sent_at, self._sent_change_count = now, state.local_change_count
+        names = self._transport.list_peers()
+        self._peers = {name: self._peers.get(name, _PeerState()) for name in names}
         if now - self._complete_sent_at >= COMPLETE_INTERVAL_S:
             self._complete_sent_at = now
-            self._sent_views.clear()
-        peers = self._transport.list_peers()
-        self._sent_views = {
-            peer: view for peer, view in self._sent_views.items() if peer in peers
-        }
+            for peer in self._peers.values():
+                peer.sent_view = NO_VIEW
         entries = tuple(state.entries.list_local_gossip(now))
-        for peer in peers:
-            members = state.members.list_local_gossip(
-                self._sent_views.get(peer, -1), now
+        for name, peer in self._peers.items():
+            members = tuple(state.members.list_local_gossip(peer.sent_view, now))
+            peer.sent_view = state.members.view
+            message = GossipMessage(
+                members=members, entries=entries, view=state.members.view
             )
-            self._sent_views[peer] = state.members.view
-            if members or entries:
-                message = GossipMessage(members=tuple(members), entries=entries)
-                self._transport.send_gossip(peer, msgspec.msgpack.encode(message))
+            self._send(name, peer, message)
+
+    def is_replicated(self, view: int) -> bool:
+        """Return whether every reachable peer has merged a view."""
+        for name in self._transport.list_peers():
+            peer = self._peers.get(name, _PeerState())
+            if peer.sends_views is None:
+                return False
+            merged = peer.acknowledged_view if peer.sends_views else peer.sent_view
+            if merged < view:
+                return False
+        return True
+
+    async def wait_until_replicated(self, view: int) -> None:
+        """Wait until every reachable peer has merged a view."""
+        while not self.is_replicated(view):
+            self._acknowledged.clear()
+            await self._acknowledged.wait()
+
+    def handle_open(self, peer: str) -> None:
+        """Forget what was sent on an earlier stream, where it may be lost."""
+        self._peers[peer] = _PeerState()
+        # The next tick sends the complete state.
+        self._sent_change_count = -1
 
     def handle_gossip(self, peer: str, gossip: bytes) -> None:
         """Merge a message of another replica."""
@@ -89,3 +136,19 @@
         for entry in message.entries:
             self._state.entries.apply_gossip(entry, now)
         self._state.notify_member_changes()
+        self._handle_views(peer, message)
+
+    def _handle_views(self, name: str, message: GossipMessage) -> None:
+        peer = self._peers.setdefault(name, _PeerState())
+        has_views = message.view is not None or message.acknowledged_view > NO_VIEW
+        peer.sends_views = bool(peer.sends_views) or has_views
+        if message.acknowledged_view > peer.acknowledged_view:
+            peer.acknowledged_view = message.acknowledged_view
+            self._acknowledged.set()
+        if message.view is not None and message.view > peer.merged_view:
+            peer.merged_view = message.view
+            self._send(name, peer, GossipMessage())
+
+    def _send(self, name: str, peer: _PeerState, message: GossipMessage) -> None:
+        message = replace(message, acknowledged_view=peer.merged_view)
+        self._transport.send_gossip(name, msgspec.msgpack.encode(message))
--- a/carobspring/control/instance_api.py
+++ b/carobspring/control/instance_api.py
@@ -7,7 +7,6 @@
 import logging
 import zlib
 from abc import abstractmethod
-from collections.abc import Callable
 from typing import Final, Protocol
 
 import msgspec
@@ -16,6 +15,7 @@
 from carobspring.adapters.tasks import start_task
 from carobspring.control.commands import Command
 from carobspring.control.errors import ControlError
+from carobspring.control.gossip import GossipExchange
 from carobspring.control.proposals import CommandProposer
 from carobspring.control.routing import RoutingChange
 from carobspring.control.state import ControlState
@@ -25,6 +25,9 @@
 
 #: Less than the second after which callers try another daemon.
 RESPONSE_TIMEOUT_S: Final = 0.9
+#: Time within which all reachable replicas must have merged that a server
+#: drains; its report is sent to another daemon after a second.
+REPLICATION_TIMEOUT_S: Final = 0.6
 #: Sequence of the report that removes a server; no check-in of the same boot
 #: is newer.
 FINAL_SEQUENCE: Final = 2**53
@@ -63,14 +66,14 @@
         finder: RedirectFinder,
         started_at: float,
         learning_period_s: float,
-        on_member_change: Callable[[], None],
+        gossip: GossipExchange,
     ) -> None:
         self._state = state
         self._proposer = proposer
         self._finder = finder
         self._started_at = started_at
         self._learning_period_s = learning_period_s
-        self._on_member_change = on_member_change
+        self._gossip = gossip
         self._proposals: set[asyncio.Task[bool]] = set()
 
     async def handle(self, request: HttpRequest, responder: HttpResponder) -> None:
@@ -84,6 +87,9 @@
             await self._put_configuration(request, responder)
         elif path == platform.CONFIGURATION_PATH and method == "GET":
             await self._get_configuration(responder)
+        elif self._state.draining:
+            # This daemon no longer reaches the other replicas.
+            await self._send_error(responder, 503, "stopping", "ask another daemon")
         elif path.startswith(platform.BACKEND_SERVER_PATH_PREFIX) and method == "PUT":
             await self._handle_check_in(request, responder)
         elif (
@@ -161,6 +167,9 @@
             await self._send_error(responder, 400, "invalid", str(error))
             return
         self._record_report(check_in.server, check_in.load)
+        if check_in.load.draining and not await self._is_replicated(server_id):
+            await self._send_unreplicated(responder)
+            return
         await responder.send(200, (JSON_TYPE,), platform.encode_check_in_response())
 
     async def _handle_removal(
@@ -180,6 +189,9 @@
                 sequence=FINAL_SEQUENCE, limit=member.load.limit, draining=True
             )
             self._record_report(member.server, load)
+            if not await self._is_replicated(server_id):
+                await self._send_unreplicated(responder)
+                return
         await responder.send(200, (JSON_TYPE,), platform.encode_check_in_response())
 
     def _record_report(self, server: BackendServer, load: LoadReport) -> None:
@@ -209,7 +221,27 @@
         has_moved_here = before is not None and not before.is_local and result.accepted
         if state.notify_member_changes() or has_moved_here:
             state.local_change_count += 1
-            self._on_member_change()
+            self._gossip.tick(state.clock.read_monotonic())
+
+    async def _is_replicated(self, server_id: str) -> bool:
+        """Wait until every reachable replica knows a server's last change.
+
+        Entries follow only some of the replicas, so a confirmed drain must be
+        known to all that can tell them.
+        """
+        view = self._state.members.find_local_change(server_id)
+        try:
+            async with asyncio.timeout(REPLICATION_TIMEOUT_S):
+                await self._gossip.wait_until_replicated(view)
+        except TimeoutError:
+            extra = {"server": server_id, "view": view}
+            logger.warning("drain not replicated in time", extra=extra)
+            return False
+        return True
+
+    async def _send_unreplicated(self, responder: HttpResponder) -> None:
+        message = "not all replicas know this yet; send it again"
+        await self._send_error(responder, 503, "not_replicated", message)
 
     async def _send_error(
         self, responder: HttpResponder, status: int, code: str, message: str
--- a/carobspring/control/sessions.py
+++ b/carobspring/control/sessions.py
@@ -110,6 +110,7 @@
         self._view: int | None = None
         self._routing_version = 0
         self._replicas: tuple[str, ...] = ()
+        self._replica_zones: dict[str, str] = {}
 
     def handle_report(self, report: EntryReport) -> None:
         """Store a report in the table of entries."""
@@ -120,6 +121,7 @@
         members = self._state.members.compute_delta(self._view)
         shared = self._cursor.take_delta()
         self._view = members.view
+        replicas = self._take_new_replicas()
         return ViewUpdate(
             view=members.view,
             complete=members.complete,
@@ -130,7 +132,8 @@
             strikes=shared.strikes,
             released=shared.released,
             routing=self._take_new_routing(),
-            replicas=self._take_new_replicas(),
+            replicas=replicas,
+            replica_zones=self._state.replica_zones if replicas else None,
             confirmed=self._is_confirmed(),
             entry_count=len(self._state.entries.entries),
             generating=self._state.entries.sum_generating_demand() or None,
@@ -144,8 +147,11 @@
         return content
 
     def _take_new_replicas(self) -> tuple[str, ...]:
-        replicas = self._state.replicas
-        if replicas == self._replicas:
+        state = self._state
+        if (state.replicas, state.replica_zones) == (
+            self._replicas,
+            self._replica_zones,
+        ):
             return ()
-        self._replicas = replicas
-        return replicas
+        self._replicas, self._replica_zones = state.replicas, state.replica_zones
+        return state.replicas
--- a/carobspring/control/state.py
+++ b/carobspring/control/state.py
@@ -59,6 +59,8 @@
         #: gRPC addresses of all control replicas, for deployments that send
         #: them to entries; otherwise empty.
         self.replicas: tuple[str, ...] = ()
+        #: Availability zones of these replicas, as far as they are known.
+        self.replica_zones: dict[str, str] = {}
         #: Routes committed before this start, from the last known state.
         self.last_known_routing = RoutingConfiguration()
 
--- a/carobspring/control/streams.py
+++ b/carobspring/control/streams.py
@@ -78,7 +78,9 @@
 
         try:
             notifier = self._state.agent_notifier
-            await self._run(stream, handle_report, session.build_update, notifier)
+            await _run_stream(
+                self._state, stream, handle_report, session.build_update, notifier
+            )
         finally:
             session.close()
 
@@ -94,43 +96,9 @@
             session = EntrySession(state=self._state, is_confirmed=self._is_confirmed)
 
         notifier = self._state.entry_notifier
-        await self._run(stream, session.handle_report, session.build_update, notifier)
-
-    async def _run(
-        self,
-        stream: Stream[Any, Any],
-        handle_message: Callable[[Any], None],
-        build_message: Callable[[], Any],
-        notifier: StreamNotifier,
-    ) -> None:
-        wakeup = notifier.subscribe()
-        wakeup.set()
-        # The task that ends first cancels the other: if the peer hangs and
-        # stops reading, the writer would block forever.
-        tasks = {
-            asyncio.create_task(_read_all(stream, handle_message)),
-            asyncio.create_task(self._write_all(stream, build_message, wakeup)),
-        }
-        try:
-            done, _ = await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
-            for task in done:
-                task.result()
-        finally:
-            notifier.unsubscribe(wakeup)
-            for task in tasks:
-                task.cancel()
-            await asyncio.gather(*tasks, return_exceptions=True)
-
-    async def _write_all(
-        self,
-        stream: Stream[Any, Any],
-        build_message: Callable[[], Any],
-        wakeup: asyncio.Event,
-    ) -> None:
-        while not self._state.draining:
-            await _wait_for_event(wakeup, HEARTBEAT_INTERVAL_S)
-            wakeup.clear()
-            await stream.send_message(build_message())
+        await _run_stream(
+            self._state, stream, session.handle_report, session.build_update, notifier
+        )
 
     def _commit_strikes(self, report: AgentReport) -> None:
         # An agent reports its strikes repeatedly, so those that are not
@@ -146,6 +114,70 @@
             await self._proposer.propose(Command(strikes=strikes))
 
 
+class ReplicaLocatorService:
+    """Tells entries where the replicas are, on a daemon that holds none.
+
+    The seeds of an entry may all be such daemons. The updates are marked as
+    unconfirmed, so an entry uses them only to find replicas.
+    """
+
+    def __init__(self, *, state: ControlState) -> None:
+        self._state = state
+
+    def build_service(self) -> RpcService:
+        """Return the gRPC method."""
+        method = make_bidirectional_method(
+            paths.WATCH_ENTRY, self.watch_entry, EntryReport, ViewUpdate
+        )
+        return RpcService([method])
+
+    async def watch_entry(self, stream: Stream[EntryReport, ViewUpdate]) -> None:
+        """Send an entry the replicas, at once and when they change."""
+        session = EntrySession(state=self._state, is_confirmed=lambda: False)
+        notifier = self._state.entry_notifier
+        await _run_stream(
+            self._state, stream, lambda report: None, session.build_update, notifier
+        )
+
+
+async def _run_stream(
+    state: ControlState,
+    stream: Stream[Any, Any],
+    handle_message: Callable[[Any], None],
+    build_message: Callable[[], Any],
+    notifier: StreamNotifier,
+) -> None:
+    wakeup = notifier.subscribe()
+    wakeup.set()
+    # The task that ends first cancels the other: if the peer hangs and stops
+    # reading, the writer would block forever.
+    tasks = {
+        asyncio.create_task(_read_all(stream, handle_message)),
+        asyncio.create_task(_write_all(state, stream, build_message, wakeup)),
+    }
+    try:
+        done, _ = await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
+        for task in done:
+            task.result()
+    finally:
+        notifier.unsubscribe(wakeup)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+
+async def _write_all(
+    state: ControlState,
+    stream: Stream[Any, Any],
+    build_message: Callable[[], Any],
+    wakeup: asyncio.Event,
+) -> None:
+    while not state.draining:
+        await _wait_for_event(wakeup, HEARTBEAT_INTERVAL_S)
+        wakeup.clear()
+        await stream.send_message(build_message())
+
+
 async def _read_all(
     stream: Stream[Any, Any], handle_message: Callable[[Any], None]
 ) -> None:
--- a/carobspring/gateway/control.py
+++ b/carobspring/gateway/control.py
@@ -2,7 +2,8 @@
 
 import asyncio
 import logging
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
+from dataclasses import dataclass
 from typing import Final
 
 from carobspring.adapters.entry_control_stream import EntryControlStream
@@ -13,10 +14,6 @@
 from carobspring.gateway.replicas import KnownReplicas
 from carobspring.protocol import EntryReport, ViewUpdate
 
-#: Replicas followed at a time. This covers all replicas of today's
-#: deployments, so that a drain is received from the replica that confirmed it
-#: even if the replicas have just lost contact with each other.
-MAX_FOLLOWED_REPLICAS: Final = 8
 #: Seconds before a broken stream is opened again.
 RECONNECT_DELAY_S: Final = 0.1
 #: Seconds after which a replica that does not respond is replaced.
@@ -26,11 +23,24 @@
 logger = logging.getLogger(__name__)
 
 
+@dataclass(kw_only=True)
+class _FollowedReplica:
+    """A stream to one replica."""
+
+    stream: EntryControlStream
+    task: asyncio.Task[None]
+    #: When the stream was last known to be connected, or was opened.
+    connected_at: float
+
+
 class ControlStreams:
-    """Follows several control replicas, the nearest ones first.
+    """Follows several control replicas, as ``choose`` selects them.
 
-    A replica accepts a stream only while it can read through the quorum, so
-    one that is cut off is replaced after its stream breaks.
+    ``choose`` gets the addresses of replicas and their availability zones and
+    returns those to follow. A replica accepts a stream only while it can read
+    through the quorum, so one that is cut off is replaced after its stream
+    breaks. A replica that is no longer chosen is followed until all that are
+    chosen are connected.
     """
 
     def __init__(
@@ -41,7 +51,7 @@
         build_report: Callable[[], EntryReport],
         apply_update: Callable[[str, ViewUpdate], None],
         remove_replica: Callable[[str], None],
-        rank_replica: Callable[[str], int],
+        choose: Callable[[Iterable[str], Mapping[str, str]], tuple[str, ...]],
         update_replicas: Callable[[Iterable[str]], None],
         metrics: Metrics,
     ) -> None:
@@ -49,22 +59,25 @@
         self._build_report = build_report
         self._apply_update = apply_update
         self._remove_replica = remove_replica
-        self._rank_replica = rank_replica
+        self._choose = choose
         self._update_replicas = update_replicas
         self._connected_gauge = metrics.add_gauge(
             "carob_entry_control_connected", "1 while a control replica is followed."
         )
         self._seeds = tuple(seeds)
         self._replicas = KnownReplicas()
-        self._streams: dict[
-            str, tuple[EntryControlStream, asyncio.Task[None], float]
-        ] = {}
+        self._followed: dict[str, _FollowedReplica] = {}
         self._avoided_until: dict[str, float] = {}
 
+    @property
+    def followed(self) -> tuple[str, ...]:
+        """The addresses of the replicas that are followed."""
+        return tuple(self._followed)
+
     @property
     def is_connected(self) -> bool:
         """Whether the stream to any replica is connected."""
-        return any(stream.connected for stream, _, _ in self._streams.values())
+        return any(each.stream.connected for each in self._followed.values())
 
     def update_seeds(self, seeds: Iterable[str]) -> None:
         """Replace the seed addresses."""
@@ -74,38 +87,38 @@
         """Maintain the streams until cancelled."""
         try:
             while True:
-                self._replace_disconnected(asyncio.get_running_loop().time())
+                self.check(asyncio.get_running_loop().time())
                 await asyncio.sleep(CHECK_INTERVAL_S)
         finally:
-            for _, task, _ in self._streams.values():
-                task.cancel()
-
-    def _list_candidates(self, now: float) -> list[str]:
-        names = dict.fromkeys((*self._replicas.names, *self._seeds))
-        ranked = sorted(names, key=self._rank_replica)
-        return sorted(ranked, key=lambda name: self._avoided_until.get(name, 0.0) > now)
-
-    def _replace_disconnected(self, now: float) -> None:
-        """Replace streams that don't connect by streams to other replicas."""
-        candidates = self._list_candidates(now)
-        for name, (stream, task, disconnected_since) in list(self._streams.items()):
-            if stream.connected:
-                self._streams[name] = (stream, task, now)
-                continue
-            spare = [
-                candidate for candidate in candidates if candidate not in self._streams
-            ]
-            if now - disconnected_since > REPLACE_AFTER_S and spare:
-                task.cancel()
-                del self._streams[name]
+            for name in self.followed:
+                self._stop_following(name)
+
+    def check(self, now: float) -> None:
+        """Follow the chosen replicas, and leave those that are not needed."""
+        for name, each in self._followed.items():
+            if each.stream.connected:
+                each.connected_at = now
+            elif now - each.connected_at > REPLACE_AFTER_S:
                 self._avoided_until[name] = now + 2 * REPLACE_AFTER_S
-                self._replicas.remove_replica(name)
-                self._remove_replica(name)
-        for name in candidates:
-            if len(self._streams) >= MAX_FOLLOWED_REPLICAS:
-                break
-            if name not in self._streams:
+        chosen = self._choose_names(now)
+        for name in chosen:
+            if name not in self._followed:
                 self._follow(name, now)
+        is_complete = all(self._followed[name].stream.connected for name in chosen)
+        for name, each in list(self._followed.items()):
+            if name not in chosen and (is_complete or not each.stream.connected):
+                self._stop_following(name)
+                self._remove_replica(name)
+
+    def _choose_names(self, now: float) -> tuple[str, ...]:
+        """Return the replicas to follow; seeds while there are no others."""
+        names = dict.fromkeys((*self._replicas.names, *self._seeds))
+        available = [
+            name for name in names if self._avoided_until.get(name, 0.0) <= now
+        ]
+        replicas = [name for name in available if name in self._replicas.names]
+        zones = self._replicas.zones
+        return self._choose(replicas or available or names, zones)
 
     def _follow(self, name: str, now: float) -> None:
         address: Address = parse_address("replica", name)
@@ -124,4 +137,12 @@
             reconnect_delay_s=RECONNECT_DELAY_S,
         )
         task = start_service_task(stream.run, name=f"control stream {name}")
-        self._streams[name] = (stream, task, now)
+        self._followed[name] = _FollowedReplica(
+            stream=stream, task=task, connected_at=now
+        )
+        logger.info("following control replica", extra={"replica": name})
+
+    def _stop_following(self, name: str) -> None:
+        self._followed.pop(name).task.cancel()
+        self._replicas.remove_replica(name)
+        logger.info("no longer following control replica", extra={"replica": name})
--- a/carobspring/gateway/directory.py
+++ b/carobspring/gateway/directory.py
@@ -41,6 +41,8 @@
     ) -> None:
         self._on_change = on_change
         self._views: dict[str, _View] = {}
+        #: Replicas whose view is kept although they are no longer followed.
+        self._unfollowed: set[str] = set()
         self._listed: dict[str, ListedServer] = {}
         self._by_address: dict[tuple[str, int], str] = {}
         self._draining_boots: dict[str, int] = {}
@@ -71,18 +73,28 @@
             view.servers.pop(name, None)
             view.loads.pop(name, None)
             affected.add(name)
+        self._unfollowed.discard(replica)
+        if update.confirmed or update.servers:
+            for unfollowed in sorted(self._unfollowed):
+                affected |= set(self._views.pop(unfollowed).servers)
+            self._unfollowed.clear()
         for name in sorted(affected):
             self._merge(name)
 
     def remove_replica(self, replica: str) -> None:
         """Drop the view of a replica that is no longer followed.
 
-        The last remaining view is kept, since no other list is known.
+        The last remaining view is kept until another replica sends one, since
+        no other list is known.
         """
-        if replica in self._views and len(self._views) > 1:
-            view = self._views.pop(replica)
-            for name in sorted(view.servers):
-                self._merge(name)
+        if replica not in self._views:
+            return
+        if len(self._views) == 1:
+            self._unfollowed.add(replica)
+            return
+        view = self._views.pop(replica)
+        for name in sorted(view.servers):
+            self._merge(name)
 
     def _merge(self, name: str) -> None:
         best: BackendServer | None = None
--- a/carobspring/gateway/replicas.py
+++ b/carobspring/gateway/replicas.py
@@ -1,6 +1,14 @@
-"""The list of control replicas, as reported by the replicas."""
+"""The list of control replicas, and which of them an entry follows.
+
+Every replica sends every change of servers and routes to each entry that
+follows it. With hundreds of entries that traffic is the replicas' main load,
+so an entry follows as few of them as must be lost before it hears of nothing.
+"""
+
+from collections.abc import Iterable, Mapping
 
 from carobspring.protocol import ViewUpdate
+from carobspring.routing import score_server
 
 
 class KnownReplicas:
@@ -16,6 +24,8 @@
 
     def __init__(self) -> None:
         self.names: tuple[str, ...] = ()
+        #: Availability zones of the replicas, as far as they are known.
+        self.zones: dict[str, str] = {}
         #: The last list of each followed replica, which sends it only when it
         #: changes.
         self._reported: dict[str, tuple[str, ...]] = {}
@@ -24,6 +34,7 @@
         """Apply a replica's update, and return whether the names changed."""
         if update.replicas:
             self._reported[replica] = update.replicas
+            self.zones |= update.replica_zones or {}
         names = self._reported.get(replica, ())
         if not names or names == self.names:
             return False
@@ -35,3 +46,34 @@
     def remove_replica(self, replica: str) -> None:
         """Drop the list of a replica that is no longer followed."""
         self._reported.pop(replica, None)
+
+
+def choose_replicas(
+    names: Iterable[str],
+    zones: Mapping[str, str],
+    *,
+    entry: str,
+    own_host: str,
+    own_zone: str,
+    count: int,
+) -> tuple[str, ...]:
+    """Return the replicas that an entry follows, of those given by address.
+
+    The one on the same instance comes first, then those of the same
+    availability zone, but at least one is in another zone if there is any.
+    Entries of one zone follow different replicas of the other zones.
+    """
+
+    def rank(name: str) -> tuple[int, float]:
+        if name.startswith(f"{own_host}:"):
+            distance = 0
+        else:
+            distance = 1 if zones.get(name) == own_zone else 2
+        return distance, -score_server(0, f"{entry} {name}")
+
+    ranked = sorted(names, key=rank)
+    chosen = ranked[:count]
+    elsewhere = [name for name in ranked if zones.get(name, own_zone) != own_zone]
+    if count > 1 and elsewhere and not set(chosen) & set(elsewhere):
+        chosen[-1] = elsewhere[0]
+    return tuple(chosen)
--- a/carobspring/membership/__init__.py
+++ b/carobspring/membership/__init__.py
@@ -6,7 +6,11 @@
 """
 
 from carobspring.membership.entries import EntryRecord, EntryTable
-from carobspring.membership.gossip import EntryGossip, GossipMessage, MemberGossip
+from carobspring.membership.gossip import (
+    EntryGossip,
+    GossipMessage,
+    MemberGossip,
+)
 from carobspring.membership.table import (
     LEASE_S,
     Member,
--- a/carobspring/membership/gossip.py
+++ b/carobspring/membership/gossip.py
@@ -1,7 +1,7 @@
 """Gossip between replicas about the agents and entries that report to them.
 
-The state is soft: the next complete message repairs the loss of an earlier
-one.
+The state is soft. Messages that are lost with a stream are made up for by the
+complete state that begins the next stream.
 """
 
 from dataclasses import dataclass
@@ -38,7 +38,15 @@
 
 @dataclass(frozen=True, kw_only=True)
 class GossipMessage:
-    """A message from one replica to another."""
+    """A message from one replica to another.
+
+    Replicas of earlier releases send no views.
+    """
 
     members: tuple[MemberGossip, ...] = ()
     entries: tuple[EntryGossip, ...] = ()
+    #: The sender's view that the receiver has once it merged this message, or
+    #: None if the message only acknowledges.
+    view: int | None = None
+    #: The receiver's view that the sender has merged, or -1.
+    acknowledged_view: int = -1
--- a/carobspring/membership/table.py
+++ b/carobspring/membership/table.py
@@ -50,6 +50,8 @@
     lease_expires_at: float
     #: True when the agent reports to this replica, not to another one.
     is_local: bool = True
+    #: View in which the agent began to report to this replica.
+    local_view: int = 0
     is_gone: bool = False
     #: Time before which a flapping server stays invisible.
     visible_from: float = 0.0
@@ -175,6 +177,16 @@
         member = self.members.get(server_id)
         return member.server.boot if member is not None else 0
 
+    def find_local_change(self, server_id: str) -> int:
+        """Return the view in which peers get a server's last change, or zero.
+
+        It is zero if another replica announces the server to them.
+        """
+        member = self.members.get(server_id)
+        if member is None or not member.is_local:
+            return 0
+        return max(member.changed_view, member.load_view, member.local_view)
+
     def is_local(self, server_id: str) -> bool:
         """Return whether the agent reports to this replica."""
         member = self.members.get(server_id)
@@ -236,8 +248,16 @@
                     boot=member.server.boot,
                     sequence=member.sequence,
                     age_ms=int(age_s * 1000),
-                    server=member.server if member.changed_view > since else None,
-                    load=member.load if member.load_view > since else None,
+                    server=(
+                        member.server
+                        if max(member.changed_view, member.local_view) > since
+                        else None
+                    ),
+                    load=(
+                        member.load
+                        if max(member.load_view, member.local_view) > since
+                        else None
+                    ),
                     left=member.is_gone,
                 )
             )
@@ -287,6 +307,14 @@
             lease_expires_at=reported_at + self._lease_s,
             is_local=is_local,
         )
+        local_view = 0
+        if is_local:
+            local_view = known.local_view if known is not None else 0
+            if known is None or not known.is_local:
+                # Peers know the agent from another replica, or not at all.
+                self.view += 1
+                local_view = self.view
+        member = replace(member, local_view=local_view)
         if known is not None:
             losses = known.loss_times
             is_replaced = not known.is_gone and known.server.boot != server.boot
@@ -300,6 +328,7 @@
                 reported_at=reported_at,
                 lease_expires_at=member.lease_expires_at,
                 is_local=is_local,
+                local_view=local_view,
                 is_gone=False,
                 loss_times=losses,
             )
--- a/carobspring/programs/instance_control.py
+++ b/carobspring/programs/instance_control.py
@@ -24,6 +24,7 @@
     ControlState,
     GossipExchange,
     Peer,
+    ReplicaLocatorService,
     RpcPeer,
     WatchService,
 )
@@ -156,13 +157,14 @@
                 finder=self,
                 started_at=self._clock.read_monotonic(),
                 learning_period_s=settings.check_in_interval_s * 2,
-                on_member_change=self._send_gossip,
+                gossip=self._gossip,
             )
             handle = instance_api.handle
             self._control_metrics = ControlMetrics(
                 metrics=self._metrics, state=self.state, log=self._supervisor
             )
         else:
+            services.append(ReplicaLocatorService(state=self.state).build_service())
             handle = RedirectApi(finder=self).handle
         self._rpc_server = build_server(services=services, secret=self._options.secret)
         await self._rpc_server.start(settings.ip, self._rpc_port)
@@ -265,15 +267,12 @@
                 address = parse_peer_address(name)
                 peer = RpcPeer(address=address, secret=self._options.secret)
                 self._peers[name] = self._rpc_peers[name] = peer
-        if replicas != self.state.replicas:
-            self.state.replicas = replicas
+        zones = directory.find_zones(replicas)
+        if (replicas, zones) != (self.state.replicas, self.state.replica_zones):
+            self.state.replicas, self.state.replica_zones = replicas, zones
             self.state.notify_all_streams()
             logger.info("control replicas changed", extra={"replicas": replicas})
 
-    def _send_gossip(self) -> None:
-        if self._gossip is not None:
-            self._gossip.tick(self._clock.read_monotonic())
-
     async def _tick_periodically(self) -> None:
         while True:
             await asyncio.sleep(TICK_INTERVAL_S)
--- a/carobspring/programs/instance_entry.py
+++ b/carobspring/programs/instance_entry.py
@@ -4,6 +4,7 @@
 import contextlib
 import logging
 import zlib
+from collections.abc import Iterable, Mapping
 from typing import Final
 
 from grpclib.client import Channel
@@ -27,6 +28,7 @@
 from carobspring.gateway.directory import ListedServer
 from carobspring.gateway.exchange import ExchangeContext
 from carobspring.gateway.metrics import GatewayMetrics
+from carobspring.gateway.replicas import choose_replicas
 from carobspring.ports import HttpLimits, HttpRequest, HttpResponder
 from carobspring.programs.instance_options import InstanceOptions
 from carobspring.programs.node_file import (
@@ -94,7 +96,7 @@
             build_report=self._build_report,
             apply_update=self._apply_update,
             remove_replica=self._backend_directory.remove_replica,
-            rank_replica=self._rank_replica,
+            choose=self._choose_replicas,
             update_replicas=self._admission_client.update_hosts,
             metrics=metrics,
         )
@@ -178,7 +180,7 @@
 
     def _apply_update(self, replica: str, update: ViewUpdate) -> None:
         self._backend_directory.apply_update(replica, update)
-        if update.entry_count:
+        if update.entry_count and update.confirmed:
             self._state.entry_count = update.entry_count
         if update.generating:
             now = self._clock.read_monotonic()
@@ -241,9 +243,19 @@
         port = settings.internal_ports[0]
         return tuple(f"{seed.host}:{port}" for seed in settings.seeds)
 
-    def _rank_replica(self, name: str) -> int:
-        """Return the rank of a replica; this instance's own comes first."""
-        return 0 if name.startswith(f"{self._settings.ip}:") else 1
+    def _choose_replicas(
+        self, names: Iterable[str], zones: Mapping[str, str]
+    ) -> tuple[str, ...]:
+        """Return the replicas to follow: one more than may be lost at once."""
+        settings = self._settings
+        return choose_replicas(
+            names,
+            zones,
+            entry=settings.instance,
+            own_host=settings.ip,
+            own_zone=settings.availability_zone,
+            count=settings.tolerated_failures + 1,
+        )
 
     def _find_budget(self, service: str) -> RetryBudget:
         if service not in self._budgets:
--- a/carobspring/programs/replica.py
+++ b/carobspring/programs/replica.py
@@ -96,6 +96,7 @@
         }
         self._is_started = False
         self._gossip_callbacks: list[Callable[[str, bytes], None]] = []
+        self._open_callbacks: list[Callable[[str], None]] = []
         self._pending_requests = PendingRequests()
         self._driver = Driver(
             name=name,
@@ -244,6 +245,10 @@
         """Add a callback that receives each sender's name and gossip."""
         self._gossip_callbacks.append(callback)
 
+    def on_open(self, callback: Callable[[str], None]) -> None:
+        """Add a callback that receives the peer's name of each new stream."""
+        self._open_callbacks.append(callback)
+
     def list_peers(self) -> list[str]:
         """Return the names of the other replicas with an open stream."""
         return sorted(name for name, link in self._links.items() if link.is_open)
@@ -254,7 +259,7 @@
             peer=address,
             secret=self._secret,
             clock=self._clock,
-            on_open=self._send_hello,
+            on_open=self._handle_open,
             on_batch=self._handle_batch,
         )
 
@@ -277,11 +282,12 @@
             and first_batch.name in self._links
             and not self.failure
         ):
-            self._handle_batch(first_batch.name, first_batch)
-            await self._links[first_batch.name].exchange(stream)
+            await self._links[first_batch.name].exchange(stream, first_batch)
 
-    def _send_hello(self, peer: str) -> None:
+    def _handle_open(self, peer: str) -> None:
         self._links[peer].send(encode_message(self.node.build_hello()))
+        for callback in self._open_callbacks:
+            callback(peer)
 
     def _handle_batch(self, peer: str, batch: PeerBatch) -> None:
         for data in batch.messages:
--- a/carobspring/programs/replica_supervisor.py
+++ b/carobspring/programs/replica_supervisor.py
@@ -64,6 +64,7 @@
         self._peers: dict[str, PeerAddress] = {}
         self._bootstrap = False
         self._gossip_callbacks: list[Callable[[str, bytes], None]] = []
+        self._open_callbacks: list[Callable[[str], None]] = []
         self._reopen_task: asyncio.Task[None] | None = None
 
     @property
@@ -152,6 +153,10 @@
         """Add a callback that receives each sender's name and gossip."""
         self._gossip_callbacks.append(callback)
 
+    def on_open(self, callback: Callable[[str], None]) -> None:
+        """Add a callback that receives the peer's name of each new stream."""
+        self._open_callbacks.append(callback)
+
     def _require_replica(self) -> Replica:
         if self._replica is None:
             raise NotLeaderError(leader="")
@@ -177,6 +182,8 @@
                 replica.add_peer(self._peers[member.name])
         for callback in self._gossip_callbacks:
             replica.on_gossip(callback)
+        for handle_open in self._open_callbacks:
+            replica.on_open(handle_open)
         self._replica = replica
         await replica.start()
         logger.info(
--- a/carobspring/protocol/control.py
+++ b/carobspring/protocol/control.py
@@ -108,6 +108,8 @@
     routing: RoutingConfiguration | None = None
     #: gRPC addresses of all control replicas; only sent when they changed.
     replicas: tuple[str, ...] = ()
+    #: Availability zones of these replicas, as far as they are known.
+    replica_zones: dict[str, str] | None = None
     #: False while the replica can't tell whether the quorum has newer state.
     confirmed: bool = True
     #: Number of entries known to the replica; zero when it is not reported.
--- a/tests/control/test_instance_api.py
+++ b/tests/control/test_instance_api.py
@@ -1,8 +1,15 @@
+import asyncio
 import json
 import unittest
+import unittest.mock
 
 from carobspring.adapters.clock import SystemClock
-from carobspring.control import CommandProposer, ControlState, LocalLog
+from carobspring.control import (
+    CommandProposer,
+    ControlState,
+    LocalLog,
+    instance_api,
+)
 from carobspring.control.instance_api import InstanceApi, RedirectFinder
 from carobspring.ports import HttpRequest, NotLeaderError, ReplicatedLog
 from tests.gateway.fakes import FakeResponder
@@ -34,24 +41,36 @@
         return False
 
 
+class FakeGossip:
+    """Counts the changes to send, and merges views at once or never."""
+
+    def __init__(self):
+        self.change_count = 0
+        self.is_reachable = True
+
+    def tick(self, now):
+        self.change_count += 1
+
+    async def wait_until_replicated(self, view):
+        if not self.is_reachable:
+            await asyncio.Event().wait()
+
+
 class InstanceApiTests(unittest.IsolatedAsyncioTestCase):
     def build(self, *, log=None, redirect=None, uptime_s=60.0):
         clock = SystemClock()
         self.state = ControlState(replica_id="r", clock=clock)
         log = log or LocalLog(replica_id="r", machine=self.state.machine)
-        self.change_count = 0
+        self.gossip = FakeGossip()
         self.api = InstanceApi(
             state=self.state,
             proposer=CommandProposer(log=log, peers={}, clock=clock),
             finder=FixedRedirect(redirect),
             started_at=clock.read_monotonic() - uptime_s,
             learning_period_s=2.4,
-            on_member_change=self.count_change,
+            gossip=self.gossip,
         )
 
-    def count_change(self):
-        self.change_count += 1
-
     async def call(self, method, path, body=b""):
         responder = FakeResponder()
         if not isinstance(body, bytes):
@@ -135,7 +154,31 @@
         self.assertEqual(late.status, 200)
         (member,) = self.state.members.list_present()
         self.assertEqual((member.sequence, member.load.draining), (9, True))
-        self.assertEqual(self.change_count, 2)
+        self.assertEqual(self.gossip.change_count, 2)
+
+    async def test_drain_is_confirmed_when_replicated(self):
+        """Only a drain waits until all reachable replicas know it."""
+        self.build()
+        path = "/v1/instances/i-1"
+        self.gossip.is_reachable = False
+        draining = CHECK_IN | {"state": "draining", "seq": 9}
+        with unittest.mock.patch.object(instance_api, "REPLICATION_TIMEOUT_S", 0.01):
+            ready = await self.call("PUT", path, CHECK_IN)
+            unknown = await self.call("PUT", path, draining)
+            removed = await self.call("DELETE", path)
+            self.gossip.is_reachable = True
+            known = await self.call("PUT", path, draining)
+        statuses = [r.status for r in (ready, unknown, removed, known)]
+        self.assertEqual(statuses, [200, 503, 503, 200])
+
+    async def test_stopping_daemon(self):
+        """A daemon that stops confirms no check-in: no peer would get it."""
+        self.build()
+        self.state.draining = True
+        for method in ("PUT", "DELETE"):
+            response = await self.call(method, "/v1/instances/i-1", CHECK_IN)
+            self.assertEqual(response.status, 503)
+        self.assertEqual(self.state.members.list_present(), [])
 
     async def test_removal(self):
         """A removed server is draining until its next boot."""
--- a/tests/gateway/test_directory.py
+++ b/tests/gateway/test_directory.py
@@ -1,4 +1,5 @@
 import unittest
+from dataclasses import replace
 
 from carobspring.domain import BackendServer, LoadReport, ServiceKind
 from carobspring.gateway import BackendDirectory
@@ -83,6 +84,19 @@
         self.directory.apply_update("r1", build_update(both[1], complete=True))
         self.assertEqual(self.get_states(), {"s2": (1, False)})
 
+    def test_kept_view_is_dropped(self):
+        """A view kept for want of others is dropped once there is another."""
+        servers = (build_server("s1"), build_server("s2", port=81))
+        for replica in ("r1", "r2"):
+            self.directory.apply_update(replica, build_update(*servers, complete=True))
+        for replica in ("r1", "r2"):
+            self.directory.remove_replica(replica)
+        empty = replace(build_update(complete=True), confirmed=False)
+        self.directory.apply_update("holds no replica", empty)
+        self.assertEqual(set(self.get_states()), {"s1", "s2"})
+        self.directory.apply_update("r3", build_update(servers[0], complete=True))
+        self.assertEqual(set(self.get_states()), {"s1"})
+
     def test_last_view_is_kept(self):
         """The only view is kept when its replica is no longer followed."""
         self.directory.apply_update("r1", build_update(build_server(), complete=True))
--- a/tests/gateway/test_replicas.py
+++ b/tests/gateway/test_replicas.py
@@ -1,6 +1,6 @@
 import unittest
 
-from carobspring.gateway.replicas import KnownReplicas
+from carobspring.gateway.replicas import KnownReplicas, choose_replicas
 from carobspring.protocol import ViewUpdate
 
 OLD_LIST, NEW_LIST = ("a", "b", "c"), ("a", "b", "d")
@@ -52,3 +52,47 @@
         self.known.apply_update("b", build_update(*NEW_LIST, confirmed=False))
         self.known.remove_replica("b")
         self.assertIs(self.known.apply_update("b", build_update()), False)
+
+    def test_zones(self):
+        """The zones of the replicas are known once a replica sends them."""
+        update = ViewUpdate(replicas=("a", "b"), replica_zones={"a": "x", "b": "y"})
+        self.known.apply_update("a", update)
+        self.assertEqual(self.known.zones, {"a": "x", "b": "y"})
+
+
+class ChooseReplicasTests(unittest.TestCase):
+    ZONES = {"10.1.0.1:7": "x", "10.1.0.2:7": "x", "10.2.0.1:7": "y", "10.3.0.1:7": "z"}
+
+    def choose(self, count, *, entry="e", host="10.1.0.9", zone="x", zones=None):
+        return choose_replicas(
+            self.ZONES,
+            self.ZONES if zones is None else zones,
+            entry=entry,
+            own_host=host,
+            own_zone=zone,
+            count=count,
+        )
+
+    def test_choice(self):
+        """Near replicas are chosen, and one of another zone if possible."""
+        cases = {
+            "own instance": (self.choose(1, host="10.3.0.1"), {"10.3.0.1:7"}),
+            "own zone": (self.choose(1, zone="y"), {"10.2.0.1:7"}),
+            "all": (self.choose(9), set(self.ZONES)),
+        }
+        for name, (chosen, expected) in cases.items():
+            with self.subTest(name):
+                self.assertEqual(set(chosen), expected)
+        for count in (2, 3):
+            with self.subTest(count=count):
+                zones = [self.ZONES[name] for name in self.choose(count)]
+                self.assertEqual(zones.count("x"), count - 1)
+
+    def test_unknown_zones(self):
+        """Without any zone the requested number is chosen."""
+        self.assertEqual(len(self.choose(2, zones={})), 2)
+
+    def test_spread(self):
+        """Entries of one zone follow different replicas of the others."""
+        chosen = {self.choose(3, entry=f"e{number}")[-1] for number in range(20)}
+        self.assertEqual(chosen, {"10.2.0.1:7", "10.3.0.1:7"})
