Keep control traffic flat in the number of daemons and inside the zone

Ruled out: routes (3.2 MB), consensus (0.4 MB).

Change: once the replicas are known a daemon asks one of them and one other, and daemons that know the same exchange a digest. A diskless daemon learns of a replaced replica from the log's index. Messages leave out fields at their default. An entry gets the loads of engines that it asked for in the last 10 s, when they changed by a tenth of a second of reading at the learned rate (the constant of 6,000 tokens is gone). An engine's admission host is in its zone.

Tests: tests.control.test_discovery (traffic of 99 daemons, digest, replaced replica), tests.adapters.test_rpc, tests.gateway.test_admission HostTests.

--- a/carobspring/adapters/admission_service.py
+++ b/carobspring/adapters/admission_service.py
@@ -3,7 +3,7 @@
 import asyncio
 import contextlib
 import logging
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from typing import Any, Final
 
 from grpclib.server import Stream
@@ -31,8 +31,11 @@
 TICK_INTERVAL_S: Final = 0.1
 #: Minimum seconds between two load updates to an entry with no requests.
 LOAD_UPDATE_INTERVAL_S: Final = 0.25
-#: Tokens by which a load must change to be sent: 0.1 s of prompt reading.
-MIN_LOAD_CHANGE_TOKENS: Final = 6000
+#: Reading time by which an engine's load must change to be sent, in seconds.
+MIN_LOAD_CHANGE_S: Final = 0.1
+#: Seconds after its last request for an engine during which an entry is sent
+#: the engine's load.
+LOAD_INTEREST_S: Final = 10.0
 #: Seconds after which an update is sent to an entry with waiting requests,
 #: even if nothing changed.
 WAITING_HEARTBEAT_INTERVAL_S: Final = 0.25
@@ -42,7 +45,7 @@
 logger = logging.getLogger(__name__)
 
 
-class _Outbox:
+class Outbox:
     """The pending decisions and the last sent loads of one entry."""
 
     def __init__(self) -> None:
@@ -50,8 +53,32 @@
         self.wakeup = asyncio.Event()
         #: Token count of each engine's load as last sent to this entry.
         self.sent_tokens: dict[str, int] = {}
+        #: When this entry last asked for each engine.
+        self.asked_at: dict[str, float] = {}
         self.last_sent_at = 0.0
 
+    def record_request(self, server_id: str, now: float) -> None:
+        """Record that the entry asked for an engine."""
+        if now - self.asked_at.get(server_id, float("-inf")) > LOAD_INTEREST_S:
+            # The entry no longer has the load that was sent before.
+            self.sent_tokens.pop(server_id, None)
+        self.asked_at[server_id] = now
+
+    def find_changed_loads(
+        self, loads: Mapping[str, EngineLoad], now: float
+    ) -> dict[str, EngineLoad]:
+        """Return the loads to send: of engines asked for, if they changed."""
+        changed = {}
+        for server_id, asked_at in list(self.asked_at.items()):
+            load = loads.get(server_id)
+            if load is None or now - asked_at > LOAD_INTEREST_S:
+                del self.asked_at[server_id]
+                continue
+            change = abs(load.total_tokens - self.sent_tokens.get(server_id, 0))
+            if change >= MIN_LOAD_CHANGE_S * load.tokens_per_s:
+                changed[server_id] = load
+        return changed
+
 
 class AdmissionService:
     """Runs an admission controller for each engine that entries ask for."""
@@ -63,7 +90,7 @@
         self._limits = limits
         self._controllers: dict[str, AdmissionController] = {}
         self._last_used_at: dict[str, float] = {}
-        self._outboxes: dict[str, _Outbox] = {}
+        self._outboxes: dict[str, Outbox] = {}
         self._stream_count = 0
         self._decision_counter = metrics.add_counter(
             "carob_gate_decisions_total", "Requests admitted and turned away."
@@ -112,7 +139,7 @@
         """Serve one entry's stream."""
         self._stream_count += 1
         entry = f"entry-{self._stream_count}"
-        outbox = self._outboxes[entry] = _Outbox()
+        outbox = self._outboxes[entry] = Outbox()
         outbox.wakeup.set()
         writer = start_task(
             self._send_updates(stream, outbox), name=f"admission updates {entry}"
@@ -154,6 +181,7 @@
             )
         for request in report.asks:
             controller = self._get_controller(request.server_id, now)
+            self._outboxes[entry].record_request(request.server_id, now)
             self._add_decisions(
                 request.server_id, controller.submit(entry, request, now)
             )
@@ -195,7 +223,7 @@
                 heartbeat_s = WAITING_HEARTBEAT_INTERVAL_S
             if elapsed_s >= heartbeat_s or (
                 elapsed_s >= LOAD_UPDATE_INTERVAL_S
-                and find_changed_loads(loads, outbox.sent_tokens)
+                and outbox.find_changed_loads(loads, now)
             ):
                 outbox.wakeup.set()
 
@@ -205,28 +233,17 @@
             for name, controller in self._controllers.items()
         }
 
-    async def _send_updates(self, stream: Stream[Any, Any], outbox: _Outbox) -> None:
+    async def _send_updates(self, stream: Stream[Any, Any], outbox: Outbox) -> None:
         """Send the pending decisions and the changed loads at each wakeup."""
         with contextlib.suppress(*STREAM_ERRORS):
             while True:
                 await outbox.wakeup.wait()
                 outbox.wakeup.clear()
-                changed = find_changed_loads(self._build_loads(), outbox.sent_tokens)
+                now = outbox.last_sent_at = self._clock.read_monotonic()
+                changed = outbox.find_changed_loads(self._build_loads(), now)
                 for name, load in changed.items():
                     outbox.sent_tokens[name] = load.total_tokens
-                outbox.last_sent_at = self._clock.read_monotonic()
                 decisions = tuple(outbox.decisions)
                 outbox.decisions.clear()
                 update = AdmissionUpdate(decisions=decisions, loads=changed or None)
                 await stream.send_message(update)
-
-
-def find_changed_loads(
-    loads: dict[str, EngineLoad], sent_tokens: dict[str, int]
-) -> dict[str, EngineLoad]:
-    """Return the loads that differ enough from those last sent."""
-    return {
-        name: load
-        for name, load in loads.items()
-        if abs(load.total_tokens - sent_tokens.get(name, 0)) >= MIN_LOAD_CHANGE_TOKENS
-    }
--- a/carobspring/adapters/discovery.py
+++ b/carobspring/adapters/discovery.py
@@ -12,7 +12,7 @@
 from carobspring.adapters.rpc import STREAM_ERRORS, make_unary_method, open_channel
 from carobspring.control.discovery import DaemonDirectory, DiscoveryMessage
 from carobspring.domain import parse_address
-from carobspring.ports import Clock
+from carobspring.ports import Clock, RandomSource
 
 #: Seconds between rounds until the replicas are known.
 SEARCH_INTERVAL_S: Final = 0.3
@@ -25,7 +25,7 @@
 
 
 class DiscoveryExchange:
-    """Exchanges discovery messages with every known control daemon.
+    """Exchanges discovery messages with other control daemons.
 
     ``on_round_end`` is called after each round of exchanges.
     """
@@ -36,11 +36,13 @@
         directory: DaemonDirectory,
         secret: str,
         clock: Clock,
+        random: RandomSource,
         on_round_end: Callable[[], None],
     ) -> None:
         self._directory = directory
         self._secret = secret
         self._clock = clock
+        self._random = random
         self._on_round_end = on_round_end
         self._channels: dict[str, Channel] = {}
         self._unresponsive: set[str] = set()
@@ -56,7 +58,7 @@
     async def run(self) -> None:
         """Exchange discovery messages until cancelled."""
         while True:
-            addresses = self._directory.list_addresses()
+            addresses = self._directory.choose_contacts(self._random)
             await asyncio.gather(*(self._exchange(name) for name in addresses))
             self._directory.choose_initial_members(self._clock.read_monotonic())
             self._on_round_end()
@@ -71,7 +73,7 @@
 
     async def _reply(self, message: DiscoveryMessage) -> DiscoveryMessage:
         self._directory.handle_message(message, self._clock.read_monotonic())
-        return self._directory.build_message()
+        return self._directory.build_message(message.card.name)
 
     async def _exchange(self, name: str) -> None:
         if name not in self._channels:
@@ -87,7 +89,7 @@
         )
         try:
             async with asyncio.timeout(REPLY_TIMEOUT_S):
-                reply = await method(self._directory.build_message())
+                reply = await method(self._directory.build_message(name))
         except STREAM_ERRORS as error:
             self._handle_failure(name, error)
             return
--- a/carobspring/adapters/rpc.py
+++ b/carobspring/adapters/rpc.py
@@ -9,6 +9,7 @@
 import functools
 import hmac
 from collections.abc import Awaitable, Callable, Mapping
+from dataclasses import MISSING, fields
 from typing import Any, TypeVar
 
 import msgspec
@@ -51,8 +52,18 @@
     __content_subtype__ = "msgpack"
 
     def encode(self, message: Any, message_type: Any) -> bytes:
-        """Return the bytes of a message."""
-        return msgspec.msgpack.encode(message)
+        """Return the bytes of a message, without fields at their default.
+
+        Most messages are heartbeats or carry one of many fields.
+        """
+        message_class: Any = type(message)
+        defaults = get_defaults(message_class)
+        content = {
+            name: value
+            for name in defaults
+            if (value := getattr(message, name)) != defaults[name]
+        }
+        return msgspec.msgpack.encode(content)
 
     def decode(self, data: bytes, message_type: Any) -> Any:
         """Return the message that the bytes encode.
@@ -66,6 +77,21 @@
             raise GRPCError(Status.INVALID_ARGUMENT, str(error)) from error
 
 
+@functools.cache
+def get_defaults(message_type: Any) -> Mapping[str, Any]:
+    """Return the default of each field of a data class, cached.
+
+    A field without a default has a value that no message has.
+    """
+    defaults: dict[str, Any] = {}
+    for each in fields(message_type):
+        if each.default_factory is not MISSING:
+            defaults[each.name] = each.default_factory()
+        else:
+            defaults[each.name] = each.default
+    return defaults
+
+
 @functools.cache
 def get_decoder(message_type: Any) -> msgspec.msgpack.Decoder[Any]:
     """Return the cached decoder of a message type."""
--- a/carobspring/control/discovery.py
+++ b/carobspring/control/discovery.py
@@ -6,17 +6,27 @@
 lowest of the seeds waits until no new daemon appears, then chooses the initial
 members. All others wait for its choice, so that two groups can't bootstrap a
 cluster each.
+
+Until the replicas are known, each daemon asks all others in each round. After
+that it asks two, so that its traffic does not grow with the number of daemons,
+and two daemons that know the same exchange only a digest.
 """
 
-from collections.abc import Iterable
+import hashlib
+from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
 from typing import Final
 
+import msgspec
+
+from carobspring.ports import RandomSource
+
 #: Seconds without a new daemon after which the initial members are chosen.
 QUIET_PERIOD_S: Final = 2.0
 #: Each further replica costs more than the additional fault tolerance is
 #: worth.
 MAX_INITIAL_MEMBERS: Final = 7
+DIGEST_BYTES: Final = 8
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -44,6 +54,11 @@
     members: tuple[str, ...] = ()
     #: Names of the cluster's initial members; empty before they are chosen.
     founders: tuple[str, ...] = ()
+    #: Index in the log up to which the sender of ``members`` had applied it.
+    members_index: int = 0
+    #: Digest of all that the sender knows. If the receiver's is the same, the
+    #: message holds nothing else but the card.
+    digest: str = ""
 
 
 class DaemonDirectory:
@@ -63,6 +78,9 @@
         self.initial_members: tuple[str, ...] = ()
         #: Names of the replicas, from the local log or from another daemon.
         self.members: tuple[str, ...] = ()
+        self._members_index = 0
+        #: The last digest of each daemon that sent one.
+        self._digests: dict[str, str] = {}
 
     def update_seeds(self, seeds: Iterable[str]) -> None:
         """Replace the seed addresses."""
@@ -74,6 +92,18 @@
         names.pop(self.own_info.name, None)
         return list(names)
 
+    def choose_contacts(self, random: RandomSource) -> list[str]:
+        """Return the addresses to ask in this round.
+
+        Once the replicas are known, these are one of them and one other.
+        """
+        addresses = self.list_addresses()
+        if not self.members:
+            return addresses
+        replicas = [name for name in addresses if name in self.members]
+        others = [name for name in addresses if name not in self.members]
+        return _draw_one(replicas, random) + _draw_one(others or replicas, random)
+
     def list_replicas(self) -> tuple[str, ...]:
         """Return the known replicas, or before them the initial members."""
         return self.members or self.initial_members
@@ -95,13 +125,18 @@
             )
         )
 
-    def build_message(self) -> DiscoveryMessage:
+    def build_message(self, receiver: str = "") -> DiscoveryMessage:
         """Return the message to send to another daemon."""
+        digest = self._compute_digest()
+        if receiver and self._digests.get(receiver) == digest:
+            return DiscoveryMessage(card=self.own_info, digest=digest)
         return DiscoveryMessage(
             card=self.own_info,
             known=tuple(self._daemons.values()),
             members=self.members,
             founders=self.initial_members,
+            members_index=self._members_index,
+            digest=digest,
         )
 
     def handle_message(self, message: DiscoveryMessage, now: float) -> None:
@@ -114,15 +149,24 @@
                 self._changed_at = now
             if known is None or daemon is message.card:
                 self._daemons[daemon.name] = daemon
-        if message.members and not self.members:
+        if message.members and (
+            not self.members or message.members_index > self._members_index
+        ):
             self.members = message.members
+            self._members_index = message.members_index
         if message.founders and not self.initial_members:
             self.initial_members = message.founders
+        if message.digest:
+            self._digests[message.card.name] = message.digest
 
-    def update_members(self, members: tuple[str, ...]) -> None:
-        """Replace the replicas by those of the local log, if there are any."""
+    def update_members(self, members: tuple[str, ...], index: int) -> None:
+        """Replace the replicas by those of the local log, if there are any.
+
+        ``index`` is the index in the log up to which it is applied.
+        """
         if members:
             self.members = members
+            self._members_index = index
 
     def choose_initial_members(self, now: float) -> None:
         """Choose the initial members if this daemon is responsible and due."""
@@ -134,6 +178,12 @@
             return
         self.initial_members = self._select_initial_members()
 
+    def _compute_digest(self) -> str:
+        daemons = sorted(self._daemons.values(), key=lambda daemon: daemon.name)
+        content = (daemons, self.members, self.initial_members)
+        data = msgspec.msgpack.encode(content)
+        return hashlib.blake2b(data, digest_size=DIGEST_BYTES).hexdigest()
+
     def _select_initial_members(self) -> tuple[str, ...]:
         """Return durable daemons with an empty disk, by zone in turn."""
         by_zone: dict[str, list[str]] = {}
@@ -148,3 +198,7 @@
                 if not by_zone[zone]:
                     del by_zone[zone]
         return tuple(sorted(chosen))
+
+
+def _draw_one(names: Sequence[str], random: RandomSource) -> list[str]:
+    return [names[random.draw_index(len(names))]] if names else []
--- a/carobspring/gateway/admission.py
+++ b/carobspring/gateway/admission.py
@@ -5,7 +5,7 @@
 
 import asyncio
 import logging
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass, field
 from enum import Enum
 from typing import Final
@@ -13,7 +13,7 @@
 from carobspring.adapters.admission_stream import AdmissionStream
 from carobspring.adapters.rpc import ChannelOpener
 from carobspring.dispatch import Dispatcher, DispatchQuery, Placement
-from carobspring.domain import Address, parse_address
+from carobspring.domain import Address, BackendServer, parse_address
 from carobspring.protocol import (
     AdmissionDecision,
     AdmissionRelease,
@@ -70,11 +70,11 @@
 class AdmissionClient:
     """Requests admission to engines before long prompts are sent.
 
-    One of the control replicas hosts the admission controller of an engine.
-    Rendezvous hashing lets all entries choose the same host as long as they
-    reach the same replicas. Admission is advisory: if no host responds, a
-    request is sent without it, and the engine itself reports whether it has
-    run the request.
+    One of the control replicas hosts the admission controller of an engine,
+    one in the engine's availability zone if there is any. Rendezvous hashing
+    lets all entries choose the same host as long as they reach the same
+    replicas. Admission is advisory: if no host responds, a request is sent
+    without it, and the engine itself reports whether it has run the request.
     """
 
     def __init__(
@@ -88,10 +88,17 @@
         self._dispatcher = dispatcher
         self._read_clock = read_clock
         self._hosts: dict[str, _AdmissionHost] = {}
+        self._zones: Mapping[str, str] = {}
 
-    def update_hosts(self, names: Iterable[str]) -> None:
-        """Connect to these control replicas (``host:port``) and no others."""
+    def update_hosts(
+        self, names: Iterable[str], zones: Mapping[str, str] | None = None
+    ) -> None:
+        """Connect to these control replicas (``host:port``) and no others.
+
+        ``zones`` gives their availability zones, as far as they are known.
+        """
         names = set(names)
+        self._zones = zones or {}
         for name in sorted(set(self._hosts) - names):
             self._remove_host(name)
         for name in sorted(names - set(self._hosts)):
@@ -107,7 +114,7 @@
         """Wait for the decision whether a request may be sent to an engine."""
         server_id, request_id = placement.server.server_id, query.request_id
         now = self._read_clock()
-        host = self._find_host(server_id)
+        host = self._find_host(placement.server)
         if host is None or request_id in host.waiting:
             return UNAVAILABLE
         tokens = round(placement.unread_tokens)
@@ -162,7 +169,7 @@
         host.stream.close()
         self._resolve_unavailable(host)
 
-    def _find_host(self, server_id: str) -> _AdmissionHost | None:
+    def _find_host(self, server: BackendServer) -> _AdmissionHost | None:
         available = [
             name
             for name, host in self._hosts.items()
@@ -170,8 +177,12 @@
         ]
         if not available:
             return None
+        near = [name for name in available if self._zones.get(name) == server.zone]
         return self._hosts[
-            max(available, key=lambda name: score_server(0, name + server_id))
+            max(
+                near or available,
+                key=lambda name: score_server(0, name + server.server_id),
+            )
         ]
 
     async def _wait_for_decision(
--- a/carobspring/gateway/api.py
+++ b/carobspring/gateway/api.py
@@ -133,7 +133,6 @@
             prompt_tokens=prompt_tokens,
             output_tokens=metadata.expected_output_tokens or metadata.max_output_tokens,
             parts=tuple((part.part_id, part.tokens) for part in metadata.prompt_parts),
-            body_bytes=len(request.body),
         )
 
     async def _refuse(
--- a/carobspring/gateway/control.py
+++ b/carobspring/gateway/control.py
@@ -52,7 +52,7 @@
         apply_update: Callable[[str, ViewUpdate], None],
         remove_replica: Callable[[str], None],
         choose: Callable[[Iterable[str], Mapping[str, str]], tuple[str, ...]],
-        update_replicas: Callable[[Iterable[str]], None],
+        update_replicas: Callable[[Iterable[str], Mapping[str, str]], None],
         metrics: Metrics,
     ) -> None:
         self._open_channel = open_channel
@@ -125,7 +125,7 @@
 
         def apply(update: ViewUpdate) -> None:
             if self._replicas.apply_update(name, update):
-                self._update_replicas(self._replicas.names)
+                self._update_replicas(self._replicas.names, self._replicas.zones)
             self._apply_update(name, update)
 
         stream = EntryControlStream(
--- a/carobspring/gateway/replicas.py
+++ b/carobspring/gateway/replicas.py
@@ -26,22 +26,28 @@
         self.names: tuple[str, ...] = ()
         #: Availability zones of the replicas, as far as they are known.
         self.zones: dict[str, str] = {}
+        self._has_new_zones = False
         #: The last list of each followed replica, which sends it only when it
         #: changes.
         self._reported: dict[str, tuple[str, ...]] = {}
 
     def apply_update(self, replica: str, update: ViewUpdate) -> bool:
-        """Apply a replica's update, and return whether the names changed."""
+        """Apply a replica's update; return whether names or zones changed."""
         if update.replicas:
             self._reported[replica] = update.replicas
-            self.zones |= update.replica_zones or {}
+            known_zones = update.replica_zones or {}
+            if not known_zones.items() <= self.zones.items():
+                self.zones |= known_zones
+                self._has_new_zones = True
         names = self._reported.get(replica, ())
-        if not names or names == self.names:
-            return False
-        if self.names and not update.confirmed:
-            return False
-        self.names = names
-        return True
+        has_changed = bool(names) and names != self.names
+        if has_changed and self.names and not update.confirmed:
+            has_changed = False
+        if has_changed:
+            self.names = names
+        has_changed |= self._has_new_zones
+        self._has_new_zones = False
+        return has_changed
 
     def remove_replica(self, replica: str) -> None:
         """Drop the list of a replica that is no longer followed."""
--- a/carobspring/programs/instance_control.py
+++ b/carobspring/programs/instance_control.py
@@ -114,6 +114,7 @@
             directory=self.directory,
             secret=options.secret,
             clock=self._clock,
+            random=self._random,
             on_round_end=self._update_replicas,
         )
         self._peers: dict[str, Peer] = {}
@@ -251,7 +252,9 @@
         supervisor = self._supervisor
         if supervisor is not None:
             if supervisor.is_started:
-                directory.update_members(supervisor.list_members())
+                directory.update_members(
+                    supervisor.list_members(), supervisor.applied_index
+                )
                 replicas = directory.list_replicas()
                 supervisor.add_peers((*replicas, *directory.list_spare_daemons()))
             elif replicas and (self._start_task is None or self._start_task.done()):
--- a/carobspring/programs/replica_supervisor.py
+++ b/carobspring/programs/replica_supervisor.py
@@ -77,6 +77,11 @@
         """The current replica, or None before the start or while reopening."""
         return self._replica
 
+    @property
+    def applied_index(self) -> int:
+        """The index of the last applied entry; zero without a replica."""
+        return self._replica.applied_index if self._replica is not None else 0
+
     def list_methods(self) -> list[tuple[str, Handler]]:
         """Return the gRPC methods that the program's server must offer."""
         return [
--- a/tests/control/test_discovery.py
+++ b/tests/control/test_discovery.py
@@ -1,5 +1,6 @@
 import unittest
 
+from carobspring.adapters.clock import SystemRandom
 from carobspring.control.discovery import (
     MAX_INITIAL_MEMBERS,
     QUIET_PERIOD_S,
@@ -101,6 +102,46 @@
         ]
         self.assertEqual(sorted(zones), list("aabbccd"))
 
+    def test_traffic_does_not_grow(self):
+        """With known replicas, a daemon asks one of them and one other."""
+        daemons = [build_info(number) for number in range(1, 100)]
+        directory = build_directory(*daemons, seeds=self.seeds)
+        random = SystemRandom(seed=1)
+        self.assertEqual(len(directory.choose_contacts(random)), 98)
+        directory.update_members(tuple(self.seeds), 5)
+        asked = [directory.choose_contacts(random) for _ in range(300)]
+        self.assertEqual({replica for replica, _ in asked}, set(self.seeds[1:]))
+        self.assertGreater(len({other for _, other in asked}), 80)
+
+    def test_digest(self):
+        """Daemons that know the same exchange only digests."""
+        first, second = (
+            build_directory(daemon, *self.daemons, seeds=self.seeds)
+            for daemon in self.daemons[:2]
+        )
+        names = [daemon.name for daemon in self.daemons]
+        second.handle_message(first.build_message(names[1]), 0.0)
+        reply = second.build_message(names[0])
+        self.assertEqual(
+            reply, DiscoveryMessage(card=self.daemons[1], digest=reply.digest)
+        )
+        second.handle_message(DiscoveryMessage(card=build_info(4)), 0.0)
+        self.assertEqual(len(second.build_message(names[0]).known), 4)
+
+    def test_replaced_replica(self):
+        """A daemon without the log learns which replica was replaced."""
+        directory = build_directory(build_info(9, durable=False), seeds=self.seeds)
+        other = build_directory(self.daemons[0], seeds=self.seeds)
+        new_members = ("10.1.0.1:7000", "10.2.0.1:7000", "10.7.0.1:7000")
+        for members, index, expected in (
+            (tuple(self.seeds), 5, tuple(self.seeds)),
+            (new_members, 9, new_members),
+            (tuple(self.seeds), 6, new_members),
+        ):
+            other.update_members(members, index)
+            directory.handle_message(other.build_message(), 0.0)
+            self.assertEqual(directory.list_replicas(), expected)
+
     def test_knowledge_is_passed_on(self):
         """Initial members and daemons are learned from any that knows them."""
         first = build_directory(self.daemons[0], *self.daemons[1:], seeds=self.seeds)
--- a/tests/gateway/test_admission.py
+++ b/tests/gateway/test_admission.py
@@ -1,7 +1,12 @@
 import asyncio
 import unittest
+from dataclasses import replace
 
-from carobspring.adapters.admission_service import AdmissionService
+from carobspring.adapters.admission_service import (
+    LOAD_INTEREST_S,
+    AdmissionService,
+    Outbox,
+)
 from carobspring.adapters.clock import SystemClock, SystemRandom
 from carobspring.adapters.metrics import Metrics
 from carobspring.adapters.rpc import build_server, open_channel
@@ -11,6 +16,7 @@
 from carobspring.gateway import AdmissionClient
 from carobspring.gateway.admission import AdmissionOutcome
 from carobspring.programs.agent import start_rpc_server
+from carobspring.protocol import EngineLoad
 from standins.deployment import wait_until
 
 SECRET = "inner-secret"
@@ -93,6 +99,47 @@
         await wait_until(has_count, f"{count} requests wait")
 
 
+class HostTests(AdmissionTestCase):
+    async def test_host_in_the_zone_of_the_engine(self):
+        """An engine's requests go to a host in its zone while there is one."""
+        near, far = f"127.0.0.1:{self.port}", f"127.0.0.1:{self.port + 7}"
+        entry = self.entries[0]
+        entry.update_hosts([near, far], {near: "a", far: "b"})
+        for name in (near, far):
+            entry._hosts[name].stream.connected = True
+        for number in range(20):
+            engine = replace(self.engine, server_id=f"s{number}")
+            with self.subTest(engine.server_id):
+                self.assertIs(entry._find_host(engine), entry._hosts[near])
+        entry._hosts[near].stream.connected = False
+        self.assertIs(entry._find_host(self.engine), entry._hosts[far])
+
+    async def test_loads_of_engines_asked_for(self):
+        """An entry is sent the loads of the engines that it asked for."""
+        loads = {"s1": EngineLoad(reading_tokens=50_000, tokens_per_s=50_000.0)}
+        asked, other = Outbox(), Outbox()
+        asked.record_request("s1", 1.0)
+        cases = {
+            "asked": (asked, 2.0, loads),
+            "another engine": (other, 2.0, {}),
+            "long ago": (asked, 1.0 + LOAD_INTEREST_S + 0.1, {}),
+        }
+        for name, (outbox, now, expected) in cases.items():
+            with self.subTest(name):
+                self.assertEqual(outbox.find_changed_loads(loads, now), expected)
+
+    async def test_small_changes_of_load(self):
+        """A load is sent again when it changed by a tenth of a second."""
+        outbox = Outbox()
+        outbox.record_request("s1", 1.0)
+        outbox.sent_tokens["s1"] = 20_000
+        for tokens, is_sent in ((20_000, False), (24_900, False), (25_100, True)):
+            load = EngineLoad(reading_tokens=tokens, tokens_per_s=50_000.0)
+            with self.subTest(tokens):
+                changed = outbox.find_changed_loads({"s1": load}, 1.5)
+                self.assertEqual(changed, {"s1": load} if is_sent else {})
+
+
 class AdmissionTests(AdmissionTestCase):
     async def test_capacity_is_reused(self):
         """A request waits until the engine has read the prompt before it."""
--- a/tests/gateway/test_control.py
+++ b/tests/gateway/test_control.py
@@ -38,7 +38,7 @@
             apply_update=lambda replica, update: None,
             remove_replica=self.removed.append,
             choose=lambda names, zones: tuple(sorted(names))[:2],
-            update_replicas=lambda names: None,
+            update_replicas=lambda names, zones: None,
             metrics=Metrics(labels={}),
         )
         self.addAsyncCleanup(self.close)
