Place requests among a few of many servers, and streams in their own zone

Neither taken slots nor the demand of the other requests counted.

Entries report the demand of reading too, and when both kinds fit, engines are shared out in proportion. A request waits for a slot of a full engine in the estimate. Going to another zone costs a share of the request's own target instead of a constant by kilobyte.

--- a/carobspring/control/sessions.py
+++ b/carobspring/control/sessions.py
@@ -137,6 +137,7 @@
             confirmed=self._is_confirmed(),
             entry_count=len(self._state.entries.entries),
             generating=self._state.entries.sum_generating_demand() or None,
+            reading=self._state.entries.sum_reading_demand() or None,
         )
 
     def _take_new_routing(self) -> RoutingConfiguration | None:
--- a/carobspring/dispatch/__init__.py
+++ b/carobspring/dispatch/__init__.py
@@ -13,12 +13,14 @@
     Refusal,
     RefusalReason,
 )
+from carobspring.dispatch.specialization import EngineDemand
 
 __all__ = [
     "AttemptOutcome",
     "DispatchLimits",
     "DispatchQuery",
     "Dispatcher",
+    "EngineDemand",
     "Placement",
     "Refusal",
     "RefusalReason",
--- a/carobspring/dispatch/costs.py
+++ b/carobspring/dispatch/costs.py
@@ -86,8 +86,7 @@
     cross_zone_s = 0.0
     if record.server.zone != zone:
         cross_zone_s = (
-            limits.cross_zone_delay_s
-            + limits.cross_zone_kilobyte_s * query.body_bytes / 1000
+            limits.cross_zone_delay_s + limits.cross_zone_target_share * query.target_s
         )
     if not record.is_engine:
         slots = max(1, record.server.slots)
@@ -113,6 +112,7 @@
     wait_s = queue_s
     wait_s += record.estimate_silence_s(now)
     wait_s += running * limits.running_request_cost_s
+    wait_s += _estimate_slot_wait_s(record, running)
     return CostEstimate(
         wait_s=wait_s,
         prefill_s=prefill_s,
@@ -125,6 +125,14 @@
     )
 
 
+def _estimate_slot_wait_s(record: ServerRecord, running: int) -> float:
+    """Return the wait for a slot of an engine whose slots are all taken."""
+    slots = record.server.slots
+    if not slots or running < slots:
+        return 0.0
+    return (running - slots + 1) * record.service_time_s.value / slots
+
+
 def _estimate_event_gap_cost_s(
     record: ServerRecord, query: DispatchQuery, limits: DispatchLimits
 ) -> float:
--- a/carobspring/dispatch/dispatcher.py
+++ b/carobspring/dispatch/dispatcher.py
@@ -4,8 +4,9 @@
 from typing import Final
 
 from carobspring.dispatch.costs import estimate_cost
-from carobspring.dispatch.homes import find_home, find_shared_parts
+from carobspring.dispatch.homes import find_shared_parts
 from carobspring.dispatch.limits import DispatchLimits
+from carobspring.dispatch.pools import ServerPool
 from carobspring.dispatch.queries import (
     AttemptOutcome,
     DispatchQuery,
@@ -14,7 +15,11 @@
     RefusalReason,
 )
 from carobspring.dispatch.servers import ServerRecord
-from carobspring.dispatch.specialization import Specialization, is_prefill_heavy
+from carobspring.dispatch.specialization import (
+    EngineDemand,
+    Specialization,
+    is_prefill_heavy,
+)
 from carobspring.domain import BackendServer
 from carobspring.ports import RandomSource
 from carobspring.protocol import EngineLoad
@@ -35,14 +40,16 @@
         self._random = random
         self._limits = limits or DispatchLimits()
         self._records: dict[str, ServerRecord] = {}
-        self._by_service: dict[str, dict[str, ServerRecord]] = {}
+        self._pools: dict[str, ServerPool] = {}
         self._specializations: dict[str, Specialization] = {}
 
     def add_server(self, server: BackendServer, *, draining: bool) -> None:
         """Add a server, or update the one that is known."""
         known = self._records.get(server.server_id)
         if known is not None and known.server == server:
-            known.draining = draining
+            if known.draining is not draining:
+                known.draining = draining
+                self._pools[server.service].clear_indices()
             return
         self.remove_server(server.server_id)
         record = ServerRecord(
@@ -52,7 +59,9 @@
         )
         record.draining = draining
         self._records[server.server_id] = record
-        self._by_service.setdefault(server.service, {})[server.server_id] = record
+        if server.service not in self._pools:
+            self._pools[server.service] = ServerPool(zone=self._zone)
+        self._pools[server.service].add(record)
 
     def has_server(self, server: BackendServer) -> bool:
         """Return whether a server is known with the same start (boot)."""
@@ -63,30 +72,28 @@
         """Remove a server from placement."""
         record = self._records.pop(server_id, None)
         if record is not None:
-            del self._by_service[record.server.service][server_id]
+            self._pools[record.server.service].remove(server_id)
 
     def place(
         self, query: DispatchQuery, excluded: Set[str], now: float
     ) -> Placement | Refusal:
         """Return the server that a request goes to, or why there is none."""
-        records = self._by_service.get(query.service, {}).values()
-        active = [record for record in records if not record.draining]
-        if not active:
+        pool = self._pools.get(query.service)
+        if pool is None or not pool.active:
             return self._refuse(RefusalReason.NO_SERVERS)
-        available = [record for record in active if self._is_available(record, now)]
-        candidates = [
-            record for record in available if record.server.server_id not in excluded
-        ]
-        if not candidates:
-            return self._refuse(RefusalReason.ALL_TRIED)
-        generating = self._select_generating(query, active, now)
+        generating = self._select_generating(query, pool, now)
         generating_rank = 0
-        if active[0].is_engine:
+        if generating:
             specialization = self._get_specialization(query.service)
             generating_rank = specialization.generating_rank
+        homes = self._rank_homes(query, pool, generating)
         # A server whose engine rejected the request can still be its home.
-        matching = self._select_matching(query, available, generating)
-        home = self._find_home(query, matching)
+        home = next((each for each in homes if self._is_available(each, now)), None)
+        candidates = self._list_candidates(
+            query, pool, generating, homes, excluded, now
+        )
+        if not candidates:
+            return self._refuse(RefusalReason.ALL_TRIED)
         best, estimate, best_cost = candidates[0], None, 0.0
         for record in candidates:
             candidate = estimate_cost(
@@ -106,7 +113,9 @@
         return Placement(
             server=best.server,
             unread_tokens=estimate.unread_tokens,
-            prompt_source=self._find_prompt_source(query, matching, best, home),
+            prompt_source=self._find_prompt_source(
+                query, pool, generating, best, home, now
+            ),
             reason=f"wait={estimate.wait_s:.3f} read={estimate.prefill_s:.3f} "
             f"far={estimate.cross_zone_s:.3f} pause={estimate.event_gap_s:.3f} "
             f"mixing={estimate.mixing_s:.3f} "
@@ -211,12 +220,13 @@
         self, query: DispatchQuery, excluded: Set[str], now: float
     ) -> bool:
         """Return whether a request could move to another server."""
-        return any(
+        pool = self._pools.get(query.service)
+        return pool is not None and any(
             record.server.server_id not in excluded
             and not record.draining
             and record.breaker.state is BreakerState.CLOSED
             and record.estimate_silence_s(now) <= 0
-            for record in self._by_service.get(query.service, {}).values()
+            for record in pool.records
         )
 
     def record_load(
@@ -253,20 +263,20 @@
             return not record.in_flight
         return breaker.state is BreakerState.CLOSED
 
-    def compute_generating_demand(self, now: float) -> dict[str, float]:
-        """Return the engine time per second that generating needs here.
+    def compute_demand(self, now: float) -> dict[str, EngineDemand]:
+        """Return the engine time that this entry's requests need, by service.
 
-        It is given by service; control replicas add it up over all entries.
+        Control replicas add it up over all entries.
         """
         return {
-            service: round(specialization.compute_generating_demand(now), 4)
+            service: specialization.compute_demand(now)
             for service, specialization in self._specializations.items()
         }
 
-    def update_generating_demand(self, demand: Mapping[str, float], now: float) -> None:
+    def update_demand(self, demand: Mapping[str, EngineDemand], now: float) -> None:
         """Record the reported demand of all entries together, by service."""
-        for service, seconds in demand.items():
-            self._get_specialization(service).update_demand(seconds, now)
+        for service, service_demand in demand.items():
+            self._get_specialization(service).update_demand(service_demand, now)
 
     def _get_specialization(self, service: str) -> Specialization:
         if service not in self._specializations:
@@ -274,56 +284,78 @@
         return self._specializations[service]
 
     def _select_generating(
-        self, query: DispatchQuery, records: Sequence[ServerRecord], now: float
+        self, query: DispatchQuery, pool: ServerPool, now: float
     ) -> frozenset[str]:
-        if not records[0].is_engine:
+        if not pool.active[0].is_engine:
             return frozenset()
         specialization = self._get_specialization(query.service)
-        return specialization.select_generating(records, now)
+        return specialization.select_generating(pool.active, now)
 
-    def _select_matching(
+    def _rank_homes(
+        self, query: DispatchQuery, pool: ServerPool, generating: frozenset[str]
+    ) -> Sequence[ServerRecord]:
+        """Return the possible homes, in this zone if the prefix is short."""
+        shared = find_shared_parts(query)
+        if not shared:
+            return ()
+        shared_tokens = sum(tokens for _, tokens in shared)
+        return pool.rank_homes(
+            shared[-1][0],
+            generating,
+            suits_generating=not is_prefill_heavy(query),
+            near_only=shared_tokens < self._limits.global_home_tokens,
+        )
+
+    def _list_candidates(
         self,
         query: DispatchQuery,
-        records: Sequence[ServerRecord],
-        generating: Set[str],
+        pool: ServerPool,
+        generating: frozenset[str],
+        homes: Sequence[ServerRecord],
+        excluded: Set[str],
+        now: float,
     ) -> Sequence[ServerRecord]:
-        """Return the engines reserved for this kind of request."""
-        if not generating:
-            return records
-        is_long_prompt = is_prefill_heavy(query)
-        return [
-            record
-            for record in records
-            if is_long_prompt is not (record.server.server_id in generating)
-        ]
-
-    def _find_home(
-        self, query: DispatchQuery, matching: Sequence[ServerRecord]
-    ) -> ServerRecord | None:
-        """Return a prompt's home, in this zone if its prefix is short."""
-        shared = sum(tokens for _, tokens in find_shared_parts(query))
-        if shared >= self._limits.global_home_tokens:
-            return find_home(query, matching)
-        in_zone = [record for record in matching if record.server.zone == self._zone]
-        return find_home(query, in_zone)
+        """Return the servers that may get a request, few of many."""
+        groups = pool.group(generating, suits_generating=not is_prefill_heavy(query))
+        for records in (
+            pool.list_candidates(groups, homes, self._random),
+            pool.active,
+        ):
+            candidates = [
+                record
+                for record in records
+                if record.server.server_id not in excluded
+                and self._is_available(record, now)
+            ]
+            if candidates:
+                return candidates
+        return ()
 
     def _find_prompt_source(
         self,
         query: DispatchQuery,
-        matching: Sequence[ServerRecord],
+        pool: ServerPool,
+        generating: frozenset[str],
         chosen: ServerRecord,
         home: ServerRecord | None,
+        now: float,
     ) -> BackendServer | None:
         """Return the server to copy the prompt's shared prefix from.
 
         That is the home, or at the home of a zone the one for all zones.
         Asking a server that has none of the prefix costs nothing.
         """
-        shared = sum(tokens for _, tokens in find_shared_parts(query))
-        if shared < self._limits.min_copied_tokens:
+        shared = find_shared_parts(query)
+        if sum(tokens for _, tokens in shared) < self._limits.min_copied_tokens:
             return None
         if home is None or home is chosen:
-            home = find_home(query, matching)
+            homes = pool.rank_homes(
+                shared[-1][0],
+                generating,
+                suits_generating=not is_prefill_heavy(query),
+                near_only=False,
+            )
+            home = next((each for each in homes if self._is_available(each, now)), None)
         if home is None or home is chosen:
             return None
         return home.server
--- a/carobspring/dispatch/homes.py
+++ b/carobspring/dispatch/homes.py
@@ -3,11 +3,7 @@
 A home server has probably read the prefix already and keeps it in its cache.
 """
 
-from collections.abc import Iterable
-
 from carobspring.dispatch.queries import DispatchQuery
-from carobspring.dispatch.servers import ServerRecord
-from carobspring.routing import score_server
 
 #: Hexadecimal digits of a part's identifier that go into its score.
 HASH_KEY_DIGITS = 16
@@ -22,25 +18,6 @@
     return query.parts[:-1] if len(query.parts) > 1 else query.parts
 
 
-def find_home(
-    query: DispatchQuery, records: Iterable[ServerRecord]
-) -> ServerRecord | None:
-    """Return the home of a prompt's last shared part among these servers.
-
-    By rendezvous hashing every entry finds the same one without coordination,
-    and only the prompts of a server that leaves get another home.
-    """
-    shared = find_shared_parts(query)
-    if not shared:
-        return None
-    key = hash_part(shared[-1][0])
-    return max(
-        records,
-        key=lambda record: score_server(key, record.server.server_id),
-        default=None,
-    )
-
-
 def hash_part(part: str) -> int:
     """Return a number for a part's identifier, usually a hexadecimal hash."""
     try:
--- a/carobspring/dispatch/limits.py
+++ b/carobspring/dispatch/limits.py
@@ -21,9 +21,9 @@
     initial_plain_service_s: float = 0.04
     #: Seconds of delay to a server in another availability zone and back.
     cross_zone_delay_s: float = 0.008
-    #: Cost of a kilobyte sent across zones, in seconds, since those links are
-    #: not free.
-    cross_zone_kilobyte_s: float = 0.0004
+    #: Share of its target time that a request waits in its own zone rather
+    #: than go to another one, since links between zones are not free.
+    cross_zone_target_share: float = 0.15
     #: Seconds for which a part of a prompt is expected to stay in a server's
     #: cache.
     cached_part_ttl_s: float = 20.0
--- a/carobspring/dispatch/queries.py
+++ b/carobspring/dispatch/queries.py
@@ -28,7 +28,6 @@
     output_tokens: int = 0
     #: Parts of the prompt in order, as identifier and tokens.
     parts: tuple[tuple[str, int], ...] = ()
-    body_bytes: int = 0
 
 
 @dataclass(frozen=True, kw_only=True)
--- a/carobspring/dispatch/specialization.py
+++ b/carobspring/dispatch/specialization.py
@@ -8,6 +8,7 @@
 
 import math
 from collections.abc import Sequence
+from dataclasses import dataclass
 from typing import Final
 
 from carobspring.dispatch.limits import DispatchLimits
@@ -20,6 +21,15 @@
 PREFILL_TOKENS_PER_OUTPUT_TOKEN: Final = 10
 
 
+@dataclass(frozen=True, kw_only=True)
+class EngineDemand:
+    """Engine time per second that requests of each kind need, in seconds."""
+
+    generating_s: float = 0.0
+    #: Zero if it is not known.
+    reading_s: float = 0.0
+
+
 class WorkMix:
     """Measures the engine time that reading and generating take."""
 
@@ -42,12 +52,14 @@
             self._generating_s += read_s
             self._generating_s += query.output_tokens * limits.output_token_s
 
-    def compute_generating_demand(self, now: float) -> float:
-        """Return the engine time per second that generating needs."""
+    def compute_demand(self, now: float) -> EngineDemand:
+        """Return the engine time per second that both need."""
         self._decay(now)
         elapsed_s = now - self._started_at if self._started_at is not None else 0.0
         span_s = max(1.0, min(self._limits.mix_decay_s, elapsed_s))
-        return self._generating_s / span_s
+        return EngineDemand(
+            generating_s=self._generating_s / span_s, reading_s=self._reading_s / span_s
+        )
 
     def compute_generating_share(self, now: float) -> float | None:
         """Return the share of generating; None with too few observations."""
@@ -86,9 +98,10 @@
         self._count = 0
         #: Rank of the last request that mostly generated.
         self.generating_rank = 0
-        self._names: tuple[str, ...] = ()
+        self._records: Sequence[ServerRecord] = ()
         self._order: tuple[str, ...] = ()
-        self._demand_s = 0.0
+        self._selected: frozenset[str] = frozenset()
+        self._demand: EngineDemand | None = None
         self._demand_at = float("-inf")
 
     def add(self, query: DispatchQuery, unread_tokens: float, now: float) -> None:
@@ -97,19 +110,22 @@
         if not is_prefill_heavy(query):
             self.generating_rank = query.priority
 
-    def compute_generating_demand(self, now: float) -> float:
-        """Return the engine time per second that generating needs here."""
-        return self._mix.compute_generating_demand(now)
+    def compute_demand(self, now: float) -> EngineDemand:
+        """Return the engine time that this entry's requests need."""
+        return self._mix.compute_demand(now)
 
-    def update_demand(self, seconds: float, now: float) -> None:
+    def update_demand(self, demand: EngineDemand, now: float) -> None:
         """Record the reported demand of all entries together."""
-        self._demand_s = seconds
+        self._demand = demand
         self._demand_at = now
 
     def select_generating(
         self, records: Sequence[ServerRecord], now: float
     ) -> frozenset[str]:
-        """Return the names of the engines reserved for generating."""
+        """Return the names of the engines reserved for generating.
+
+        The same sequence must be passed until its servers change.
+        """
         total = len(records)
         target = self._compute_target_count(total, now)
         if target is None or total < self._limits.min_engines:
@@ -117,19 +133,33 @@
         if abs(target - self._count) > self._limits.count_hysteresis:
             self._count = round(target)
         count = max(0, min(self._count, total - 1))
-        return frozenset(self._order_engines(records)[:count])
+        is_new_order = self._order_engines(records)
+        if is_new_order or len(self._selected) != count:
+            self._selected = frozenset(self._order[:count])
+        return self._selected
 
     def _compute_target_count(self, total: int, now: float) -> float | None:
+        """Return how many engines generating needs, or gets if all have room.
+
+        In overload the streams get what they need. Otherwise both kinds of
+        requests get engines in proportion to their demand, so that a burst of
+        either finds room.
+        """
         limits = self._limits
-        if now - self._demand_at <= limits.max_demand_age_s:
-            return self._demand_s / limits.generating_utilization
-        share = self._mix.compute_generating_share(now)
-        return None if share is None else share * total
-
-    def _order_engines(self, records: Sequence[ServerRecord]) -> tuple[str, ...]:
-        names = tuple(record.server.server_id for record in records)
-        if names == self._names:
-            return self._order
+        demand = self._demand
+        if demand is None or now - self._demand_at > limits.max_demand_age_s:
+            share = self._mix.compute_generating_share(now)
+            return None if share is None else share * total
+        needed = demand.generating_s / limits.generating_utilization
+        if not demand.reading_s:
+            return needed
+        both_s = demand.generating_s + demand.reading_s
+        return max(needed, total * demand.generating_s / both_s)
+
+    def _order_engines(self, records: Sequence[ServerRecord]) -> bool:
+        """Order the engines; return whether they have changed."""
+        if records is self._records:
+            return False
         by_zone: dict[str, list[str]] = {}
         for record in records:
             zone = by_zone.setdefault(record.server.zone, [])
@@ -144,8 +174,8 @@
             for zone in zones
             if position < len(by_zone[zone])
         )
-        self._names = names
-        return self._order
+        self._records = records
+        return True
 
 
 def is_prefill_heavy(query: DispatchQuery) -> bool:
--- a/carobspring/membership/__init__.py
+++ b/carobspring/membership/__init__.py
@@ -5,7 +5,7 @@
 entries that report to it and by gossip from the other replicas.
 """
 
-from carobspring.membership.entries import EntryRecord, EntryTable
+from carobspring.membership.entries import DEMAND_DIGITS, EntryRecord, EntryTable
 from carobspring.membership.gossip import (
     EntryGossip,
     GossipMessage,
@@ -20,6 +20,7 @@
 from carobspring.membership.views import ViewDelta
 
 __all__ = [
+    "DEMAND_DIGITS",
     "EntryGossip",
     "EntryRecord",
     "EntryTable",
--- a/carobspring/membership/entries.py
+++ b/carobspring/membership/entries.py
@@ -1,12 +1,16 @@
 """Table of the entries that report to control replicas."""
 
+from collections.abc import Iterable
 from dataclasses import dataclass, replace
+from typing import Final
 
 from carobspring.membership.gossip import EntryGossip
 from carobspring.protocol import EntryReport
 
 #: Seconds after its last report at which an entry is removed.
 ENTRY_LEASE_S = 5.0
+#: Decimals of a demand, in seconds of engine time per second.
+DEMAND_DIGITS: Final = 4
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -67,11 +71,13 @@
 
         The unit is seconds of engine time per second.
         """
-        sums: dict[str, float] = {}
-        for entry in self.entries.values():
-            for service, demand in (entry.report.generating or {}).items():
-                sums[service] = sums.get(service, 0.0) + demand
-        return sums
+        return _sum_by_service(
+            entry.report.generating for entry in self.entries.values()
+        )
+
+    def sum_reading_demand(self) -> dict[str, float]:
+        """Return the demand for prompt reading of all entries, by service."""
+        return _sum_by_service(entry.report.reading for entry in self.entries.values())
 
     def expire(self, now: float) -> list[str]:
         """Remove entries whose lease has expired; return their names."""
@@ -91,3 +97,11 @@
             report = replace(record.report, attainment=known.report.attainment)
             record = replace(record, report=report)
         self.entries[record.report.entry_id] = record
+
+
+def _sum_by_service(demands: Iterable[dict[str, float] | None]) -> dict[str, float]:
+    sums: dict[str, float] = {}
+    for demand in demands:
+        for service, seconds in (demand or {}).items():
+            sums[service] = sums.get(service, 0.0) + seconds
+    return {service: round(seconds, DEMAND_DIGITS) for service, seconds in sums.items()}
--- a/carobspring/programs/instance_entry.py
+++ b/carobspring/programs/instance_entry.py
@@ -15,7 +15,7 @@
 from carobspring.adapters.metrics import Metrics, serve_metrics
 from carobspring.adapters.rpc import open_channel
 from carobspring.adapters.tasks import start_service_task
-from carobspring.dispatch import Dispatcher
+from carobspring.dispatch import Dispatcher, EngineDemand
 from carobspring.gateway import (
     AdmissionClient,
     BackendConnections,
@@ -29,6 +29,7 @@
 from carobspring.gateway.exchange import ExchangeContext
 from carobspring.gateway.metrics import GatewayMetrics
 from carobspring.gateway.replicas import choose_replicas
+from carobspring.membership import DEMAND_DIGITS
 from carobspring.ports import HttpLimits, HttpRequest, HttpResponder
 from carobspring.programs.instance_options import InstanceOptions
 from carobspring.programs.node_file import (
@@ -183,8 +184,14 @@
         if update.entry_count and update.confirmed:
             self._state.entry_count = update.entry_count
         if update.generating:
-            now = self._clock.read_monotonic()
-            self._dispatcher.update_generating_demand(update.generating, now)
+            reading = update.reading or {}
+            demand = {
+                service: EngineDemand(
+                    generating_s=seconds, reading_s=reading.get(service, 0.0)
+                )
+                for service, seconds in update.generating.items()
+            }
+            self._dispatcher.update_demand(demand, self._clock.read_monotonic())
         routing = update.routing
         if routing is None:
             return
@@ -275,13 +282,19 @@
 
     def _build_report(self) -> EntryReport:
         table = self._state.table
+        demand = self._dispatcher.compute_demand(self._clock.read_monotonic())
         return EntryReport(
             entry_id=self._settings.instance,
             zone=self._settings.availability_zone,
             revision=table.version if table else 0,
-            generating=self._dispatcher.compute_generating_demand(
-                self._clock.read_monotonic()
-            ),
+            generating={
+                service: round(each.generating_s, DEMAND_DIGITS)
+                for service, each in demand.items()
+            },
+            reading={
+                service: round(each.reading_s, DEMAND_DIGITS)
+                for service, each in demand.items()
+            },
         )
 
 
--- a/carobspring/protocol/control.py
+++ b/carobspring/protocol/control.py
@@ -75,6 +75,8 @@
     #: Demand of this entry's generation-heavy requests by service, in seconds
     #: of engine time per second.
     generating: dict[str, float] | None = None
+    #: The same of its other requests.
+    reading: dict[str, float] | None = None
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -114,8 +116,10 @@
     confirmed: bool = True
     #: Number of entries known to the replica; zero when it is not reported.
     entry_count: int = 0
-    #: Sum of EntryReport.generating over these entries, by service.
+    #: Sums of EntryReport.generating and of EntryReport.reading over these
+    #: entries, by service.
     generating: dict[str, float] | None = None
+    reading: dict[str, float] | None = None
 
 
 @dataclass(frozen=True, kw_only=True)
