--- a/carobspring/adapters/rpc.py
+++ b/carobspring/adapters/rpc.py
@@ -9,6 +9,7 @@
 import functools
 import hmac
 from collections.abc import Awaitable, Callable, Mapping
+from dataclasses import MISSING, fields
 from typing import Any, TypeVar
 
 import msgspec
@@ -18,7 +19,7 @@
 from grpclib.const import Cardinality, Handler
 from grpclib.encoding.base import CodecBase
 from grpclib.events import RecvRequest, SendRequest, listen
-from grpclib.exceptions import StreamTerminatedError
+from grpclib.exceptions import ProtocolError, StreamTerminatedError
 from grpclib.server import Server, Stream
 
 SECRET_METADATA_KEY = "carob-secret"
@@ -30,7 +31,15 @@
 CONNECTION_WINDOW_BYTES = 8 * 1024 * 1024
 
 #: Errors that a call or stream may raise when its connection or peer fails.
-STREAM_ERRORS = (GRPCError, StreamTerminatedError, OSError, TimeoutError)
+#: grpclib raises ProtocolError if a peer ends a stream before this side does,
+#: as a replica does at a planned stop.
+STREAM_ERRORS = (
+    GRPCError,
+    ProtocolError,
+    StreamTerminatedError,
+    OSError,
+    TimeoutError,
+)
 
 Message = TypeVar("Message")
 #: Opens a channel to a host and port.
@@ -43,8 +52,18 @@
     __content_subtype__ = "msgpack"
 
     def encode(self, message: Any, message_type: Any) -> bytes:
-        """Return the bytes of a message."""
-        return msgspec.msgpack.encode(message)
+        """Return the bytes of a message, without fields at their default.
+
+        Most messages are heartbeats or carry one of many fields.
+        """
+        message_class: Any = type(message)
+        defaults = get_defaults(message_class)
+        content = {
+            name: value
+            for name in defaults
+            if (value := getattr(message, name)) != defaults[name]
+        }
+        return msgspec.msgpack.encode(content)
 
     def decode(self, data: bytes, message_type: Any) -> Any:
         """Return the message that the bytes encode.
@@ -58,6 +77,21 @@
             raise GRPCError(Status.INVALID_ARGUMENT, str(error)) from error
 
 
+@functools.cache
+def get_defaults(message_type: Any) -> Mapping[str, Any]:
+    """Return the default of each field of a data class, cached.
+
+    A field without a default has a value that no message has.
+    """
+    defaults: dict[str, Any] = {}
+    for each in fields(message_type):
+        if each.default_factory is not MISSING:
+            defaults[each.name] = each.default_factory()
+        else:
+            defaults[each.name] = each.default
+    return defaults
+
+
 @functools.cache
 def get_decoder(message_type: Any) -> msgspec.msgpack.Decoder[Any]:
     """Return the cached decoder of a message type."""
--- a/carobspring/control/state.py
+++ b/carobspring/control/state.py
@@ -9,20 +9,23 @@
 
 
 class StreamNotifier:
-    """Notifies every open stream that there may be something to send."""
+    """Notifies every open stream that there may be something to send.
+
+    Streams are notified in the order in which they subscribed.
+    """
 
     def __init__(self) -> None:
-        self._events: set[asyncio.Event] = set()
+        self._events: dict[asyncio.Event, None] = {}
 
     def subscribe(self) -> asyncio.Event:
         """Return an event that is set at each change until unsubscribed."""
         event = asyncio.Event()
-        self._events.add(event)
+        self._events[event] = None
         return event
 
     def unsubscribe(self, event: asyncio.Event) -> None:
         """Stop setting an event."""
-        self._events.discard(event)
+        self._events.pop(event, None)
 
     def notify_all(self) -> None:
         """Set the events of all streams."""
@@ -56,6 +59,8 @@
         #: gRPC addresses of all control replicas, for deployments that send
         #: them to entries; otherwise empty.
         self.replicas: tuple[str, ...] = ()
+        #: Availability zones of these replicas, as far as they are known.
+        self.replica_zones: dict[str, str] = {}
         #: Routes committed before this start, from the last known state.
         self.last_known_routing = RoutingConfiguration()
 
--- a/carobspring/gateway/api.py
+++ b/carobspring/gateway/api.py
@@ -6,6 +6,7 @@
 from typing import Final
 
 from carobspring import platform
+from carobspring.adapters.tasks import start_task
 from carobspring.dispatch import DispatchQuery
 from carobspring.domain.routes import Route, RoutingTable
 from carobspring.gateway.budget import RetryBudget
@@ -91,8 +92,10 @@
         self, exchange: Exchange, responder: HttpResponder
     ) -> ExchangeReport:
         """Run the exchange, and cancel it if the caller leaves."""
-        exchange_task = asyncio.create_task(exchange.run())
-        disconnect_task = asyncio.create_task(responder.disconnected.wait())
+        exchange_task = start_task(exchange.run(), name="exchange")
+        disconnect_task = start_task(
+            responder.disconnected.wait(), name="await disconnect"
+        )
         try:
             await asyncio.wait(
                 {exchange_task, disconnect_task}, return_when=asyncio.FIRST_COMPLETED
@@ -130,7 +133,6 @@
             prompt_tokens=prompt_tokens,
             output_tokens=metadata.expected_output_tokens or metadata.max_output_tokens,
             parts=tuple((part.part_id, part.tokens) for part in metadata.prompt_parts),
-            body_bytes=len(request.body),
         )
 
     async def _refuse(
--- a/carobspring/gateway/replicas.py
+++ b/carobspring/gateway/replicas.py
@@ -1,6 +1,14 @@
-"""The list of control replicas, as reported by the replicas."""
+"""The list of control replicas, and which of them an entry follows.
+
+Every replica sends every change of servers and routes to each entry that
+follows it. With hundreds of entries that traffic is the replicas' main load,
+so an entry follows as few of them as must be lost before it hears of nothing.
+"""
+
+from collections.abc import Iterable, Mapping
 
 from carobspring.protocol import ViewUpdate
+from carobspring.routing import score_server
 
 
 class KnownReplicas:
@@ -16,22 +24,62 @@
 
     def __init__(self) -> None:
         self.names: tuple[str, ...] = ()
+        #: Availability zones of the replicas, as far as they are known.
+        self.zones: dict[str, str] = {}
+        self._has_new_zones = False
         #: The last list of each followed replica, which sends it only when it
         #: changes.
         self._reported: dict[str, tuple[str, ...]] = {}
 
     def apply_update(self, replica: str, update: ViewUpdate) -> bool:
-        """Apply a replica's update, and return whether the names changed."""
+        """Apply a replica's update; return whether names or zones changed."""
         if update.replicas:
             self._reported[replica] = update.replicas
+            known_zones = update.replica_zones or {}
+            if not known_zones.items() <= self.zones.items():
+                self.zones |= known_zones
+                self._has_new_zones = True
         names = self._reported.get(replica, ())
-        if not names or names == self.names:
-            return False
-        if self.names and not update.confirmed:
-            return False
-        self.names = names
-        return True
+        has_changed = bool(names) and names != self.names
+        if has_changed and self.names and not update.confirmed:
+            has_changed = False
+        if has_changed:
+            self.names = names
+        has_changed |= self._has_new_zones
+        self._has_new_zones = False
+        return has_changed
 
     def remove_replica(self, replica: str) -> None:
         """Drop the list of a replica that is no longer followed."""
         self._reported.pop(replica, None)
+
+
+def choose_replicas(
+    names: Iterable[str],
+    zones: Mapping[str, str],
+    *,
+    entry: str,
+    own_host: str,
+    own_zone: str,
+    count: int,
+) -> tuple[str, ...]:
+    """Return the replicas that an entry follows, of those given by address.
+
+    The one on the same instance comes first, then those of the same
+    availability zone, but at least one is in another zone if there is any.
+    Entries of one zone follow different replicas of the other zones.
+    """
+
+    def rank(name: str) -> tuple[int, float]:
+        if name.startswith(f"{own_host}:"):
+            distance = 0
+        else:
+            distance = 1 if zones.get(name) == own_zone else 2
+        return distance, -score_server(0, f"{entry} {name}")
+
+    ranked = sorted(names, key=rank)
+    chosen = ranked[:count]
+    elsewhere = [name for name in ranked if zones.get(name, own_zone) != own_zone]
+    if count > 1 and elsewhere and not set(chosen) & set(elsewhere):
+        chosen[-1] = elsewhere[0]
+    return tuple(chosen)
--- a/carobspring/programs/instance_control.py
+++ b/carobspring/programs/instance_control.py
@@ -15,6 +15,7 @@
 from carobspring.adapters.http_server import CircuitsHttpServer
 from carobspring.adapters.metrics import Metrics, serve_metrics
 from carobspring.adapters.rpc import RpcService, build_server
+from carobspring.adapters.tasks import start_service_task, start_task
 from carobspring.consensus import IDENTITY_FILE
 from carobspring.control import (
     ClaimService,
@@ -23,6 +24,7 @@
     ControlState,
     GossipExchange,
     Peer,
+    ReplicaLocatorService,
     RpcPeer,
     WatchService,
 )
@@ -112,6 +114,7 @@
             directory=self.directory,
             secret=options.secret,
             clock=self._clock,
+            random=self._random,
             on_round_end=self._update_replicas,
         )
         self._peers: dict[str, Peer] = {}
@@ -155,13 +158,14 @@
                 finder=self,
                 started_at=self._clock.read_monotonic(),
                 learning_period_s=settings.check_in_interval_s * 2,
-                on_member_change=self._send_gossip,
+                gossip=self._gossip,
             )
             handle = instance_api.handle
             self._control_metrics = ControlMetrics(
                 metrics=self._metrics, state=self.state, log=self._supervisor
             )
         else:
+            services.append(ReplicaLocatorService(state=self.state).build_service())
             handle = RedirectApi(finder=self).handle
         self._rpc_server = build_server(services=services, secret=self._options.secret)
         await self._rpc_server.start(settings.ip, self._rpc_port)
@@ -181,11 +185,11 @@
                 render=self._render_metrics,
             )
         self._tasks = [
-            asyncio.create_task(self._discovery.run()),
-            asyncio.create_task(self._tick_periodically()),
-            asyncio.create_task(self._admission_service.run()),
-            asyncio.create_task(self._node_file_watcher.run()),
-            asyncio.create_task(StallDetector().run()),
+            start_service_task(self._discovery.run, name="discovery"),
+            start_service_task(self._tick_periodically, name="tick"),
+            start_service_task(self._admission_service.run, name="admission"),
+            start_service_task(self._node_file_watcher.run, name="node file"),
+            start_service_task(StallDetector().run, name="stall detector"),
         ]
         logger.info(
             "started",
@@ -248,31 +252,30 @@
         supervisor = self._supervisor
         if supervisor is not None:
             if supervisor.is_started:
-                directory.update_members(supervisor.list_members())
+                directory.update_members(
+                    supervisor.list_members(), supervisor.applied_index
+                )
                 replicas = directory.list_replicas()
                 supervisor.add_peers((*replicas, *directory.list_spare_daemons()))
-            elif replicas and self._start_task is None:
+            elif replicas and (self._start_task is None or self._start_task.done()):
                 is_initial_member = self._name in directory.initial_members
                 bootstrap = directory.own_info.founding and is_initial_member
                 if bootstrap or directory.members:
                     start = supervisor.start(
                         peers={*replicas, self._name}, bootstrap=bootstrap
                     )
-                    self._start_task = asyncio.create_task(start)
+                    self._start_task = start_task(start, name="start replica")
         for name in replicas:
             if name != self._name and name not in self._rpc_peers:
                 address = parse_peer_address(name)
                 peer = RpcPeer(address=address, secret=self._options.secret)
                 self._peers[name] = self._rpc_peers[name] = peer
-        if replicas != self.state.replicas:
-            self.state.replicas = replicas
+        zones = directory.find_zones(replicas)
+        if (replicas, zones) != (self.state.replicas, self.state.replica_zones):
+            self.state.replicas, self.state.replica_zones = replicas, zones
             self.state.notify_all_streams()
             logger.info("control replicas changed", extra={"replicas": replicas})
 
-    def _send_gossip(self) -> None:
-        if self._gossip is not None:
-            self._gossip.tick(self._clock.read_monotonic())
-
     async def _tick_periodically(self) -> None:
         while True:
             await asyncio.sleep(TICK_INTERVAL_S)
--- a/carobspring/programs/instance_entry.py
+++ b/carobspring/programs/instance_entry.py
@@ -4,6 +4,7 @@
 import contextlib
 import logging
 import zlib
+from collections.abc import Iterable, Mapping
 from typing import Final
 
 from grpclib.client import Channel
@@ -13,7 +14,8 @@
 from carobspring.adapters.http_server import CircuitsHttpServer
 from carobspring.adapters.metrics import Metrics, serve_metrics
 from carobspring.adapters.rpc import open_channel
-from carobspring.dispatch import Dispatcher
+from carobspring.adapters.tasks import start_service_task
+from carobspring.dispatch import Dispatcher, EngineDemand
 from carobspring.gateway import (
     AdmissionClient,
     BackendConnections,
@@ -26,6 +28,8 @@
 from carobspring.gateway.directory import ListedServer
 from carobspring.gateway.exchange import ExchangeContext
 from carobspring.gateway.metrics import GatewayMetrics
+from carobspring.gateway.replicas import choose_replicas
+from carobspring.membership import DEMAND_DIGITS
 from carobspring.ports import HttpLimits, HttpRequest, HttpResponder
 from carobspring.programs.instance_options import InstanceOptions
 from carobspring.programs.node_file import (
@@ -93,7 +97,7 @@
             build_report=self._build_report,
             apply_update=self._apply_update,
             remove_replica=self._backend_directory.remove_replica,
-            rank_replica=self._rank_replica,
+            choose=self._choose_replicas,
             update_replicas=self._admission_client.update_hosts,
             metrics=metrics,
         )
@@ -128,9 +132,9 @@
                 )
             )
         self._tasks = [
-            asyncio.create_task(self._control_streams.run()),
-            asyncio.create_task(self._node_file_watcher.run()),
-            asyncio.create_task(StallDetector().run()),
+            start_service_task(self._control_streams.run, name="control streams"),
+            start_service_task(self._node_file_watcher.run, name="node file"),
+            start_service_task(StallDetector().run, name="stall detector"),
         ]
         logger.info(
             "started",
@@ -177,11 +181,17 @@
 
     def _apply_update(self, replica: str, update: ViewUpdate) -> None:
         self._backend_directory.apply_update(replica, update)
-        if update.entry_count:
+        if update.entry_count and update.confirmed:
             self._state.entry_count = update.entry_count
         if update.generating:
-            now = self._clock.read_monotonic()
-            self._dispatcher.update_generating_demand(update.generating, now)
+            reading = update.reading or {}
+            demand = {
+                service: EngineDemand(
+                    generating_s=seconds, reading_s=reading.get(service, 0.0)
+                )
+                for service, seconds in update.generating.items()
+            }
+            self._dispatcher.update_demand(demand, self._clock.read_monotonic())
         routing = update.routing
         if routing is None:
             return
@@ -240,9 +250,19 @@
         port = settings.internal_ports[0]
         return tuple(f"{seed.host}:{port}" for seed in settings.seeds)
 
-    def _rank_replica(self, name: str) -> int:
-        """Return the rank of a replica; this instance's own comes first."""
-        return 0 if name.startswith(f"{self._settings.ip}:") else 1
+    def _choose_replicas(
+        self, names: Iterable[str], zones: Mapping[str, str]
+    ) -> tuple[str, ...]:
+        """Return the replicas to follow: one more than may be lost at once."""
+        settings = self._settings
+        return choose_replicas(
+            names,
+            zones,
+            entry=settings.instance,
+            own_host=settings.ip,
+            own_zone=settings.availability_zone,
+            count=settings.tolerated_failures + 1,
+        )
 
     def _find_budget(self, service: str) -> RetryBudget:
         if service not in self._budgets:
@@ -262,13 +282,19 @@
 
     def _build_report(self) -> EntryReport:
         table = self._state.table
+        demand = self._dispatcher.compute_demand(self._clock.read_monotonic())
         return EntryReport(
             entry_id=self._settings.instance,
             zone=self._settings.availability_zone,
             revision=table.version if table else 0,
-            generating=self._dispatcher.compute_generating_demand(
-                self._clock.read_monotonic()
-            ),
+            generating={
+                service: round(each.generating_s, DEMAND_DIGITS)
+                for service, each in demand.items()
+            },
+            reading={
+                service: round(each.reading_s, DEMAND_DIGITS)
+                for service, each in demand.items()
+            },
         )
 
 
--- a/carobspring/programs/replica_supervisor.py
+++ b/carobspring/programs/replica_supervisor.py
@@ -12,6 +12,7 @@
 from carobspring.adapters.paths import EXCHANGE_BATCHES
 from carobspring.adapters.peer_link import PeerAddress
 from carobspring.adapters.rpc import make_bidirectional_method
+from carobspring.adapters.tasks import start_task
 from carobspring.consensus import ConsensusError
 from carobspring.control import ControlMachine, GossipTransport
 from carobspring.domain import parse_address
@@ -63,6 +64,7 @@
         self._peers: dict[str, PeerAddress] = {}
         self._bootstrap = False
         self._gossip_callbacks: list[Callable[[str, bytes], None]] = []
+        self._open_callbacks: list[Callable[[str], None]] = []
         self._reopen_task: asyncio.Task[None] | None = None
 
     @property
@@ -75,6 +77,11 @@
         """The current replica, or None before the start or while reopening."""
         return self._replica
 
+    @property
+    def applied_index(self) -> int:
+        """The index of the last applied entry; zero without a replica."""
+        return self._replica.applied_index if self._replica is not None else 0
+
     def list_methods(self) -> list[tuple[str, Handler]]:
         """Return the gRPC methods that the program's server must offer."""
         return [
@@ -151,6 +158,10 @@
         """Add a callback that receives each sender's name and gossip."""
         self._gossip_callbacks.append(callback)
 
+    def on_open(self, callback: Callable[[str], None]) -> None:
+        """Add a callback that receives the peer's name of each new stream."""
+        self._open_callbacks.append(callback)
+
     def _require_replica(self) -> Replica:
         if self._replica is None:
             raise NotLeaderError(leader="")
@@ -176,6 +187,8 @@
                 replica.add_peer(self._peers[member.name])
         for callback in self._gossip_callbacks:
             replica.on_gossip(callback)
+        for handle_open in self._open_callbacks:
+            replica.on_open(handle_open)
         self._replica = replica
         await replica.start()
         logger.info(
@@ -192,7 +205,7 @@
     def _handle_failure(self, error: ConsensusError) -> None:
         logger.error("replica failed", extra={"error": str(error)})
         if self._reopen_task is None:
-            self._reopen_task = asyncio.create_task(self._reopen())
+            self._reopen_task = start_task(self._reopen(), name="reopen replica")
 
     async def _reopen(self) -> None:
         failed, self._replica = self._replica, None
