Keep the choice among 600 engines within four times that among six

Cause: the number of engines kept for generating moved by more than 0.6 with nearly every request at 600 engines, and each move built the indices anew.

--- a/carobspring/dispatch/limits.py
+++ b/carobspring/dispatch/limits.py
@@ -87,6 +87,9 @@
     #: Engines by which the computed number of generating engines must differ
     #: from the current one to replace it.
     count_hysteresis: float = 0.6
+    #: The same as a share of the current number. Each change of the number
+    #: builds the indices of all engines anew.
+    count_hysteresis_share: float = 0.1
     #: Costs of the wrong kind of engine, in seconds. A stream among prompts
     #: has long event gaps. A prompt among streams delays all of them, so one
     #: of lower rank costs more than any caller waits.
--- a/carobspring/dispatch/pools.py
+++ b/carobspring/dispatch/pools.py
@@ -21,7 +21,7 @@
 MAX_SCANNED_SERVERS: Final = 24
 #: Servers of each group that a request is placed among, if there are more.
 NEAR_SAMPLE: Final = 8
-FAR_SAMPLE: Final = 6
+FAR_SAMPLE: Final = 4
 OTHER_KIND_SAMPLE: Final = 2
 #: Servers ranked as home of a prompt: the first, and those for its failures.
 RANKED_HOMES: Final = 3
--- a/carobspring/dispatch/specialization.py
+++ b/carobspring/dispatch/specialization.py
@@ -128,9 +128,13 @@
         """
         total = len(records)
         target = self._compute_target_count(total, now)
-        if target is None or total < self._limits.min_engines:
+        limits = self._limits
+        if target is None or total < limits.min_engines:
             return frozenset()
-        if abs(target - self._count) > self._limits.count_hysteresis:
+        hysteresis = max(
+            limits.count_hysteresis, limits.count_hysteresis_share * self._count
+        )
+        if abs(target - self._count) > hysteresis:
             self._count = round(target)
         count = max(0, min(self._count, total - 1))
         is_new_order = self._order_engines(records)
