Copy a prompt's prefix to one server of a zone

Change: a copy at another server than the first by rendezvous hashing in the zone costs 0.05 s more.

--- a/carobspring/dispatch/costs.py
+++ b/carobspring/dispatch/costs.py
@@ -39,6 +39,7 @@
     query: DispatchQuery,
     *,
     home: ServerRecord | None,
+    near_home: ServerRecord | None,
     limits: DispatchLimits,
     now: float,
 ) -> tuple[float, float]:
@@ -46,7 +47,8 @@
 
     A server other than the home copies a long shared prefix if the home is
     known to have it. Otherwise it reads the prefix, and the home will read it
-    too, so that the missing tokens count twice.
+    too, so that the missing tokens count twice. Copies in one availability
+    zone go to one server if possible, since each takes memory from others.
     """
     unread = float(record.count_unread_tokens(query, now))
     rate = limits.prefill_tokens_per_s
@@ -62,7 +64,10 @@
         return unread, unread / rate
     if home.has_cached_shared_parts(query, now):
         unread -= missing
-        return unread, unread / rate + limits.copy_cost_s
+        copy_s = limits.copy_cost_s
+        if record is not near_home:
+            copy_s += limits.further_copy_cost_s
+        return unread, unread / rate + copy_s
     return unread, (unread + missing) / rate
 
 
@@ -72,6 +77,7 @@
     *,
     zone: str,
     home: ServerRecord | None,
+    near_home: ServerRecord | None,
     generating: Set[str],
     generating_rank: int,
     limits: DispatchLimits,
@@ -103,7 +109,7 @@
             unread_tokens=0.0,
         )
     unread, prefill_s = estimate_prefill(
-        record, query, home=home, limits=limits, now=now
+        record, query, home=home, near_home=near_home, limits=limits, now=now
     )
     queue_s = record.estimate_backlog_s(query.priority, now)
     if queue_s is None or not is_prefill_heavy(query):
--- a/carobspring/dispatch/dispatcher.py
+++ b/carobspring/dispatch/dispatcher.py
@@ -87,10 +87,12 @@
             specialization = self._get_specialization(query.service)
             generating_rank = specialization.generating_rank
         homes = self._rank_homes(query, pool, generating)
+        near_homes = self._rank_homes(query, pool, generating, near_only=True)
         # A server whose engine rejected the request can still be its home.
-        home = next((each for each in homes if self._is_available(each, now)), None)
+        home = self._find_available(homes, now)
+        near_home = self._find_available(near_homes, now)
         candidates = self._list_candidates(
-            query, pool, generating, homes, excluded, now
+            query, pool, generating, (*homes, *near_homes), excluded, now
         )
         if not candidates:
             return self._refuse(RefusalReason.ALL_TRIED)
@@ -101,6 +103,7 @@
                 query,
                 zone=self._zone,
                 home=home,
+                near_home=near_home,
                 generating=generating,
                 generating_rank=generating_rank,
                 limits=self._limits,
@@ -292,7 +295,12 @@
         return specialization.select_generating(pool.active, now)
 
     def _rank_homes(
-        self, query: DispatchQuery, pool: ServerPool, generating: frozenset[str]
+        self,
+        query: DispatchQuery,
+        pool: ServerPool,
+        generating: frozenset[str],
+        *,
+        near_only: bool = False,
     ) -> Sequence[ServerRecord]:
         """Return the possible homes, in this zone if the prefix is short."""
         shared = find_shared_parts(query)
@@ -303,9 +311,14 @@
             shared[-1][0],
             generating,
             suits_generating=not is_prefill_heavy(query),
-            near_only=shared_tokens < self._limits.global_home_tokens,
+            near_only=near_only or shared_tokens < self._limits.global_home_tokens,
         )
 
+    def _find_available(
+        self, records: Sequence[ServerRecord], now: float
+    ) -> ServerRecord | None:
+        return next((each for each in records if self._is_available(each, now)), None)
+
     def _list_candidates(
         self,
         query: DispatchQuery,
@@ -355,7 +368,7 @@
                 suits_generating=not is_prefill_heavy(query),
                 near_only=False,
             )
-            home = next((each for each in homes if self._is_available(each, now)), None)
+            home = self._find_available(homes, now)
         if home is None or home is chosen:
             return None
         return home.server
--- a/carobspring/dispatch/limits.py
+++ b/carobspring/dispatch/limits.py
@@ -38,6 +38,8 @@
     min_copied_tokens: int = 256
     #: Cost of copying a shared prefix from its home, in seconds.
     copy_cost_s: float = 0.01
+    #: Additional cost of a copy at another server than the first of this zone.
+    further_copy_cost_s: float = 0.05
     #: Seconds after which a load reported by a response is ignored.
     max_load_age_s: float = 1.0
     #: Seconds after which the load that an admission controller reported for
--- a/tests/dispatch/test_dispatcher.py
+++ b/tests/dispatch/test_dispatcher.py
@@ -117,6 +117,29 @@
         self.assertNotEqual(placed.server.server_id, home)
         self.assertEqual(placed.prompt_source.server_id, home)
 
+    def test_copies_of_a_zone_share_a_server(self):
+        """Entries of a zone copy a prefix from far to the same server."""
+        servers = [build_server(f"s{n}", zone="abc"[n % 3]) for n in range(30)]
+        for number in range(10):
+            parts = (("aa", 2500), (f"{number:x}f", 3800), (f"{number:x}e", 900))
+            query = build_query(parts=parts, target_s=1.2)
+            copied_to = set()
+            for seed in range(6):
+                dispatcher = build_dispatcher(*servers, zone="a", seed=seed)
+                first = dispatcher.place(query, NONE, 0.0)
+                dispatcher.record_sent(first, query, 0.0)
+                self.end(dispatcher, first, query)
+                again = dispatcher.place(query, NONE, 0.5)
+                self.assertEqual(again.server.zone, "a")
+                copied_to.add(again.server.server_id)
+            with self.subTest(parts=parts):
+                self.assertEqual(len(copied_to), 1)
+
+    def end(self, dispatcher, placed, query):
+        name = placed.server.server_id
+        dispatcher.record_first_event(name, query.request_id, 0.2)
+        dispatcher.record_end(name, query.request_id, AttemptOutcome.ANSWERED, 0.3)
+
     def test_draining_home(self):
         """Only the prompts of a draining home get another home."""
         dispatcher = build_dispatcher(*self.servers)
