Ask no daemon twice in one discovery round

Cause: where all daemons hold replicas, a round of two drew both from the same list and could draw the same one twice. Both exchanges failed when it was down, the second closed a channel that the first had removed, and the KeyError ended the discovery task. Change: two different daemons, and no error if the channel is gone. Test seen failing before, passing now.

--- a/carobspring/adapters/discovery.py
+++ b/carobspring/adapters/discovery.py
@@ -100,7 +100,9 @@
             logger.info("control daemon responds", extra={"daemon": name})
 
     def _handle_failure(self, name: str, error: BaseException) -> None:
-        self._channels.pop(name).close()
+        channel = self._channels.pop(name, None)
+        if channel is not None:
+            channel.close()
         if name not in self._unresponsive:
             self._unresponsive.add(name)
             logger.warning(
--- a/carobspring/control/discovery.py
+++ b/carobspring/control/discovery.py
@@ -95,14 +95,18 @@
     def choose_contacts(self, random: RandomSource) -> list[str]:
         """Return the addresses to ask in this round.
 
-        Once the replicas are known, these are one of them and one other.
+        Once the replicas are known, these are one of them and one other
+        daemon.
         """
         addresses = self.list_addresses()
         if not self.members:
             return addresses
         replicas = [name for name in addresses if name in self.members]
+        contacts = _draw_one(replicas, random)
         others = [name for name in addresses if name not in self.members]
-        return _draw_one(replicas, random) + _draw_one(others or replicas, random)
+        if not others:
+            others = [name for name in replicas if name not in contacts]
+        return contacts + _draw_one(others, random)
 
     def list_replicas(self) -> tuple[str, ...]:
         """Return the known replicas, or before them the initial members."""
--- a/tests/control/test_discovery.py
+++ b/tests/control/test_discovery.py
@@ -113,6 +113,18 @@
         self.assertEqual({replica for replica, _ in asked}, set(self.seeds[1:]))
         self.assertGreater(len({other for _, other in asked}), 80)
 
+    def test_contacts_differ(self):
+        """No daemon is asked twice in a round, however few there are."""
+        directory = build_directory(*self.daemons, seeds=self.seeds)
+        directory.update_members(tuple(self.seeds), 5)
+        random = SystemRandom(seed=1)
+        for _ in range(50):
+            contacts = directory.choose_contacts(random)
+            self.assertEqual(sorted(contacts), self.seeds[1:])
+        alone = build_directory(*self.daemons[:2], seeds=self.seeds[:2])
+        alone.update_members(tuple(self.seeds[:2]), 5)
+        self.assertEqual(alone.choose_contacts(random), self.seeds[1:2])
+
     def test_digest(self):
         """Daemons that know the same exchange only digests."""
         first, second = (
