--- a/tests/programs/test_replica.py
+++ b/tests/programs/test_replica.py
@@ -202,7 +202,12 @@
         await self.start(name)
         node = self.replicas[name].node
         self.assertNotEqual(node.identity, lost)
-        await self.wait_for(lambda: node.configuration.is_voter(node.identity))
+        # The node's configuration changes before its actions, which write and
+        # apply the same entries, are executed.
+        await self.wait_for(
+            lambda: node.configuration.is_voter(node.identity)
+            and not self.replicas[name]._is_execution_scheduled
+        )
         self.assertIsNone(node.configuration.find_member(lost))
         self.assertEqual(self.machines[name].commands, [b"x"])
 
