Send long prefixes to their far home again, whatever the request's target

Cause: going to another zone costs a share of the target since the placement by zone, 0.18 to 0.31 s for long prompts. That is more than reading a long prefix, so entries read it near by instead of at its home. Change: a prompt with a home of all zones goes there for 4 ms beside the delay, about what it cost before.

--- a/carobspring/dispatch/costs.py
+++ b/carobspring/dispatch/costs.py
@@ -91,9 +91,7 @@
     running = record.estimate_running(now)
     cross_zone_s = 0.0
     if record.server.zone != zone:
-        cross_zone_s = (
-            limits.cross_zone_delay_s + limits.cross_zone_target_share * query.target_s
-        )
+        cross_zone_s = _estimate_cross_zone_s(query, limits)
     if not record.is_engine:
         slots = max(1, record.server.slots)
         service_time_s = record.service_time_s.value or limits.initial_plain_service_s
@@ -131,6 +129,19 @@
     )
 
 
+def _estimate_cross_zone_s(query: DispatchQuery, limits: DispatchLimits) -> float:
+    """Return the cost of sending a request to another availability zone.
+
+    A prompt with a home of all zones goes there although it is far: staying
+    near would have its long prefix read once more in each zone.
+    """
+    if sum(tokens for _, tokens in find_shared_parts(query)) >= (
+        limits.global_home_tokens
+    ):
+        return limits.cross_zone_delay_s + limits.far_home_cost_s
+    return limits.cross_zone_delay_s + limits.cross_zone_target_share * query.target_s
+
+
 def _estimate_slot_wait_s(record: ServerRecord, running: int) -> float:
     """Return the wait for a slot of an engine whose slots are all taken."""
     slots = record.server.slots
--- a/carobspring/dispatch/limits.py
+++ b/carobspring/dispatch/limits.py
@@ -24,6 +24,8 @@
     #: Share of its target time that a request waits in its own zone rather
     #: than go to another one, since links between zones are not free.
     cross_zone_target_share: float = 0.15
+    #: The same in seconds for a prompt whose home is that of all zones.
+    far_home_cost_s: float = 0.004
     #: Seconds for which a part of a prompt is expected to stay in a server's
     #: cache.
     cached_part_ttl_s: float = 20.0
