Keep no more engines for streams than hold a burst in each zone

Change: beyond what their demand needs, streams get at most the engines whose slots hold 32 of them in each zone, by the slots that the servers report: two a zone with 16 slots, one with 48 or 64.

--- a/carobspring/dispatch/limits.py
+++ b/carobspring/dispatch/limits.py
@@ -83,6 +83,9 @@
     #: Target share of busy time of an engine reserved for generating; above
     #: it, the prompts of the streams themselves cause long event gaps.
     generating_utilization: float = 0.65
+    #: Streams for which the engines reserved in one zone have slots while all
+    #: engines of the service have room.
+    burst_streams: int = 32
     #: Seconds of engine time that must have been observed before engines are
     #: specialized.
     min_mix_s: float = 0.5
--- a/carobspring/dispatch/specialization.py
+++ b/carobspring/dispatch/specialization.py
@@ -101,6 +101,8 @@
         self._records: Sequence[ServerRecord] = ()
         self._order: tuple[str, ...] = ()
         self._selected: frozenset[str] = frozenset()
+        #: Engines that hold a burst of streams in every zone.
+        self._burst_engines = 0
         self._demand: EngineDemand | None = None
         self._demand_at = float("-inf")
 
@@ -127,6 +129,7 @@
         The same sequence must be passed until its servers change.
         """
         total = len(records)
+        is_new_order = self._order_engines(records)
         target = self._compute_target_count(total, now)
         limits = self._limits
         if target is None or total < limits.min_engines:
@@ -137,7 +140,6 @@
         if abs(target - self._count) > hysteresis:
             self._count = round(target)
         count = max(0, min(self._count, total - 1))
-        is_new_order = self._order_engines(records)
         if is_new_order or len(self._selected) != count:
             self._selected = frozenset(self._order[:count])
         return self._selected
@@ -146,8 +148,9 @@
         """Return how many engines generating needs, or gets if all have room.
 
         In overload the streams get what they need. Otherwise both kinds of
-        requests get engines in proportion to their demand, so that a burst of
-        either finds room.
+        requests get engines in proportion to their demand, but the streams no
+        more in each zone than hold a burst of them, since every engine kept
+        for them is one less that caches long prompts.
         """
         limits = self._limits
         demand = self._demand
@@ -158,7 +161,8 @@
         if not demand.reading_s:
             return needed
         both_s = demand.generating_s + demand.reading_s
-        return max(needed, total * demand.generating_s / both_s)
+        share = total * demand.generating_s / both_s
+        return max(needed, min(share, self._burst_engines))
 
     def _order_engines(self, records: Sequence[ServerRecord]) -> bool:
         """Order the engines; return whether they have changed."""
@@ -179,6 +183,9 @@
             if position < len(by_zone[zone])
         )
         self._records = records
+        slots = max(1, min((r.server.slots for r in records), default=1))
+        engines_in_zone = math.ceil(self._limits.burst_streams / slots)
+        self._burst_engines = len(zones) * engines_in_zone
         return True
 
 
