Log which voters are silent, and whether routes are confirmed

A leader logs 'silent voters changed' with the spares it knows; a control daemon logs when the quorum starts or stops confirming its state; entries log whether routes came confirmed, and how long ago they were confirmed with each request that is refused. Gauges for the same. No decision changes.

--- a/carobspring/consensus/leader.py
+++ b/carobspring/consensus/leader.py
@@ -114,19 +114,23 @@
         if change_pending or state.log.find_term(state.commit_index) != state.term:
             return
         lags = self._compute_lags(now)
-        silent = frozenset(
-            voter
-            for voter in state.log.configuration.find_voters()
-            if voter != state.identity
-            and self._lease.get_seconds_since_reply(voter, now)
-            > state.timing.replace_after_s
-        )
+        silent = self.find_silent_voters(state.timing.replace_after_s, now)
         change = choose_replacement_step(
             state=state, hellos=hellos, lags=lags, silent=silent
         )
         if change is not None:
             self.change_membership(change, now)
 
+    def find_silent_voters(self, duration_s: float, now: float) -> frozenset[str]:
+        """Return the other voters that were silent for longer than this."""
+        voters = self._state.log.configuration.find_voters()
+        return frozenset(
+            voter
+            for voter in voters
+            if voter != self._state.identity
+            and self._lease.get_seconds_since_reply(voter, now) > duration_s
+        )
+
     def transfer_leadership(self, target: str, now: float) -> None:
         """Transfer leadership to a voter that replied recently.
 
--- a/carobspring/consensus/node.py
+++ b/carobspring/consensus/node.py
@@ -33,6 +33,7 @@
     VoteRequest,
 )
 from carobspring.consensus.peers import PeerDirectory
+from carobspring.consensus.reconfiguration import find_spares
 from carobspring.consensus.state import ReplicaState, RoleName, Timing
 from carobspring.ports import RandomSource
 
@@ -137,6 +138,20 @@
         """Return whether this replica leads and no other replica can."""
         return isinstance(self._role, Leader) and self._role.holds_lease(now)
 
+    def list_silent_voters(self, now: float) -> tuple[str, ...]:
+        """Return the names of the voters that this leader does not hear."""
+        if not isinstance(self._role, Leader):
+            return ()
+        timeout_s = self._state.timing.election_timeout_s
+        silent = self._role.find_silent_voters(timeout_s, now)
+        members = self.configuration.members
+        return tuple(member.name for member in members if member.identity in silent)
+
+    def list_spares(self) -> tuple[str, ...]:
+        """Return the names of the replicas that could replace a voter."""
+        spares = find_spares(self._state.log.configuration, self._peers.hellos)
+        return tuple(hello.name for hello in spares)
+
     def add_peer(self, name: str) -> None:
         """Accept hellos from another name from now on."""
         self._peers.add_peer(name)
--- a/carobspring/consensus/reconfiguration.py
+++ b/carobspring/consensus/reconfiguration.py
@@ -111,6 +111,18 @@
     return None
 
 
+def find_spares(
+    configuration: Configuration, hellos: Mapping[str, Hello]
+) -> tuple[Hello, ...]:
+    """Return the last hello of each replica that could replace a voter."""
+    names = {member.name for member in configuration.members}
+    return tuple(
+        hello
+        for name, hello in sorted(hellos.items())
+        if name not in names and not hello.cluster
+    )
+
+
 def _choose_spare_step(
     state: ReplicaState,
     hellos: Mapping[str, Hello],
@@ -119,7 +131,6 @@
 ) -> MembershipChange | None:
     """Return the next step of replacing a silent voter by a spare, or None."""
     members = state.log.configuration.members
-    names = {member.name for member in members}
     # A voter whose name already has a new identity is replaced by that one.
     lost_voters = [
         member
@@ -136,11 +147,7 @@
     for learner in learners:
         if lags.get(learner.identity, MAX_LAG_ENTRIES + 1) <= MAX_LAG_ENTRIES:
             return RemoveMember(token=0, identity=lost_voters[0].identity)
-    spares = [
-        hello
-        for name, hello in sorted(hellos.items())
-        if name not in names and not hello.cluster
-    ]
+    spares = find_spares(state.log.configuration, hellos)
     if learners or not spares:
         return None
     spare = spares[0]
--- a/carobspring/control/__init__.py
+++ b/carobspring/control/__init__.py
@@ -8,7 +8,7 @@
 from carobspring.control.gossip import GossipExchange, GossipTransport
 from carobspring.control.local_log import LocalLog
 from carobspring.control.machine import ControlMachine
-from carobspring.control.metrics import ControlMetrics
+from carobspring.control.metrics import ControlMetrics, ReplicationMetrics
 from carobspring.control.operators import OperatorTokens, parse_operator_tokens
 from carobspring.control.peers import RpcPeer, parse_peers
 from carobspring.control.proposals import CommandProposer, Peer
@@ -35,6 +35,7 @@
     "Reconfigurable",
     "ReplicaRoutes",
     "ReplicaLocatorService",
+    "ReplicationMetrics",
     "RpcPeer",
     "WatchService",
     "parse_operator_tokens",
--- a/carobspring/control/metrics.py
+++ b/carobspring/control/metrics.py
@@ -60,3 +60,24 @@
         for reason, count in state.machine.ledger.refusal_counts.items():
             self._refused.set({"reason": reason}, count)
         return self._metrics.render_text()
+
+
+class ReplicationMetrics:
+    """Exports gauges of the replicated log, as this replica knows it."""
+
+    def __init__(self, *, metrics: Metrics) -> None:
+        self._confirmed = metrics.add_gauge(
+            "carob_control_confirmed", "1 while the quorum confirms the state here."
+        )
+        self._silent_voters = metrics.add_gauge(
+            "carob_control_silent_voters", "Voters that this leader does not hear."
+        )
+        self._spares = metrics.add_gauge(
+            "carob_control_spare_replicas", "Replicas that could replace a voter."
+        )
+
+    def update(self, *, is_confirmed: bool, silent_voters: int, spares: int) -> None:
+        """Set the gauges."""
+        self._confirmed.set({}, int(is_confirmed))
+        self._silent_voters.set({}, silent_voters)
+        self._spares.set({}, spares)
--- a/carobspring/gateway/api.py
+++ b/carobspring/gateway/api.py
@@ -144,6 +144,11 @@
         retry_after_s: float | None = None,
     ) -> None:
         table = self._state.table
+        confirmed_at = self._state.confirmed_at
+        confirmed_ms = None
+        if confirmed_at is not None:
+            age_s = self._context.read_clock() - confirmed_at
+            confirmed_ms = round(age_s * 1000, 1)
         self._metrics.record_refusal(reason)
         logger.info(
             "request refused",
@@ -152,6 +157,7 @@
                 "status": status,
                 "reason": reason,
                 "routes": table.version if table else None,
+                "confirmed_ms": confirmed_ms,
             },
         )
         headers = platform.build_error_headers(
--- a/carobspring/gateway/state.py
+++ b/carobspring/gateway/state.py
@@ -15,6 +15,9 @@
         self.table: RoutingTable | None = None
         #: Monotonic time at which the table came into force.
         self.table_applied_at = 0.0
+        #: Monotonic time at which a replica last confirmed, with the quorum,
+        #: that the table is the newest; None before the first time.
+        self.confirmed_at: float | None = None
         self.is_stopping = False
         self._has_table = asyncio.Event()
         #: Number of entries that share the retry budget, this one included.
@@ -29,6 +32,10 @@
         self._has_table.set()
         return True
 
+    def confirm_table(self, now: float) -> None:
+        """Record that the table is the newest that the quorum committed."""
+        self.confirmed_at = now
+
     async def wait_for_table(self, timeout_s: float) -> RoutingTable | None:
         """Return the table; wait for the first one, or return None."""
         if self.table is None:
--- a/carobspring/programs/instance_control.py
+++ b/carobspring/programs/instance_control.py
@@ -25,6 +25,7 @@
     GossipExchange,
     Peer,
     ReplicaLocatorService,
+    ReplicationMetrics,
     RpcPeer,
     WatchService,
 )
@@ -120,6 +121,8 @@
         self._peers: dict[str, Peer] = {}
         self._rpc_peers: dict[str, RpcPeer] = {}
         self._metrics = Metrics(labels={"zone": settings.availability_zone})
+        self._replication_metrics = ReplicationMetrics(metrics=self._metrics)
+        self._is_confirmed = False
         self._admission_service = AdmissionService(
             clock=self._clock, metrics=self._metrics
         )
@@ -285,11 +288,37 @@
                 self._gossip.tick(now)
             if self._last_known_state is not None:
                 self._last_known_state.write_if_due()
+            if self._supervisor is not None:
+                self._track_confirmation(self._supervisor)
+
+    def _track_confirmation(self, supervisor: ReplicaSupervisor) -> None:
+        """Log when the quorum starts or stops confirming the state here."""
+        is_confirmed = supervisor.has_leader_contact()
+        if is_confirmed is self._is_confirmed:
+            return
+        self._is_confirmed = is_confirmed
+        logger.info(
+            "confirmation by the quorum changed",
+            extra={
+                "confirmed": is_confirmed,
+                "leader": supervisor.find_leader(),
+                "applied": supervisor.applied_index,
+                "version": self.state.find_routing().version,
+            },
+        )
 
     def _render_metrics(self) -> bytes:
-        if self._supervisor is not None:
-            return self._control_metrics.render_text()
-        return self._metrics.render_text()
+        supervisor = self._supervisor
+        if supervisor is None:
+            return self._metrics.render_text()
+        node = supervisor.replica.node if supervisor.replica is not None else None
+        now = self._clock.read_monotonic()
+        self._replication_metrics.update(
+            is_confirmed=self._is_confirmed,
+            silent_voters=len(node.list_silent_voters(now)) if node else 0,
+            spares=len(node.list_spares()) if node else 0,
+        )
+        return self._control_metrics.render_text()
 
 
 class RedirectApi:
--- a/carobspring/programs/instance_entry.py
+++ b/carobspring/programs/instance_entry.py
@@ -192,19 +192,26 @@
                 for service, seconds in update.generating.items()
             }
             self._dispatcher.update_demand(demand, self._clock.read_monotonic())
+        is_usable = update.routing is None or self._apply_routing(replica, update)
+        if update.confirmed and is_usable:
+            self._confirm_table(replica)
+
+    def _apply_routing(self, replica: str, update: ViewUpdate) -> bool:
+        """Put an update's routes in force, unless newer ones already are.
+
+        Returns whether the routes in force are at least as new.
+        """
         routing = update.routing
-        if routing is None:
-            return
         current = self._state.table
-        if current is not None and routing.version <= current.version:
-            return
+        if routing is None or (current and routing.version <= current.version):
+            return current is not None
         try:
             table = platform.decode_routing_table(zlib.decompress(routing.body))
         except (platform.ConfigurationError, zlib.error) as error:
             # Unexpected: routes are validated before they are committed.
             extra = {"version": routing.version, "reason": str(error)}
             logger.error("committed routes cannot be decoded", extra=extra)
-            return
+            return False
         self._state.apply_table(table, self._clock.read_monotonic())
         logger.info(
             "routes in force",
@@ -212,10 +219,21 @@
                 "version": table.version,
                 "before": current.version if current else None,
                 "replica": replica,
+                "confirmed": update.confirmed,
                 "count": len(table.routes),
                 "workspace_ranks": [owner.priority for owner in table.owners],
             },
         )
+        return True
+
+    def _confirm_table(self, replica: str) -> None:
+        state = self._state
+        if state.table is None:
+            return
+        if state.confirmed_at is None:
+            extra = {"version": state.table.version, "replica": replica}
+            logger.info("routes confirmed for the first time", extra=extra)
+        state.confirm_table(self._clock.read_monotonic())
 
     def _handle_server_change(
         self, server_id: str, listed: ListedServer | None
--- a/carobspring/programs/replica.py
+++ b/carobspring/programs/replica.py
@@ -116,6 +116,7 @@
         self._is_execution_scheduled = False
         self._tick_task: asyncio.Task[None] | None = None
         self._is_leading = False
+        self._silent_voters: tuple[str, ...] = ()
         self._configuration = Configuration()
         self.failure: ConsensusError | None = None
 
@@ -302,6 +303,7 @@
         while True:
             await asyncio.sleep(TICK_INTERVAL_S)
             self._step(Tick())
+            self._log_silent_voters()
             for link in self._links.values():
                 link.tick()
 
@@ -343,6 +345,15 @@
             },
         )
 
+    def _log_silent_voters(self) -> None:
+        silent = self.node.list_silent_voters(self._clock.read_monotonic())
+        if silent != self._silent_voters:
+            self._silent_voters = silent
+            spares = self.node.list_spares()
+            logger.info(
+                "silent voters changed", extra={"silent": silent, "spares": spares}
+            )
+
     def _update_leadership(self) -> None:
         is_leading = self.node.leader == self.node.identity
         if self._is_leading and not is_leading:
