Show that replaced control instances cost the quorum, and early denials

What callers saw: after the seeds were exchanged and a disk was lost, nothing was confirmed any more; an entry that started then denied a route of a confirmed version (CONFIG), and after a loss of all no request was served (RECOVER).

The three tests fail on this code: two because the quorum is lost (no configuration is confirmed within 60 s), one with 404 instead of 503.

--- a/standins/instances.py
+++ b/standins/instances.py
@@ -21,6 +21,9 @@
 INTERNAL_PORT_RANGE = (7340, 7355)
 LOOPBACK_NETWORKS = range(20, 250)
 
+#: Seconds that a successor has to take the place of a lost instance.
+CATCH_UP_S = 4
+
 CONTROL_MODULE = "carobspring.programs.instance_control"
 ENTRY_MODULE = "carobspring.programs.entry_start"
 
@@ -169,7 +172,7 @@
             "data_dir": str(instance.data_folder) if is_control else None,
             "heartbeat_ms": CHECK_IN_INTERVAL_S * 1000,
             "fault_tolerance": {"machines": 1},
-            "bounds": {"grace_s": 8, "retry_slack": 58},
+            "bounds": {"grace_s": 8, "retry_slack": 58, "catch_up_s": CATCH_UP_S},
         }
         path = instance.node_file.with_suffix(f".{role}.json")
         path.write_text(json.dumps(settings))
--- a/tests/endtoend/test_instances.py
+++ b/tests/endtoend/test_instances.py
@@ -8,10 +8,18 @@
 import unittest
 
 import aiohttp
+import msgspec
 
+from carobspring.consensus import split_records
+from carobspring.control.last_known_state import LastKnownState
 from standins.backend_server import StandInServer
 from standins.deployment import Deployment, open_client, wait_until
-from standins.instances import READINESS_PORT, InstanceSet, find_free_network
+from standins.instances import (
+    CATCH_UP_S,
+    READINESS_PORT,
+    InstanceSet,
+    find_free_network,
+)
 from standins.operator import Operator, build_configuration
 
 
@@ -163,6 +171,44 @@
 
         await wait_until(is_change_visible, "the new replica shows the change")
 
+    async def replace_lost(self, lost, ip):
+        """Kill an instance's programs for good, and start its successor.
+
+        Returns after the time that a successor has to take its place.
+        """
+        for program in lost.programs.values():
+            await program.kill()
+        self.instances.instances.remove(lost)
+        successor = self.instances.add_spare(ip)
+        await self.instances.start(successor, "carob-control")
+        await self.instances.start(successor, "carob-entry")
+        self.controls[self.controls.index(lost.control_url)] = successor.control_url
+        await asyncio.sleep(CATCH_UP_S)
+        return successor
+
+    async def test_next_disk_lost_after_successor_had_its_time(self):
+        """A disk lost after a successor had its time costs no quorum."""
+        first, second, _ = self.instances.controls
+        await self.replace_lost(first, f"127.{self.network}.9.1")
+        await self.operator.put(build_configuration(2))
+        await second.programs["carob-control"].kill()
+        shutil.rmtree(second.data_folder)
+        await self.instances.start(second, "carob-control")
+        await self.operator.put(build_configuration(3))
+        await self.check_versions(3)
+
+    async def test_loss_of_all_after_two_successors(self):
+        """Service returns after a loss of all that follows two successors."""
+        first, second, third = self.instances.controls
+        await self.replace_lost(first, f"127.{self.network}.9.1")
+        await self.replace_lost(second, f"127.{self.network}.10.1")
+        await self.operator.put(build_configuration(2))
+        await self.instances.kill_all()
+        shutil.rmtree(third.data_folder)
+        await self.instances.start_all()
+        await self.wait_until_serving()
+        await self.check_versions(2)
+
 
 class RequestPathTests(InstancesTestCase):
     async def test_request_path(self):
@@ -235,6 +281,53 @@
         await self.wait_until_serving()
         await self.check_versions(9)
 
+    async def test_restart_without_a_quorum(self):
+        """An entry that can't know the newest routes does not deny a request.
+
+        It starts with an older version than the confirmed one, which adds a
+        route. Routes that it knows are served meanwhile.
+        """
+        control = self.instances.controls[0]
+        await self.wait_until_stored(control)
+        file = control.data_folder / "last-known"
+        older = file.read_bytes()
+        added = build_configuration(2)
+        added["routes"].append({**added["routes"][0], "name": "added"})
+        added["routes"][-1]["path_prefix"] = "/added/"
+        await self.operator.put(added)
+        await self.wait_until_logged('"routes in force"', '"version":2')
+        await self.instances.kill_all()
+        file.write_bytes(older)
+        await self.instances.start(control, "carob-control")
+        await self.instances.start(control, "carob-entry")
+
+        async def serves():
+            return await self.try_call(control, "/read/x")
+
+        await wait_until(serves, "the entry serves the routes that it knows")
+        self.assertEqual((await self.call(control, "/added/x"))[0], 503)
+        self.assertEqual((await self.call(control, "/read/x", key="k"))[0], 503)
+        await self.instances.start_all()
+
+        async def serves_added():
+            return await self.try_call(control, "/added/x")
+
+        await wait_until(serves_added, "the entry serves the added route")
+        self.assertEqual((await self.call(control, "/none/x"))[0], 404)
+
+    async def wait_until_stored(self, control):
+        """Wait until a daemon has stored routes for its next start."""
+        file = control.data_folder / "last-known"
+
+        async def is_stored():
+            if not file.exists():
+                return False
+            (record,) = split_records(file.name, file.read_bytes())
+            stored = msgspec.msgpack.decode(record.content, type=LastKnownState)
+            return stored.routing.version == 1
+
+        await wait_until(is_stored, "the last known state is stored")
+
     async def test_lost_disk(self):
         """A daemon that lost its disk rejoins; then another may be lost."""
         await self.operator.put(build_configuration(5))
