Give a lost voter's place to its successor within the time it has

What callers saw: after the control instances were exchanged one by one, nothing was confirmed any more; new entries denied a route of a confirmed version, and after a loss of all instances no request was served.

Cause: a voter that was gone for good kept its place for 12 s of silence under one leader, and each election started the count again. The platform allows the next loss 4 s after the successor's start (catch_up_s).

Ruled out: a spare that is not known (with the silence counted, it is taken); torn logs.

Change: the silence counts from when a voter was last heard in any role; replicas say hello every second for that. A voter is replaced after half of catch_up_s. So that an early replacement costs nothing, a replaced voter that returns is a spare again, with its log. The same cause elsewhere: a spare that has gone itself was chosen for ever; a learner that was lost blocked the place it should have taken; a voter that returned in time left four voters. A learner now names the member it replaces.

--- a/carobspring/consensus/driver.py
+++ b/carobspring/consensus/driver.py
@@ -63,6 +63,7 @@
         now: float,
         snapshot_every: int = SNAPSHOT_EVERY,
         kept_entries: int = KEPT_ENTRIES,
+        rejoins: bool = False,
     ) -> None:
         self._journal = Journal(storage=storage, random=random)
         self._machine = machine
@@ -87,6 +88,7 @@
             hard_state=self._journal.hard_state,
             now=now,
             kept_entries=kept_entries,
+            rejoins=rejoins,
         )
 
     def step(self, event: Event, now: float) -> None:
--- a/carobspring/consensus/entries.py
+++ b/carobspring/consensus/entries.py
@@ -35,6 +35,8 @@
     identity: str
     name: str
     voter: bool = True
+    #: Identity of the silent member that this learner is to replace, or empty.
+    replaces: str = ""
 
 
 @dataclass(frozen=True, kw_only=True)
--- a/carobspring/consensus/events.py
+++ b/carobspring/consensus/events.py
@@ -60,6 +60,8 @@
     token: int
     identity: str
     name: str
+    #: Identity of the silent member that it is to replace, or empty.
+    replaces: str = ""
 
 
 @dataclass(frozen=True, kw_only=True)
--- a/carobspring/consensus/leader.py
+++ b/carobspring/consensus/leader.py
@@ -1,10 +1,15 @@
 """The leader role: appends commands, replicates them, confirms reads."""
 
-from collections.abc import Mapping
+from collections.abc import Mapping, Set
 
 from carobspring.consensus.entries import Entry, EntryKind
 from carobspring.consensus.errors import MembershipChangeRefusedError
-from carobspring.consensus.events import Accepted, MembershipChange, Refused
+from carobspring.consensus.events import (
+    Accepted,
+    AddLearner,
+    MembershipChange,
+    Refused,
+)
 from carobspring.consensus.lease import Lease
 from carobspring.consensus.log import encode_configuration
 from carobspring.consensus.messages import (
@@ -103,32 +108,34 @@
             )
             state.outcomes.append(refused)
             return
+        if isinstance(change, AddLearner):
+            self._lease.start_member(change.identity, now)
         data = encode_configuration(configuration)
         self._append_entry(EntryKind.CONFIGURATION, data, token=change.token)
         self._update_progress()
 
-    def replace_lost_replica(self, hellos: Mapping[str, Hello], now: float) -> None:
+    def replace_lost_replica(
+        self, hellos: Mapping[str, Hello], running: Set[str], now: float
+    ) -> None:
         """Start the next step of replacing a lost replica, if there is one."""
         state = self._state
         change_pending = state.log.configuration_index > state.commit_index
         if change_pending or state.log.find_term(state.commit_index) != state.term:
             return
         lags = self._compute_lags(now)
-        silent = self.find_silent_voters(state.timing.replace_after_s, now)
+        silent = self.find_silent_members(state.timing.replace_after_s, now)
         change = choose_replacement_step(
-            state=state, hellos=hellos, lags=lags, silent=silent
+            state=state, hellos=hellos, running=running, lags=lags, silent=silent
         )
         if change is not None:
             self.change_membership(change, now)
 
-    def find_silent_voters(self, duration_s: float, now: float) -> frozenset[str]:
-        """Return the other voters that were silent for longer than this."""
-        voters = self._state.log.configuration.find_voters()
+    def find_silent_members(self, duration_s: float, now: float) -> frozenset[str]:
+        """Return the other members that were silent for longer than this."""
         return frozenset(
-            voter
-            for voter in voters
-            if voter != self._state.identity
-            and self._lease.get_seconds_since_reply(voter, now) > duration_s
+            identity
+            for identity in self._progress
+            if self._lease.get_seconds_since_reply(identity, now) > duration_s
         )
 
     def transfer_leadership(self, target: str, now: float) -> None:
--- a/carobspring/consensus/lease.py
+++ b/carobspring/consensus/lease.py
@@ -21,6 +21,8 @@
         self.confirmed_round = 0
         self._confirmed_at = now
         self._created_at = now
+        #: When each member was last heard from before this lease.
+        self._heard_before = dict(state.heard_at)
         self.is_released = False
 
     def start_round(self, now: float) -> int:
@@ -70,9 +72,15 @@
     def get_seconds_since_reply(self, identity: str, now: float) -> float:
         """Return the seconds since a member's last reply.
 
-        Before its first reply, the time counts from the start of the lease.
+        Before its first reply, the time counts from when it was last heard
+        before this lease, so that an election does not hide its silence.
         """
-        return now - self._last_reply_at.get(identity, self._created_at)
+        heard_at = self._heard_before.get(identity, self._created_at)
+        return now - self._last_reply_at.get(identity, heard_at)
+
+    def start_member(self, identity: str, now: float) -> None:
+        """Count the silence of a member that is added from now on."""
+        self._heard_before[identity] = now
 
     def has_recent_reply(self, identity: str, now: float) -> bool:
         """Return whether a member replied within the election timeout."""
--- a/carobspring/consensus/messages.py
+++ b/carobspring/consensus/messages.py
@@ -114,7 +114,7 @@
 
 @dataclass(frozen=True, kw_only=True)
 class Hello(Message):
-    """Introduces a replica when a connection opens.
+    """Introduces a replica when a connection opens, and regularly after that.
 
     The receiver is empty because its identity is not known yet. An empty
     cluster means that the sender's data directory is empty.
@@ -123,3 +123,6 @@
     name: str
     #: Whether the sender was started to bootstrap a cluster.
     founding: bool = False
+    #: Whether the sender may replace a lost voter although it has data of the
+    #: cluster, from the time when it was a member.
+    rejoins: bool = False
--- a/carobspring/consensus/node.py
+++ b/carobspring/consensus/node.py
@@ -64,6 +64,7 @@
         hard_state: HardState,
         now: float,
         kept_entries: int = KEPT_ENTRIES,
+        rejoins: bool = False,
     ) -> None:
         self.name = name
         self._kept_entries = kept_entries
@@ -77,7 +78,11 @@
         )
         self._role: Follower | Candidate | Leader = Follower(state=self._state, now=now)
         self._peers = PeerDirectory(
-            state=self._state, name=name, peers=peers - {name}, bootstrap=bootstrap
+            state=self._state,
+            name=name,
+            peers=peers - {name},
+            bootstrap=bootstrap,
+            rejoins=rejoins,
         )
         self._applied_index = snapshot.index
         self._pending_snapshot: Snapshot | None = None
@@ -143,13 +148,17 @@
         if not isinstance(self._role, Leader):
             return ()
         timeout_s = self._state.timing.election_timeout_s
-        silent = self._role.find_silent_voters(timeout_s, now)
-        members = self.configuration.members
-        return tuple(member.name for member in members if member.identity in silent)
+        silent = self._role.find_silent_members(timeout_s, now)
+        return tuple(
+            member.name
+            for member in self.configuration.members
+            if member.voter and member.identity in silent
+        )
 
-    def list_spares(self) -> tuple[str, ...]:
+    def list_spares(self, now: float) -> tuple[str, ...]:
         """Return the names of the replicas that could replace a voter."""
-        spares = find_spares(self._state.log.configuration, self._peers.hellos)
+        running = self._peers.find_running(now)
+        spares = find_spares(self.configuration, self._peers.hellos, running)
         return tuple(hello.name for hello in spares)
 
     def add_peer(self, name: str) -> None:
@@ -194,7 +203,8 @@
         """Return the actions resulting from the steps since the last call."""
         state = self._state
         if isinstance(self._role, Leader):
-            self._role.replace_lost_replica(self._peers.hellos, now)
+            running = self._peers.find_running(now)
+            self._role.replace_lost_replica(self._peers.hellos, running, now)
             self._role.replicate(now)
         hard_state = None
         if state.hard_state != state.persisted:
@@ -233,8 +243,10 @@
             next_role = self._role.tick(now)
 
     def _handle_message(self, message: Message, now: float) -> None:
+        if self.configuration.find_member(message.sender) is not None:
+            self._state.heard_at[message.sender] = now
         if isinstance(message, Hello):
-            self._peers.handle_hello(message)
+            self._peers.handle_hello(message, now)
             if not self._state.cluster:
                 self._try_bootstrap()
         elif message.receiver == self._state.identity:
--- a/carobspring/consensus/peers.py
+++ b/carobspring/consensus/peers.py
@@ -9,14 +9,21 @@
 class PeerDirectory:
     """Keeps the last hello from each peer.
 
-    A hello is sent when a stream opens, so it was created after the receiving
+    Hellos are sent on an open stream, so each was created after the receiving
     process started and can't describe a cluster that no longer exists.
     """
 
     def __init__(
-        self, *, state: ReplicaState, name: str, peers: frozenset[str], bootstrap: bool
+        self,
+        *,
+        state: ReplicaState,
+        name: str,
+        peers: frozenset[str],
+        bootstrap: bool,
+        rejoins: bool = False,
     ) -> None:
         self._state = state
+        self._rejoins = rejoins
         self._name = name
         self._peers = peers
         self._bootstrap = bootstrap
@@ -24,6 +31,8 @@
         self._later_peers: set[str] = set()
         #: The last hello from each name.
         self.hellos: dict[str, Hello] = {}
+        #: When that hello arrived.
+        self._heard_at: dict[str, float] = {}
 
     def build_hello(self) -> Hello:
         """Return the message that opens a connection."""
@@ -34,6 +43,7 @@
             term=self._state.term,
             name=self._name,
             founding=self._bootstrap,
+            rejoins=self._rejoins,
         )
 
     def add_peer(self, name: str) -> None:
@@ -46,12 +56,20 @@
         """Whether no peers were given at the start."""
         return not self._peers
 
-    def handle_hello(self, hello: Hello) -> None:
+    def handle_hello(self, hello: Hello, now: float) -> None:
         """Record a hello; send its sender the initial configuration if due."""
         if hello.name in self._peers or hello.name in self._later_peers:
             self.hellos[hello.name] = hello
+            self._heard_at[hello.name] = now
             self._send_bootstrap_request(hello)
 
+    def find_running(self, now: float) -> frozenset[str]:
+        """Return the names whose last hello is recent."""
+        oldest = now - self._state.timing.hello_lifetime_s
+        return frozenset(
+            name for name, heard_at in self._heard_at.items() if heard_at >= oldest
+        )
+
     def build_initial_configuration(self) -> Configuration | None:
         """Return the initial configuration, or None if not possible yet."""
         if not self._bootstrap:
--- a/carobspring/consensus/reconfiguration.py
+++ b/carobspring/consensus/reconfiguration.py
@@ -1,6 +1,6 @@
 """Membership changes: one at a time, and new members as learners first."""
 
-from collections.abc import Mapping, Set
+from collections.abc import Mapping, Sequence, Set
 
 from carobspring.consensus.entries import Configuration, Member
 from carobspring.consensus.errors import MembershipChangeRefusedError
@@ -42,9 +42,13 @@
     if isinstance(change, AddLearner):
         if members.find_member(change.identity):
             raise MembershipChangeRefusedError(reason=f"{change.identity} is a member")
-        return members.with_member(
-            Member(identity=change.identity, name=change.name, voter=False)
+        learner = Member(
+            identity=change.identity,
+            name=change.name,
+            voter=False,
+            replaces=change.replaces,
         )
+        return members.with_member(learner)
     member = members.find_member(change.identity)
     if member is None:
         raise MembershipChangeRefusedError(reason=f"{change.identity} is no member")
@@ -65,6 +69,7 @@
     *,
     state: ReplicaState,
     hellos: Mapping[str, Hello],
+    running: Set[str],
     lags: Mapping[str, int],
     silent: Set[str] = frozenset(),
 ) -> MembershipChange | None:
@@ -74,37 +79,42 @@
     identity that is not listed. It is added as a learner. Once it has caught
     up, the old identity, which can't return, is removed and the learner is
     promoted. A voter that has been silent for long is replaced in the same
-    steps by a spare: an empty replica whose name no member has.
+    steps by a spare, whose name no member has. If the voter is heard from
+    again before it is removed, it stays and the spare leaves.
 
     Args:
         state: The leader's state.
         hellos: The last hello from each name.
+        running: The names whose last hello is recent.
         lags: The number of entries that each member lacks, for the members
             that replied recently.
-        silent: The voters that have been silent for long.
+        silent: The members that have been silent for long.
     """
+    step = _choose_spare_step(state, hellos, running, lags, silent)
+    if step is not None:
+        return step
     configuration = state.log.configuration
-    replacement = _choose_spare_step(state, hellos, lags, silent)
-    if replacement is not None:
-        return replacement
+    in_progress = _find_members_in_replacement(configuration)
     for member in configuration.members:
-        if member.identity == state.identity:
+        if member.identity == state.identity or member.replaces:
             continue
         hello = hellos.get(member.name)
         if hello is None:
             continue
-        caught_up = lags.get(hello.sender, MAX_LAG_ENTRIES + 1) <= MAX_LAG_ENTRIES
+        caught_up = _is_caught_up(hello.sender, lags)
         if hello.sender == member.identity:
             if (
                 not member.voter
                 and caught_up
-                and not _has_duplicate_name(state, member)
+                and not _has_duplicate_name(configuration, member)
             ):
                 return PromoteLearner(token=0, identity=member.identity)
         elif member.identity in lags:
             continue
         elif configuration.find_member(hello.sender) is None:
-            if not hello.cluster:
+            is_usable = hello.cluster in ("", configuration.cluster)
+            is_needed = member.identity not in in_progress
+            if hello.name in running and is_usable and is_needed:
                 return AddLearner(token=0, identity=hello.sender, name=hello.name)
         elif caught_up:
             return RemoveMember(token=0, identity=member.identity)
@@ -112,48 +122,90 @@
 
 
 def find_spares(
-    configuration: Configuration, hellos: Mapping[str, Hello]
+    configuration: Configuration, hellos: Mapping[str, Hello], running: Set[str]
 ) -> tuple[Hello, ...]:
-    """Return the last hello of each replica that could replace a voter."""
+    """Return the last hello of each replica that could replace a voter.
+
+    Such a replica runs, is no member and has no data, or only data of this
+    cluster from the time when it was a member.
+    """
     names = {member.name for member in configuration.members}
     return tuple(
         hello
         for name, hello in sorted(hellos.items())
-        if name not in names and not hello.cluster
+        if name in running
+        and name not in names
+        and (
+            not hello.cluster
+            or (hello.rejoins and hello.cluster == configuration.cluster)
+        )
     )
 
 
 def _choose_spare_step(
     state: ReplicaState,
     hellos: Mapping[str, Hello],
+    running: Set[str],
     lags: Mapping[str, int],
     silent: Set[str],
 ) -> MembershipChange | None:
     """Return the next step of replacing a silent voter by a spare, or None."""
-    members = state.log.configuration.members
-    # A voter whose name already has a new identity is replaced by that one.
-    lost_voters = [
-        member
-        for member in members
-        if member.identity in silent and not _has_duplicate_name(state, member)
-    ]
-    if not lost_voters:
-        return None
-    learners = [
-        member
-        for member in members
-        if not member.voter and not _has_duplicate_name(state, member)
-    ]
-    for learner in learners:
-        if lags.get(learner.identity, MAX_LAG_ENTRIES + 1) <= MAX_LAG_ENTRIES:
-            return RemoveMember(token=0, identity=lost_voters[0].identity)
-    spares = find_spares(state.log.configuration, hellos)
-    if learners or not spares:
-        return None
-    spare = spares[0]
-    return AddLearner(token=0, identity=spare.sender, name=spare.name)
-
-
-def _has_duplicate_name(state: ReplicaState, member: Member) -> bool:
-    members = state.log.configuration.members
+    configuration = state.log.configuration
+    spares = find_spares(configuration, hellos, running)
+    for learner in configuration.members:
+        if learner.replaces:
+            step = _choose_learner_step(configuration, learner, lags, silent, spares)
+            if step is not None:
+                return step
+    in_progress = _find_members_in_replacement(configuration)
+    for member in configuration.members:
+        if member.identity not in silent or member.identity in in_progress:
+            continue
+        if _has_duplicate_name(configuration, member):
+            # The learner with the new identity goes first if it is lost too.
+            if spares and not member.voter:
+                return RemoveMember(token=0, identity=member.identity)
+        elif spares and (member.voter or member.replaces):
+            return AddLearner(
+                token=0,
+                identity=spares[0].sender,
+                name=spares[0].name,
+                replaces=member.identity,
+            )
+    return None
+
+
+def _choose_learner_step(
+    configuration: Configuration,
+    learner: Member,
+    lags: Mapping[str, int],
+    silent: Set[str],
+    spares: Sequence[Hello],
+) -> MembershipChange | None:
+    """Return the next step with a learner that replaces a silent member."""
+    lost = configuration.find_member(learner.replaces)
+    if lost is not None and lost.identity not in silent:
+        return RemoveMember(token=0, identity=learner.identity)
+    if _is_caught_up(learner.identity, lags):
+        if lost is not None:
+            return RemoveMember(token=0, identity=lost.identity)
+        return PromoteLearner(token=0, identity=learner.identity)
+    if lost is not None and learner.identity in silent and spares:
+        # Another spare is tried.
+        return RemoveMember(token=0, identity=learner.identity)
+    return None
+
+
+def _find_members_in_replacement(configuration: Configuration) -> frozenset[str]:
+    """Return the identities for which a spare is a learner already."""
+    members = configuration.members
+    return frozenset(member.replaces for member in members if member.replaces)
+
+
+def _is_caught_up(identity: str, lags: Mapping[str, int]) -> bool:
+    return lags.get(identity, MAX_LAG_ENTRIES + 1) <= MAX_LAG_ENTRIES
+
+
+def _has_duplicate_name(configuration: Configuration, member: Member) -> bool:
+    members = configuration.members
     return sum(other.name == member.name for other in members) > 1
--- a/carobspring/consensus/state.py
+++ b/carobspring/consensus/state.py
@@ -32,9 +32,12 @@
     #: A leader that has not heard from a quorum for this long steps down.
     lease_s: float = 0.8
     #: A voter that is silent for this long is replaced by a spare replica, if
-    #: there is one. It exceeds the time for which instances freeze, are
-    #: partitioned or restart; one that returns later finds itself replaced.
+    #: there is one. The voter may become a spare itself when it returns.
     replace_after_s: float = 12.0
+    #: Interval between two hellos to each peer.
+    hello_interval_s: float = 1.0
+    #: Time after its last hello for which a replica counts as running.
+    hello_lifetime_s: float = 3.0
 
     def __post_init__(self) -> None:
         """Reject a lease longer than the time followers refuse to vote."""
@@ -42,6 +45,8 @@
             raise ValueError(
                 "needed: 0 < heartbeat_interval_s < lease_s < election_timeout_s"
             )
+        if self.replace_after_s < self.election_timeout_s:
+            raise ValueError("needed: election_timeout_s <= replace_after_s")
 
 
 class ReplicaState:
@@ -70,6 +75,9 @@
         self.persisted = hard_state
         self.leader = ""
         self.commit_index = log.snapshot.index
+        #: When each member was last heard from, in whatever role this replica
+        #: was. Those that it never heard count from its start.
+        self.heard_at = {member.identity: now for member in log.configuration.members}
         #: When a leader was last heard from. It starts at the current time
         #: because the replica may have replied to a leader before it
         #: restarted. The leader's lease relies on such a replica granting no
--- a/carobspring/platform/node.py
+++ b/carobspring/platform/node.py
@@ -88,6 +88,9 @@
     tolerated_failures: int = 0
     #: Seconds from SIGTERM to SIGKILL.
     stop_grace_s: float = 8.0
+    #: Seconds after its start in which an instance must have caught up: from
+    #: then on its loss, and that of others instead of it, must be tolerated.
+    catch_up_deadline_s: float = 4.0
     #: Seconds within which a confirmed configuration must be in force
     #: everywhere.
     configuration_deadline_s: float = 2.0
@@ -147,6 +150,7 @@
         stop_grace_s=_parse_bound(bounds, "grace_s", 8.0),
         configuration_deadline_s=_parse_bound(bounds, "config_apply_ms", 2000.0) / 1000,
         retry_share=_parse_bound(bounds, "retry_budget", 0.2),
+        catch_up_deadline_s=_parse_bound(bounds, "catch_up_s", 4.0),
         retry_slack=_parse_bound(bounds, "retry_slack", 0.0),
         retry_window_s=_parse_bound(bounds, "retry_window_s", 10.0),
     )
--- a/carobspring/programs/instance_control.py
+++ b/carobspring/programs/instance_control.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import logging
+from dataclasses import replace
 from pathlib import Path
 from typing import Any, Final
 
@@ -16,7 +17,7 @@
 from carobspring.adapters.metrics import Metrics, serve_metrics
 from carobspring.adapters.rpc import RpcService, build_server
 from carobspring.adapters.tasks import start_service_task, start_task
-from carobspring.consensus import IDENTITY_FILE
+from carobspring.consensus import IDENTITY_FILE, Timing
 from carobspring.control import (
     ClaimService,
     CommandProposer,
@@ -53,11 +54,26 @@
 LEASE_CHECK_INS: Final = 5
 #: Seconds that a stop waits for open requests.
 DRAIN_TIMEOUT_S: Final = 2.0
+#: Share of the time for catching up after which a silent voter is replaced.
+REPLACEMENT_SHARE: Final = 0.5
 MAX_CONFIGURATION_BYTES: Final = 16 * 1024 * 1024
 
 logger = logging.getLogger(__name__)
 
 
+def build_timing(settings: InstanceSettings) -> Timing:
+    """Return the timing of the log.
+
+    A successor has to be caught up within the given time of its start, and
+    takes part of it to start and to find the others.
+    """
+    default = Timing()
+    replace_after_s = settings.catch_up_deadline_s * REPLACEMENT_SHARE
+    return replace(
+        default, replace_after_s=max(replace_after_s, default.election_timeout_s)
+    )
+
+
 class InstanceControlProgram(Program, RedirectFinder):
     """A control daemon.
 
@@ -99,6 +115,7 @@
                 random=self._random,
                 machine=self.state.machine,
                 secret=options.secret,
+                timing=build_timing(settings),
             )
         self._has_log = not is_empty
         self.directory = DaemonDirectory(
@@ -316,7 +333,7 @@
         self._replication_metrics.update(
             is_confirmed=self._is_confirmed,
             silent_voters=len(node.list_silent_voters(now)) if node else 0,
-            spares=len(node.list_spares()) if node else 0,
+            spares=len(node.list_spares(now)) if node else 0,
         )
         return self._control_metrics.render_text()
 
--- a/carobspring/programs/replica.py
+++ b/carobspring/programs/replica.py
@@ -83,6 +83,7 @@
         timing: Timing | None = None,
         snapshot_every: int = SNAPSHOT_EVERY,
         kept_entries: int = KEPT_ENTRIES,
+        rejoins: bool = False,
         on_failure: Callable[[ConsensusError], None] = lambda error: None,
     ) -> None:
         self.name = name
@@ -112,7 +113,10 @@
             now=clock.read_monotonic(),
             snapshot_every=snapshot_every,
             kept_entries=kept_entries,
+            rejoins=rejoins,
         )
+        self._hello_interval_s = (timing or Timing()).hello_interval_s
+        self._next_hello_at = clock.read_monotonic()
         self._is_execution_scheduled = False
         self._tick_task: asyncio.Task[None] | None = None
         self._is_leading = False
@@ -303,6 +307,7 @@
         while True:
             await asyncio.sleep(TICK_INTERVAL_S)
             self._step(Tick())
+            self._send_hellos()
             self._log_silent_voters()
             for link in self._links.values():
                 link.tick()
@@ -345,11 +350,22 @@
             },
         )
 
+    def _send_hellos(self) -> None:
+        """Show every peer that this replica runs, whatever its role is."""
+        now = self._clock.read_monotonic()
+        if self.failure is not None or now < self._next_hello_at:
+            return
+        self._next_hello_at = now + self._hello_interval_s
+        hello = encode_message(self.node.build_hello())
+        for link in self._links.values():
+            link.send(hello)
+
     def _log_silent_voters(self) -> None:
-        silent = self.node.list_silent_voters(self._clock.read_monotonic())
+        now = self._clock.read_monotonic()
+        silent = self.node.list_silent_voters(now)
         if silent != self._silent_voters:
             self._silent_voters = silent
-            spares = self.node.list_spares()
+            spares = self.node.list_spares(now)
             logger.info(
                 "silent voters changed", extra={"silent": silent, "spares": spares}
             )
--- a/carobspring/programs/replica_supervisor.py
+++ b/carobspring/programs/replica_supervisor.py
@@ -13,7 +13,7 @@
 from carobspring.adapters.peer_link import PeerAddress
 from carobspring.adapters.rpc import make_bidirectional_method
 from carobspring.adapters.tasks import start_task
-from carobspring.consensus import ConsensusError
+from carobspring.consensus import ConsensusError, Timing
 from carobspring.control import ControlMachine, GossipTransport
 from carobspring.domain import parse_address
 from carobspring.ports import Clock, NotLeaderError, RandomSource, ReplicatedLog
@@ -53,8 +53,10 @@
         random: RandomSource,
         machine: ControlMachine,
         secret: str,
+        timing: Timing,
     ) -> None:
         self.name = name
+        self._timing = timing
         self._storage = storage
         self._clock = clock
         self._random = random
@@ -179,6 +181,8 @@
             secret=self._secret,
             snapshot_every=SNAPSHOT_EVERY,
             kept_entries=KEPT_ENTRIES,
+            timing=self._timing,
+            rejoins=True,
             on_failure=self._handle_failure,
         )
         for member in replica.node.configuration.members:
--- a/tests/platform/test_node.py
+++ b/tests/platform/test_node.py
@@ -24,6 +24,7 @@
     "heartbeat_ms": 1200,
     "fault_tolerance": {"machines": 1, "zones": 0},
     "bounds": {
+        "catch_up_s": 3,
         "grace_s": 8,
         "config_apply_ms": 2000,
         "retry_budget": 0.2,
@@ -69,6 +70,7 @@
                 check_in_interval_s=1.2,
                 tolerated_failures=1,
                 stop_grace_s=8.0,
+                catch_up_deadline_s=3.0,
                 configuration_deadline_s=2.0,
                 retry_share=0.2,
                 retry_slack=58.0,
