Deny no request by routes that no quorum has confirmed

What callers saw: an entry that had just started answered 404 for a route of a version that had been confirmed to the operator.

Cause: an entry takes the first routes it gets, so that callers are served before an election is over, and held itself for able to deny requests by them. Beside it, a control replica called its state confirmed as soon as it heard its leader, which after a restart is before it has the entries committed without it.

Evidence: 'routes in force' version 78 from an unconfirmed replica, then 'request refused' 404 with routes 78, version 80 being confirmed.

Change: what unconfirmed routes or keys do not allow is refused only for now, 503 with Retry-After, so a caller comes back to this or another entry. What they allow is served as before: most routes do not change, and callers are better off with an answer. A replica is confirmed once it has applied all that the leader knew as committed, and tells its entries at once.

--- a/carobspring/consensus/follower.py
+++ b/carobspring/consensus/follower.py
@@ -46,6 +46,7 @@
             state.leader_heard_at = now
             state.reset_election_timer(now)
             if isinstance(message, AppendRequest):
+                state.known_commit_index = max(state.known_commit_index, message.commit)
                 self._handle_append(message)
             else:
                 self._handle_snapshot_chunk(message)
--- a/carobspring/consensus/node.py
+++ b/carobspring/consensus/node.py
@@ -133,11 +133,23 @@
         """The configuration in force."""
         return self._state.log.configuration
 
-    def has_leader_contact(self, now: float) -> bool:
-        """Return whether this replica leads or recently heard its leader."""
+    def is_current(self, now: float) -> bool:
+        """Return whether all that the leader knew as committed is applied.
+
+        A replica that has just started hears its leader before it has the
+        entries that were committed without it, and a new leader knows of them
+        once an entry of its own term is committed.
+        """
+        state = self._state
         if isinstance(self._role, Leader):
-            return self._role.holds_lease(now)
-        return bool(self._state.leader) and self._state.has_recent_leader(now)
+            has_contact = self._role.holds_lease(now)
+        else:
+            has_contact = bool(state.leader) and state.has_recent_leader(now)
+        return (
+            has_contact
+            and state.log.find_term(state.commit_index) == state.term
+            and self._applied_index >= state.known_commit_index
+        )
 
     def is_leader(self, now: float) -> bool:
         """Return whether this replica leads and no other replica can."""
--- a/carobspring/consensus/state.py
+++ b/carobspring/consensus/state.py
@@ -75,6 +75,8 @@
         self.persisted = hard_state
         self.leader = ""
         self.commit_index = log.snapshot.index
+        #: The highest commit index of a leader that was heard of.
+        self.known_commit_index = log.snapshot.index
         #: When each member was last heard from, in whatever role this replica
         #: was. Those that it never heard count from its start.
         self.heard_at = {member.identity: now for member in log.configuration.members}
--- a/carobspring/gateway/api.py
+++ b/carobspring/gateway/api.py
@@ -19,7 +19,8 @@
 #: Seconds that a request waits for the first routing table after the start of
 #: an entry. An election and a new stream to a control replica take longer.
 STARTUP_WAIT_S: Final = 1.5
-#: Retry-After in seconds while an entry has no routing table.
+#: Retry-After in seconds while an entry has no routing table, or can't know
+#: whether there is a newer one.
 STARTUP_RETRY_AFTER_S: Final = 0.3
 #: Bytes per prompt token, to estimate tokens that a caller does not give.
 BYTES_PER_TOKEN: Final = 4
@@ -59,13 +60,13 @@
             return
         route = table.find_route(metadata.host, request.path)
         if route is None:
-            await self._refuse(responder, metadata, 404, "no_route")
+            await self._deny(responder, metadata, 404, "no_route")
             return
         owner = None
         if table.requires_keys and not route.public:
             owner = table.find_owner(metadata.api_key)
             if owner is None:
-                await self._refuse(responder, metadata, 401, "unknown_key")
+                await self._deny(responder, metadata, 401, "unknown_key")
                 return
         rank = table.compute_rank(route, owner)
         query = self._build_query(request, metadata, route, rank, started_at)
@@ -135,6 +136,21 @@
             parts=tuple((part.part_id, part.tokens) for part in metadata.prompt_parts),
         )
 
+    async def _deny(
+        self,
+        responder: HttpResponder,
+        metadata: platform.RequestMetadata,
+        status: int,
+        reason: str,
+    ) -> None:
+        """Refuse a request, only for now if newer routes may allow it."""
+        if self._state.is_confirmed(self._context.read_clock()):
+            await self._refuse(responder, metadata, status, reason)
+        else:
+            await self._refuse(
+                responder, metadata, 503, "unconfirmed_routes", STARTUP_RETRY_AFTER_S
+            )
+
     async def _refuse(
         self,
         responder: HttpResponder,
--- a/carobspring/gateway/state.py
+++ b/carobspring/gateway/state.py
@@ -1,9 +1,14 @@
 """The routing table and lifecycle state of an entry."""
 
 import asyncio
+from typing import Final
 
 from carobspring.domain.routes import RoutingTable
 
+#: Seconds for which a replica's confirmation of the routing table counts: two
+#: heartbeats of the replica's stream.
+CONFIRMATION_LIFETIME_S: Final = 2.0
+
 
 class GatewayState:
     """The routing table in force and whether the process is stopping.
@@ -36,6 +41,17 @@
         """Record that the table is the newest that the quorum committed."""
         self.confirmed_at = now
 
+    def is_confirmed(self, now: float) -> bool:
+        """Return whether the table was lately confirmed to be the newest.
+
+        Otherwise it may lack a route or key that was confirmed to the
+        operator.
+        """
+        return (
+            self.confirmed_at is not None
+            and now - self.confirmed_at <= CONFIRMATION_LIFETIME_S
+        )
+
     async def wait_for_table(self, timeout_s: float) -> RoutingTable | None:
         """Return the table; wait for the first one, or return None."""
         if self.table is None:
--- a/carobspring/programs/instance_control.py
+++ b/carobspring/programs/instance_control.py
@@ -164,7 +164,7 @@
             watch_service = WatchService(
                 state=self.state,
                 proposer=proposer,
-                is_confirmed=self._supervisor.has_leader_contact,
+                is_confirmed=self._supervisor.is_current,
             )
             services.append(watch_service.build_service())
             services.append(RpcService(self._supervisor.list_methods()))
@@ -309,11 +309,12 @@
                 self._track_confirmation(self._supervisor)
 
     def _track_confirmation(self, supervisor: ReplicaSupervisor) -> None:
-        """Log when the quorum starts or stops confirming the state here."""
-        is_confirmed = supervisor.has_leader_contact()
+        """Tell entries at once when the quorum starts or stops confirming."""
+        is_confirmed = supervisor.is_current()
         if is_confirmed is self._is_confirmed:
             return
         self._is_confirmed = is_confirmed
+        self.state.entry_notifier.notify_all()
         logger.info(
             "confirmation by the quorum changed",
             extra={
--- a/carobspring/programs/replica_supervisor.py
+++ b/carobspring/programs/replica_supervisor.py
@@ -140,12 +140,12 @@
         """Return whether this replica leads and no other one can lead now."""
         return self._replica is not None and self._replica.is_leader()
 
-    def has_leader_contact(self) -> bool:
-        """Return whether this replica leads or recently heard its leader."""
+    def is_current(self) -> bool:
+        """Return whether the state here has all that the quorum committed."""
         replica = self._replica
         if replica is None or replica.failure is not None:
             return False
-        return replica.node.has_leader_contact(self._clock.read_monotonic())
+        return replica.node.is_current(self._clock.read_monotonic())
 
     def list_peers(self) -> list[str]:
         """Return the names of the other replicas with an open stream."""
--- a/tests/gateway/fakes.py
+++ b/tests/gateway/fakes.py
@@ -174,6 +174,7 @@
         kind=ServiceKind.PLAIN,
         admission_waits=None,
         uptime_s=60.0,
+        confirmed=True,
     ):
         loop = asyncio.get_running_loop()
         self.clients = {
@@ -215,6 +216,8 @@
             owners=owners,
         )
         self.state.apply_table(self.table, 0.0)
+        if confirmed:
+            self.state.confirm_table(loop.time())
         budget = RetryBudget(
             share=0.0, slack=retry_slack, window_s=10.0, count_entries=lambda: 1
         )
--- a/tests/gateway/test_api.py
+++ b/tests/gateway/test_api.py
@@ -34,6 +34,22 @@
                 self.assertEqual(response.status, status)
                 self.assertEqual(gateway.count_requests(), {"s1": sends})
 
+    async def test_unconfirmed_routes_deny_nothing(self):
+        """Without a confirmed table, a request is refused only for now."""
+        key = ("Authorization", "Bearer k1")
+        wrong_key = ("Authorization", "Bearer k2")
+        cases = {
+            "known route": ("/a/x", key, (200, None), 1),
+            "no route": ("/b/x", key, (503, "0.300"), 0),
+            "unknown key": ("/a/x", wrong_key, (503, "0.300"), 0),
+        }
+        for name, (path, header, expected, sends) in cases.items():
+            with self.subTest(name):
+                gateway = GatewayHarness([SUCCESS], owners=OWNERS, confirmed=False)
+                response = await gateway.call(path=path, headers=(header,))
+                self.assertEqual((response.status, response.retry_after), expected)
+                self.assertEqual(gateway.count_requests(), {"s1": sends})
+
     async def test_workspace_is_forwarded_without_the_key(self):
         """The server gets the workspace's name but never the key."""
         gateway = GatewayHarness([SUCCESS], owners=OWNERS)
@@ -84,6 +100,15 @@
         self.assertEqual(results, [True, False, False])
         self.assertEqual((state.table, state.table_applied_at), (newer, 1.0))
 
+    def test_confirmation(self):
+        """A confirmation counts for two heartbeats of a control stream."""
+        state = GatewayState()
+        state.apply_table(build_table(1), 9.0)
+        before = state.is_confirmed(9.0)
+        state.confirm_table(10.0)
+        results = [state.is_confirmed(now) for now in (10.0, 12.0, 12.1)]
+        self.assertEqual((before, results), (False, [True, True, False]))
+
     def test_readiness(self):
         """An entry is ready from its first table until it stops."""
         state = GatewayState()
