Keep following replicas that respond while none is confirmed

What callers saw: after the loss of all, 503 for seconds although replicas listed servers.

Cause: a replica that is not chosen was left when it was not confirmed. Without a quorum none is, and the choice changes with each one that is passed over.

Change: such a replica is left when it responds no longer, or when all that are chosen are confirmed. tests.gateway.test_control test_no_quorum failed before: only one of two responding seeds was still followed.

--- a/carobspring/adapters/entry_control_stream.py
+++ b/carobspring/adapters/entry_control_stream.py
@@ -50,7 +50,10 @@
         self._reconnect_delay_s = reconnect_delay_s
         self._gauge = connected_gauge
         self._gauge.set({}, 0)
+        #: Whether the replica responds and confirms its state.
         self.connected = False
+        #: Whether the replica responds, confirmed or not.
+        self.responding = False
 
     async def run(self) -> None:
         """Receive view updates until cancelled."""
@@ -69,6 +72,7 @@
                     "lost connection to control replica %s: %s", address, reason
                 )
             self._set_connected(False)
+            self.responding = False
             self._next_index += 1
             await asyncio.sleep(self._reconnect_delay_s)
 
@@ -85,6 +89,7 @@
                 while (update := await stream.recv_message()) is not None:
                     silence_timeout.reschedule(loop.time() + SILENCE_TIMEOUT_S)
                     self._set_connected(update.confirmed)
+                    self.responding = True
                     self._apply_update(update)
                     if update.settings is not None:
                         await stream.send_message(self._build_report())
--- a/carobspring/gateway/control.py
+++ b/carobspring/gateway/control.py
@@ -40,7 +40,8 @@
     returns those to follow. A replica accepts a stream only while it can read
     through the quorum, so one that is cut off is replaced after its stream
     breaks. A replica that is no longer chosen is followed until all that are
-    chosen are connected.
+    chosen are connected, or it responds no longer: without a quorum, the
+    unconfirmed servers and routes of some replica are all that there is.
     """
 
     def __init__(
@@ -106,7 +107,7 @@
                 self._follow(name, now)
         is_complete = all(self._followed[name].stream.connected for name in chosen)
         for name, each in list(self._followed.items()):
-            if name not in chosen and (is_complete or not each.stream.connected):
+            if name not in chosen and (is_complete or not each.stream.responding):
                 self._stop_following(name)
                 self._remove_replica(name)
 
--- a/tests/gateway/test_control.py
+++ b/tests/gateway/test_control.py
@@ -19,6 +19,7 @@
         self.name = str(address)
         self.apply_update = apply_update
         self.connected = False
+        self.responding = False
 
     async def run(self):
         await asyncio.Event().wait()
@@ -55,6 +56,7 @@
     def connect(self, *names):
         for name in names:
             self.opened[name].connected = True
+            self.opened[name].responding = True
 
     async def test_seeds_then_replicas(self):
         """The chosen replicas replace the seeds once they are connected."""
@@ -78,6 +80,7 @@
         self.connect(REPLICAS[1])
         self.streams.check(1.0)
         self.opened[REPLICAS[0]].connected = False
+        self.opened[REPLICAS[0]].responding = False
         self.streams.check(2.4)
         self.assertEqual(set(self.streams.followed), set(REPLICAS[:2]))
         self.streams.check(2.6)
@@ -91,3 +94,20 @@
         self.streams.check(0.0)
         self.streams.check(2.0)
         self.assertEqual(self.streams.followed, SEEDS)
+
+    async def test_no_quorum(self):
+        """Replicas that respond stay followed while none is confirmed."""
+        self.streams.check(0.0)
+        for name in SEEDS:
+            self.opened[name].responding = True
+        self.opened[SEEDS[0]].apply_update(
+            ViewUpdate(replicas=REPLICAS, confirmed=False)
+        )
+        for step in range(1, 30):
+            self.streams.check(step / 2)
+        self.assertLessEqual(set(SEEDS), set(self.streams.followed))
+        self.assertEqual(set(self.removed) & set(SEEDS), set())
+        for step in range(30, 40):
+            self.connect(*set(self.streams.followed) & set(REPLICAS))
+            self.streams.check(step / 2)
+        self.assertEqual(set(self.streams.followed), set(REPLICAS[:2]))
