Redirect operators from a replica that is no member

Cause: only a daemon without a replica redirected. A replica that was replaced also kept its own log's list of members for true, whatever the others said.

Change: calls about the configuration go to a member from there; a list of members from the local log counts only if it is as new as what others told. Check-ins are still taken at any daemon.

test_spare_redirects_operators (503 instead of 200) and test_replaced_replica_learns_that_it_is_no_member failed before. tests.control and ReplacementTests: 70 passed.

--- a/carobspring/control/discovery.py
+++ b/carobspring/control/discovery.py
@@ -164,11 +164,12 @@
             self._digests[message.card.name] = message.digest
 
     def update_members(self, members: tuple[str, ...], index: int) -> None:
-        """Replace the replicas by those of the local log, if there are any.
+        """Replace the replicas by those of the local log, if it is as new.
 
-        ``index`` is the index in the log up to which it is applied.
+        ``index`` is the index in the log up to which it is applied. A replica
+        that was replaced learns from the others that it is no member.
         """
-        if members:
+        if members and index >= self._members_index:
             self.members = members
             self._members_index = index
 
--- a/carobspring/control/instance_api.py
+++ b/carobspring/control/instance_api.py
@@ -42,8 +42,12 @@
     """Finds a daemon that holds the log if this daemon does not."""
 
     @abstractmethod
-    def find_redirect(self) -> str | None:
-        """Return the base URL of the daemon to redirect to, or None."""
+    def find_redirect(self, *, to_member: bool = False) -> str | None:
+        """Return the base URL of the daemon to redirect to, or None.
+
+        With ``to_member``, a daemon whose replica is no member of the cluster
+        redirects too.
+        """
 
 
 def _encode_error(code: str, message: str) -> bytes:
@@ -79,13 +83,14 @@
     async def handle(self, request: HttpRequest, responder: HttpResponder) -> None:
         """Handle one request."""
         path, method = request.path, request.method
-        redirect = self._finder.find_redirect()
+        is_configuration = path == platform.CONFIGURATION_PATH
+        redirect = self._finder.find_redirect(to_member=is_configuration)
         if redirect is not None:
             location = redirect + path
             await responder.send(307, (("Location", location),), b"")
-        elif path == platform.CONFIGURATION_PATH and method == "PUT":
+        elif is_configuration and method == "PUT":
             await self._put_configuration(request, responder)
-        elif path == platform.CONFIGURATION_PATH and method == "GET":
+        elif is_configuration and method == "GET":
             await self._get_configuration(responder)
         elif self._state.draining:
             # This daemon no longer reaches the other replicas.
--- a/carobspring/programs/instance_control.py
+++ b/carobspring/programs/instance_control.py
@@ -249,9 +249,14 @@
         """Read the node file again; called at SIGHUP."""
         self._node_file_watcher.check(log_unchanged=True)
 
-    def find_redirect(self) -> str | None:
-        """Return the base URL of a replica if this daemon has none."""
-        if self._supervisor is not None and self._supervisor.is_started:
+    def find_redirect(self, *, to_member: bool = False) -> str | None:
+        """Return the base URL of a replica if this daemon has none.
+
+        Its replica may be a spare, which can't commit or read anything.
+        """
+        has_replica = self._supervisor is not None and self._supervisor.is_started
+        is_member = self._name in self.directory.list_replicas()
+        if has_replica and (is_member or not to_member):
             return None
         others = [name for name in self.directory.list_replicas() if name != self._name]
         if not others:
@@ -347,7 +352,7 @@
 
     async def handle(self, request: Any, responder: Any) -> None:
         """Handle one request."""
-        redirect = self._finder.find_redirect()
+        redirect = self._finder.find_redirect(to_member=True)
         if redirect is None:
             await responder.send(503, (), b"")
         else:
--- a/tests/control/test_discovery.py
+++ b/tests/control/test_discovery.py
@@ -154,6 +154,19 @@
             directory.handle_message(other.build_message(), 0.0)
             self.assertEqual(directory.list_replicas(), expected)
 
+    def test_replaced_replica_learns_that_it_is_no_member(self):
+        """A replica's own log does not hide that it was replaced since."""
+        replaced = build_directory(self.daemons[0], seeds=self.seeds)
+        replaced.update_members(tuple(self.seeds), 5)
+        other = build_directory(self.daemons[1], seeds=self.seeds)
+        new_members = (*self.seeds[1:], "10.7.0.1:7000")
+        other.update_members(new_members, 9)
+        replaced.handle_message(other.build_message(), 0.0)
+        replaced.update_members(tuple(self.seeds), 5)
+        self.assertEqual(replaced.list_replicas(), new_members)
+        replaced.update_members(tuple(self.seeds), 12)
+        self.assertEqual(replaced.list_replicas(), tuple(self.seeds))
+
     def test_knowledge_is_passed_on(self):
         """Initial members and daemons are learned from any that knows them."""
         first = build_directory(self.daemons[0], *self.daemons[1:], seeds=self.seeds)
--- a/tests/control/test_instance_api.py
+++ b/tests/control/test_instance_api.py
@@ -21,7 +21,7 @@
     def __init__(self, redirect=None):
         self.redirect = redirect
 
-    def find_redirect(self):
+    def find_redirect(self, *, to_member=False):
         return self.redirect
 
 
--- a/tests/endtoend/test_instances.py
+++ b/tests/endtoend/test_instances.py
@@ -186,6 +186,21 @@
         await asyncio.sleep(CATCH_UP_S)
         return successor
 
+    async def test_spare_redirects_operators(self):
+        """Operators get answers from a daemon that is no member."""
+        spare = self.instances.add_spare(f"127.{self.network}.9.1")
+        await self.instances.start(spare, "carob-control")
+        program = spare.programs["carob-control"]
+
+        async def is_spare():
+            return '"replica opened"' in program.read_log()
+
+        await wait_until(is_spare, "the spare's replica is open")
+        control = spare.control_url
+        status = await self.operator.put_once(control, build_configuration(2))
+        self.assertEqual(status, 200)
+        self.assertEqual(await self.operator.read_version(control), 2)
+
     async def test_next_disk_lost_after_successor_had_its_time(self):
         """A disk lost after a successor had its time costs no quorum."""
         first, second, _ = self.instances.controls
