Let an entry without routes ask every replica that it knows

But an entry follows only two replicas.

Change: an entry that got no routes within 0.4 s of its start follows all that it knows until it has some.

--- a/carobspring/gateway/replicas.py
+++ b/carobspring/gateway/replicas.py
@@ -6,10 +6,15 @@
 """
 
 from collections.abc import Iterable, Mapping
+from typing import Final
 
 from carobspring.protocol import ViewUpdate
 from carobspring.routing import score_server
 
+#: Seconds without routes after the start of an entry until it follows every
+#: replica that it knows. A running replica sends them much sooner.
+SEARCH_AFTER_S: Final = 0.4
+
 
 class KnownReplicas:
     """The names of all control replicas, as the followed replicas report them.
@@ -61,13 +66,14 @@
     entry: str,
     own_host: str,
     own_zone: str,
-    count: int,
+    count: int | None,
 ) -> tuple[str, ...]:
     """Return the replicas that an entry follows, of those given by address.
 
     The one on the same instance comes first, then those of the same
     availability zone, but at least one is in another zone if there is any.
-    Entries of one zone follow different replicas of the other zones.
+    Entries of one zone follow different replicas of the other zones. All are
+    returned if ``count`` is None.
     """
 
     def rank(name: str) -> tuple[int, float]:
@@ -78,8 +84,24 @@
         return distance, -score_server(0, f"{entry} {name}")
 
     ranked = sorted(names, key=rank)
+    if count is None:
+        return tuple(ranked)
     chosen = ranked[:count]
     elsewhere = [name for name in ranked if zones.get(name, own_zone) != own_zone]
     if count > 1 and elsewhere and not set(chosen) & set(elsewhere):
         chosen[-1] = elsewhere[0]
     return tuple(chosen)
+
+
+def count_replicas_to_follow(
+    tolerated_failures: int, *, has_routes: bool, uptime_s: float
+) -> int | None:
+    """Return how many replicas an entry follows, or None for all.
+
+    That is one more than may be lost at once. An entry that has just started
+    and got no routes from these may have picked lost ones, as after a loss of
+    all instances of which some do not return.
+    """
+    if not has_routes and uptime_s >= SEARCH_AFTER_S:
+        return None
+    return tolerated_failures + 1
--- a/carobspring/programs/instance_entry.py
+++ b/carobspring/programs/instance_entry.py
@@ -28,7 +28,7 @@
 from carobspring.gateway.directory import ListedServer
 from carobspring.gateway.exchange import ExchangeContext
 from carobspring.gateway.metrics import GatewayMetrics
-from carobspring.gateway.replicas import choose_replicas
+from carobspring.gateway.replicas import choose_replicas, count_replicas_to_follow
 from carobspring.membership import DEMAND_DIGITS
 from carobspring.ports import HttpLimits, HttpRequest, HttpResponder
 from carobspring.programs.instance_options import InstanceOptions
@@ -65,6 +65,7 @@
             settings.readiness_address,
         )
         self._clock = SystemClock()
+        self._started_at = self._clock.read_monotonic()
         random = SystemRandom()
         metrics = self._metrics = Metrics(labels={"zone": settings.availability_zone})
         self._state = GatewayState()
@@ -85,7 +86,7 @@
                 admission_client=self._admission_client,
                 read_clock=self._clock.read_monotonic,
                 spend_retry=self._try_spend_retry,
-                started_at=self._clock.read_monotonic(),
+                started_at=self._started_at,
             ),
             find_budget=self._find_budget,
             random=random,
@@ -271,15 +272,20 @@
     def _choose_replicas(
         self, names: Iterable[str], zones: Mapping[str, str]
     ) -> tuple[str, ...]:
-        """Return the replicas to follow: one more than may be lost at once."""
+        """Return the replicas to follow."""
         settings = self._settings
+        count = count_replicas_to_follow(
+            settings.tolerated_failures,
+            has_routes=self._state.table is not None,
+            uptime_s=self._clock.read_monotonic() - self._started_at,
+        )
         return choose_replicas(
             names,
             zones,
             entry=settings.instance,
             own_host=settings.ip,
             own_zone=settings.availability_zone,
-            count=settings.tolerated_failures + 1,
+            count=count,
         )
 
     def _find_budget(self, service: str) -> RetryBudget:
--- a/tests/gateway/test_replicas.py
+++ b/tests/gateway/test_replicas.py
@@ -1,6 +1,10 @@
 import unittest
 
-from carobspring.gateway.replicas import KnownReplicas, choose_replicas
+from carobspring.gateway.replicas import (
+    KnownReplicas,
+    choose_replicas,
+    count_replicas_to_follow,
+)
 from carobspring.protocol import ViewUpdate
 
 OLD_LIST, NEW_LIST = ("a", "b", "c"), ("a", "b", "d")
@@ -88,6 +92,30 @@
                 zones = [self.ZONES[name] for name in self.choose(count)]
                 self.assertEqual(zones.count("x"), count - 1)
 
+    def test_count(self):
+        """All are followed once no routes have come from the first choice."""
+        cases = {
+            "at the start": (False, 0.0, 2),
+            "no routes in time": (False, 0.4, None),
+            "routes": (True, 0.1, 2),
+            "routes, later": (True, 60.0, 2),
+        }
+        for name, (has_routes, uptime_s, expected) in cases.items():
+            with self.subTest(name):
+                count = count_replicas_to_follow(
+                    1, has_routes=has_routes, uptime_s=uptime_s
+                )
+                self.assertEqual(count, expected)
+        chosen = choose_replicas(
+            ("h1:1", "h2:1", "h3:1"),
+            {},
+            entry="e",
+            own_host="h3",
+            own_zone="a",
+            count=None,
+        )
+        self.assertEqual((chosen[0], len(chosen)), ("h3:1", 3))
+
     def test_unknown_zones(self):
         """Without any zone the requested number is chosen."""
         self.assertEqual(len(self.choose(2, zones={})), 2)
