Use a spare as soon as a message names it

A round begins every 2 s and waits up to 1 s for a daemon that is lost, and the successor waits 1 s in its first round for the one that it replaces: together up to 4 s, the whole time that it has.

Change: a message that changes the known replicas or spares is acted on at once.

tests.adapters.test_discovery failed before (no update). tests.endtoend .test_instances and tests.control.test_discovery: 24 passed.

--- a/carobspring/adapters/discovery.py
+++ b/carobspring/adapters/discovery.py
@@ -27,7 +27,9 @@
 class DiscoveryExchange:
     """Exchanges discovery messages with other control daemons.
 
-    ``on_round_end`` is called after each round of exchanges.
+    ``update_replicas`` is called after each round of exchanges, and at once
+    when a message changes the known replicas or spares: a successor has only
+    seconds to take its place, and a round may wait for a lost daemon.
     """
 
     def __init__(
@@ -37,13 +39,13 @@
         secret: str,
         clock: Clock,
         random: RandomSource,
-        on_round_end: Callable[[], None],
+        update_replicas: Callable[[], None],
     ) -> None:
         self._directory = directory
         self._secret = secret
         self._clock = clock
         self._random = random
-        self._on_round_end = on_round_end
+        self._update_replicas = update_replicas
         self._channels: dict[str, Channel] = {}
         self._unresponsive: set[str] = set()
 
@@ -61,7 +63,7 @@
             addresses = self._directory.choose_contacts(self._random)
             await asyncio.gather(*(self._exchange(name) for name in addresses))
             self._directory.choose_initial_members(self._clock.read_monotonic())
-            self._on_round_end()
+            self._update_replicas()
             known = self._directory.members
             await asyncio.sleep(REFRESH_INTERVAL_S if known else SEARCH_INTERVAL_S)
 
@@ -72,9 +74,16 @@
         self._channels.clear()
 
     async def _reply(self, message: DiscoveryMessage) -> DiscoveryMessage:
-        self._directory.handle_message(message, self._clock.read_monotonic())
+        self._merge(message)
         return self._directory.build_message(message.card.name)
 
+    def _merge(self, message: DiscoveryMessage) -> None:
+        directory = self._directory
+        before = directory.list_replicas(), directory.list_spare_daemons()
+        directory.handle_message(message, self._clock.read_monotonic())
+        if before != (directory.list_replicas(), directory.list_spare_daemons()):
+            self._update_replicas()
+
     async def _exchange(self, name: str) -> None:
         if name not in self._channels:
             address = parse_address("daemon", name)
@@ -94,7 +103,7 @@
             self._handle_failure(name, error)
             return
         if reply is not None:
-            self._directory.handle_message(reply, self._clock.read_monotonic())
+            self._merge(reply)
         if name in self._unresponsive:
             self._unresponsive.discard(name)
             logger.info("control daemon responds", extra={"daemon": name})
--- a/carobspring/programs/instance_control.py
+++ b/carobspring/programs/instance_control.py
@@ -133,7 +133,7 @@
             secret=options.secret,
             clock=self._clock,
             random=self._random,
-            on_round_end=self._update_replicas,
+            update_replicas=self._update_replicas,
         )
         self._peers: dict[str, Peer] = {}
         self._rpc_peers: dict[str, RpcPeer] = {}
