Let a spare take the place of a voter before a planned stop

When the successor of a control instance starts first and the old one is then stopped, the next disk may be lost at once, since the successor has had its time. The old voter kept its place for 2 s of silence after its end.

The end-to-end test (SIGTERM beside a spare, then a lost disk) failed: no configuration confirmed within 60 s.

Change: a stopping voter says so in its hellos, if it knows of a spare, and waits a second; the leader treats it as silent. One that only restarts is a spare afterwards. Without a spare nothing changes.

--- a/carobspring/consensus/leader.py
+++ b/carobspring/consensus/leader.py
@@ -124,6 +124,7 @@
             return
         lags = self._compute_lags(now)
         silent = self.find_silent_members(state.timing.replace_after_s, now)
+        silent |= {hello.sender for hello in hellos.values() if hello.leaving}
         change = choose_replacement_step(
             state=state, hellos=hellos, running=running, lags=lags, silent=silent
         )
--- a/carobspring/consensus/messages.py
+++ b/carobspring/consensus/messages.py
@@ -126,3 +126,5 @@
     #: Whether the sender may replace a lost voter although it has data of the
     #: cluster, from the time when it was a member.
     rejoins: bool = False
+    #: Whether the sender is about to stop, so that a spare may take its place.
+    leaving: bool = False
--- a/carobspring/consensus/node.py
+++ b/carobspring/consensus/node.py
@@ -178,9 +178,13 @@
         self._peers.add_peer(name)
 
     def build_hello(self) -> Hello:
-        """Return the message that opens a connection."""
+        """Return the message that introduces this replica to its peers."""
         return self._peers.build_hello()
 
+    def start_leaving(self) -> None:
+        """Say in each hello from now on that this replica is about to stop."""
+        self._peers.is_leaving = True
+
     def step(self, event: Event, now: float) -> None:
         """Handle an event."""
         if self._peers.has_no_peers and not self._state.cluster:
--- a/carobspring/consensus/peers.py
+++ b/carobspring/consensus/peers.py
@@ -24,6 +24,8 @@
     ) -> None:
         self._state = state
         self._rejoins = rejoins
+        #: Whether this replica is about to stop.
+        self.is_leaving = False
         self._name = name
         self._peers = peers
         self._bootstrap = bootstrap
@@ -35,7 +37,7 @@
         self._heard_at: dict[str, float] = {}
 
     def build_hello(self) -> Hello:
-        """Return the message that opens a connection."""
+        """Return the message that introduces this replica to its peers."""
         return Hello(
             sender=self._state.identity,
             receiver="",
@@ -44,6 +46,7 @@
             name=self._name,
             founding=self._bootstrap,
             rejoins=self._rejoins,
+            leaving=self.is_leaving,
         )
 
     def add_peer(self, name: str) -> None:
--- a/carobspring/consensus/reconfiguration.py
+++ b/carobspring/consensus/reconfiguration.py
@@ -80,7 +80,8 @@
     up, the old identity, which can't return, is removed and the learner is
     promoted. A voter that has been silent for long is replaced in the same
     steps by a spare, whose name no member has. If the voter is heard from
-    again before it is removed, it stays and the spare leaves.
+    again before it is removed, it stays and the spare leaves. A voter that is
+    about to stop counts as silent.
 
     Args:
         state: The leader's state.
@@ -88,7 +89,8 @@
         running: The names whose last hello is recent.
         lags: The number of entries that each member lacks, for the members
             that replied recently.
-        silent: The members that have been silent for long.
+        silent: The members that have been silent for long or are about to
+            stop.
     """
     step = _choose_spare_step(state, hellos, running, lags, silent)
     if step is not None:
@@ -135,6 +137,7 @@
         for name, hello in sorted(hellos.items())
         if name in running
         and name not in names
+        and not hello.leaving
         and (
             not hello.cluster
             or (hello.rejoins and hello.cluster == configuration.cluster)
--- a/carobspring/programs/replica.py
+++ b/carobspring/programs/replica.py
@@ -54,6 +54,8 @@
 #: Seconds to wait for a quorum to complete a request, or for a transfer of
 #: leadership.
 QUORUM_TIMEOUT_S = 5.0
+#: Seconds in which a spare gets the log and the vote of a leaving voter.
+LEAVE_TIME_S = 1.0
 
 
 class Replica(ReplicatedLog):
@@ -220,6 +222,18 @@
             await asyncio.sleep(TICK_INTERVAL_S)
         return True
 
+    async def leave(self) -> None:
+        """Let a spare, if any, take this voter's place before a stop."""
+        node = self.node
+        is_voter = node.configuration.is_voter(node.identity)
+        if not is_voter or not node.list_spares(self._clock.read_monotonic()):
+            return
+        node.start_leaving()
+        self._next_hello_at = self._clock.read_monotonic()
+        self._send_hellos()
+        # The leader tells a member nothing of its own removal.
+        await asyncio.sleep(LEAVE_TIME_S)
+
     async def add_learner(self, name: str) -> None:
         """Add an empty replica that sent a hello, without a vote."""
         hello = self.node.hellos.get(name)
--- a/carobspring/programs/replica_supervisor.py
+++ b/carobspring/programs/replica_supervisor.py
@@ -114,7 +114,7 @@
         return tuple(sorted({member.name for member in members}))
 
     async def stop(self) -> None:
-        """Transfer leadership and end all streams."""
+        """Transfer leadership, let a spare take over, and end all streams."""
         if self._reopen_task is not None:
             self._reopen_task.cancel()
         replica = self._replica
@@ -122,6 +122,7 @@
             if replica.is_leader() and len(self._peers) > 1:
                 is_transferred = await replica.transfer_leadership()
                 logger.info("leadership transferred", extra={"done": is_transferred})
+            await replica.leave()
             await replica.stop()
 
     async def propose(self, command: bytes) -> bytes:
--- a/tests/consensus/test_replacement.py
+++ b/tests/consensus/test_replacement.py
@@ -93,6 +93,18 @@
         simulation.run(CATCH_UP_S)
         self.assertEqual(find_voters(simulation), {*"abc"})
 
+    def test_leaving_voter_is_replaced_at_once(self) -> None:
+        """A spare has the place of a stopping voter before its silence."""
+        simulation = self.make_simulation(62)
+        leaving = self.find_follower(simulation)
+        assert leaving.driver is not None
+        leaving.driver.node.start_leaving()
+        simulation.run(TIMING.hello_interval_s)
+        self.assertEqual(find_voters(simulation), {*"abc"})
+        simulation.add_spare("d")
+        simulation.run(TIMING.hello_interval_s)
+        self.assertEqual(find_voters(simulation), {*"abcd"} - {leaving.name})
+
     def test_losses_in_series(self) -> None:
         """The cluster commits after each of many single losses."""
         for seed in range(70, 80):
--- a/tests/endtoend/test_instances.py
+++ b/tests/endtoend/test_instances.py
@@ -212,6 +212,19 @@
         await self.operator.put(build_configuration(3))
         await self.check_versions(3)
 
+    async def test_disk_lost_after_planned_exchange(self):
+        """A disk lost after a planned stop beside a spare costs no quorum."""
+        first, second, third = self.instances.controls
+        spare = self.instances.add_spare(f"127.{self.network}.9.1")
+        await self.instances.start(spare, "carob-control")
+        await asyncio.sleep(CATCH_UP_S)
+        await first.programs["carob-control"].stop()
+        await second.programs["carob-control"].kill()
+        shutil.rmtree(second.data_folder)
+        remaining = [third.control_url, spare.control_url]
+        operator = Operator(remaining, self.operator_client)
+        await operator.put(build_configuration(2))
+
     async def test_loss_of_all_after_two_successors(self):
         """Service returns after a loss of all that follows two successors."""
         first, second, third = self.instances.controls
