Replace control daemons in the soak, and call the newest routes

It killed and erased control daemons, but none was ever lost for good with a successor at another address, and no caller asked for a route that a recent version had added.

--- a/bench/faults.py
+++ b/bench/faults.py
@@ -5,12 +5,12 @@
 import shutil
 import signal
 import time
-from collections.abc import Awaitable, Callable, Sequence
+from collections.abc import Awaitable, Callable, Iterator, Sequence
 from typing import Final
 
 from bench.promises import CONFIGURATION_APPLY_BOUND_S, InvariantChecker
 from standins.backend_server import StandInServer
-from standins.instances import Instance, InstanceSet
+from standins.instances import CATCH_UP_S, Instance, InstanceSet
 from standins.link import Link
 
 #: Mean seconds between consecutive faults of one series.
@@ -32,7 +32,11 @@
         servers: Sequence[StandInServer],
         links: Sequence[Link],
         checker: InvariantChecker,
+        controls: list[str],
+        new_ips: Iterator[str],
     ) -> None:
+        self._controls = controls
+        self._new_ips = new_ips
         self._generator = generator
         self._instances = instances
         self._servers = servers
@@ -51,6 +55,7 @@
             self._stop,
             self._send_hangup,
             self._erase_disk,
+            self._replace_control,
             self._disrupt_link,
             self._disrupt_server,
             self._replace_server,
@@ -153,6 +158,25 @@
 
         await self._disrupt_program(disrupt, durable=True)
 
+    async def _replace_control(self) -> None:
+        """Lose a control daemon for good; its successor has another address.
+
+        The next control daemon may be disrupted after the successor's time.
+        """
+
+        async def disrupt(instance: Instance, role: str) -> None:
+            ip = next(self._new_ips, None)
+            if ip is None:
+                return
+            lost = instance.control_url
+            await instance.programs[role].kill()
+            await asyncio.sleep(self._generator.uniform(0.0, 1.5))
+            successor = await self._instances.replace_control(instance, ip)
+            self._controls[self._controls.index(lost)] = successor.control_url
+            await asyncio.sleep(CATCH_UP_S - CONFIGURATION_APPLY_BOUND_S)
+
+        await self._disrupt_program(disrupt, durable=True)
+
     async def _disrupt_link(self) -> None:
         link = self._generator.choice(self._links)
         disruption = self._generator.choice(("silence", "reset", "one way", "delay"))
--- a/bench/promises.py
+++ b/bench/promises.py
@@ -74,6 +74,19 @@
             detail = f"{replica} shows {version} after {max(earlier_versions)}"
             self.record_violation("no outdated configuration", detail)
 
+    def check_denial(self, sent_at: float, version: int, entry: str) -> None:
+        """Check that a route of a version was not denied too late.
+
+        No entry, whatever has happened to it, may answer that there is no such
+        route once instances have had the time to apply the version.
+        """
+        for at, confirmed_version in self.confirmed_versions:
+            if confirmed_version == version and at + CONFIGURATION_APPLY_BOUND_S < (
+                sent_at
+            ):
+                detail = f"{entry} denied a route of version {version}"
+                self.record_violation("no confirmed route is denied", detail)
+
     def check_executions(self, servers: Iterable[StandInServer]) -> None:
         """Check the runs on the servers against the responses to callers."""
         run_counts: Counter[str] = Counter()
--- a/bench/soak.py
+++ b/bench/soak.py
@@ -12,6 +12,7 @@
 """
 
 import asyncio
+import collections
 import random
 import sys
 import time
@@ -42,6 +43,10 @@
 #: Prompt and output tokens of a request, enough to need admission by its
 #: engine.
 LARGE_TOKEN_USAGE: Final = "6000,50"
+#: Number of last versions whose own route each configuration has.
+KEPT_ROUTES: Final = 20
+#: Number of control daemons that a run may replace.
+MAX_SUCCESSORS: Final = 40
 #: Directory for the logs of a run that violated an invariant.
 LOG_DIRECTORY: Final = Path("out")
 
@@ -62,6 +67,10 @@
         self._servers: list[StandInServer] = []
         self._call_count = 0
         self._version = 1
+        #: Versions whose own route is in the configuration.
+        self._routed_versions: collections.deque[int] = collections.deque(
+            maxlen=KEPT_ROUTES
+        )
 
     async def run(self) -> InvariantChecker:
         """Run the schedule and return the checker with its observations."""
@@ -87,7 +96,10 @@
                 )
                 await engine.start()
                 self._servers.append(engine)
-            for instance in self._instances.instances:
+            self._new_ips = (
+                f"127.{network}.{20 + number}.1" for number in range(MAX_SUCCESSORS)
+            )
+            for instance in self._instances.entries:
                 link = Link(target_host=instance.ip, target_port=FRONTEND_PORT)
                 await link.start()
                 self._links[instance.name] = link
@@ -117,9 +129,12 @@
             servers=self._servers,
             links=tuple(self._links.values()),
             checker=self.checker,
+            controls=controls,
+            new_ips=self._new_ips,
         )
         tasks += [fault_injector.run(ends_at) for _ in range(FAULT_SERIES_COUNT)]
         tasks += [self._send_changes(ends_at), self._poll_versions(controls, ends_at)]
+        tasks.append(self._call_newest_routes(client, ends_at))
         await asyncio.gather(*tasks)
         for server in self._servers:
             server.fault = ""
@@ -137,7 +152,7 @@
         statuses: dict[str, list[int | None]] = {}
 
         async def all_serving() -> bool:
-            for instance in self._instances.instances:
+            for instance in self._instances.entries:
                 status = await self._call(client, instance.name, "read")
                 statuses.setdefault(instance.name, []).append(status)
             return all(seen[-1] == 200 for seen in statuses.values())
@@ -219,7 +234,13 @@
         while time.monotonic() < ends_at:
             await asyncio.sleep(self._generator.uniform(0.2, 2.0))
             self._version += self._generator.choice((1, 2, 5))
+            self._routed_versions.append(self._version)
             changed = build_configuration(self._version)
+            route = changed["routes"][0]
+            changed["routes"] += [
+                {**route, "name": f"v{version}", "path_prefix": f"/v{version}/"}
+                for version in self._routed_versions
+            ]
             try:
                 async with asyncio.timeout(RECOVERY_BOUND_S):
                     await self._operator.put(changed)
@@ -227,6 +248,21 @@
                 continue
             self.checker.confirmed_versions.append((time.monotonic(), self._version))
 
+    async def _call_newest_routes(
+        self, client: aiohttp.ClientSession, ends_at: float
+    ) -> None:
+        """Call the route that the last confirmed version added, anywhere."""
+        names = list(self._links)
+        while time.monotonic() < ends_at:
+            await asyncio.sleep(CALLER_INTERVAL_S)
+            _, version = self.checker.confirmed_versions[-1]
+            if version not in self._routed_versions:
+                continue
+            name = self._generator.choice(names)
+            sent_at = time.monotonic()
+            if await self._call(client, name, f"v{version}") == 404:
+                self.checker.check_denial(sent_at, version, name)
+
     async def _poll_versions(self, controls: list[str], ends_at: float) -> None:
         while time.monotonic() < ends_at:
             control = self._generator.choice(controls)
--- a/standins/instances.py
+++ b/standins/instances.py
@@ -37,6 +37,8 @@
     zone: str
     node_file: Path
     data_folder: Path | None
+    #: Whether an entry runs here.
+    has_entry: bool = True
     programs: dict[str, RunningProgram] = field(default_factory=dict)
 
     @property
@@ -101,10 +103,15 @@
             instance for instance in self.instances if instance.data_folder is not None
         ]
 
+    @property
+    def entries(self) -> list[Instance]:
+        """The instances that run an entry."""
+        return [instance for instance in self.instances if instance.has_entry]
+
     async def start_all(self) -> None:
         """Start every program that is not running."""
         starts = [self.start(instance, "carob-control") for instance in self.controls]
-        starts += [self.start(instance, "carob-entry") for instance in self.instances]
+        starts += [self.start(instance, "carob-entry") for instance in self.entries]
         await asyncio.gather(*starts)
         self.first_start = False
 
@@ -126,6 +133,18 @@
         """Add an instance with an empty disk; its programs stay stopped."""
         return self._add_instance(f"disk-{ip}", ip, "a", disk=True)
 
+    async def replace_control(self, lost: Instance, ip: str) -> Instance:
+        """Start a control daemon on a new instance instead of a lost one.
+
+        The lost one's disk does not return; its entry goes on.
+        """
+        del lost.programs["carob-control"]
+        lost.data_folder = None
+        successor = self.add_spare(ip)
+        successor.has_entry = False
+        await self.start(successor, "carob-control")
+        return successor
+
     async def kill_all(self) -> None:
         """Kill every program with SIGKILL."""
         await asyncio.gather(
--- a/tests/benchmarks/test_soak.py
+++ b/tests/benchmarks/test_soak.py
@@ -55,6 +55,21 @@
                 self.checker.check_version(sent_at, version, "c1")
                 self.assertEqual(self.list_violated(), violated)
 
+    def test_denials(self):
+        """A route denied after instances had their time is detected."""
+        self.checker.confirmed_versions = [(0.0, 3), (10.0, 5)]
+        bound = CONFIGURATION_APPLY_BOUND_S
+        cases = {
+            "within the bound": (10.0 + bound, 5, []),
+            "too late": (10.1 + bound, 5, ["no confirmed route is denied"]),
+            "never confirmed": (20.0, 4, []),
+        }
+        for name, (sent_at, version, violated) in cases.items():
+            with self.subTest(name):
+                self.checker.violations.clear()
+                self.checker.check_denial(sent_at, version, "e1")
+                self.assertEqual(self.list_violated(), violated)
+
     def test_runs(self):
         """Repeated runs and runs of refused requests are detected."""
         servers = [
@@ -101,7 +116,7 @@
         soak = SoakRun(seed=1, seconds=0.0, processes=7)
         soak._links = self.links
         instances = [SimpleNamespace(name=name) for name in self.links]
-        soak._instances = SimpleNamespace(instances=instances)
+        soak._instances = SimpleNamespace(entries=instances)
         async with open_client(50) as client:
             for name in self.links:
                 await soak._call(client, name, "read")
