Show that a request which ends its servers is sent on and on

What callers see: one body that ends each server which runs it takes every server of its service down again and again, and sound requests beside it fail. Cause as far as known: hypothesis 1, nothing remembers a request beyond one exchange. Test: four entries, five stand-in servers that return after 2 s, counted at the servers.

--- a/bench/soak.py
+++ b/bench/soak.py
@@ -107,7 +107,7 @@
                 await self._run_workload(controls, client)
             finally:
                 for server in self._servers:
-                    await server.crash()
+                    await server.close()
                 for link in self._links.values():
                     await link.close()
                 if self.checker.violations:
--- a/standins/backend_server.py
+++ b/standins/backend_server.py
@@ -4,6 +4,7 @@
 import secrets
 import time
 from collections import Counter
+from dataclasses import dataclass
 
 import aiohttp
 from aiohttp import web
@@ -15,13 +16,24 @@
 RESPONSE_TIMEOUT_S = 1.0
 
 
+@dataclass(frozen=True, kw_only=True)
+class Arrival:
+    """A request that reached a backend server, run there or not."""
+
+    at: float
+    attempt_id: str
+    body: bytes
+
+
 class StandInServer:
     """A backend server in this process that checks in and serves requests.
 
     It counts its runs by attempt identifier. ``fault`` selects the injected
     fault: ``shed`` rejects requests unexecuted, ``error`` responds with 500,
     ``cut`` aborts the connection, ``hang`` delays the response by a minute,
-    and ``stray`` responds with the identifier of another attempt.
+    and ``stray`` responds with the identifier of another attempt. A request
+    whose body is ``crashing_body`` crashes the server, which returns with a
+    new identifier after ``restart_delay_s``.
     """
 
     def __init__(
@@ -36,7 +48,11 @@
         self.server_id = f"i-{secrets.token_hex(4)}"
         self.service = service
         self.run_counts: Counter[str] = Counter()
-        self.arrival_times: list[float] = []
+        self.arrivals: list[Arrival] = []
+        #: Monotonic times at which ``crashing_body`` crashed the server.
+        self.crash_times: list[float] = []
+        self.crashing_body = b""
+        self.restart_delay_s = 2.0
         self.fault = ""
         self.event_interval_s = 0.02
         self.event_count = 5
@@ -51,6 +67,12 @@
         self._sequence = 0
         self._runner: web.AppRunner | None = None
         self._check_in_task: asyncio.Task[None] | None = None
+        self._restart_task: asyncio.Task[None] | None = None
+
+    @property
+    def arrival_times(self) -> list[float]:
+        """Monotonic times at which requests arrived."""
+        return [arrival.at for arrival in self.arrivals]
 
     async def start(self, *, is_restart: bool = False) -> None:
         """Listen and check in.
@@ -70,6 +92,12 @@
         await web.TCPSite(self._runner, self._ip, SERVER_PORT).start()
         self._check_in_task = asyncio.create_task(self._check_in_periodically())
 
+    async def close(self) -> None:
+        """Stop for good."""
+        if self._restart_task is not None:
+            self._restart_task.cancel()
+        await self.crash()
+
     async def crash(self) -> None:
         """Stop serving and checking in, without a drain."""
         if self._check_in_task is not None:
@@ -77,6 +105,24 @@
         if self._runner is not None:
             await self._runner.cleanup()
 
+    def _break_down(self) -> None:
+        """End like a crashed process, and return after a while."""
+        self.crash_times.append(time.monotonic())
+        assert self._runner is not None and self._runner.server is not None
+        for site in tuple(self._runner.sites):
+            # Closes the listening socket at once, unlike stopping the site.
+            site._server.close()  # type: ignore[attr-defined]
+        for connection in tuple(self._runner.server.connections):
+            if connection.transport is not None:
+                connection.transport.abort()
+        self._restart_task = asyncio.create_task(self._return())
+
+    async def _return(self) -> None:
+        await self.crash()
+        await asyncio.sleep(self.restart_delay_s)
+        self.server_id = f"i-{secrets.token_hex(4)}"
+        await self.start(is_restart=True)
+
     async def drain(self) -> None:
         """Report a drain in the check-ins and wait for its confirmation."""
         self.state = "draining"
@@ -123,14 +169,20 @@
         return confirmed
 
     async def _handle_request(self, request: web.Request) -> web.StreamResponse:
-        self.arrival_times.append(time.monotonic())
         headers = request.headers
+        body = await request.read()
+        attempt_id = headers.get("Carobspring-Attempt-Id", "")
+        self.arrivals.append(
+            Arrival(at=time.monotonic(), attempt_id=attempt_id, body=body)
+        )
         if headers.get("Carobspring-Expected-Instance") != self.server_id:
             return web.Response(status=421)
         if self.fault == "shed":
             return web.Response(status=503, headers={"Carobspring-Not-Executed": "1"})
-        attempt_id = headers["Carobspring-Attempt-Id"]
         self.run_counts[attempt_id] += 1
+        if body and body == self.crashing_body:
+            self._break_down()
+            return web.Response()
         response_headers = {
             "Carobspring-Attempt-Id": attempt_id,
             "Carobspring-Upstream-Signature": f"{self.server_id}.{attempt_id}",
