Log which request a failed attempt had, and who ended the connection

Cause: a request that comes again has a new identifier, so no log line told that two failed attempts were the same request, nor whether the server's side had ended the connection. Change: 'attempt failed' gains workspace, digest (method, path, query, body) and peer_ended; IncompleteResponseError says whether the peer ended the connection. No decision changes.

--- a/carobspring/adapters/backend_connection.py
+++ b/carobspring/adapters/backend_connection.py
@@ -29,6 +29,7 @@
         #: Why the connection was closed, or empty. The gateway may send it to
         #: callers and use it as a metric label: keep the texts of reasons.
         self._close_reason: str = ""
+        self._peer_ended = False
         #: Time at which the last response ended.
         self.idle_since = 0.0
         #: Seconds that the server keeps an idle connection; None if unknown.
@@ -60,6 +61,7 @@
 
     def eof_received(self) -> bool:
         """Handle the end of the server's data."""
+        self._peer_ended = True
         if self._request is None:
             self.close("the server closed an idle connection")
         else:
@@ -69,6 +71,8 @@
     def connection_lost(self, error: Exception | None) -> None:
         """Record why the connection ended."""
         if not self._close_reason:
+            # A timeout of the socket says nothing about the server.
+            self._peer_ended |= error is None or isinstance(error, ConnectionError)
             self._close_reason = (
                 f"{type(error).__name__} {error}" if error else "closed"
             )
@@ -99,13 +103,17 @@
             except h11.RemoteProtocolError as error:
                 reason = self._close_reason or str(error)
                 self.close(reason)
-                raise IncompleteResponseError(reason=reason) from error
+                raise IncompleteResponseError(
+                    reason=reason, peer_ended=self._peer_ended
+                ) from error
             if isinstance(event, h11.InformationalResponse):
                 continue
             if event is not h11.NEED_DATA:
                 return event
             if self._close_reason:
-                raise IncompleteResponseError(reason=self._close_reason)
+                raise IncompleteResponseError(
+                    reason=self._close_reason, peer_ended=self._peer_ended
+                )
             self._data_arrived.clear()
             self._resume_reading()
             await self._data_arrived.wait()
--- a/carobspring/gateway/exchange.py
+++ b/carobspring/gateway/exchange.py
@@ -16,6 +16,7 @@
     Refusal,
     RefusalReason,
 )
+from carobspring.domain import hash_request
 from carobspring.domain.routes import Repeatability, Route
 from carobspring.gateway.admission import AdmissionClient
 from carobspring.gateway.backends import BackendConnections
@@ -122,6 +123,7 @@
         self._was_shed = False
         self._sends = 0
         self._server_id = ""
+        self._digest = ""
         self._failure_response: BufferedResponse | None = None
         #: True if the next retry was already taken from the budget.
         self._has_reserved_retry = False
@@ -265,11 +267,11 @@
             outcome = AttemptOutcome.UNREACHABLE
             return AttemptResult(outcome=outcome, detail=error.reason)
         except IncompleteResponseError as error:
-            return AttemptResult(outcome=AttemptOutcome.INCOMPLETE, detail=error.reason)
+            return _build_incomplete_result(error)
         try:
             return await self._handle_response(response, server_id)
         except IncompleteResponseError as error:
-            return AttemptResult(outcome=AttemptOutcome.INCOMPLETE, detail=error.reason)
+            return _build_incomplete_result(error)
         finally:
             response.close()
 
@@ -357,6 +359,14 @@
         await self._relay.send_error(status, reason)
         return self._build_report(RequestOutcome.FAILED, status, reason)
 
+    def _compute_digest(self) -> str:
+        """Return what stays the same when a caller sends a request again."""
+        if not self._digest:
+            request = self._request
+            target = f"{request.path}?{request.query}"
+            self._digest = hash_request(request.method, target, request.body)
+        return self._digest
+
     def _build_report(
         self, outcome: RequestOutcome, status: int, reason: str
     ) -> ExchangeReport:
@@ -384,8 +394,19 @@
                 "boot": placement.server.boot,
                 "outcome": result.outcome.value,
                 "detail": result.detail,
+                "peer_ended": result.peer_ended,
+                "workspace": self._workspace,
+                "digest": self._compute_digest(),
                 "took_ms": round(duration_s * 1000, 1),
                 "placement": placement.reason,
                 "last_event": self._relay.last_event_id,
             },
         )
+
+
+def _build_incomplete_result(error: IncompleteResponseError) -> AttemptResult:
+    return AttemptResult(
+        outcome=AttemptOutcome.INCOMPLETE,
+        detail=error.reason,
+        peer_ended=error.peer_ended,
+    )
--- a/carobspring/gateway/outcomes.py
+++ b/carobspring/gateway/outcomes.py
@@ -67,6 +67,8 @@
     #: gets and the reason in the metrics.
     detail: str = ""
     response: BufferedResponse | None = None
+    #: True if the server's side ended the connection without a response.
+    peer_ended: bool = False
 
 
 def encode_error(reason: str) -> bytes:
--- a/carobspring/ports/backend.py
+++ b/carobspring/ports/backend.py
@@ -24,7 +24,17 @@
 
 
 class IncompleteResponseError(BackendError):
-    """The request was sent, but no complete response was received."""
+    """The request was sent, but no complete response was received.
+
+    Args:
+        reason: As of every backend error.
+        peer_ended: True if the server's side ended the connection, and not
+            this side because of a timeout or of invalid bytes.
+    """
+
+    def __init__(self, *, reason: str, peer_ended: bool = False) -> None:
+        super().__init__(reason=reason)
+        self.peer_ended = peer_ended
 
 
 @dataclass(frozen=True, kw_only=True)
--- a/tests/gateway/test_exchange.py
+++ b/tests/gateway/test_exchange.py
@@ -3,7 +3,7 @@
 
 from carobspring.domain import ServiceKind
 from carobspring.domain.routes import Repeatability
-from carobspring.ports import BackendUnreachableError
+from carobspring.ports import BackendUnreachableError, IncompleteResponseError
 from tests.gateway.fakes import (
     REQUEST_ID,
     RESPONSE_HEADERS,
@@ -135,6 +135,22 @@
         self.assertLessEqual(int(headers["Carobspring-Deadline-Ms"]), 2000)
 
 
+class LogTests(unittest.IsolatedAsyncioTestCase):
+    async def test_digest_of_failed_attempts(self):
+        """A resent request has another identifier and the same digest."""
+        error = IncompleteResponseError(reason="reset", peer_ended=True)
+        gateway = GatewayHarness([error], repeatability=ONCE)
+        with self.assertLogs("carobspring.gateway.exchange", "INFO") as logs:
+            await gateway.call()
+            await gateway.call(headers=(("Carobspring-Attempt-Id", "other"),))
+            await gateway.call(path="/a/y")
+        records = [each for each in logs.records if each.msg == "attempt failed"]
+        self.assertEqual([each.peer_ended for each in records], [True] * 3)
+        digests = [each.digest for each in records]
+        self.assertEqual(digests[0], digests[1])
+        self.assertNotEqual(digests[0], digests[2])
+
+
 class StreamTests(unittest.IsolatedAsyncioTestCase):
     async def test_stream_is_resumed_within_a_response(self):
         """A broken stream resumes at another server after its last event."""
