--- a/tests/gateway/test_exchange.py
+++ b/tests/gateway/test_exchange.py
@@ -139,11 +139,14 @@
     async def test_digest_of_failed_attempts(self):
         """A resent request has another identifier and the same digest."""
         error = IncompleteResponseError(reason="reset", peer_ended=True)
-        gateway = GatewayHarness([error], repeatability=ONCE)
+        calls = (
+            {},
+            {"headers": (("Carobspring-Attempt-Id", "other"),)},
+            {"path": "/a/y"},
+        )
         with self.assertLogs("carobspring.gateway.exchange", "INFO") as logs:
-            await gateway.call()
-            await gateway.call(headers=(("Carobspring-Attempt-Id", "other"),))
-            await gateway.call(path="/a/y")
+            for call in calls:
+                await GatewayHarness([error], repeatability=ONCE).call(**call)
         records = [each for each in logs.records if each.msg == "attempt failed"]
         self.assertEqual([each.peer_ended for each in records], [True] * 3)
         digests = [each.digest for each in records]
