Hold back a request under which several servers have crashed

What callers saw: a request that ends each server which runs it took every server of its service down again and again, and sound requests beside it failed. Cause: strikes and quarantine stood before the agents only; entries that route by the operator's routes remember nothing of a request beyond one exchange. Ruled out: that an entry knew and others heard of it too late (none knew). Change: an entry proves a server's end by a refused connection or by its next start, gives each request that ran there a strike, and reports it to the control replicas, which share strikes as soft state and tell all entries of requests with two. A request that runs to its end is cleared.

--- a/carobspring/adapters/backend_http.py
+++ b/carobspring/adapters/backend_http.py
@@ -242,6 +242,22 @@
             writer.close()
         return False
 
+    async def is_refusing(self, timeout_s: float) -> bool:
+        """Return whether nothing listens at the server's address.
+
+        A timeout says nothing, and neither does a reset after the connection
+        was accepted: servers with too many connections do that.
+        """
+        try:
+            async with asyncio.timeout(timeout_s):
+                _, writer = await asyncio.open_connection(*self._address)
+        except ConnectionRefusedError:
+            return True
+        except (OSError, TimeoutError):
+            return False
+        writer.close()
+        return False
+
     async def close(self) -> None:
         """Close every connection."""
         self._closed = True
--- a/carobspring/adapters/entry_control_stream.py
+++ b/carobspring/adapters/entry_control_stream.py
@@ -54,6 +54,7 @@
         self.connected = False
         #: Whether the replica responds, confirmed or not.
         self.responding = False
+        self._report_requested = asyncio.Event()
 
     async def run(self) -> None:
         """Receive view updates until cancelled."""
@@ -98,6 +99,10 @@
                 with contextlib.suppress(*STREAM_ERRORS):
                     await stream.cancel()
 
+    def request_report(self) -> None:
+        """Send a report at once."""
+        self._report_requested.set()
+
     def _set_connected(self, connected: bool) -> None:
         if connected is not self.connected:
             self.connected = connected
@@ -106,5 +111,8 @@
     async def _send_reports(self, stream: Any) -> None:
         with contextlib.suppress(*STREAM_ERRORS):
             while True:
-                await asyncio.sleep(REPORT_INTERVAL_S)
+                with contextlib.suppress(TimeoutError):
+                    async with asyncio.timeout(REPORT_INTERVAL_S):
+                        await self._report_requested.wait()
+                self._report_requested.clear()
                 await stream.send_message(self._build_report())
--- a/carobspring/control/gossip.py
+++ b/carobspring/control/gossip.py
@@ -93,10 +93,17 @@
         entries = tuple(state.entries.list_local_gossip(now))
         for name, peer in self._peers.items():
             members = tuple(state.members.list_local_gossip(peer.sent_view, now))
+            is_complete = peer.sent_view == NO_VIEW
             peer.sent_view = state.members.view
             message = GossipMessage(
                 members=members, entries=entries, view=state.members.view
             )
+            if is_complete:
+                message = replace(
+                    message,
+                    strikes=state.entry_strikes.list_strikes(),
+                    released=state.entry_strikes.list_released(),
+                )
             self._send(name, peer, message)
 
     def is_replicated(self, view: int) -> bool:
@@ -135,6 +142,9 @@
             self._state.members.apply_gossip(member, now)
         for entry in message.entries:
             self._state.entries.apply_gossip(entry, now)
+            report = entry.report
+            self._state.merge_strikes(report.strikes, report.released)
+        self._state.merge_strikes(message.strikes, message.released)
         self._state.notify_member_changes()
         self._handle_views(peer, message)
 
--- a/carobspring/control/sessions.py
+++ b/carobspring/control/sessions.py
@@ -32,6 +32,7 @@
         self._revision = -1
         self._strikes: tuple[Strike, ...] = ()
         self._change_count = -1
+        self._held_strikes: tuple[Strike, ...] = ()
 
     def take_delta(self) -> SharedStateDelta:
         """Return the changes since the last call."""
@@ -41,8 +42,13 @@
         self._revision = max(self._revision, settings.revision)
         added: tuple[Strike, ...] = ()
         released: tuple[Strike, ...] = ()
-        if strike_table.change_count != self._change_count:
-            strikes = strike_table.list_strikes()
+        held = self._state.held_strikes
+        if (
+            strike_table.change_count != self._change_count
+            or held is not self._held_strikes
+        ):
+            self._held_strikes = held
+            strikes = strike_table.list_strikes() + held
             before, after = set(self._strikes), set(strikes)
             added = tuple(strike for strike in strikes if strike not in before)
             released = tuple(s for s in self._strikes if s not in after)
@@ -114,7 +120,11 @@
 
     def handle_report(self, report: EntryReport) -> None:
         """Store a report in the table of entries."""
-        self._state.entries.apply_report(report, self._state.clock.read_monotonic())
+        state = self._state
+        state.entries.apply_report(report, state.clock.read_monotonic())
+        if state.merge_strikes(report.strikes, report.released):
+            # Peers must learn of strikes at once.
+            state.local_change_count += 1
 
     def build_update(self) -> ViewUpdate:
         """Return the changes; an empty update serves as a heartbeat."""
--- a/carobspring/control/state.py
+++ b/carobspring/control/state.py
@@ -1,11 +1,18 @@
 """State shared by the components of one control replica."""
 
 import asyncio
+from collections.abc import Iterable
 
 from carobspring.control.machine import ControlMachine
-from carobspring.membership import LEASE_S, EntryTable, MembershipTable
+from carobspring.membership import (
+    HELD_STRIKES,
+    LEASE_S,
+    EntryTable,
+    MembershipTable,
+    StrikeSet,
+)
 from carobspring.ports import Clock
-from carobspring.protocol import RoutingConfiguration
+from carobspring.protocol import RoutingConfiguration, Strike
 
 
 class StreamNotifier:
@@ -50,6 +57,10 @@
         self.machine = ControlMachine(on_applied=self.handle_applied)
         self.members = MembershipTable(now=clock.read_monotonic(), lease_s=lease_s)
         self.entries = EntryTable()
+        #: Strikes that entries report, beside the committed ones of agents.
+        self.entry_strikes = StrikeSet()
+        #: Those of requests that all entries hold back.
+        self.held_strikes: tuple[Strike, ...] = ()
         self.draining = False
         self._notified_change_count = 0
         #: Incremented when a report to this replica or an expired lease
@@ -70,6 +81,24 @@
         last_known = self.last_known_routing
         return applied if applied.version >= last_known.version else last_known
 
+    def merge_strikes(
+        self, strikes: Iterable[Strike], released: Iterable[Strike]
+    ) -> bool:
+        """Merge strikes and their release; return whether any are new.
+
+        Entries are told only of requests that must be held back: of the many
+        that run on a server when it crashes, most never do so again.
+        """
+        gone = self.entry_strikes.release(released)
+        added = self.entry_strikes.add(strikes)
+        if not added and not gone:
+            return False
+        held = self.entry_strikes.list_strikes(min_count=HELD_STRIKES)
+        if held != self.held_strikes:
+            self.held_strikes = held
+            self.entry_notifier.notify_all()
+        return True
+
     def handle_applied(self) -> None:
         """Propagate the changes of a command or a restored snapshot."""
         if self.machine.drained != self.members.drained:
--- a/carobspring/dispatch/__init__.py
+++ b/carobspring/dispatch/__init__.py
@@ -4,8 +4,10 @@
 decisions.
 """
 
+from carobspring.dispatch.crashes import CrashAttribution, OpenRun
 from carobspring.dispatch.dispatcher import Dispatcher
 from carobspring.dispatch.limits import DispatchLimits
+from carobspring.dispatch.quarantine import RequestQuarantine
 from carobspring.dispatch.queries import (
     AttemptOutcome,
     DispatchQuery,
@@ -17,11 +19,14 @@
 
 __all__ = [
     "AttemptOutcome",
+    "CrashAttribution",
     "DispatchLimits",
     "DispatchQuery",
     "Dispatcher",
     "EngineDemand",
+    "OpenRun",
     "Placement",
     "Refusal",
     "RefusalReason",
+    "RequestQuarantine",
 ]
--- /dev/null
+++ b/carobspring/dispatch/crashes.py
@@ -0,0 +1,140 @@
+"""Attribution of crashed backend servers to the requests that ran there."""
+
+from collections import OrderedDict, deque
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Final
+
+from carobspring.domain import BackendServer
+from carobspring.membership import RequestKey, ServerRun
+
+#: Broken runs and crashed servers that are remembered.
+MAX_BROKEN_RUNS: Final = 1_000
+MAX_CRASHED_SERVERS: Final = 1_000
+#: Addresses and identifiers whose last server is remembered.
+MAX_LISTED: Final = 10_000
+
+
+@dataclass(frozen=True, kw_only=True, eq=False)
+class OpenRun:
+    """A request that was sent to a backend server and has not ended."""
+
+    server_run: ServerRun
+    #: Returns the request's key, which costs a hash of its body.
+    identify: Callable[[], RequestKey]
+    #: Whether a server already crashed under this request.
+    is_suspect: bool
+
+
+@dataclass(frozen=True, kw_only=True)
+class _BrokenRun:
+    """A run that ended without a response."""
+
+    server_run: ServerRun
+    key: RequestKey
+    ended_at: float
+
+
+class CrashAttribution:
+    """Finds the requests that ran on a server when it crashed.
+
+    That a connection ended is no proof: links are reset, and servers close
+    connections. A crash is proved by a refused connection afterwards, or by a
+    later start of the server. Until then a run that ended without a response
+    is remembered for ``evidence_s``.
+
+    Example:
+        ``run = attribution.begin(server, identify, now)``, then
+        ``attribution.end(run, is_broken=True, now)``, and
+        ``attribution.record_crash(run.server_run, now)`` once it is proved.
+    """
+
+    def __init__(self, *, evidence_s: float) -> None:
+        self._evidence_s = evidence_s
+        self._open: dict[ServerRun, dict[OpenRun, None]] = {}
+        self._broken: deque[_BrokenRun] = deque(maxlen=MAX_BROKEN_RUNS)
+        self._crashed: OrderedDict[ServerRun, None] = OrderedDict()
+        #: The last listed server at each address and of each identifier, and
+        #: whether it was draining.
+        self._listed: OrderedDict[str, tuple[ServerRun, bool]] = OrderedDict()
+
+    def begin(
+        self,
+        server: BackendServer,
+        identify: Callable[[], RequestKey],
+        *,
+        is_suspect: bool = False,
+    ) -> OpenRun:
+        """Record that a request is sent to a server."""
+        run = OpenRun(
+            server_run=(server.server_id, server.boot),
+            identify=identify,
+            is_suspect=is_suspect,
+        )
+        self._open.setdefault(run.server_run, {})[run] = None
+        return run
+
+    def end(self, run: OpenRun, *, is_broken: bool, now: float) -> RequestKey | None:
+        """Record the end of a run; return its key if its server crashed."""
+        runs = self._open.get(run.server_run, {})
+        if run not in runs:
+            # A crash of the server was already attributed to it.
+            return None
+        del runs[run]
+        if not runs:
+            del self._open[run.server_run]
+        if not is_broken:
+            return None
+        key = run.identify()
+        if run.server_run in self._crashed:
+            return key
+        broken = _BrokenRun(server_run=run.server_run, key=key, ended_at=now)
+        self._broken.append(broken)
+        return None
+
+    def record_crash(self, server_run: ServerRun, now: float) -> tuple[RequestKey, ...]:
+        """Record a proved crash; return the requests that ran there."""
+        self._crashed[server_run] = None
+        self._crashed.move_to_end(server_run)
+        while len(self._crashed) > MAX_CRASHED_SERVERS:
+            self._crashed.popitem(last=False)
+        keys = [run.identify() for run in self._open.pop(server_run, {})]
+        kept: deque[_BrokenRun] = deque(maxlen=MAX_BROKEN_RUNS)
+        for run in self._broken:
+            if now - run.ended_at > self._evidence_s:
+                continue
+            if run.server_run == server_run:
+                keys.append(run.key)
+            else:
+                kept.append(run)
+        self._broken = kept
+        return tuple(dict.fromkeys(keys))
+
+    def record_listed(
+        self, server: BackendServer, *, draining: bool
+    ) -> ServerRun | None:
+        """Record a listed server; return the run that must have crashed.
+
+        That is the one before it at its address or of its identifier, unless
+        it was draining, in which case it has left as planned.
+        """
+        server_run = (server.server_id, server.boot)
+        crashed = None
+        for place in (f"{server.host}:{server.port}", server.server_id):
+            previous, was_draining = self._listed.get(place, (server_run, False))
+            is_later = server.boot > previous[1]
+            if previous != server_run and is_later and not was_draining:
+                crashed = previous
+            self._listed[place] = (server_run, draining)
+            self._listed.move_to_end(place)
+        while len(self._listed) > MAX_LISTED:
+            self._listed.popitem(last=False)
+        return crashed
+
+    def list_suspect_servers(self) -> frozenset[str]:
+        """Return the servers where suspects of this entry run."""
+        return frozenset(
+            server_run[0]
+            for server_run, runs in self._open.items()
+            if any(run.is_suspect for run in runs)
+        )
--- a/carobspring/dispatch/queries.py
+++ b/carobspring/dispatch/queries.py
@@ -57,6 +57,8 @@
     OVERLOAD = "overload"
     #: The retry budget, shared by all requests, is used up.
     BUDGET = "budget"
+    #: Several servers have crashed while the request ran there.
+    QUARANTINED = "quarantined"
 
 
 @dataclass(frozen=True, kw_only=True)
--- a/carobspring/gateway/control.py
+++ b/carobspring/gateway/control.py
@@ -84,6 +84,11 @@
         """Replace the seed addresses."""
         self._seeds = tuple(seeds)
 
+    def request_report(self) -> None:
+        """Send every followed replica a report at once."""
+        for each in self._followed.values():
+            each.stream.request_report()
+
     async def run(self) -> None:
         """Maintain the streams until cancelled."""
         try:
--- /dev/null
+++ b/carobspring/gateway/crashes.py
@@ -0,0 +1,221 @@
+"""Detection of crashed backend servers and of the requests that ran there."""
+
+import asyncio
+import logging
+from collections import deque
+from collections.abc import Callable, Iterable
+from typing import Final
+
+from carobspring.adapters.tasks import start_task
+from carobspring.dispatch import CrashAttribution, OpenRun, RequestQuarantine
+from carobspring.domain import BackendServer
+from carobspring.gateway.backends import BackendConnections
+from carobspring.gateway.directory import ListedServer
+from carobspring.gateway.metrics import CrashMetrics
+from carobspring.membership import RequestKey, ServerRun
+from carobspring.protocol import Strike, ViewUpdate
+
+#: Seconds that a connection attempt may take which shows whether a server has
+#: crashed. The request that its end interrupted waits for that long.
+PROBE_TIMEOUT_S: Final = 0.3
+#: Seconds for which a strike is repeated in reports, since a report may be
+#: lost with its stream.
+REPORT_S: Final = 5.0
+#: Own strikes that are kept for replicas that have lost theirs.
+MAX_OWN_STRIKES: Final = 500
+
+logger = logging.getLogger(__name__)
+
+
+class CrashDetector:
+    """Tells which requests were running on servers that have crashed.
+
+    It proves crashes by connection attempts and by what control replicas
+    list, reports strikes to the replicas, and holds requests back by the
+    strikes of all entries.
+    """
+
+    def __init__(
+        self,
+        *,
+        connections: BackendConnections,
+        find_listing: Callable[[str], ListedServer | None],
+        read_clock: Callable[[], float],
+        read_wall_ms: Callable[[], int],
+        request_report: Callable[[], None],
+        evidence_s: float,
+        metrics: CrashMetrics,
+    ) -> None:
+        self._connections = connections
+        self._find_listing = find_listing
+        self._read_clock = read_clock
+        self._read_wall_ms = read_wall_ms
+        self._request_report = request_report
+        self._metrics = metrics
+        self._attribution = CrashAttribution(evidence_s=evidence_s)
+        self._quarantine = RequestQuarantine()
+        self._probes: dict[ServerRun, asyncio.Task[bool]] = {}
+        self._own_strikes: deque[tuple[float, Strike]] = deque(maxlen=MAX_OWN_STRIKES)
+        self._released: deque[tuple[float, Strike]] = deque(maxlen=MAX_OWN_STRIKES)
+        #: Until when all own strikes are reported, not only the new ones.
+        self._complete_until = float("-inf")
+
+    def compute_hold(self, identify: Callable[[], RequestKey]) -> float:
+        """Return the seconds for which a request is held back, or zero."""
+        if self._quarantine.is_empty:
+            return 0.0
+        return self._quarantine.admit(identify(), self._read_clock())
+
+    def list_avoided_servers(
+        self, identify: Callable[[], RequestKey]
+    ) -> frozenset[str]:
+        """Return the servers that a request with a strike stays away from."""
+        if not self._is_suspect(identify):
+            return frozenset()
+        return self._attribution.list_suspect_servers()
+
+    def begin(
+        self, server: BackendServer, identify: Callable[[], RequestKey]
+    ) -> OpenRun:
+        """Record that a request is sent to a server."""
+        return self._attribution.begin(
+            server, identify, is_suspect=self._is_suspect(identify)
+        )
+
+    def end_answered(self, run: OpenRun) -> None:
+        """Record that a request ran to its end, so it crashes no server."""
+        self._attribution.end(run, is_broken=False, now=self._read_clock())
+        if self._quarantine.is_empty:
+            return
+        released = self._quarantine.release_request(run.identify())
+        if released:
+            now = self._read_clock()
+            self._released.extend((now, strike) for strike in released)
+            self._request_report()
+
+    def end_unsent(self, run: OpenRun) -> None:
+        """Record that the server has not run the request."""
+        self._attribution.end(run, is_broken=False, now=self._read_clock())
+
+    def end_broken(self, run: OpenRun, *, peer_ended: bool) -> None:
+        """Record that a request ended without a response."""
+        listing = self._find_listing(run.server_run[0])
+        # A server that leaves as planned ends its connections at last.
+        has_left = listing is None or listing.draining
+        is_broken = not (peer_ended and has_left)
+        key = self._attribution.end(run, is_broken=is_broken, now=self._read_clock())
+        if key is not None:
+            self._add_strikes(run.server_run, (key,))
+
+    async def investigate(self, server: BackendServer) -> None:
+        """Find out whether a server that ended a connection has crashed."""
+        listing = self._find_listing(server.server_id)
+        if listing is None or listing.draining or listing.server != server:
+            return
+        server_run = (server.server_id, server.boot)
+        probe = self._probes.get(server_run)
+        if probe is None:
+            probe = start_task(self._probe(server), name="probe ended server")
+            self._probes[server_run] = probe
+        # Several requests wait for one probe, and each of them may be
+        # cancelled.
+        await asyncio.shield(probe)
+
+    def handle_listed(self, listed: ListedServer) -> None:
+        """Handle a server that a control replica lists anew or changed."""
+        crashed = self._attribution.record_listed(
+            listed.server, draining=listed.draining
+        )
+        if crashed is not None:
+            self._record_crash(crashed, "a later start is listed")
+
+    def apply_update(self, update: ViewUpdate) -> None:
+        """Apply the strikes that a control replica knows of all entries."""
+        now = self._read_clock()
+        if update.complete:
+            # The replica may have lost what was reported to it before.
+            self._complete_until = now + REPORT_S
+        for strike in self._quarantine.add(update.strikes, now):
+            extra = _build_log_fields(strike)
+            extra["strikes"] = self._quarantine.count(
+                (strike.workspace, strike.request_hash)
+            )
+            logger.info("strike received", extra=extra)
+        self._quarantine.remove(update.released)
+
+    def list_strikes(self) -> tuple[Strike, ...]:
+        """Return the strikes to include in a report."""
+        return self._list_recent(self._own_strikes)
+
+    def list_released(self) -> tuple[Strike, ...]:
+        """Return the released strikes to include in a report."""
+        return self._list_recent(self._released)
+
+    def _list_recent(
+        self, strikes: Iterable[tuple[float, Strike]]
+    ) -> tuple[Strike, ...]:
+        now = self._read_clock()
+        since = float("-inf") if now < self._complete_until else now - REPORT_S
+        return tuple(strike for at, strike in strikes if at >= since)
+
+    def _is_suspect(self, identify: Callable[[], RequestKey]) -> bool:
+        return not self._quarantine.is_empty and self._quarantine.count(identify()) > 0
+
+    async def _probe(self, server: BackendServer) -> bool:
+        server_run = (server.server_id, server.boot)
+        client = self._connections.find(server.server_id)
+        try:
+            is_refusing = client is not None and await client.is_refusing(
+                PROBE_TIMEOUT_S
+            )
+            if is_refusing:
+                self._record_crash(server_run, "it refuses connections")
+            return is_refusing
+        finally:
+            del self._probes[server_run]
+
+    def _record_crash(self, server_run: ServerRun, proof: str) -> None:
+        keys = self._attribution.record_crash(server_run, self._read_clock())
+        self._metrics.record_crash()
+        logger.info(
+            "backend server crashed",
+            extra={
+                "server": server_run[0],
+                "boot": server_run[1],
+                "proof": proof,
+                "running": len(keys),
+            },
+        )
+        self._add_strikes(server_run, keys)
+
+    def _add_strikes(self, server_run: ServerRun, keys: Iterable[RequestKey]) -> None:
+        now, at_ms = self._read_clock(), self._read_wall_ms()
+        strikes = tuple(
+            Strike(
+                workspace=workspace,
+                request_hash=request_hash,
+                server_id=server_run[0],
+                boot=server_run[1],
+                at_ms=at_ms,
+            )
+            for workspace, request_hash in keys
+        )
+        added = self._quarantine.add(strikes, now)
+        if not added:
+            return
+        self._own_strikes.extend((now, strike) for strike in added)
+        self._metrics.record_strikes(len(added))
+        for strike in added:
+            count = self._quarantine.count((strike.workspace, strike.request_hash))
+            extra = _build_log_fields(strike) | {"strikes": count}
+            logger.info("request struck", extra=extra)
+        self._request_report()
+
+
+def _build_log_fields(strike: Strike) -> dict[str, object]:
+    return {
+        "workspace": strike.workspace,
+        "digest": strike.request_hash,
+        "server": strike.server_id,
+        "boot": strike.boot,
+    }
--- a/carobspring/gateway/exchange.py
+++ b/carobspring/gateway/exchange.py
@@ -12,6 +12,7 @@
     AttemptOutcome,
     Dispatcher,
     DispatchQuery,
+    OpenRun,
     Placement,
     Refusal,
     RefusalReason,
@@ -20,6 +21,7 @@
 from carobspring.domain.routes import Repeatability, Route
 from carobspring.gateway.admission import AdmissionClient
 from carobspring.gateway.backends import BackendConnections
+from carobspring.gateway.crashes import CrashDetector
 from carobspring.gateway.outcomes import (
     AttemptResult,
     BufferedResponse,
@@ -28,6 +30,7 @@
 )
 from carobspring.gateway.relay import ResponseRelay
 from carobspring.gateway.request_admission import RequestAdmission
+from carobspring.membership import RequestKey
 from carobspring.ports import (
     BackendRequest,
     BackendResponse,
@@ -64,6 +67,7 @@
 
     dispatcher: Dispatcher
     connections: BackendConnections
+    crash_detector: CrashDetector
     admission_client: AdmissionClient
     read_clock: Callable[[], float]
     #: Takes one retry to a service from its budget; False if none is left.
@@ -144,8 +148,12 @@
     async def _try_servers(self) -> ExchangeReport:
         while True:
             now = self._context.read_clock()
-            excluded = self._excluded | self._admission.rejected_servers
-            placement = self._context.dispatcher.place(self._query, excluded, now)
+            hold_s = self._context.crash_detector.compute_hold(self._identify)
+            if hold_s > 0:
+                return await self._finish_refused(
+                    Refusal(reason=RefusalReason.QUARANTINED, retry_after_s=hold_s)
+                )
+            placement = self._place(now)
             if isinstance(placement, Refusal):
                 placement = self._admission.explain_refusal(placement)
                 if await self._wait_for_servers(placement, now):
@@ -174,9 +182,23 @@
             self._excluded.add(placement.server.server_id)
             self._was_shed |= result.outcome is AttemptOutcome.NOT_RUN
             self._failure_response = result.response or self._failure_response
+            if result.peer_ended:
+                await self._context.crash_detector.investigate(placement.server)
             if result.outcome not in _NOT_RUN and not self._can_retry():
                 return await self._finish_failed(result.detail)
 
+    def _place(self, now: float) -> Placement | Refusal:
+        """Choose a server, away from other requests that may crash theirs."""
+        excluded = self._excluded | self._admission.rejected_servers
+        avoided = self._context.crash_detector.list_avoided_servers(self._identify)
+        if avoided - excluded:
+            placement = self._context.dispatcher.place(
+                self._query, excluded | avoided, now
+            )
+            if isinstance(placement, Placement):
+                return placement
+        return self._context.dispatcher.place(self._query, excluded, now)
+
     async def _wait_for_servers(self, refusal: Refusal, now: float) -> bool:
         """Wait for servers that a newly started entry doesn't know yet.
 
@@ -222,10 +244,12 @@
         context.dispatcher.record_sent(placement, query, now)
         self._sends += 1
         result = AttemptResult(outcome=AttemptOutcome.ABANDONED)
+        run = context.crash_detector.begin(placement.server, self._identify)
         try:
             result = await self._send(client, placement)
         finally:
             ended_at = context.read_clock()
+            self._end_run(run, result)
             context.admission_client.release(server_id, query.request_id)
             context.dispatcher.record_end(
                 server_id, query.request_id, result.outcome, ended_at
@@ -234,6 +258,15 @@
                 self._log_failed_attempt(placement, result, ended_at - now)
         return result
 
+    def _end_run(self, run: OpenRun, result: AttemptResult) -> None:
+        crash_detector = self._context.crash_detector
+        if result.outcome in (AttemptOutcome.ANSWERED, AttemptOutcome.SERVER_ERROR):
+            crash_detector.end_answered(run)
+        elif result.outcome in _NOT_RUN:
+            crash_detector.end_unsent(run)
+        else:
+            crash_detector.end_broken(run, peer_ended=result.peer_ended)
+
     async def _send(self, client: HttpBackend, placement: Placement) -> AttemptResult:
         server_id = placement.server.server_id
         prompt_source = placement.prompt_source
@@ -359,13 +392,13 @@
         await self._relay.send_error(status, reason)
         return self._build_report(RequestOutcome.FAILED, status, reason)
 
-    def _compute_digest(self) -> str:
+    def _identify(self) -> RequestKey:
         """Return what stays the same when a caller sends a request again."""
         if not self._digest:
             request = self._request
             target = f"{request.path}?{request.query}"
             self._digest = hash_request(request.method, target, request.body)
-        return self._digest
+        return self._workspace, self._digest
 
     def _build_report(
         self, outcome: RequestOutcome, status: int, reason: str
@@ -396,7 +429,7 @@
                 "detail": result.detail,
                 "peer_ended": result.peer_ended,
                 "workspace": self._workspace,
-                "digest": self._compute_digest(),
+                "digest": self._identify()[1],
                 "took_ms": round(duration_s * 1000, 1),
                 "placement": placement.reason,
                 "last_event": self._relay.last_event_id,
--- a/carobspring/gateway/metrics.py
+++ b/carobspring/gateway/metrics.py
@@ -35,3 +35,23 @@
         self._duration_s.observe({"answer": outcome}, duration_s)
         if first_byte_s is not None:
             self._first_byte_s.observe({}, first_byte_s)
+
+
+class CrashMetrics:
+    """Counts crashes of backend servers, and the requests under them."""
+
+    def __init__(self, metrics: Metrics) -> None:
+        self._crashes = metrics.add_counter(
+            "carob_gateway_server_crashes_total", "Crashes that were proved here."
+        )
+        self._strikes = metrics.add_counter(
+            "carob_gateway_strikes_total", "Own requests that ran at crashes."
+        )
+
+    def record_crash(self) -> None:
+        """Count a crash."""
+        self._crashes.inc({})
+
+    def record_strikes(self, count: int) -> None:
+        """Count requests that were running at a crash."""
+        self._strikes.add({}, count)
--- a/carobspring/membership/__init__.py
+++ b/carobspring/membership/__init__.py
@@ -11,6 +11,13 @@
     GossipMessage,
     MemberGossip,
 )
+from carobspring.membership.strikes import (
+    HELD_STRIKES,
+    MAX_REQUESTS,
+    RequestKey,
+    ServerRun,
+    StrikeSet,
+)
 from carobspring.membership.table import (
     LEASE_S,
     Member,
@@ -25,10 +32,15 @@
     "EntryRecord",
     "EntryTable",
     "GossipMessage",
+    "HELD_STRIKES",
     "LEASE_S",
+    "MAX_REQUESTS",
     "Member",
     "MemberGossip",
     "MembershipTable",
     "ReportResult",
+    "RequestKey",
+    "ServerRun",
+    "StrikeSet",
     "ViewDelta",
 ]
--- a/carobspring/membership/gossip.py
+++ b/carobspring/membership/gossip.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass
 
 from carobspring.domain import BackendServer, LoadReport
-from carobspring.protocol import EntryReport
+from carobspring.protocol import EntryReport, Strike
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -45,6 +45,10 @@
 
     members: tuple[MemberGossip, ...] = ()
     entries: tuple[EntryGossip, ...] = ()
+    #: All strikes that entries reported to any replica, and released ones;
+    #: only in messages with the complete state.
+    strikes: tuple[Strike, ...] = ()
+    released: tuple[Strike, ...] = ()
     #: The sender's view that the receiver has once it merged this message, or
     #: None if the message only acknowledges.
     view: int | None = None
--- a/carobspring/programs/instance_entry.py
+++ b/carobspring/programs/instance_entry.py
@@ -25,9 +25,10 @@
     GatewayState,
 )
 from carobspring.gateway.budget import RetryBudget
+from carobspring.gateway.crashes import CrashDetector
 from carobspring.gateway.directory import ListedServer
 from carobspring.gateway.exchange import ExchangeContext
-from carobspring.gateway.metrics import GatewayMetrics
+from carobspring.gateway.metrics import CrashMetrics, GatewayMetrics
 from carobspring.gateway.replicas import choose_replicas, count_replicas_to_follow
 from carobspring.membership import DEMAND_DIGITS
 from carobspring.ports import HttpLimits, HttpRequest, HttpResponder
@@ -48,6 +49,10 @@
 #: Seconds before SIGKILL at which the process exits by itself.
 EXIT_MARGIN_S: Final = 0.4
 
+#: Check-in intervals within which the later start of a crashed server is
+#: listed.
+EVIDENCE_CHECK_INS: Final = 8
+
 logger = logging.getLogger(__name__)
 
 
@@ -77,12 +82,22 @@
             read_clock=self._clock.read_monotonic,
         )
         self._backend_directory = BackendDirectory(on_change=self._handle_server_change)
+        self._crash_detector = CrashDetector(
+            connections=self._backend_connections,
+            find_listing=self._backend_directory.find,
+            read_clock=self._clock.read_monotonic,
+            read_wall_ms=self._clock.read_wall_ms,
+            request_report=self._request_report,
+            evidence_s=settings.check_in_interval_s * EVIDENCE_CHECK_INS,
+            metrics=CrashMetrics(metrics),
+        )
         self._budgets: dict[str, RetryBudget] = {}
         self._api = GatewayApi(
             state=self._state,
             context=ExchangeContext(
                 dispatcher=self._dispatcher,
                 connections=self._backend_connections,
+                crash_detector=self._crash_detector,
                 admission_client=self._admission_client,
                 read_clock=self._clock.read_monotonic,
                 spend_retry=self._try_spend_retry,
@@ -182,6 +197,7 @@
 
     def _apply_update(self, replica: str, update: ViewUpdate) -> None:
         self._backend_directory.apply_update(replica, update)
+        self._crash_detector.apply_update(update)
         if update.entry_count and update.confirmed:
             self._state.entry_count = update.entry_count
         if update.generating:
@@ -250,6 +266,7 @@
         ) is None or not self._dispatcher.has_server(server):
             self._backend_connections.add(server)
         self._dispatcher.add_server(server, draining=listed.draining)
+        self._crash_detector.handle_listed(listed)
         logger.info(
             "backend server listed",
             extra={
@@ -304,6 +321,9 @@
     def _open_channel(self, host: str, port: int) -> Channel:
         return open_channel(host=host, port=port, secret=self._options.secret)
 
+    def _request_report(self) -> None:
+        self._control_streams.request_report()
+
     def _build_report(self) -> EntryReport:
         table = self._state.table
         demand = self._dispatcher.compute_demand(self._clock.read_monotonic())
@@ -319,6 +339,8 @@
                 service: round(each.reading_s, DEMAND_DIGITS)
                 for service, each in demand.items()
             },
+            strikes=self._crash_detector.list_strikes(),
+            released=self._crash_detector.list_released(),
         )
 
 
--- a/carobspring/protocol/control.py
+++ b/carobspring/protocol/control.py
@@ -77,6 +77,10 @@
     generating: dict[str, float] | None = None
     #: The same of its other requests.
     reading: dict[str, float] | None = None
+    #: Requests that ran on backend servers when these crashed, and strikes of
+    #: requests that have succeeded since. Both are sent repeatedly.
+    strikes: tuple[Strike, ...] = ()
+    released: tuple[Strike, ...] = ()
 
 
 @dataclass(frozen=True, kw_only=True)
--- a/tests/control/test_gossip.py
+++ b/tests/control/test_gossip.py
@@ -5,10 +5,11 @@
 import msgspec
 
 from carobspring.control import ControlState, GossipExchange, GossipTransport
+from carobspring.control.sessions import EntrySession
 from carobspring.domain import BackendServer, LoadReport, ServiceKind
 from carobspring.membership import MembershipTable
 from carobspring.ports import Clock
-from carobspring.protocol import AgentReport
+from carobspring.protocol import AgentReport, EntryReport, Strike
 
 LEASE_S = 1000.0
 SERVER = BackendServer(
@@ -104,6 +105,9 @@
         self.state.members.apply_report(report, self.clock.now)
         self.state.local_change_count += self.state.notify_member_changes()
 
+    def receive(self, report):
+        EntrySession(state=self.state).handle_report(report)
+
     def tick(self, after_s=0.1):
         self.clock.now += after_s
         self.gossip.tick(self.clock.now)
@@ -154,6 +158,33 @@
             self.assertIs(a.is_drain_replicated, is_replicated)
         self.assertEqual((b.is_drain_known, c.is_drain_known), (True, True))
 
+    def test_strikes(self):
+        """Peers learn strikes at once, and a restarted replica all of them."""
+        network, a, b = build_pair()
+        first, second = (
+            Strike(workspace="w", request_hash="h", server_id=name, boot=1, at_ms=1)
+            for name in ("s1", "s2")
+        )
+        a.receive(EntryReport(entry_id="e1", zone="z", strikes=(first,)))
+        a.tick()
+        network.deliver_all()
+        self.assertEqual(b.state.held_strikes, ())
+        b.receive(EntryReport(entry_id="e2", zone="z", strikes=(second,)))
+        b.tick()
+        network.deliver_all()
+        for replica in (a, b):
+            self.assertEqual(set(replica.state.held_strikes), {first, second})
+        a.start()
+        network.cut()
+        b.tick()
+        network.deliver_all()
+        self.assertEqual(set(a.state.held_strikes), {first, second})
+        a.receive(EntryReport(entry_id="e1", zone="z", released=(first, second)))
+        a.tick()
+        network.deliver_all()
+        b.receive(EntryReport(entry_id="e2", zone="z", strikes=(second,)))
+        self.assertEqual((a.state.held_strikes, b.state.held_strikes), ((), ()))
+
     async def test_wait(self):
         """Waiting for a view ends with the last acknowledgement."""
         network, a, _ = build_pair()
--- a/tests/control/test_state.py
+++ b/tests/control/test_state.py
@@ -2,7 +2,10 @@
 import unittest
 import unittest.mock
 
-from carobspring.control.state import StreamNotifier
+from carobspring.adapters.clock import SystemClock
+from carobspring.control.sessions import EntrySession
+from carobspring.control.state import ControlState, StreamNotifier
+from carobspring.protocol import Strike
 
 
 class RecordingEvent(asyncio.Event):
@@ -18,6 +21,30 @@
         super().set()
 
 
+class HeldStrikeTests(unittest.TestCase):
+    def test_entries_get_only_held_requests(self):
+        """Entries are sent the strikes of requests that all hold back."""
+        state = ControlState(replica_id="a", clock=SystemClock())
+        strikes = {
+            (request, server): Strike(
+                workspace="w",
+                request_hash=request,
+                server_id=server,
+                boot=1,
+                at_ms=1,
+            )
+            for request, server in (("h1", "s1"), ("h2", "s1"), ("h1", "s2"))
+        }
+        session = EntrySession(state=state)
+        state.merge_strikes(strikes.values(), ())
+        held = {strikes["h1", "s1"], strikes["h1", "s2"]}
+        self.assertEqual(set(session.build_update().strikes), held)
+        self.assertEqual(session.build_update().strikes, ())
+        state.merge_strikes((), held)
+        self.assertEqual(set(session.build_update().released), held)
+        self.assertEqual(EntrySession(state=state).build_update().strikes, ())
+
+
 class StreamNotifierTests(unittest.TestCase):
     def test_order_of_subscription(self):
         """Streams are notified in the order in which they subscribed."""
--- a/tests/endtoend/test_crashing_requests.py
+++ b/tests/endtoend/test_crashing_requests.py
@@ -46,6 +46,9 @@
                 statuses.append((sent_at, status))
                 await asyncio.sleep(0.05)
 
+    def count_crashes(self):
+        return sum(len(server.crash_times) for server in self.servers)
+
     async def check_crashing(self, method, path):
         statuses = []
         sending_sound = asyncio.create_task(self.send_sound(statuses))
@@ -78,3 +81,28 @@
     async def test_stream(self):
         """The same holds for a resumable stream."""
         await self.check_crashing("POST", "/stream/x")
+
+    async def test_restarts_and_freezes(self):
+        """Restarted, frozen and cut off entries send it nowhere either."""
+        entries = self.instances.instances
+        first, restarted, frozen, _ = entries
+        frozen.programs["carob-entry"].suspend()
+        for server in self.servers:
+            server.crashing_body = CRASHING_BODY
+        await self.try_send(first, "/read/x", method="POST", body=CRASHING_BODY)
+        await restarted.programs["carob-entry"].kill()
+        await self.instances.start(restarted, "carob-entry")
+        frozen.programs["carob-entry"].resume()
+        for control in self.instances.controls[:2]:
+            await control.programs["carob-control"].kill()
+        await self.instances.start_all()
+        await asyncio.sleep(CONTACT_S)
+        crash_count = self.count_crashes()
+        self.assertLessEqual(crash_count, 3)
+        for entry in entries * 3:
+            await self.try_send(entry, "/read/x", method="POST", body=CRASHING_BODY)
+        for control in self.instances.controls:
+            await control.programs["carob-control"].kill()
+        for entry in entries * 3:
+            await self.try_send(entry, "/read/x", method="POST", body=CRASHING_BODY)
+        self.assertEqual(self.count_crashes(), crash_count)
--- a/tests/gateway/fakes.py
+++ b/tests/gateway/fakes.py
@@ -16,8 +16,10 @@
 from carobspring.gateway import GatewayApi, GatewayState
 from carobspring.gateway.admission import AdmissionOutcome, AdmissionResult
 from carobspring.gateway.budget import RetryBudget
+from carobspring.gateway.crashes import CrashDetector
+from carobspring.gateway.directory import ListedServer
 from carobspring.gateway.exchange import ExchangeContext
-from carobspring.gateway.metrics import GatewayMetrics
+from carobspring.gateway.metrics import CrashMetrics, GatewayMetrics
 from carobspring.ports import (
     BackendResponse,
     HttpRequest,
@@ -67,6 +69,11 @@
         self.scripts = list(scripts)
         self.requests = []
         self.responses = []
+        #: Whether new connections are refused.
+        self.is_down = False
+
+    async def is_refusing(self, timeout_s):
+        return self.is_down
 
     async def send(self, request):
         self.requests.append(request)
@@ -182,22 +189,18 @@
             for number, script in enumerate(scripts, start=1)
         }
         dispatcher = self.dispatcher = Dispatcher(zone="a", random=SystemRandom(seed=1))
+        self._kind = kind
         self.servers = {
-            name: BackendServer(
-                server_id=name,
-                boot=1,
-                service="svc",
-                kind=kind,
-                # Servers of other zones are tried later: the order is fixed.
-                zone="a" if not index else "b",
-                host="127.0.0.1",
-                port=1000 + index,
-                slots=6,
-            )
+            # Servers of other zones are tried later: the order is fixed.
+            name: self.build_server(name, zone="b" if index else "a", port=1000 + index)
             for index, name in enumerate(self.clients)
         }
         for server in self.servers.values():
             dispatcher.add_server(server, draining=False)
+        self.listings = {
+            name: ListedServer(server=server, draining=False)
+            for name, server in self.servers.items()
+        }
         route = Route(
             name="r",
             host="h",
@@ -222,11 +225,23 @@
             share=0.0, slack=retry_slack, window_s=10.0, count_entries=lambda: 1
         )
         self.admission_client = FakeAdmissionClient(admission_waits or {})
+        connections = FakeConnections(self.clients)
+        self.report_requests = 0
+        self.crash_detector = CrashDetector(
+            connections=connections,
+            find_listing=self.listings.get,
+            read_clock=loop.time,
+            read_wall_ms=lambda: 0,
+            request_report=self.request_report,
+            evidence_s=10.0,
+            metrics=CrashMetrics(Metrics()),
+        )
         self.api = GatewayApi(
             state=self.state,
             context=ExchangeContext(
                 dispatcher=dispatcher,
-                connections=FakeConnections(self.clients),
+                connections=connections,
+                crash_detector=self.crash_detector,
                 admission_client=self.admission_client,
                 read_clock=loop.time,
                 spend_retry=lambda service: budget.try_spend(loop.time()),
@@ -255,5 +270,20 @@
         await self.api.handle(request, responder)
         return responder
 
+    def build_server(self, name, *, zone="a", boot=1, port=1000):
+        return BackendServer(
+            server_id=name,
+            boot=boot,
+            service="svc",
+            kind=self._kind,
+            zone=zone,
+            host="127.0.0.1",
+            port=port,
+            slots=6,
+        )
+
+    def request_report(self):
+        self.report_requests += 1
+
     def count_requests(self):
         return {name: len(client.requests) for name, client in self.clients.items()}
--- /dev/null
+++ b/tests/gateway/test_crashes.py
@@ -0,0 +1,118 @@
+import asyncio
+import unittest
+
+from carobspring.domain.routes import Repeatability
+from carobspring.gateway.directory import ListedServer
+from carobspring.ports import IncompleteResponseError
+from carobspring.protocol import ViewUpdate
+from tests.gateway.fakes import RESPONSE_HEADERS, FakeResponder, GatewayHarness
+
+IDEMPOTENT = Repeatability.IDEMPOTENT
+ONCE = Repeatability.ONCE
+SUCCESS = (200, RESPONSE_HEADERS, [b"answer"])
+ENDED = IncompleteResponseError(reason="reset", peer_ended=True)
+SILENT = IncompleteResponseError(reason="TimeoutError")
+
+
+class CrashTests(unittest.IsolatedAsyncioTestCase):
+    def build(self, *scripts, down=(), **options):
+        gateway = GatewayHarness(*scripts, **options)
+        for name in down:
+            gateway.clients[name].is_down = True
+        return gateway
+
+    def list_struck(self, gateway):
+        return [each.server_id for each in gateway.crash_detector.list_strikes()]
+
+    async def test_what_counts_as_a_crash(self):
+        """A strike needs a connection that ended and then a refused one."""
+        cases = {
+            "crashed": (ENDED, ("s1",), ["s1"]),
+            "still listening": (ENDED, (), []),
+            "timed out": (SILENT, ("s1",), []),
+        }
+        for name, (error, down, expected) in cases.items():
+            with self.subTest(name):
+                gateway = self.build([error], down=down, repeatability=ONCE)
+                response = await gateway.call()
+                self.assertEqual(response.status, 502)
+                self.assertEqual(self.list_struck(gateway), expected)
+                self.assertEqual(gateway.report_requests, len(expected))
+
+    async def test_planned_leaving_is_no_crash(self):
+        """A draining server that ends its last connections has not crashed."""
+        gateway = self.build([ENDED], down=("s1",), repeatability=ONCE)
+        listed = ListedServer(server=gateway.servers["s1"], draining=True)
+        gateway.listings["s1"] = listed
+        await gateway.call()
+        self.assertEqual(self.list_struck(gateway), [])
+
+    async def test_request_that_crashes_servers(self):
+        """After two crashes a request reaches no server, and others do."""
+        gateway = self.build([ENDED], [ENDED], down=("s1", "s2"), attempts=3)
+        response = await gateway.call()
+        # It may have run, so the caller is not told otherwise.
+        self.assertEqual(response.status, 502)
+        self.assertEqual(gateway.count_requests(), {"s1": 1, "s2": 1})
+        for client in gateway.clients.values():
+            client.scripts = [SUCCESS]
+        response = await gateway.call(headers=(("Carobspring-Attempt-Id", "b"),))
+        self.assertEqual(response.status, 503)
+        self.assertEqual(response.body, b'{"error":"quarantined"}')
+        self.assertGreater(float(response.retry_after), 0.0)
+        self.assertEqual(gateway.count_requests(), {"s1": 1, "s2": 1})
+        response = await gateway.call(path="/a/sound")
+        self.assertEqual(response.status, 200)
+
+    async def test_strikes_of_other_entries(self):
+        """A request that crashed servers elsewhere is not sent here."""
+        first = self.build([ENDED], [ENDED], down=("s1", "s2"))
+        await first.call()
+        strikes = first.crash_detector.list_strikes()
+        second = self.build([SUCCESS])
+        second.crash_detector.apply_update(ViewUpdate(strikes=strikes))
+        self.assertEqual((await second.call()).status, 503)
+        second.crash_detector.apply_update(ViewUpdate(released=strikes))
+        self.assertEqual((await second.call()).status, 200)
+
+    async def test_success_clears_a_request(self):
+        """A sound request that ran at a crash is cleared by its success."""
+        gateway = self.build([ENDED], [SUCCESS], down=("s1",))
+        response = await gateway.call()
+        self.assertEqual(response.status, 200)
+        self.assertEqual(len(gateway.crash_detector.list_released()), 1)
+
+    async def test_crash_known_from_a_later_start(self):
+        """A server that went dark is known as crashed by its next start."""
+        released = asyncio.Event()
+        gateway = self.build([released], repeatability=ONCE)
+        detector = gateway.crash_detector
+        server = gateway.servers["s1"]
+        detector.handle_listed(ListedServer(server=server, draining=False))
+        calling = asyncio.create_task(gateway.call())
+        await asyncio.sleep(0.05)
+        successor = gateway.build_server("s9", boot=2, port=server.port)
+        detector.handle_listed(ListedServer(server=successor, draining=False))
+        self.assertEqual(self.list_struck(gateway), ["s1"])
+        calling.cancel()
+        await asyncio.gather(calling, return_exceptions=True)
+
+    async def test_suspects_are_kept_apart(self):
+        """Two requests with a strike don't run at one server together."""
+        waiting = asyncio.Event()
+        gateway = self.build(
+            [ENDED, waiting], [waiting], [waiting], down=("s1",), attempts=3
+        )
+        paths = ("/a/x", "/a/y")
+        gateway.clients["s1"].scripts = [ENDED, ENDED]
+        responders = [FakeResponder() for _ in paths]
+        calls = [
+            asyncio.create_task(gateway.call(path=path, responder=responder))
+            for path, responder in zip(paths, responders, strict=True)
+        ]
+        await asyncio.sleep(0.2)
+        counts = gateway.count_requests()
+        self.assertEqual((counts["s2"], counts["s3"]), (1, 1))
+        for call in calls:
+            call.cancel()
+        await asyncio.gather(*calls, return_exceptions=True)
