--- a/standins/backend_server.py
+++ b/standins/backend_server.py
@@ -33,7 +33,8 @@
     ``cut`` aborts the connection, ``hang`` delays the response by a minute,
     and ``stray`` responds with the identifier of another attempt. A request
     whose body is ``crashing_body`` crashes the server, which returns with a
-    new identifier after ``restart_delay_s``.
+    new identifier after ``restart_delay_s``. All responses to callers carry
+    the headers in ``announcements``.
     """
 
     def __init__(
@@ -53,6 +54,7 @@
         self.crash_times: list[float] = []
         self.crashing_body = b""
         self.restart_delay_s = 2.0
+        self.announcements: dict[str, str] = {}
         self.fault = ""
         self.event_interval_s = 0.02
         self.event_count = 5
@@ -178,7 +180,10 @@
         if headers.get("Carobspring-Expected-Instance") != self.server_id:
             return web.Response(status=421)
         if self.fault == "shed":
-            return web.Response(status=503, headers={"Carobspring-Not-Executed": "1"})
+            return web.Response(
+                status=503,
+                headers={"Carobspring-Not-Executed": "1", **self.announcements},
+            )
         self.run_counts[attempt_id] += 1
         if body and body == self.crashing_body:
             self._break_down()
@@ -186,6 +191,7 @@
         response_headers = {
             "Carobspring-Attempt-Id": attempt_id,
             "Carobspring-Upstream-Signature": f"{self.server_id}.{attempt_id}",
+            **self.announcements,
         }
         if self.fault == "stray":
             return web.Response(
