Read the limit that a server announces, and log when it begins and ends

Change: platform reads Server-Limit, the dispatcher keeps it for one start of the server, and the exchange logs its begin and its end with the request that told. Nothing decides by it yet; answers 421 come from another server and are left out, and a malformed value counts as none. Ran: tests.gateway, tests.platform: passed.

--- a/carobspring/dispatch/dispatcher.py
+++ b/carobspring/dispatch/dispatcher.py
@@ -240,6 +240,21 @@
         if record is not None:
             record.record_load(load[0], load[1], now)
 
+    def record_rate_limit(
+        self, server: BackendServer, rate_limit: float | None
+    ) -> bool:
+        """Record the limit that a response announced, or that it has none.
+
+        Returns whether the limit began or ended. It belongs to one start of
+        the server.
+        """
+        record = self._records.get(server.server_id)
+        if record is None or record.server.boot != server.boot:
+            return False
+        has_changed = (record.rate_limit is None) is not (rate_limit is None)
+        record.rate_limit = rate_limit
+        return has_changed
+
     def record_end(
         self, server_id: str, request_id: str, outcome: AttemptOutcome, now: float
     ) -> None:
--- a/carobspring/dispatch/servers.py
+++ b/carobspring/dispatch/servers.py
@@ -49,6 +49,9 @@
         self.server = server
         self.breaker = breaker
         self.draining = False
+        #: Requests a second that the server takes from all entries together,
+        #: as its last response announced, or None.
+        self.rate_limit: float | None = None
         self.in_flight: dict[str, InFlightRequest] = {}
         self.event_gaps = EventGapQuantile(
             quantile=limits.event_gap_quantile, step_s=limits.event_gap_step_s
--- a/carobspring/gateway/exchange.py
+++ b/carobspring/gateway/exchange.py
@@ -17,7 +17,7 @@
     Refusal,
     RefusalReason,
 )
-from carobspring.domain import hash_request
+from carobspring.domain import BackendServer, hash_request
 from carobspring.domain.routes import Repeatability, Route
 from carobspring.gateway.admission import AdmissionClient
 from carobspring.gateway.backends import BackendConnections
@@ -302,15 +302,16 @@
         except IncompleteResponseError as error:
             return _build_incomplete_result(error)
         try:
-            return await self._handle_response(response, server_id)
+            return await self._handle_response(response, placement.server)
         except IncompleteResponseError as error:
             return _build_incomplete_result(error)
         finally:
             response.close()
 
     async def _handle_response(
-        self, response: BackendResponse, server_id: str
+        self, response: BackendResponse, server: BackendServer
     ) -> AttemptResult:
+        server_id = server.server_id
         metadata = platform.parse_response_headers(response.status, response.headers)
         while metadata.request_id not in ("", self._metadata.request_id):
             # A late second response to an earlier request on the connection.
@@ -323,6 +324,7 @@
         now = self._context.read_clock()
         if metadata.load is not None:
             self._context.dispatcher.record_load(server_id, metadata.load, now)
+        self._record_announcements(response, metadata, server)
         if metadata.not_run:
             self._possibly_ran_on.discard(server_id)
             misdirected = response.status == 421
@@ -339,6 +341,30 @@
             )
         return await self._relay.relay_body(response)
 
+    def _record_announcements(
+        self,
+        response: BackendResponse,
+        metadata: platform.ResponseMetadata,
+        server: BackendServer,
+    ) -> None:
+        """Record what a response says about the server that sent it."""
+        if response.status == 421:
+            # Another server has the address now.
+            return
+        rate_limit = metadata.rate_limit
+        if rate_limit is None and not metadata.request_id:
+            return
+        if self._context.dispatcher.record_rate_limit(server, rate_limit):
+            logger.info(
+                "backend server changed its rate limit",
+                extra={
+                    "server": server.server_id,
+                    "boot": server.boot,
+                    "rate_limit": rate_limit,
+                    "request": self._query.request_id,
+                },
+            )
+
     async def _await_or_abandon(self, step: Awaitable[T]) -> T:
         """Await a step of an attempt, and abandon a server that is silent.
 
--- a/carobspring/platform/headers.py
+++ b/carobspring/platform/headers.py
@@ -17,6 +17,7 @@
 _WORKSPACE: Final = "Carobspring-Tenant"
 _PRIORITY: Final = "Carobspring-Request-Priority"
 _PROMPT_SOURCE: Final = "Kv-Fetch"
+_RATE_LIMIT: Final = "server-limit"
 _LOWEST_PRIORITY: Final = 9
 _BEARER_PREFIX: Final = "bearer "
 
@@ -77,6 +78,9 @@
     #: Running requests, waiting requests and slots of the server, or None.
     load: tuple[int, int, int] | None = None
     is_event_stream: bool = False
+    #: Requests a second that the server takes from all instances together for
+    #: now; None if it announces no limit.
+    rate_limit: float | None = None
     #: True if the server closes the connection after this response.
     closes_connection: bool = False
 
@@ -156,6 +160,7 @@
         not_run=not_run and status >= 400,
         load=(load[0], load[1], load[2]) if len(load) == 3 else None,
         is_event_stream=media_type.strip().lower() == "text/event-stream",
+        rate_limit=_parse_rate_limit(values.get(_RATE_LIMIT, "")),
         closes_connection="close" in values.get("connection", "").lower(),
     )
 
@@ -178,6 +183,14 @@
     return value if 0 < value < 1e12 else 0.0
 
 
+def _parse_rate_limit(text: str) -> float | None:
+    try:
+        value = float(text)
+    except ValueError:
+        return None
+    return value if 0 <= value < 1e9 else None
+
+
 def _parse_integers(text: str) -> Sequence[int]:
     parts = [part.strip() for part in text.split(",")]
     if not all(part.isascii() and part.isdigit() for part in parts):
--- a/tests/gateway/test_exchange.py
+++ b/tests/gateway/test_exchange.py
@@ -153,6 +153,20 @@
         self.assertEqual(digests[0], digests[1])
         self.assertNotEqual(digests[0], digests[2])
 
+    async def test_rate_limits(self):
+        """A line says when a server's limit begins and when it ends."""
+        limited = (*RESPONSE_HEADERS, ("Server-Limit", "1.8"))
+        script = [
+            (200, headers, [b"x"])
+            for headers in (limited, limited, RESPONSE_HEADERS, RESPONSE_HEADERS)
+        ]
+        gateway = GatewayHarness(script)
+        with self.assertLogs("carobspring.gateway.exchange", "INFO") as logs:
+            for _ in script:
+                await gateway.call()
+        limits = [each.rate_limit for each in logs.records]
+        self.assertEqual(limits, [1.8, None])
+
 
 class StreamTests(unittest.IsolatedAsyncioTestCase):
     async def test_stream_is_resumed_within_a_response(self):
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -165,6 +165,24 @@
             with self.subTest(name):
                 self.assertEqual(parse_response_headers(status, headers), expected)
 
+    def test_rate_limit(self):
+        """A limit is a number that is not negative; others are ignored."""
+        cases = {
+            "1.8": 1.8,
+            "0": 0.0,
+            " 20 ": 20.0,
+            "": None,
+            "-1": None,
+            "nan": None,
+            "inf": None,
+            "many": None,
+        }
+        for value, expected in cases.items():
+            with self.subTest(value):
+                metadata = parse_response_headers(200, (("Server-Limit", value),))
+                self.assertEqual(metadata.rate_limit, expected)
+        self.assertIsNone(parse_response_headers(200, ()).rate_limit)
+
     def test_error_headers(self):
         """An error has the request's identifier and Retry-After."""
         self.assertEqual(
