Send a server no more than the limit that it announces

What servers saw: one that named 2 requests a second got its usual share, 23 in 4 s where 17 are allowed. Cause: nothing read Server-Limit. Ruled out: that repeats or moved streams went round a decision, as there was none. Change: every send to a server that announced a limit needs a permit, granted for all entries by one admission host, 0.9 of the limit, by rank and due time. Without one the request goes elsewhere, waits as long as its target allows, or gets 503 with the expected wait. With no host each entry uses an equal part in turns that begin at random times. The limit belongs to one start of the server and ends with its first response without the header.

--- a/carobspring/adapters/admission_service.py
+++ b/carobspring/adapters/admission_service.py
@@ -16,7 +16,12 @@
     make_bidirectional_method,
 )
 from carobspring.adapters.tasks import start_task
-from carobspring.admission import AdmissionController, AdmissionLimits, EntryDecision
+from carobspring.admission import (
+    AdmissionController,
+    AdmissionLimits,
+    EntryDecision,
+    RequestPacer,
+)
 from carobspring.ports import Clock
 from carobspring.protocol import (
     ADMISSION_HEARTBEAT_INTERVAL_S,
@@ -89,12 +94,17 @@
         self._clock = clock
         self._limits = limits
         self._controllers: dict[str, AdmissionController] = {}
+        #: Pacers of servers that limit their requests.
+        self._pacers: dict[str, RequestPacer] = {}
         self._last_used_at: dict[str, float] = {}
         self._outboxes: dict[str, Outbox] = {}
         self._stream_count = 0
         self._decision_counter = metrics.add_counter(
             "carob_gate_decisions_total", "Requests admitted and turned away."
         )
+        self._permit_counter = metrics.add_counter(
+            "carob_gate_permits_total", "Permits for limited servers, by decision."
+        )
         self._reading_gauge = metrics.add_gauge(
             "carob_gate_reading_tokens", "Prompt tokens admitted and unread."
         )
@@ -105,9 +115,8 @@
     @property
     def waiting_count(self) -> int:
         """The number of waiting requests of all engines."""
-        return sum(
-            controller.waiting_count for controller in self._controllers.values()
-        )
+        long_prompts = sum(each.waiting_count for each in self._controllers.values())
+        return long_prompts + sum(each.waiting_count for each in self._pacers.values())
 
     def build_service(self) -> RpcService:
         """Return the gRPC service."""
@@ -126,8 +135,9 @@
             now = self._clock.read_monotonic()
             for server_id, controller in list(self._controllers.items()):
                 self._add_decisions(server_id, controller.tick(now))
-                if now - self._last_used_at[server_id] > IDLE_CONTROLLER_TIMEOUT_S:
-                    del self._controllers[server_id], self._last_used_at[server_id]
+            for server_id, pacer in self._pacers.items():
+                self._add_permits(server_id, pacer, pacer.tick(now))
+            self._remove_idle(now)
             self._wake_due_writers(now)
             reading = sum(
                 controller.reading_tokens for controller in self._controllers.values()
@@ -163,9 +173,24 @@
             now = self._clock.read_monotonic()
             for server_id, controller in self._controllers.items():
                 self._add_decisions(server_id, controller.remove_entry(entry, now))
+            for pacer in self._pacers.values():
+                pacer.remove_entry(entry)
             extra = {"entry": entry, "reason": reason}
             logger.info("entry disconnected from admission", extra=extra)
 
+    def _remove_idle(self, now: float) -> None:
+        for server_id, used_at in list(self._last_used_at.items()):
+            if now - used_at > IDLE_CONTROLLER_TIMEOUT_S:
+                del self._last_used_at[server_id]
+                self._controllers.pop(server_id, None)
+                self._pacers.pop(server_id, None)
+
+    def _get_pacer(self, server_id: str, now: float) -> RequestPacer:
+        self._last_used_at[server_id] = now
+        if server_id not in self._pacers:
+            self._pacers[server_id] = RequestPacer(limits=self._limits, now=now)
+        return self._pacers[server_id]
+
     def _get_controller(self, server_id: str, now: float) -> AdmissionController:
         self._last_used_at[server_id] = now
         if server_id not in self._controllers:
@@ -175,11 +200,19 @@
     def _handle_report(self, entry: str, report: AdmissionReport) -> None:
         now = self._clock.read_monotonic()
         for release in report.left:
+            pacer = self._pacers.get(release.server_id)
+            if pacer is not None:
+                pacer.release(entry, release.request_id)
             controller = self._get_controller(release.server_id, now)
             self._add_decisions(
                 release.server_id, controller.release(entry, release.request_id, now)
             )
         for request in report.asks:
+            if request.rate_limit is not None:
+                pacer = self._get_pacer(request.server_id, now)
+                decisions = pacer.submit(entry, request, now)
+                self._add_permits(request.server_id, pacer, decisions)
+                continue
             controller = self._get_controller(request.server_id, now)
             self._outboxes[entry].record_request(request.server_id, now)
             self._add_decisions(
@@ -205,10 +238,32 @@
                     "tokens_per_s": round(controller.tokens_per_s),
                 },
             )
-            outbox = self._outboxes.get(entry_decision.entry)
-            if outbox is not None:
-                outbox.decisions.append(decision)
-                outbox.wakeup.set()
+            self._queue_decision(entry_decision)
+
+    def _add_permits(
+        self, server_id: str, pacer: RequestPacer, decisions: Iterable[EntryDecision]
+    ) -> None:
+        for entry_decision in decisions:
+            decision = entry_decision.decision
+            self._permit_counter.inc({"granted": str(decision.admitted).lower()})
+            logger.info(
+                "permit granted" if decision.admitted else "permit refused",
+                extra={
+                    "request": decision.request_id,
+                    "server": server_id,
+                    "rank": entry_decision.rank,
+                    "wait_ms": decision.wait_ms,
+                    "waiting": pacer.waiting_count,
+                    "rate_per_s": pacer.rate_per_s,
+                },
+            )
+            self._queue_decision(entry_decision)
+
+    def _queue_decision(self, entry_decision: EntryDecision) -> None:
+        outbox = self._outboxes.get(entry_decision.entry)
+        if outbox is not None:
+            outbox.decisions.append(entry_decision.decision)
+            outbox.wakeup.set()
 
     def _wake_due_writers(self, now: float) -> None:
         """Wake the writers of entries whose next update is due."""
@@ -216,6 +271,8 @@
         waiting: set[str] = set()
         for controller in self._controllers.values():
             waiting |= controller.find_waiting_entries()
+        for pacer in self._pacers.values():
+            waiting |= pacer.find_waiting_entries()
         for entry, outbox in self._outboxes.items():
             elapsed_s = now - outbox.last_sent_at
             heartbeat_s = ADMISSION_HEARTBEAT_INTERVAL_S
--- a/carobspring/admission/controller.py
+++ b/carobspring/admission/controller.py
@@ -125,7 +125,7 @@
             request.is_late = True
             wait_s = self._predict_first_event_s(request, now)
             if not self._can_wait_late(request, wait_s, now):
-                return [_build_decision(request, admitted=False, wait_s=wait_s)]
+                return [build_decision(request, admitted=False, wait_s=wait_s)]
         self._waiting[key] = request
         self._arrivals.add_tokens(request.rank, request.tokens, now)
         return self._admit(now)
@@ -170,7 +170,7 @@
             wait_s = self._predict_first_event_s(request, now)
             if not self._can_wait_late(request, wait_s, now):
                 del self._waiting[request.key]
-                rejected.append(_build_decision(request, admitted=False, wait_s=wait_s))
+                rejected.append(build_decision(request, admitted=False, wait_s=wait_s))
         return rejected + self._admit(now)
 
     def build_engine_load(self) -> EngineLoad:
@@ -225,7 +225,7 @@
             )
             reading += request.tokens
             waited_s = now - request.queued_at
-            decisions.append(_build_decision(request, admitted=True, wait_s=waited_s))
+            decisions.append(build_decision(request, admitted=True, wait_s=waited_s))
         return decisions
 
     def _compute_reading_limit(self, rank: int, now: float) -> float:
@@ -246,9 +246,10 @@
         return self.reading_tokens >= self.max_reading_tokens / 2
 
 
-def _build_decision(
+def build_decision(
     request: WaitingRequest, *, admitted: bool, wait_s: float
 ) -> EntryDecision:
+    """Return the decision on a request, for its entry and for the log."""
     entry, request_id = request.key
     decision = AdmissionDecision(
         request_id=request_id, admitted=admitted, wait_ms=round(wait_s * 1000)
--- a/carobspring/admission/limits.py
+++ b/carobspring/admission/limits.py
@@ -39,6 +39,8 @@
     #: late request must be expected for it to wait at all, since the output
     #: has to be generated in the rest.
     late_wait_share: float = 0.5
+    #: Seconds for which permits that nobody takes are saved; one at least.
+    rate_burst_s: float = 0.5
     #: Seconds after which an admitted request without a report is no longer
     #: counted: its entry has died, or the engine hangs.
     admitted_expiry_s: float = 2.0
--- a/carobspring/dispatch/dispatcher.py
+++ b/carobspring/dispatch/dispatcher.py
@@ -3,6 +3,7 @@
 from collections.abc import Mapping, Sequence, Set
 from typing import Final
 
+from carobspring.admission import compute_used_rate
 from carobspring.dispatch.costs import estimate_cost
 from carobspring.dispatch.homes import find_shared_parts
 from carobspring.dispatch.limits import DispatchLimits
@@ -56,6 +57,7 @@
             server=server,
             limits=self._limits,
             breaker=CircuitBreaker(RoutingLimits()),
+            random=self._random,
         )
         record.draining = draining
         self._records[server.server_id] = record
@@ -77,7 +79,28 @@
     def place(
         self, query: DispatchQuery, excluded: Set[str], now: float
     ) -> Placement | Refusal:
-        """Return the server that a request goes to, or why there is none."""
+        """Return the server that a request goes to, or why there is none.
+
+        If all servers that could take it limit their requests and are blocked
+        for now, the request may wait for a permit of the best of them.
+        """
+        placement = self._place(query, excluded, now)
+        if isinstance(placement, Placement) or not self._has_blocked(query, now):
+            return placement
+        return self._place(query, excluded, now, may_wait=True)
+
+    def _has_blocked(self, query: DispatchQuery, now: float) -> bool:
+        pool = self._pools.get(query.service)
+        return pool is not None and any(each.is_blocked(now) for each in pool.active)
+
+    def _place(
+        self,
+        query: DispatchQuery,
+        excluded: Set[str],
+        now: float,
+        *,
+        may_wait: bool = False,
+    ) -> Placement | Refusal:
         pool = self._pools.get(query.service)
         if pool is None or not pool.active:
             return self._refuse(RefusalReason.NO_SERVERS)
@@ -92,7 +115,13 @@
         home = self._find_available(homes, now)
         near_home = self._find_available(near_homes, now)
         candidates = self._list_candidates(
-            query, pool, generating, (*homes, *near_homes), excluded, now
+            query,
+            pool,
+            generating,
+            (*homes, *near_homes),
+            excluded,
+            now,
+            may_wait=may_wait,
         )
         if not candidates:
             return self._refuse(RefusalReason.ALL_TRIED)
@@ -110,6 +139,8 @@
                 now=now,
             )
             cost = candidate.cost_s + self._random.draw_uniform() * COST_JITTER_S
+            if may_wait and record.is_blocked(now):
+                cost += record.blocked_until - now
             if estimate is None or cost < best_cost:
                 best, estimate, best_cost = record, candidate, cost
         assert estimate is not None
@@ -119,10 +150,12 @@
             prompt_source=self._find_prompt_source(
                 query, pool, generating, best, home, now
             ),
+            may_wait=may_wait,
             reason=f"wait={estimate.wait_s:.3f} read={estimate.prefill_s:.3f} "
             f"far={estimate.cross_zone_s:.3f} pause={estimate.event_gap_s:.3f} "
             f"mixing={estimate.mixing_s:.3f} "
             f"running={best.estimate_running(now)} home={best is home} "
+            f"limit={best.rate_limit} "
             f"of={len(candidates)} generating={len(generating)}",
         )
 
@@ -229,6 +262,7 @@
             and not record.draining
             and record.breaker.state is BreakerState.CLOSED
             and record.estimate_silence_s(now) <= 0
+            and not record.is_blocked(now)
             for record in pool.records
         )
 
@@ -255,6 +289,30 @@
         record.rate_limit = rate_limit
         return has_changed
 
+    def find_rate_limit(self, server_id: str) -> float | None:
+        """Return the limit that a server last announced, or None."""
+        record = self._records.get(server_id)
+        return None if record is None else record.rate_limit
+
+    def block(self, server_id: str, wait_s: float, now: float) -> None:
+        """Send a limited server nothing until it can take a request again."""
+        record = self._records.get(server_id)
+        if record is not None:
+            wait_s = max(wait_s, self._limits.min_block_s)
+            record.blocked_until = now + wait_s
+
+    def take_local_permit(self, server_id: str, entry_count: int, now: float) -> float:
+        """Take this entry's own part of a server's limit.
+
+        Returns zero, or the seconds until the next part. It is used while no
+        admission host grants permits.
+        """
+        record = self._records.get(server_id)
+        if record is None or record.rate_limit is None:
+            return 0.0
+        rate = compute_used_rate(record.rate_limit)
+        return record.local_pace.take(rate, entry_count, now)
+
     def record_end(
         self, server_id: str, request_id: str, outcome: AttemptOutcome, now: float
     ) -> None:
@@ -342,6 +400,8 @@
         homes: Sequence[ServerRecord],
         excluded: Set[str],
         now: float,
+        *,
+        may_wait: bool,
     ) -> Sequence[ServerRecord]:
         """Return the servers that may get a request, few of many."""
         groups = pool.group(generating, suits_generating=not is_prefill_heavy(query))
@@ -354,6 +414,7 @@
                 for record in records
                 if record.server.server_id not in excluded
                 and self._is_available(record, now)
+                and (may_wait or not record.is_blocked(now))
             ]
             if candidates:
                 return candidates
--- a/carobspring/dispatch/limits.py
+++ b/carobspring/dispatch/limits.py
@@ -103,5 +103,7 @@
     stream_on_prefill_engine_s: float = 0.15
     prompt_on_generating_engine_s: float = 1.0
     lower_rank_prompt_on_generating_engine_s: float = 10.0
+    #: Least seconds for which a limited server without a permit is left out.
+    min_block_s: float = 0.05
     #: Seconds of Retry-After of a refusal when no estimate is known.
     default_retry_s: float = 0.3
--- a/carobspring/dispatch/queries.py
+++ b/carobspring/dispatch/queries.py
@@ -40,6 +40,9 @@
     #: A server that probably keeps the prompt's shared parts, to copy them
     #: from, or None.
     prompt_source: BackendServer | None = None
+    #: Whether to wait for a permit if the server limits its requests, because
+    #: no other server is left.
+    may_wait: bool = False
     #: The figures that decided the choice, for the log.
     reason: str = ""
 
--- a/carobspring/dispatch/servers.py
+++ b/carobspring/dispatch/servers.py
@@ -4,8 +4,10 @@
 from dataclasses import dataclass
 
 from carobspring.dispatch.limits import DispatchLimits
+from carobspring.dispatch.pacing import LocalPace
 from carobspring.dispatch.queries import DispatchQuery
 from carobspring.domain import BackendServer, ServiceKind
+from carobspring.ports import RandomSource
 from carobspring.protocol import EngineLoad
 from carobspring.routing import CircuitBreaker, SmoothedValue
 
@@ -44,7 +46,12 @@
     """A backend server, this entry's requests there and observations."""
 
     def __init__(
-        self, *, server: BackendServer, limits: DispatchLimits, breaker: CircuitBreaker
+        self,
+        *,
+        server: BackendServer,
+        limits: DispatchLimits,
+        breaker: CircuitBreaker,
+        random: RandomSource,
     ) -> None:
         self.server = server
         self.breaker = breaker
@@ -52,6 +59,9 @@
         #: Requests a second that the server takes from all entries together,
         #: as its last response announced, or None.
         self.rate_limit: float | None = None
+        #: Time before which the server takes no further request by its limit.
+        self.blocked_until = float("-inf")
+        self.local_pace = LocalPace(random=random)
         self.in_flight: dict[str, InFlightRequest] = {}
         self.event_gaps = EventGapQuantile(
             quantile=limits.event_gap_quantile, step_s=limits.event_gap_step_s
@@ -69,6 +79,10 @@
         self.awaiting_admission: dict[str, int] = {}
         self._cached_parts: OrderedDict[str, float] = OrderedDict()
 
+    def is_blocked(self, now: float) -> bool:
+        """Return whether the announced limit allows no request for now."""
+        return self.rate_limit is not None and now < self.blocked_until
+
     @property
     def is_engine(self) -> bool:
         """Whether the server is a model engine."""
--- a/carobspring/gateway/admission.py
+++ b/carobspring/gateway/admission.py
@@ -6,7 +6,7 @@
 import asyncio
 import logging
 from collections.abc import Callable, Iterable, Mapping
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from enum import Enum
 from typing import Final
 
@@ -113,37 +113,35 @@
     ) -> AdmissionResult:
         """Wait for the decision whether a request may be sent to an engine."""
         server_id, request_id = placement.server.server_id, query.request_id
-        now = self._read_clock()
         host = self._find_host(placement.server)
         if host is None or request_id in host.waiting:
             return UNAVAILABLE
         tokens = round(placement.unread_tokens)
-        target_at = min(query.due_at, query.deadline)
-        host.stream.send_request(
-            AdmissionRequest(
-                request_id=request_id,
-                server_id=server_id,
-                rank=query.priority,
-                unread_tokens=tokens,
-                target_left_ms=round((target_at - now) * 1000),
-                deadline_left_ms=round((query.deadline - now) * 1000),
-            )
-        )
-        future: asyncio.Future[AdmissionResult] = asyncio.Future()
-        host.waiting[request_id] = future
         self._dispatcher.record_admission_request(server_id, request_id, tokens)
-        admission = UNAVAILABLE
+        request = replace(
+            self._build_request(query, placement.server), unread_tokens=tokens
+        )
         try:
-            admission = await self._wait_for_decision(host, future, now)
-            return admission
+            admission = await self._ask(host, request)
         finally:
             self._dispatcher.record_admission_end(server_id, request_id)
-            host.waiting.pop(request_id, None)
-            if admission.outcome is AdmissionOutcome.ADMITTED:
-                host.unread_requests[request_id] = server_id
-            elif admission.outcome is AdmissionOutcome.UNAVAILABLE:
-                # The caller left, or the host does not respond.
-                self._send_release(host, server_id, request_id)
+        if admission.outcome is AdmissionOutcome.ADMITTED:
+            host.unread_requests[request_id] = server_id
+        return admission
+
+    async def request_permit(
+        self, query: DispatchQuery, placement: Placement, rate_limit: float
+    ) -> AdmissionResult:
+        """Wait for a permit for a server that limits its requests."""
+        host = self._find_host(placement.server)
+        if host is None or query.request_id in host.waiting:
+            return UNAVAILABLE
+        request = replace(
+            self._build_request(query, placement.server),
+            rate_limit=rate_limit,
+            may_wait=placement.may_wait,
+        )
+        return await self._ask(host, request)
 
     def release(self, server_id: str, request_id: str) -> None:
         """End an admission: the prompt is read, or the request has ended."""
@@ -169,6 +167,37 @@
         host.stream.close()
         self._resolve_unavailable(host)
 
+    def _build_request(
+        self, query: DispatchQuery, server: BackendServer
+    ) -> AdmissionRequest:
+        now = self._read_clock()
+        target_at = min(query.due_at, query.deadline)
+        return AdmissionRequest(
+            request_id=query.request_id,
+            server_id=server.server_id,
+            rank=query.priority,
+            target_left_ms=round((target_at - now) * 1000),
+            deadline_left_ms=round((query.deadline - now) * 1000),
+        )
+
+    async def _ask(
+        self, host: _AdmissionHost, request: AdmissionRequest
+    ) -> AdmissionResult:
+        """Send a host a request and wait for its decision."""
+        request_id = request.request_id
+        host.stream.send_request(request)
+        future: asyncio.Future[AdmissionResult] = asyncio.Future()
+        host.waiting[request_id] = future
+        result = UNAVAILABLE
+        try:
+            result = await self._wait_for_decision(host, future, self._read_clock())
+            return result
+        finally:
+            host.waiting.pop(request_id, None)
+            if result.outcome is AdmissionOutcome.UNAVAILABLE:
+                # The caller left, or the host does not respond.
+                self._send_release(host, request.server_id, request_id)
+
     def _find_host(self, server: BackendServer) -> _AdmissionHost | None:
         available = [
             name
--- a/carobspring/gateway/exchange.py
+++ b/carobspring/gateway/exchange.py
@@ -72,6 +72,8 @@
     read_clock: Callable[[], float]
     #: Takes one retry to a service from its budget; False if none is left.
     spend_retry: Callable[[str], bool]
+    #: Returns how many entries there are, this one included.
+    count_entries: Callable[[], int]
     #: Monotonic time at which this entry started.
     started_at: float
 
@@ -118,6 +120,7 @@
             dispatcher=context.dispatcher,
             admission_client=context.admission_client,
             read_clock=context.read_clock,
+            count_entries=context.count_entries,
         )
         #: Servers that are not tried again.
         self._excluded: set[str] = set()
@@ -166,11 +169,10 @@
                         retry_after_s=BUDGET_RETRY_AFTER_S,
                     )
                 )
-            # A started stream continues without admission, since its caller
-            # waits for the next event.
-            if not (
-                self._relay.has_started or await self._admission.request(placement)
-            ):
+            is_admitted = await self._admission.request(
+                placement, is_resumed=self._relay.has_started
+            )
+            if not is_admitted:
                 # The retry that was taken is used for the next server.
                 self._has_reserved_retry = self._sends > 0
                 if self._admission.can_ask_another:
--- a/carobspring/programs/instance_entry.py
+++ b/carobspring/programs/instance_entry.py
@@ -101,6 +101,7 @@
                 admission_client=self._admission_client,
                 read_clock=self._clock.read_monotonic,
                 spend_retry=self._try_spend_retry,
+                count_entries=lambda: self._state.entry_count,
                 started_at=self._started_at,
             ),
             find_budget=self._find_budget,
--- a/carobspring/protocol/admission.py
+++ b/carobspring/protocol/admission.py
@@ -29,6 +29,11 @@
     target_left_ms: int = 0
     #: Milliseconds until the caller stops waiting.
     deadline_left_ms: int = 0
+    #: Set to ask for a permit instead, for any request: the limit that the
+    #: server announced, in requests a second.
+    rate_limit: float | None = None
+    #: False if a request for a permit can go to another server at once.
+    may_wait: bool = True
 
 
 @dataclass(frozen=True, kw_only=True)
--- a/tests/dispatch/test_pools.py
+++ b/tests/dispatch/test_pools.py
@@ -26,6 +26,7 @@
                 server=build_server(f"s{number}", zone=ZONES[number % len(ZONES)]),
                 limits=DispatchLimits(),
                 breaker=CircuitBreaker(RoutingLimits()),
+                random=SystemRandom(seed=1),
             )
         )
     return pool
--- a/tests/dispatch/test_specialization.py
+++ b/tests/dispatch/test_specialization.py
@@ -31,6 +31,7 @@
             server=build_server(f"s{n}", zone=zones[n % len(zones)]),
             limits=LIMITS,
             breaker=CircuitBreaker(RoutingLimits()),
+            random=SystemRandom(seed=1),
         )
         for n in range(count)
     ]
--- a/tests/gateway/fakes.py
+++ b/tests/gateway/fakes.py
@@ -137,7 +137,9 @@
 
     def __init__(self, expected_waits):
         self.expected_waits = expected_waits
+        self.permit_waits = {}
         self.asked_servers = []
+        self.permit_requests = []
         self.released = []
 
     async def request_admission(self, query, placement):
@@ -152,6 +154,17 @@
             outcome=AdmissionOutcome.REJECTED, expected_wait_s=wait_s
         )
 
+    async def request_permit(self, query, placement, rate_limit):
+        self.permit_requests.append((placement.server.server_id, placement.may_wait))
+        wait_s = self.permit_waits.get(placement.server.server_id)
+        if wait_s is None:
+            return AdmissionResult(outcome=AdmissionOutcome.UNAVAILABLE)
+        if wait_s == 0:
+            return AdmissionResult(outcome=AdmissionOutcome.ADMITTED)
+        return AdmissionResult(
+            outcome=AdmissionOutcome.REJECTED, expected_wait_s=wait_s
+        )
+
     def release(self, server_id, request_id):
         self.released.append((server_id, request_id))
 
@@ -245,6 +258,7 @@
                 admission_client=self.admission_client,
                 read_clock=loop.time,
                 spend_retry=lambda service: budget.try_spend(loop.time()),
+                count_entries=lambda: 1,
                 started_at=loop.time() - uptime_s,
             ),
             find_budget=lambda service: budget,
--- a/tests/gateway/test_exchange.py
+++ b/tests/gateway/test_exchange.py
@@ -161,6 +161,7 @@
             for headers in (limited, limited, RESPONSE_HEADERS, RESPONSE_HEADERS)
         ]
         gateway = GatewayHarness(script)
+        gateway.admission_client.permit_waits = {"s1": 0.0}
         with self.assertLogs("carobspring.gateway.exchange", "INFO") as logs:
             for _ in script:
                 await gateway.call()
