--- a/standins/instances.py
+++ b/standins/instances.py
@@ -8,6 +8,7 @@
 import json
 import os
 import socket
+from collections.abc import Mapping
 from dataclasses import dataclass, field
 from pathlib import Path
 
@@ -84,8 +85,15 @@
         network: int,
         zones: str = "abc",
         diskless_entries: int = 1,
+        bounds: Mapping[str, float] | None = None,
     ) -> None:
         self._deployment = deployment
+        self._bounds: dict[str, float] = {
+            "grace_s": 8,
+            "retry_slack": 58,
+            "catch_up_s": CATCH_UP_S,
+            **(bounds or {}),
+        }
         self.instances: list[Instance] = []
         for index, zone in enumerate(zones):
             self._add_instance(
@@ -191,7 +199,7 @@
             "data_dir": str(instance.data_folder) if is_control else None,
             "heartbeat_ms": CHECK_IN_INTERVAL_S * 1000,
             "fault_tolerance": {"machines": 1},
-            "bounds": {"grace_s": 8, "retry_slack": 58, "catch_up_s": CATCH_UP_S},
+            "bounds": self._bounds,
         }
         path = instance.node_file.with_suffix(f".{role}.json")
         path.write_text(json.dumps(settings))
--- a/tests/endtoend/instances.py
+++ b/tests/endtoend/instances.py
@@ -15,13 +15,21 @@
     """Three control daemons, four entries and some backend servers."""
 
     SERVER_COUNT = 2
+    #: Values of the node file that differ from those of the stand-in.
+    BOUNDS = {}
+    DISKLESS_ENTRIES = 1
 
     async def asyncSetUp(self):
         self.deployment = await self.enterAsyncContext(Deployment())
         self.client = await self.enterAsyncContext(open_client(20))
         self.operator_client = await self.enterAsyncContext(open_client(1))
         self.network = find_free_network()
-        self.instances = InstanceSet(self.deployment, network=self.network)
+        self.instances = InstanceSet(
+            self.deployment,
+            network=self.network,
+            diskless_entries=self.DISKLESS_ENTRIES,
+            bounds=self.BOUNDS,
+        )
         await self.instances.start_all()
         controls = [control.control_url for control in self.instances.controls]
         self.controls = controls
