Give an entry no part of the retry slack that others may have

Cause: the slack was divided by a number of entries that is 1 until a replica tells it, that a stream's first update may carry before the others are known, that goes down at once when entries go, and that stands still out of touch. Ruled out: a send that nobody counts; the tests count at the servers. Change: no slack before a window and 3 s after the start, nor without a number confirmed in the last 2 s; else divided by the largest number of the window.

--- a/carobspring/gateway/budget.py
+++ b/carobspring/gateway/budget.py
@@ -1,11 +1,12 @@
 """The share of a service's retry budget that one entry may use."""
 
 from collections import deque
-from collections.abc import Callable
 from typing import Final
 
-#: Fraction of the budget that is used. The rest allows for entries that learn
-#: late that other entries were added.
+from carobspring.gateway.entry_count import COUNT_DELAY_S, EntryCount
+
+#: Fraction of the budget that is used. The rest allows for entries that wake
+#: from a freeze and do not know yet that others were added.
 USED_FRACTION: Final = 0.8
 
 
@@ -14,7 +15,9 @@
 
     In any window, all entries together may retry the fraction ``share`` of
     their requests and ``slack`` more. Each entry gets an equal part of the
-    slack.
+    slack, but none of it while it can't know how many share it, nor in the
+    first window after its start: the process before it may have used the part,
+    and the others do not know of it yet.
 
     Example:
         ``budget.record_request(now)`` for each request, and
@@ -27,12 +30,14 @@
         share: float,
         slack: float,
         window_s: float,
-        count_entries: Callable[[], int],
+        entry_count: EntryCount,
+        started_at: float,
     ) -> None:
         self._share = share
         self._slack = slack
         self._window_s = window_s
-        self._count_entries = count_entries
+        self._entry_count = entry_count
+        self._slack_from = started_at + window_s + COUNT_DELAY_S
         self._requests: deque[float] = deque()
         self._retries: deque[float] = deque()
 
@@ -44,13 +49,19 @@
     def try_spend(self, now: float) -> bool:
         """Count a retry and return True if the budget allows it."""
         self._drop_expired(now)
-        slack = self._slack / max(1, self._count_entries())
-        allowed = USED_FRACTION * (self._share * len(self._requests) + slack)
+        shared = self._share * len(self._requests)
+        allowed = USED_FRACTION * (shared + self._compute_slack(now))
         if len(self._retries) + 1 > allowed:
             return False
         self._retries.append(now)
         return True
 
+    def _compute_slack(self, now: float) -> float:
+        """Return this entry's part of the slack, as far as it is known."""
+        if now < self._slack_from or not self._entry_count.is_current(now):
+            return 0.0
+        return self._slack / self._entry_count.find_largest(now)
+
     def _drop_expired(self, now: float) -> None:
         for times in (self._requests, self._retries):
             while times and now - times[0] > self._window_s:
--- a/carobspring/gateway/state.py
+++ b/carobspring/gateway/state.py
@@ -25,8 +25,6 @@
         self.confirmed_at: float | None = None
         self.is_stopping = False
         self._has_table = asyncio.Event()
-        #: Number of entries that share the retry budget, this one included.
-        self.entry_count = 1
 
     def apply_table(self, table: RoutingTable, now: float) -> bool:
         """Apply a table if it is newer, and return whether it was."""
--- a/carobspring/programs/instance_entry.py
+++ b/carobspring/programs/instance_entry.py
@@ -27,6 +27,7 @@
 from carobspring.gateway.budget import RetryBudget
 from carobspring.gateway.crashes import CrashDetector
 from carobspring.gateway.directory import ListedServer
+from carobspring.gateway.entry_count import EntryCount
 from carobspring.gateway.exchange import ExchangeContext
 from carobspring.gateway.metrics import CrashMetrics, GatewayMetrics
 from carobspring.gateway.replicas import choose_replicas, count_replicas_to_follow
@@ -91,6 +92,7 @@
             evidence_s=settings.check_in_interval_s * EVIDENCE_CHECK_INS,
             metrics=CrashMetrics(metrics),
         )
+        self._entry_count = EntryCount(window_s=settings.retry_window_s)
         self._budgets: dict[str, RetryBudget] = {}
         self._api = GatewayApi(
             state=self._state,
@@ -101,7 +103,7 @@
                 admission_client=self._admission_client,
                 read_clock=self._clock.read_monotonic,
                 spend_retry=self._try_spend_retry,
-                count_entries=lambda: self._state.entry_count,
+                count_entries=self._count_entries,
                 started_at=self._started_at,
             ),
             find_budget=self._find_budget,
@@ -200,7 +202,7 @@
         self._backend_directory.apply_update(replica, update)
         self._crash_detector.apply_update(update)
         if update.entry_count and update.confirmed:
-            self._state.entry_count = update.entry_count
+            self._record_entry_count(update.entry_count)
         if update.generating:
             reading = update.reading or {}
             demand = {
@@ -214,6 +216,15 @@
         if update.confirmed and is_usable:
             self._confirm_table(replica)
 
+    def _record_entry_count(self, count: int) -> None:
+        now = self._clock.read_monotonic()
+        before = self._entry_count.find_largest(now)
+        self._entry_count.record(count, now)
+        divisor = self._entry_count.find_largest(now)
+        if divisor != before:
+            extra = {"reported": count, "divisor": divisor, "before": before}
+            logger.info("number of entries changed", extra=extra)
+
     def _apply_routing(self, replica: str, update: ViewUpdate) -> bool:
         """Put an update's routes in force, unless newer ones already are.
 
@@ -312,10 +323,14 @@
                 share=self._settings.retry_share,
                 slack=self._settings.retry_slack,
                 window_s=self._settings.retry_window_s,
-                count_entries=lambda: self._state.entry_count,
+                entry_count=self._entry_count,
+                started_at=self._started_at,
             )
         return self._budgets[service]
 
+    def _count_entries(self) -> int:
+        return self._entry_count.find_largest(self._clock.read_monotonic())
+
     def _try_spend_retry(self, service: str) -> bool:
         return self._find_budget(service).try_spend(self._clock.read_monotonic())
 
--- a/tests/gateway/fakes.py
+++ b/tests/gateway/fakes.py
@@ -18,6 +18,7 @@
 from carobspring.gateway.budget import RetryBudget
 from carobspring.gateway.crashes import CrashDetector
 from carobspring.gateway.directory import ListedServer
+from carobspring.gateway.entry_count import EntryCount
 from carobspring.gateway.exchange import ExchangeContext
 from carobspring.gateway.metrics import CrashMetrics, GatewayMetrics
 from carobspring.ports import (
@@ -234,8 +235,14 @@
         self.state.apply_table(self.table, 0.0)
         if confirmed:
             self.state.confirm_table(loop.time())
+        entry_count = EntryCount(window_s=10.0)
+        entry_count.record(1, float("inf"))
         budget = RetryBudget(
-            share=0.0, slack=retry_slack, window_s=10.0, count_entries=lambda: 1
+            share=0.0,
+            slack=retry_slack,
+            window_s=10.0,
+            entry_count=entry_count,
+            started_at=float("-inf"),
         )
         self.admission_client = FakeAdmissionClient(admission_waits or {})
         connections = FakeConnections(self.clients)
