Send no second server a request whose body the caller has begun to get

What servers saw: a repeatable request whose large body breaks off after its first part has reached the caller was sent to further servers, whose answers could not be used: a repeat, its work and part of the budget for nothing. Found by the test of bodies without end. Change: only a stream that resumes goes on elsewhere once a part was sent. Before: s2 got one request (the test fails with {'s1': 1, 's2': 1}). Ran: tests.gateway.test_exchange: passed.

--- a/carobspring/gateway/exchange.py
+++ b/carobspring/gateway/exchange.py
@@ -227,8 +227,17 @@
         self._has_reserved_retry = taken and in_advance
         return taken
 
+    @property
+    def _is_resumable(self) -> bool:
+        return self._route.repeatability is Repeatability.RESUMABLE_STREAM
+
     def _can_retry(self) -> bool:
-        """Return whether one more server may run the request."""
+        """Return whether one more server may run the request.
+
+        Nothing can follow a response that has begun, unless it resumes.
+        """
+        if self._relay.has_started and not self._is_resumable:
+            return False
         attempts = self._route.max_attempts
         return (
             self._route.repeatability.can_repeat
@@ -383,7 +392,7 @@
             task.cancel()
 
     def _should_abandon_server(self) -> bool:
-        if self._route.repeatability is not Repeatability.RESUMABLE_STREAM:
+        if not self._is_resumable:
             return False
         now = self._context.read_clock()
         should_move = self._can_retry() and self._context.dispatcher.should_move(
--- a/tests/gateway/test_exchange.py
+++ b/tests/gateway/test_exchange.py
@@ -3,6 +3,7 @@
 
 from carobspring.domain import ServiceKind
 from carobspring.domain.routes import Repeatability
+from carobspring.gateway.relay import MAX_BUFFERED_BYTES
 from carobspring.ports import BackendUnreachableError, IncompleteResponseError
 from tests.gateway.fakes import (
     REQUEST_ID,
@@ -114,6 +115,15 @@
                 await gateway.call()
                 self.assertEqual(sum(gateway.count_requests().values()), expected)
 
+    async def test_no_retry_of_a_body_that_has_begun(self):
+        """Once a part of a body was sent, no other server is asked in vain."""
+        large = b"x" * (MAX_BUFFERED_BYTES + 1)
+        script = (200, RESPONSE_HEADERS, [large, build_incomplete_error()])
+        gateway = GatewayHarness([script], [SUCCESS])
+        response = await gateway.call()
+        self.assertEqual(response.ended, "aborted")
+        self.assertEqual(gateway.count_requests(), {"s1": 1, "s2": 0})
+
     async def test_retry_budget_is_used_up(self):
         """A request is not retried once the retry budget is used up."""
         gateway = GatewayHarness([build_incomplete_error()], [SUCCESS], retry_slack=0.0)
