Bound what a server may send that is no answer, and what it may send at all

What callers saw: an answer to another request that does not end, or interim responses without end, held a request until its deadline (504), with as much read as the link carries; a stream's event without end grew in memory. Cause: each read was bounded, and what followed from it was not. Ruled out: heads, chunk sizes and bytes in place of a status line (h11 gives up at 64 KiB) and bytes after a complete answer (the connection is closed). Change: 10 interim responses; 1 MiB, 16 answers and 1 s of other requests' answers; 1 MiB an event; 16 MiB a response, then a visible break. The fake responder appends without copying, as 16 MiB in small chunks took seconds in the fake.

--- a/carobspring/adapters/backend_connection.py
+++ b/carobspring/adapters/backend_connection.py
@@ -11,6 +11,8 @@
 MAX_HEAD_BYTES: Final = 64 * 1024
 #: Unread bytes of a response above which reading from the socket pauses.
 READ_BUFFER_BYTES: Final = 256 * 1024
+#: Interim responses (status 1xx) before a response.
+MAX_INTERIM_RESPONSES: Final = 10
 
 
 class BackendConnection(asyncio.Protocol):
@@ -30,6 +32,7 @@
         #: callers and use it as a metric label: keep the texts of reasons.
         self._close_reason: str = ""
         self._peer_ended = False
+        self._interim_count = 0
         #: Time at which the last response ended.
         self.idle_since = 0.0
         #: Seconds that the server keeps an idle connection; None if unknown.
@@ -82,6 +85,7 @@
         """Send a complete request."""
         assert self._transport is not None
         self.response_started = False
+        self._interim_count = 0
         request = h11.Request(method=method, target=target, headers=headers)
         data = self._parser.send(request) or b""
         if body:
@@ -107,6 +111,10 @@
                     reason=reason, peer_ended=self._peer_ended
                 ) from error
             if isinstance(event, h11.InformationalResponse):
+                self._interim_count += 1
+                if self._interim_count > MAX_INTERIM_RESPONSES:
+                    self.close("too many interim responses")
+                    raise IncompleteResponseError(reason=self._close_reason)
                 continue
             if event is not h11.NEED_DATA:
                 return event
--- a/carobspring/adapters/backend_http.py
+++ b/carobspring/adapters/backend_http.py
@@ -32,6 +32,11 @@
 #: Fraction of the server's idle timeout during which a connection is reused,
 #: so that none is reused while the server closes it.
 SERVER_IDLE_TIMEOUT_FRACTION: Final = 0.5
+#: Bounds of the responses to other requests that are skipped before the one
+#: to a request, in bytes, number and seconds: servers send a few late ones.
+MAX_SKIPPED_BYTES: Final = 1024 * 1024
+MAX_SKIPPED_RESPONSES: Final = 16
+SKIP_TIMEOUT_S: Final = 1.0
 #: Headers that apply to a single connection and are not forwarded.
 HOP_BY_HOP_HEADERS: Final = frozenset(
     {
@@ -76,6 +81,9 @@
         self._backend = backend
         self._connection = connection
         self._complete = False
+        self._skipped_bytes = 0
+        self._skipped_responses = 0
+        self._skip_deadline: float | None = None
         self._read_head(response, is_delimited)
 
     async def read(self) -> bytes:
@@ -100,9 +108,29 @@
         A server may send a second response to an earlier request, which
         arrives in place of the current one. Returns False if the connection
         can't carry another response.
+
+        Raises:
+            IncompleteResponseError: There is too much to skip.
         """
-        while await self.read():
-            pass
+        now = asyncio.get_running_loop().time()
+        if self._skip_deadline is None:
+            self._skip_deadline = now + SKIP_TIMEOUT_S
+        self._skipped_responses += 1
+        try:
+            async with asyncio.timeout(max(0.0, self._skip_deadline - now)):
+                return await self._skip_response()
+        except TimeoutError as error:
+            reason = "other requests' answers take too long"
+            raise IncompleteResponseError(reason=reason) from error
+
+    async def _skip_response(self) -> bool:
+        while data := await self.read():
+            self._skipped_bytes += len(data)
+            if self._skipped_bytes > MAX_SKIPPED_BYTES:
+                reason = "other requests' answers are too long"
+                raise IncompleteResponseError(reason=reason)
+        if self._skipped_responses > MAX_SKIPPED_RESPONSES:
+            raise IncompleteResponseError(reason="too many answers to other requests")
         if not self._connection.prepare_next_response():
             return False
         event = await self._connection.read_event()
--- a/carobspring/gateway/relay.py
+++ b/carobspring/gateway/relay.py
@@ -8,11 +8,18 @@
 from carobspring.gateway.admission import AdmissionClient
 from carobspring.gateway.events import EventSplitter, StreamEvent
 from carobspring.gateway.outcomes import AttemptResult, BufferedResponse, encode_error
-from carobspring.ports import BackendResponse, HttpResponder
+from carobspring.ports import (
+    BackendResponse,
+    HttpResponder,
+    IncompleteResponseError,
+)
 
 #: Responses up to this size are sent only when they are complete, so that a
 #: caller never gets part of a response that breaks off.
 MAX_BUFFERED_BYTES: Final = 256 * 1024
+#: Largest response that is relayed, and largest event of a stream.
+MAX_RESPONSE_BYTES: Final = 16 * 1024 * 1024
+MAX_EVENT_BYTES: Final = 1024 * 1024
 
 ANSWERED: Final = AttemptResult(outcome=AttemptOutcome.ANSWERED)
 
@@ -83,9 +90,13 @@
     ) -> AttemptResult:
         """Relay the events of a stream, each as soon as it is complete."""
         splitter = EventSplitter()
+        read_bytes = 0
         while data := await watch_read(backend_response.read()):
+            read_bytes += len(data)
+            _check_size(read_bytes, MAX_RESPONSE_BYTES)
             for event in splitter.feed(data):
                 await self._relay_event(event, backend_response, server_id)
+            _check_size(splitter.buffered_bytes, MAX_EVENT_BYTES)
         if splitter.buffered_bytes:
             detail = "the stream ended inside an event"
             return AttemptResult(outcome=AttemptOutcome.INCOMPLETE, detail=detail)
@@ -121,7 +132,10 @@
     ) -> AttemptResult:
         await self._start_response(backend_response)
         await self._responder.write(start)
+        read_bytes = len(start)
         while data := await backend_response.read():
+            read_bytes += len(data)
+            _check_size(read_bytes, MAX_RESPONSE_BYTES)
             await self._responder.write(data)
         await self._responder.finish()
         return ANSWERED
@@ -147,6 +161,11 @@
         await self._responder.write(event.data)
 
 
+def _check_size(size: int, limit: int) -> None:
+    if size > limit:
+        raise IncompleteResponseError(reason=f"the answer exceeds {limit} bytes")
+
+
 def _is_duplicate(event_id: str, last_event_id: str) -> bool:
     if not (event_id.isdigit() and last_event_id.isdigit()):
         return False
--- a/standins/backend_server.py
+++ b/standins/backend_server.py
@@ -14,6 +14,11 @@
 SERVER_PORT = 8080
 CHECK_IN_INTERVAL_S = 0.4
 RESPONSE_TIMEOUT_S = 1.0
+ENDLESS_HEAD = (
+    b"HTTP/1.1 200 OK\r\nCarobspring-Attempt-Id: other\r\n"
+    b"Transfer-Encoding: chunked\r\n\r\n"
+)
+ENDLESS_CHUNK = b"4000\r\n" + b"x" * 0x4000 + b"\r\n"
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -31,7 +36,8 @@
     It counts its runs by attempt identifier. ``fault`` selects the injected
     fault: ``shed`` rejects requests unexecuted, ``error`` responds with 500,
     ``cut`` aborts the connection, ``hang`` delays the response by a minute,
-    and ``stray`` responds with the identifier of another attempt. A request
+    ``stray`` responds with the identifier of another attempt, and ``endless``
+    does so with a body without end. A request
     whose body is ``crashing_body`` crashes the server, which returns with a
     new identifier after ``restart_delay_s``. All responses to callers carry
     the headers in ``announcements``.
@@ -197,6 +203,8 @@
             return web.Response(
                 headers=response_headers | {"Carobspring-Attempt-Id": "other"}
             )
+        if self.fault == "endless":
+            await self._send_endless_body(request)
         if self.fault == "hang":
             await asyncio.sleep(60)
         if self.fault == "cut":
@@ -211,6 +219,15 @@
             headers=response_headers, text=f"{request.method} {attempt_id}"
         )
 
+    async def _send_endless_body(self, request: web.Request) -> None:
+        transport = request.transport
+        assert isinstance(transport, asyncio.Transport)
+        transport.write(ENDLESS_HEAD)
+        while not transport.is_closing():
+            if transport.get_write_buffer_size() < len(ENDLESS_CHUNK):
+                transport.write(ENDLESS_CHUNK)
+            await asyncio.sleep(0.001)
+
     async def _send_stream(
         self, request: web.Request, response_headers: dict[str, str]
     ) -> web.StreamResponse:
--- a/tests/endtoend/test_instances.py
+++ b/tests/endtoend/test_instances.py
@@ -294,7 +294,7 @@
     async def test_failing_server(self):
         """Requests succeed while one server rejects, fails or is down."""
         entry = self.instances.instances[0]
-        for fault in ("shed", "cut", "error"):
+        for fault in ("endless", "shed", "cut", "error"):
             self.servers[0].fault = fault
             for _ in range(4):
                 with self.subTest(fault):
--- a/tests/gateway/fakes.py
+++ b/tests/gateway/fakes.py
@@ -108,6 +108,9 @@
         self.status, self.headers = status, headers
 
     async def write(self, data):
+        # A large body is not copied with each chunk.
+        if not isinstance(self.body, bytearray):
+            self.body = bytearray(self.body)
         self.body += data
 
     async def finish(self):
