Inject crashing requests, announced limits and endless answers into the soak

Change: three more faults in the soak's series, and checks from what servers and callers see: arrivals of a crashing body later than contact_ms after its third crash, arrivals at a server that announced a limit from entries that were told (frozen and restarted ones are excused), and repeats in any window of 10 s with a slack of 20. Each check is shown to detect a violation.

--- a/bench/faults.py
+++ b/bench/faults.py
@@ -8,7 +8,12 @@
 from collections.abc import Awaitable, Callable, Iterator, Sequence
 from typing import Final
 
-from bench.promises import CONFIGURATION_APPLY_BOUND_S, InvariantChecker
+from bench.promises import (
+    CONFIGURATION_APPLY_BOUND_S,
+    CONTACT_BOUND_S,
+    Disruption,
+    InvariantChecker,
+)
 from standins.backend_server import StandInServer
 from standins.instances import CATCH_UP_S, Instance, InstanceSet
 from standins.link import Link
@@ -34,9 +39,16 @@
         checker: InvariantChecker,
         controls: list[str],
         new_ips: Iterator[str],
+        send_body: Callable[[bytes], Awaitable[None]],
     ) -> None:
+        """Create an injector.
+
+        ``send_body`` sends a repeatable request with a body to some entry.
+        """
         self._controls = controls
         self._new_ips = new_ips
+        self._send_body = send_body
+        self._crashing_count = 0
         self._generator = generator
         self._instances = instances
         self._servers = servers
@@ -59,6 +71,8 @@
             self._disrupt_link,
             self._disrupt_server,
             self._replace_server,
+            self._announce_limit,
+            self._send_crashing_request,
         )
         while time.monotonic() < ends_at:
             await asyncio.sleep(self._generator.expovariate(1 / MEAN_FAULT_INTERVAL_S))
@@ -107,12 +121,20 @@
         if role == "carob-control":
             affected.add("carob-control")
         self._disrupted |= affected
+        started_at = time.monotonic()
         try:
             await disrupt(instance, role)
             if role == "carob-control":
                 await asyncio.sleep(CONFIGURATION_APPLY_BOUND_S)
         finally:
             self._disrupted -= affected
+            self._checker.disruptions.append(
+                Disruption(
+                    entry=instance.name,
+                    started_at=started_at,
+                    ended_at=time.monotonic(),
+                )
+            )
 
     async def _freeze(self) -> None:
         async def disrupt(instance: Instance, role: str) -> None:
@@ -195,18 +217,58 @@
 
     async def _disrupt_server(self) -> None:
         server = self._generator.choice(self._servers)
-        server.fault = self._generator.choice(("shed", "error", "cut", "hang", "stray"))
+        server.fault = self._generator.choice(
+            ("shed", "error", "cut", "hang", "stray", "endless")
+        )
         await asyncio.sleep(self._generator.uniform(0.5, 2.0))
         server.fault = ""
 
     async def _replace_server(self) -> None:
         server = self._generator.choice(self._servers)
-        if server.server_id in self._disrupted:
+        name = f"server {server.address}"
+        if name in self._disrupted:
             return
-        self._disrupted.add(server.server_id)
+        self._disrupted.add(name)
         try:
             await server.crash()
             await asyncio.sleep(self._generator.uniform(0.2, 2.0))
             await server.start(is_restart=True)
         finally:
-            self._disrupted.remove(server.server_id)
+            self._disrupted.remove(name)
+
+    async def _announce_limit(self) -> None:
+        """Let a server announce a limit for a while, with changing figures."""
+        server = self._generator.choice(self._servers)
+        if server.announcements:
+            return
+        limit = self._generator.uniform(1.0, 4.0)
+        for _ in range(self._generator.randint(2, 4)):
+            limit *= self._generator.uniform(0.95, 1.05)
+            server.announcements = {"Server-Limit": f"{limit:.2f}"}
+            await asyncio.sleep(self._generator.uniform(1.0, 3.0))
+        server.announcements = {}
+
+    async def _send_crashing_request(self) -> None:
+        """Send a body again and again that crashes each server it reaches.
+
+        No other series replaces these servers meanwhile.
+        """
+        servers = [server for server in self._servers if server.service == "svc"]
+        names = {f"server {server.address}" for server in servers}
+        if names & self._disrupted:
+            return
+        self._disrupted |= names
+        self._crashing_count += 1
+        body = b"crashes %d" % self._crashing_count
+        for server in servers:
+            server.crashing_body = body
+        try:
+            ends_at = time.monotonic() + 2 * CONTACT_BOUND_S
+            while time.monotonic() < ends_at:
+                await self._send_body(body)
+                await asyncio.sleep(self._generator.uniform(0.05, 0.5))
+            await asyncio.sleep(max(server.restart_delay_s for server in servers))
+        finally:
+            for server in servers:
+                server.crashing_body = b""
+            self._disrupted -= names
--- a/bench/promises.py
+++ b/bench/promises.py
@@ -13,6 +13,19 @@
 #: Seconds in which an instance applies a new configuration, as the user
 #: documentation guarantees.
 CONFIGURATION_APPLY_BOUND_S: Final = 2.0
+#: Seconds after which instances know what happened elsewhere, as the user
+#: documentation guarantees.
+CONTACT_BOUND_S: Final = 3.0
+#: Requests with a crashing body that may reach servers after that.
+MAX_LATE_CRASHING_REQUESTS: Final = 3
+#: Retries to a service in a window: share of its requests, and number.
+RETRY_SHARE: Final = 0.2
+RETRY_SLACK: Final = 20
+RETRY_WINDOW_S: Final = 10.0
+#: Length in seconds of the windows in which an announced limit must hold, and
+#: seconds from an announcement to an instance until it must apply it.
+LIMIT_WINDOW_S: Final = 4.0
+LIMIT_APPLY_BOUND_S: Final = 0.5
 #: Number of events in each complete stream.
 STREAM_EVENT_COUNT: Final = 5
 
@@ -25,6 +38,15 @@
     detail: str
 
 
+@dataclass(frozen=True, kw_only=True)
+class Disruption:
+    """A time in which a program was frozen, or from whose end it is new."""
+
+    entry: str
+    started_at: float
+    ended_at: float
+
+
 @dataclass(kw_only=True)
 class InvariantChecker:
     """Records observations of the system and the violated invariants."""
@@ -35,6 +57,9 @@
     #: Identifiers of requests that may run at most once, and of refused ones.
     at_most_once: set[str] = field(default_factory=set)
     refused: set[str] = field(default_factory=set)
+    #: Entry and time of each request, by identifier.
+    sent_requests: dict[str, tuple[str, float]] = field(default_factory=dict)
+    disruptions: list[Disruption] = field(default_factory=list)
     #: Times and versions of confirmed configurations.
     confirmed_versions: list[tuple[float, int]] = field(default_factory=list)
 
@@ -102,3 +127,86 @@
                 self.record_violation(
                     "refused requests do not run", f"{name} was refused but ran"
                 )
+
+    def check_crashing_requests(self, servers: Iterable[StandInServer]) -> None:
+        """Check that a body that crashes its servers is soon held back."""
+        crash_times: dict[bytes, list[float]] = {}
+        arrivals: dict[bytes, list[float]] = {}
+        for server in servers:
+            for at, body in server.crashes:
+                crash_times.setdefault(body, []).append(at)
+            for arrival in server.arrivals:
+                arrivals.setdefault(arrival.body, []).append(arrival.at)
+        for body, times in crash_times.items():
+            if len(times) < 3:
+                continue
+            counted_from = sorted(times)[2] + CONTACT_BOUND_S
+            late = sum(at > counted_from for at in arrivals[body])
+            if late > MAX_LATE_CRASHING_REQUESTS:
+                detail = f"{body!r}: {len(times)} crashes, {late} requests after"
+                self.record_violation("crashing requests are held back", detail)
+
+    def check_repeats(self, service: str, servers: Iterable[StandInServer]) -> None:
+        """Check that repeats stay within the budget that all entries share."""
+        arrivals = sorted(
+            (arrival.at, arrival.attempt_id)
+            for server in servers
+            for arrival in server.arrivals
+        )
+        seen: set[str] = set()
+        repeats = []
+        for at, attempt_id in arrivals:
+            if attempt_id in seen:
+                repeats.append(at)
+            seen.add(attempt_id)
+        sent = [self.sent_requests[name][1] for name in seen]
+        for start in repeats:
+            count = _count_in_window(repeats, start, RETRY_WINDOW_S)
+            requests = max(
+                _count_in_window(sent, start - earlier_s, RETRY_WINDOW_S)
+                for earlier_s in (0.0, RETRY_WINDOW_S / 2, RETRY_WINDOW_S)
+            )
+            allowed = RETRY_SHARE * requests + RETRY_SLACK
+            if count > allowed:
+                detail = f"{service}: {count} repeats, {allowed} allowed"
+                self.record_violation("retries within the budget", detail)
+                return
+
+    def check_announced_limits(self, servers: Iterable[StandInServer]) -> None:
+        """Check that servers with a limit get no more from whom they told."""
+        for server in servers:
+            told_at: dict[str, float] = {}
+            first_at: float | None = None
+            counted: list[float] = []
+            for arrival in server.arrivals:
+                limit = float(arrival.announced.get("Server-Limit", 0.0))
+                if not limit:
+                    told_at, first_at, counted = {}, None, []
+                    continue
+                if first_at is None:
+                    first_at = arrival.at
+                entry = self.sent_requests[arrival.attempt_id][0]
+                if self._was_disrupted(entry, told_at.get(entry), arrival.at):
+                    told_at.pop(entry, None)
+                known_at = told_at.setdefault(entry, arrival.at)
+                if arrival.at < known_at + LIMIT_APPLY_BOUND_S:
+                    continue
+                if arrival.at < first_at + CONTACT_BOUND_S:
+                    continue
+                counted.append(arrival.at)
+                recent = sum(at > arrival.at - LIMIT_WINDOW_S for at in counted)
+                allowed = 1.5 * limit * LIMIT_WINDOW_S + 5
+                if recent > allowed:
+                    detail = f"{server.server_id}: {recent} in a window for {limit}"
+                    self.record_violation("announced limits are kept", detail)
+                    break
+
+    def _was_disrupted(self, entry: str, since: float | None, until: float) -> bool:
+        return since is not None and any(
+            each.entry == entry and each.started_at <= until and each.ended_at >= since
+            for each in self.disruptions
+        )
+
+
+def _count_in_window(times: Iterable[float], start: float, window_s: float) -> int:
+    return sum(start <= at < start + window_s for at in times)
--- a/bench/soak.py
+++ b/bench/soak.py
@@ -23,7 +23,7 @@
 import fire
 
 from bench.faults import FaultInjector
-from bench.promises import InvariantChecker
+from bench.promises import RETRY_SLACK, InvariantChecker
 from standins.backend_server import StandInServer
 from standins.deployment import Deployment, DeploymentError, open_client, wait_until
 from standins.instances import FRONTEND_PORT, InstanceSet, find_free_network
@@ -77,7 +77,10 @@
         async with Deployment() as deployment, open_client(50) as client:
             network = find_free_network()
             self._instances = InstanceSet(
-                deployment, network=network, diskless_entries=self._entries
+                deployment,
+                network=network,
+                diskless_entries=self._entries,
+                bounds={"retry_slack": RETRY_SLACK},
             )
             await self._instances.start_all()
             controls = [instance.control_url for instance in self._instances.controls]
@@ -131,6 +134,7 @@
             checker=self.checker,
             controls=controls,
             new_ips=self._new_ips,
+            send_body=lambda body: self._send_body(client, body),
         )
         tasks += [fault_injector.run(ends_at) for _ in range(FAULT_SERIES_COUNT)]
         tasks += [self._send_changes(ends_at), self._poll_versions(controls, ends_at)]
@@ -142,6 +146,11 @@
         await self._wait_until_serving()
         await self._check_final_versions(controls)
         self.checker.check_executions(self._servers)
+        self.checker.check_crashing_requests(self._servers)
+        self.checker.check_announced_limits(self._servers)
+        for service in ("svc", "engines"):
+            servers = [each for each in self._servers if each.service == service]
+            self.checker.check_repeats(service, servers)
 
     async def _wait_until_serving(self) -> None:
         """Wait until every entry serves; a timeout is a violation.
@@ -198,8 +207,16 @@
             await self._call(client, self._generator.choice(names), kind)
             await asyncio.sleep(CALLER_INTERVAL_S)
 
+    async def _send_body(self, client: aiohttp.ClientSession, body: bytes) -> None:
+        entry = self._generator.choice(list(self._links))
+        await self._call(client, entry, "read", body)
+
     async def _call(
-        self, client: aiohttp.ClientSession, entry: str, kind: str
+        self,
+        client: aiohttp.ClientSession,
+        entry: str,
+        kind: str,
+        body: bytes | None = None,
     ) -> int | None:
         """Send one request through the link of an entry; return the status.
 
@@ -207,6 +224,7 @@
         """
         self._call_count += 1
         name = f"q{self._call_count}"
+        self.checker.sent_requests[name] = (entry, time.monotonic())
         if kind == "book":
             self.checker.at_most_once.add(name)
         headers = {
@@ -217,17 +235,17 @@
             "Carobspring-Token-Usage": LARGE_TOKEN_USAGE,
         }
         url = f"http://127.0.0.1:{self._links[entry].port}/{kind}/x"
-        method = "POST" if kind == "book" else "GET"
+        method = "POST" if kind == "book" or body else "GET"
         timeout = aiohttp.ClientTimeout(total=REQUEST_TIMEOUT_S)
         try:
             async with client.request(
-                method, url, headers=headers, timeout=timeout
+                method, url, headers=headers, timeout=timeout, data=body
             ) as response:
-                body = await response.read()
+                content = await response.read()
         except (aiohttp.ClientError, TimeoutError, OSError):
             self.checker.status_counts[0] += 1
             return None
-        self.checker.check_response(name, kind, response.status, body)
+        self.checker.check_response(name, kind, response.status, content)
         return response.status
 
     async def _send_changes(self, ends_at: float) -> None:
--- a/standins/backend_server.py
+++ b/standins/backend_server.py
@@ -4,6 +4,7 @@
 import secrets
 import time
 from collections import Counter
+from collections.abc import Mapping
 from dataclasses import dataclass
 
 import aiohttp
@@ -28,6 +29,8 @@
     at: float
     attempt_id: str
     body: bytes
+    #: What the response announced.
+    announced: Mapping[str, str]
 
 
 class StandInServer:
@@ -56,8 +59,8 @@
         self.service = service
         self.run_counts: Counter[str] = Counter()
         self.arrivals: list[Arrival] = []
-        #: Monotonic times at which ``crashing_body`` crashed the server.
-        self.crash_times: list[float] = []
+        #: Monotonic times and bodies of the requests that crashed the server.
+        self.crashes: list[tuple[float, bytes]] = []
         self.crashing_body = b""
         self.restart_delay_s = 2.0
         self.announcements: dict[str, str] = {}
@@ -77,6 +80,11 @@
         self._check_in_task: asyncio.Task[None] | None = None
         self._restart_task: asyncio.Task[None] | None = None
 
+    @property
+    def address(self) -> str:
+        """The address that stays the same over restarts."""
+        return f"{self._ip}:{SERVER_PORT}"
+
     @property
     def arrival_times(self) -> list[float]:
         """Monotonic times at which requests arrived."""
@@ -115,7 +123,7 @@
 
     def _break_down(self) -> None:
         """End like a crashed process, and return after a while."""
-        self.crash_times.append(time.monotonic())
+        self.crashes.append((time.monotonic(), self.crashing_body))
         assert self._runner is not None and self._runner.server is not None
         for site in tuple(self._runner.sites):
             # Closes the listening socket at once, unlike stopping the site.
@@ -181,7 +189,12 @@
         body = await request.read()
         attempt_id = headers.get("Carobspring-Attempt-Id", "")
         self.arrivals.append(
-            Arrival(at=time.monotonic(), attempt_id=attempt_id, body=body)
+            Arrival(
+                at=time.monotonic(),
+                attempt_id=attempt_id,
+                body=body,
+                announced=self.announcements,
+            )
         )
         if headers.get("Carobspring-Expected-Instance") != self.server_id:
             return web.Response(status=421)
--- a/tests/benchmarks/test_soak.py
+++ b/tests/benchmarks/test_soak.py
@@ -1,11 +1,17 @@
 import unittest
 from collections import Counter
+from dataclasses import replace
 from types import SimpleNamespace
 
 from aiohttp import web
 
-from bench.promises import CONFIGURATION_APPLY_BOUND_S, InvariantChecker
+from bench.promises import (
+    CONFIGURATION_APPLY_BOUND_S,
+    Disruption,
+    InvariantChecker,
+)
 from bench.soak import SoakRun
+from standins.backend_server import Arrival
 from standins.deployment import open_client
 from standins.link import Link
 
@@ -84,6 +90,80 @@
             ["at-most-once execution", "refused requests do not run"],
         )
 
+    def build_server(self, times, *, body=b"", limit=None, crashes=(), name="q"):
+        announced = {"Server-Limit": str(limit)} if limit else {}
+        return SimpleNamespace(
+            server_id="s1",
+            crashes=[(at, body) for at in crashes],
+            arrivals=[
+                Arrival(
+                    at=at, attempt_id=f"{name}{number}", body=body, announced=announced
+                )
+                for number, at in enumerate(times)
+            ],
+        )
+
+    def test_crashing_requests(self):
+        """More than three requests long after the third crash are detected."""
+        cases = {
+            "three after the third": (10.0, 3, []),
+            "four after the third": (
+                10.0,
+                4,
+                ["crashing requests are held back"],
+            ),
+            "four within the bound": (2.0, 4, []),
+        }
+        for name, (after_s, count, violated) in cases.items():
+            with self.subTest(name):
+                self.checker.violations.clear()
+                crashes = (1.0, 2.0, 3.0)
+                times = [*crashes, *(3.0 + after_s for _ in range(count))]
+                server = self.build_server(times, body=b"x", crashes=crashes)
+                self.checker.check_crashing_requests([server])
+                self.assertEqual(self.list_violated(), violated)
+
+    def test_repeats(self):
+        """Repeats beyond the share and the slack of a window are detected."""
+        cases = {
+            "all allowed": (20, []),
+            "one more": (21, ["retries within the budget"]),
+        }
+        for name, (repeats, violated) in cases.items():
+            with self.subTest(name):
+                self.checker.violations.clear()
+                # Of four requests 0.8 may be repeated beside the slack.
+                first = self.build_server([1.0] * 4)
+                again = self.build_server([2.0] * repeats)
+                for number, arrival in enumerate(again.arrivals):
+                    again.arrivals[number] = replace(
+                        arrival, attempt_id=f"q{number % 4}"
+                    )
+                self.checker.sent_requests = {f"q{n}": ("e", 1.0) for n in range(4)}
+                self.checker.check_repeats("svc", [first, again])
+                self.assertEqual(self.list_violated(), violated)
+
+    def test_announced_limits(self):
+        """Too many requests from entries that were told are detected."""
+        violated = ["announced limits are kept"]
+        frozen = [Disruption(entry="e", started_at=4.0, ended_at=9.9)]
+        cases = {
+            "within the limit": (1.0, 0.4, [], []),
+            "beyond it": (1.0, 0.2, [], violated),
+            "no limit": (None, 0.01, [], []),
+            "by an entry that was frozen": (1.0, 0.02, frozen, []),
+        }
+        for name, (limit, interval_s, disruptions, expected) in cases.items():
+            with self.subTest(name):
+                self.checker.violations.clear()
+                self.checker.disruptions = disruptions
+                early = [0.0]
+                times = early + [10.0 + n * interval_s for n in range(20)]
+                server = self.build_server(times, limit=limit)
+                self.checker.sent_requests = {f"q{n}": ("e", 0.0) for n in range(21)}
+                self.checker.check_announced_limits([server])
+                self.assertEqual(self.list_violated(), expected)
+
 
 class RecoveryTests(unittest.IsolatedAsyncioTestCase):
     """The check that every entry serves uses its own connections."""
--- a/tests/endtoend/test_crashing_requests.py
+++ b/tests/endtoend/test_crashing_requests.py
@@ -47,14 +47,14 @@
                 await asyncio.sleep(0.05)
 
     def count_crashes(self):
-        return sum(len(server.crash_times) for server in self.servers)
+        return sum(len(server.crashes) for server in self.servers)
 
     async def check_crashing(self, method, path):
         statuses = []
         sending_sound = asyncio.create_task(self.send_sound(statuses))
         await self.send_crashing(method, path)
         sending_sound.cancel()
-        crash_times = sorted(at for each in self.servers for at in each.crash_times)
+        crash_times = sorted(at for each in self.servers for at, _ in each.crashes)
         self.assertLessEqual(len(crash_times), 3 + ALLOWED_RETRIES)
         if len(crash_times) >= 3:
             late = [
