--- a/tests/adapters/test_backend_http.py
+++ b/tests/adapters/test_backend_http.py
@@ -150,6 +150,23 @@
                 await backend.close()
                 server.close()
 
+    async def test_refused_connections(self):
+        """Only a refused connection shows that nothing listens."""
+
+        def reset(reader, writer):
+            writer.transport.abort()
+
+        async with RawServer(b"") as listening:
+            backend = HttpBackend(url=listening.url, health_path="/")
+            self.assertIs(await backend.is_refusing(1.0), False)
+        await asyncio.sleep(0.05)
+        self.assertIs(await backend.is_refusing(1.0), True)
+        resetting = await asyncio.start_server(reset, "127.0.0.1", 0)
+        self.addCleanup(resetting.close)
+        port = resetting.sockets[0].getsockname()[1]
+        backend = HttpBackend(url=f"http://127.0.0.1:{port}", health_path="/")
+        self.assertIs(await backend.is_refusing(1.0), False)
+
     async def test_close_reaches_the_server(self):
         """Closing a response or cancelling its wait closes the connection."""
         for name, response in {
@@ -259,6 +276,44 @@
                 self.assertEqual(opened_connections, expected_connections)
                 self.assertEqual(bodies[0], b"a")
 
+    async def test_bytes_while_idle(self):
+        """A connection on which bytes came without a request is not reused."""
+        request = replace(REQUEST, repeatable=True)
+        async with ScriptedServer([build_response(b"a")] * 2) as server:
+            backend = HttpBackend(url=server.url, health_path="/", idle_timeout_s=5.0)
+            (await self.read_response(await backend.send(request)))
+            (idle,) = backend._idle
+            idle.data_received(b"late bytes")
+            self.assertIs(idle.is_lost, True)
+            await self.read_response(await backend.send(request))
+            await backend.close()
+        self.assertEqual(backend.opened_connections, 2)
+
+    async def read_response(self, response):
+        while await response.read():
+            pass
+        response.close()
+
+    async def test_answer_before_the_request_was_read(self):
+        """A connection that still carries a request's rest is not reused."""
+
+        async def answer_early(reader, writer):
+            with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
+                await reader.readuntil(b"\r\n\r\n")
+                writer.write(build_response(b"early"))
+                await asyncio.sleep(TEST_TIMEOUT_S)
+
+        server = await asyncio.start_server(answer_early, "127.0.0.1", 0, limit=1024)
+        self.addCleanup(server.close)
+        port = server.sockets[0].getsockname()[1]
+        backend = HttpBackend(
+            url=f"http://127.0.0.1:{port}", health_path="/", idle_timeout_s=5.0
+        )
+        large = replace(REQUEST, repeatable=True, body=b"x" * 50_000_000)
+        await self.read_response(await backend.send(large))
+        self.assertEqual(len(backend._idle), 0)
+        await backend.close()
+
     async def test_late_second_response(self):
         """A second response to an earlier request is skipped."""
         late = build_response(b"late", "X-For: old") + build_response(
--- a/tests/control/test_gossip.py
+++ b/tests/control/test_gossip.py
@@ -161,6 +161,10 @@
     def test_strikes(self):
         """Peers learn strikes at once, and a restarted replica all of them."""
         network, a, b = build_pair()
+        for replica in (a, b):
+            # The first message after a start holds the complete state.
+            replica.tick()
+        network.deliver_all()
         first, second = (
             Strike(workspace="w", request_hash="h", server_id=name, boot=1, at_ms=1)
             for name in ("s1", "s2")
--- a/tests/gateway/fakes.py
+++ b/tests/gateway/fakes.py
@@ -199,6 +199,7 @@
         admission_waits=None,
         uptime_s=60.0,
         confirmed=True,
+        engine=None,
     ):
         loop = asyncio.get_running_loop()
         self.clients = {
@@ -232,7 +233,7 @@
         self.table = RoutingTable(
             version=3,
             routes=(route,),
-            services={"svc": RoutedService(name="svc")},
+            services={"svc": RoutedService(name="svc", engine=engine)},
             owners=owners,
         )
         self.state.apply_table(self.table, 0.0)
--- a/tests/gateway/test_admission.py
+++ b/tests/gateway/test_admission.py
@@ -99,6 +99,32 @@
         await wait_until(has_count, f"{count} requests wait")
 
 
+class PermitTests(AdmissionTestCase):
+    async def test_entries_share_one_limit(self):
+        """All entries together get the permits that the limit allows."""
+        loop = asyncio.get_running_loop()
+        placement = Placement(server=self.engine, may_wait=True)
+        granted = []
+
+        async def ask(number):
+            now = loop.time()
+            query = DispatchQuery(
+                request_id=f"p{number}",
+                service="svc",
+                deadline=now + 1.6,
+                due_at=now + 1.6,
+            )
+            entry = self.entries[number % 2]
+            result = await entry.request_permit(query, placement, 4.0)
+            if result.outcome is ADMITTED:
+                granted.append(loop.time())
+            return result.outcome
+
+        outcomes = await asyncio.gather(*map(ask, range(20)))
+        self.assertEqual(set(outcomes), {ADMITTED, REJECTED})
+        self.assertTrue(3 <= len(granted) <= 6)
+
+
 class HostTests(AdmissionTestCase):
     async def test_host_in_the_zone_of_the_engine(self):
         """An engine's requests go to a host in its zone while there is one."""
--- a/tests/gateway/test_exchange.py
+++ b/tests/gateway/test_exchange.py
@@ -2,19 +2,21 @@
 import unittest
 
 from carobspring.domain import ServiceKind
-from carobspring.domain.routes import Repeatability
+from carobspring.domain.routes import EngineTraits, Repeatability
 from carobspring.gateway.relay import MAX_BUFFERED_BYTES
 from carobspring.ports import BackendUnreachableError, IncompleteResponseError
 from tests.gateway.fakes import (
     REQUEST_ID,
     RESPONSE_HEADERS,
     STREAM_HEADERS,
+    FakeClient,
     FakeResponder,
     GatewayHarness,
     build_event,
     build_incomplete_error,
 )
 
+ENGINE = EngineTraits(slots=64, kv_capacity_tokens=300_000)
 ONCE = Repeatability.ONCE
 IDEMPOTENT = Repeatability.IDEMPOTENT
 RESUMABLE = Repeatability.RESUMABLE_STREAM
@@ -115,6 +117,33 @@
                 await gateway.call()
                 self.assertEqual(sum(gateway.count_requests().values()), expected)
 
+    async def test_time_left_for_a_retry(self):
+        """A second server is handed what the first one left of the time."""
+
+        class SlowClient(FakeClient):
+            async def send(self, request):
+                await asyncio.sleep(0.2)
+                return await super().send(request)
+
+        gateway = GatewayHarness([], [SUCCESS])
+        gateway.clients["s1"] = SlowClient([build_incomplete_error()])
+        await gateway.call()
+        first, second = (
+            int(dict(client.requests[0].headers)["Carobspring-Deadline-Ms"])
+            for client in gateway.clients.values()
+        )
+        self.assertLessEqual(second, first - 199)
+
+    async def test_rank_is_forwarded_to_engines(self):
+        """An engine is told the rank of a request, and a plain service not."""
+        for engine, expected in ((ENGINE, "0"), (None, None)):
+            with self.subTest(engine=engine):
+                gateway = GatewayHarness([SUCCESS], engine=engine)
+                await gateway.call()
+                (sent,) = gateway.clients["s1"].requests
+                rank = dict(sent.headers).get("Carobspring-Request-Priority")
+                self.assertEqual(rank, expected)
+
     async def test_no_retry_of_a_body_that_has_begun(self):
         """Once a part of a body was sent, no other server is asked in vain."""
         large = b"x" * (MAX_BUFFERED_BYTES + 1)
@@ -301,9 +330,9 @@
         }
         for name, (kind, script, status, ended) in cases.items():
             with self.subTest(name):
-                response = await GatewayHarness(
-                    script, repeatability=kind, timeout_ms=100
-                ).call()
+                gateway = GatewayHarness(script, repeatability=kind, timeout_ms=100)
+                async with asyncio.timeout(5):
+                    response = await gateway.call()
                 self.assertEqual((response.status, response.ended), (status, ended))
 
     async def test_caller_leaves(self):
