Log the parts of a failed attempt's prompt, and which request released strikes

Change: 'attempt failed' gains parts (at most 8, 24 characters each); 'strikes released' names the request and the number. No decision changes. Ran: tests.gateway.test_exchange, tests.gateway.test_crashes: passed.

--- a/carobspring/dispatch/__init__.py
+++ b/carobspring/dispatch/__init__.py
@@ -6,6 +6,7 @@
 
 from carobspring.dispatch.crashes import CrashAttribution, OpenRun
 from carobspring.dispatch.dispatcher import Dispatcher
+from carobspring.dispatch.homes import find_shared_parts
 from carobspring.dispatch.limits import DispatchLimits
 from carobspring.dispatch.quarantine import RequestQuarantine
 from carobspring.dispatch.queries import (
@@ -29,4 +30,5 @@
     "Refusal",
     "RefusalReason",
     "RequestQuarantine",
+    "find_shared_parts",
 ]
--- a/carobspring/gateway/crashes.py
+++ b/carobspring/gateway/crashes.py
@@ -91,6 +91,8 @@
         if released:
             now = self._read_clock()
             self._released.extend((now, strike) for strike in released)
+            extra = _build_log_fields(released[-1]) | {"strikes": len(released)}
+            logger.info("strikes released", extra=extra)
             self._request_report()
 
     def end_unsent(self, run: OpenRun) -> None:
--- a/carobspring/gateway/exchange.py
+++ b/carobspring/gateway/exchange.py
@@ -16,6 +16,7 @@
     Placement,
     Refusal,
     RefusalReason,
+    find_shared_parts,
 )
 from carobspring.domain import BackendServer, hash_request
 from carobspring.domain.routes import Repeatability, Route
@@ -51,6 +52,10 @@
 #: Seconds between two checks whether to move a request from a silent server.
 SILENCE_CHECK_INTERVAL_S: Final = 0.25
 
+#: Parts of a prompt in a log line, and characters of each.
+MAX_LOGGED_PARTS: Final = 8
+MAX_LOGGED_PART_LENGTH: Final = 24
+
 #: Outcomes that prove that the server has not run the request.
 _NOT_RUN: Final = frozenset(
     {AttemptOutcome.NOT_RUN, AttemptOutcome.MISDIRECTED, AttemptOutcome.UNREACHABLE}
@@ -467,6 +472,7 @@
                 "peer_ended": result.peer_ended,
                 "workspace": self._workspace,
                 "digest": self._identify()[1],
+                "parts": _format_parts(self._query),
                 "took_ms": round(duration_s * 1000, 1),
                 "placement": placement.reason,
                 "last_event": self._relay.last_event_id,
@@ -474,6 +480,12 @@
         )
 
 
+def _format_parts(query: DispatchQuery) -> str:
+    """Return the parts that other requests may share, bounded for the log."""
+    parts = find_shared_parts(query)[:MAX_LOGGED_PARTS]
+    return ",".join(part[:MAX_LOGGED_PART_LENGTH] for part, _ in parts)
+
+
 def _build_incomplete_result(error: IncompleteResponseError) -> AttemptResult:
     return AttemptResult(
         outcome=AttemptOutcome.INCOMPLETE,
