--- a/standins/backend_server.py
+++ b/standins/backend_server.py
@@ -29,6 +29,8 @@
     at: float
     attempt_id: str
     body: bytes
+    #: Parts of the prompt, without their sizes.
+    parts: tuple[str, ...] = ()
     #: What the response announced.
     announced: Mapping[str, str]
 
@@ -40,9 +42,11 @@
     fault: ``shed`` rejects requests unexecuted, ``error`` responds with 500,
     ``cut`` aborts the connection, ``hang`` delays the response by a minute,
     ``stray`` responds with the identifier of another attempt, and ``endless``
-    does so with a body without end. A request
-    whose body is ``crashing_body`` crashes the server, which returns with a
-    new identifier after ``restart_delay_s``. All responses to callers carry
+    does so with a body without end. A request whose body is
+    ``crashing_body``, or whose prompt has one of ``crashing_parts``, crashes
+    the server, which returns with a new identifier after
+    ``restart_delay_s``. ``error_share`` of the runs get a 500 response
+    instead, that of a crashing request too. All responses to callers carry
     the headers in ``announcements``.
     """
 
@@ -62,7 +66,13 @@
         #: Monotonic times and bodies of the requests that crashed the server.
         self.crashes: list[tuple[float, bytes]] = []
         self.crashing_body = b""
+        self.crashing_parts: frozenset[str] = frozenset()
+        #: Seconds until such a request crashes the server, as it begins to
+        #: write an answer.
+        self.crash_delay_s = 0.0
         self.restart_delay_s = 2.0
+        #: Share of the runs, evenly spread, that end with a 500 response.
+        self.error_share = 0.0
         self.announcements: dict[str, str] = {}
         self.fault = ""
         self.event_interval_s = 0.02
@@ -121,10 +131,12 @@
         if self._runner is not None:
             await self._runner.cleanup()
 
-    def _break_down(self) -> None:
+    def break_down(self, body: bytes = b"") -> None:
         """End like a crashed process, and return after a while."""
-        self.crashes.append((time.monotonic(), self.crashing_body))
-        assert self._runner is not None and self._runner.server is not None
+        if self._runner is None or self._runner.server is None:
+            # It has not returned from its last crash.
+            return
+        self.crashes.append((time.monotonic(), body))
         for site in tuple(self._runner.sites):
             # Closes the listening socket at once, unlike stopping the site.
             site._server.close()  # type: ignore[attr-defined]
@@ -188,11 +200,14 @@
         headers = request.headers
         body = await request.read()
         attempt_id = headers.get("Carobspring-Attempt-Id", "")
+        prefix = headers.get("Carobspring-Prefix-Hash", "")
+        parts = tuple(item.partition(":")[0] for item in prefix.split(",") if item)
         self.arrivals.append(
             Arrival(
                 at=time.monotonic(),
                 attempt_id=attempt_id,
                 body=body,
+                parts=parts,
                 announced=self.announcements,
             )
         )
@@ -204,14 +219,18 @@
                 headers={"Carobspring-Not-Executed": "1", **self.announcements},
             )
         self.run_counts[attempt_id] += 1
-        if body and body == self.crashing_body:
-            self._break_down()
-            return web.Response()
         response_headers = {
             "Carobspring-Attempt-Id": attempt_id,
             "Carobspring-Upstream-Signature": f"{self.server_id}.{attempt_id}",
             **self.announcements,
         }
+        if self._should_fail():
+            return web.Response(status=500, headers=response_headers, text="failed")
+        is_crashing = bool(body) and body == self.crashing_body
+        if is_crashing or self.crashing_parts.intersection(parts):
+            await asyncio.sleep(self.crash_delay_s)
+            self.break_down(body)
+            return web.Response()
         if self.fault == "stray":
             return web.Response(
                 headers=response_headers | {"Carobspring-Attempt-Id": "other"}
@@ -232,6 +251,12 @@
             headers=response_headers, text=f"{request.method} {attempt_id}"
         )
 
+    def _should_fail(self) -> bool:
+        run_count = self.run_counts.total()
+        return int(run_count * self.error_share) > int(
+            (run_count - 1) * self.error_share
+        )
+
     async def _send_endless_body(self, request: web.Request) -> None:
         transport = request.transport
         assert isinstance(transport, asyncio.Transport)
