Clear no request of crashes by an error response

Cause: a 5xx of a server released all strikes of a request, as if it had run well. A failure says nothing of what the next run does: with one error in three, a request that crashes servers was struck anew after each error. Change: only a complete answer below 500 releases strikes; a failure ends the run without a strike. Ruled out: striking for failures (the server is well). Evidence: the new test fails before (one strike released), passes after.

--- a/carobspring/gateway/crashes.py
+++ b/carobspring/gateway/crashes.py
@@ -95,6 +95,13 @@
             logger.info("strikes released", extra=extra)
             self._request_report()
 
+    def end_failed(self, run: OpenRun) -> None:
+        """Record that a server answered with a failure.
+
+        That tells nothing of what the request does where it runs on.
+        """
+        self._attribution.end(run, is_broken=False, now=self._read_clock())
+
     def end_unsent(self, run: OpenRun) -> None:
         """Record that the server has not run the request."""
         self._attribution.end(run, is_broken=False, now=self._read_clock())
--- a/carobspring/gateway/exchange.py
+++ b/carobspring/gateway/exchange.py
@@ -276,8 +276,10 @@
 
     def _end_run(self, run: OpenRun, result: AttemptResult) -> None:
         crash_detector = self._context.crash_detector
-        if result.outcome in (AttemptOutcome.ANSWERED, AttemptOutcome.SERVER_ERROR):
+        if result.outcome is AttemptOutcome.ANSWERED:
             crash_detector.end_answered(run)
+        elif result.outcome is AttemptOutcome.SERVER_ERROR:
+            crash_detector.end_failed(run)
         elif result.outcome in _NOT_RUN:
             crash_detector.end_unsent(run)
         else:
--- a/tests/gateway/test_crashes.py
+++ b/tests/gateway/test_crashes.py
@@ -82,6 +82,15 @@
         self.assertEqual(response.status, 200)
         self.assertEqual(len(gateway.crash_detector.list_released()), 1)
 
+    async def test_failure_clears_nothing(self):
+        """An error response does not tell what a request does that runs on."""
+        failure = (500, RESPONSE_HEADERS, [b"failed"])
+        gateway = self.build([ENDED], [failure], down=("s1",))
+        response = await gateway.call()
+        self.assertEqual(response.status, 500)
+        self.assertEqual(self.list_struck(gateway), ["s1"])
+        self.assertEqual(gateway.crash_detector.list_released(), ())
+
     async def test_crash_known_from_a_later_start(self):
         """A server that went dark is known as crashed by its next start."""
         released = asyncio.Event()
