Ask again whether a request is held back when it has waited

Cause: the hold was asked for before the wait for admission or a permit and not after it, so a request that waited while servers ended elsewhere was sent all the same. Change: it is asked for again just before the send; what admission or a permit had reserved is released. Evidence: the new test fails before (status 200, one request at the server) and passes after. Ran: tests.gateway.test_crashes: 9 passed.

--- a/carobspring/gateway/exchange.py
+++ b/carobspring/gateway/exchange.py
@@ -154,13 +154,12 @@
         return self._build_report(RequestOutcome.ABANDONED, 0, "caller_left")
 
     async def _try_servers(self) -> ExchangeReport:
+        context = self._context
         while True:
-            now = self._context.read_clock()
-            hold_s = self._context.crash_detector.compute_hold(self._identify)
-            if hold_s > 0:
-                return await self._finish_refused(
-                    Refusal(reason=RefusalReason.QUARANTINED, retry_after_s=hold_s)
-                )
+            now = context.read_clock()
+            held = self._check_quarantine()
+            if held is not None:
+                return await self._finish_refused(held)
             placement = self._place(now)
             if isinstance(placement, Refusal):
                 placement = self._admission.explain_refusal(placement)
@@ -183,6 +182,12 @@
                 if self._admission.can_ask_another:
                     continue
                 return await self._finish_refused(self._admission.build_refusal())
+            # Crashes may have become known while the request waited.
+            held = self._check_quarantine()
+            if held is not None:
+                server_id = placement.server.server_id
+                context.admission_client.release(server_id, self._query.request_id)
+                return await self._finish_refused(held)
             result = await self._try_server(placement)
             if result.outcome is AttemptOutcome.ANSWERED:
                 return self._build_report(RequestOutcome.RELAYED, 0, "")
@@ -194,6 +199,13 @@
             if result.outcome not in _NOT_RUN and not self._can_retry():
                 return await self._finish_failed(result.detail)
 
+    def _check_quarantine(self) -> Refusal | None:
+        """Return the refusal of a request that is held back, or None."""
+        hold_s = self._context.crash_detector.compute_hold(self._identify)
+        if hold_s <= 0:
+            return None
+        return Refusal(reason=RefusalReason.QUARANTINED, retry_after_s=hold_s)
+
     def _place(self, now: float) -> Placement | Refusal:
         """Choose a server, away from other requests that may crash theirs."""
         excluded = self._excluded | self._admission.rejected_servers
--- a/tests/gateway/fakes.py
+++ b/tests/gateway/fakes.py
@@ -142,6 +142,8 @@
     def __init__(self, expected_waits):
         self.expected_waits = expected_waits
         self.permit_waits = {}
+        #: Delays the grant of every permit if it is set.
+        self.permit_event = None
         self.asked_servers = []
         self.permit_requests = []
         self.released = []
@@ -160,6 +162,8 @@
 
     async def request_permit(self, query, placement, rate_limit):
         self.permit_requests.append((placement.server.server_id, placement.may_wait))
+        if self.permit_event is not None:
+            await self.permit_event.wait()
         wait_s = self.permit_waits.get(placement.server.server_id)
         if wait_s is None:
             return AdmissionResult(outcome=AdmissionOutcome.UNAVAILABLE)
--- a/tests/gateway/test_crashes.py
+++ b/tests/gateway/test_crashes.py
@@ -5,7 +5,12 @@
 from carobspring.gateway.directory import ListedServer
 from carobspring.ports import IncompleteResponseError
 from carobspring.protocol import ViewUpdate
-from tests.gateway.fakes import RESPONSE_HEADERS, FakeResponder, GatewayHarness
+from tests.gateway.fakes import (
+    REQUEST_ID,
+    RESPONSE_HEADERS,
+    FakeResponder,
+    GatewayHarness,
+)
 
 IDEMPOTENT = Repeatability.IDEMPOTENT
 ONCE = Repeatability.ONCE
@@ -82,6 +87,25 @@
         self.assertEqual(response.status, 200)
         self.assertEqual(len(gateway.crash_detector.list_released()), 1)
 
+    async def test_strikes_that_come_during_a_wait(self):
+        """A request that waits for a permit is held by what is heard then."""
+        first = self.build([ENDED], [ENDED], down=("s1", "s2"))
+        await first.call()
+        strikes = first.crash_detector.list_strikes()
+        second = self.build([SUCCESS])
+        second.dispatcher.record_rate_limit(second.servers["s1"], 5.0)
+        client = second.admission_client
+        client.permit_waits["s1"] = 0
+        client.permit_event = asyncio.Event()
+        calling = asyncio.create_task(second.call())
+        await asyncio.sleep(0.05)
+        self.assertEqual(len(client.permit_requests), 1)
+        second.crash_detector.apply_update(ViewUpdate(strikes=strikes))
+        client.permit_event.set()
+        self.assertEqual((await calling).status, 503)
+        self.assertEqual(second.count_requests(), {"s1": 0})
+        self.assertEqual(client.released, [("s1", REQUEST_ID)])
+
     async def test_failure_clears_nothing(self):
         """An error response does not tell what a request does that runs on."""
         failure = (500, RESPONSE_HEADERS, [b"failed"])
