Count what a silent server ran when its next start ends the connections

Cause: a server that falls silent loses its lease after a few seconds and is delisted. Change: a run that ended without a response is always kept as evidence, and only the proof of a crash decides: a refused connection of a server that is not leaving, or a later start of one that was not. The check of its own that end_broken had is gone; it protected nothing that these two do not (no test noticed it, and none could). Evidence: test_crash_known_after_the_lease fails before for 'fell silent' (no strike). Taking either of the two proofs' conditions out is noticed by test_planned_leaving_is_no_crash and by the case 'left as planned'. Ran: tests.gateway.test_crashes, tests.dispatch.test_crashes: passed.

--- a/carobspring/gateway/crashes.py
+++ b/carobspring/gateway/crashes.py
@@ -106,13 +106,13 @@
         """Record that the server has not run the request."""
         self._attribution.end(run, is_broken=False, now=self._read_clock())
 
-    def end_broken(self, run: OpenRun, *, peer_ended: bool) -> None:
-        """Record that a request ended without a response."""
-        listing = self._find_listing(run.server_run[0])
-        # A server that leaves as planned ends its connections at last.
-        has_left = listing is None or listing.draining
-        is_broken = not (peer_ended and has_left)
-        key = self._attribution.end(run, is_broken=is_broken, now=self._read_clock())
+    def end_broken(self, run: OpenRun) -> None:
+        """Record that a request ended without a response.
+
+        That is no proof of a crash: a server that leaves as planned ends its
+        connections at last. The proof decides, whenever it comes.
+        """
+        key = self._attribution.end(run, is_broken=True, now=self._read_clock())
         if key is not None:
             self._add_strikes(run.server_run, (key,))
 
--- a/carobspring/gateway/exchange.py
+++ b/carobspring/gateway/exchange.py
@@ -295,7 +295,7 @@
         elif result.outcome in _NOT_RUN:
             crash_detector.end_unsent(run)
         else:
-            crash_detector.end_broken(run, peer_ended=result.peer_ended)
+            crash_detector.end_broken(run)
 
     async def _send(self, client: HttpBackend, placement: Placement) -> AttemptResult:
         server_id = placement.server.server_id
--- a/tests/gateway/test_crashes.py
+++ b/tests/gateway/test_crashes.py
@@ -130,6 +130,31 @@
         calling.cancel()
         await asyncio.gather(calling, return_exceptions=True)
 
+    async def test_crash_known_after_the_lease(self):
+        """A silent server is struck also if it was delisted meanwhile.
+
+        Its next start ends the connections and is listed afterwards. A server
+        that was leaving ends them too, and its address gets another one.
+        """
+        cases = {"fell silent": (False, ["s1"]), "left as planned": (True, [])}
+        for name, (draining, expected) in cases.items():
+            with self.subTest(name):
+                released = asyncio.Event()
+                script = (200, RESPONSE_HEADERS, [released, ENDED])
+                gateway = self.build([script], repeatability=ONCE)
+                detector, server = gateway.crash_detector, gateway.servers["s1"]
+                for is_leaving in (False, draining):
+                    listed = ListedServer(server=server, draining=is_leaving)
+                    detector.handle_listed(listed)
+                calling = asyncio.create_task(gateway.call())
+                await asyncio.sleep(0.05)
+                del gateway.listings["s1"]
+                released.set()
+                self.assertEqual((await calling).status, 502)
+                successor = gateway.build_server("s9", boot=2, port=server.port)
+                detector.handle_listed(ListedServer(server=successor, draining=False))
+                self.assertEqual(self.list_struck(gateway), expected)
+
     async def test_suspects_are_kept_apart(self):
         """Two requests with a strike don't run at one server together."""
         waiting = asyncio.Event()
