Report all strikes that an entry knows to replicas that lost theirs

Cause: after all replicas were lost, each entry reported only the strikes of its own. Strikes of an entry that was gone too were lost, though all others knew them. Evidence: the new test fails before (no strike reported), passes after. What stays: if every entry and every replica is restarted at once, two more servers may end.

--- a/carobspring/dispatch/quarantine.py
+++ b/carobspring/dispatch/quarantine.py
@@ -67,6 +67,10 @@
         """Return the number of server runs that ended under a request."""
         return self._strikes.count(key)
 
+    def list_strikes(self) -> tuple[Strike, ...]:
+        """Return all strikes that this entry knows."""
+        return self._strikes.list_strikes()
+
     def admit(self, key: RequestKey, now: float) -> float:
         """Return the seconds for which a request is held back, or zero."""
         count = self._strikes.count(key)
--- a/carobspring/gateway/crashes.py
+++ b/carobspring/gateway/crashes.py
@@ -57,7 +57,7 @@
         self._probes: dict[ServerRun, asyncio.Task[bool]] = {}
         self._own_strikes: deque[tuple[float, Strike]] = deque(maxlen=MAX_OWN_STRIKES)
         self._released: deque[tuple[float, Strike]] = deque(maxlen=MAX_OWN_STRIKES)
-        #: Until when all own strikes are reported, not only the new ones.
+        #: Until when all strikes are reported, not only the new ones.
         self._complete_until = float("-inf")
 
     def compute_hold(self, identify: Callable[[], RequestKey]) -> float:
@@ -153,7 +153,12 @@
         self._quarantine.remove(update.released)
 
     def list_strikes(self) -> tuple[Strike, ...]:
-        """Return the strikes to include in a report."""
+        """Return the strikes to include in a report.
+
+        While replicas may have lost them, these are all that are known.
+        """
+        if self._read_clock() < self._complete_until:
+            return self._quarantine.list_strikes()
         return self._list_recent(self._own_strikes)
 
     def list_released(self) -> tuple[Strike, ...]:
--- a/tests/gateway/test_crashes.py
+++ b/tests/gateway/test_crashes.py
@@ -106,6 +106,17 @@
         self.assertEqual(second.count_requests(), {"s1": 0})
         self.assertEqual(client.released, [("s1", REQUEST_ID)])
 
+    async def test_strikes_outlive_those_who_gave_them(self):
+        """An entry tells replicas that lost them of all strikes it knows."""
+        first = self.build([ENDED], [ENDED], down=("s1", "s2"))
+        await first.call()
+        strikes = first.crash_detector.list_strikes()
+        detector = self.build([SUCCESS]).crash_detector
+        detector.apply_update(ViewUpdate(strikes=strikes))
+        self.assertEqual(detector.list_strikes(), ())
+        detector.apply_update(ViewUpdate(complete=True))
+        self.assertEqual(detector.list_strikes(), strikes)
+
     async def test_failure_clears_nothing(self):
         """An error response does not tell what a request does that runs on."""
         failure = (500, RESPONSE_HEADERS, [b"failed"])
