Let one entry try a request when its hold is over, not each of them

Cause: when a hold was over every entry admitted one send of its own, so that 70 entries sent 70, each of which may end a server. Change: a send after a hold is a trial: it counts as a strike from the moment it is sent, so that all entries hold the request back anew (for an hour) while it runs; its answer releases all strikes, a refusal by the server takes this one back. Entries begin in turns, half a second apart by their number, so that the others hear of the first. Ruled out: permits of one host (a host that is cut off would hold sound requests back for ever); one send at each entry with a chance of 1 in their number (no bound). What stays: two entries whose turns are less than the gossip apart (0.1 to 0.2 s) may both try.

--- a/carobspring/dispatch/crashes.py
+++ b/carobspring/dispatch/crashes.py
@@ -24,6 +24,8 @@
     identify: Callable[[], RequestKey]
     #: Whether a server already crashed under this request.
     is_suspect: bool
+    #: Whether it was sent to find out what it does, after a hold.
+    is_trial: bool = False
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -64,12 +66,14 @@
         identify: Callable[[], RequestKey],
         *,
         is_suspect: bool = False,
+        is_trial: bool = False,
     ) -> OpenRun:
         """Record that a request is sent to a server."""
         run = OpenRun(
             server_run=(server.server_id, server.boot),
             identify=identify,
             is_suspect=is_suspect,
+            is_trial=is_trial,
         )
         self._open.setdefault(run.server_run, {})[run] = None
         return run
--- a/carobspring/dispatch/quarantine.py
+++ b/carobspring/dispatch/quarantine.py
@@ -7,6 +7,7 @@
     HELD_STRIKES,
     MAX_REQUESTS,
     RequestKey,
+    ServerRun,
     StrikeSet,
 )
 from carobspring.protocol import Strike
@@ -18,6 +19,9 @@
 #: for which it is then held back.
 LIKELY_CAUSE_STRIKES: Final = 3
 LIKELY_CAUSE_HOLD_S: Final = 3600.0
+#: Seconds between the first sends of two entries when a hold is over, so that
+#: the others hear of one before they admit theirs.
+TRIAL_INTERVAL_S: Final = 0.5
 
 
 class RequestQuarantine:
@@ -25,18 +29,26 @@
 
     A request with one strike is sent, away from others with strikes, so that
     a second crash has one likely cause. With two it is held back for a while,
-    with three for long. When the time is over, one send of it is admitted. A
-    request that runs to its end anywhere did not cause the crashes, and its
-    strikes are released.
+    with three for long. When the time is over, one send is admitted as a
+    trial, which counts as a strike until it is answered. A request that runs
+    to its end anywhere did not cause the crashes, and its strikes are
+    released.
 
     Example:
-        ``hold_s = quarantine.admit(key, now)``; the request may be sent if
-        that is zero.
+        ``left_s = quarantine.compute_hold(key, now, entry_count)``; the
+        request may be sent if that is zero or less.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, *, trial_turn: float = 0.0) -> None:
+        """Create an empty quarantine.
+
+        Args:
+            trial_turn: This entry's place among the others, in [0, 1), by
+                which it begins trials.
+        """
+        self._trial_turn = trial_turn
         self._strikes = StrikeSet()
-        #: Time of the last strike or admitted send of a request.
+        #: Time of the last strike of a request.
         self._held_since: dict[RequestKey, float] = {}
 
     @property
@@ -71,14 +83,29 @@
         """Return all strikes that this entry knows."""
         return self._strikes.list_strikes()
 
-    def admit(self, key: RequestKey, now: float) -> float:
-        """Return the seconds for which a request is held back, or zero."""
-        count = self._strikes.count(key)
-        if count < HELD_STRIKES:
+    def compute_hold(self, key: RequestKey, now: float, entry_count: int = 1) -> float:
+        """Return the seconds for which a request is held back, or zero.
+
+        Args:
+            key: The request.
+            now: Monotonic time in seconds.
+            entry_count: The number of entries that may begin a trial.
+        """
+        if not self.is_held(key):
             return 0.0
-        hold_s = LIKELY_CAUSE_HOLD_S if count >= LIKELY_CAUSE_STRIKES else HOLD_S
-        left_s = self._held_since.get(key, now) + hold_s - now
-        if left_s > 0:
-            return left_s
-        self._held_since[key] = now
-        return 0.0
+        is_likely = self._strikes.count(key) >= LIKELY_CAUSE_STRIKES
+        hold_s = LIKELY_CAUSE_HOLD_S if is_likely else HOLD_S
+        turn_s = self._trial_turn * entry_count * TRIAL_INTERVAL_S
+        return max(0.0, self._held_since.get(key, now) + hold_s + turn_s - now)
+
+    def is_held(self, key: RequestKey) -> bool:
+        """Return whether a request that is sent now is on trial."""
+        return self._strikes.count(key) >= HELD_STRIKES
+
+    def release_run(self, key: RequestKey, server_run: ServerRun) -> tuple[Strike, ...]:
+        """Release the strike that one run brought; return it."""
+        return self._strikes.release(
+            strike
+            for strike in self._strikes.find(key)
+            if (strike.server_id, strike.boot) == server_run
+        )
--- a/carobspring/gateway/crashes.py
+++ b/carobspring/gateway/crashes.py
@@ -43,6 +43,8 @@
         read_clock: Callable[[], float],
         read_wall_ms: Callable[[], int],
         request_report: Callable[[], None],
+        count_entries: Callable[[], int],
+        trial_turn: float,
         evidence_s: float,
         metrics: CrashMetrics,
     ) -> None:
@@ -53,7 +55,8 @@
         self._request_report = request_report
         self._metrics = metrics
         self._attribution = CrashAttribution(evidence_s=evidence_s)
-        self._quarantine = RequestQuarantine()
+        self._count_entries = count_entries
+        self._quarantine = RequestQuarantine(trial_turn=trial_turn)
         self._probes: dict[ServerRun, asyncio.Task[bool]] = {}
         self._own_strikes: deque[tuple[float, Strike]] = deque(maxlen=MAX_OWN_STRIKES)
         self._released: deque[tuple[float, Strike]] = deque(maxlen=MAX_OWN_STRIKES)
@@ -64,7 +67,9 @@
         """Return the seconds for which a request is held back, or zero."""
         if self._quarantine.is_empty:
             return 0.0
-        return self._quarantine.admit(identify(), self._read_clock())
+        return self._quarantine.compute_hold(
+            identify(), self._read_clock(), self._count_entries()
+        )
 
     def list_avoided_servers(
         self, identify: Callable[[], RequestKey]
@@ -77,23 +82,29 @@
     def begin(
         self, server: BackendServer, identify: Callable[[], RequestKey]
     ) -> OpenRun:
-        """Record that a request is sent to a server."""
-        return self._attribution.begin(
-            server, identify, is_suspect=self._is_suspect(identify)
+        """Record that a request is sent to a server.
+
+        A trial counts as a strike at once, so that other entries hear of it
+        and begin no trial of their own.
+        """
+        if self._quarantine.is_empty:
+            return self._attribution.begin(server, identify)
+        is_trial = self._quarantine.is_held(identify())
+        run = self._attribution.begin(
+            server,
+            identify,
+            is_suspect=self._is_suspect(identify),
+            is_trial=is_trial,
         )
+        if is_trial:
+            self._add_strikes(run.server_run, (identify(),))
+        return run
 
     def end_answered(self, run: OpenRun) -> None:
         """Record that a request ran to its end, so it crashes no server."""
         self._attribution.end(run, is_broken=False, now=self._read_clock())
-        if self._quarantine.is_empty:
-            return
-        released = self._quarantine.release_request(run.identify())
-        if released:
-            now = self._read_clock()
-            self._released.extend((now, strike) for strike in released)
-            extra = _build_log_fields(released[-1]) | {"strikes": len(released)}
-            logger.info("strikes released", extra=extra)
-            self._request_report()
+        if not self._quarantine.is_empty:
+            self._report_released(self._quarantine.release_request(run.identify()))
 
     def end_failed(self, run: OpenRun) -> None:
         """Record that a server answered with a failure.
@@ -105,6 +116,10 @@
     def end_unsent(self, run: OpenRun) -> None:
         """Record that the server has not run the request."""
         self._attribution.end(run, is_broken=False, now=self._read_clock())
+        if run.is_trial:
+            # The trial was none.
+            released = self._quarantine.release_run(run.identify(), run.server_run)
+            self._report_released(released)
 
     def end_broken(self, run: OpenRun) -> None:
         """Record that a request ended without a response.
@@ -165,6 +180,14 @@
         """Return the released strikes to include in a report."""
         return self._list_recent(self._released)
 
+    def _report_released(self, released: tuple[Strike, ...]) -> None:
+        if released:
+            now = self._read_clock()
+            self._released.extend((now, strike) for strike in released)
+            extra = _build_log_fields(released[-1]) | {"strikes": len(released)}
+            logger.info("strikes released", extra=extra)
+            self._request_report()
+
     def _list_recent(
         self, strikes: Iterable[tuple[float, Strike]]
     ) -> tuple[Strike, ...]:
--- a/carobspring/programs/instance_entry.py
+++ b/carobspring/programs/instance_entry.py
@@ -89,6 +89,8 @@
             read_clock=self._clock.read_monotonic,
             read_wall_ms=self._clock.read_wall_ms,
             request_report=self._request_report,
+            count_entries=self._count_entries,
+            trial_turn=random.draw_uniform(),
             evidence_s=settings.check_in_interval_s * EVIDENCE_CHECK_INS,
             metrics=CrashMetrics(metrics),
         )
--- a/tests/gateway/fakes.py
+++ b/tests/gateway/fakes.py
@@ -261,6 +261,8 @@
             read_clock=loop.time,
             read_wall_ms=lambda: 0,
             request_report=self.request_report,
+            count_entries=lambda: 1,
+            trial_turn=0.0,
             evidence_s=10.0,
             metrics=CrashMetrics(Metrics()),
         )
--- a/tests/gateway/test_crashes.py
+++ b/tests/gateway/test_crashes.py
@@ -1,6 +1,9 @@
 import asyncio
 import unittest
+import unittest.mock
+from dataclasses import replace
 
+from carobspring.dispatch import quarantine
 from carobspring.domain.routes import Repeatability
 from carobspring.gateway.directory import ListedServer
 from carobspring.ports import IncompleteResponseError
@@ -166,6 +169,46 @@
                 detector.handle_listed(ListedServer(server=successor, draining=False))
                 self.assertEqual(self.list_struck(gateway), expected)
 
+    async def build_on_trial(self, script):
+        """Return a gateway that has heard of a request struck twice."""
+        first = self.build([ENDED], [ENDED], down=("s1", "s2"))
+        await first.call()
+        gateway = self.build([script])
+        gateway.crash_detector.apply_update(
+            ViewUpdate(
+                strikes=tuple(
+                    replace(strike, server_id=f"earlier-{strike.server_id}")
+                    for strike in first.crash_detector.list_strikes()
+                )
+            )
+        )
+        self.assertEqual((await gateway.call()).status, 503)
+        return gateway
+
+    async def test_trial_is_a_strike_at_once(self):
+        """The first send after a hold is reported before its outcome."""
+        waiting = asyncio.Event()
+        script = (200, RESPONSE_HEADERS, [waiting, b"answer"])
+        gateway = await self.build_on_trial(script)
+        with unittest.mock.patch.object(quarantine, "HOLD_S", 0.0):
+            calling = asyncio.create_task(gateway.call())
+            await asyncio.sleep(0.05)
+        self.assertEqual(self.list_struck(gateway), ["s1"])
+        self.assertEqual((await gateway.call()).status, 503)
+        self.assertEqual(gateway.count_requests(), {"s1": 1})
+        waiting.set()
+        self.assertEqual((await calling).status, 200)
+        self.assertEqual(len(gateway.crash_detector.list_released()), 3)
+
+    async def test_trial_that_did_not_run(self):
+        """A trial that its server refused takes its strike back."""
+        shed = (503, (("Carobspring-Not-Executed", "1"),), [b""])
+        gateway = await self.build_on_trial(shed)
+        with unittest.mock.patch.object(quarantine, "HOLD_S", 0.0):
+            await gateway.call()
+        released = gateway.crash_detector.list_released()
+        self.assertEqual([strike.server_id for strike in released], ["s1"])
+
     async def test_suspects_are_kept_apart(self):
         """Two requests with a strike don't run at one server together."""
         waiting = asyncio.Event()
