Hold back requests with a part of their prompt that crashes servers

Cause: evidence was kept by whole requests only, so that no two crashes under different requests ever added up; and whoever ran at two crashes was held as if it were the cause. Change: a crash also strikes the parts that the prompts there shared (all but the last), by the part's identifier for all workspaces. The fewest parts that explain the crashes, from three on, are blamed (dispatch/blame.py). Of parts that ran at the same crashes only requests with all of them are held, so that sound requests with some of them go on and tell them apart. A complete answer clears its parts of the crashes that were known when it began; answers under way get half a second for that before a few crashes hold anything. A part is held for 5 s, four times as long after each further crash, with one trial in between. Crashes that others' parts explain hold back no request that ran beside them. Ruled out: a count of crashes by part alone (the first part of half of all prompts stands in every batch); holding all that ran at a crash (that loses the sound ones); waiting for certainty (that loses the servers); servers set apart for suspects (an engine in nine for seconds, where a clearing takes 0.03 to 0.6 s).

--- a/carobspring/dispatch/__init__.py
+++ b/carobspring/dispatch/__init__.py
@@ -4,11 +4,11 @@
 decisions.
 """
 
+from carobspring.dispatch.blame import Explanation
 from carobspring.dispatch.crashes import CrashAttribution, OpenRun
 from carobspring.dispatch.dispatcher import Dispatcher
-from carobspring.dispatch.homes import find_shared_parts
 from carobspring.dispatch.limits import DispatchLimits
-from carobspring.dispatch.quarantine import RequestQuarantine
+from carobspring.dispatch.quarantine import Hold, RequestQuarantine
 from carobspring.dispatch.queries import (
     AttemptOutcome,
     DispatchQuery,
@@ -25,10 +25,11 @@
     "DispatchQuery",
     "Dispatcher",
     "EngineDemand",
+    "Explanation",
+    "Hold",
     "OpenRun",
     "Placement",
     "Refusal",
     "RefusalReason",
     "RequestQuarantine",
-    "find_shared_parts",
 ]
--- a/carobspring/dispatch/crashes.py
+++ b/carobspring/dispatch/crashes.py
@@ -6,7 +6,7 @@
 from typing import Final
 
 from carobspring.domain import BackendServer
-from carobspring.membership import RequestKey, ServerRun
+from carobspring.membership import CauseKey, ServerRun
 
 #: Broken runs and crashed servers that are remembered.
 MAX_BROKEN_RUNS: Final = 1_000
@@ -20,8 +20,9 @@
     """A request that was sent to a backend server and has not ended."""
 
     server_run: ServerRun
-    #: Returns the request's key, which costs a hash of its body.
-    identify: Callable[[], RequestKey]
+    #: Returns the keys of the request and of its prompt's parts, which costs
+    #: a hash of its body.
+    list_causes: Callable[[], tuple[CauseKey, ...]]
     #: Whether a server already crashed under this request.
     is_suspect: bool
     #: Whether it was sent to find out what it does, after a hold.
@@ -33,7 +34,7 @@
     """A run that ended without a response."""
 
     server_run: ServerRun
-    key: RequestKey
+    causes: tuple[CauseKey, ...]
     ended_at: float
 
 
@@ -46,7 +47,7 @@
     is remembered for ``evidence_s``.
 
     Example:
-        ``run = attribution.begin(server, identify, now)``, then
+        ``run = attribution.begin(server, list_causes)``, then
         ``attribution.end(run, is_broken=True, now)``, and
         ``attribution.record_crash(run.server_run, now)`` once it is proved.
     """
@@ -63,7 +64,7 @@
     def begin(
         self,
         server: BackendServer,
-        identify: Callable[[], RequestKey],
+        list_causes: Callable[[], tuple[CauseKey, ...]],
         *,
         is_suspect: bool = False,
         is_trial: bool = False,
@@ -71,48 +72,52 @@
         """Record that a request is sent to a server."""
         run = OpenRun(
             server_run=(server.server_id, server.boot),
-            identify=identify,
+            list_causes=list_causes,
             is_suspect=is_suspect,
             is_trial=is_trial,
         )
         self._open.setdefault(run.server_run, {})[run] = None
         return run
 
-    def end(self, run: OpenRun, *, is_broken: bool, now: float) -> RequestKey | None:
-        """Record the end of a run; return its key if its server crashed."""
+    def end(self, run: OpenRun, *, is_broken: bool, now: float) -> tuple[CauseKey, ...]:
+        """Record the end of a run; return its causes if its server crashed."""
         runs = self._open.get(run.server_run, {})
         if run not in runs:
             # A crash of the server was already attributed to it.
-            return None
+            return ()
         del runs[run]
         if not runs:
             del self._open[run.server_run]
         if not is_broken:
-            return None
-        key = run.identify()
+            return ()
+        causes = run.list_causes()
         if run.server_run in self._crashed:
-            return key
-        broken = _BrokenRun(server_run=run.server_run, key=key, ended_at=now)
+            return causes
+        broken = _BrokenRun(server_run=run.server_run, causes=causes, ended_at=now)
         self._broken.append(broken)
-        return None
+        return ()
 
-    def record_crash(self, server_run: ServerRun, now: float) -> tuple[RequestKey, ...]:
-        """Record a proved crash; return the requests that ran there."""
+    def record_crash(self, server_run: ServerRun, now: float) -> tuple[CauseKey, ...]:
+        """Record a proved crash; return the causes that it may have."""
         self._crashed[server_run] = None
         self._crashed.move_to_end(server_run)
         while len(self._crashed) > MAX_CRASHED_SERVERS:
             self._crashed.popitem(last=False)
-        keys = [run.identify() for run in self._open.pop(server_run, {})]
+        causes = [
+            cause
+            for run in self._open.pop(server_run, {})
+            for cause in run.list_causes()
+        ]
         kept: deque[_BrokenRun] = deque(maxlen=MAX_BROKEN_RUNS)
         for run in self._broken:
             if now - run.ended_at > self._evidence_s:
                 continue
             if run.server_run == server_run:
-                keys.append(run.key)
+                causes.extend(run.causes)
             else:
                 kept.append(run)
         self._broken = kept
-        return tuple(dict.fromkeys(keys))
+        return tuple(dict.fromkeys(causes))
 
     def record_listed(
         self, server: BackendServer, *, draining: bool
--- a/carobspring/dispatch/quarantine.py
+++ b/carobspring/dispatch/quarantine.py
@@ -1,14 +1,24 @@
 """Decides which requests are held back because servers crashed under them."""
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
+from dataclasses import dataclass
 from typing import Final
 
+from carobspring.dispatch.blame import (
+    BLAMED_CRASHES,
+    Explanation,
+    explain_crashes,
+    is_explained_elsewhere,
+)
 from carobspring.membership import (
     HELD_STRIKES,
     MAX_REQUESTS,
-    RequestKey,
+    CauseKey,
     ServerRun,
     StrikeSet,
+    build_cause_key,
+    build_server_run,
+    is_part_key,
 )
 from carobspring.protocol import Strike
 
@@ -19,24 +29,45 @@
 #: for which it is then held back.
 LIKELY_CAUSE_STRIKES: Final = 3
 LIKELY_CAUSE_HOLD_S: Final = 3600.0
+#: Seconds for which parts of prompts are held back after the crash that
+#: brought the blame on them, and their factor for each further crash.
+PART_HOLD_S: Final = 5.0
+PART_HOLD_FACTOR: Final = 4.0
+MAX_PART_HOLD_S: Final = 24 * 3600.0
+#: Seconds that answers under way have to clear parts of the blame, unless so
+#: many servers crashed that waiting costs more than it saves.
+ANSWER_WAIT_S: Final = 0.5
+CERTAIN_CRASHES: Final = 5
 #: Seconds between the first sends of two entries when a hold is over, so that
 #: the others hear of one before they admit theirs.
 TRIAL_INTERVAL_S: Final = 0.5
 
 
+@dataclass(frozen=True, kw_only=True)
+class Hold:
+    """How long a request is held back, and whether for its prompt's parts."""
+
+    #: Seconds; zero if the request may be sent.
+    left_s: float = 0.0
+    is_for_parts: bool = False
+
+
 class RequestQuarantine:
     """Holds back requests under which several servers have crashed.
 
     A request with one strike is sent, away from others with strikes, so that
     a second crash has one likely cause. With two it is held back for a while,
-    with three for long. When the time is over, one send is admitted as a
-    trial, which counts as a strike until it is answered. A request that runs
-    to its end anywhere did not cause the crashes, and its strikes are
-    released.
+    with three for long. The parts of prompts are blamed for crashes under
+    different requests, as ``explain_crashes`` tells; a request that has all
+    parts of an explanation is held back too.
+
+    When the time is over, one send is admitted as a trial, which counts as a
+    strike until it is answered. A complete answer proves that neither the
+    request nor its parts had crashed servers before it began.
 
     Example:
-        ``left_s = quarantine.compute_hold(key, now, entry_count)``; the
-        request may be sent if that is zero or less.
+        ``hold = quarantine.compute_hold(causes, now, entry_count)``; the
+        request may be sent if ``hold.left_s`` is zero.
     """
 
     def __init__(self, *, trial_turn: float = 0.0) -> None:
@@ -48,8 +79,12 @@
         """
         self._trial_turn = trial_turn
         self._strikes = StrikeSet()
-        #: Time of the last strike of a request.
-        self._held_since: dict[RequestKey, float] = {}
+        #: When this entry learned of a strike.
+        self._learned_at: dict[tuple[CauseKey, ServerRun], float] = {}
+        #: The requests and parts with strikes enough to be blamed.
+        self._suspects: dict[CauseKey, frozenset[ServerRun]] = {}
+        #: The parts that are blamed now.
+        self.explanations: Sequence[Explanation] = ()
 
     @property
     def is_empty(self) -> bool:
@@ -60,22 +95,55 @@
         """Add strikes of this entry or of others; return the new ones."""
         added = self._strikes.add(strikes)
         for strike in added:
-            self._held_since[strike.workspace, strike.request_hash] = now
-        if len(self._held_since) > MAX_REQUESTS:
-            self._held_since = {
-                key: at for key, at in self._held_since.items() if self.count(key)
+            key, server_run = build_cause_key(strike), build_server_run(strike)
+            self._learned_at[key, server_run] = now
+        if len(self._learned_at) > 2 * MAX_REQUESTS:
+            self._learned_at = {
+                (key, server_run): at
+                for (key, server_run), at in self._learned_at.items()
+                if server_run in self._strikes.list_server_runs(key)
             }
+        self._update(added)
         return added
 
-    def remove(self, strikes: Iterable[Strike]) -> None:
-        """Remove strikes that were released elsewhere."""
-        self._strikes.release(strikes)
-
-    def release_request(self, key: RequestKey) -> tuple[Strike, ...]:
-        """Release the strikes of a request that ran to its end."""
-        return self._strikes.release(self._strikes.find(key))
+    def remove(self, strikes: Iterable[Strike]) -> tuple[Strike, ...]:
+        """Remove strikes for good; return those that are newly removed."""
+        removed = self._strikes.release(strikes)
+        for strike in removed:
+            key, server_run = build_cause_key(strike), build_server_run(strike)
+            self._learned_at.pop((key, server_run), None)
+        self._update(removed)
+        return removed
+
+    def release(
+        self, causes: Iterable[CauseKey], answered_since: float
+    ) -> tuple[Strike, ...]:
+        """Release what a complete answer clears; return the strikes.
+
+        The answer says nothing of strikes that were learned after it had
+        begun, at ``answered_since``.
+        """
+        cleared = [
+            strike
+            for cause in causes
+            for strike in self._strikes.find(cause)
+            if self._learned_at.get((cause, build_server_run(strike)), answered_since)
+            <= answered_since
+        ]
+        return self.remove(cleared) if cleared else ()
+
+    def release_run(
+        self, causes: Iterable[CauseKey], server_run: ServerRun
+    ) -> tuple[Strike, ...]:
+        """Release the strikes that one run brought; return them."""
+        return self.remove(
+            strike
+            for cause in causes
+            for strike in self._strikes.find(cause)
+            if build_server_run(strike) == server_run
+        )
 
-    def count(self, key: RequestKey) -> int:
+    def count(self, key: CauseKey) -> int:
         """Return the number of server runs that ended under a request."""
         return self._strikes.count(key)
 
@@ -83,29 +151,82 @@
         """Return all strikes that this entry knows."""
         return self._strikes.list_strikes()
 
-    def compute_hold(self, key: RequestKey, now: float, entry_count: int = 1) -> float:
-        """Return the seconds for which a request is held back, or zero.
+    def compute_hold(
+        self, causes: Sequence[CauseKey], now: float, entry_count: int = 1
+    ) -> Hold:
+        """Return how long a request is held back.
 
         Args:
-            key: The request.
+            causes: The request and the parts of its prompt.
             now: Monotonic time in seconds.
             entry_count: The number of entries that may begin a trial.
         """
-        if not self.is_held(key):
-            return 0.0
-        is_likely = self._strikes.count(key) >= LIKELY_CAUSE_STRIKES
-        hold_s = LIKELY_CAUSE_HOLD_S if is_likely else HOLD_S
         turn_s = self._trial_turn * entry_count * TRIAL_INTERVAL_S
-        return max(0.0, self._held_since.get(key, now) + hold_s + turn_s - now)
-
-    def is_held(self, key: RequestKey) -> bool:
-        """Return whether a request that is sent now is on trial."""
-        return self._strikes.count(key) >= HELD_STRIKES
-
-    def release_run(self, key: RequestKey, server_run: ServerRun) -> tuple[Strike, ...]:
-        """Release the strike that one run brought; return it."""
-        return self._strikes.release(
-            strike
-            for strike in self._strikes.find(key)
-            if (strike.server_id, strike.boot) == server_run
+        request_s, part_s = 0.0, 0.0
+        for key, until in self._list_holds(causes, now):
+            left_s = until + turn_s - now
+            if is_part_key(key):
+                part_s = max(part_s, left_s)
+            else:
+                request_s = max(request_s, left_s)
+        return Hold(left_s=max(request_s, part_s), is_for_parts=part_s > request_s)
+
+    def list_held(self, causes: Sequence[CauseKey], now: float) -> tuple[CauseKey, ...]:
+        """Return what a request that is sent now is on trial for."""
+        return tuple(key for key, _ in self._list_holds(causes, now))
+
+    def _list_holds(
+        self, causes: Sequence[CauseKey], now: float
+    ) -> Iterable[tuple[CauseKey, float]]:
+        """Yield the causes that hold a request back, and until when."""
+        known = frozenset(causes)
+        for explanation in self.explanations:
+            until = self._compute_part_hold_end(explanation, now)
+            if until is not None and explanation.parts <= known:
+                yield from ((key, until) for key in explanation.parts)
+        for key in causes:
+            crashes = self._strikes.list_server_runs(key)
+            if is_part_key(key) or len(crashes) < HELD_STRIKES:
+                continue
+            if is_explained_elsewhere(crashes, known, self.explanations):
+                continue
+            is_likely = len(crashes) >= LIKELY_CAUSE_STRIKES
+            hold_s = LIKELY_CAUSE_HOLD_S if is_likely else HOLD_S
+            yield key, max(self._list_times(key, crashes)) + hold_s
+
+    def _compute_part_hold_end(
+        self, explanation: Explanation, now: float
+    ) -> float | None:
+        """Return until when parts are held back, or None if not yet."""
+        crash_count = len(explanation.crashes)
+        times = sorted(
+            time
+            for key in explanation.parts
+            for time in self._list_times(key, explanation.crashes)
+        )
+        blamed_at = times[BLAMED_CRASHES - 1]
+        if crash_count < CERTAIN_CRASHES and now < blamed_at + ANSWER_WAIT_S:
+            return None
+        factor = PART_HOLD_FACTOR ** (crash_count - BLAMED_CRASHES)
+        return times[-1] + min(PART_HOLD_S * factor, MAX_PART_HOLD_S)
+
+    def _list_times(
+        self, key: CauseKey, crashes: Iterable[ServerRun]
+    ) -> Sequence[float]:
+        return [self._learned_at[key, server_run] for server_run in crashes]
+
+    def _update(self, changed: Sequence[Strike]) -> None:
+        """Find again what explains the crashes, after some strikes changed."""
+        keys = {build_cause_key(strike) for strike in changed}
+        suspects = {}
+        for key in keys.union(self._suspects):
+            crashes = self._strikes.list_server_runs(key)
+            if len(crashes) >= BLAMED_CRASHES:
+                suspects[key] = crashes
+        if suspects == self._suspects:
+            return
+        self._suspects = suspects
+        self.explanations = explain_crashes(
+            {key: runs for key, runs in suspects.items() if is_part_key(key)},
+            [runs for key, runs in suspects.items() if not is_part_key(key)],
         )
--- a/carobspring/dispatch/queries.py
+++ b/carobspring/dispatch/queries.py
@@ -62,6 +62,8 @@
     BUDGET = "budget"
     #: Several servers have crashed while the request ran there.
     QUARANTINED = "quarantined"
+    #: Several servers have crashed under requests with parts of its prompt.
+    QUARANTINED_PARTS = "quarantined_parts"
 
 
 @dataclass(frozen=True, kw_only=True)
--- a/carobspring/gateway/crashes.py
+++ b/carobspring/gateway/crashes.py
@@ -3,16 +3,27 @@
 import asyncio
 import logging
 from collections import deque
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Sequence
 from typing import Final
 
 from carobspring.adapters.tasks import start_task
-from carobspring.dispatch import CrashAttribution, OpenRun, RequestQuarantine
+from carobspring.dispatch import (
+    CrashAttribution,
+    Explanation,
+    Hold,
+    OpenRun,
+    RequestQuarantine,
+)
 from carobspring.domain import BackendServer
 from carobspring.gateway.backends import BackendConnections
 from carobspring.gateway.directory import ListedServer
 from carobspring.gateway.metrics import CrashMetrics
-from carobspring.membership import RequestKey, ServerRun
+from carobspring.membership import (
+    CauseKey,
+    ServerRun,
+    build_cause_key,
+    is_part_key,
+)
 from carobspring.protocol import Strike, ViewUpdate
 
 #: Seconds that a connection attempt may take which shows whether a server has
@@ -21,8 +32,15 @@
 #: Seconds for which a strike is repeated in reports, since a report may be
 #: lost with its stream.
 REPORT_S: Final = 5.0
-#: Own strikes that are kept for replicas that have lost theirs.
-MAX_OWN_STRIKES: Final = 500
+#: Own strikes that are repeated.
+MAX_OWN_STRIKES: Final = 2_000
+#: Causes that a log line names.
+MAX_LOGGED_CAUSES: Final = 8
+
+#: Returns the keys of a request and of its prompt's parts, the request first.
+CauseLister = Callable[[], tuple[CauseKey, ...]]
+#: What is held back while no request has a strike.
+NO_HOLD: Final = Hold()
 
 logger = logging.getLogger(__name__)
 
@@ -53,58 +71,60 @@
         self._read_clock = read_clock
         self._read_wall_ms = read_wall_ms
         self._request_report = request_report
+        self._count_entries = count_entries
         self._metrics = metrics
         self._attribution = CrashAttribution(evidence_s=evidence_s)
-        self._count_entries = count_entries
         self._quarantine = RequestQuarantine(trial_turn=trial_turn)
+        #: What was last logged of the parts that are blamed.
+        self._logged_blame = ""
         self._probes: dict[ServerRun, asyncio.Task[bool]] = {}
         self._own_strikes: deque[tuple[float, Strike]] = deque(maxlen=MAX_OWN_STRIKES)
         self._released: deque[tuple[float, Strike]] = deque(maxlen=MAX_OWN_STRIKES)
         #: Until when all strikes are reported, not only the new ones.
         self._complete_until = float("-inf")
 
-    def compute_hold(self, identify: Callable[[], RequestKey]) -> float:
-        """Return the seconds for which a request is held back, or zero."""
+    def compute_hold(self, list_causes: CauseLister) -> Hold:
+        """Return how long a request is held back."""
         if self._quarantine.is_empty:
-            return 0.0
+            return NO_HOLD
         return self._quarantine.compute_hold(
-            identify(), self._read_clock(), self._count_entries()
+            list_causes(), self._read_clock(), self._count_entries()
         )
 
-    def list_avoided_servers(
-        self, identify: Callable[[], RequestKey]
-    ) -> frozenset[str]:
+    def list_avoided_servers(self, list_causes: CauseLister) -> frozenset[str]:
         """Return the servers that a request with a strike stays away from."""
-        if not self._is_suspect(identify):
+        if not self._is_suspect(list_causes):
             return frozenset()
         return self._attribution.list_suspect_servers()
 
-    def begin(
-        self, server: BackendServer, identify: Callable[[], RequestKey]
-    ) -> OpenRun:
+    def begin(self, server: BackendServer, list_causes: CauseLister) -> OpenRun:
         """Record that a request is sent to a server.
 
         A trial counts as a strike at once, so that other entries hear of it
         and begin no trial of their own.
         """
         if self._quarantine.is_empty:
-            return self._attribution.begin(server, identify)
-        is_trial = self._quarantine.is_held(identify())
+            return self._attribution.begin(server, list_causes)
+        held = self._quarantine.list_held(list_causes(), self._read_clock())
         run = self._attribution.begin(
             server,
-            identify,
-            is_suspect=self._is_suspect(identify),
-            is_trial=is_trial,
+            list_causes,
+            is_suspect=self._is_suspect(list_causes),
+            is_trial=bool(held),
         )
-        if is_trial:
-            self._add_strikes(run.server_run, (identify(),))
+        self._add_strikes(run.server_run, held)
         return run
 
-    def end_answered(self, run: OpenRun) -> None:
-        """Record that a request ran to its end, so it crashes no server."""
+    def end_answered(self, run: OpenRun, *, answered_since: float) -> None:
+        """Record that a request got a complete answer.
+
+        It crashed no server, nor did a part of its prompt, by the time at
+        which the answer began.
+        """
         self._attribution.end(run, is_broken=False, now=self._read_clock())
         if not self._quarantine.is_empty:
-            self._report_released(self._quarantine.release_request(run.identify()))
+            released = self._quarantine.release(run.list_causes(), answered_since)
+            self._report_released(released)
 
     def end_failed(self, run: OpenRun) -> None:
         """Record that a server answered with a failure.
@@ -117,9 +137,9 @@
         """Record that the server has not run the request."""
         self._attribution.end(run, is_broken=False, now=self._read_clock())
         if run.is_trial:
-            # The trial was none.
-            released = self._quarantine.release_run(run.identify(), run.server_run)
-            self._report_released(released)
+            self._report_released(
+                self._quarantine.release_run(run.list_causes(), run.server_run)
+            )
 
     def end_broken(self, run: OpenRun) -> None:
         """Record that a request ended without a response.
@@ -127,9 +147,8 @@
         That is no proof of a crash: a server that leaves as planned ends its
         connections at last. The proof decides, whenever it comes.
         """
-        key = self._attribution.end(run, is_broken=True, now=self._read_clock())
-        if key is not None:
-            self._add_strikes(run.server_run, (key,))
+        causes = self._attribution.end(run, is_broken=True, now=self._read_clock())
+        self._add_strikes(run.server_run, causes)
 
     async def investigate(self, server: BackendServer) -> None:
         """Find out whether a server that ended a connection has crashed."""
@@ -159,13 +178,9 @@
         if update.complete:
             # The replica may have lost what was reported to it before.
             self._complete_until = now + REPORT_S
-        for strike in self._quarantine.add(update.strikes, now):
-            extra = _build_log_fields(strike)
-            extra["strikes"] = self._quarantine.count(
-                (strike.workspace, strike.request_hash)
-            )
-            logger.info("strike received", extra=extra)
+        self._log_strikes("strike received", self._quarantine.add(update.strikes, now))
         self._quarantine.remove(update.released)
+        self._log_blame()
 
     def list_strikes(self) -> tuple[Strike, ...]:
         """Return the strikes to include in a report.
@@ -180,14 +195,6 @@
         """Return the released strikes to include in a report."""
         return self._list_recent(self._released)
 
-    def _report_released(self, released: tuple[Strike, ...]) -> None:
-        if released:
-            now = self._read_clock()
-            self._released.extend((now, strike) for strike in released)
-            extra = _build_log_fields(released[-1]) | {"strikes": len(released)}
-            logger.info("strikes released", extra=extra)
-            self._request_report()
-
     def _list_recent(
         self, strikes: Iterable[tuple[float, Strike]]
     ) -> tuple[Strike, ...]:
@@ -195,8 +202,10 @@
         since = float("-inf") if now < self._complete_until else now - REPORT_S
         return tuple(strike for at, strike in strikes if at >= since)
 
-    def _is_suspect(self, identify: Callable[[], RequestKey]) -> bool:
-        return not self._quarantine.is_empty and self._quarantine.count(identify()) > 0
+    def _is_suspect(self, list_causes: CauseLister) -> bool:
+        if self._quarantine.is_empty:
+            return False
+        return self._quarantine.count(list_causes()[0]) > 0
 
     async def _probe(self, server: BackendServer) -> bool:
         server_run = (server.server_id, server.boot)
@@ -212,7 +221,7 @@
             del self._probes[server_run]
 
     def _record_crash(self, server_run: ServerRun, proof: str) -> None:
-        keys = self._attribution.record_crash(server_run, self._read_clock())
+        causes = self._attribution.record_crash(server_run, self._read_clock())
         self._metrics.record_crash()
         logger.info(
             "backend server crashed",
@@ -220,12 +229,12 @@
                 "server": server_run[0],
                 "boot": server_run[1],
                 "proof": proof,
-                "running": len(keys),
+                "running": sum(not is_part_key(key) for key in causes),
             },
         )
-        self._add_strikes(server_run, keys)
+        self._add_strikes(server_run, causes)
 
-    def _add_strikes(self, server_run: ServerRun, keys: Iterable[RequestKey]) -> None:
+    def _add_strikes(self, server_run: ServerRun, causes: Iterable[CauseKey]) -> None:
         now, at_ms = self._read_clock(), self._read_wall_ms()
         strikes = tuple(
             Strike(
@@ -235,24 +244,65 @@
                 boot=server_run[1],
                 at_ms=at_ms,
             )
-            for workspace, request_hash in keys
+            for workspace, request_hash in causes
         )
         added = self._quarantine.add(strikes, now)
         if not added:
             return
         self._own_strikes.extend((now, strike) for strike in added)
         self._metrics.record_strikes(len(added))
-        for strike in added:
-            count = self._quarantine.count((strike.workspace, strike.request_hash))
-            extra = _build_log_fields(strike) | {"strikes": count}
-            logger.info("request struck", extra=extra)
+        self._log_strikes("request struck", added)
+        self._log_blame()
+        self._request_report()
+
+    def _report_released(self, released: Sequence[Strike]) -> None:
+        if not released:
+            return
+        now = self._read_clock()
+        self._released.extend((now, strike) for strike in released)
+        keys = dict.fromkeys(each.request_hash for each in released)
+        logger.info(
+            "strikes released",
+            extra={
+                "workspace": released[0].workspace,
+                "digests": ",".join(list(keys)[:MAX_LOGGED_CAUSES]),
+                "strikes": len(released),
+            },
+        )
+        self._log_blame()
         self._request_report()
 
+    def _log_strikes(self, message: str, strikes: Iterable[Strike]) -> None:
+        """Log strikes of requests; those of parts are soon cleared."""
+        for strike in strikes:
+            key = build_cause_key(strike)
+            if is_part_key(key):
+                continue
+            logger.info(
+                message,
+                extra={
+                    "workspace": strike.workspace,
+                    "digest": strike.request_hash,
+                    "server": strike.server_id,
+                    "boot": strike.boot,
+                    "strikes": self._quarantine.count(key),
+                },
+            )
+
+    def _log_blame(self) -> None:
+        """Log when the parts that are blamed for crashes change."""
+        explanations = self._quarantine.explanations
+        blame = "; ".join(
+            _describe_explanation(each) for each in explanations[:MAX_LOGGED_CAUSES]
+        )
+        if blame == self._logged_blame:
+            return
+        self._logged_blame = blame
+        self._metrics.set_blamed_parts(sum(len(each.parts) for each in explanations))
+        logger.info("parts blamed for crashes", extra={"parts_crashes": blame})
+
 
-def _build_log_fields(strike: Strike) -> dict[str, object]:
-    return {
-        "workspace": strike.workspace,
-        "digest": strike.request_hash,
-        "server": strike.server_id,
-        "boot": strike.boot,
-    }
+def _describe_explanation(explanation: Explanation) -> str:
+    """Return the parts of an explanation and their number of crashes."""
+    parts = sorted(key[1] for key in explanation.parts)[:MAX_LOGGED_CAUSES]
+    return f"{'+'.join(parts)}: {len(explanation.crashes)}"
--- a/carobspring/gateway/exchange.py
+++ b/carobspring/gateway/exchange.py
@@ -16,13 +16,13 @@
     Placement,
     Refusal,
     RefusalReason,
-    find_shared_parts,
 )
-from carobspring.domain import BackendServer, hash_request
+from carobspring.domain import BackendServer
 from carobspring.domain.routes import Repeatability, Route
 from carobspring.gateway.admission import AdmissionClient
 from carobspring.gateway.backends import BackendConnections
 from carobspring.gateway.crashes import CrashDetector
+from carobspring.gateway.identity import RequestIdentity
 from carobspring.gateway.outcomes import (
     AttemptResult,
     BufferedResponse,
@@ -31,7 +31,6 @@
 )
 from carobspring.gateway.relay import ResponseRelay
 from carobspring.gateway.request_admission import RequestAdmission
-from carobspring.membership import RequestKey
 from carobspring.ports import (
     BackendRequest,
     BackendResponse,
@@ -52,10 +51,6 @@
 #: Seconds between two checks whether to move a request from a silent server.
 SILENCE_CHECK_INTERVAL_S: Final = 0.25
 
-#: Parts of a prompt in a log line, and characters of each.
-MAX_LOGGED_PARTS: Final = 8
-MAX_LOGGED_PART_LENGTH: Final = 24
-
 #: Outcomes that prove that the server has not run the request.
 _NOT_RUN: Final = frozenset(
     {AttemptOutcome.NOT_RUN, AttemptOutcome.MISDIRECTED, AttemptOutcome.UNREACHABLE}
@@ -111,7 +106,9 @@
         self._metadata = metadata
         self._route = route
         self._query = query
-        self._workspace = workspace
+        self._identity = RequestIdentity(
+            request=request, workspace=workspace, query=query
+        )
         self._engine_priority = engine_priority
         self._relay = ResponseRelay(
             request_id=metadata.request_id,
@@ -135,7 +132,8 @@
         self._was_shed = False
         self._sends = 0
         self._server_id = ""
-        self._digest = ""
+        #: Monotonic time of the head of the last server's response.
+        self._answered_since = float("-inf")
         self._failure_response: BufferedResponse | None = None
         #: True if the next retry was already taken from the budget.
         self._has_reserved_retry = False
@@ -201,15 +199,20 @@
 
     def _check_quarantine(self) -> Refusal | None:
         """Return the refusal of a request that is held back, or None."""
-        hold_s = self._context.crash_detector.compute_hold(self._identify)
-        if hold_s <= 0:
+        hold = self._context.crash_detector.compute_hold(self._identity.list_causes)
+        if hold.left_s <= 0:
             return None
-        return Refusal(reason=RefusalReason.QUARANTINED, retry_after_s=hold_s)
+        reason = RefusalReason.QUARANTINED
+        if hold.is_for_parts:
+            reason = RefusalReason.QUARANTINED_PARTS
+        return Refusal(reason=reason, retry_after_s=hold.left_s)
 
     def _place(self, now: float) -> Placement | Refusal:
         """Choose a server, away from other requests that may crash theirs."""
         excluded = self._excluded | self._admission.rejected_servers
-        avoided = self._context.crash_detector.list_avoided_servers(self._identify)
+        avoided = self._context.crash_detector.list_avoided_servers(
+            self._identity.list_causes
+        )
         if avoided - excluded:
             placement = self._context.dispatcher.place(
                 self._query, excluded | avoided, now
@@ -272,7 +275,7 @@
         context.dispatcher.record_sent(placement, query, now)
         self._sends += 1
         result = AttemptResult(outcome=AttemptOutcome.ABANDONED)
-        run = context.crash_detector.begin(placement.server, self._identify)
+        run = context.crash_detector.begin(placement.server, self._identity.list_causes)
         try:
             result = await self._send(client, placement)
         finally:
@@ -289,7 +292,7 @@
     def _end_run(self, run: OpenRun, result: AttemptResult) -> None:
         crash_detector = self._context.crash_detector
         if result.outcome is AttemptOutcome.ANSWERED:
-            crash_detector.end_answered(run)
+            crash_detector.end_answered(run, answered_since=self._answered_since)
         elif result.outcome is AttemptOutcome.SERVER_ERROR:
             crash_detector.end_failed(run)
         elif result.outcome in _NOT_RUN:
@@ -309,7 +312,7 @@
             headers=platform.build_backend_headers(
                 request.headers,
                 server_id=server_id,
-                workspace=self._workspace,
+                workspace=self._identity.workspace,
                 remaining_ms=remaining_s * 1000,
                 priority=self._engine_priority,
                 last_event_id=self._relay.last_event_id,
@@ -351,7 +354,7 @@
             metadata = platform.parse_response_headers(
                 response.status, response.headers
             )
-        now = self._context.read_clock()
+        now = self._answered_since = self._context.read_clock()
         if metadata.load is not None:
             self._context.dispatcher.record_load(server_id, metadata.load, now)
         self._record_announcements(response, metadata, server)
@@ -448,14 +451,6 @@
         await self._relay.send_error(status, reason)
         return self._build_report(RequestOutcome.FAILED, status, reason)
 
-    def _identify(self) -> RequestKey:
-        """Return what stays the same when a caller sends a request again."""
-        if not self._digest:
-            request = self._request
-            target = f"{request.path}?{request.query}"
-            self._digest = hash_request(request.method, target, request.body)
-        return self._workspace, self._digest
-
     def _build_report(
         self, outcome: RequestOutcome, status: int, reason: str
     ) -> ExchangeReport:
@@ -484,9 +479,9 @@
                 "outcome": result.outcome.value,
                 "detail": result.detail,
                 "peer_ended": result.peer_ended,
-                "workspace": self._workspace,
-                "digest": self._identify()[1],
-                "parts": _format_parts(self._query),
+                "workspace": self._identity.workspace,
+                "digest": self._identity.digest,
+                "parts": self._identity.format_parts(),
                 "took_ms": round(duration_s * 1000, 1),
                 "placement": placement.reason,
                 "last_event": self._relay.last_event_id,
@@ -494,12 +489,6 @@
         )
 
 
-def _format_parts(query: DispatchQuery) -> str:
-    """Return the parts that other requests may share, bounded for the log."""
-    parts = find_shared_parts(query)[:MAX_LOGGED_PARTS]
-    return ",".join(part[:MAX_LOGGED_PART_LENGTH] for part, _ in parts)
-
-
 def _build_incomplete_result(error: IncompleteResponseError) -> AttemptResult:
     return AttemptResult(
         outcome=AttemptOutcome.INCOMPLETE,
--- a/carobspring/gateway/metrics.py
+++ b/carobspring/gateway/metrics.py
@@ -48,6 +48,10 @@
             "carob_gateway_strikes_total", "Own requests that ran at crashes."
         )
 
+        self._blamed_parts = metrics.add_gauge(
+            "carob_gateway_blamed_parts", "Prompt parts that are blamed for crashes."
+        )
+
     def record_crash(self) -> None:
         """Count a crash."""
         self._crashes.inc({})
@@ -55,3 +59,7 @@
     def record_strikes(self, count: int) -> None:
         """Count requests that were running at a crash."""
         self._strikes.add({}, count)
+
+    def set_blamed_parts(self, count: int) -> None:
+        """Set the number of prompt parts that are blamed for crashes."""
+        self._blamed_parts.set({}, count)
--- a/carobspring/membership/__init__.py
+++ b/carobspring/membership/__init__.py
@@ -14,9 +14,13 @@
 from carobspring.membership.strikes import (
     HELD_STRIKES,
     MAX_REQUESTS,
-    RequestKey,
+    CauseKey,
     ServerRun,
     StrikeSet,
+    build_cause_key,
+    build_part_key,
+    build_server_run,
+    is_part_key,
 )
 from carobspring.membership.table import (
     LEASE_S,
@@ -39,8 +43,12 @@
     "MemberGossip",
     "MembershipTable",
     "ReportResult",
-    "RequestKey",
+    "CauseKey",
     "ServerRun",
     "StrikeSet",
     "ViewDelta",
+    "build_cause_key",
+    "build_part_key",
+    "build_server_run",
+    "is_part_key",
 ]
--- a/carobspring/membership/strikes.py
+++ b/carobspring/membership/strikes.py
@@ -1,16 +1,24 @@
 """Strikes that entries report, as soft state of replicas and entries."""
 
+import hashlib
 from collections import OrderedDict
 from collections.abc import Iterable
 from typing import Final
 
 from carobspring.protocol import Strike
 
-#: Workspace and hash of a request, which stay the same when it is sent again.
-RequestKey = tuple[str, str]
+#: What may have crashed a server: a request, by its workspace and hash, which
+#: stay the same when it is sent again; or a part of prompts, by
+#: ``build_part_key``.
+CauseKey = tuple[str, str]
 #: Identifier and boot of a backend server.
 ServerRun = tuple[str, int]
 
+#: Prefix of a part's identifier; the hash of a request has none.
+PART_PREFIX: Final = "part:"
+#: Characters of a part's identifier that are kept; a longer one is hashed.
+MAX_PART_ID_LENGTH: Final = 32
+
 #: Number of requests whose strikes are kept, and of released strikes. The
 #: requests that were struck least recently are evicted first.
 MAX_REQUESTS: Final = 10_000
@@ -31,10 +39,8 @@
     """
 
     def __init__(self) -> None:
-        self._strikes: OrderedDict[RequestKey, dict[ServerRun, Strike]] = OrderedDict()
-        self._released: OrderedDict[tuple[RequestKey, ServerRun], Strike] = (
-            OrderedDict()
-        )
+        self._strikes: OrderedDict[CauseKey, dict[ServerRun, Strike]] = OrderedDict()
+        self._released: OrderedDict[tuple[CauseKey, ServerRun], Strike] = OrderedDict()
 
     @property
     def is_empty(self) -> bool:
@@ -45,7 +51,7 @@
         """Add strikes and return those that are new."""
         added = []
         for strike in strikes:
-            key, server_run = build_request_key(strike), build_server_run(strike)
+            key, server_run = build_cause_key(strike), build_server_run(strike)
             known = self._strikes.get(key, {})
             if server_run in known or (key, server_run) in self._released:
                 continue
@@ -61,7 +67,7 @@
         """Remove strikes for good and return those that are newly released."""
         released = []
         for strike in strikes:
-            key, server_run = build_request_key(strike), build_server_run(strike)
+            key, server_run = build_cause_key(strike), build_server_run(strike)
             if (key, server_run) in self._released:
                 continue
             self._released[key, server_run] = strike
@@ -74,11 +80,15 @@
             self._released.popitem(last=False)
         return tuple(released)
 
-    def count(self, key: RequestKey) -> int:
+    def count(self, key: CauseKey) -> int:
         """Return the number of server runs that ended under a request."""
         return len(self._strikes.get(key, ()))
 
-    def find(self, key: RequestKey) -> tuple[Strike, ...]:
+    def list_server_runs(self, key: CauseKey) -> frozenset[ServerRun]:
+        """Return the server runs that ended under a request or part."""
+        return frozenset(self._strikes.get(key, ()))
+
+    def find(self, key: CauseKey) -> tuple[Strike, ...]:
         """Return the strikes of a request."""
         return tuple(self._strikes.get(key, {}).values())
 
@@ -96,8 +106,25 @@
         return tuple(self._released.values())
 
 
-def build_request_key(strike: Strike) -> RequestKey:
-    """Return the request that a strike marks."""
+def build_part_key(part_id: str) -> CauseKey:
+    """Return the key of a part of prompts.
+
+    It holds for all workspaces and services, since a part has the same
+    identifier wherever it has the same content.
+    """
+    name = part_id.strip().lower()
+    if len(name) > MAX_PART_ID_LENGTH:
+        name = hashlib.blake2b(name.encode(), digest_size=16).hexdigest()
+    return "", PART_PREFIX + name
+
+
+def is_part_key(key: CauseKey) -> bool:
+    """Return whether a key is that of a part of prompts."""
+    return key[1].startswith(PART_PREFIX)
+
+
+def build_cause_key(strike: Strike) -> CauseKey:
+    """Return the request or part that a strike marks."""
     return strike.workspace, strike.request_hash
 
 
--- a/tests/gateway/test_crashes.py
+++ b/tests/gateway/test_crashes.py
@@ -11,8 +11,10 @@
 from tests.gateway.fakes import (
     REQUEST_ID,
     RESPONSE_HEADERS,
+    STREAM_HEADERS,
     FakeResponder,
     GatewayHarness,
+    build_event,
 )
 
 IDEMPOTENT = Repeatability.IDEMPOTENT
@@ -228,3 +230,128 @@
         for call in calls:
             call.cancel()
         await asyncio.gather(*calls, return_exceptions=True)
+
+
+class CrashingPartTests(unittest.IsolatedAsyncioTestCase):
+    """Servers that crash under requests with one part of their prompts."""
+
+    def setUp(self):
+        # Answers under way are awaited in the tests of the decision.
+        patch = unittest.mock.patch.object(quarantine, "ANSWER_WAIT_S", 0.0)
+        self.enterContext(patch)
+
+    async def call(self, gateway, number, *parts, **options):
+        """Send a request that is like no other but for its parts."""
+        prefix = ",".join(f"{part}:10" for part in (*parts, f"own{number}"))
+        return await gateway.call(
+            path=f"/a/{number}",
+            headers=(("Carobspring-Prefix-Hash", prefix),),
+            **options,
+        )
+
+    async def build_crashed(self, *, count=3, parts=("sys", "deadly")):
+        """Return a gateway whose servers s1 to s3 crashed under requests."""
+        names = [f"s{number}" for number in range(1, count + 1)]
+        gateway = GatewayHarness(
+            *([ENDED] for _ in names), [SUCCESS], repeatability=ONCE
+        )
+        for number, name in enumerate(names):
+            gateway.clients[name].is_down = True
+            await self.call(gateway, number, *parts)
+            gateway.dispatcher.remove_server(name)
+        return gateway
+
+    async def test_part_that_crashes_servers(self):
+        """A new request with the part reaches no server, and others do."""
+        gateway = await self.build_crashed()
+        for number, parts, expected in (
+            (10, ("sys", "deadly"), b'{"error":"quarantined_parts"}'),
+            (11, ("sys",), b"answer"),
+            (12, ("sys", "other"), b"answer"),
+            (13, ("deadly",), b'{"error":"quarantined_parts"}'),
+        ):
+            with self.subTest(parts=parts):
+                response = await self.call(gateway, number, *parts)
+                self.assertEqual(bytes(response.body), expected)
+        self.assertEqual(gateway.count_requests()["s4"], 2)
+
+    async def test_answer_clears_parts(self):
+        """A sound request frees its parts, also of what others reported."""
+        gateway = await self.build_crashed(parts=("sys", "other"))
+        other = GatewayHarness([SUCCESS])
+        update = ViewUpdate(strikes=gateway.crash_detector.list_strikes())
+        other.crash_detector.apply_update(update)
+        for number, parts, expected in (
+            (20, ("sys", "other"), 503),
+            (21, ("sys",), 200),
+            (22, ("other",), 503),
+        ):
+            response = await self.call(other, number, *parts)
+            self.assertEqual(response.status, expected)
+        released = other.crash_detector.list_released()
+        self.assertEqual({each.request_hash for each in released}, {"part:sys"})
+        gateway.crash_detector.apply_update(ViewUpdate(released=released))
+        for number, parts, expected in ((23, ("sys",), 200), (24, ("other",), 503)):
+            response = await self.call(gateway, number, *parts)
+            self.assertEqual(response.status, expected)
+
+    async def test_failures_clear_no_part(self):
+        """Neither an error nor a cut answer frees a part."""
+        cases = {
+            "error": (500, RESPONSE_HEADERS, [b"failed"]),
+            "cut answer": (200, RESPONSE_HEADERS, [b"ans", SILENT]),
+        }
+        for name, script in cases.items():
+            with self.subTest(name):
+                gateway = await self.build_crashed()
+                gateway.clients["s4"].scripts = [script]
+                await self.call(gateway, 30, "sys")
+                self.assertEqual(gateway.crash_detector.list_released(), ())
+
+    async def test_answer_that_began_before_the_crashes(self):
+        """An answer that began before a strike doesn't clear it."""
+        waiting = asyncio.Event()
+        gateway = GatewayHarness([ENDED], [(200, RESPONSE_HEADERS, [waiting, b"x"])])
+        gateway.dispatcher.remove_server("s1")
+        calling = asyncio.create_task(self.call(gateway, 1, "sys"))
+        await asyncio.sleep(0.05)
+        gateway.dispatcher.add_server(gateway.servers["s1"], draining=False)
+        gateway.clients["s1"].is_down = True
+        gateway.clients["s2"].scripts = [ENDED]
+        await self.call(gateway, 2, "sys")
+        self.assertGreater(len(gateway.crash_detector.list_strikes()), 0)
+        waiting.set()
+        self.assertEqual((await calling).status, 200)
+        self.assertEqual(gateway.crash_detector.list_released(), ())
+
+    async def test_resumed_stream(self):
+        """A stream with the part doesn't go on at another server."""
+        first = await self.build_crashed()
+        strikes = first.crash_detector.list_strikes()
+        waiting = asyncio.Event()
+        chunks = [build_event(1), waiting, ENDED]
+        gateway = GatewayHarness(
+            [(200, STREAM_HEADERS, chunks)],
+            [(200, STREAM_HEADERS, [build_event(2)])],
+            repeatability=Repeatability.RESUMABLE_STREAM,
+        )
+        calling = asyncio.create_task(self.call(gateway, 40, "sys", "deadly"))
+        await asyncio.sleep(0.05)
+        gateway.crash_detector.apply_update(ViewUpdate(strikes=strikes))
+        waiting.set()
+        response = await calling
+        self.assertEqual(response.ended, "aborted")
+        self.assertEqual(gateway.count_requests()["s2"], 0)
+
+    async def test_blame_is_logged_once(self):
+        """One line tells which parts are blamed, until that changes."""
+        with self.assertLogs("carobspring.gateway.crashes", "INFO") as logs:
+            gateway = await self.build_crashed()
+            await self.call(gateway, 50, "sys")
+            await self.call(gateway, 51, "sys", "deadly")
+        lines = [
+            each.parts_crashes
+            for each in logs.records
+            if each.msg == "parts blamed for crashes"
+        ]
+        self.assertEqual(lines, ["part:deadly+part:sys: 3", "part:deadly: 3"])
