Tell entries of strikes by their changes, and keep blame computed

Cause: each stream compared all held strikes with those it had sent, at each report; and each request sorted the times of all blamed parts. Beside it a strike was taken back with others of its request: when one of two was released, the other was no longer held, entries were told that it was released, and a third crash counted as the first. Change: control/entry_strikes.py keeps the changes by number; a request or part that entries were told of stays so until its last strike is released. An entry computes from when until when parts are held once for each change. Ran: tests.control, tests.dispatch, tests.membership, tests.gateway.test_crashes.

--- a/carobspring/control/sessions.py
+++ b/carobspring/control/sessions.py
@@ -32,7 +32,8 @@
         self._revision = -1
         self._strikes: tuple[Strike, ...] = ()
         self._change_count = -1
-        self._held_strikes: tuple[Strike, ...] = ()
+        #: Number of the last change of entries' strikes that was sent.
+        self._strike_change = 0
 
     def take_delta(self) -> SharedStateDelta:
         """Return the changes since the last call."""
@@ -42,17 +43,16 @@
         self._revision = max(self._revision, settings.revision)
         added: tuple[Strike, ...] = ()
         released: tuple[Strike, ...] = ()
-        held = self._state.held_strikes
-        if (
-            strike_table.change_count != self._change_count
-            or held is not self._held_strikes
-        ):
-            self._held_strikes = held
-            strikes = strike_table.list_strikes() + held
+        if strike_table.change_count != self._change_count:
+            strikes = strike_table.list_strikes()
             before, after = set(self._strikes), set(strikes)
             added = tuple(strike for strike in strikes if strike not in before)
             released = tuple(s for s in self._strikes if s not in after)
             self._strikes, self._change_count = strikes, strike_table.change_count
+        for change in self._state.entry_strikes.list_changes(self._strike_change):
+            added += change.strikes
+            released += change.released
+            self._strike_change = change.number
         return SharedStateDelta(
             settings=settings if is_newer else None, strikes=added, released=released
         )
--- a/carobspring/control/state.py
+++ b/carobspring/control/state.py
@@ -3,14 +3,9 @@
 import asyncio
 from collections.abc import Iterable
 
+from carobspring.control.entry_strikes import EntryStrikes
 from carobspring.control.machine import ControlMachine
-from carobspring.membership import (
-    HELD_STRIKES,
-    LEASE_S,
-    EntryTable,
-    MembershipTable,
-    StrikeSet,
-)
+from carobspring.membership import LEASE_S, EntryTable, MembershipTable
 from carobspring.ports import Clock
 from carobspring.protocol import RoutingConfiguration, Strike
 
@@ -58,9 +53,7 @@
         self.members = MembershipTable(now=clock.read_monotonic(), lease_s=lease_s)
         self.entries = EntryTable()
         #: Strikes that entries report, beside the committed ones of agents.
-        self.entry_strikes = StrikeSet()
-        #: Those of requests that all entries hold back.
-        self.held_strikes: tuple[Strike, ...] = ()
+        self.entry_strikes = EntryStrikes()
         self.draining = False
         self._notified_change_count = 0
         #: Incremented when a report to this replica or an expired lease
@@ -84,20 +77,12 @@
     def merge_strikes(
         self, strikes: Iterable[Strike], released: Iterable[Strike]
     ) -> bool:
-        """Merge strikes and their release; return whether any are new.
-
-        Entries are told only of requests that must be held back: of the many
-        that run on a server when it crashes, most never do so again.
-        """
-        gone = self.entry_strikes.release(released)
-        added = self.entry_strikes.add(strikes)
-        if not added and not gone:
-            return False
-        held = self.entry_strikes.list_strikes(min_count=HELD_STRIKES)
-        if held != self.held_strikes:
-            self.held_strikes = held
+        """Merge strikes and their release; return whether any are new."""
+        before = self.entry_strikes.change_number
+        is_new = self.entry_strikes.merge(strikes, released)
+        if self.entry_strikes.change_number != before:
             self.entry_notifier.notify_all()
-        return True
+        return is_new
 
     def handle_applied(self) -> None:
         """Propagate the changes of a command or a restored snapshot."""
--- a/carobspring/dispatch/quarantine.py
+++ b/carobspring/dispatch/quarantine.py
@@ -43,6 +43,16 @@
 TRIAL_INTERVAL_S: Final = 0.5
 
 
+@dataclass(frozen=True, kw_only=True)
+class _Blame:
+    """Parts that are held back, from a time until another."""
+
+    parts: frozenset[CauseKey]
+    #: Monotonic times.
+    begins_at: float
+    ends_at: float
+
+
 @dataclass(frozen=True, kw_only=True)
 class Hold:
     """How long a request is held back, and whether for its prompt's parts."""
@@ -85,6 +95,7 @@
         self._suspects: dict[CauseKey, frozenset[ServerRun]] = {}
         #: The parts that are blamed now.
         self.explanations: Sequence[Explanation] = ()
+        self._blames: Sequence[_Blame] = ()
 
     @property
     def is_empty(self) -> bool:
@@ -180,10 +191,9 @@
     ) -> Iterable[tuple[CauseKey, float]]:
         """Yield the causes that hold a request back, and until when."""
         known = frozenset(causes)
-        for explanation in self.explanations:
-            until = self._compute_part_hold_end(explanation, now)
-            if until is not None and explanation.parts <= known:
-                yield from ((key, until) for key in explanation.parts)
+        for blame in self._blames:
+            if blame.parts <= known and blame.begins_at <= now:
+                yield from ((key, blame.ends_at) for key in blame.parts)
         for key in causes:
             crashes = self._strikes.list_server_runs(key)
             if is_part_key(key) or len(crashes) < HELD_STRIKES:
@@ -192,28 +202,23 @@
                 continue
             is_likely = len(crashes) >= LIKELY_CAUSE_STRIKES
             hold_s = LIKELY_CAUSE_HOLD_S if is_likely else HOLD_S
-            yield key, max(self._list_times(key, crashes)) + hold_s
+            last_at = max(self._learned_at[key, run] for run in crashes)
+            yield key, last_at + hold_s
 
-    def _compute_part_hold_end(
-        self, explanation: Explanation, now: float
-    ) -> float | None:
-        """Return until when parts are held back, or None if not yet."""
+    def _build_blame(self, explanation: Explanation) -> _Blame:
         crash_count = len(explanation.crashes)
         times = sorted(
-            time
-            for key in explanation.parts
-            for time in self._list_times(key, explanation.crashes)
+            max(self._learned_at[key, server_run] for key in explanation.parts)
+            for server_run in explanation.crashes
         )
-        blamed_at = times[BLAMED_CRASHES - 1]
-        if crash_count < CERTAIN_CRASHES and now < blamed_at + ANSWER_WAIT_S:
-            return None
+        begins_at = times[BLAMED_CRASHES - 1]
+        if crash_count < CERTAIN_CRASHES:
+            begins_at += ANSWER_WAIT_S
         factor = PART_HOLD_FACTOR ** (crash_count - BLAMED_CRASHES)
-        return times[-1] + min(PART_HOLD_S * factor, MAX_PART_HOLD_S)
-
-    def _list_times(
-        self, key: CauseKey, crashes: Iterable[ServerRun]
-    ) -> Sequence[float]:
-        return [self._learned_at[key, server_run] for server_run in crashes]
+        hold_s = min(PART_HOLD_S * factor, MAX_PART_HOLD_S)
+        return _Blame(
+            parts=explanation.parts, begins_at=begins_at, ends_at=times[-1] + hold_s
+        )
 
     def _update(self, changed: Sequence[Strike]) -> None:
         """Find again what explains the crashes, after some strikes changed."""
@@ -230,3 +235,4 @@
             {key: runs for key, runs in suspects.items() if is_part_key(key)},
             [runs for key, runs in suspects.items() if not is_part_key(key)],
         )
+        self._blames = [self._build_blame(each) for each in self.explanations]
--- a/tests/control/test_gossip.py
+++ b/tests/control/test_gossip.py
@@ -172,22 +172,27 @@
         a.receive(EntryReport(entry_id="e1", zone="z", strikes=(first,)))
         a.tick()
         network.deliver_all()
-        self.assertEqual(b.state.held_strikes, ())
+        self.assertEqual(b.state.entry_strikes.list_held(), ())
         b.receive(EntryReport(entry_id="e2", zone="z", strikes=(second,)))
         b.tick()
         network.deliver_all()
         for replica in (a, b):
-            self.assertEqual(set(replica.state.held_strikes), {first, second})
+            self.assertEqual(
+                set(replica.state.entry_strikes.list_held()), {first, second}
+            )
         a.start()
         network.cut()
         b.tick()
         network.deliver_all()
-        self.assertEqual(set(a.state.held_strikes), {first, second})
+        self.assertEqual(set(a.state.entry_strikes.list_held()), {first, second})
         a.receive(EntryReport(entry_id="e1", zone="z", released=(first, second)))
         a.tick()
         network.deliver_all()
         b.receive(EntryReport(entry_id="e2", zone="z", strikes=(second,)))
-        self.assertEqual((a.state.held_strikes, b.state.held_strikes), ((), ()))
+        self.assertEqual(
+            (a.state.entry_strikes.list_held(), b.state.entry_strikes.list_held()),
+            ((), ()),
+        )
 
     async def test_wait(self):
         """Waiting for a view ends with the last acknowledgement."""
