Test that an answer after another's may end with its channel

A guard that no test noticed when it was taken out (backend_http.read_next_response); the new test does.

--- a/tests/gateway/test_close_delimited.py
+++ b/tests/gateway/test_close_delimited.py
@@ -114,6 +114,17 @@
                     self.assertEqual(bytes(response.body), expected_body)
                 self.assertEqual(len(others), other_count)
 
+    async def test_after_an_answer_to_another_request(self):
+        """A late answer to another request doesn't change how this one ends."""
+        late = b"HTTP/1.1 200 OK\r\nCarobspring-Attempt-Id: other\r\n"
+        response, others = await self.call(
+            late + b"Content-Length: 1\r\n\r\nx" + HEAD + b"\r\n" + BODY,
+            kind=ONCE,
+            other=(200, RESPONSE_HEADERS, [b"other"]),
+        )
+        self.assertEqual((response.status, bytes(response.body)), (200, BODY))
+        self.assertEqual(others, [])
+
     async def test_stream(self):
         """A close between two events completes a stream, and no other end."""
         other = (200, STREAM_HEADERS, [build_event(2), build_event(3)])
