Inject a part of prompts that crashes servers into the soak

The soak sends streams with a part that crashes each server beside sound ones with the other parts, and checks two promises at the servers and callers: at most three requests with the part later than 3 s after the fifth crash, and that a sound part is served within 10 s at the end of a run. Servers of such a series are reserved in one place for bodies and parts.

--- a/bench/faults.py
+++ b/bench/faults.py
@@ -1,11 +1,12 @@
 """Injects external faults on a seeded schedule, for the soak test."""
 
 import asyncio
+import contextlib
 import random
 import shutil
 import signal
 import time
-from collections.abc import Awaitable, Callable, Iterator, Sequence
+from collections.abc import AsyncIterator, Awaitable, Callable, Iterator, Sequence
 from typing import Final
 
 from bench.promises import (
@@ -40,14 +41,19 @@
         controls: list[str],
         new_ips: Iterator[str],
         send_body: Callable[[bytes], Awaitable[None]],
+        send_parts: Callable[[Sequence[str]], Awaitable[object]],
     ) -> None:
         """Create an injector.
 
-        ``send_body`` sends a repeatable request with a body to some entry.
+        ``send_body`` sends a repeatable request with a body to some entry, and
+        ``send_parts`` a stream whose prompt shares some parts.
         """
         self._controls = controls
         self._new_ips = new_ips
         self._send_body = send_body
+        self._send_parts = send_parts
+        #: Parts of sound requests that came beside the cause of crashes.
+        self.sound_parts: set[str] = set()
         self._crashing_count = 0
         self._generator = generator
         self._instances = instances
@@ -73,6 +79,7 @@
             self._replace_server,
             self._announce_limit,
             self._send_crashing_request,
+            self._send_crashing_part,
         )
         while time.monotonic() < ends_at:
             await asyncio.sleep(self._generator.expovariate(1 / MEAN_FAULT_INTERVAL_S))
@@ -249,26 +256,58 @@
         server.announcements = {}
 
     async def _send_crashing_request(self) -> None:
-        """Send a body again and again that crashes each server it reaches.
+        """Send a body again and again that crashes each server it reaches."""
+        async with self._reserve_servers() as servers:
+            if not servers:
+                return
+            self._crashing_count += 1
+            body = b"crashes %d" % self._crashing_count
+            for server in servers:
+                server.crashing_body = body
+            await self._repeat(lambda: self._send_body(body))
+            for server in servers:
+                server.crashing_body = b""
 
-        No other series replaces these servers meanwhile.
+    async def _send_crashing_part(self) -> None:
+        """Send streams with a part that crashes each server that runs them.
+
+        Sound streams beside them have the other parts.
         """
+        async with self._reserve_servers() as servers:
+            if not servers:
+                return
+            self._crashing_count += 1
+            deadly = f"{self._crashing_count:x}dead"
+            sound = f"{self._crashing_count:x}50d"
+            self.sound_parts.add(sound)
+            for server in servers:
+                server.crashing_parts |= {deadly}
+
+            async def send() -> None:
+                parts = self._generator.choice(
+                    ((sound, deadly), (deadly, sound), (sound,), (sound, "ab"))
+                )
+                await self._send_parts(parts)
+
+            await self._repeat(send)
+
+    @contextlib.asynccontextmanager
+    async def _reserve_servers(self) -> AsyncIterator[Sequence[StandInServer]]:
+        """Yield servers that no other series replaces meanwhile, or none."""
         servers = [server for server in self._servers if server.service == "svc"]
         names = {f"server {server.address}" for server in servers}
         if names & self._disrupted:
+            yield ()
             return
         self._disrupted |= names
-        self._crashing_count += 1
-        body = b"crashes %d" % self._crashing_count
-        for server in servers:
-            server.crashing_body = body
         try:
-            ends_at = time.monotonic() + 2 * CONTACT_BOUND_S
-            while time.monotonic() < ends_at:
-                await self._send_body(body)
-                await asyncio.sleep(self._generator.uniform(0.05, 0.5))
+            yield servers
             await asyncio.sleep(max(server.restart_delay_s for server in servers))
         finally:
-            for server in servers:
-                server.crashing_body = b""
             self._disrupted -= names
+
+    async def _repeat(self, send: Callable[[], Awaitable[None]]) -> None:
+        ends_at = time.monotonic() + 2 * CONTACT_BOUND_S
+        while time.monotonic() < ends_at:
+            await send()
+            await asyncio.sleep(self._generator.uniform(0.05, 0.5))
--- a/bench/promises.py
+++ b/bench/promises.py
@@ -16,7 +16,10 @@
 #: Seconds after which instances know what happened elsewhere, as the user
 #: documentation guarantees.
 CONTACT_BOUND_S: Final = 3.0
-#: Requests with a crashing body that may reach servers after that.
+#: Crashes under a request, or under requests with one part of their prompts,
+#: after which it must be held back, and requests that may still reach servers.
+COUNTED_REQUEST_CRASHES: Final = 3
+COUNTED_PART_CRASHES: Final = 5
 MAX_LATE_CRASHING_REQUESTS: Final = 3
 #: Retries to a service in a window: share of its requests, and number.
 RETRY_SHARE: Final = 0.2
@@ -129,23 +132,38 @@
                 )
 
     def check_crashing_requests(self, servers: Iterable[StandInServer]) -> None:
-        """Check that a body that crashes its servers is soon held back."""
-        crash_times: dict[bytes, list[float]] = {}
-        arrivals: dict[bytes, list[float]] = {}
-        for server in servers:
-            for at, body in server.crashes:
-                crash_times.setdefault(body, []).append(at)
-            for arrival in server.arrivals:
-                arrivals.setdefault(arrival.body, []).append(arrival.at)
-        for body, times in crash_times.items():
-            if len(times) < 3:
+        """Check that what crashes servers is soon held back.
+
+        That is a body that comes again and again, or a part of the prompts of
+        different requests.
+        """
+        servers = tuple(servers)
+        causes = {cause for server in servers for _, cause in server.crashes if cause}
+        for cause in sorted(causes):
+            times = sorted(
+                at for server in servers for at, each in server.crashes if each == cause
+            )
+            arrivals = [arrival for server in servers for arrival in server.arrivals]
+            part_name = cause.decode()
+            is_part = any(part_name in arrival.parts for arrival in arrivals)
+            counted = COUNTED_PART_CRASHES if is_part else COUNTED_REQUEST_CRASHES
+            if len(times) < counted:
                 continue
-            counted_from = sorted(times)[2] + CONTACT_BOUND_S
-            late = sum(at > counted_from for at in arrivals[body])
+            counted_from = times[counted - 1] + CONTACT_BOUND_S
+            late = sum(
+                arrival.at > counted_from
+                and (arrival.body == cause or part_name in arrival.parts)
+                for arrival in arrivals
+            )
             if late > MAX_LATE_CRASHING_REQUESTS:
-                detail = f"{body!r}: {len(times)} crashes, {late} requests after"
+                detail = f"{cause!r}: {len(times)} crashes, {late} requests after"
                 self.record_violation("crashing requests are held back", detail)
 
+    def check_sound_part(self, part: str, status: int) -> None:
+        """Check that a part that came beside the cause of crashes is free."""
+        if status != 200:
+            self.record_violation("sound parts get free", f"{part}: status {status}")
+
     def check_repeats(self, service: str, servers: Iterable[StandInServer]) -> None:
         """Check that repeats stay within the budget that all entries share."""
         arrivals = sorted(
--- a/bench/soak.py
+++ b/bench/soak.py
@@ -16,6 +16,7 @@
 import random
 import sys
 import time
+from collections.abc import Iterable, Sequence
 from pathlib import Path
 from typing import Final
 
@@ -47,6 +48,8 @@
 KEPT_ROUTES: Final = 20
 #: Number of control daemons that a run may replace.
 MAX_SUCCESSORS: Final = 40
+#: Seconds in which a part that came beside the cause of crashes gets free.
+SOUND_PART_BOUND_S: Final = 10.0
 #: Directory for the logs of a run that violated an invariant.
 LOG_DIRECTORY: Final = Path("out")
 
@@ -135,6 +138,7 @@
             controls=controls,
             new_ips=self._new_ips,
             send_body=lambda body: self._send_body(client, body),
+            send_parts=lambda parts: self._send_parts(client, parts),
         )
         tasks += [fault_injector.run(ends_at) for _ in range(FAULT_SERIES_COUNT)]
         tasks += [self._send_changes(ends_at), self._poll_versions(controls, ends_at)]
@@ -145,6 +149,7 @@
         await self._instances.start_all()
         await self._wait_until_serving()
         await self._check_final_versions(controls)
+        await self._check_sound_parts(client, fault_injector.sound_parts)
         self.checker.check_executions(self._servers)
         self.checker.check_crashing_requests(self._servers)
         self.checker.check_announced_limits(self._servers)
@@ -211,12 +216,37 @@
         entry = self._generator.choice(list(self._links))
         await self._call(client, entry, "read", body)
 
+    async def _send_parts(
+        self, client: aiohttp.ClientSession, parts: Sequence[str]
+    ) -> int | None:
+        """Send a stream like no other whose prompt has some parts."""
+        entry = self._generator.choice(list(self._links))
+        own_part = f"{self._call_count:x}"
+        prefix = ",".join(f"{part}:100" for part in (*parts, own_part))
+        return await self._call(
+            client, entry, "stream", own_part.encode(), prefix=prefix
+        )
+
+    async def _check_sound_parts(
+        self, client: aiohttp.ClientSession, parts: Iterable[str]
+    ) -> None:
+        """Check that parts beside the cause of crashes soon get free."""
+        for part in sorted(parts):
+            ends_at = time.monotonic() + SOUND_PART_BOUND_S
+            status: int | None = None
+            while status != 200 and time.monotonic() < ends_at:
+                status = await self._send_parts(client, (part,))
+                await asyncio.sleep(CALLER_INTERVAL_S)
+            self.checker.check_sound_part(part, status or 0)
+
     async def _call(
         self,
         client: aiohttp.ClientSession,
         entry: str,
         kind: str,
         body: bytes | None = None,
+        *,
+        prefix: str = "",
     ) -> int | None:
         """Send one request through the link of an entry; return the status.
 
@@ -234,6 +264,8 @@
             "Authorization": "Bearer key-1",
             "Carobspring-Token-Usage": LARGE_TOKEN_USAGE,
         }
+        if prefix:
+            headers["Carobspring-Prefix-Hash"] = prefix
         url = f"http://127.0.0.1:{self._links[entry].port}/{kind}/x"
         method = "POST" if kind == "book" or body else "GET"
         timeout = aiohttp.ClientTimeout(total=REQUEST_TIMEOUT_S)
--- a/standins/backend_server.py
+++ b/standins/backend_server.py
@@ -63,7 +63,8 @@
         self.service = service
         self.run_counts: Counter[str] = Counter()
         self.arrivals: list[Arrival] = []
-        #: Monotonic times and bodies of the requests that crashed the server.
+        #: Monotonic times of crashes, and the body or the part of a prompt
+        #: that caused them; empty if the server crashed by itself.
         self.crashes: list[tuple[float, bytes]] = []
         self.crashing_body = b""
         self.crashing_parts: frozenset[str] = frozenset()
@@ -131,12 +132,12 @@
         if self._runner is not None:
             await self._runner.cleanup()
 
-    def break_down(self, body: bytes = b"") -> None:
+    def break_down(self, cause: bytes = b"") -> None:
         """End like a crashed process, and return after a while."""
         if self._runner is None or self._runner.server is None:
             # It has not returned from its last crash.
             return
-        self.crashes.append((time.monotonic(), body))
+        self.crashes.append((time.monotonic(), cause))
         for site in tuple(self._runner.sites):
             # Closes the listening socket at once, unlike stopping the site.
             site._server.close()  # type: ignore[attr-defined]
@@ -226,10 +227,12 @@
         }
         if self._should_fail():
             return web.Response(status=500, headers=response_headers, text="failed")
-        is_crashing = bool(body) and body == self.crashing_body
-        if is_crashing or self.crashing_parts.intersection(parts):
+        cause = body if body == self.crashing_body else b""
+        for part in sorted(self.crashing_parts.intersection(parts)):
+            cause = part.encode()
+        if cause:
             await asyncio.sleep(self.crash_delay_s)
-            self.break_down(body)
+            self.break_down(cause)
             return web.Response()
         if self.fault == "stray":
             return web.Response(
--- a/tests/benchmarks/test_soak.py
+++ b/tests/benchmarks/test_soak.py
@@ -123,6 +123,34 @@
                 self.checker.check_crashing_requests([server])
                 self.assertEqual(self.list_violated(), violated)
 
+    def test_crashing_parts(self):
+        """The same holds for a part, from the fifth crash on."""
+        cases = {
+            "three after the fifth": (5, 3, []),
+            "four after the fifth": (5, 4, ["crashing requests are held back"]),
+            "four after the fourth": (4, 4, []),
+        }
+        for name, (crash_count, count, violated) in cases.items():
+            with self.subTest(name):
+                self.checker.violations.clear()
+                crashes = [float(number) for number in range(crash_count)]
+                times = [*crashes, *(20.0 for _ in range(count))]
+                server = self.build_server(times, crashes=crashes)
+                server.crashes = [(at, b"dead") for at in crashes]
+                for number, arrival in enumerate(server.arrivals):
+                    server.arrivals[number] = replace(
+                        arrival, body=b"%d" % number, parts=("50d", "dead", "own")
+                    )
+                self.checker.check_crashing_requests([server])
+                self.assertEqual(self.list_violated(), violated)
+
+    def test_sound_parts(self):
+        """A sound part that is not served in time is detected."""
+        self.checker.check_sound_part("50d", 200)
+        self.assertEqual(self.list_violated(), [])
+        self.checker.check_sound_part("50d", 503)
+        self.assertEqual(self.list_violated(), ["sound parts get free"])
+
     def test_repeats(self):
         """Repeats beyond the share and the slack of a window are detected."""
         cases = {
--- a/tests/endtoend/test_crashing_parts.py
+++ b/tests/endtoend/test_crashing_parts.py
@@ -88,9 +88,9 @@
         results = await asyncio.gather(*sending, return_exceptions=True)
         errors = [r for r in results if not isinstance(r, asyncio.CancelledError)]
         self.assertEqual(errors, [])
-        # Those without a body are the servers' own.
+        # Those without a cause are the servers' own.
         crashes = sorted(
-            at for each in self.servers for at, body in each.crashes if body
+            at for each in self.servers for at, cause in each.crashes if cause
         )
         arrivals = [
             arrival
--- a/tests/gateway/test_close_delimited.py
+++ b/tests/gateway/test_close_delimited.py
@@ -115,7 +115,7 @@
                 self.assertEqual(len(others), other_count)
 
     async def test_after_an_answer_to_another_request(self):
-        """A late answer to another request doesn't change how this one ends."""
+        """A late answer to another request changes nothing."""
         late = b"HTTP/1.1 200 OK\r\nCarobspring-Attempt-Id: other\r\n"
         response, others = await self.call(
             late + b"Content-Length: 1\r\n\r\nx" + HEAD + b"\r\n" + BODY,
