Stop a request that must be held back before its answer begins

Cause: requests with a part that crashes runners wait there for 0.1 to 0.5 s until they begin to write. When the part was known, those that waited still crashed their runners. Change: when strikes come, open runs that must be held back now are stopped, unless their answer has begun (then they crash nothing by beginning) or they are trials. The caller gets 502, since the request may have run. Ruled out: asking at each wait of each request (a cost for all requests, also while nothing has crashed). Ran: tests.gateway, tests.dispatch: passed; each of four guards taken out is noticed.

--- a/carobspring/dispatch/crashes.py
+++ b/carobspring/dispatch/crashes.py
@@ -27,6 +27,8 @@
     is_suspect: bool
     #: Whether it was sent to find out what it does, after a hold.
     is_trial: bool = False
+    #: Stops the run, unless its answer has begun.
+    stop: Callable[[], None] = lambda: None
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -68,6 +70,7 @@
         *,
         is_suspect: bool = False,
         is_trial: bool = False,
+        stop: Callable[[], None] = lambda: None,
     ) -> OpenRun:
         """Record that a request is sent to a server."""
         run = OpenRun(
@@ -75,6 +78,7 @@
             list_causes=list_causes,
             is_suspect=is_suspect,
             is_trial=is_trial,
+            stop=stop,
         )
         self._open.setdefault(run.server_run, {})[run] = None
         return run
@@ -140,6 +144,10 @@
             self._listed.popitem(last=False)
         return crashed
 
+    def list_open(self) -> tuple[OpenRun, ...]:
+        """Return the runs that have not ended."""
+        return tuple(run for runs in self._open.values() for run in runs)
+
     def list_suspect_servers(self) -> frozenset[str]:
         """Return the servers where suspects of this entry run."""
         return frozenset(
--- a/carobspring/gateway/crashes.py
+++ b/carobspring/gateway/crashes.py
@@ -97,20 +97,27 @@
             return frozenset()
         return self._attribution.list_suspect_servers()
 
-    def begin(self, server: BackendServer, list_causes: CauseLister) -> OpenRun:
+    def begin(
+        self,
+        server: BackendServer,
+        list_causes: CauseLister,
+        stop: Callable[[], None] = lambda: None,
+    ) -> OpenRun:
         """Record that a request is sent to a server.
 
         A trial counts as a strike at once, so that other entries hear of it
-        and begin no trial of their own.
+        and begin no trial of their own. ``stop`` is called if the request
+        must be held back while it runs.
         """
         if self._quarantine.is_empty:
-            return self._attribution.begin(server, list_causes)
+            return self._attribution.begin(server, list_causes, stop=stop)
         held = self._quarantine.list_held(list_causes(), self._read_clock())
         run = self._attribution.begin(
             server,
             list_causes,
             is_suspect=self._is_suspect(list_causes),
             is_trial=bool(held),
+            stop=stop,
         )
         self._add_strikes(run.server_run, held)
         return run
@@ -178,9 +185,12 @@
         if update.complete:
             # The replica may have lost what was reported to it before.
             self._complete_until = now + REPORT_S
-        self._log_strikes("strike received", self._quarantine.add(update.strikes, now))
+        added = self._quarantine.add(update.strikes, now)
+        self._log_strikes("strike received", added)
         self._quarantine.remove(update.released)
         self._log_blame()
+        if added:
+            self._stop_held_runs()
 
     def list_strikes(self) -> tuple[Strike, ...]:
         """Return the strikes to include in a report.
@@ -253,8 +263,16 @@
         self._metrics.record_strikes(len(added))
         self._log_strikes("request struck", added)
         self._log_blame()
+        self._stop_held_runs()
         self._request_report()
 
+    def _stop_held_runs(self) -> None:
+        """Stop what would crash more servers as it begins to answer."""
+        now = self._read_clock()
+        for run in self._attribution.list_open():
+            if not run.is_trial and self._quarantine.list_held(run.list_causes(), now):
+                run.stop()
+
     def _report_released(self, released: Sequence[Strike]) -> None:
         if not released:
             return
--- a/carobspring/gateway/exchange.py
+++ b/carobspring/gateway/exchange.py
@@ -4,7 +4,7 @@
 import logging
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
-from typing import Final, TypeVar
+from typing import Any, Final, TypeVar
 
 from carobspring import platform
 from carobspring.adapters.backend_http import HttpBackend
@@ -132,6 +132,8 @@
         self._was_shed = False
         self._sends = 0
         self._server_id = ""
+        #: The step that an attempt awaits, if it can be stopped.
+        self._step: asyncio.Future[Any] | None = None
         #: Monotonic time of the head of the last server's response.
         self._answered_since = float("-inf")
         self._failure_response: BufferedResponse | None = None
@@ -275,7 +277,9 @@
         context.dispatcher.record_sent(placement, query, now)
         self._sends += 1
         result = AttemptResult(outcome=AttemptOutcome.ABANDONED)
-        run = context.crash_detector.begin(placement.server, self._identity.list_causes)
+        run = context.crash_detector.begin(
+            placement.server, self._identity.list_causes, self._stop_run
+        )
         try:
             result = await self._send(client, placement)
         finally:
@@ -404,15 +408,22 @@
         Only a resumable stream is moved. If there is no other server, the step
         is awaited for as long as the caller waits.
         """
-        task = asyncio.ensure_future(step)
+        task = self._step = asyncio.ensure_future(step)
         try:
             while not (await asyncio.wait({task}, timeout=SILENCE_CHECK_INTERVAL_S))[0]:
                 if self._should_abandon_server():
                     raise IncompleteResponseError(reason="the server is silent")
+            if task.cancelled():
+                raise IncompleteResponseError(reason="the request is held back")
             return task.result()
         finally:
             task.cancel()
 
+    def _stop_run(self) -> None:
+        """Stop the request where it runs, unless its answer has begun."""
+        if self._step is not None and not self._relay.has_started:
+            self._step.cancel()
+
     def _should_abandon_server(self) -> bool:
         if not self._is_resumable:
             return False
--- a/tests/gateway/test_crashes.py
+++ b/tests/gateway/test_crashes.py
@@ -343,6 +343,56 @@
         self.assertEqual(response.ended, "aborted")
         self.assertEqual(gateway.count_requests()["s2"], 0)
 
+    async def test_requests_that_already_wait_at_a_server(self):
+        """A request that must be held is stopped before its answer begins.
+
+        Another one isn't, nor one whose answer has begun.
+        """
+        first = await self.build_crashed(count=5)
+        strikes = first.crash_detector.list_strikes()
+        cases = {
+            "no head": (("sys", "deadly"), None, (502, "complete")),
+            "only a head": (("sys", "deadly"), [], (502, "complete")),
+            "answer begun": (("sys", "deadly"), [build_event(1)], (200, "complete")),
+            "sound": (("sys",), [], (200, "complete")),
+        }
+        for name, (parts, begun, expected) in cases.items():
+            with self.subTest(name):
+                waiting = asyncio.Event()
+                script = waiting
+                if begun is not None:
+                    script = (200, STREAM_HEADERS, [*begun, waiting, build_event(2)])
+                gateway = GatewayHarness(
+                    [script], repeatability=Repeatability.STREAM_ONCE
+                )
+                calling = asyncio.create_task(self.call(gateway, 60, *parts))
+                await asyncio.sleep(0.05)
+                gateway.crash_detector.apply_update(ViewUpdate(strikes=strikes))
+                await asyncio.sleep(0.05)
+                self.assertIs(calling.done(), expected[0] == 502)
+                waiting.set()
+                response = await calling
+                self.assertEqual((response.status, response.ended), expected)
+
+    async def test_trial_is_not_stopped(self):
+        """A trial goes on, though its own strike holds the part back."""
+        waiting = asyncio.Event()
+        with unittest.mock.patch.object(quarantine, "PART_HOLD_S", 0.0):
+            gateway = await self.build_crashed()
+        script = (200, STREAM_HEADERS, [waiting, build_event(1)])
+        gateway.clients["s4"].scripts = [script]
+        calling = asyncio.create_task(self.call(gateway, 70, "deadly", "sys"))
+        await asyncio.sleep(0.05)
+        self.assertEqual(gateway.count_requests()["s4"], 1)
+        other = replace(gateway.crash_detector.list_strikes()[0], server_id="s9")
+        gateway.crash_detector.apply_update(ViewUpdate(strikes=(other,)))
+        response = await self.call(gateway, 71, "deadly", "sys")
+        self.assertEqual(response.status, 503)
+        waiting.set()
+        self.assertEqual((await calling).status, 200)
+        response = await self.call(gateway, 72, "deadly", "sys")
+        self.assertEqual(response.status, 200)
+
     async def test_blame_is_logged_once(self):
         """One line tells which parts are blamed, until that changes."""
         with self.assertLogs("carobspring.gateway.crashes", "INFO") as logs:
