Blame parts that were answered before only for what new parts leave

Cause: what many sound requests share was running at every crash. Change: an entry remembers when parts were last answered completely (2,000 parts, ten minutes). Parts without such an answer explain crashes first; the others are blamed for what is left, from five crashes on and after a wait for answers under way. Ruled out: to clear parts by old answers (a part may crash runners only now; it is blamed from the fifth crash, as the rule counts).

--- a/carobspring/dispatch/quarantine.py
+++ b/carobspring/dispatch/quarantine.py
@@ -1,11 +1,13 @@
 """Decides which requests are held back because servers crashed under them."""
 
+from collections import OrderedDict
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
 from typing import Final
 
 from carobspring.dispatch.blame import (
     BLAMED_CRASHES,
+    BLAMED_PROVEN_CRASHES,
     Explanation,
     explain_crashes,
     is_explained_elsewhere,
@@ -38,6 +40,10 @@
 #: many servers crashed that waiting costs more than it saves.
 ANSWER_WAIT_S: Final = 0.5
 CERTAIN_CRASHES: Final = 5
+#: Seconds for which an answer to a part speaks for it, and parts for which
+#: answers are remembered, those that were answered last.
+PROOF_S: Final = 600.0
+MAX_PROVEN_PARTS: Final = 2_000
 #: Seconds between the first sends of two entries when a hold is over, so that
 #: the others hear of one before they admit theirs.
 TRIAL_INTERVAL_S: Final = 0.5
@@ -93,6 +99,10 @@
         self._learned_at: dict[tuple[CauseKey, ServerRun], float] = {}
         #: The requests and parts with strikes enough to be blamed.
         self._suspects: dict[CauseKey, frozenset[ServerRun]] = {}
+        #: When parts were last answered completely, the earliest first.
+        self._answered_at: OrderedDict[CauseKey, float] = OrderedDict()
+        #: The parts that were answered before they became suspects.
+        self._proven: set[CauseKey] = set()
         #: The parts that are blamed now.
         self.explanations: Sequence[Explanation] = ()
         self._blames: Sequence[_Blame] = ()
@@ -126,6 +136,14 @@
         self._update(removed)
         return removed
 
+    def record_answer(self, parts: Iterable[CauseKey], now: float) -> None:
+        """Record that the parts of a prompt were answered completely."""
+        for part in parts:
+            self._answered_at[part] = now
+            self._answered_at.move_to_end(part)
+        while len(self._answered_at) > MAX_PROVEN_PARTS:
+            self._answered_at.popitem(last=False)
+
     def release(
         self, causes: Iterable[CauseKey], answered_since: float
     ) -> tuple[Strike, ...]:
@@ -211,8 +229,11 @@
             max(self._learned_at[key, server_run] for key in explanation.parts)
             for server_run in explanation.crashes
         )
-        begins_at = times[BLAMED_CRASHES - 1]
-        if crash_count < CERTAIN_CRASHES:
+        minimum = BLAMED_CRASHES
+        if explanation.is_proven:
+            minimum = BLAMED_PROVEN_CRASHES
+        begins_at = times[minimum - 1]
+        if crash_count < CERTAIN_CRASHES or explanation.is_proven:
             begins_at += ANSWER_WAIT_S
         factor = PART_HOLD_FACTOR ** (crash_count - BLAMED_CRASHES)
         hold_s = min(PART_HOLD_S * factor, MAX_PART_HOLD_S)
@@ -230,9 +251,21 @@
                 suspects[key] = crashes
         if suspects == self._suspects:
             return
+        self._proven = {
+            key
+            for key in suspects
+            if key in self._proven
+            or (key not in self._suspects and self._was_answered(key, suspects[key]))
+        }
         self._suspects = suspects
         self.explanations = explain_crashes(
             {key: runs for key, runs in suspects.items() if is_part_key(key)},
             [runs for key, runs in suspects.items() if not is_part_key(key)],
+            self._proven,
         )
         self._blames = [self._build_blame(each) for each in self.explanations]
+
+    def _was_answered(self, key: CauseKey, crashes: Iterable[ServerRun]) -> bool:
+        """Return whether a part was answered in the time before crashes."""
+        last_at = max(self._learned_at[key, server_run] for server_run in crashes)
+        return self._answered_at.get(key, float("-inf")) >= last_at - PROOF_S
--- a/carobspring/gateway/crashes.py
+++ b/carobspring/gateway/crashes.py
@@ -122,13 +122,17 @@
         self._add_strikes(run.server_run, held)
         return run
 
-    def end_answered(self, run: OpenRun, *, answered_since: float) -> None:
+    def end_answered(
+        self, run: OpenRun, *, answered_since: float, parts: Iterable[CauseKey]
+    ) -> None:
         """Record that a request got a complete answer.
 
         It crashed no server, nor did a part of its prompt, by the time at
         which the answer began.
         """
-        self._attribution.end(run, is_broken=False, now=self._read_clock())
+        now = self._read_clock()
+        self._attribution.end(run, is_broken=False, now=now)
+        self._quarantine.record_answer(parts, now)
         if not self._quarantine.is_empty:
             released = self._quarantine.release(run.list_causes(), answered_since)
             self._report_released(released)
--- a/carobspring/gateway/identity.py
+++ b/carobspring/gateway/identity.py
@@ -41,11 +41,14 @@
             request = self._request
             target = f"{request.path}?{request.query}"
             digest = hash_request(request.method, target, request.body)
-            parts = (build_part_key(part) for part, _ in self._query.parts[:-1])
-            part_keys = tuple(dict.fromkeys(parts))[:MAX_PARTS]
-            self._causes = ((self.workspace, digest), *part_keys)
+            self._causes = ((self.workspace, digest), *self.list_parts())
         return self._causes
 
+    def list_parts(self) -> tuple[CauseKey, ...]:
+        """Return the keys of the shared parts, without a hash of the body."""
+        parts = (build_part_key(part) for part, _ in self._query.parts[:-1])
+        return tuple(dict.fromkeys(parts))[:MAX_PARTS]
+
     def format_parts(self) -> str:
         """Return the shared parts, bounded for the log."""
         parts = self._query.parts[:-1][:MAX_LOGGED_PARTS]
--- a/tests/dispatch/test_blame.py
+++ b/tests/dispatch/test_blame.py
@@ -20,13 +20,16 @@
 
 
 class ExplainCrashesTests(unittest.TestCase):
-    def check(self, crashes, expected, requests=()):
+    def check(self, crashes, expected, requests=(), proven=""):
         part_crashes = {
             ("", f"part:{name}"): build_runs(*numbers)
             for name, numbers in crashes.items()
         }
         request_crashes = [build_runs(*numbers) for numbers in requests]
-        self.assertEqual(explain_crashes(part_crashes, request_crashes), expected)
+        self.assertEqual(
+            explain_crashes(part_crashes, request_crashes, build_parts(proven)),
+            expected,
+        )
 
     def test_parts_that_are_blamed(self):
         """The fewest parts that explain the crashes are blamed."""
@@ -65,6 +68,37 @@
             requests=[(1, 2, 3)],
         )
 
+    def test_parts_that_were_answered(self):
+        """Parts that were answered are blamed for what others leave."""
+        cases = {
+            "with a new part": (
+                {"g": (1, 2, 3, 4, 5), "a": (1, 2, 3)},
+                (build_explanation("a", 1, 2, 3),),
+            ),
+            "with two new parts": (
+                {"g": (1, 2, 3, 4, 5, 6), "a": (1, 3, 5), "b": (2, 4, 6)},
+                (build_explanation("b", 2, 4, 6), build_explanation("a", 1, 3, 5)),
+            ),
+            "at the same crashes": (
+                {"g": (1, 2, 3), "a": (1, 2, 3)},
+                (build_explanation("a", 1, 2, 3),),
+            ),
+            "alone at four crashes": ({"g": (1, 2, 3, 4)}, ()),
+            "alone at five": (
+                {"g": (1, 2, 3, 4, 5)},
+                (
+                    Explanation(
+                        parts=build_parts("g"),
+                        crashes=build_runs(1, 2, 3, 4, 5),
+                        is_proven=True,
+                    ),
+                ),
+            ),
+        }
+        for name, (crashes, expected) in cases.items():
+            with self.subTest(name):
+                self.check(crashes, expected, proven="g")
+
     def test_order_of_evidence(self):
         """All entries choose the same of two parts with as many crashes."""
         crashes = {"a": (1, 2, 3), "b": (2, 3, 4)}
--- a/tests/dispatch/test_quarantine.py
+++ b/tests/dispatch/test_quarantine.py
@@ -1,7 +1,7 @@
 import unittest
 import unittest.mock
 
-from carobspring.dispatch import Hold, RequestQuarantine
+from carobspring.dispatch import Hold, RequestQuarantine, quarantine
 from carobspring.dispatch.quarantine import (
     ANSWER_WAIT_S,
     HOLD_S,
@@ -9,6 +9,7 @@
     MAX_PART_HOLD_S,
     PART_HOLD_FACTOR,
     PART_HOLD_S,
+    PROOF_S,
     TRIAL_INTERVAL_S,
 )
 from carobspring.membership import build_part_key, strikes
@@ -154,6 +155,45 @@
         self.assertEqual(self.hold(SHARED, OTHER, now=LATER), Hold())
         self.assertGreater(self.hold(DEADLY, OTHER, now=LATER).left_s, 0.0)
 
+    def test_part_that_was_answered_before(self):
+        """A part that was answered before is not blamed with a new one."""
+        self.quarantine.record_answer([SHARED], 0.0)
+        self.crash(SHARED, DEADLY, count=3, now=1.0)
+        self.crash(SHARED, count=1, now=1.0)
+        later = 1.0 + LATER
+        self.assertEqual(self.hold(SHARED, OTHER, now=later), Hold())
+        self.assertGreater(self.hold(DEADLY, OTHER, now=later).left_s, 0.0)
+
+    def test_part_that_crashes_servers_only_now(self):
+        """A part that was sound is blamed after the fifth crash and a wait."""
+        self.quarantine.record_answer([SHARED], 0.0)
+        self.crash(SHARED, count=4, now=1.0)
+        self.assertEqual(self.hold(SHARED, now=1.0 + LATER), Hold())
+        self.crash(SHARED, now=2.0)
+        self.assertEqual(self.hold(SHARED, now=2.1), Hold())
+        self.assertGreater(self.hold(SHARED, now=2.0 + LATER).left_s, 0.0)
+
+    def test_answer_long_ago(self):
+        """An answer speaks for a part for some minutes."""
+        for answered_s_ago, is_held in ((PROOF_S, False), (PROOF_S + 1, True)):
+            with self.subTest(answered_s_ago=answered_s_ago):
+                self.quarantine, self.crash_count = RequestQuarantine(), 0
+                self.quarantine.record_answer([SHARED], 0.0)
+                self.crash(SHARED, count=3, now=answered_s_ago)
+                left_s = self.hold(SHARED, now=answered_s_ago + LATER).left_s
+                self.assertIs(left_s > 0.0, is_held)
+
+    def test_answers_that_are_remembered(self):
+        """The parts that were answered last are remembered."""
+        with unittest.mock.patch.object(quarantine, "MAX_PROVEN_PARTS", 2):
+            self.quarantine.record_answer([DEADLY, SHARED], 0.0)
+            self.quarantine.record_answer([DEADLY], 0.0)
+            self.quarantine.record_answer([OTHER], 0.0)
+        self.crash(DEADLY, count=3)
+        self.crash(SHARED, count=3)
+        self.assertEqual(self.hold(DEADLY, now=LATER), Hold())
+        self.assertGreater(self.hold(SHARED, now=LATER).left_s, 0.0)
+
     def test_old_answers_clear_no_new_crashes(self):
         """A part that was sound once is held when it crashes servers now."""
         self.quarantine.release((("w", "x"), DEADLY), 1.0)
