Test four guards of the blame for parts that no test missed

Ran: tests.dispatch.test_quarantine, tests.gateway.test_crashes, tests.control.test_entry_strikes: passed.

--- a/tests/control/test_entry_strikes.py
+++ b/tests/control/test_entry_strikes.py
@@ -43,6 +43,13 @@
         self.strikes.merge([THIRD], [])
         self.assertEqual(self.take(), ([THIRD], []))
 
+    def test_release_of_what_was_not_told(self):
+        """Entries hear nothing of the release of a strike they never had."""
+        self.strikes.merge([FIRST], [])
+        self.strikes.merge([], [FIRST])
+        self.assertEqual(self.take(), ([], []))
+        self.assertEqual(self.strikes.change_number, 0)
+
     def test_release_of_all(self):
         """What has no strike left is forgotten until it has two again."""
         self.strikes.merge([FIRST, SECOND], [])
--- a/tests/dispatch/test_quarantine.py
+++ b/tests/dispatch/test_quarantine.py
@@ -120,15 +120,16 @@
 
     def test_hold_by_crashes(self):
         """A part is held after three crashes, longer after each one more."""
-        for count in range(10):
+        for count in range(12):
             with self.subTest(count=count):
                 self.quarantine, self.crash_count = RequestQuarantine(), 0
                 self.crash(DEADLY, count=count)
                 expected = 0.0
                 if count >= 3:
-                    expected = PART_HOLD_S * PART_HOLD_FACTOR ** (count - 3) - LATER
+                    hold_s = PART_HOLD_S * PART_HOLD_FACTOR ** (count - 3)
+                    expected = min(hold_s, MAX_PART_HOLD_S) - LATER
                 hold = self.hold(DEADLY, OTHER, now=LATER)
-                self.assertAlmostEqual(hold.left_s, min(expected, MAX_PART_HOLD_S))
+                self.assertAlmostEqual(hold.left_s, expected)
                 self.assertIs(hold.is_for_parts, count >= 3)
 
     def test_requests_without_the_part(self):
--- a/tests/gateway/test_crashes.py
+++ b/tests/gateway/test_crashes.py
@@ -295,6 +295,42 @@
             response = await self.call(gateway, number, *parts)
             self.assertEqual(response.status, expected)
 
+    async def test_part_that_was_answered_before(self):
+        """The new part is blamed, not the one that was answered before."""
+        gateway = GatewayHarness(*([SUCCESS] for _ in range(4)), repeatability=ONCE)
+        await self.call(gateway, 1, "sys")
+        for client in gateway.clients.values():
+            client.scripts, client.is_down = [ENDED], True
+        for number in range(2, 5):
+            response = await self.call(gateway, number, "sys", "deadly")
+            self.assertEqual(response.status, 502)
+            for name, count in gateway.count_requests().items():
+                if count:
+                    gateway.dispatcher.remove_server(name)
+        gateway.clients["s1"].scripts = [SUCCESS]
+        gateway.dispatcher.add_server(gateway.servers["s1"], draining=False)
+        response = await self.call(gateway, 10, "deadly", "other")
+        self.assertEqual(response.status, 503)
+
+    async def test_own_crashes_stop_requests(self):
+        """A crash that this entry proves stops what it has elsewhere."""
+        waiting, crashing = asyncio.Event(), asyncio.Event()
+        scripts = [(200, RESPONSE_HEADERS, [crashing, ENDED])]
+        gateway = GatewayHarness(
+            [ENDED], [ENDED], scripts, [waiting], repeatability=ONCE
+        )
+        calls = []
+        for number, name in enumerate(("s1", "s2", "s3", "s4")):
+            gateway.clients[name].is_down = True
+            calling = asyncio.create_task(self.call(gateway, number, "sys", "deadly"))
+            await asyncio.sleep(0.05)
+            gateway.dispatcher.remove_server(name)
+            calls.append(calling)
+        self.assertEqual([each.done() for each in calls], [True, True, False, False])
+        crashing.set()
+        responses = await asyncio.gather(*calls)
+        self.assertEqual([each.status for each in responses], [502] * 4)
+
     async def test_failures_clear_no_part(self):
         """Neither an error nor a cut answer frees a part."""
         cases = {
