--- a/carobspring/control/instance_api.py
+++ b/carobspring/control/instance_api.py
@@ -218,6 +218,7 @@
                     "service": server.service,
                     "address": f"{server.host}:{server.port}",
                     "boot": server.boot,
+                    "version": server.software_version,
                     "sequence": load.sequence,
                     "draining": load.draining,
                     "accepted": result.accepted,
--- a/carobspring/domain/backends.py
+++ b/carobspring/domain/backends.py
@@ -35,6 +35,9 @@
     models: tuple[str, ...] = ()
     #: Calls that the backend server can process concurrently.
     slots: int = 1
+    #: Version of the server's software, not of its models; empty if it names
+    #: none. It never changes within a boot.
+    software_version: str = ""
 
     def __post_init__(self) -> None:
         check_name("server_id", self.server_id)
--- a/carobspring/gateway/exchange.py
+++ b/carobspring/gateway/exchange.py
@@ -132,6 +132,7 @@
         self._was_shed = False
         self._sends = 0
         self._server_id = ""
+        self._server_version = ""
         #: The step that an attempt awaits, if it can be stopped.
         self._step: asyncio.Future[Any] | None = None
         #: Monotonic time of the head of the last server's response.
@@ -269,6 +270,7 @@
     async def _try_server(self, placement: Placement) -> AttemptResult:
         context, query = self._context, self._query
         server_id = self._server_id = placement.server.server_id
+        self._server_version = placement.server.software_version
         now = context.read_clock()
         client = context.connections.find(server_id)
         if client is None:
@@ -474,6 +476,7 @@
             status=status,
             reason=reason,
             server_id=self._server_id,
+            server_version=self._server_version,
             sends=self._sends,
             admission_requests=self._admission.request_count,
             admission_wait_s=self._admission.total_wait_s,
@@ -491,6 +494,7 @@
                 "request": self._query.request_id,
                 "server": placement.server.server_id,
                 "boot": placement.server.boot,
+                "version": placement.server.software_version,
                 "outcome": result.outcome.value,
                 "detail": result.detail,
                 "peer_ended": result.peer_ended,
--- a/carobspring/gateway/outcomes.py
+++ b/carobspring/gateway/outcomes.py
@@ -35,6 +35,8 @@
     status: int = 0
     reason: str = ""
     server_id: str = ""
+    #: Software version of that server.
+    server_version: str = ""
     sends: int = 0
     #: Number of engines asked for admission, and the time that took.
     admission_requests: int = 0
--- a/carobspring/platform/checkins.py
+++ b/carobspring/platform/checkins.py
@@ -27,6 +27,7 @@
     seq: int
     #: Unix time of the server's start in ms, always a whole number.
     born: int
+    #: Version of the software; the models have their own.
     version: str = ""
     #: Time for which the server will still be slow after its start.
     cold_left_ms: float = 0.0
@@ -72,6 +73,7 @@
         host=address.host,
         port=address.port,
         slots=registration.slots,
+        software_version=registration.version,
     )
     draining = registration.state == DRAINING
     load = LoadReport(
--- a/carobspring/platform/headers.py
+++ b/carobspring/platform/headers.py
@@ -12,6 +12,7 @@
 _PROMPT_PREFIX: Final = "carobspring-prefix-hash"
 _OUTPUT_LENGTH_HINT: Final = "carobspring-output-length-hint"
 _LAST_EVENT_ID: Final = "last-event-id"
+_RESUMED_REQUEST: Final = "resumes"
 _AUTHORIZATION: Final = "authorization"
 _EXPECTED_SERVER: Final = "Carobspring-Expected-Instance"
 _WORKSPACE: Final = "Carobspring-Tenant"
@@ -64,6 +65,9 @@
     prompt_parts: tuple[PromptPart, ...] = ()
     #: The event after which the stream resumes; empty for a new stream.
     last_event_id: str = ""
+    #: The request that brought the first event of the stream that resumes;
+    #: empty if the caller names none.
+    resumed_request_id: str = ""
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -105,6 +109,7 @@
         ),
         prompt_parts=_parse_prompt_parts(values.get(_PROMPT_PREFIX, "")),
         last_event_id=values.get(_LAST_EVENT_ID, ""),
+        resumed_request_id=values.get(_RESUMED_REQUEST, ""),
     )
 
 
--- a/carobspring/programs/instance_entry.py
+++ b/carobspring/programs/instance_entry.py
@@ -287,6 +287,7 @@
                 "server": server_id,
                 "service": server.service,
                 "boot": server.boot,
+                "version": server.software_version,
                 "address": f"{server.host}:{server.port}",
                 "server_zone": server.zone,
                 "draining": listed.draining,
--- a/tests/platform/test_checkins.py
+++ b/tests/platform/test_checkins.py
@@ -39,6 +39,7 @@
                     host="10.128.0.9",
                     port=8080,
                     slots=64,
+                    software_version="v1",
                 ),
                 load=LoadReport(sequence=4, limit=64, draining=False),
             ),
@@ -53,6 +54,19 @@
         result = (check_in.server.kind, check_in.load.draining)
         self.assertEqual(result, (ServiceKind.PLAIN, True))
 
+    def test_versions(self):
+        """A check-in may name no version, but none of another type."""
+        unversioned = {k: v for k, v in BODY.items() if k != "version"}
+        cases = {
+            "named": (BODY, "v1"),
+            "empty": ({**BODY, "version": ""}, ""),
+            "absent": (unversioned, ""),
+        }
+        for name, (body, expected) in cases.items():
+            with self.subTest(name):
+                check_in = decode_check_in("i-1", json.dumps(body).encode())
+                self.assertEqual(check_in.server.software_version, expected)
+
     def test_invalid_check_ins(self):
         """Malformed bodies, and those of other writers, are refused."""
         cases = {
@@ -66,6 +80,7 @@
             "a start as text": json.dumps({**BODY, "born": "1"}).encode(),
             "a start with a fraction": json.dumps({**BODY, "born": 1.5}).encode(),
             "no start": json.dumps({k: BODY[k] for k in BODY if k != "born"}).encode(),
+            "a version as number": json.dumps({**BODY, "version": 2}).encode(),
             "no slots": json.dumps({**BODY, "slots": 0}).encode(),
         }
         for name, body in cases.items():
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -17,6 +17,7 @@
     ("Carobspring-Model", "m"),
     ("Carobspring-Token-Usage", "1460,80"),
     ("Carobspring-Prefix-Hash", "5c1e:800,91bd:410,e440:250"),
+    ("Resumes", "8b30"),
     ("Carobspring-Output-Length-Hint", "60"),
     ("Carobspring-Deadline-Ms", "5000"),
     ("Authorization", "Bearer key-1"),
@@ -43,6 +44,7 @@
                     PromptPart(part_id="e440", tokens=250),
                 ),
                 last_event_id="12",
+                resumed_request_id="8b30",
             ),
         )
 
