Count the header of resumed streams in a test of forwarded headers

Change: the slices count it, so that the test also shows that it is forwarded as it came; nothing is compared less. tests.platform and tests.gateway pass.

--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -77,7 +77,7 @@
             ("X-Own", "kept"),
         )
         backend_headers = build_backend_headers(
-            REQUEST[:6] + forged + REQUEST[7:],
+            REQUEST[:7] + forged + REQUEST[8:],
             server_id="i-1",
             workspace="acme",
             remaining_ms=4321.9,
@@ -85,7 +85,7 @@
         )
         self.assertEqual(
             backend_headers,
-            REQUEST[:6]
+            REQUEST[:7]
             + (
                 ("X-Own", "kept"),
                 ("Carobspring-Deadline-Ms", "4321"),
