--- a/standins/backend_server.py
+++ b/standins/backend_server.py
@@ -31,6 +31,9 @@
     body: bytes
     #: Parts of the prompt, without their sizes.
     parts: tuple[str, ...] = ()
+    #: The stream that the caller resumes, and the event after which.
+    resumes: str = ""
+    last_event_id: str = ""
     #: What the response announced.
     announced: Mapping[str, str]
 
@@ -58,8 +61,11 @@
         controls: list[str],
         zone: str = "a",
         is_engine: bool = False,
+        version: str = "v1",
     ) -> None:
         self.server_id = f"i-{secrets.token_hex(4)}"
+        #: Version of the software, which each event names.
+        self.version = version
         self.service = service
         self.run_counts: Counter[str] = Counter()
         self.arrivals: list[Arrival] = []
@@ -78,6 +84,8 @@
         self.fault = ""
         self.event_interval_s = 0.02
         self.event_count = 5
+        #: Events after which a new stream is broken off; zero is off.
+        self.cut_after_events = 0
         self.state = "ready"
         #: Monotonic time at which a control daemon first confirmed the drain.
         self.drain_confirmed_at: float | None = None
@@ -178,7 +186,7 @@
             "service": self.service,
             "address": f"{self._ip}:{SERVER_PORT}",
             "zone": self._zone,
-            "version": "v1",
+            "version": self.version,
             "slots": 8,
             "state": state,
             "cold_left_ms": 0,
@@ -209,6 +217,8 @@
                 attempt_id=attempt_id,
                 body=body,
                 parts=parts,
+                resumes=headers.get("Resumes", ""),
+                last_event_id=headers.get("Last-Event-Id", ""),
                 announced=self.announcements,
             )
         )
@@ -273,11 +283,16 @@
         self, request: web.Request, response_headers: dict[str, str]
     ) -> web.StreamResponse:
         first_number = int(request.headers.get("Last-Event-Id", "0")) + 1
+        cut_after = self.cut_after_events if first_number == 1 else 0
         response = web.StreamResponse(headers=response_headers)
         response.content_type = "text/event-stream"
         await response.prepare(request)
         for number in range(first_number, self.event_count + 1):
-            await response.write(b"id: %d\ndata: %d\n\n" % (number, number))
+            event = f"id: {number}\ndata: {number} {self.version}\n\n"
+            await response.write(event.encode())
             await asyncio.sleep(self.event_interval_s)
+            if number == cut_after:
+                assert request.transport is not None
+                request.transport.abort()
         await response.write_eof()
         return response
--- a/tests/endtoend/instances.py
+++ b/tests/endtoend/instances.py
@@ -15,6 +15,8 @@
     """Three control daemons, four entries and some backend servers."""
 
     SERVER_COUNT = 2
+    #: Software versions that the servers have in turn.
+    VERSIONS = ("v1",)
     #: Values of the node file that differ from those of the stand-in.
     BOUNDS = {}
     DISKLESS_ENTRIES = 1
@@ -36,7 +38,10 @@
         self.operator = Operator(controls, self.operator_client)
         self.servers = [
             StandInServer(
-                service="svc", ip=f"127.{self.network}.{200 + n}.1", controls=controls
+                service="svc",
+                ip=f"127.{self.network}.{200 + n}.1",
+                controls=controls,
+                version=self.VERSIONS[n % len(self.VERSIONS)],
             )
             for n in range(self.SERVER_COUNT)
         ]
--- a/tests/endtoend/test_instances.py
+++ b/tests/endtoend/test_instances.py
@@ -154,7 +154,7 @@
             self.assertEqual(statuses, [404] * 4 + [401] * 4)
         with self.subTest("a stream"):
             _, body = await self.call(entries[3], "/stream/x")
-            expected = "".join(f"id: {n}\ndata: {n}\n\n" for n in range(1, 6))
+            expected = "".join(f"id: {n}\ndata: {n} v1\n\n" for n in range(1, 6))
             self.assertEqual(body, expected)
         with self.subTest("each request ran at most once"):
             for server in self.servers:
