Let a stream go on inside its answer only at the version that began it

Cause: the choice of the next server, on a retry, a move from a silent server or a wait for a permit, knew nothing of versions. Ruled out: versions that change under an identifier (none was listed so). Change: a query names the version that servers need, from the first event on, and one function tells for every way what stands in the way of a server (tried, other version, failing, limited). Where no server of the version is left the answer breaks off visibly; before the first event nothing is bound. Prefixes of prompts are copied within a version only. "request ended" counts the obstacles of a refusal, which has a reason of its own if no server has the version. Conclusion: half of the fault; the other needs the entries' records.

--- a/carobspring/dispatch/__init__.py
+++ b/carobspring/dispatch/__init__.py
@@ -12,6 +12,7 @@
 from carobspring.dispatch.queries import (
     AttemptOutcome,
     DispatchQuery,
+    Obstacle,
     Placement,
     Refusal,
     RefusalReason,
@@ -27,6 +28,7 @@
     "EngineDemand",
     "Explanation",
     "Hold",
+    "Obstacle",
     "OpenRun",
     "Placement",
     "Refusal",
--- a/carobspring/dispatch/dispatcher.py
+++ b/carobspring/dispatch/dispatcher.py
@@ -1,5 +1,6 @@
 """Chooses the backend server with the lowest estimated cost."""
 
+from collections import Counter
 from collections.abc import Mapping, Sequence, Set
 from typing import Final
 
@@ -11,6 +12,7 @@
 from carobspring.dispatch.queries import (
     AttemptOutcome,
     DispatchQuery,
+    Obstacle,
     Placement,
     Refusal,
     RefusalReason,
@@ -103,7 +105,7 @@
     ) -> Placement | Refusal:
         pool = self._pools.get(query.service)
         if pool is None or not pool.active:
-            return self._refuse(RefusalReason.NO_SERVERS)
+            return self.refuse(RefusalReason.NO_SERVERS)
         generating = self._select_generating(query, pool, now)
         generating_rank = 0
         if generating:
@@ -112,8 +114,8 @@
         homes = self._rank_homes(query, pool, generating)
         near_homes = self._rank_homes(query, pool, generating, near_only=True)
         # A server whose engine rejected the request can still be its home.
-        home = self._find_available(homes, now)
-        near_home = self._find_available(near_homes, now)
+        home = self._find_home(homes, query.software_version, now)
+        near_home = self._find_home(near_homes, query.software_version, now)
         candidates = self._list_candidates(
             query,
             pool,
@@ -124,7 +126,11 @@
             may_wait=may_wait,
         )
         if not candidates:
-            return self._refuse(RefusalReason.ALL_TRIED)
+            obstacles = self._count_obstacles(query, pool, excluded, now)
+            reason = RefusalReason.ALL_TRIED
+            if not self._has_version(query, pool):
+                reason = RefusalReason.NO_SERVER_OF_VERSION
+            return self.refuse(reason, _format_obstacles(obstacles))
         best, estimate, best_cost = candidates[0], None, 0.0
         for record in candidates:
             candidate = estimate_cost(
@@ -156,7 +162,8 @@
             f"mixing={estimate.mixing_s:.3f} "
             f"running={best.estimate_running(now)} home={best is home} "
             f"limit={best.rate_limit} "
-            f"of={len(candidates)} generating={len(generating)}",
+            f"of={len(candidates)} generating={len(generating)} "
+            f"version={query.software_version}",
         )
 
     def record_sent(
@@ -260,6 +267,7 @@
         return pool is not None and any(
             record.server.server_id not in excluded
             and not record.draining
+            and _has_version(record, query.software_version)
             and record.breaker.state is BreakerState.CLOSED
             and record.estimate_silence_s(now) <= 0
             and not record.is_blocked(now)
@@ -330,6 +338,39 @@
         elif outcome is AttemptOutcome.INCOMPLETE:
             record.breaker.record_failure(now, self._random.draw_uniform(), False)
 
+    def _find_obstacle(
+        self,
+        record: ServerRecord,
+        query: DispatchQuery,
+        excluded: Set[str],
+        now: float,
+        *,
+        may_wait: bool = False,
+    ) -> Obstacle | None:
+        """Return why an active server may not get a request, or None."""
+        if record.server.server_id in excluded:
+            return Obstacle.TRIED
+        if not _has_version(record, query.software_version):
+            return Obstacle.OTHER_VERSION
+        if not self._is_available(record, now):
+            return Obstacle.FAILING
+        if not may_wait and record.is_blocked(now):
+            return Obstacle.LIMITED
+        return None
+
+    def _count_obstacles(
+        self, query: DispatchQuery, pool: ServerPool, excluded: Set[str], now: float
+    ) -> Counter[Obstacle]:
+        obstacles = (
+            self._find_obstacle(record, query, excluded, now) for record in pool.active
+        )
+        return Counter(each for each in obstacles if each is not None)
+
+    def _has_version(self, query: DispatchQuery, pool: ServerPool) -> bool:
+        return any(
+            _has_version(record, query.software_version) for record in pool.active
+        )
+
     def _is_available(self, record: ServerRecord, now: float) -> bool:
         """Return whether the breaker allows a request; start a due probe."""
         breaker = record.breaker
@@ -387,10 +428,18 @@
             near_only=near_only or shared_tokens < self._limits.global_home_tokens,
         )
 
-    def _find_available(
-        self, records: Sequence[ServerRecord], now: float
+    def _find_home(
+        self, homes: Sequence[ServerRecord], version: str | None, now: float
     ) -> ServerRecord | None:
-        return next((each for each in records if self._is_available(each, now)), None)
+        """Return the first available home, with a version if one is given."""
+        return next(
+            (
+                each
+                for each in homes
+                if _has_version(each, version) and self._is_available(each, now)
+            ),
+            None,
+        )
 
     def _list_candidates(
         self,
@@ -412,9 +461,8 @@
             candidates = [
                 record
                 for record in records
-                if record.server.server_id not in excluded
-                and self._is_available(record, now)
-                and (may_wait or not record.is_blocked(now))
+                if self._find_obstacle(record, query, excluded, now, may_wait=may_wait)
+                is None
             ]
             if candidates:
                 return candidates
@@ -432,25 +480,38 @@
         """Return the server to copy the prompt's shared prefix from.
 
         That is the home, or at the home of a zone the one for all zones.
-        Asking a server that has none of the prefix costs nothing.
+        Asking a server that has none of the prefix costs nothing. What
+        another version of the software keeps may not fit.
         """
+        version = chosen.server.software_version
         shared = find_shared_parts(query)
         if sum(tokens for _, tokens in shared) < self._limits.min_copied_tokens:
             return None
-        if home is None or home is chosen:
+        if home is None or home is chosen or not _has_version(home, version):
             homes = pool.rank_homes(
                 shared[-1][0],
                 generating,
                 suits_generating=not is_prefill_heavy(query),
                 near_only=False,
             )
-            home = self._find_available(homes, now)
+            home = self._find_home(homes, version, now)
         if home is None or home is chosen:
             return None
         return home.server
 
-    def _refuse(self, reason: RefusalReason) -> Refusal:
+    def refuse(self, reason: RefusalReason, detail: str = "") -> Refusal:
+        """Return a refusal with the usual Retry-After, spread over callers."""
         jitter_factor = 0.5 + self._random.draw_uniform()
         return Refusal(
-            reason=reason, retry_after_s=self._limits.default_retry_s * jitter_factor
+            reason=reason,
+            retry_after_s=self._limits.default_retry_s * jitter_factor,
+            detail=detail,
         )
+
+
+def _has_version(record: ServerRecord, version: str | None) -> bool:
+    return version is None or record.server.software_version == version
+
+
+def _format_obstacles(obstacles: Mapping[Obstacle, int]) -> str:
+    return " ".join(f"{each.value}={count}" for each, count in obstacles.items())
--- a/carobspring/dispatch/queries.py
+++ b/carobspring/dispatch/queries.py
@@ -28,6 +28,25 @@
     output_tokens: int = 0
     #: Parts of the prompt in order, as identifier and tokens.
     parts: tuple[tuple[str, int], ...] = ()
+    #: Version of the software of the servers that may run it, or None if any
+    #: may. A stream goes on only at the version that began it.
+    software_version: str | None = None
+
+
+class Obstacle(str, Enum):
+    """Why a server may not get a request now.
+
+    The values are fields of the log.
+    """
+
+    #: The request was there already, or its engine rejected it.
+    TRIED = "tried"
+    #: Its software has another version than the request needs.
+    OTHER_VERSION = "other_version"
+    #: Connections to it fail, and no probe is due.
+    FAILING = "failing"
+    #: It takes no further request by the limit that it announced.
+    LIMITED = "limited"
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -43,7 +62,8 @@
     #: Whether to wait for a permit if the server limits its requests, because
     #: no other server is left.
     may_wait: bool = False
-    #: The figures that decided the choice, for the log.
+    #: The figures that decided the choice, and what stood in the way of other
+    #: servers, for the log.
     reason: str = ""
 
 
@@ -54,6 +74,10 @@
     NO_SERVERS = "no_servers"
     #: Every available server has refused it or failed.
     ALL_TRIED = "all_tried"
+    #: No available server has the software version that began its stream.
+    NO_SERVER_OF_VERSION = "no_server_of_version"
+    #: It resumes a stream, and no entry knows which version began that.
+    UNKNOWN_STREAM = "unknown_stream"
     #: The deadline can't be met any more.
     TOO_LATE = "too_late"
     #: The servers are full, and other requests go first.
@@ -73,6 +97,8 @@
     reason: RefusalReason
     #: Seconds after which the caller should retry.
     retry_after_s: float
+    #: What stood in the way of the servers, for the log.
+    detail: str = ""
 
 
 class AttemptOutcome(Enum):
--- a/carobspring/gateway/api.py
+++ b/carobspring/gateway/api.py
@@ -202,6 +202,7 @@
                 "answer": report.outcome.value,
                 "status": report.status,
                 "reason": report.reason,
+                "obstacles": report.obstacles,
                 "server": report.server_id,
                 "version": report.server_version,
                 "resumes": metadata.resumed_request_id,
--- a/carobspring/gateway/exchange.py
+++ b/carobspring/gateway/exchange.py
@@ -3,7 +3,7 @@
 import asyncio
 import logging
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Any, Final, TypeVar
 
 from carobspring import platform
@@ -116,6 +116,7 @@
             dispatcher=context.dispatcher,
             admission_client=context.admission_client,
             read_clock=context.read_clock,
+            on_first_event=self._handle_first_event,
         )
         self._admission = RequestAdmission(
             query=query,
@@ -130,6 +131,8 @@
         self._possibly_ran_on: set[str] = set()
         #: True once a server shed the request for lack of capacity.
         self._was_shed = False
+        #: What stood in the way of servers when none was left.
+        self._obstacles = ""
         self._sends = 0
         self._server_id = ""
         self._server_version = ""
@@ -384,6 +387,10 @@
             )
         return await self._relay.relay_body(response)
 
+    def _handle_first_event(self) -> None:
+        """Keep the stream at the version of the server that begins it."""
+        self._query = replace(self._query, software_version=self._server_version)
+
     def _record_announcements(
         self,
         response: BackendResponse,
@@ -442,6 +449,7 @@
 
     async def _finish_refused(self, refusal: Refusal) -> ExchangeReport:
         """Answer a request that is sent to no further server."""
+        self._obstacles = refusal.detail
         if self._possibly_ran_on or self._relay.has_started:
             return await self._finish_failed(refusal.reason.value)
         remaining_s = self._query.deadline - self._context.read_clock()
@@ -475,6 +483,7 @@
             outcome=outcome,
             status=status,
             reason=reason,
+            obstacles=self._obstacles,
             server_id=self._server_id,
             server_version=self._server_version,
             sends=self._sends,
--- a/carobspring/gateway/outcomes.py
+++ b/carobspring/gateway/outcomes.py
@@ -34,6 +34,8 @@
     outcome: RequestOutcome
     status: int = 0
     reason: str = ""
+    #: What stood in the way of servers when the request was refused.
+    obstacles: str = ""
     server_id: str = ""
     #: Software version of that server.
     server_version: str = ""
--- a/carobspring/gateway/relay.py
+++ b/carobspring/gateway/relay.py
@@ -43,12 +43,19 @@
         dispatcher: Dispatcher,
         admission_client: AdmissionClient,
         read_clock: Callable[[], float],
+        on_first_event: Callable[[], None],
     ) -> None:
+        """Create a relay.
+
+        ``on_first_event`` is called before the first event of a stream is
+        sent to the caller.
+        """
         self._request_id = request_id
         self._responder = responder
         self._dispatcher = dispatcher
         self._admission_client = admission_client
         self._read_clock = read_clock
+        self._on_first_event = on_first_event
         #: Monotonic time of the first byte sent to the caller, or None.
         self.first_byte_at: float | None = None
         #: Identifier of the last event sent to the caller, or empty.
@@ -147,6 +154,7 @@
             now = self._read_clock()
             self._dispatcher.record_first_event(server_id, self._request_id, now)
             self._admission_client.release(server_id, self._request_id)
+            self._on_first_event()
             await self._start_response(backend_response)
         elif _is_duplicate(event.event_id, self.last_event_id):
             return
--- a/standins/backend_server.py
+++ b/standins/backend_server.py
@@ -294,5 +294,6 @@
             if number == cut_after:
                 assert request.transport is not None
                 request.transport.abort()
+                return response
         await response.write_eof()
         return response
--- a/tests/endtoend/test_mixed_versions.py
+++ b/tests/endtoend/test_mixed_versions.py
@@ -2,8 +2,6 @@
 
 import asyncio
 
-import aiohttp
-
 from standins.resuming_caller import ResumingCaller
 from tests.endtoend.instances import InstancesTestCase
 
--- a/tests/gateway/fakes.py
+++ b/tests/gateway/fakes.py
@@ -204,6 +204,7 @@
         uptime_s=60.0,
         confirmed=True,
         engine=None,
+        versions=(),
     ):
         loop = asyncio.get_running_loop()
         self.clients = {
@@ -214,7 +215,12 @@
         self._kind = kind
         self.servers = {
             # Servers of other zones are tried later: the order is fixed.
-            name: self.build_server(name, zone="b" if index else "a", port=1000 + index)
+            name: self.build_server(
+                name,
+                zone="b" if index else "a",
+                port=1000 + index,
+                version=versions[index] if versions else "",
+            )
             for index, name in enumerate(self.clients)
         }
         for server in self.servers.values():
@@ -301,7 +307,7 @@
         await self.api.handle(request, responder)
         return responder
 
-    def build_server(self, name, *, zone="a", boot=1, port=1000):
+    def build_server(self, name, *, zone="a", boot=1, port=1000, version=""):
         return BackendServer(
             server_id=name,
             boot=boot,
@@ -311,6 +317,7 @@
             host="127.0.0.1",
             port=port,
             slots=6,
+            software_version=version,
         )
 
     def request_report(self):
