Know at any entry which software version began a stream

Cause: nobody but the first entry knew where a stream had begun, and Resumes was read nowhere. Change: before the first event of a resumable stream goes to its caller, the entry sends stream, service and version to three other entries, chosen by rendezvous hashing, as signed datagrams. An entry that is asked to go on asks six. No record: it goes on only if the service has certainly had one version for as long as a stream may last, by the lists of entries that answer, else 503, "not run", with a short Retry-After. While one version is certain nothing is sent; when that ends, the streams that may still last are recorded. Control replicas tell entries each other's addresses, by changes. A stream keeps its service where a route is split. Why it works: a record needs no control replica, no acknowledgement and no living first entry; what is unknown is refused, so losses never mix.

--- a/carobspring/control/sessions.py
+++ b/carobspring/control/sessions.py
@@ -117,6 +117,7 @@
         self._routing_version = 0
         self._replicas: tuple[str, ...] = ()
         self._replica_zones: dict[str, str] = {}
+        self._peer_addresses: frozenset[str] = frozenset()
 
     def handle_report(self, report: EntryReport) -> None:
         """Store a report in the table of entries."""
@@ -132,6 +133,8 @@
         shared = self._cursor.take_delta()
         self._view = members.view
         replicas = self._take_new_replicas()
+        peers_before = frozenset() if members.complete else self._peer_addresses
+        peers = self._peer_addresses = self._state.entries.peer_addresses
         return ViewUpdate(
             view=members.view,
             complete=members.complete,
@@ -148,6 +151,8 @@
             entry_count=len(self._state.entries.entries),
             generating=self._state.entries.sum_generating_demand() or None,
             reading=self._state.entries.sum_reading_demand() or None,
+            entries_added=tuple(sorted(peers - peers_before)),
+            entries_removed=tuple(sorted(peers_before - peers)),
         )
 
     def _take_new_routing(self) -> RoutingConfiguration | None:
--- a/carobspring/gateway/api.py
+++ b/carobspring/gateway/api.py
@@ -7,14 +7,20 @@
 
 from carobspring import platform
 from carobspring.adapters.tasks import start_task
-from carobspring.dispatch import DispatchQuery
-from carobspring.domain.routes import Route, RoutingTable
+from carobspring.dispatch import DispatchQuery, RefusalReason
+from carobspring.domain.routes import Repeatability, Route, RoutingTable
 from carobspring.gateway.budget import RetryBudget
 from carobspring.gateway.exchange import Exchange, ExchangeContext
 from carobspring.gateway.metrics import GatewayMetrics
 from carobspring.gateway.outcomes import ExchangeReport, encode_error
 from carobspring.gateway.state import GatewayState
 from carobspring.ports import HttpRequest, HttpResponder, RandomSource
+from carobspring.resumption import (
+    SeveralVersionsError,
+    StreamOrigin,
+    build_stream_key,
+    compute_lifetime_s,
+)
 
 #: Seconds that a request waits for the first routing table after the start of
 #: an entry. An election and a new stream to a control replica take longer.
@@ -68,8 +74,14 @@
             if owner is None:
                 await self._deny(responder, metadata, 401, "unknown_key")
                 return
+        workspace = owner.name if owner else ""
+        try:
+            origin = await self._find_origin(metadata, route, workspace)
+        except SeveralVersionsError as error:
+            await self._refuse_unknown_stream(responder, metadata, error.reason)
+            return
         rank = table.compute_rank(route, owner)
-        query = self._build_query(request, metadata, route, rank, started_at)
+        query = self._build_query(request, metadata, route, origin, rank, started_at)
         service = table.services[query.service]
         exchange = Exchange(
             context=self._context,
@@ -78,7 +90,7 @@
             metadata=metadata,
             route=route,
             query=query,
-            workspace=owner.name if owner else "",
+            workspace=workspace,
             engine_priority=rank if service.engine else None,
         )
         self._find_budget(query.service).record_request(started_at)
@@ -115,6 +127,7 @@
         request: HttpRequest,
         metadata: platform.RequestMetadata,
         route: Route,
+        origin: StreamOrigin,
         rank: int,
         started_at: float,
     ) -> DispatchQuery:
@@ -122,9 +135,10 @@
         if metadata.timeout_ms:
             timeout_ms = min(timeout_ms, metadata.timeout_ms)
         prompt_tokens = metadata.prompt_tokens or len(request.body) // BYTES_PER_TOKEN
+        service = origin.service or route.choose_service(self._random.draw_uniform())
         return DispatchQuery(
             request_id=metadata.request_id,
-            service=route.choose_service(self._random.draw_uniform()),
+            service=service,
             priority=rank,
             deadline=started_at + timeout_ms / 1000,
             target_s=route.latency_target_ms / 1000,
@@ -134,6 +148,51 @@
             prompt_tokens=prompt_tokens,
             output_tokens=metadata.expected_output_tokens or metadata.max_output_tokens,
             parts=tuple((part.part_id, part.tokens) for part in metadata.prompt_parts),
+            software_version=origin.versions.get(service),
+        )
+
+    async def _find_origin(
+        self, metadata: platform.RequestMetadata, route: Route, workspace: str
+    ) -> StreamOrigin:
+        """Return where a request's stream may go on; anywhere if it is new.
+
+        Raises:
+            SeveralVersionsError: It resumes a stream that nobody knows.
+        """
+        is_resumed = metadata.last_event_id or metadata.resumed_request_id
+        if not is_resumed or route.repeatability is not Repeatability.RESUMABLE_STREAM:
+            return StreamOrigin()
+        asked_at = self._context.read_clock()
+        origin = await self._context.stream_origins.find(
+            build_stream_key(workspace, metadata.resumed_request_id),
+            [each.service for each in route.weighted_services if each.weight],
+            compute_lifetime_s(route.timeout_ms, metadata.timeout_ms),
+        )
+        took_s = self._context.read_clock() - asked_at
+        logger.info(
+            "stream taken up",
+            extra={
+                "request": metadata.request_id,
+                "resumes": metadata.resumed_request_id,
+                "resumes_after": metadata.last_event_id,
+                "service": origin.service,
+                "versions": dict(origin.versions),
+                "took_ms": round(took_s * 1000, 1),
+            },
+        )
+        return origin
+
+    async def _refuse_unknown_stream(
+        self, responder: HttpResponder, metadata: platform.RequestMetadata, detail: str
+    ) -> None:
+        refusal = self._context.dispatcher.refuse(RefusalReason.UNKNOWN_STREAM, detail)
+        await self._refuse(
+            responder,
+            metadata,
+            503,
+            refusal.reason.value,
+            refusal.retry_after_s,
+            detail=refusal.detail,
         )
 
     async def _deny(
@@ -158,6 +217,8 @@
         status: int,
         reason: str,
         retry_after_s: float | None = None,
+        *,
+        detail: str = "",
     ) -> None:
         table = self._state.table
         confirmed_at = self._state.confirmed_at
@@ -172,6 +233,8 @@
                 "request": metadata.request_id,
                 "status": status,
                 "reason": reason,
+                "detail": detail,
+                "resumes": metadata.resumed_request_id,
                 "routes": table.version if table else None,
                 "confirmed_ms": confirmed_ms,
             },
--- a/carobspring/gateway/exchange.py
+++ b/carobspring/gateway/exchange.py
@@ -23,6 +23,7 @@
 from carobspring.gateway.backends import BackendConnections
 from carobspring.gateway.crashes import CrashDetector
 from carobspring.gateway.identity import RequestIdentity
+from carobspring.gateway.origins import StreamOrigins
 from carobspring.gateway.outcomes import (
     AttemptResult,
     BufferedResponse,
@@ -39,6 +40,7 @@
     HttpResponder,
     IncompleteResponseError,
 )
+from carobspring.resumption import build_stream_key, compute_lifetime_s
 
 #: Seconds after the start of an entry during which it may not know all
 #: servers.
@@ -69,6 +71,7 @@
     connections: BackendConnections
     crash_detector: CrashDetector
     admission_client: AdmissionClient
+    stream_origins: StreamOrigins
     read_clock: Callable[[], float]
     #: Takes one retry to a service from its budget; False if none is left.
     spend_retry: Callable[[str], bool]
@@ -389,7 +392,18 @@
 
     def _handle_first_event(self) -> None:
         """Keep the stream at the version of the server that begins it."""
-        self._query = replace(self._query, software_version=self._server_version)
+        version = self._server_version
+        self._query = replace(self._query, software_version=version)
+        if self._is_resumable:
+            self._context.stream_origins.record_first_event(
+                build_stream_key(
+                    self._identity.workspace,
+                    self._metadata.resumed_request_id or self._query.request_id,
+                ),
+                self._query.service,
+                version,
+                compute_lifetime_s(self._route.timeout_ms, self._metadata.timeout_ms),
+            )
 
     def _record_announcements(
         self,
--- a/carobspring/gateway/metrics.py
+++ b/carobspring/gateway/metrics.py
@@ -63,3 +63,25 @@
     def set_blamed_parts(self, count: int) -> None:
         """Set the number of prompt parts that are blamed for crashes."""
         self._blamed_parts.set({}, count)
+
+
+class StreamMetrics:
+    """Counts the streams that are recorded and taken up."""
+
+    def __init__(self, metrics: Metrics) -> None:
+        self._records = metrics.add_counter(
+            "carob_gateway_stream_records_total",
+            "Streams whose software version was sent to other entries.",
+        )
+        self._origins = metrics.add_counter(
+            "carob_gateway_resumed_streams_total",
+            "Streams that callers took up, by how their version was found.",
+        )
+
+    def record_sent(self, count: int) -> None:
+        """Count records that were sent."""
+        self._records.add({}, count)
+
+    def record_origin(self, source: str) -> None:
+        """Count a stream that a caller took up."""
+        self._origins.inc({"source": source})
--- /dev/null
+++ b/carobspring/gateway/origins.py
@@ -0,0 +1,287 @@
+"""Which software version began a stream that a caller takes up again."""
+
+import asyncio
+import itertools
+import logging
+from collections.abc import Callable, Mapping, Sequence
+from dataclasses import dataclass, field
+from typing import Final
+
+from carobspring.domain import BackendServer
+from carobspring.gateway.metrics import StreamMetrics
+from carobspring.protocol import (
+    ServiceVersions,
+    StreamAnswer,
+    StreamMessage,
+    StreamQuestion,
+    StreamRecord,
+    ViewUpdate,
+)
+from carobspring.resumption import (
+    PeerDirectory,
+    SeveralVersionsError,
+    StreamOrigin,
+    StreamRecordTable,
+    VersionHistory,
+    find_origin,
+)
+
+#: Entries that are sent the record of a stream.
+RECORD_COPIES: Final = 3
+#: Entries that are asked for the record: some may know other entries than the
+#: one that sent it.
+ASKED_PEERS: Final = 6
+#: Seconds for which the answers to each round of questions are awaited. A
+#: round trip between zones takes some 10 ms.
+ROUNDS_S: Final = (0.06, 0.09, 0.15)
+#: Records in one datagram, which then fits any link.
+MAX_BATCH: Final = 8
+#: Seconds between two checks whether records must be sent.
+CHECK_INTERVAL_S: Final = 0.5
+
+logger = logging.getLogger(__name__)
+
+
+@dataclass(kw_only=True)
+class _OpenQuestion:
+    """A question and the answers to it, by the address of the entry."""
+
+    answers: dict[str, StreamAnswer] = field(default_factory=dict)
+    has_answer: asyncio.Event = field(default_factory=asyncio.Event)
+
+    def list_records(self) -> tuple[StreamRecord, ...]:
+        return tuple(
+            record for answer in self.answers.values() for record in answer.records
+        )
+
+
+class StreamOrigins:
+    """Records where streams begin, and finds out where they began.
+
+    A record goes to a few other entries before the caller gets the first
+    event, unless the service certainly has servers of one version only. What
+    a stream may need later than that is decided by ``resumption``.
+
+    Example:
+        ``origins.record_first_event(...)`` by the entry that begins a stream,
+        and ``await origins.find(...)`` by the one that takes it up.
+    """
+
+    def __init__(
+        self,
+        *,
+        peers: PeerDirectory,
+        send: Callable[[str, StreamMessage], None],
+        read_clock: Callable[[], float],
+        metrics: StreamMetrics,
+    ) -> None:
+        self._peers = peers
+        self._send = send
+        self._read_clock = read_clock
+        self._metrics = metrics
+        self._history = VersionHistory()
+        self._records = StreamRecordTable()
+        self._questions: dict[int, _OpenQuestion] = {}
+        self._numbers = itertools.count(1)
+        #: Longest time for which a stream of a service may be taken up.
+        self._lifetimes_s: dict[str, float] = {}
+        self._logged_versions: dict[str, tuple[str, ...]] = {}
+
+    def apply_update(self, replica: str, update: ViewUpdate) -> None:
+        """Apply what a control replica tells of entries, and that it does."""
+        if update.confirmed:
+            self._history.record_contact(self._read_clock())
+        if self._peers.apply_update(replica, update):
+            extra = {"peers": len(self._peers.addresses), "replica": replica}
+            logger.info("peer entries changed", extra=extra)
+
+    def handle_listed(self, server: BackendServer) -> None:
+        """Handle a server that is listed, anew or with another version."""
+        self._history.record_listed(server, self._read_clock())
+        self._handle_versions(server.service)
+
+    def handle_removed(self, server_id: str) -> None:
+        """Handle a server that is no longer listed."""
+        service = self._history.record_removed(server_id, self._read_clock())
+        if service is not None:
+            self._handle_versions(service)
+
+    def record_first_event(
+        self, stream: bytes, service: str, version: str, lifetime_s: float
+    ) -> None:
+        """Record the version that writes a stream, before its first event.
+
+        ``lifetime_s`` is how long its caller may take it up again.
+        """
+        now = self._read_clock()
+        self._extend_lifetime(service, lifetime_s)
+        record = StreamRecord(
+            stream=stream,
+            service=service,
+            version=version,
+            left_ms=round(lifetime_s * 1000),
+        )
+        is_single = self._describe(service, now).is_single
+        self._records.add(record, now, is_unsent=is_single)
+        if not is_single:
+            self._send_records((record,))
+
+    async def find(
+        self, stream: bytes, services: Sequence[str], lifetime_s: float
+    ) -> StreamOrigin:
+        """Return where a stream may go on.
+
+        Raises:
+            SeveralVersionsError: No entry that answers knows where it began,
+                and it may have been at one of several versions.
+        """
+        for service in services:
+            self._extend_lifetime(service, lifetime_s)
+        own = self._records.find(stream, self._read_clock())
+        if own:
+            self._metrics.record_origin("own_record")
+            return find_origin(services, own, ())
+        number = next(self._numbers)
+        question = self._questions[number] = _OpenQuestion()
+        try:
+            origin = await self._ask(stream, services, number, question)
+        except SeveralVersionsError:
+            self._metrics.record_origin("unknown")
+            raise
+        finally:
+            del self._questions[number]
+        known = bool(question.list_records())
+        self._metrics.record_origin("peer_record" if known else "single_version")
+        return origin
+
+    def handle_message(self, sender: str, message: StreamMessage) -> None:
+        """Handle a datagram of another entry."""
+        now = self._read_clock()
+        for record in message.records:
+            self._records.add(record, now)
+        if message.question is not None:
+            answer = self._answer(message.question, now)
+            self._send(sender, StreamMessage(answer=answer))
+        if message.answer is not None:
+            question = self._questions.get(message.answer.number)
+            if question is not None:
+                question.answers[sender] = message.answer
+                question.has_answer.set()
+
+    async def run(self) -> None:
+        """Send records as soon as they may be needed, until cancelled."""
+        while True:
+            await asyncio.sleep(CHECK_INTERVAL_S)
+            for service in tuple(self._lifetimes_s):
+                self._send_unsent(service)
+
+    async def _ask(
+        self,
+        stream: bytes,
+        services: Sequence[str],
+        number: int,
+        question: _OpenQuestion,
+    ) -> StreamOrigin:
+        """Ask other entries in some rounds, until one knows enough.
+
+        Each is asked twice at least: the record may still be under way.
+        """
+        peers = self._peers.choose(stream, ASKED_PEERS)
+        message = StreamMessage(
+            question=StreamQuestion(
+                stream=stream,
+                number=number,
+                services=tuple(services),
+                stream_lifetime_ms=self._get_lifetime_ms(services),
+            )
+        )
+        reason = "no other entry answers"
+        for round_number, round_s in enumerate(ROUNDS_S, start=1):
+            ends_at = self._read_clock() + round_s
+            question.answers.clear()
+            for peer in peers:
+                self._send(peer, message)
+            await self._await_answers(question, len(peers), ends_at)
+            if peers and not question.answers:
+                continue
+            now = self._read_clock()
+            opinions = [answer.services for answer in question.answers.values()]
+            opinions.append(self._describe_all(services, now))
+            records = question.list_records() + self._records.find(stream, now)
+            try:
+                return find_origin(services, records, opinions)
+            except SeveralVersionsError as error:
+                reason = error.reason
+                have_all_answered = len(question.answers) == len(peers)
+                if records or (have_all_answered and round_number > 1):
+                    break
+            await asyncio.sleep(max(0.0, ends_at - now))
+        raise SeveralVersionsError(reason=reason)
+
+    async def _await_answers(
+        self, question: _OpenQuestion, count: int, ends_at: float
+    ) -> None:
+        """Wait until a record or all answers have come, or until a time."""
+        while len(question.answers) < count and not question.list_records():
+            left_s = ends_at - self._read_clock()
+            if left_s <= 0:
+                return
+            question.has_answer.clear()
+            try:
+                async with asyncio.timeout(left_s):
+                    await question.has_answer.wait()
+            except TimeoutError:
+                return
+
+    def _answer(self, question: StreamQuestion, now: float) -> StreamAnswer:
+        for service in question.services:
+            self._extend_lifetime(service, question.stream_lifetime_ms / 1000)
+        return StreamAnswer(
+            number=question.number,
+            records=self._records.find(question.stream, now),
+            services=self._describe_all(question.services, now),
+        )
+
+    def _handle_versions(self, service: str) -> None:
+        """Log a change of versions, and send records if there are several."""
+        versions = self._history.list_versions(service)
+        if versions == self._logged_versions.get(service, ()):
+            return
+        self._logged_versions[service] = versions
+        extra = {"service": service, "versions": ",".join(versions)}
+        logger.info("software versions of a service changed", extra=extra)
+        self._send_unsent(service)
+
+    def _send_unsent(self, service: str) -> None:
+        """Send the records that were not needed until now."""
+        now = self._read_clock()
+        if not self._describe(service, now).is_single:
+            self._send_records(self._records.take_unsent(service, now))
+
+    def _send_records(self, records: Sequence[StreamRecord]) -> None:
+        by_peer: dict[str, list[StreamRecord]] = {}
+        for record in records:
+            for peer in self._peers.choose(record.stream, RECORD_COPIES):
+                by_peer.setdefault(peer, []).append(record)
+        for peer, batch in by_peer.items():
+            for start in range(0, len(batch), MAX_BATCH):
+                records_sent = tuple(batch[start : start + MAX_BATCH])
+                self._send(peer, StreamMessage(records=records_sent))
+        self._metrics.record_sent(len(records))
+
+    def _extend_lifetime(self, service: str, lifetime_s: float) -> None:
+        known_s = self._lifetimes_s.get(service, 0.0)
+        self._lifetimes_s[service] = max(known_s, lifetime_s)
+
+    def _get_lifetime_ms(self, services: Sequence[str]) -> int:
+        longest_s = max(self._lifetimes_s.get(each, 0.0) for each in services)
+        return round(longest_s * 1000)
+
+    def _describe(self, service: str, now: float) -> ServiceVersions:
+        lifetime_s = self._lifetimes_s.get(service, 0.0)
+        return self._history.describe(service, now, stream_lifetime_s=lifetime_s)
+
+    def _describe_all(
+        self, services: Sequence[str], now: float
+    ) -> Mapping[str, ServiceVersions]:
+        return {service: self._describe(service, now) for service in services}
--- a/carobspring/membership/entries.py
+++ b/carobspring/membership/entries.py
@@ -31,6 +31,8 @@
 
     def __init__(self) -> None:
         self.entries: dict[str, EntryRecord] = {}
+        #: Where the entries get datagrams; another object after each change.
+        self.peer_addresses: frozenset[str] = frozenset()
 
     def apply_report(self, report: EntryReport, now: float) -> None:
         """Store a report that an entry sent to this replica."""
@@ -88,6 +90,8 @@
         ]
         for name in expired:
             del self.entries[name]
+        if expired:
+            self._collect_addresses()
         return expired
 
     def _store(self, record: EntryRecord) -> None:
@@ -97,6 +101,13 @@
             report = replace(record.report, attainment=known.report.attainment)
             record = replace(record, report=report)
         self.entries[record.report.entry_id] = record
+        before = known.report.peer_address if known is not None else ""
+        if record.report.peer_address != before:
+            self._collect_addresses()
+
+    def _collect_addresses(self) -> None:
+        addresses = {entry.report.peer_address for entry in self.entries.values()}
+        self.peer_addresses = frozenset(addresses - {""})
 
 
 def _sum_by_service(demands: Iterable[dict[str, float] | None]) -> dict[str, float]:
--- a/carobspring/platform/headers.py
+++ b/carobspring/platform/headers.py
@@ -66,7 +66,8 @@
     #: The event after which the stream resumes; empty for a new stream.
     last_event_id: str = ""
     #: The request that brought the first event of the stream that resumes;
-    #: empty if the caller names none.
+    #: empty if the caller names none. Several different ones are joined, which
+    #: names no stream.
     resumed_request_id: str = ""
 
 
@@ -92,6 +93,7 @@
 def parse_request_headers(headers: CallHeaders) -> RequestMetadata:
     """Parse the headers of a request; malformed values are ignored."""
     values = {name.lower(): value.strip() for name, value in headers}
+    resumed = {v.strip() for name, v in headers if name.lower() == _RESUMED_REQUEST}
     authorization = values.get(_AUTHORIZATION, "")
     api_key = ""
     if authorization.lower().startswith(_BEARER_PREFIX):
@@ -109,7 +111,7 @@
         ),
         prompt_parts=_parse_prompt_parts(values.get(_PROMPT_PREFIX, "")),
         last_event_id=values.get(_LAST_EVENT_ID, ""),
-        resumed_request_id=values.get(_RESUMED_REQUEST, ""),
+        resumed_request_id=",".join(sorted(resumed)),
     )
 
 
--- a/carobspring/programs/instance_entry.py
+++ b/carobspring/programs/instance_entry.py
@@ -11,6 +11,7 @@
 
 from carobspring import platform
 from carobspring.adapters.clock import SystemClock, SystemRandom
+from carobspring.adapters.datagrams import DatagramSocket
 from carobspring.adapters.http_server import CircuitsHttpServer
 from carobspring.adapters.metrics import Metrics, serve_metrics
 from carobspring.adapters.rpc import open_channel
@@ -29,7 +30,12 @@
 from carobspring.gateway.directory import ListedServer
 from carobspring.gateway.entry_count import EntryCount
 from carobspring.gateway.exchange import ExchangeContext
-from carobspring.gateway.metrics import CrashMetrics, GatewayMetrics
+from carobspring.gateway.metrics import (
+    CrashMetrics,
+    GatewayMetrics,
+    StreamMetrics,
+)
+from carobspring.gateway.origins import StreamOrigins
 from carobspring.gateway.replicas import choose_replicas, count_replicas_to_follow
 from carobspring.membership import DEMAND_DIGITS
 from carobspring.ports import HttpLimits, HttpRequest, HttpResponder
@@ -41,7 +47,8 @@
 from carobspring.programs.options import OptionError
 from carobspring.programs.runner import Program, run_command_line
 from carobspring.programs.stalls import StallDetector
-from carobspring.protocol import EntryReport, ViewUpdate
+from carobspring.protocol import EntryReport, StreamMessage, ViewUpdate
+from carobspring.resumption import PeerDirectory
 
 #: Seconds after SIGTERM during which new connections are still accepted:
 #: callers are sent elsewhere only after two failed readiness checks, one
@@ -50,6 +57,10 @@
 #: Seconds before SIGKILL at which the process exits by itself.
 EXIT_MARGIN_S: Final = 0.4
 
+#: Offset of the port for datagrams of other entries in the ports for internal
+#: use. The first one is the control daemon's.
+PEER_PORT_OFFSET: Final = 1
+
 #: Check-in intervals within which the later start of a crashed server is
 #: listed.
 EVIDENCE_CHECK_INS: Final = 8
@@ -94,6 +105,21 @@
             evidence_s=settings.check_in_interval_s * EVIDENCE_CHECK_INS,
             metrics=CrashMetrics(metrics),
         )
+        self._peer_port = settings.internal_ports[0] + PEER_PORT_OFFSET
+        self._peer_address = f"{settings.ip}:{self._peer_port}"
+        self._peers = PeerDirectory(own_address=self._peer_address)
+        self._peer_socket = DatagramSocket(
+            message_type=StreamMessage,
+            secret=options.secret,
+            on_message=self._handle_peer_message,
+            metrics=metrics,
+        )
+        self._stream_origins = StreamOrigins(
+            peers=self._peers,
+            send=self._peer_socket.send,
+            read_clock=self._clock.read_monotonic,
+            metrics=StreamMetrics(metrics),
+        )
         self._entry_count = EntryCount(window_s=settings.retry_window_s)
         self._budgets: dict[str, RetryBudget] = {}
         self._api = GatewayApi(
@@ -103,6 +129,7 @@
                 connections=self._backend_connections,
                 crash_detector=self._crash_detector,
                 admission_client=self._admission_client,
+                stream_origins=self._stream_origins,
                 read_clock=self._clock.read_monotonic,
                 spend_retry=self._try_spend_retry,
                 count_entries=self._count_entries,
@@ -117,7 +144,7 @@
             open_channel=self._open_channel,
             build_report=self._build_report,
             apply_update=self._apply_update,
-            remove_replica=self._backend_directory.remove_replica,
+            remove_replica=self._remove_replica,
             choose=self._choose_replicas,
             update_replicas=self._admission_client.update_hosts,
             metrics=metrics,
@@ -152,8 +179,10 @@
                     render=self._metrics.render_text,
                 )
             )
+        await self._peer_socket.open(self._settings.ip, self._peer_port)
         self._tasks = [
             start_service_task(self._control_streams.run, name="control streams"),
+            start_service_task(self._stream_origins.run, name="stream origins"),
             start_service_task(self._node_file_watcher.run, name="node file"),
             start_service_task(StallDetector().run, name="stall detector"),
         ]
@@ -186,6 +215,7 @@
         for server in self._servers:
             await server.close()
         self._admission_client.close()
+        self._peer_socket.close()
         await self._backend_connections.close()
         extra = {"drained": drained, "open_requests": self._api.open_requests}
         logger.info("stopped", extra=extra)
@@ -201,6 +231,7 @@
         await responder.send(200 if ready else 503, (), b"")
 
     def _apply_update(self, replica: str, update: ViewUpdate) -> None:
+        self._stream_origins.apply_update(replica, update)
         self._backend_directory.apply_update(replica, update)
         self._crash_detector.apply_update(update)
         if update.entry_count and update.confirmed:
@@ -218,6 +249,13 @@
         if update.confirmed and is_usable:
             self._confirm_table(replica)
 
+    def _remove_replica(self, replica: str) -> None:
+        self._backend_directory.remove_replica(replica)
+        self._peers.remove_replica(replica)
+
+    def _handle_peer_message(self, sender: str, message: StreamMessage) -> None:
+        self._stream_origins.handle_message(sender, message)
+
     def _record_entry_count(self, count: int) -> None:
         now = self._clock.read_monotonic()
         before = self._entry_count.find_largest(now)
@@ -271,6 +309,7 @@
     ) -> None:
         if listed is None:
             self._dispatcher.remove_server(server_id)
+            self._stream_origins.handle_removed(server_id)
             self._backend_connections.remove(server_id)
             logger.info("backend server removed", extra={"server": server_id})
             return
@@ -281,6 +320,7 @@
             self._backend_connections.add(server)
         self._dispatcher.add_server(server, draining=listed.draining)
         self._crash_detector.handle_listed(listed)
+        self._stream_origins.handle_listed(server)
         logger.info(
             "backend server listed",
             extra={
@@ -360,6 +400,7 @@
             },
             strikes=self._crash_detector.list_strikes(),
             released=self._crash_detector.list_released(),
+            peer_address=self._peer_address,
         )
 
 
--- a/carobspring/protocol/__init__.py
+++ b/carobspring/protocol/__init__.py
@@ -47,6 +47,13 @@
     Strike,
     ViewUpdate,
 )
+from carobspring.protocol.streams import (
+    ServiceVersions,
+    StreamAnswer,
+    StreamMessage,
+    StreamQuestion,
+    StreamRecord,
+)
 
 __all__ = [
     "ADMISSION_HEARTBEAT_INTERVAL_S",
@@ -78,8 +85,13 @@
     "ResumeCall",
     "RoutingConfiguration",
     "RunCall",
+    "ServiceVersions",
     "SettingsReply",
     "StoredResponse",
+    "StreamAnswer",
+    "StreamMessage",
+    "StreamQuestion",
+    "StreamRecord",
     "Strike",
     "ViewUpdate",
 ]
--- a/carobspring/protocol/control.py
+++ b/carobspring/protocol/control.py
@@ -81,6 +81,8 @@
     #: requests that have succeeded since. Both are sent repeatedly.
     strikes: tuple[Strike, ...] = ()
     released: tuple[Strike, ...] = ()
+    #: Host and port where the entry gets datagrams of other entries, or empty.
+    peer_address: str = ""
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -124,6 +126,10 @@
     #: entries, by service.
     generating: dict[str, float] | None = None
     reading: dict[str, float] | None = None
+    #: Changes of the addresses where entries get datagrams; a complete update
+    #: adds all of them.
+    entries_added: tuple[str, ...] = ()
+    entries_removed: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True, kw_only=True)
--- a/standins/resuming_caller.py
+++ b/standins/resuming_caller.py
@@ -116,6 +116,10 @@
                 retry_after_s = float(response.headers.get("Retry-After", 0.0))
                 if response.status == 200:
                     await self._read_events(response, attempt_id)
+        except aiohttp.ClientConnectorError:
+            # The entry is gone, so nobody was asked to go on.
+            stream.statuses.append(0)
+            return retry_after_s
         except (aiohttp.ClientError, TimeoutError, OSError):
             stream.statuses.append(0)
         if event_count:
--- /dev/null
+++ b/tests/control/test_sessions.py
@@ -0,0 +1,42 @@
+import unittest
+
+from carobspring.adapters.clock import SystemClock
+from carobspring.control.sessions import EntrySession
+from carobspring.control.state import ControlState
+from carobspring.protocol import EntryReport
+
+
+class PeerAddressTests(unittest.TestCase):
+    def setUp(self):
+        self.state = ControlState(replica_id="r1", clock=SystemClock())
+
+    def report(self, session, name, address):
+        session.handle_report(
+            EntryReport(entry_id=name, zone="a", peer_address=address)
+        )
+
+    def take(self, session):
+        update = session.build_update()
+        return update.entries_added, update.entries_removed
+
+    def test_changes(self):
+        """A stream gets all addresses first, then only what changes."""
+        first, second = (EntrySession(state=self.state) for _ in range(2))
+        self.report(first, "e1", "10.0.0.1:7341")
+        self.report(second, "e2", "10.0.0.2:7341")
+        both = ("10.0.0.1:7341", "10.0.0.2:7341")
+        self.assertEqual(self.take(first), (both, ()))
+        self.assertEqual(self.take(first), ((), ()))
+        self.report(second, "e2", "10.0.0.9:7341")
+        self.assertEqual(self.take(first), (("10.0.0.9:7341",), ("10.0.0.2:7341",)))
+        self.assertEqual(self.take(second), (("10.0.0.1:7341", "10.0.0.9:7341"), ()))
+
+    def test_complete_update(self):
+        """An update that replaces all an entry knows has every address."""
+        session = EntrySession(state=self.state)
+        self.report(session, "e1", "10.0.0.1:7341")
+        self.take(session)
+        session._view = None
+        update = session.build_update()
+        self.assertIs(update.complete, True)
+        self.assertEqual(update.entries_added, ("10.0.0.1:7341",))
--- a/tests/endtoend/test_mixed_versions.py
+++ b/tests/endtoend/test_mixed_versions.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from standins.backend_server import StandInServer
 from standins.resuming_caller import ResumingCaller
 from tests.endtoend.instances import InstancesTestCase
 
@@ -16,9 +17,6 @@
     VERSIONS = ("v1", "v2")
     DISKLESS_ENTRIES = 5
 
-    def setUp(self):
-        self.callers = []
-
     def start_streams(self, count, entries, *, spacing_s=0.02, **options):
         """Start streams that begin at the entries in turn."""
         urls = [entry.frontend_url for entry in entries]
@@ -28,7 +26,6 @@
             await asyncio.sleep(number * spacing_s)
             order = urls[number % len(urls) :] + urls[: number % len(urls)]
             caller = ResumingCaller(client=self.client, urls=order, **options)
-            self.callers.append(caller)
             return await caller.run()
 
         tasks = [asyncio.create_task(run(number)) for number in range(count)]
@@ -78,3 +75,107 @@
         streams = await streaming
         taken_up = self.check_versions(streams)
         self.assertGreaterEqual(taken_up, COUNTED_RESUMPTIONS)
+
+    async def test_killed_frozen_and_restarted_entries(self):
+        """The same while further entries stand still and others return."""
+        self.slow_down()
+        entries = self.instances.entries
+        diskless = [each for each in entries if each not in self.instances.controls]
+        streaming = self.start_streams(120, entries)
+        await asyncio.sleep(1.0)
+        frozen = [each.programs["carob-entry"] for each in diskless[:2]]
+        for program in frozen:
+            program.suspend()
+        await asyncio.gather(*(self.kill_entry(entry) for entry in diskless[2:4]))
+        await self.instances.start_all()
+        await self.kill_entry(diskless[4])
+        await asyncio.sleep(1.0)
+        for program in frozen:
+            program.resume()
+        streams = await streaming
+        taken_up = self.check_versions(streams)
+        self.assertGreaterEqual(taken_up, COUNTED_RESUMPTIONS)
+
+    async def test_entries_without_control(self):
+        """The same while no entry hears of a control replica."""
+        self.slow_down()
+        for instance in self.instances.controls:
+            instance.programs["carob-control"].suspend()
+        # Longer than the time for which a confirmation counts.
+        await asyncio.sleep(2.5)
+        entries = self.instances.entries
+        diskless = [each for each in entries if each not in self.instances.controls]
+        streaming = self.start_streams(80, entries)
+        await asyncio.sleep(1.2)
+        await asyncio.gather(*(self.kill_entry(entry) for entry in diskless[:3]))
+        streams = await streaming
+        taken_up = self.check_versions(streams)
+        self.assertGreaterEqual(taken_up, COUNTED_RESUMPTIONS)
+        for instance in self.instances.controls:
+            instance.programs["carob-control"].resume()
+
+    async def test_callers_that_name_no_stream(self):
+        """A stream that nobody names isn't guessed, and never mixed."""
+        for server in self.servers:
+            server.cut_after_events = 2
+        streams = await self.start_streams(
+            60, self.instances.entries, names_stream=False
+        )
+        mixed = [stream for stream in streams if stream.is_mixed]
+        self.assertLessEqual(len(mixed), ALLOWED_MIXED)
+
+
+class OneVersionTests(MixedVersionsTestCase):
+    """A service that has had one version until a release begins."""
+
+    VERSIONS = ("v1",)
+    #: Seconds for which the tests' streams may last at most.
+    LIFETIME_S = 10.0
+
+    async def run_killed_entries(self, *, before_kill=None):
+        entries = self.instances.entries
+        diskless = [each for each in entries if each not in self.instances.controls]
+        streaming = self.start_streams(80, entries)
+        await asyncio.sleep(1.2)
+        if before_kill is not None:
+            await before_kill()
+        await asyncio.gather(*(self.kill_entry(entry) for entry in diskless[:3]))
+        streams = await streaming
+        taken_up = self.check_versions(streams)
+        self.assertGreaterEqual(taken_up, COUNTED_RESUMPTIONS)
+        return [went_on for stream in streams for went_on in stream.resumptions]
+
+    async def test_lately_started(self):
+        """Streams go on by their records."""
+        self.slow_down()
+        resumptions = await self.run_killed_entries()
+        self.assertGreater(sum(resumptions), 0.9 * len(resumptions))
+
+    async def test_one_version_for_long(self):
+        """Streams go on without records, also at a new version's release."""
+        self.slow_down()
+        await asyncio.sleep(self.LIFETIME_S + 1.5)
+        with self.subTest("before the release"):
+            resumptions = await self.run_killed_entries()
+            self.assertGreater(sum(resumptions), 0.9 * len(resumptions))
+        await self.instances.start_all()
+        await self.wait_until_serving()
+        await asyncio.sleep(self.LIFETIME_S + 1.5)
+        with self.subTest("at the release"):
+            resumptions = await self.run_killed_entries(before_kill=self.release)
+            self.assertGreater(sum(resumptions), 0.5 * len(resumptions))
+
+    async def release(self):
+        """Let half of the servers' number join with a new version."""
+        for number in range(3):
+            server = StandInServer(
+                service="svc",
+                ip=f"127.{self.network}.{220 + number}.1",
+                controls=self.controls,
+                version="v2",
+            )
+            await server.start()
+            self.addAsyncCleanup(server.close)
+            self.servers.append(server)
+        self.slow_down()
+        await self.wait_until_logged("software versions of a service changed", "v1,v2")
--- a/tests/gateway/fakes.py
+++ b/tests/gateway/fakes.py
@@ -20,13 +20,15 @@
 from carobspring.gateway.directory import ListedServer
 from carobspring.gateway.entry_count import EntryCount
 from carobspring.gateway.exchange import ExchangeContext
-from carobspring.gateway.metrics import CrashMetrics, GatewayMetrics
+from carobspring.gateway.metrics import CrashMetrics, GatewayMetrics, StreamMetrics
+from carobspring.gateway.origins import StreamOrigins
 from carobspring.ports import (
     BackendResponse,
     HttpRequest,
     HttpResponder,
     IncompleteResponseError,
 )
+from carobspring.resumption import PeerDirectory
 
 REQUEST_ID = "9c41"
 RESPONSE_HEADERS = (
@@ -272,6 +274,14 @@
             evidence_s=10.0,
             metrics=CrashMetrics(Metrics()),
         )
+        self.peers = PeerDirectory(own_address="own")
+        self.peer_messages = []
+        self.origins = StreamOrigins(
+            peers=self.peers,
+            send=lambda peer, message: self.peer_messages.append((peer, message)),
+            read_clock=loop.time,
+            metrics=StreamMetrics(Metrics()),
+        )
         self.api = GatewayApi(
             state=self.state,
             context=ExchangeContext(
@@ -279,6 +289,7 @@
                 connections=connections,
                 crash_detector=self.crash_detector,
                 admission_client=self.admission_client,
+                stream_origins=self.origins,
                 read_clock=loop.time,
                 spend_retry=lambda service: budget.try_spend(loop.time()),
                 count_entries=lambda: 1,
--- /dev/null
+++ b/tests/gateway/test_origins.py
@@ -0,0 +1,247 @@
+import asyncio
+import unittest
+
+from carobspring.adapters.metrics import Metrics
+from carobspring.domain import BackendServer, ServiceKind
+from carobspring.gateway.metrics import StreamMetrics
+from carobspring.gateway.origins import MAX_BATCH, RECORD_COPIES, StreamOrigins
+from carobspring.protocol import ViewUpdate
+from carobspring.resumption import (
+    PeerDirectory,
+    SeveralVersionsError,
+    StreamOrigin,
+    build_stream_key,
+)
+
+LIFETIME_S = 12.0
+STREAM = build_stream_key("acme", "r1")
+BOUND = StreamOrigin(service="svc", versions={"svc": "v1"})
+SINGLE = StreamOrigin(versions={"svc": "v1"})
+
+
+def build_server(name, version):
+    return BackendServer(
+        server_id=name,
+        boot=1,
+        service="svc",
+        kind=ServiceKind.PLAIN,
+        zone="a",
+        host="10.0.0.1",
+        port=80,
+        software_version=version,
+    )
+
+
+class Entries:
+    """Entries that send each other messages at once, if they are up."""
+
+    def __init__(self, names, *, versions=("v1", "v2"), up_s=60.0):
+        self.now_offset = 0.0
+        self.down = set()
+        self.sent = []
+        self.origins = {}
+        addresses = [f"{name}:1" for name in names]
+        self.first_update = ViewUpdate(complete=True, entries_added=tuple(addresses))
+        for address in addresses:
+            self.start(address)
+        for each in self.origins.values():
+            for number, version in enumerate(versions):
+                each.handle_listed(build_server(f"s{number}", version))
+        self.pass_time(up_s)
+
+    def __getitem__(self, name):
+        return self.origins[f"{name}:1"]
+
+    def start(self, address):
+        loop = asyncio.get_running_loop()
+        origins = self.origins[address] = StreamOrigins(
+            peers=PeerDirectory(own_address=address),
+            send=lambda to, message: self.send(address, to, message),
+            read_clock=lambda: loop.time() + self.now_offset,
+            metrics=StreamMetrics(Metrics()),
+        )
+        origins.apply_update("replica", self.first_update)
+
+    def restart(self, name):
+        self.start(f"{name}:1")
+
+    def send(self, sender, to, message):
+        self.sent.append((sender, to, message))
+        if sender in self.down or to in self.down:
+            return
+        loop = asyncio.get_running_loop()
+        loop.call_soon(self.origins[to].handle_message, sender, message)
+
+    def pass_time(self, seconds, *, without_contact=()):
+        for _ in range(int(seconds)):
+            self.now_offset += 1.0
+            for address, each in self.origins.items():
+                if address not in without_contact:
+                    each.apply_update("replica", ViewUpdate())
+
+    def list_record_receivers(self):
+        return [to for _, to, message in self.sent if message.records]
+
+    def begin(self, name, version="v1", stream=STREAM):
+        self[name].record_first_event(stream, "svc", version, LIFETIME_S)
+
+    async def find(self, name, stream=STREAM, services=("svc",)):
+        return await self[name].find(stream, services, LIFETIME_S)
+
+
+class RecordTests(unittest.IsolatedAsyncioTestCase):
+    async def test_records_are_sent_while_several_versions_serve(self):
+        """Three others get a record unless one version is certain."""
+        cases = {
+            # name: (versions, seconds up, receivers)
+            "two versions": (("v1", "v2"), 60.0, RECORD_COPIES),
+            "one version": (("v1", "v1"), 60.0, 0),
+            "one version, lately started": (("v1",), 5.0, RECORD_COPIES),
+        }
+        for name, (versions, up_s, count) in cases.items():
+            with self.subTest(name):
+                entries = Entries("abcdefgh", versions=versions, up_s=up_s)
+                entries.begin("a")
+                receivers = entries.list_record_receivers()
+                self.assertEqual(len(set(receivers)), count)
+                self.assertNotIn("a:1", receivers)
+
+    async def test_records_follow_when_a_second_version_comes(self):
+        """Streams that began before are recorded as soon as it is listed."""
+        entries = Entries("abcd", versions=("v1",))
+        streams = [build_stream_key("acme", str(n)) for n in range(2 * MAX_BATCH + 1)]
+        for stream in streams:
+            entries.begin("a", stream=stream)
+        self.assertEqual(entries.list_record_receivers(), [])
+        entries["a"].handle_listed(build_server("s9", "v2"))
+        sent = [message.records for _, _, message in entries.sent if message.records]
+        self.assertLessEqual(max(map(len, sent)), MAX_BATCH)
+        self.assertEqual(
+            {record.stream for records in sent for record in records}, set(streams)
+        )
+        entries["a"].handle_listed(build_server("s8", "v2"))
+        self.assertEqual(
+            len([m for _, _, m in entries.sent if m.records]), len(sent), "sent again"
+        )
+
+    async def test_records_follow_when_contact_is_lost(self):
+        """An entry that hears of no new version records what it began."""
+        entries = Entries("abcd", versions=("v1",))
+        entries.begin("a")
+        running = asyncio.create_task(entries["a"].run())
+        try:
+            await asyncio.sleep(0.6)
+            self.assertEqual(entries.list_record_receivers(), [])
+            entries.pass_time(3, without_contact=["a:1"])
+            await asyncio.sleep(0.6)
+            self.assertEqual(len(entries.list_record_receivers()), RECORD_COPIES)
+        finally:
+            running.cancel()
+
+
+class FindTests(unittest.IsolatedAsyncioTestCase):
+    async def test_any_entry_finds_a_record(self):
+        """Each entry learns the version, also when the first is gone."""
+        entries = Entries("abcdefgh")
+        entries.begin("a")
+        entries.down.add("a:1")
+        for name in "abcdefgh":
+            with self.subTest(name):
+                self.assertEqual(await entries.find(name), BOUND)
+
+    async def test_losses_of_records(self):
+        """One copy that is left is enough; without any, nothing is guessed."""
+        for lost, found in ((2, True), (3, False)):
+            with self.subTest(lost=lost):
+                entries = Entries("abcdefghijkl")
+                entries.begin("a")
+                receivers = entries.list_record_receivers()
+                asker = next(
+                    address[0]
+                    for address in entries.origins
+                    if address not in ("a:1", *receivers)
+                )
+                entries.down.update(("a:1", *receivers[:lost]))
+                if found:
+                    self.assertEqual(await entries.find(asker), BOUND)
+                else:
+                    with self.assertRaises(SeveralVersionsError):
+                        await entries.find(asker)
+
+    async def test_answers_that_come_late(self):
+        """Entries are asked again when none has answered."""
+        entries = Entries("abcd")
+        entries.begin("a")
+        others = {"a:1", "c:1", "d:1"}
+        entries.down.update(others)
+        finding = asyncio.create_task(entries.find("b"))
+        await asyncio.sleep(0.1)
+        entries.down.clear()
+        self.assertEqual(await finding, BOUND)
+
+    async def test_record_that_is_still_under_way(self):
+        """A record that comes after the first answers is found."""
+        entries = Entries("abcd")
+        finding = asyncio.create_task(entries.find("b"))
+        await asyncio.sleep(0.02)
+        entries.begin("a")
+        self.assertEqual(await finding, BOUND)
+
+    async def test_streams_without_record(self):
+        """They go on only if certainly no other version began them."""
+        cases = {
+            # name: (entries, versions, seconds up, entries down, origin)
+            "one version": ("abcd", ("v1",), 60.0, "", SINGLE),
+            "one version, of a lone entry": ("b", ("v1",), 60.0, "", SINGLE),
+            "one version, no other entry answers": (
+                "abcd",
+                ("v1",),
+                60.0,
+                "acd",
+                None,
+            ),
+            "one version, lately started": ("abcd", ("v1",), 5.0, "", None),
+            "two versions": ("abcd", ("v1", "v2"), 60.0, "", None),
+        }
+        for name, (names, versions, up_s, down, expected) in cases.items():
+            with self.subTest(name):
+                entries = Entries(names, versions=versions, up_s=up_s)
+                entries.down.update(f"{each}:1" for each in down)
+                if expected is None:
+                    with self.assertRaises(SeveralVersionsError):
+                        await entries.find("b")
+                else:
+                    self.assertEqual(await entries.find("b"), expected)
+
+    async def test_entry_that_has_lately_started(self):
+        """What the others know decides for one that knows nothing yet."""
+        for is_release, expected in ((False, SINGLE), (True, None)):
+            with self.subTest(is_release=is_release):
+                entries = Entries("abcd", versions=("v1",))
+                entries.restart("b")
+                if is_release:
+                    entries["c"].handle_listed(build_server("s9", "v2"))
+                if expected is None:
+                    with self.assertRaises(SeveralVersionsError):
+                        await entries.find("b")
+                else:
+                    self.assertEqual(await entries.find("b"), expected)
+
+    async def test_entry_that_hears_of_a_release_last(self):
+        """An entry with an old list asks those that know more."""
+        entries = Entries("abcd", versions=("v1",))
+        for name in "acd":
+            entries[name].handle_listed(build_server("s9", "v2"))
+        entries.begin("a", "v2")
+        origin = await entries.find("b")
+        self.assertEqual(origin, StreamOrigin(service="svc", versions={"svc": "v2"}))
+        with self.assertRaises(SeveralVersionsError):
+            await entries.find("b", build_stream_key("acme", "unknown"))
+
+    async def test_foreign_datagrams(self):
+        """Answers to no question are passed over."""
+        entries = Entries("ab")
+        entries.begin("a")
+        await entries.find("b")
+        for sender, to, message in list(entries.sent):
+            entries.origins[to].handle_message(sender, message)
