Inject software versions into the soak, and callers who take streams up

Cause: the soak's servers all had one version, and its callers gave up when a stream broke off, so it could not see streams of mixed versions. Change: servers start with one of two versions, again under the same identifier at each restart; servers break new streams off for a while; three callers take their streams up at other entries. Checked: no more than two streams hold events of two versions, and order over all tries. Whether enough go on is counted, not checked: with three servers of two versions there is often none. The checks have unit tests.

--- a/bench/faults.py
+++ b/bench/faults.py
@@ -21,6 +21,8 @@
 
 #: Mean seconds between consecutive faults of one series.
 MEAN_FAULT_INTERVAL_S: Final = 1.0
+#: Software versions, one of which a server has from each start on.
+SERVER_VERSIONS: Final = ("v1", "v2")
 
 
 class FaultInjector:
@@ -78,6 +80,7 @@
             self._disrupt_server,
             self._replace_server,
             self._announce_limit,
+            self._break_streams,
             self._send_crashing_request,
             self._send_crashing_part,
         )
@@ -239,6 +242,7 @@
         try:
             await server.crash()
             await asyncio.sleep(self._generator.uniform(0.2, 2.0))
+            server.version = self._generator.choice(SERVER_VERSIONS)
             await server.start(is_restart=True)
         finally:
             self._disrupted.remove(name)
@@ -255,6 +259,14 @@
             await asyncio.sleep(self._generator.uniform(1.0, 3.0))
         server.announcements = {}
 
+    async def _break_streams(self) -> None:
+        """Let servers break new streams off for a while."""
+        for server in self._servers:
+            server.cut_after_events = self._generator.randint(0, 3)
+        await asyncio.sleep(self._generator.uniform(0.5, 2.0))
+        for server in self._servers:
+            server.cut_after_events = 0
+
     async def _send_crashing_request(self) -> None:
         """Send a body again and again that crashes each server it reaches."""
         async with self._reserve_servers() as servers:
--- a/bench/promises.py
+++ b/bench/promises.py
@@ -9,6 +9,7 @@
 from typing import Final
 
 from standins.backend_server import StandInServer
+from standins.resuming_caller import ResumedStream
 
 #: Seconds in which an instance applies a new configuration, as the user
 #: documentation guarantees.
@@ -31,6 +32,8 @@
 LIMIT_APPLY_BOUND_S: Final = 0.5
 #: Number of events in each complete stream.
 STREAM_EVENT_COUNT: Final = 5
+#: Streams that may hold events of two software versions.
+MAX_MIXED_STREAMS: Final = 2
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -65,6 +68,11 @@
     disruptions: list[Disruption] = field(default_factory=list)
     #: Times and versions of confirmed configurations.
     confirmed_versions: list[tuple[float, int]] = field(default_factory=list)
+    #: Identifiers of streams that hold events of several software versions.
+    mixed_streams: list[str] = field(default_factory=list)
+    #: Number of tries to take a stream up, and of those that went on.
+    resumption_count: int = 0
+    resumed_count: int = 0
 
     def record_violation(self, invariant: str, detail: str) -> None:
         """Record a violated invariant and print it immediately."""
@@ -87,6 +95,25 @@
         elif body.split()[-1:] != [name.encode()]:
             self.record_violation("responses match requests", f"{name}: {body!r}")
 
+    def check_stream(self, stream: ResumedStream) -> None:
+        """Check a stream that its caller took up after each break."""
+        numbers = [event.number for event in stream.events]
+        is_ordered = numbers == list(range(1, len(numbers) + 1))
+        is_whole = len(numbers) == STREAM_EVENT_COUNT
+        if not is_ordered or (stream.is_complete and not is_whole):
+            detail = f"{stream.began_as}, taken up: {numbers}"
+            self.record_violation("complete ordered streams", detail)
+        self.resumption_count += len(stream.resumptions)
+        self.resumed_count += sum(stream.resumptions)
+        if stream.is_mixed:
+            self.mixed_streams.append(stream.began_as)
+
+    def check_stream_versions(self) -> None:
+        """Check that streams keep the software version that began them."""
+        if len(self.mixed_streams) > MAX_MIXED_STREAMS:
+            detail = f"mixed: {', '.join(self.mixed_streams)}"
+            self.record_violation("streams keep their version", detail)
+
     def check_version(self, sent_at: float, version: int, replica: str) -> None:
         """Check that a read does not show an outdated version.
 
--- a/bench/soak.py
+++ b/bench/soak.py
@@ -23,13 +23,14 @@
 import aiohttp
 import fire
 
-from bench.faults import FaultInjector
+from bench.faults import SERVER_VERSIONS, FaultInjector
 from bench.promises import RETRY_SLACK, InvariantChecker
 from standins.backend_server import StandInServer
 from standins.deployment import Deployment, DeploymentError, open_client, wait_until
 from standins.instances import FRONTEND_PORT, InstanceSet, find_free_network
 from standins.link import Link
 from standins.operator import Operator, build_configuration
+from standins.resuming_caller import ResumingCaller
 
 #: Seconds in which service resumes after the last fault, as the user
 #: documentation guarantees.
@@ -40,6 +41,10 @@
 #: Number of fault series that run at the same time.
 FAULT_SERIES_COUNT: Final = 3
 CALLER_COUNT: Final = 6
+#: Callers that take their streams up again, and seconds between events of
+#: these streams.
+RESUMING_CALLER_COUNT: Final = 3
+EVENT_INTERVAL_S: Final = 0.05
 ENGINE_COUNT: Final = 2
 #: Prompt and output tokens of a request, enough to need admission by its
 #: engine.
@@ -92,7 +97,9 @@
                     service="svc",
                     ip=f"127.{network}.{200 + number}.1",
                     controls=controls,
+                    version=self._generator.choice(SERVER_VERSIONS),
                 )
+                server.event_interval_s = EVENT_INTERVAL_S
                 await server.start()
                 self._servers.append(server)
             for number in range(ENGINE_COUNT):
@@ -129,6 +136,10 @@
         await self._wait_until_serving()
         ends_at = time.monotonic() + self._seconds
         tasks = [self._send_calls(client, ends_at) for _ in range(CALLER_COUNT)]
+        tasks += [
+            self._send_resumed_streams(client, ends_at)
+            for _ in range(RESUMING_CALLER_COUNT)
+        ]
         fault_injector = FaultInjector(
             generator=self._generator,
             instances=self._instances,
@@ -144,6 +155,7 @@
         tasks += [self._send_changes(ends_at), self._poll_versions(controls, ends_at)]
         tasks.append(self._call_newest_routes(client, ends_at))
         await asyncio.gather(*tasks)
+        self.checker.check_stream_versions()
         for server in self._servers:
             server.fault = ""
         await self._instances.start_all()
@@ -212,6 +224,28 @@
             await self._call(client, self._generator.choice(names), kind)
             await asyncio.sleep(CALLER_INTERVAL_S)
 
+    async def _send_resumed_streams(
+        self, client: aiohttp.ClientSession, ends_at: float
+    ) -> None:
+        """Send streams and take each up at other entries when it breaks."""
+        entries = {
+            f"http://127.0.0.1:{link.port}": name for name, link in self._links.items()
+        }
+
+        def record_try(attempt_id: str, url: str) -> None:
+            self.checker.sent_requests[attempt_id] = (entries[url], time.monotonic())
+
+        while time.monotonic() < ends_at:
+            urls = self._generator.sample(list(entries), len(entries))
+            caller = ResumingCaller(
+                client=client,
+                urls=urls,
+                timeout_s=REQUEST_TIMEOUT_S,
+                on_try=record_try,
+            )
+            self.checker.check_stream(await caller.run())
+            await asyncio.sleep(CALLER_INTERVAL_S)
+
     async def _send_body(self, client: aiohttp.ClientSession, body: bytes) -> None:
         entry = self._generator.choice(list(self._links))
         await self._call(client, entry, "read", body)
@@ -335,7 +369,9 @@
     checker = asyncio.run(soak.run())
     counts = ", ".join(f"{k}: {v}" for k, v in sorted(checker.status_counts.items()))
     print(
-        f"seed {seed}: {len(checker.violations)} violations; responses {counts}",
+        f"seed {seed}: {len(checker.violations)} violations; responses {counts}; "
+        f"streams taken up {checker.resumption_count}, went on "
+        f"{checker.resumed_count}, mixed {len(checker.mixed_streams)}",
         flush=True,
     )
     sys.exit(1 if checker.violations else 0)
--- a/standins/resuming_caller.py
+++ b/standins/resuming_caller.py
@@ -67,14 +67,18 @@
         key: str = "key-1",
         timeout_s: float = 10.0,
         names_stream: bool = True,
-        on_event: Callable[[], None] = lambda: None,
+        on_try: Callable[[str, str], None] = lambda attempt_id, url: None,
     ) -> None:
+        """Create a caller.
+
+        ``on_try`` gets the identifier and the entry of each try.
+        """
         self._client = client
         self._urls = urls
         self._key = key
         self._deadline = time.monotonic() + timeout_s
         self._names_stream = names_stream
-        self._on_event = on_event
+        self._on_try = on_try
         self.stream = ResumedStream()
 
     async def run(self) -> ResumedStream:
@@ -93,6 +97,7 @@
         """Try once; return the seconds to wait before the next try."""
         stream = self.stream
         attempt_id = f"r{next(_numbers)}"
+        self._on_try(attempt_id, url)
         left_s = max(0.1, self._deadline - time.monotonic())
         headers = {
             "Host": "shop.example",
@@ -141,5 +146,4 @@
                 self.stream.events.append(
                     StreamEvent(number=int(words[1]), version=words[-1])
                 )
-                self._on_event()
         self.stream.is_complete = True
--- a/tests/benchmarks/test_soak.py
+++ b/tests/benchmarks/test_soak.py
@@ -14,6 +14,7 @@
 from standins.backend_server import Arrival
 from standins.deployment import open_client
 from standins.link import Link
+from standins.resuming_caller import ResumedStream, StreamEvent
 
 SECONDS = 8.0
 COMPLETE_STREAM = b"".join(b"id: %d\ndata: x\n\n" % number for number in range(1, 6))
@@ -47,6 +48,34 @@
                 self.checker.check_response("q1", kind, 200, body)
                 self.assertEqual(self.list_violated(), violated)
 
+    def test_taken_up_streams(self):
+        """Streams of two versions, or in disorder, are detected."""
+        mixed = (1, "v1"), (2, "v2")
+        cases = {
+            # name: (streams of (number, version), whether complete, violated)
+            "whole": ([[(n, "v1") for n in range(1, 6)]], True, []),
+            "cut": ([[(1, "v1"), (2, "v1")]], False, []),
+            "not whole": ([[(1, "v1")]], True, ["complete ordered streams"]),
+            "a gap": (
+                [[(1, "v1"), (3, "v1")]],
+                False,
+                ["complete ordered streams"],
+            ),
+            "as many mixed as allowed": ([mixed] * 2, False, []),
+            "mixed": ([mixed] * 3, False, ["streams keep their version"]),
+        }
+        for name, (streams, is_complete, violated) in cases.items():
+            with self.subTest(name):
+                self.checker = InvariantChecker()
+                for events in streams:
+                    stream = ResumedStream(is_complete=is_complete)
+                    for number, version in events:
+                        event = StreamEvent(number=number, version=version)
+                        stream.events.append(event)
+                    self.checker.check_stream(stream)
+                self.checker.check_stream_versions()
+                self.assertEqual(self.list_violated(), violated)
+
     def test_reads(self):
         """A version that is outdated for longer than the bound is detected."""
         self.checker.confirmed_versions = [(0.0, 3), (10.0, 5)]
