Log when a server asks for rest or says that it leaves

Cause: the hypotheses on servers that ask for rest could not be told apart, as nothing read Retry-After or Server-Leaving of a server's response. Ruled out: nothing yet. Change: both are parsed and kept by server and start, also while the server isn't listed; "backend server set aside" names server, start, what it asked for and the request that told it, once for each rest; carob_gateway_server_notices_total counts. Negative rests and what is no number are logged once a start and ignored, long ones bounded by a limit of the dispatcher. No choice uses any of it yet. tests.platform has the forms of both headers.

--- a/carobspring/dispatch/__init__.py
+++ b/carobspring/dispatch/__init__.py
@@ -8,6 +8,7 @@
 from carobspring.dispatch.crashes import CrashAttribution, OpenRun
 from carobspring.dispatch.dispatcher import Dispatcher
 from carobspring.dispatch.limits import DispatchLimits
+from carobspring.dispatch.notices import NoticeChange
 from carobspring.dispatch.quarantine import Hold, RequestQuarantine
 from carobspring.dispatch.queries import (
     AttemptOutcome,
@@ -28,6 +29,7 @@
     "EngineDemand",
     "Explanation",
     "Hold",
+    "NoticeChange",
     "Obstacle",
     "OpenRun",
     "Placement",
--- a/carobspring/dispatch/dispatcher.py
+++ b/carobspring/dispatch/dispatcher.py
@@ -8,6 +8,7 @@
 from carobspring.dispatch.costs import estimate_cost
 from carobspring.dispatch.homes import find_shared_parts
 from carobspring.dispatch.limits import DispatchLimits
+from carobspring.dispatch.notices import NoticeChange, ServerNotices
 from carobspring.dispatch.pools import ServerPool
 from carobspring.dispatch.queries import (
     AttemptOutcome,
@@ -43,6 +44,7 @@
         self._random = random
         self._limits = limits or DispatchLimits()
         self._records: dict[str, ServerRecord] = {}
+        self._notices = ServerNotices(max_rest_s=self._limits.max_rest_s)
         self._pools: dict[str, ServerPool] = {}
         self._specializations: dict[str, Specialization] = {}
 
@@ -59,6 +61,7 @@
             server=server,
             limits=self._limits,
             breaker=CircuitBreaker(RoutingLimits()),
+            notice=self._notices.find(server),
             random=self._random,
         )
         record.draining = draining
@@ -297,6 +300,23 @@
         record.rate_limit = rate_limit
         return has_changed
 
+    def record_leaving(self, server: BackendServer) -> NoticeChange | None:
+        """Record that a response announced that its server leaves.
+
+        Returns what that changes, or None.
+        """
+        return self._notices.record_leaving(server)
+
+    def record_rest(
+        self, server: BackendServer, rest_s: float | None, now: float
+    ) -> NoticeChange | None:
+        """Record that a server turned a request away and asked for rest.
+
+        Returns what that changes, or None.
+        """
+        point = self._random.draw_uniform()
+        return self._notices.record_rest(server, rest_s, now, point)
+
     def find_rate_limit(self, server_id: str) -> float | None:
         """Return the limit that a server last announced, or None."""
         record = self._records.get(server_id)
--- a/carobspring/dispatch/limits.py
+++ b/carobspring/dispatch/limits.py
@@ -105,5 +105,7 @@
     lower_rank_prompt_on_generating_engine_s: float = 10.0
     #: Least seconds for which a limited server without a permit is left out.
     min_block_s: float = 0.05
+    #: Longest rest that a server gets, in seconds, whatever it asks for.
+    max_rest_s: float = 120.0
     #: Seconds of Retry-After of a refusal when no estimate is known.
     default_retry_s: float = 0.3
--- a/carobspring/dispatch/servers.py
+++ b/carobspring/dispatch/servers.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 
 from carobspring.dispatch.limits import DispatchLimits
+from carobspring.dispatch.notices import ServerNotice
 from carobspring.dispatch.pacing import LocalPace
 from carobspring.dispatch.queries import DispatchQuery
 from carobspring.domain import BackendServer, ServiceKind
@@ -51,10 +52,12 @@
         server: BackendServer,
         limits: DispatchLimits,
         breaker: CircuitBreaker,
+        notice: ServerNotice,
         random: RandomSource,
     ) -> None:
         self.server = server
         self.breaker = breaker
+        self.notice = notice
         self.draining = False
         #: Requests a second that the server takes from all entries together,
         #: as its last response announced, or None.
--- a/carobspring/gateway/exchange.py
+++ b/carobspring/gateway/exchange.py
@@ -23,6 +23,7 @@
 from carobspring.gateway.backends import BackendConnections
 from carobspring.gateway.crashes import CrashDetector
 from carobspring.gateway.identity import RequestIdentity
+from carobspring.gateway.notices import NoticeLog
 from carobspring.gateway.origins import StreamOrigins
 from carobspring.gateway.outcomes import (
     AttemptResult,
@@ -72,6 +73,7 @@
     crash_detector: CrashDetector
     admission_client: AdmissionClient
     stream_origins: StreamOrigins
+    notice_log: NoticeLog
     read_clock: Callable[[], float]
     #: Takes one retry to a service from its budget; False if none is left.
     spend_retry: Callable[[str], bool]
@@ -415,6 +417,7 @@
         if response.status == 421:
             # Another server has the address now.
             return
+        self._record_notices(metadata, server)
         rate_limit = metadata.rate_limit
         if rate_limit is None and not metadata.request_id:
             return
@@ -429,6 +432,23 @@
                 },
             )
 
+    def _record_notices(
+        self, metadata: platform.ResponseMetadata, server: BackendServer
+    ) -> None:
+        """Record that a server wants no requests, for a while or at all."""
+        context = self._context
+        changes = []
+        if metadata.asks_for_rest:
+            now = context.read_clock()
+            changes.append(context.dispatcher.record_rest(server, metadata.rest_s, now))
+        if metadata.is_leaving:
+            changes.append(context.dispatcher.record_leaving(server))
+        for change in changes:
+            if change is not None:
+                context.notice_log.record_change(
+                    server, change, metadata.rest_s, self._query.request_id
+                )
+
     async def _await_or_abandon(self, step: Awaitable[T]) -> T:
         """Await a step of an attempt, and abandon a server that is silent.
 
--- a/carobspring/platform/headers.py
+++ b/carobspring/platform/headers.py
@@ -1,5 +1,6 @@
 """Headers of callers' requests and of backend servers' responses."""
 
+import math
 from collections.abc import Sequence
 from dataclasses import dataclass
 from typing import Final
@@ -19,6 +20,8 @@
 _PRIORITY: Final = "Carobspring-Request-Priority"
 _PROMPT_SOURCE: Final = "Kv-Fetch"
 _RATE_LIMIT: Final = "server-limit"
+_LEAVING: Final = "server-leaving"
+_RETRY_AFTER: Final = "retry-after"
 _LOWEST_PRIORITY: Final = 9
 _BEARER_PREFIX: Final = "bearer "
 
@@ -86,6 +89,13 @@
     #: Requests a second that the server takes from all instances together for
     #: now; None if it announces no limit.
     rate_limit: float | None = None
+    #: True if the server is about to leave and wants no further requests.
+    is_leaving: bool = False
+    #: True if the server turned the request away and asks for rest.
+    asks_for_rest: bool = False
+    #: Seconds for which it wants no requests from this instance; None if what
+    #: it names is no number.
+    rest_s: float | None = None
     #: True if the server closes the connection after this response.
     closes_connection: bool = False
 
@@ -168,6 +178,9 @@
         load=(load[0], load[1], load[2]) if len(load) == 3 else None,
         is_event_stream=media_type.strip().lower() == "text/event-stream",
         rate_limit=_parse_rate_limit(values.get(_RATE_LIMIT, "")),
+        is_leaving=values.get(_LEAVING, "") == "1",
+        asks_for_rest=status == 503 and _RETRY_AFTER in values,
+        rest_s=_parse_finite_number(values.get(_RETRY_AFTER, "")),
         closes_connection="close" in values.get("connection", "").lower(),
     )
 
@@ -198,6 +211,14 @@
     return value if 0 <= value < 1e9 else None
 
 
+def _parse_finite_number(text: str) -> float | None:
+    try:
+        value = float(text)
+    except ValueError:
+        return None
+    return value if math.isfinite(value) else None
+
+
 def _parse_integers(text: str) -> Sequence[int]:
     parts = [part.strip() for part in text.split(",")]
     if not all(part.isascii() and part.isdigit() for part in parts):
--- a/carobspring/programs/instance_entry.py
+++ b/carobspring/programs/instance_entry.py
@@ -35,6 +35,7 @@
     GatewayMetrics,
     StreamMetrics,
 )
+from carobspring.gateway.notices import NoticeLog
 from carobspring.gateway.origins import StreamOrigins
 from carobspring.gateway.replicas import choose_replicas, count_replicas_to_follow
 from carobspring.membership import DEMAND_DIGITS
@@ -130,6 +131,7 @@
                 crash_detector=self._crash_detector,
                 admission_client=self._admission_client,
                 stream_origins=self._stream_origins,
+                notice_log=NoticeLog(metrics),
                 read_clock=self._clock.read_monotonic,
                 spend_retry=self._try_spend_retry,
                 count_entries=self._count_entries,
--- a/tests/dispatch/test_pools.py
+++ b/tests/dispatch/test_pools.py
@@ -2,6 +2,7 @@
 
 from carobspring.adapters.clock import SystemRandom
 from carobspring.dispatch.limits import DispatchLimits
+from carobspring.dispatch.notices import ServerNotice
 from carobspring.dispatch.pools import (
     FAR_SAMPLE,
     MAX_SCANNED_SERVERS,
@@ -26,6 +27,7 @@
                 server=build_server(f"s{number}", zone=ZONES[number % len(ZONES)]),
                 limits=DispatchLimits(),
                 breaker=CircuitBreaker(RoutingLimits()),
+                notice=ServerNotice(),
                 random=SystemRandom(seed=1),
             )
         )
--- a/tests/dispatch/test_specialization.py
+++ b/tests/dispatch/test_specialization.py
@@ -4,6 +4,7 @@
 from carobspring.adapters.clock import SystemRandom
 from carobspring.dispatch import AttemptOutcome, Dispatcher
 from carobspring.dispatch.limits import DispatchLimits
+from carobspring.dispatch.notices import ServerNotice
 from carobspring.dispatch.servers import ServerRecord
 from carobspring.dispatch.specialization import (
     EngineDemand,
@@ -31,6 +32,7 @@
             server=build_server(f"s{n}", zone=zones[n % len(zones)]),
             limits=LIMITS,
             breaker=CircuitBreaker(RoutingLimits()),
+            notice=ServerNotice(),
             random=SystemRandom(seed=1),
         )
         for n in range(count)
--- a/tests/gateway/fakes.py
+++ b/tests/gateway/fakes.py
@@ -21,6 +21,7 @@
 from carobspring.gateway.entry_count import EntryCount
 from carobspring.gateway.exchange import ExchangeContext
 from carobspring.gateway.metrics import CrashMetrics, GatewayMetrics, StreamMetrics
+from carobspring.gateway.notices import NoticeLog
 from carobspring.gateway.origins import StreamOrigins
 from carobspring.ports import (
     BackendResponse,
@@ -290,6 +291,7 @@
                 crash_detector=self.crash_detector,
                 admission_client=self.admission_client,
                 stream_origins=self.origins,
+                notice_log=NoticeLog(Metrics()),
                 read_clock=loop.time,
                 spend_retry=lambda service: budget.try_spend(loop.time()),
                 count_entries=lambda: 1,
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -185,6 +185,38 @@
                 self.assertEqual(metadata.rate_limit, expected)
         self.assertIsNone(parse_response_headers(200, ()).rate_limit)
 
+    def test_requested_rest(self):
+        """Only a rejection asks for rest; what is no number is told apart."""
+        cases = {
+            # name: (status, value or None, expected flag and seconds)
+            "whole seconds": (503, "3", (True, 3.0)),
+            "a fraction": (503, " 0.25 ", (True, 0.25)),
+            "negative": (503, "-1", (True, -1.0)),
+            "not a number": (503, "soon", (True, None)),
+            "nan": (503, "nan", (True, None)),
+            "without end": (503, "inf", (True, None)),
+            "a date": (503, "Fri, 31 Dec 1999 23:59:59 GMT", (True, None)),
+            "empty": (503, "", (True, None)),
+            "none": (503, None, (False, None)),
+            "a success": (200, "3", (False, 3.0)),
+            "too many requests": (429, "3", (False, 3.0)),
+        }
+        for name, (status, value, expected) in cases.items():
+            with self.subTest(name):
+                headers = () if value is None else (("retry-after", value),)
+                metadata = parse_response_headers(status, headers)
+                self.assertEqual((metadata.asks_for_rest, metadata.rest_s), expected)
+
+    def test_leaving(self):
+        """Any response may say that its server leaves."""
+        cases = (("1", True), (" 1 ", True), ("0", False), ("", False), ("yes", False))
+        for status in (200, 404, 500, 503):
+            for value, expected in cases:
+                with self.subTest(status=status, value=value):
+                    headers = (("SERVER-LEAVING", value),)
+                    metadata = parse_response_headers(status, headers)
+                    self.assertIs(metadata.is_leaving, expected)
+
     def test_error_headers(self):
         """An error has the request's identifier and Retry-After."""
         self.assertEqual(
