Send a server nothing while it rests

Servers that turned requests away and asked for rest got up to 16 requests from one entry within it (BUDGET), and callers got 503 although others were free, as each rejection took a retry. Ruled out as the cause: requests that were on their way; they are guarded too. Change: the rest that a server's start asked for is kept, also while it isn't listed, and is one of the obstacles that every way of a request asks for: choice, retry, move, and again when it has waited for admission, a permit or a connection. The longer of two rests stands; at most 120 s. It returns up to a tenth later at random, with one unanswered request at first, doubled by each answer. A request that can meet its target waits for the first server to return, more urgent ones less; else 503, resting, with Retry-After from the earliest end. Its breaker and speed stay as they are. Logged once when it is set aside and when it returns. An entry tells no other: a false header costs one server at one entry.

--- a/carobspring/adapters/backend_http.py
+++ b/carobspring/adapters/backend_http.py
@@ -21,6 +21,7 @@
     BackendResponse,
     BackendUnreachableError,
     IncompleteResponseError,
+    RequestWithheldError,
 )
 
 CONNECT_TIMEOUT_S: Final = 2.0
@@ -205,6 +206,9 @@
             connection = await self._connect()
             if not request.repeatable:
                 await self._wait_for_reset(connection)
+        if request.may_send is not None and not request.may_send():
+            connection.close()
+            raise RequestWithheldError(reason="withheld")
         try:
             connection.send(
                 method=request.method,
--- a/carobspring/dispatch/dispatcher.py
+++ b/carobspring/dispatch/dispatcher.py
@@ -2,6 +2,7 @@
 
 from collections import Counter
 from collections.abc import Mapping, Sequence, Set
+from dataclasses import replace
 from typing import Final
 
 from carobspring.admission import compute_used_rate
@@ -133,7 +134,10 @@
             reason = RefusalReason.ALL_TRIED
             if not self._has_version(query, pool):
                 reason = RefusalReason.NO_SERVER_OF_VERSION
-            return self.refuse(reason, _format_obstacles(obstacles))
+            detail = _format_obstacles(obstacles)
+            if obstacles[Obstacle.RESTING] or obstacles[Obstacle.RETURNING]:
+                return self._refuse_resting(query, pool, excluded, now, detail)
+            return self.refuse(reason, detail)
         best, estimate, best_cost = candidates[0], None, 0.0
         for record in candidates:
             candidate = estimate_cost(
@@ -227,6 +231,7 @@
         call = record.in_flight.get(request_id) if record else None
         if record is not None and call is not None:
             record.record_first_event(call, now)
+            record.notice.record_answer()
 
     def record_event(
         self, server_id: str, request_id: str, event_gap_s: float, now: float
@@ -268,12 +273,10 @@
         """Return whether a request could move to another server."""
         pool = self._pools.get(query.service)
         return pool is not None and any(
-            record.server.server_id not in excluded
-            and not record.draining
-            and _has_version(record, query.software_version)
+            not record.draining
             and record.breaker.state is BreakerState.CLOSED
             and record.estimate_silence_s(now) <= 0
-            and not record.is_blocked(now)
+            and self._find_obstacle(record, query, excluded, now) is None
             for record in pool.records
         )
 
@@ -322,6 +325,20 @@
         record = self._records.get(server_id)
         return None if record is None else record.rate_limit
 
+    def may_send(self, server: BackendServer, now: float) -> bool:
+        """Return whether a server still wants a request placed there before.
+
+        The request may have waited for admission or for a connection.
+        """
+        record = self._records.get(server.server_id)
+        if record is None or record.server.boot != server.boot:
+            return False
+        return not record.notice.is_resting(now)
+
+    def take_return(self, server: BackendServer, now: float) -> bool:
+        """Return whether a server gets its first request after a rest."""
+        return self._notices.find(server).take_return(now)
+
     def block(self, server_id: str, wait_s: float, now: float) -> None:
         """Send a limited server nothing until it can take a request again."""
         record = self._records.get(server_id)
@@ -349,6 +366,8 @@
         if record is None:
             return
         call = record.in_flight.pop(request_id, None)
+        if outcome in (AttemptOutcome.ANSWERED, AttemptOutcome.SERVER_ERROR):
+            record.notice.record_answer()
         if call is not None and outcome is AttemptOutcome.ANSWERED:
             record.service_time_s.observe(now - call.sent_at)
         if outcome in (AttemptOutcome.ANSWERED, AttemptOutcome.SERVER_ERROR):
@@ -374,10 +393,41 @@
             return Obstacle.OTHER_VERSION
         if not self._is_available(record, now):
             return Obstacle.FAILING
+        if record.notice.is_resting(now):
+            return Obstacle.RESTING
+        returning_limit = record.notice.find_returning_limit(now)
+        if returning_limit is not None and (
+            record.count_unanswered() >= returning_limit
+        ):
+            return Obstacle.RETURNING
         if not may_wait and record.is_blocked(now):
             return Obstacle.LIMITED
         return None
 
+    def _refuse_resting(
+        self,
+        query: DispatchQuery,
+        pool: ServerPool,
+        excluded: Set[str],
+        now: float,
+        detail: str,
+    ) -> Refusal:
+        """Return a refusal until the first server wants requests again."""
+        limits = self._limits
+        waits_s = [
+            max(record.notice.rest_until - now, limits.return_poll_s)
+            for record in pool.active
+            if self._find_obstacle(record, query, excluded, now)
+            in (Obstacle.RESTING, Obstacle.RETURNING)
+        ]
+        earliest_s = min(waits_s)
+        refusal = self.refuse(RefusalReason.RESTING, detail)
+        return replace(
+            refusal,
+            retry_after_s=earliest_s + refusal.retry_after_s,
+            wait_s=earliest_s + limits.rank_delay_s * query.priority,
+        )
+
     def _count_obstacles(
         self, query: DispatchQuery, pool: ServerPool, excluded: Set[str], now: float
     ) -> Counter[Obstacle]:
--- a/carobspring/dispatch/limits.py
+++ b/carobspring/dispatch/limits.py
@@ -107,5 +107,11 @@
     min_block_s: float = 0.05
     #: Longest rest that a server gets, in seconds, whatever it asks for.
     max_rest_s: float = 120.0
+    #: Seconds between two tries to place a request that waits for a server
+    #: whose rest has ended.
+    return_poll_s: float = 0.02
+    #: Seconds by which a request waits longer for each rank, so that more
+    #: urgent ones get the first places of a server that returns.
+    rank_delay_s: float = 0.005
     #: Seconds of Retry-After of a refusal when no estimate is known.
     default_retry_s: float = 0.3
--- a/carobspring/dispatch/notices.py
+++ b/carobspring/dispatch/notices.py
@@ -14,10 +14,12 @@
 #: the most of it in seconds. A server then gets its load back by degrees.
 RETURN_SPREAD: Final = 0.1
 MAX_RETURN_SPREAD_S: Final = 1.0
-#: Requests in flight at a server that has just returned. Each answer doubles
+#: Unanswered requests at a server that has just returned. Each answer doubles
 #: them, up to the number from which they are not bounded any more.
 FIRST_RETURNING: Final = 1
 MAX_RETURNING: Final = 32
+#: Seconds after a rest from which they are not bounded in any case.
+MAX_RETURN_S: Final = 2.0
 
 
 class NoticeChange(str, Enum):
@@ -42,12 +44,24 @@
     is_leaving: bool = False
     #: Monotonic time before which it wants no requests.
     rest_until: float = float("-inf")
-    #: Requests that may be in flight while it returns from a rest, or None.
+    #: Unanswered requests that it may have while it returns, or None.
     returning_limit: int | None = None
     #: True from the beginning of a rest until the first request after it.
     is_set_aside: bool = False
     was_invalid: bool = False
 
+    def find_returning_limit(self, now: float) -> int | None:
+        """Return how many unanswered requests it may have, or None."""
+        if now >= self.rest_until + MAX_RETURN_S:
+            self.returning_limit = None
+        return self.returning_limit
+
+    def take_return(self, now: float) -> bool:
+        """Return whether a rest has ended, once."""
+        has_returned = self.is_set_aside and not self.is_resting(now)
+        self.is_set_aside &= not has_returned
+        return has_returned
+
     def is_resting(self, now: float) -> bool:
         """Return whether it wants no requests now."""
         return now < self.rest_until
--- a/carobspring/dispatch/queries.py
+++ b/carobspring/dispatch/queries.py
@@ -47,6 +47,10 @@
     FAILING = "failing"
     #: It takes no further request by the limit that it announced.
     LIMITED = "limited"
+    #: It turned a request away and asked for rest.
+    RESTING = "resting"
+    #: It has just rested, and gets its load back by degrees.
+    RETURNING = "returning"
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -76,6 +80,8 @@
     ALL_TRIED = "all_tried"
     #: No available server has the software version that began its stream.
     NO_SERVER_OF_VERSION = "no_server_of_version"
+    #: Every server that could take it asked for rest.
+    RESTING = "resting"
     #: It resumes a stream, and no entry knows which version began that.
     UNKNOWN_STREAM = "unknown_stream"
     #: The deadline can't be met any more.
@@ -97,6 +103,8 @@
     reason: RefusalReason
     #: Seconds after which the caller should retry.
     retry_after_s: float
+    #: Seconds after which a server may take it, or None if that isn't known.
+    wait_s: float | None = None
     #: What stood in the way of the servers, for the log.
     detail: str = ""
 
--- a/carobspring/dispatch/servers.py
+++ b/carobspring/dispatch/servers.py
@@ -196,6 +196,10 @@
             own, self._reported_running + self._reported_waiting + sent_since_report
         )
 
+    def count_unanswered(self) -> int:
+        """Return this entry's requests that have got no event or response."""
+        return sum(not call.has_first_event for call in self.in_flight.values())
+
     def count_backlog_tokens(self) -> float:
         """Return the unread tokens of requests without a first event."""
         calls = self.in_flight.values()
--- a/carobspring/gateway/exchange.py
+++ b/carobspring/gateway/exchange.py
@@ -40,6 +40,7 @@
     HttpRequest,
     HttpResponder,
     IncompleteResponseError,
+    RequestWithheldError,
 )
 from carobspring.resumption import build_stream_key, compute_lifetime_s
 
@@ -174,6 +175,8 @@
                 placement = self._admission.explain_refusal(placement)
                 if await self._wait_for_servers(placement, now):
                     continue
+                if await self._wait_for_rest(placement, now):
+                    continue
                 return await self._finish_refused(placement)
             if self._sends and not self._take_retry():
                 return await self._finish_refused(
@@ -197,6 +200,10 @@
                 server_id = placement.server.server_id
                 context.admission_client.release(server_id, self._query.request_id)
                 return await self._finish_refused(held)
+            if not context.dispatcher.may_send(placement.server, context.read_clock()):
+                # The server asked for rest while the request waited.
+                self._withdraw(placement)
+                continue
             result = await self._try_server(placement)
             if result.outcome is AttemptOutcome.ANSWERED:
                 return self._build_report(RequestOutcome.RELAYED, 0, "")
@@ -249,6 +256,22 @@
         await asyncio.sleep(SERVER_POLL_INTERVAL_S)
         return True
 
+    async def _wait_for_rest(self, refusal: Refusal, now: float) -> bool:
+        """Wait for a server that rests, if that is early enough."""
+        if refusal.wait_s is None:
+            return False
+        if now + refusal.wait_s > min(self._query.due_at, self._query.deadline):
+            return False
+        await asyncio.sleep(refusal.wait_s)
+        return True
+
+    def _withdraw(self, placement: Placement) -> None:
+        """Take back a request that was not sent where it was placed."""
+        server_id = placement.server.server_id
+        self._context.admission_client.release(server_id, self._query.request_id)
+        # The retry that was taken is used for the next server.
+        self._has_reserved_retry = self._sends > 0
+
     def _take_retry(self, *, in_advance: bool = False) -> bool:
         """Take one retry from the budget, unless that was done in advance."""
         if self._has_reserved_retry and not in_advance:
@@ -284,6 +307,8 @@
         if client is None:
             context.admission_client.release(server_id, query.request_id)
             return AttemptResult(outcome=AttemptOutcome.UNREACHABLE, detail="unlisted")
+        if context.dispatcher.take_return(placement.server, now):
+            context.notice_log.record_return(placement.server, query.request_id)
         context.dispatcher.record_sent(placement, query, now)
         self._sends += 1
         result = AttemptResult(outcome=AttemptOutcome.ABANDONED)
@@ -342,6 +367,9 @@
             ),
             body=request.body,
             repeatable=self._route.repeatability.can_repeat,
+            may_send=lambda: self._context.dispatcher.may_send(
+                placement.server, self._context.read_clock()
+            ),
         )
         self._possibly_ran_on.add(server_id)
         try:
@@ -350,6 +378,9 @@
             self._possibly_ran_on.discard(server_id)
             outcome = AttemptOutcome.UNREACHABLE
             return AttemptResult(outcome=outcome, detail=error.reason)
+        except RequestWithheldError as error:
+            self._possibly_ran_on.discard(server_id)
+            return AttemptResult(outcome=AttemptOutcome.NOT_RUN, detail=error.reason)
         except IncompleteResponseError as error:
             return _build_incomplete_result(error)
         try:
--- a/carobspring/ports/__init__.py
+++ b/carobspring/ports/__init__.py
@@ -11,6 +11,7 @@
     BackendResponse,
     BackendUnreachableError,
     IncompleteResponseError,
+    RequestWithheldError,
 )
 from carobspring.ports.clock import Clock
 from carobspring.ports.http import (
@@ -47,6 +48,7 @@
     "QuorumLostError",
     "RandomSource",
     "ReplicatedLog",
+    "RequestWithheldError",
     "ReplicationError",
     "StateMachine",
     "Storage",
--- a/carobspring/ports/backend.py
+++ b/carobspring/ports/backend.py
@@ -1,6 +1,7 @@
 """The port of backend servers: a request and its streamed response."""
 
 from abc import ABC, abstractmethod
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from carobspring.domain import CallHeaders
@@ -23,6 +24,10 @@
     """No connection could be opened, so no part of the request was sent."""
 
 
+class RequestWithheldError(BackendError):
+    """The request was no longer wanted when it could have been sent."""
+
+
 class IncompleteResponseError(BackendError):
     """The request was sent, but no complete response was received.
 
@@ -49,6 +54,9 @@
     #: True if the request may run again. Only then is an idle connection
     #: reused, because the server may close it while the request is in flight.
     repeatable: bool = False
+    #: Asked once a connection is open, which takes time: whether to send the
+    #: request still. None if it is sent in any case.
+    may_send: Callable[[], bool] | None = None
 
 
 class BackendResponse(ABC):
@@ -90,6 +98,7 @@
 
         Raises:
             BackendUnreachableError: No part of the request was sent.
+            RequestWithheldError: No part of it was sent, as ``may_send`` says.
             IncompleteResponseError: The request was sent, but no response
                 was received.
         """
--- a/tests/adapters/test_backend_http.py
+++ b/tests/adapters/test_backend_http.py
@@ -12,6 +12,7 @@
     BackendRequest,
     BackendUnreachableError,
     IncompleteResponseError,
+    RequestWithheldError,
 )
 from carobspring.protocol import RunCall
 
@@ -52,6 +53,27 @@
         writer.close()
 
 
+class WithheldRequestTests(unittest.IsolatedAsyncioTestCase):
+    async def test_server_that_wants_no_request_any_more(self):
+        """Nothing is sent on a connection that was opened meanwhile."""
+        async with RawServer(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n") as server:
+            backend = HttpBackend(url=server.url, health_path="/")
+            for repeatable in (True, False):
+                for wanted in (False, True):
+                    with self.subTest(repeatable=repeatable, wanted=wanted):
+                        before = len(server.requests)
+                        request = replace(
+                            REQUEST, repeatable=repeatable, may_send=lambda w=wanted: w
+                        )
+                        if wanted:
+                            (await backend.send(request)).close()
+                        else:
+                            with self.assertRaises(RequestWithheldError):
+                                await backend.send(request)
+                        self.assertEqual(len(server.requests) - before, int(wanted))
+            await backend.close()
+
+
 async def fetch(url):
     backend = HttpBackend(url=url, health_path="/health")
     try:
--- a/tests/gateway/fakes.py
+++ b/tests/gateway/fakes.py
@@ -208,6 +208,7 @@
         confirmed=True,
         engine=None,
         versions=(),
+        target_ms=0.0,
     ):
         loop = asyncio.get_running_loop()
         self.clients = {
@@ -239,6 +240,7 @@
             repeatability=repeatability,
             weighted_services=(WeightedService(service="svc", weight=1),),
             timeout_ms=timeout_ms,
+            latency_target_ms=target_ms,
             max_attempts=attempts,
             public=public,
         )
