Send a server nothing once it says that it leaves

Change: any answer counts, a rejection, an error or a stream's head too, but for one of another server at the address (421). From then on the start is out of every choice at once, as home and as source of copies too, and what waited unsent is placed anew; what runs there goes on. Nothing but a later start takes that back, a check-in as ready least of all, and a listing that comes and goes doesn't either. What waited for a server that drains by its check-in is placed anew as well: the same gap, found beside it. The end of a server that said it leaves is no crash, so its requests get no strikes.

--- a/carobspring/dispatch/crashes.py
+++ b/carobspring/dispatch/crashes.py
@@ -62,6 +62,8 @@
         #: The last listed server at each address and of each identifier, and
         #: whether it was draining.
         self._listed: OrderedDict[str, tuple[ServerRun, bool]] = OrderedDict()
+        #: Runs of servers that announced that they leave.
+        self._leaving: OrderedDict[ServerRun, None] = OrderedDict()
 
     def begin(
         self,
@@ -132,6 +134,7 @@
         it was draining, in which case it has left as planned.
         """
         server_run = (server.server_id, server.boot)
+        draining |= self.is_leaving(server)
         crashed = None
         for place in (f"{server.host}:{server.port}", server.server_id):
             previous, was_draining = self._listed.get(place, (server_run, False))
@@ -144,6 +147,17 @@
             self._listed.popitem(last=False)
         return crashed
 
+    def record_leaving(self, server: BackendServer) -> None:
+        """Record that a server announced that it leaves, as planned."""
+        self._leaving[server.server_id, server.boot] = None
+        while len(self._leaving) > MAX_LISTED:
+            self._leaving.popitem(last=False)
+        self.record_listed(server, draining=True)
+
+    def is_leaving(self, server: BackendServer) -> bool:
+        """Return whether this start of a server announced that it leaves."""
+        return (server.server_id, server.boot) in self._leaving
+
     def list_open(self) -> tuple[OpenRun, ...]:
         """Return the runs that have not ended."""
         return tuple(run for runs in self._open.values() for run in runs)
--- a/carobspring/dispatch/dispatcher.py
+++ b/carobspring/dispatch/dispatcher.py
@@ -273,7 +273,7 @@
         """Return whether a request could move to another server."""
         pool = self._pools.get(query.service)
         return pool is not None and any(
-            not record.draining
+            not record.is_closing
             and record.breaker.state is BreakerState.CLOSED
             and record.estimate_silence_s(now) <= 0
             and self._find_obstacle(record, query, excluded, now) is None
@@ -308,7 +308,11 @@
 
         Returns what that changes, or None.
         """
-        return self._notices.record_leaving(server)
+        change = self._notices.record_leaving(server)
+        record = self._records.get(server.server_id)
+        if change is not None and record is not None:
+            self._pools[record.server.service].clear_indices()
+        return change
 
     def record_rest(
         self, server: BackendServer, rest_s: float | None, now: float
@@ -328,12 +332,13 @@
     def may_send(self, server: BackendServer, now: float) -> bool:
         """Return whether a server still wants a request placed there before.
 
-        The request may have waited for admission or for a connection.
+        The request may have waited for admission or for a connection, while
+        the server asked for rest or began to leave.
         """
         record = self._records.get(server.server_id)
         if record is None or record.server.boot != server.boot:
             return False
-        return not record.notice.is_resting(now)
+        return not (record.is_closing or record.notice.is_resting(now))
 
     def take_return(self, server: BackendServer, now: float) -> bool:
         """Return whether a server gets its first request after a rest."""
--- a/carobspring/dispatch/pools.py
+++ b/carobspring/dispatch/pools.py
@@ -59,14 +59,14 @@
 
     @property
     def records(self) -> Sequence[ServerRecord]:
-        """Every server, draining or not."""
+        """Every server, also those that are about to go."""
         return tuple(self._records.values())
 
     @property
     def active(self) -> tuple[ServerRecord, ...]:
-        """Every server that is not draining."""
+        """Every server that neither drains nor says that it leaves."""
         if self._active is None:
-            self._active = tuple(r for r in self._records.values() if not r.draining)
+            self._active = tuple(r for r in self._records.values() if not r.is_closing)
         return self._active
 
     def add(self, record: ServerRecord) -> None:
@@ -80,7 +80,7 @@
         self.clear_indices()
 
     def clear_indices(self) -> None:
-        """Build the indices anew, after a server began or ended to drain."""
+        """Build the indices anew, after a server began to drain or leave."""
         self._active = None
         self._groups.clear()
         self._homes.clear()
--- a/carobspring/dispatch/servers.py
+++ b/carobspring/dispatch/servers.py
@@ -82,6 +82,11 @@
         self.awaiting_admission: dict[str, int] = {}
         self._cached_parts: OrderedDict[str, float] = OrderedDict()
 
+    @property
+    def is_closing(self) -> bool:
+        """Whether it takes no new requests for the rest of its start."""
+        return self.draining or self.notice.is_leaving
+
     def is_blocked(self, now: float) -> bool:
         """Return whether the announced limit allows no request for now."""
         return self.rate_limit is not None and now < self.blocked_until
--- a/carobspring/gateway/crashes.py
+++ b/carobspring/gateway/crashes.py
@@ -166,6 +166,8 @@
         listing = self._find_listing(server.server_id)
         if listing is None or listing.draining or listing.server != server:
             return
+        if self._attribution.is_leaving(server):
+            return
         server_run = (server.server_id, server.boot)
         probe = self._probes.get(server_run)
         if probe is None:
@@ -183,6 +185,10 @@
         if crashed is not None:
             self._record_crash(crashed, "a later start is listed")
 
+    def handle_leaving(self, server: BackendServer) -> None:
+        """Handle a server that announced that it leaves: no crash ends it."""
+        self._attribution.record_leaving(server)
+
     def apply_update(self, update: ViewUpdate) -> None:
         """Apply the strikes that a control replica knows of all entries."""
         now = self._read_clock()
--- a/carobspring/gateway/exchange.py
+++ b/carobspring/gateway/exchange.py
@@ -474,6 +474,7 @@
             changes.append(context.dispatcher.record_rest(server, metadata.rest_s, now))
         if metadata.is_leaving:
             changes.append(context.dispatcher.record_leaving(server))
+            context.crash_detector.handle_leaving(server)
         for change in changes:
             if change is not None:
                 context.notice_log.record_change(
--- a/tests/dispatch/test_notices.py
+++ b/tests/dispatch/test_notices.py
@@ -156,3 +156,76 @@
                 query = build_query("q")
                 moves = self.dispatcher.should_move(query, "s0", frozenset(), 5.0)
                 self.assertIs(moves, not rests)
+
+
+class LeaveTests(unittest.TestCase):
+    def test_leaving_server(self):
+        """It gets nothing at once, for the rest of its start."""
+        server, other = (build_server(f"s{number}") for number in range(2))
+        later = dataclasses.replace(server, boot=2)
+        reused = dataclasses.replace(server, server_id="s9", boot=2)
+        cases = {
+            # name: (server listed after it said so or None, servers placed at)
+            "at once": (None, {"s1"}),
+            "it checks in as ready": (server, {"s1"}),
+            "its next start": (later, {"s0", "s1"}),
+            "another one at its address": (reused, {"s1", "s9"}),
+        }
+        for name, (listed, expected) in cases.items():
+            with self.subTest(name):
+                dispatcher = build_dispatcher(server, other)
+                self.assertIs(dispatcher.record_leaving(server), NoticeChange.LEAVES)
+                self.assertIsNone(dispatcher.record_leaving(server))
+                if listed is not None:
+                    dispatcher.remove_server(server.server_id)
+                    dispatcher.add_server(listed, draining=False)
+                self.assertIs(dispatcher.may_send(server, 0.0), False)
+                placed = set()
+                for number in range(20):
+                    query = build_query(f"q{number}")
+                    placement = dispatcher.place(query, frozenset(), 0.0)
+                    dispatcher.record_sent(placement, query, 0.0)
+                    placed.add(placement.server.server_id)
+                self.assertEqual(placed, expected)
+
+    def test_home_and_copies_leave_too(self):
+        """A leaving server is no home of prompts, and gives no copies."""
+        parts = (("a1", 2000), ("b2", 2000), ("c3", 100))
+        servers = [build_server(f"s{number}") for number in range(3)]
+        dispatcher = build_dispatcher(*servers)
+        home = dispatcher.place(build_query(parts=parts), frozenset(), 0.0).server
+        dispatcher.record_leaving(home)
+        placement = dispatcher.place(build_query(parts=parts), frozenset(), 0.0)
+        self.assertNotIn(home, (placement.server, placement.prompt_source))
+
+    def test_stream_is_not_moved_to_a_leaving_server(self):
+        """A silent server is kept while no other stays."""
+        first, second = (build_server(f"s{number}") for number in range(2))
+        for leaves in (True, False):
+            with self.subTest(leaves=leaves):
+                dispatcher = build_dispatcher(first, second)
+                query = build_query("q")
+                dispatcher.record_sent(Placement(server=first), query, 0.0)
+                if leaves:
+                    dispatcher.record_leaving(second)
+                moves = dispatcher.should_move(query, "s0", frozenset(), 5.0)
+                self.assertIs(moves, not leaves)
+
+    def test_all_leave(self):
+        """Then there is no server."""
+        servers = [build_server(f"s{number}") for number in range(2)]
+        dispatcher = build_dispatcher(*servers)
+        for server in servers:
+            dispatcher.record_leaving(server)
+        refusal = dispatcher.place(build_query(), frozenset(), 0.0)
+        self.assertEqual(refusal.reason, RefusalReason.NO_SERVERS)
+
+    def test_draining_while_a_request_waits(self):
+        """What waited unsent for a server that drains is placed anew."""
+        server = build_server("s0")
+        dispatcher = build_dispatcher(server)
+        self.assertIs(dispatcher.may_send(server, 0.0), True)
+        dispatcher.add_server(server, draining=True)
+        self.assertIs(dispatcher.may_send(server, 0.0), False)
+        dispatcher.remove_server("s0")
+        self.assertIs(dispatcher.may_send(server, 0.0), False)
--- a/tests/gateway/test_notices.py
+++ b/tests/gateway/test_notices.py
@@ -1,18 +1,24 @@
 import asyncio
+import dataclasses
 import time
 import unittest
 
 from carobspring.domain.routes import Repeatability
-from carobspring.ports import RequestWithheldError
+from carobspring.gateway.directory import ListedServer
+from carobspring.ports import IncompleteResponseError, RequestWithheldError
 from tests.gateway.fakes import (
     RESPONSE_HEADERS,
+    STREAM_HEADERS,
     FakeClient,
     GatewayHarness,
+    build_event,
+    build_incomplete_error,
 )
 
 SUCCESS = (200, RESPONSE_HEADERS, [b"answer"])
 NOT_RUN = ("Carobspring-Not-Executed", "1")
 ONCE = Repeatability.ONCE
+RESUMABLE = Repeatability.RESUMABLE_STREAM
 
 
 def build_rejection(rest, *, not_run=True):
@@ -125,3 +131,75 @@
                 ("backend server returns from rest", "s1", "9c41"),
             ],
         )
+
+
+class LeaveTests(unittest.IsolatedAsyncioTestCase):
+    LEAVING = ("Server-Leaving", "1")
+
+    async def test_every_answer_counts(self):
+        """No further request goes to a server that said that it leaves."""
+        headers = (*RESPONSE_HEADERS, self.LEAVING)
+        stream_headers = (*STREAM_HEADERS, self.LEAVING)
+        broken = [build_event(1), build_incomplete_error()]
+        cases = {
+            # name: (script, kind, whether the server leaves)
+            "a body": ((200, headers, [b"x"]), ONCE, True),
+            "an error": ((500, headers, [b"x"]), ONCE, True),
+            "a client's error": ((404, headers, [b"x"]), ONCE, True),
+            "a rejection": ((503, (NOT_RUN, self.LEAVING), []), ONCE, True),
+            "a stream": ((200, stream_headers, [build_event(1)]), RESUMABLE, True),
+            "a broken stream": ((200, stream_headers, broken), RESUMABLE, True),
+            "a truncated body": ((200, headers, broken[1:]), ONCE, True),
+            "another server's": ((421, (self.LEAVING,), []), ONCE, False),
+            "another value": (
+                (200, (*RESPONSE_HEADERS, ("Server-Leaving", "0")), [b"x"]),
+                ONCE,
+                False,
+            ),
+        }
+        for name, (script, kind, leaves) in cases.items():
+            with self.subTest(name):
+                gateway = GatewayHarness([script], [SUCCESS], repeatability=kind)
+                await gateway.call()
+                now = asyncio.get_running_loop().time()
+                may_send = gateway.dispatcher.may_send(gateway.servers["s1"], now)
+                self.assertIs(may_send, not leaves)
+                for _ in range(2):
+                    await gateway.call()
+                if leaves:
+                    self.assertEqual(gateway.count_requests()["s1"], 1)
+
+    async def test_streams_that_run_go_on(self):
+        """What runs at a leaving server is brought to its end."""
+        headers = (*STREAM_HEADERS, self.LEAVING)
+        going_on = asyncio.Event()
+        script = (200, headers, [build_event(1), going_on, build_event(2)])
+        gateway = GatewayHarness([script], [SUCCESS], repeatability=RESUMABLE)
+        calling = asyncio.create_task(gateway.call())
+        await asyncio.sleep(0.05)
+        going_on.set()
+        response = await calling
+        self.assertEqual(response.body, build_event(1) + build_event(2))
+        self.assertEqual(gateway.count_requests(), {"s1": 1, "s2": 0})
+
+    async def test_end_is_no_crash(self):
+        """A server that leaves and ends its connections has not crashed."""
+        ended = IncompleteResponseError(reason="reset", peer_ended=True)
+        for leaving, strikes in (((), 1), ((self.LEAVING,), 0)):
+            with self.subTest(leaving=leaving):
+                first = (200, (*RESPONSE_HEADERS, *leaving), [b"x"])
+                gateway = GatewayHarness([first, ended], [SUCCESS])
+                gateway.crash_detector.handle_listed(gateway.listings["s1"])
+                calling = asyncio.create_task(gateway.call())
+                await calling
+                gateway.clients["s1"].is_down = True
+                gateway.dispatcher.remove_server("s1")
+                server = gateway.servers["s1"]
+                run = gateway.crash_detector.begin(server, lambda: (("", "d"),))
+                gateway.crash_detector.end_broken(run)
+                await gateway.crash_detector.investigate(server)
+                later = ListedServer(
+                    server=dataclasses.replace(server, boot=2), draining=False
+                )
+                gateway.crash_detector.handle_listed(later)
+                self.assertEqual(len(gateway.crash_detector.list_strikes()), strikes)
