Inject rest and leave into the soak, and check both

Cause: no server of the soak asked for rest or said that it leaves. Change: servers turn requests away for a while and ask for rests of 0.2, 1 or 2.5 s, or announce that they leave, go, and start anew; arrivals name the start that they reached. Unit tests show that both checks find a violation.

--- a/bench/faults.py
+++ b/bench/faults.py
@@ -80,6 +80,8 @@
             self._disrupt_server,
             self._replace_server,
             self._announce_limit,
+            self._ask_for_rest,
+            self._announce_leaving,
             self._break_streams,
             self._send_crashing_request,
             self._send_crashing_part,
@@ -259,6 +261,35 @@
             await asyncio.sleep(self._generator.uniform(1.0, 3.0))
         server.announcements = {}
 
+    async def _ask_for_rest(self) -> None:
+        """Let a server turn requests away for a while and ask for rest."""
+        server = self._generator.choice(self._servers)
+        if server.announcements or server.fault:
+            return
+        for _ in range(self._generator.randint(1, 3)):
+            server.fault = "shed"
+            rest_s = self._generator.choice((0.2, 1.0, 2.5))
+            server.announcements = {"Retry-After": str(rest_s)}
+            await asyncio.sleep(self._generator.uniform(0.3, 2.0))
+        server.fault = ""
+        server.announcements = {}
+
+    async def _announce_leaving(self) -> None:
+        """Let a server say that it leaves, go, and start anew."""
+        server = self._generator.choice(self._servers)
+        name = f"server {server.address}"
+        if server.announcements or name in self._disrupted:
+            return
+        self._disrupted.add(name)
+        try:
+            server.announcements = {"Server-Leaving": "1"}
+            await asyncio.sleep(self._generator.uniform(1.0, 5.0))
+            await server.crash()
+            server.announcements = {}
+            await server.start(is_restart=True)
+        finally:
+            self._disrupted.remove(name)
+
     async def _break_streams(self) -> None:
         """Let servers break new streams off for a while."""
         for server in self._servers:
--- a/bench/promises.py
+++ b/bench/promises.py
@@ -4,11 +4,11 @@
 """
 
 from collections import Counter
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator, Sequence
 from dataclasses import dataclass, field
 from typing import Final
 
-from standins.backend_server import StandInServer
+from standins.backend_server import Arrival, StandInServer
 from standins.resuming_caller import ResumedStream
 
 #: Seconds in which an instance applies a new configuration, as the user
@@ -30,6 +30,13 @@
 #: seconds from an announcement to an instance until it must apply it.
 LIMIT_WINDOW_S: Final = 4.0
 LIMIT_APPLY_BOUND_S: Final = 0.5
+#: Seconds after which a rest that a server asked for counts, and requests of
+#: one instance that may still reach it within the rest.
+REST_APPLY_BOUND_S: Final = 0.5
+MAX_REQUESTS_IN_REST: Final = 2
+#: Seconds from an answer that says its server leaves to the last request that
+#: the instance may have been sent for it.
+LEAVE_BOUND_S: Final = 2.0
 #: Number of events in each complete stream.
 STREAM_EVENT_COUNT: Final = 5
 #: Streams that may hold events of two software versions.
@@ -246,6 +253,56 @@
                     self.record_violation("announced limits are kept", detail)
                     break
 
+    def check_rests(self, servers: Iterable[StandInServer]) -> None:
+        """Check that servers got the rest that they asked for."""
+        for server, entry, arrivals in self._group_arrivals(servers):
+            for told in arrivals:
+                rest_s = float(told.announced.get("Retry-After", 0.0))
+                if not told.is_rejected or not rest_s:
+                    continue
+                within = [
+                    each
+                    for each in arrivals
+                    if told.at + REST_APPLY_BOUND_S < each.at < told.at + rest_s
+                    and each.started_at_ms == told.started_at_ms
+                    and not self._was_disrupted(entry, told.at, each.at)
+                ]
+                if len(within) > MAX_REQUESTS_IN_REST:
+                    detail = f"{server.server_id}: {len(within)} of {entry} in {rest_s}"
+                    self.record_violation("rests are kept", detail)
+                    break
+
+    def check_leaving_servers(self, servers: Iterable[StandInServer]) -> None:
+        """Check that servers that said they leave got nothing more."""
+        for server, entry, arrivals in self._group_arrivals(servers):
+            told_at: dict[int, float] = {}
+            for arrival in arrivals:
+                known_at = told_at.get(arrival.started_at_ms)
+                _, sent_at = self.sent_requests[arrival.attempt_id]
+                if (
+                    known_at is not None
+                    and sent_at > known_at + LEAVE_BOUND_S
+                    and not self._was_disrupted(entry, known_at, arrival.at)
+                ):
+                    detail = f"{server.server_id}: {arrival.attempt_id} by {entry}"
+                    self.record_violation("leaving servers get nothing", detail)
+                    break
+                if arrival.announced.get("Server-Leaving") == "1":
+                    told_at.setdefault(arrival.started_at_ms, arrival.at)
+
+    def _group_arrivals(
+        self, servers: Iterable[StandInServer]
+    ) -> Iterator[tuple[StandInServer, str, Sequence[Arrival]]]:
+        """Yield the arrivals at each server from each entry, in order."""
+        for server in servers:
+            by_entry: dict[str, list[Arrival]] = {}
+            for arrival in server.arrivals:
+                if not arrival.is_misdirected:
+                    entry, _ = self.sent_requests[arrival.attempt_id]
+                    by_entry.setdefault(entry, []).append(arrival)
+            for entry, arrivals in by_entry.items():
+                yield server, entry, arrivals
+
     def _was_disrupted(self, entry: str, since: float | None, until: float) -> bool:
         return since is not None and any(
             each.entry == entry and each.started_at <= until and each.ended_at >= since
--- a/bench/soak.py
+++ b/bench/soak.py
@@ -165,6 +165,8 @@
         self.checker.check_executions(self._servers)
         self.checker.check_crashing_requests(self._servers)
         self.checker.check_announced_limits(self._servers)
+        self.checker.check_rests(self._servers)
+        self.checker.check_leaving_servers(self._servers)
         for service in ("svc", "engines"):
             servers = [each for each in self._servers if each.service == service]
             self.checker.check_repeats(service, servers)
--- a/standins/backend_server.py
+++ b/standins/backend_server.py
@@ -36,6 +36,11 @@
     last_event_id: str = ""
     #: What the response announced.
     announced: Mapping[str, str]
+    #: Start of the server that the request reached, and whether that turned
+    #: it away. Requests for another start are not counted there.
+    started_at_ms: int = 0
+    is_rejected: bool = False
+    is_misdirected: bool = False
 
 
 class StandInServer:
@@ -211,6 +216,8 @@
         attempt_id = headers.get("Carobspring-Attempt-Id", "")
         prefix = headers.get("Carobspring-Prefix-Hash", "")
         parts = tuple(item.partition(":")[0] for item in prefix.split(",") if item)
+        expected_id = headers.get("Carobspring-Expected-Instance")
+        is_misdirected = expected_id != self.server_id
         self.arrivals.append(
             Arrival(
                 at=time.monotonic(),
@@ -220,9 +227,12 @@
                 resumes=headers.get("Resumes", ""),
                 last_event_id=headers.get("Last-Event-Id", ""),
                 announced=self.announcements,
+                started_at_ms=self._started_at_ms,
+                is_rejected=self.fault == "shed",
+                is_misdirected=is_misdirected,
             )
         )
-        if headers.get("Carobspring-Expected-Instance") != self.server_id:
+        if is_misdirected:
             return web.Response(status=421)
         if self.fault == "shed":
             return web.Response(
--- a/tests/benchmarks/test_soak.py
+++ b/tests/benchmarks/test_soak.py
@@ -222,6 +222,71 @@
                 self.assertEqual(self.list_violated(), expected)
 
 
+class NoticeTests(unittest.TestCase):
+    """The checks of servers that ask for rest or say that they leave."""
+
+    def check(self, check, arrivals, *, disruptions=()):
+        """Return what arrivals violate, given by time, entry and start."""
+        checker = InvariantChecker()
+        checker.disruptions = list(disruptions)
+        server = SimpleNamespace(server_id="s1", arrivals=[])
+        for number, (at, entry, start, announced) in enumerate(arrivals):
+            name = f"q{number}"
+            checker.sent_requests[name] = (entry, at)
+            server.arrivals.append(
+                Arrival(
+                    at=at,
+                    attempt_id=name,
+                    body=b"",
+                    announced=announced,
+                    started_at_ms=start,
+                    is_rejected="Retry-After" in announced,
+                )
+            )
+        getattr(checker, check)([server])
+        return [violation.invariant for violation in checker.violations]
+
+    def test_rests(self):
+        """More than two requests of an entry within a rest are detected."""
+        rest = {"Retry-After": "3"}
+        violated = ["rests are kept"]
+        frozen = [Disruption(entry="e", started_at=0.5, ended_at=0.9)]
+        cases = {
+            "two": ([(1.0, "e", 1), (2.0, "e", 1)], (), []),
+            "three": ([(1.0, "e", 1), (2.0, "e", 1), (2.9, "e", 1)], (), violated),
+            "by another entry": ([(1.0, "f", 1)] * 5, (), []),
+            "at a later start": ([(1.0, "e", 2)] * 5, (), []),
+            "in the first half second": ([(0.4, "e", 1)] * 5, (), []),
+            "after it": ([(3.1, "e", 1)] * 5, (), []),
+            "by an entry that was frozen": ([(1.0, "e", 1)] * 5, frozen, []),
+        }
+        for name, (later, disruptions, expected) in cases.items():
+            with self.subTest(name):
+                arrivals = [(0.0, "e", 1, rest), *((*each, {}) for each in later)]
+                found = self.check("check_rests", arrivals, disruptions=disruptions)
+                self.assertEqual(found, expected)
+
+    def test_leaving_servers(self):
+        """A request sent too late to a leaving server is detected."""
+        leaving = {"Server-Leaving": "1"}
+        violated = ["leaving servers get nothing"]
+        killed = [Disruption(entry="e", started_at=0.5, ended_at=0.9)]
+        cases = {
+            "in time": ((2.0, "e", 1), (), []),
+            "late": ((2.1, "e", 1), (), violated),
+            "by another entry": ((2.1, "f", 1), (), []),
+            "at a later start": ((2.1, "e", 2), (), []),
+            "by an entry that was killed": ((2.1, "e", 1), killed, []),
+        }
+        for name, (later, disruptions, expected) in cases.items():
+            with self.subTest(name):
+                arrivals = [(0.0, "e", 1, leaving), (*later, {})]
+                found = self.check(
+                    "check_leaving_servers", arrivals, disruptions=disruptions
+                )
+                self.assertEqual(found, expected)
+
+
 class RecoveryTests(unittest.IsolatedAsyncioTestCase):
     """The check that every entry serves uses its own connections."""
 
