Try what ran at all crashes of another request soon, one send each

Cause: a request's strikes were judged by themselves; that another request has the same evidence, so that one of the two is no cause, was not asked. Ruled out: freeing what another's crashes explain at once, as for parts: a trial's strike is provisional, so a cause would be free while a sound request's trial runs. Change: while another request ran at all the same crashes, both are held for 5 s only, then one send of each is a trial; the sound one is cleared by its answer, the cause gets one strike more and is then alone with it.

--- a/carobspring/dispatch/quarantine.py
+++ b/carobspring/dispatch/quarantine.py
@@ -1,7 +1,7 @@
 """Decides which requests are held back because servers crashed under them."""
 
 from collections import OrderedDict
-from collections.abc import Iterable, Sequence
+from collections.abc import Iterable, Sequence, Set
 from dataclasses import dataclass
 from typing import Final
 
@@ -31,11 +31,17 @@
 #: for which it is then held back.
 LIKELY_CAUSE_STRIKES: Final = 3
 LIKELY_CAUSE_HOLD_S: Final = 3600.0
+#: The same while another request ran at each of these crashes too, so that
+#: nothing tells which of them is the cause. One trial of each does.
+SHARED_HOLD_S: Final = 5.0
 #: Seconds for which parts of prompts are held back after the crash that
-#: brought the blame on them, and their factor for each further crash.
+#: brought the blame on them.
 PART_HOLD_S: Final = 5.0
-PART_HOLD_FACTOR: Final = 4.0
-MAX_PART_HOLD_S: Final = 24 * 3600.0
+#: Factor of these times for each further crash, and the longest of them.
+HOLD_FACTOR: Final = 4.0
+MAX_HOLD_S: Final = 24 * 3600.0
+#: Crashes from which a cause is tried again only once in the longest time.
+FINAL_CRASHES: Final = 8
 #: Seconds that answers under way have to clear parts of the blame, unless so
 #: many servers crashed that waiting costs more than it saves.
 ANSWER_WAIT_S: Final = 0.5
@@ -99,6 +105,8 @@
         self._learned_at: dict[tuple[CauseKey, ServerRun], float] = {}
         #: The requests and parts with strikes enough to be blamed.
         self._suspects: dict[CauseKey, frozenset[ServerRun]] = {}
+        #: The requests with strikes enough to be held back.
+        self._held_requests: dict[CauseKey, frozenset[ServerRun]] = {}
         #: When parts were last answered completely, the earliest first.
         self._answered_at: OrderedDict[CauseKey, float] = OrderedDict()
         #: The parts that were answered before they became suspects.
@@ -218,11 +226,22 @@
                 continue
             if is_explained_elsewhere(crashes, known, self.explanations):
                 continue
-            is_likely = len(crashes) >= LIKELY_CAUSE_STRIKES
-            hold_s = LIKELY_CAUSE_HOLD_S if is_likely else HOLD_S
+            first_s = LIKELY_CAUSE_HOLD_S
+            if self._ran_another_at(crashes, key):
+                first_s = SHARED_HOLD_S
+            hold_s = min(HOLD_S, first_s)
+            if len(crashes) >= LIKELY_CAUSE_STRIKES:
+                hold_s = _extend_hold(first_s, len(crashes) - LIKELY_CAUSE_STRIKES)
             last_at = max(self._learned_at[key, run] for run in crashes)
             yield key, last_at + hold_s
 
+    def _ran_another_at(self, crashes: Set[ServerRun], key: CauseKey) -> bool:
+        """Return whether another request ran at all these crashes."""
+        return any(
+            crashes <= other_crashes and other != key
+            for other, other_crashes in self._held_requests.items()
+        )
+
     def _build_blame(self, explanation: Explanation) -> _Blame:
         crash_count = len(explanation.crashes)
         times = sorted(
@@ -235,8 +254,7 @@
         begins_at = times[minimum - 1]
         if crash_count < CERTAIN_CRASHES or explanation.is_proven:
             begins_at += ANSWER_WAIT_S
-        factor = PART_HOLD_FACTOR ** (crash_count - BLAMED_CRASHES)
-        hold_s = min(PART_HOLD_S * factor, MAX_PART_HOLD_S)
+        hold_s = _extend_hold(PART_HOLD_S, crash_count - BLAMED_CRASHES)
         return _Blame(
             parts=explanation.parts, begins_at=begins_at, ends_at=times[-1] + hold_s
         )
@@ -244,6 +262,19 @@
     def _update(self, changed: Sequence[Strike]) -> None:
         """Find again what explains the crashes, after some strikes changed."""
         keys = {build_cause_key(strike) for strike in changed}
+        for key in keys:
+            crashes = self._strikes.list_server_runs(key)
+            if is_part_key(key) or len(crashes) < HELD_STRIKES:
+                self._held_requests.pop(key, None)
+            else:
+                self._held_requests[key] = crashes
+        if len(self._held_requests) > MAX_REQUESTS:
+            # Strikes are evicted without notice.
+            self._held_requests = {
+                key: crashes
+                for key, crashes in self._held_requests.items()
+                if self._strikes.count(key)
+            }
         suspects = {}
         for key in keys.union(self._suspects):
             crashes = self._strikes.list_server_runs(key)
@@ -269,3 +300,10 @@
         """Return whether a part was answered in the time before crashes."""
         last_at = max(self._learned_at[key, server_run] for server_run in crashes)
         return self._answered_at.get(key, float("-inf")) >= last_at - PROOF_S
+
+
+def _extend_hold(first_s: float, further_crashes: int) -> float:
+    """Return the seconds of a hold after some more crashes than the first."""
+    if further_crashes >= FINAL_CRASHES - BLAMED_CRASHES:
+        return MAX_HOLD_S
+    return min(first_s * HOLD_FACTOR**further_crashes, MAX_HOLD_S)
