Split announcements and obstacles from the exchange and the dispatcher

Cause: gateway/exchange.py had grown to 591 lines and dispatch/dispatcher.py to 592; what responses announce was recorded in the former, and what stands in the way of a server in the latter, among other jobs. Change: a move only: gateway/announcements.py records limits, rests and leaves and logs them (it takes in gateway/notices.py), dispatch/obstacles.py tells for every way why a server may not get a request now. 549 and 540 lines are left: both still want a split.

--- a/carobspring/dispatch/dispatcher.py
+++ b/carobspring/dispatch/dispatcher.py
@@ -1,6 +1,5 @@
 """Chooses the backend server with the lowest estimated cost."""
 
-from collections import Counter
 from collections.abc import Mapping, Sequence, Set
 from dataclasses import replace
 from typing import Final
@@ -10,6 +9,13 @@
 from carobspring.dispatch.homes import find_shared_parts
 from carobspring.dispatch.limits import DispatchLimits
 from carobspring.dispatch.notices import NoticeChange, ServerNotices
+from carobspring.dispatch.obstacles import (
+    count_obstacles,
+    find_obstacle,
+    format_obstacles,
+    has_version,
+    is_available,
+)
 from carobspring.dispatch.pools import ServerPool
 from carobspring.dispatch.queries import (
     AttemptOutcome,
@@ -130,11 +136,12 @@
             may_wait=may_wait,
         )
         if not candidates:
-            obstacles = self._count_obstacles(query, pool, excluded, now)
+            obstacles = count_obstacles(pool.active, query, excluded, now)
             reason = RefusalReason.ALL_TRIED
-            if not self._has_version(query, pool):
+            version = query.software_version
+            if not any(has_version(record, version) for record in pool.active):
                 reason = RefusalReason.NO_SERVER_OF_VERSION
-            detail = _format_obstacles(obstacles)
+            detail = format_obstacles(obstacles)
             if obstacles[Obstacle.RESTING] or obstacles[Obstacle.RETURNING]:
                 return self._refuse_resting(query, pool, excluded, now, detail)
             return self.refuse(reason, detail)
@@ -276,7 +283,7 @@
             not record.is_closing
             and record.breaker.state is BreakerState.CLOSED
             and record.estimate_silence_s(now) <= 0
-            and self._find_obstacle(record, query, excluded, now) is None
+            and find_obstacle(record, query, excluded, now) is None
             for record in pool.records
         )
 
@@ -382,33 +389,6 @@
         elif outcome is AttemptOutcome.INCOMPLETE:
             record.breaker.record_failure(now, self._random.draw_uniform(), False)
 
-    def _find_obstacle(
-        self,
-        record: ServerRecord,
-        query: DispatchQuery,
-        excluded: Set[str],
-        now: float,
-        *,
-        may_wait: bool = False,
-    ) -> Obstacle | None:
-        """Return why an active server may not get a request, or None."""
-        if record.server.server_id in excluded:
-            return Obstacle.TRIED
-        if not _has_version(record, query.software_version):
-            return Obstacle.OTHER_VERSION
-        if not self._is_available(record, now):
-            return Obstacle.FAILING
-        if record.notice.is_resting(now):
-            return Obstacle.RESTING
-        returning_limit = record.notice.find_returning_limit(now)
-        if returning_limit is not None and (
-            record.count_unanswered() >= returning_limit
-        ):
-            return Obstacle.RETURNING
-        if not may_wait and record.is_blocked(now):
-            return Obstacle.LIMITED
-        return None
-
     def _refuse_resting(
         self,
         query: DispatchQuery,
@@ -422,7 +402,7 @@
         waits_s = [
             max(record.notice.rest_until - now, limits.return_poll_s)
             for record in pool.active
-            if self._find_obstacle(record, query, excluded, now)
+            if find_obstacle(record, query, excluded, now)
             in (Obstacle.RESTING, Obstacle.RETURNING)
         ]
         earliest_s = min(waits_s)
@@ -433,28 +413,6 @@
             wait_s=earliest_s + limits.rank_delay_s * query.priority,
         )
 
-    def _count_obstacles(
-        self, query: DispatchQuery, pool: ServerPool, excluded: Set[str], now: float
-    ) -> Counter[Obstacle]:
-        obstacles = (
-            self._find_obstacle(record, query, excluded, now) for record in pool.active
-        )
-        return Counter(each for each in obstacles if each is not None)
-
-    def _has_version(self, query: DispatchQuery, pool: ServerPool) -> bool:
-        return any(
-            _has_version(record, query.software_version) for record in pool.active
-        )
-
-    def _is_available(self, record: ServerRecord, now: float) -> bool:
-        """Return whether the breaker allows a request; start a due probe."""
-        breaker = record.breaker
-        if breaker.state is BreakerState.OPEN and now >= breaker.probe_at:
-            breaker.start_probing()
-        if breaker.state is BreakerState.PROBING:
-            return not record.in_flight
-        return breaker.state is BreakerState.CLOSED
-
     def compute_demand(self, now: float) -> dict[str, EngineDemand]:
         """Return the engine time that this entry's requests need, by service.
 
@@ -511,7 +469,7 @@
             (
                 each
                 for each in homes
-                if _has_version(each, version) and self._is_available(each, now)
+                if has_version(each, version) and is_available(each, now)
             ),
             None,
         )
@@ -536,7 +494,7 @@
             candidates = [
                 record
                 for record in records
-                if self._find_obstacle(record, query, excluded, now, may_wait=may_wait)
+                if find_obstacle(record, query, excluded, now, may_wait=may_wait)
                 is None
             ]
             if candidates:
@@ -562,7 +520,7 @@
         shared = find_shared_parts(query)
         if sum(tokens for _, tokens in shared) < self._limits.min_copied_tokens:
             return None
-        if home is None or home is chosen or not _has_version(home, version):
+        if home is None or home is chosen or not has_version(home, version):
             homes = pool.rank_homes(
                 shared[-1][0],
                 generating,
@@ -582,11 +540,3 @@
             retry_after_s=self._limits.default_retry_s * jitter_factor,
             detail=detail,
         )
-
-
-def _has_version(record: ServerRecord, version: str | None) -> bool:
-    return version is None or record.server.software_version == version
-
-
-def _format_obstacles(obstacles: Mapping[Obstacle, int]) -> str:
-    return " ".join(f"{each.value}={count}" for each, count in obstacles.items())
--- a/carobspring/gateway/exchange.py
+++ b/carobspring/gateway/exchange.py
@@ -20,10 +20,10 @@
 from carobspring.domain import BackendServer
 from carobspring.domain.routes import Repeatability, Route
 from carobspring.gateway.admission import AdmissionClient
+from carobspring.gateway.announcements import AnnouncementRecorder
 from carobspring.gateway.backends import BackendConnections
 from carobspring.gateway.crashes import CrashDetector
 from carobspring.gateway.identity import RequestIdentity
-from carobspring.gateway.notices import NoticeLog
 from carobspring.gateway.origins import StreamOrigins
 from carobspring.gateway.outcomes import (
     AttemptResult,
@@ -74,7 +74,7 @@
     crash_detector: CrashDetector
     admission_client: AdmissionClient
     stream_origins: StreamOrigins
-    notice_log: NoticeLog
+    announcements: AnnouncementRecorder
     read_clock: Callable[[], float]
     #: Takes one retry to a service from its budget; False if none is left.
     spend_retry: Callable[[str], bool]
@@ -307,8 +307,7 @@
         if client is None:
             context.admission_client.release(server_id, query.request_id)
             return AttemptResult(outcome=AttemptOutcome.UNREACHABLE, detail="unlisted")
-        if context.dispatcher.take_return(placement.server, now):
-            context.notice_log.record_return(placement.server, query.request_id)
+        context.announcements.record_send(placement.server, query.request_id)
         context.dispatcher.record_sent(placement, query, now)
         self._sends += 1
         result = AttemptResult(outcome=AttemptOutcome.ABANDONED)
@@ -406,7 +405,9 @@
         now = self._answered_since = self._context.read_clock()
         if metadata.load is not None:
             self._context.dispatcher.record_load(server_id, metadata.load, now)
-        self._record_announcements(response, metadata, server)
+        self._context.announcements.record(
+            metadata, server, status=response.status, request_id=self._query.request_id
+        )
         if metadata.not_run:
             self._possibly_ran_on.discard(server_id)
             misdirected = response.status == 421
@@ -438,49 +439,6 @@
                 compute_lifetime_s(self._route.timeout_ms, self._metadata.timeout_ms),
             )
 
-    def _record_announcements(
-        self,
-        response: BackendResponse,
-        metadata: platform.ResponseMetadata,
-        server: BackendServer,
-    ) -> None:
-        """Record what a response says about the server that sent it."""
-        if response.status == 421:
-            # Another server has the address now.
-            return
-        self._record_notices(metadata, server)
-        rate_limit = metadata.rate_limit
-        if rate_limit is None and not metadata.request_id:
-            return
-        if self._context.dispatcher.record_rate_limit(server, rate_limit):
-            logger.info(
-                "backend server changed its rate limit",
-                extra={
-                    "server": server.server_id,
-                    "boot": server.boot,
-                    "rate_limit": rate_limit,
-                    "request": self._query.request_id,
-                },
-            )
-
-    def _record_notices(
-        self, metadata: platform.ResponseMetadata, server: BackendServer
-    ) -> None:
-        """Record that a server wants no requests, for a while or at all."""
-        context = self._context
-        changes = []
-        if metadata.asks_for_rest:
-            now = context.read_clock()
-            changes.append(context.dispatcher.record_rest(server, metadata.rest_s, now))
-        if metadata.is_leaving:
-            changes.append(context.dispatcher.record_leaving(server))
-            context.crash_detector.handle_leaving(server)
-        for change in changes:
-            if change is not None:
-                context.notice_log.record_change(
-                    server, change, metadata.rest_s, self._query.request_id
-                )
-
     async def _await_or_abandon(self, step: Awaitable[T]) -> T:
         """Await a step of an attempt, and abandon a server that is silent.
 
--- a/carobspring/programs/instance_entry.py
+++ b/carobspring/programs/instance_entry.py
@@ -25,6 +25,7 @@
     GatewayApi,
     GatewayState,
 )
+from carobspring.gateway.announcements import AnnouncementRecorder
 from carobspring.gateway.budget import RetryBudget
 from carobspring.gateway.crashes import CrashDetector
 from carobspring.gateway.directory import ListedServer
@@ -35,7 +36,6 @@
     GatewayMetrics,
     StreamMetrics,
 )
-from carobspring.gateway.notices import NoticeLog
 from carobspring.gateway.origins import StreamOrigins
 from carobspring.gateway.replicas import choose_replicas, count_replicas_to_follow
 from carobspring.membership import DEMAND_DIGITS
@@ -131,7 +131,12 @@
                 crash_detector=self._crash_detector,
                 admission_client=self._admission_client,
                 stream_origins=self._stream_origins,
-                notice_log=NoticeLog(metrics),
+                announcements=AnnouncementRecorder(
+                    dispatcher=self._dispatcher,
+                    crash_detector=self._crash_detector,
+                    read_clock=self._clock.read_monotonic,
+                    metrics=metrics,
+                ),
                 read_clock=self._clock.read_monotonic,
                 spend_retry=self._try_spend_retry,
                 count_entries=self._count_entries,
--- a/tests/dispatch/test_notices.py
+++ b/tests/dispatch/test_notices.py
@@ -9,6 +9,7 @@
     Refusal,
     RefusalReason,
 )
+from carobspring.dispatch.notices import MAX_RETURN_S
 from carobspring.routing import BreakerState
 from tests.dispatch.support import build_dispatcher, build_query, build_server
 
@@ -70,8 +71,12 @@
         self.assertIs(self.dispatcher.take_return(server, 2.0), True)
         self.assertIs(self.dispatcher.take_return(server, 2.0), False)
         self.assertIs(self.rest(server, 1.0, 3.0), NoticeChange.RESTS)
-        self.assertIs(self.rest(server, None, 3.0), NoticeChange.INVALID_REST)
-        self.assertIsNone(self.rest(server, -1.0, 3.0))
+        for invalid, other in ((None, -1.0), (-1.0, None)):
+            with self.subTest(invalid=invalid):
+                self.setUp()
+                change = self.rest(server, invalid, 3.0)
+                self.assertIs(change, NoticeChange.INVALID_REST)
+                self.assertIsNone(self.rest(server, other, 3.0))
 
     def test_rest_belongs_to_one_start(self):
         """It outlasts the listing of a start, and ends with the start."""
@@ -134,6 +139,48 @@
             self.dispatcher.place(build_query(), only, free_at + 3.0), Placement
         )
 
+    def test_entries_return_at_different_times(self):
+        """A server doesn't get the load of all entries at one moment."""
+        ends = set()
+        for seed in range(10):
+            dispatcher = build_dispatcher(self.servers[0], seed=seed)
+            dispatcher.record_rest(self.servers[0], 2.0, 0.0)
+            ends.add(dispatcher._notices.find(self.servers[0]).rest_until)
+        self.assertEqual(len(ends), 10)
+        self.assertTrue(2.0 <= min(ends) <= max(ends) <= 2.0 * SPREAD)
+
+    def test_return_of_a_server_that_answers_nothing(self):
+        """The bound of its load ends some time after the rest."""
+        server = self.servers[0]
+        self.rest(server, 1.0)
+        only = frozenset({self.servers[1].server_id})
+        self.send(server, "r1", 1.2)
+        for now, is_placed in ((1.3, False), (1.0 * SPREAD + MAX_RETURN_S, True)):
+            placement = self.dispatcher.place(build_query(), only, now)
+            self.assertIs(isinstance(placement, Placement), is_placed)
+
+    def test_responses_bring_load_back(self):
+        """A complete response or an error counts, and a rejection doesn't."""
+        only = frozenset({self.servers[1].server_id})
+        server = self.servers[0]
+        for outcome, allowed in (
+            (AttemptOutcome.ANSWERED, 2),
+            (AttemptOutcome.SERVER_ERROR, 2),
+            (AttemptOutcome.NOT_RUN, 1),
+        ):
+            with self.subTest(outcome=outcome):
+                self.setUp()
+                self.rest(server, 1.0)
+                self.send(server, "r", 1.2)
+                self.dispatcher.record_end("s0", "r", outcome, 1.2)
+                sent = 0
+                while sent < 9 and isinstance(
+                    self.dispatcher.place(build_query(), only, 1.2), Placement
+                ):
+                    self.send(server, f"r{sent}", 1.2)
+                    sent += 1
+                self.assertEqual(sent, allowed)
+
     def test_resting_server_has_not_failed(self):
         """Its breaker and its speed stay as they are."""
         server = self.servers[0]
--- a/tests/gateway/fakes.py
+++ b/tests/gateway/fakes.py
@@ -15,13 +15,13 @@
 )
 from carobspring.gateway import GatewayApi, GatewayState
 from carobspring.gateway.admission import AdmissionOutcome, AdmissionResult
+from carobspring.gateway.announcements import AnnouncementRecorder
 from carobspring.gateway.budget import RetryBudget
 from carobspring.gateway.crashes import CrashDetector
 from carobspring.gateway.directory import ListedServer
 from carobspring.gateway.entry_count import EntryCount
 from carobspring.gateway.exchange import ExchangeContext
 from carobspring.gateway.metrics import CrashMetrics, GatewayMetrics, StreamMetrics
-from carobspring.gateway.notices import NoticeLog
 from carobspring.gateway.origins import StreamOrigins
 from carobspring.ports import (
     BackendResponse,
@@ -293,7 +293,12 @@
                 crash_detector=self.crash_detector,
                 admission_client=self.admission_client,
                 stream_origins=self.origins,
-                notice_log=NoticeLog(Metrics()),
+                announcements=AnnouncementRecorder(
+                    dispatcher=dispatcher,
+                    crash_detector=self.crash_detector,
+                    read_clock=loop.time,
+                    metrics=Metrics(),
+                ),
                 read_clock=loop.time,
                 spend_retry=lambda service: budget.try_spend(loop.time()),
                 count_entries=lambda: 1,
--- a/tests/gateway/test_notices.py
+++ b/tests/gateway/test_announcements.py
@@ -116,11 +116,20 @@
                 gateway.dispatcher.record_rest(gateway.servers["s1"], 3.0, now)
                 response = await calling
                 self.assertEqual((response.status, slow.requests), (200, []))
+        with self.subTest("no other server"):
+            gateway = GatewayHarness([])
+            slow = gateway.clients["s1"] = SlowClient([SUCCESS])
+            calling = asyncio.create_task(gateway.call())
+            await asyncio.sleep(0.01)
+            now = asyncio.get_running_loop().time()
+            gateway.dispatcher.record_rest(gateway.servers["s1"], 3.0, now)
+            response = await calling
+            self.assertEqual((response.status, slow.requests), (503, []))
 
     async def test_log_lines(self):
         """One line tells of the rest, and one of the return."""
         gateway = GatewayHarness([build_rejection("0.05"), SUCCESS], target_ms=1000)
-        with self.assertLogs("carobspring.gateway.notices") as logs:
+        with self.assertLogs("carobspring.gateway.announcements") as logs:
             for _ in range(3):
                 await gateway.call()
         lines = [(line.message, line.server, line.request) for line in logs.records]
@@ -192,6 +201,8 @@
                 gateway.crash_detector.handle_listed(gateway.listings["s1"])
                 calling = asyncio.create_task(gateway.call())
                 await calling
+                # It goes on to check in as ready.
+                gateway.crash_detector.handle_listed(gateway.listings["s1"])
                 gateway.clients["s1"].is_down = True
                 gateway.dispatcher.remove_server("s1")
                 server = gateway.servers["s1"]
