--- a/review/support/platform.py
+++ b/review/support/platform.py
@@ -99,7 +99,7 @@
         for number in range(diskless):
             zone = self.machines[number % 3].zone
             ip = f"127.{self.network}.{number + 1}.2"
-            self.machines.append(Machine(f"edge-{zone}-2", ip, zone, False))
+            self.machines.append(Machine(f"edge-{zone}-{2 + number // 3}", ip, zone, False))
         #: What the platform writes into node files; true at the first start
         #: of the whole system only.
         self.is_first_start = True
@@ -280,3 +280,17 @@
                 await asyncio.sleep(pause_s)
             pause_s = min(1.0, pause_s * 1.5)
         return False
+
+    async def read_back(self, for_s: float) -> set[int]:
+        """Read the configuration from all daemons; return its versions."""
+        versions = set()
+        deadline = time.monotonic() + for_s
+        while time.monotonic() < deadline:
+            for machine in self._platform.controls:
+                request = build_request("GET", "/v1/config", [("Host", machine.ip), ("Connection", "close")])
+                answer = await exchange(machine.ip, CONTROL_PORT, [request], 1.0)
+                self._platform.record.write(f"operator: GET from {machine.name}: {answer.status or answer.error}")
+                if answer.status == 200:
+                    versions.add(json.loads(answer.body)["version"])
+            await asyncio.sleep(0.5)
+        return versions
