Exit with 2 when a script of the review meets an unforeseen error

Cause: an error that run_case did not foresee ended a script with 1, which means that the rule is broken, and a stopped script left its processes.

--- a/review/support/case.py
+++ b/review/support/case.py
@@ -2,11 +2,12 @@
 
 import asyncio
 import os
+import signal
 import sys
 import traceback
 from pathlib import Path
 
-from review.support.platform import CannotRunError, Record
+from review.support.platform import Record
 
 HELD, BROKEN, CANNOT_RUN = 0, 1, 2
 #: Seconds after which a case counts as one that could not run.
@@ -23,6 +24,11 @@
     record.write(f"begins, {'with' if trouble else 'without'} the disruption")
 
     async def play_in_time() -> str:
+        task = asyncio.current_task()
+        loop = asyncio.get_running_loop()
+        # A script that is stopped ends its processes too.
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, task.cancel)
         async with asyncio.timeout(LIMIT_S):
             return await play(record, trouble)
 
@@ -30,7 +36,8 @@
         broken = asyncio.run(play_in_time())
         code = BROKEN if broken else HELD
         text = f"BROKEN: {broken}" if broken else "HELD"
-    except (CannotRunError, TimeoutError, OSError) as error:
+    except (Exception, asyncio.CancelledError) as error:
+        # An error of the script must not pass for a broken rule.
         code, text = CANNOT_RUN, f"COULD NOT RUN: {type(error).__name__} {error}"
         record.write(traceback.format_exc())
     record.write(text)
