Keep what can't be carried out of soft state, and send the rest

Cause: the check-in was stored before anything encoded it. From then on each daemon raised OverflowError whenever it wrote its members: streams to entries ended at every update, gossip at every tick, the last known state was not written. Entries heard of the change when the record's lease was over.

Ruled out: that the log takes the bad value (the change was committed at once), and that entries reject it (it is never sent). Both hold for other values: a configuration's version over 64 bits was answered 500, and an item that a value type rejects raised InvalidValueError where only MsgspecError was expected.

Change: BackendServer, LoadReport and RoutingTable check counters, address and version, so that a check-in or configuration with one that no reader can carry is answered 400 and nothing is stored. protocol/soft_state.py writes and reads views, reports, gossip, datagrams and the last known state item by item where the whole fails; what can't be used is left out, logged once a kind.

Conclusion: the class is closed for soft state.

--- a/carobspring/adapters/datagrams.py
+++ b/carobspring/adapters/datagrams.py
@@ -12,10 +12,9 @@
 from collections.abc import Callable
 from typing import Final, Generic, TypeVar
 
-import msgspec
-
 from carobspring.adapters.metrics import Metrics
-from carobspring.domain import parse_address
+from carobspring.domain import InvalidValueError, parse_address
+from carobspring.protocol import DECODE_ERRORS, decode_soft_state, encode_soft_state
 
 #: Bytes of the signature that begins each datagram.
 SIGNATURE_BYTES: Final = 16
@@ -45,8 +44,7 @@
         on_message: Callable[[str, Message], None],
         metrics: Metrics,
     ) -> None:
-        self._decoder = msgspec.msgpack.Decoder(message_type)
-        self._encoder = msgspec.msgpack.Encoder()
+        self._message_type = message_type
         self._key = hashlib.blake2b(secret.encode(), digest_size=32).digest()
         self._on_message = on_message
         self._transport: asyncio.DatagramTransport | None = None
@@ -81,8 +79,12 @@
         """Send a message to ``host:port``; whether it arrives is not known."""
         if self._transport is None:
             return
-        target = parse_address("peer", address)
-        content = self._encoder.encode(message)
+        try:
+            target = parse_address("peer", address)
+        except InvalidValueError as error:
+            self._reject(address, str(error))
+            return
+        content = encode_soft_state(message)
         self._transport.sendto(
             self._sign(content) + content, (target.host, target.port)
         )
@@ -99,8 +101,8 @@
             self._reject(sender, "not signed with the shared secret")
             return
         try:
-            message = self._decoder.decode(content)
-        except msgspec.MsgspecError as error:
+            message = decode_soft_state(content, self._message_type)
+        except DECODE_ERRORS as error:
             # A process of a later release may send what this one can't read.
             self._reject(sender, str(error))
             return
--- a/carobspring/adapters/rpc.py
+++ b/carobspring/adapters/rpc.py
@@ -22,6 +22,14 @@
 from grpclib.exceptions import ProtocolError, StreamTerminatedError
 from grpclib.server import Server, Stream
 
+from carobspring.protocol import (
+    DECODE_ERRORS,
+    SoftState,
+    decode_soft_state,
+    encode_soft_state,
+    get_decoder,
+)
+
 SECRET_METADATA_KEY = "carob-secret"
 KEEPALIVE_INTERVAL_S = 5.0
 KEEPALIVE_TIMEOUT_S = 3.0
@@ -63,6 +71,8 @@
             for name in defaults
             if (value := getattr(message, name)) != defaults[name]
         }
+        if isinstance(message, SoftState):
+            return encode_soft_state(content)
         return msgspec.msgpack.encode(content)
 
     def decode(self, data: bytes, message_type: Any) -> Any:
@@ -72,8 +82,10 @@
             GRPCError: The bytes are not a message of this type.
         """
         try:
+            if issubclass(message_type, SoftState):
+                return decode_soft_state(data, message_type)
             return get_decoder(message_type).decode(data)
-        except msgspec.MsgspecError as error:
+        except DECODE_ERRORS as error:
             raise GRPCError(Status.INVALID_ARGUMENT, str(error)) from error
 
 
@@ -92,12 +104,6 @@
     return defaults
 
 
-@functools.cache
-def get_decoder(message_type: Any) -> msgspec.msgpack.Decoder[Any]:
-    """Return the cached decoder of a message type."""
-    return msgspec.msgpack.Decoder(message_type)
-
-
 def open_channel(*, host: str, port: int, secret: str) -> Channel:
     """Return a channel whose calls carry the shared secret."""
     config = Configuration(
--- a/carobspring/control/gossip.py
+++ b/carobspring/control/gossip.py
@@ -6,10 +6,9 @@
 from dataclasses import dataclass, replace
 from typing import Final, Protocol
 
-import msgspec
-
 from carobspring.control.state import ControlState
 from carobspring.membership import GossipMessage
+from carobspring.protocol import DECODE_ERRORS, decode_soft_state, encode_soft_state
 
 #: Seconds between two messages to a peer when nothing changed.
 GOSSIP_INTERVAL_S: Final = 1.0
@@ -18,8 +17,6 @@
 #: The view of a replica of which nothing was received.
 NO_VIEW: Final = -1
 
-_decoder = msgspec.msgpack.Decoder(GossipMessage)
-
 
 class GossipTransport(Protocol):
     """Carries soft state between replicas, over one stream to each.
@@ -132,8 +129,8 @@
     def handle_gossip(self, peer: str, gossip: bytes) -> None:
         """Merge a message of another replica."""
         try:
-            message = _decoder.decode(gossip)
-        except msgspec.MsgspecError:
+            message = decode_soft_state(gossip, GossipMessage)
+        except DECODE_ERRORS:
             # A replica of a later release may send what this one can't decode.
             self._state.unreadable_gossip_count += 1
             return
@@ -161,4 +158,4 @@
 
     def _send(self, name: str, peer: _PeerState, message: GossipMessage) -> None:
         message = replace(message, acknowledged_view=peer.merged_view)
-        self._transport.send_gossip(name, msgspec.msgpack.encode(message))
+        self._transport.send_gossip(name, encode_soft_state(message))
--- a/carobspring/control/instance_api.py
+++ b/carobspring/control/instance_api.py
@@ -19,7 +19,12 @@
 from carobspring.control.proposals import CommandProposer
 from carobspring.control.routing import RoutingChange
 from carobspring.control.state import ControlState
-from carobspring.domain import BackendServer, InvalidValueError, LoadReport
+from carobspring.domain import (
+    FINAL_SEQUENCE,
+    BackendServer,
+    InvalidValueError,
+    LoadReport,
+)
 from carobspring.ports import HttpRequest, HttpResponder
 from carobspring.protocol import AgentReport, RoutingConfiguration
 
@@ -28,9 +33,6 @@
 #: Time within which all reachable replicas must have merged that a server
 #: drains; its report is sent to another daemon after a second.
 REPLICATION_TIMEOUT_S: Final = 0.6
-#: Sequence of the report that removes a server; no check-in of the same boot
-#: is newer.
-FINAL_SEQUENCE: Final = 2**53
 JSON_TYPE: Final = ("Content-Type", "application/json")
 #: The fastest level: configurations are text and compress well at any level.
 COMPRESSION_LEVEL: Final = 1
--- a/carobspring/control/last_known_state.py
+++ b/carobspring/control/last_known_state.py
@@ -11,15 +11,18 @@
 from dataclasses import dataclass, field
 from typing import Final
 
-import msgspec
-
 from carobspring.consensus import frame_record, split_records
 from carobspring.consensus.errors import CorruptRecordError
 from carobspring.control.state import ControlState
-from carobspring.domain import BackendServer, DomainError, LoadReport
+from carobspring.domain import BackendServer, LoadReport
 from carobspring.membership import MemberGossip
 from carobspring.ports import Storage, StorageError
-from carobspring.protocol import RoutingConfiguration
+from carobspring.protocol import (
+    DECODE_ERRORS,
+    RoutingConfiguration,
+    decode_soft_state,
+    encode_soft_state,
+)
 
 FILE_NAME: Final = "last-known"
 #: Seconds between two writes.
@@ -66,13 +69,12 @@
             if FILE_NAME not in self._storage.list_names():
                 return
             records = list(split_records(FILE_NAME, self._storage.read(FILE_NAME)))
-            last_known = msgspec.msgpack.decode(records[0].content, type=LastKnownState)
+            last_known = decode_soft_state(records[0].content, LastKnownState)
         except (
             StorageError,
             CorruptRecordError,
-            DomainError,
             IndexError,
-            msgspec.MsgspecError,
+            *DECODE_ERRORS,
         ) as error:
             extra = {"file": FILE_NAME, "reason": str(error)}
             logger.warning("last known state unreadable", extra=extra)
@@ -109,7 +111,7 @@
         last_known = self._collect()
         if last_known == self._written:
             return
-        record = frame_record(msgspec.msgpack.encode(last_known))
+        record = frame_record(encode_soft_state(last_known))
         try:
             self._storage.write_atomically(FILE_NAME, record)
             self._written = last_known
--- a/carobspring/domain/__init__.py
+++ b/carobspring/domain/__init__.py
@@ -6,7 +6,12 @@
 """
 
 from carobspring.domain.addresses import Address, parse_address, parse_addresses
-from carobspring.domain.backends import BackendServer, LoadReport, ServiceKind
+from carobspring.domain.backends import (
+    FINAL_SEQUENCE,
+    BackendServer,
+    LoadReport,
+    ServiceKind,
+)
 from carobspring.domain.calls import CallHeaders, RunStatus, hash_request
 from carobspring.domain.classes import LatencyTarget, ServiceClass
 from carobspring.domain.errors import DomainError, InvalidValueError
@@ -19,6 +24,7 @@
     "BackendServer",
     "CallHeaders",
     "DomainError",
+    "FINAL_SEQUENCE",
     "InvalidValueError",
     "LatencyTarget",
     "LoadReport",
--- a/carobspring/domain/addresses.py
+++ b/carobspring/domain/addresses.py
@@ -1,11 +1,14 @@
 """Network addresses of the system's own processes."""
 
+import functools
 import ipaddress
 from dataclasses import dataclass
+from typing import Final
 
-from carobspring.domain.errors import InvalidValueError, check_range
+from carobspring.domain.errors import MAX_TEXT_LENGTH, InvalidValueError, check_range
 
 EXPECTED_ADDRESS = "an IP number and a port, like 10.0.0.1:7100"
+MAX_PORT_DIGITS: Final = 5
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -26,19 +29,26 @@
         InvalidValueError: The text is not an IP address and a port. The
             error names ``field``.
     """
-    host, _, port = text.strip().rpartition(":")
-    try:
-        ipaddress.ip_address(host.strip("[]"))
-    except ValueError as error:
-        raise InvalidValueError(
-            field=field, value=text, expected=EXPECTED_ADDRESS
-        ) from error
-    if not (port.isascii() and port.isdigit()):
-        raise InvalidValueError(field=field, value=text, expected=EXPECTED_ADDRESS)
+    text = text.strip()
+    host, _, port = text.rpartition(":")
+    is_port = port.isascii() and port.isdigit() and len(port) <= MAX_PORT_DIGITS
+    if not (_is_host(host) and is_port):
+        value = text[:MAX_TEXT_LENGTH]
+        raise InvalidValueError(field=field, value=value, expected=EXPECTED_ADDRESS)
     check_range(field, int(port), 1, 65535, "as the port")
     return Address(host=host, port=int(port))
 
 
+def check_host(field: str, host: str) -> None:
+    """Raise InvalidValueError unless the text is an IP address.
+
+    One of the sixth version may stand in brackets.
+    """
+    if not _is_host(host):
+        value = host[:MAX_TEXT_LENGTH]
+        raise InvalidValueError(field=field, value=value, expected="an IP address")
+
+
 def parse_addresses(field: str, text: str) -> tuple[Address, ...]:
     """Parse addresses separated by commas; empty text gives no addresses.
 
@@ -48,3 +58,16 @@
     """
     items = (item.strip() for item in text.split(","))
     return tuple(parse_address(field, item) for item in items if item)
+
+
+@functools.lru_cache(maxsize=10_000)
+def _is_host(host: str) -> bool:
+    if host.startswith("[") and host.endswith("]"):
+        host = host[1:-1]
+        if ":" not in host:
+            return False
+    try:
+        ipaddress.ip_address(host)
+    except ValueError:
+        return False
+    return True
--- a/carobspring/domain/backends.py
+++ b/carobspring/domain/backends.py
@@ -2,8 +2,19 @@
 
 from dataclasses import dataclass
 from enum import Enum
+from typing import Final
 
-from carobspring.domain.errors import check_name, check_range
+from carobspring.domain.addresses import check_host
+from carobspring.domain.errors import (
+    check_counter,
+    check_name,
+    check_range,
+    check_text,
+)
+
+#: Sequence of the report that removes a server. No report of the same boot is
+#: newer.
+FINAL_SEQUENCE: Final = 2**53
 
 
 class ServiceKind(str, Enum):
@@ -43,8 +54,11 @@
         check_name("server_id", self.server_id)
         check_name("service", self.service)
         check_name("zone", self.zone)
+        check_counter("boot", self.boot)
+        check_host("host", self.host)
         check_range("port", self.port, 1, 65535, "")
         check_range("slots", self.slots, 1, 100_000, "calls")
+        check_text("software_version", self.software_version)
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -71,3 +85,6 @@
     draining: bool = False
     #: True while the agent's health probes of its backend server fail.
     unhealthy: bool = False
+
+    def __post_init__(self) -> None:
+        check_counter("sequence", self.sequence)
--- a/carobspring/domain/errors.py
+++ b/carobspring/domain/errors.py
@@ -1,5 +1,7 @@
 """Errors and checks of the value types."""
 
+from typing import Final
+
 
 class DomainError(Exception):
     """The base class of the errors raised by value types."""
@@ -21,6 +23,12 @@
         self.expected = expected
 
 
+#: Longest text that another process may give for a version or the like.
+MAX_TEXT_LENGTH: Final = 256
+#: Largest counter that every encoding and reader of the system can carry.
+MAX_COUNTER: Final = 2**63 - 1
+
+
 def check_name(field: str, value: str) -> None:
     """Raise InvalidValueError unless the value is a valid name.
 
@@ -38,3 +46,16 @@
     if not low <= value <= high:
         expected = f"{low} to {high} {unit}".rstrip()
         raise InvalidValueError(field=field, value=value, expected=expected)
+
+
+def check_text(field: str, value: str) -> None:
+    """Raise InvalidValueError unless the value is a short, printable text."""
+    if not (len(value) <= MAX_TEXT_LENGTH and value.isprintable()):
+        expected = f"up to {MAX_TEXT_LENGTH} printable characters"
+        value = value[:MAX_TEXT_LENGTH]
+        raise InvalidValueError(field=field, value=value, expected=expected)
+
+
+def check_counter(field: str, value: int) -> None:
+    """Raise InvalidValueError unless the value is a counter of 63 bits."""
+    check_range(field, value, 0, MAX_COUNTER, "")
--- a/carobspring/domain/routes.py
+++ b/carobspring/domain/routes.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
-from carobspring.domain.errors import InvalidValueError
+from carobspring.domain.errors import InvalidValueError, check_counter
 
 
 class Repeatability(Enum):
@@ -159,8 +159,7 @@
 
     def __post_init__(self) -> None:
         """Validate the table and build the indexes of routes and keys."""
-        if self.version < 0:
-            _reject("version", self.version, "a whole number of 0 or more")
+        check_counter("version", self.version)
         ranks = 1 + max((route.priority for route in self.routes), default=0)
         object.__setattr__(self, "_route_ranks", ranks)
         object.__setattr__(self, "_by_host", self._index_routes())
--- a/carobspring/platform/checkins.py
+++ b/carobspring/platform/checkins.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from carobspring.domain import (
+    FINAL_SEQUENCE,
     BackendServer,
     InvalidValueError,
     LoadReport,
@@ -75,6 +76,10 @@
         slots=registration.slots,
         software_version=registration.version,
     )
+    if registration.seq >= FINAL_SEQUENCE:
+        raise InvalidValueError(
+            field="seq", value=registration.seq, expected=f"less than {FINAL_SEQUENCE}"
+        )
     draining = registration.state == DRAINING
     load = LoadReport(
         sequence=registration.seq, limit=registration.slots, draining=draining
--- a/carobspring/protocol/__init__.py
+++ b/carobspring/protocol/__init__.py
@@ -47,6 +47,13 @@
     Strike,
     ViewUpdate,
 )
+from carobspring.protocol.soft_state import (
+    DECODE_ERRORS,
+    SoftState,
+    decode_soft_state,
+    encode_soft_state,
+    get_decoder,
+)
 from carobspring.protocol.streams import (
     ServiceVersions,
     StreamAnswer,
@@ -74,6 +81,7 @@
     "ClaimRequest",
     "ClaimState",
     "ClassAttainment",
+    "DECODE_ERRORS",
     "EngineLoad",
     "EntryReport",
     "FenceClaim",
@@ -87,6 +95,7 @@
     "RunCall",
     "ServiceVersions",
     "SettingsReply",
+    "SoftState",
     "StoredResponse",
     "StreamAnswer",
     "StreamMessage",
@@ -94,4 +103,7 @@
     "StreamRecord",
     "Strike",
     "ViewUpdate",
+    "decode_soft_state",
+    "encode_soft_state",
+    "get_decoder",
 ]
--- a/carobspring/protocol/control.py
+++ b/carobspring/protocol/control.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass
 
 from carobspring.domain import BackendServer, LoadReport, Settings
+from carobspring.protocol.soft_state import SoftState
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -24,7 +25,7 @@
 
 
 @dataclass(frozen=True, kw_only=True)
-class AgentReport:
+class AgentReport(SoftState):
     """Announces a backend server, renews its lease and reports its load."""
 
     server: BackendServer | None = None
@@ -37,7 +38,7 @@
 
 
 @dataclass(frozen=True, kw_only=True)
-class AgentUpdate:
+class AgentUpdate(SoftState):
     """Sends an agent settings and instructions, at each heartbeat interval."""
 
     settings: Settings | None = None
@@ -64,7 +65,7 @@
 
 
 @dataclass(frozen=True, kw_only=True)
-class EntryReport:
+class EntryReport(SoftState):
     """Announces an entry and the revision of the settings in force there."""
 
     entry_id: str
@@ -95,7 +96,7 @@
 
 
 @dataclass(frozen=True, kw_only=True)
-class ViewUpdate:
+class ViewUpdate(SoftState):
     """A change of the state by which an entry routes calls.
 
     The first update on a stream is complete and is read through the quorum:
--- a/tests/control/test_instance_api.py
+++ b/tests/control/test_instance_api.py
@@ -111,6 +111,12 @@
         self.assertEqual(response.status, 400)
         self.assertEqual(await self.read(), (200, 3))
 
+    async def test_version_that_the_log_cannot_carry(self):
+        """A version over 63 bits is invalid, and the next one is taken."""
+        self.build()
+        self.assertEqual(await self.put(2**64), 400)
+        self.assertEqual(await self.put(3), 200)
+
     async def test_same_version_other_content(self):
         """Different content under the current version is not stored."""
         self.build()
--- a/tests/control/test_last_known_state.py
+++ b/tests/control/test_last_known_state.py
@@ -2,7 +2,10 @@
 import unittest
 from pathlib import Path
 
+import msgspec
+
 from carobspring.adapters.disk import DiskStorage
+from carobspring.consensus import frame_record, split_records
 from carobspring.control.last_known_state import FILE_NAME, LastKnownStateFile
 from carobspring.control.state import ControlState
 from carobspring.domain import LoadReport
@@ -65,6 +68,19 @@
         state.expire_leases(self.clock.now)
         self.assertEqual(state.members.list_present(), [])
 
+    def test_unusable_server(self):
+        """Servers that this release rejects don't hide the others."""
+        self.write()
+        records = split_records(FILE_NAME, self.storage.read(FILE_NAME))
+        content = msgspec.msgpack.decode(next(iter(records)).content)
+        content["servers"][0]["server"]["host"] = "[::1"
+        record = frame_record(msgspec.msgpack.encode(content))
+        self.storage.write_atomically(FILE_NAME, record)
+        state, file = self.build()
+        file.load(lease_s=LEASE_S)
+        present = [m.server.server_id for m in state.members.list_present()]
+        self.assertEqual((state.find_routing().version, present), (7, ["s2"]))
+
     def test_check_in_renews_lease(self):
         """The first check-in of a running server renews its restored lease."""
         self.write()
--- a/tests/platform/test_checkins.py
+++ b/tests/platform/test_checkins.py
@@ -86,6 +86,30 @@
         for name, body in cases.items():
             with self.subTest(name), self.assertRaises(InvalidValueError):
                 decode_check_in("i-1", body)
+
+    def test_values_that_readers_cannot_carry(self):
+        """A check-in holds nothing that keeps others from being sent on."""
+        cases = {
+            "seq": (2**64, 2**53, -1),
+            "born": (2**64, 2**63, 10**300, -1),
+            "version": ("v" * 257, "v1\x00", "v1\n"),
+            "address": (
+                "[::1:80",
+                "::1]:80",
+                "[10.0.0.9]:80",
+                "10.0.0.9:" + "9" * 5000,
+            ),
+        }
+        for field, values in cases.items():
+            for value in values:
+                with self.subTest(field=field, value=str(value)[:20]):
+                    with self.assertRaises(InvalidValueError):
+                        decode_check_in(
+                            "i-1", json.dumps({**BODY, field: value}).encode()
+                        )
+
+    def test_identifiers(self):
+        """An identifier is a name."""
         with self.subTest("an identifier with a slash"):
             with self.assertRaisesRegex(InvalidValueError, "server_id"):
                 decode_check_in("i/1", json.dumps(BODY).encode())
