Leave popular requests in service when servers crash together

Cause: two strikes were taken for proof. The request was held back at all entries, and stopped where it ran on sound runners, so that no answer was left to clear it.

Ruled out: answers that come and don't clear it (they were stopped before), and releases that don't reach entries (none was sent).

Change: a request that this entry has answered completely within ten minutes is held back from three crashes on, for 5 s, and its open runs are left to end. One that was never answered is held and stopped after two, as before. A trial that crashes a server too brings the long hold. The hash of each answered request is kept, 2,000 of them.

--- a/carobspring/dispatch/quarantine.py
+++ b/carobspring/dispatch/quarantine.py
@@ -34,6 +34,10 @@
 #: The same while another request ran at each of these crashes too, so that
 #: nothing tells which of them is the cause. One trial of each does.
 SHARED_HOLD_S: Final = 5.0
+#: The same at LIKELY_CAUSE_STRIKES if the request was answered before: several
+#: servers that crash at once give as many strikes to whatever is popular. One
+#: trial then decides, unless an answer under way does.
+PROVEN_HOLD_S: Final = 5.0
 #: Seconds for which parts of prompts are held back after the crash that
 #: brought the blame on them.
 PART_HOLD_S: Final = 5.0
@@ -46,10 +50,10 @@
 #: many servers crashed that waiting costs more than it saves.
 ANSWER_WAIT_S: Final = 0.5
 CERTAIN_CRASHES: Final = 5
-#: Seconds for which an answer to a part speaks for it, and parts for which
-#: answers are remembered, those that were answered last.
+#: Seconds for which an answer speaks for a request or part, and the numbers of
+#: requests and of parts for which answers are remembered, the last ones.
 PROOF_S: Final = 600.0
-MAX_PROVEN_PARTS: Final = 2_000
+MAX_PROVEN: Final = 2_000
 #: Seconds between the first sends of two entries when a hold is over, so that
 #: the others hear of one before they admit theirs.
 TRIAL_INTERVAL_S: Final = 0.5
@@ -65,6 +69,16 @@
     ends_at: float
 
 
+@dataclass(frozen=True, kw_only=True)
+class _HeldCause:
+    """A cause that holds a request back, until a monotonic time."""
+
+    key: CauseKey
+    until: float
+    #: Whether runs under way end sooner than they could crash more servers.
+    stops_runs: bool = True
+
+
 @dataclass(frozen=True, kw_only=True)
 class Hold:
     """How long a request is held back, and whether for its prompt's parts."""
@@ -79,9 +93,11 @@
 
     A request with one strike is sent, away from others with strikes, so that
     a second crash has one likely cause. With two it is held back for a while,
-    with three for long. The parts of prompts are blamed for crashes under
-    different requests, as ``explain_crashes`` tells; a request that has all
-    parts of an explanation is held back too.
+    with three for long. One that was answered shortly before ran at both
+    crashes more likely by chance: it is held back from three on only, and
+    what runs of it is left to end, which may clear it. The parts of prompts
+    are blamed for crashes under different requests, as ``explain_crashes``
+    tells; a request that has all parts of an explanation is held back too.
 
     When the time is over, one send is admitted as a trial, which counts as a
     strike until it is answered. A complete answer proves that neither the
@@ -107,10 +123,14 @@
         self._suspects: dict[CauseKey, frozenset[ServerRun]] = {}
         #: The requests with strikes enough to be held back.
         self._held_requests: dict[CauseKey, frozenset[ServerRun]] = {}
-        #: When parts were last answered completely, the earliest first.
-        self._answered_at: OrderedDict[CauseKey, float] = OrderedDict()
-        #: The parts that were answered before they became suspects.
+        #: When parts and requests were last answered completely, the earliest
+        #: first.
+        self._parts_answered_at: OrderedDict[CauseKey, float] = OrderedDict()
+        self._requests_answered_at: OrderedDict[CauseKey, float] = OrderedDict()
+        #: The parts that were answered before they became suspects, and the
+        #: requests that were before they had strikes enough to be held back.
         self._proven: set[CauseKey] = set()
+        self._proven_requests: set[CauseKey] = set()
         #: The parts that are blamed now.
         self.explanations: Sequence[Explanation] = ()
         self._blames: Sequence[_Blame] = ()
@@ -144,13 +164,14 @@
         self._update(removed)
         return removed
 
-    def record_answer(self, parts: Iterable[CauseKey], now: float) -> None:
-        """Record that the parts of a prompt were answered completely."""
-        for part in parts:
-            self._answered_at[part] = now
-            self._answered_at.move_to_end(part)
-        while len(self._answered_at) > MAX_PROVEN_PARTS:
-            self._answered_at.popitem(last=False)
+    def record_answer(self, causes: Iterable[CauseKey], now: float) -> None:
+        """Record that a request and its parts were answered completely."""
+        for key in causes:
+            answered_at = self._get_answers(key)
+            answered_at[key] = now
+            answered_at.move_to_end(key)
+            if len(answered_at) > MAX_PROVEN:
+                answered_at.popitem(last=False)
 
     def release(
         self, causes: Iterable[CauseKey], answered_since: float
@@ -200,9 +221,9 @@
         """
         turn_s = self._trial_turn * entry_count * TRIAL_INTERVAL_S
         request_s, part_s = 0.0, 0.0
-        for key, until in self._list_holds(causes, now):
-            left_s = until + turn_s - now
-            if is_part_key(key):
+        for held in self._list_holds(causes, now):
+            left_s = held.until + turn_s - now
+            if is_part_key(held.key):
                 part_s = max(part_s, left_s)
             else:
                 request_s = max(request_s, left_s)
@@ -210,30 +231,42 @@
 
     def list_held(self, causes: Sequence[CauseKey], now: float) -> tuple[CauseKey, ...]:
         """Return what a request that is sent now is on trial for."""
-        return tuple(key for key, _ in self._list_holds(causes, now))
+        return tuple(held.key for held in self._list_holds(causes, now))
+
+    def must_stop(self, causes: Sequence[CauseKey], now: float) -> bool:
+        """Return whether a request that runs must be stopped."""
+        return any(held.stops_runs for held in self._list_holds(causes, now))
 
     def _list_holds(
         self, causes: Sequence[CauseKey], now: float
-    ) -> Iterable[tuple[CauseKey, float]]:
-        """Yield the causes that hold a request back, and until when."""
+    ) -> Iterable[_HeldCause]:
+        """Yield the causes that hold a request back."""
         known = frozenset(causes)
         for blame in self._blames:
             if blame.parts <= known and blame.begins_at <= now:
-                yield from ((key, blame.ends_at) for key in blame.parts)
+                for key in blame.parts:
+                    yield _HeldCause(key=key, until=blame.ends_at)
         for key in causes:
             crashes = self._strikes.list_server_runs(key)
             if is_part_key(key) or len(crashes) < HELD_STRIKES:
                 continue
             if is_explained_elsewhere(crashes, known, self.explanations):
                 continue
+            is_proven = (
+                key in self._proven_requests and len(crashes) <= LIKELY_CAUSE_STRIKES
+            )
+            if is_proven and len(crashes) < LIKELY_CAUSE_STRIKES:
+                continue
             first_s = LIKELY_CAUSE_HOLD_S
             if self._ran_another_at(crashes, key):
                 first_s = SHARED_HOLD_S
             hold_s = min(HOLD_S, first_s)
             if len(crashes) >= LIKELY_CAUSE_STRIKES:
                 hold_s = _extend_hold(first_s, len(crashes) - LIKELY_CAUSE_STRIKES)
+            if is_proven:
+                hold_s = min(hold_s, PROVEN_HOLD_S)
             last_at = max(self._learned_at[key, run] for run in crashes)
-            yield key, last_at + hold_s
+            yield _HeldCause(key=key, until=last_at + hold_s, stops_runs=not is_proven)
 
     def _ran_another_at(self, crashes: Set[ServerRun], key: CauseKey) -> bool:
         """Return whether another request ran at all these crashes."""
@@ -266,8 +299,11 @@
             crashes = self._strikes.list_server_runs(key)
             if is_part_key(key) or len(crashes) < HELD_STRIKES:
                 self._held_requests.pop(key, None)
-            else:
-                self._held_requests[key] = crashes
+                self._proven_requests.discard(key)
+                continue
+            if key not in self._held_requests and self._was_answered(key, crashes):
+                self._proven_requests.add(key)
+            self._held_requests[key] = crashes
         if len(self._held_requests) > MAX_REQUESTS:
             # Strikes are evicted without notice.
             self._held_requests = {
@@ -275,6 +311,7 @@
                 for key, crashes in self._held_requests.items()
                 if self._strikes.count(key)
             }
+            self._proven_requests.intersection_update(self._held_requests)
         suspects = {}
         for key in keys.union(self._suspects):
             crashes = self._strikes.list_server_runs(key)
@@ -297,9 +334,16 @@
         self._blames = [self._build_blame(each) for each in self.explanations]
 
     def _was_answered(self, key: CauseKey, crashes: Iterable[ServerRun]) -> bool:
-        """Return whether a part was answered in the time before crashes."""
+        """Return whether a cause was answered in the time before crashes."""
         last_at = max(self._learned_at[key, server_run] for server_run in crashes)
-        return self._answered_at.get(key, float("-inf")) >= last_at - PROOF_S
+        answered_at = self._get_answers(key).get(key, float("-inf"))
+        return answered_at >= last_at - PROOF_S
+
+    def _get_answers(self, key: CauseKey) -> OrderedDict[CauseKey, float]:
+        """Return when causes of the same kind were last answered."""
+        if is_part_key(key):
+            return self._parts_answered_at
+        return self._requests_answered_at
 
 
 def _extend_hold(first_s: float, further_crashes: int) -> float:
--- a/carobspring/gateway/crashes.py
+++ b/carobspring/gateway/crashes.py
@@ -122,9 +122,7 @@
         self._add_strikes(run.server_run, held)
         return run
 
-    def end_answered(
-        self, run: OpenRun, *, answered_since: float, parts: Iterable[CauseKey]
-    ) -> None:
+    def end_answered(self, run: OpenRun, *, answered_since: float) -> None:
         """Record that a request got a complete answer.
 
         It crashed no server, nor did a part of its prompt, by the time at
@@ -132,9 +130,10 @@
         """
         now = self._read_clock()
         self._attribution.end(run, is_broken=False, now=now)
-        self._quarantine.record_answer(parts, now)
+        causes = run.list_causes()
+        self._quarantine.record_answer(causes, now)
         if not self._quarantine.is_empty:
-            released = self._quarantine.release(run.list_causes(), answered_since)
+            released = self._quarantine.release(causes, answered_since)
             self._report_released(released)
 
     def end_failed(self, run: OpenRun) -> None:
@@ -280,7 +279,7 @@
         """Stop what would crash more servers as it begins to answer."""
         now = self._read_clock()
         for run in self._attribution.list_open():
-            if not run.is_trial and self._quarantine.list_held(run.list_causes(), now):
+            if not run.is_trial and self._quarantine.must_stop(run.list_causes(), now):
                 run.stop()
 
     def _report_released(self, released: Sequence[Strike]) -> None:
--- a/carobspring/gateway/exchange.py
+++ b/carobspring/gateway/exchange.py
@@ -330,11 +330,7 @@
     def _end_run(self, run: OpenRun, result: AttemptResult) -> None:
         crash_detector = self._context.crash_detector
         if result.outcome is AttemptOutcome.ANSWERED:
-            crash_detector.end_answered(
-                run,
-                answered_since=self._answered_since,
-                parts=self._identity.list_parts(),
-            )
+            crash_detector.end_answered(run, answered_since=self._answered_since)
         elif result.outcome is AttemptOutcome.SERVER_ERROR:
             crash_detector.end_failed(run)
         elif result.outcome in _NOT_RUN:
--- a/tests/dispatch/test_quarantine.py
+++ b/tests/dispatch/test_quarantine.py
@@ -11,6 +11,7 @@
     MAX_HOLD_S,
     PART_HOLD_S,
     PROOF_S,
+    PROVEN_HOLD_S,
     SHARED_HOLD_S,
     TRIAL_INTERVAL_S,
 )
@@ -52,6 +53,37 @@
                 self.strike(*server_ids, now=5.0)
                 self.assertEqual(self.hold(5.0), expected)
 
+    def test_servers_that_crash_together(self):
+        """A popular request that ran at joined crashes is served on.
+
+        One, two or three servers crash by themselves. A request that was
+        answered before is hardly the cause, one that is new may be.
+        """
+        cases = {
+            "new, one": (None, 1, 0.0, False),
+            "new, two": (None, 2, HOLD_S, True),
+            "new, three": (None, 3, LIKELY_CAUSE_HOLD_S, True),
+            "answered, one": (1.0, 1, 0.0, False),
+            "answered, two": (1.0, 2, 0.0, False),
+            "answered, three": (1.0, 3, PROVEN_HOLD_S, False),
+            "answered, trial crashed": (1.0, 4, 4 * LIKELY_CAUSE_HOLD_S, True),
+            "answered long ago, two": (1.0 - PROOF_S, 2, HOLD_S, True),
+        }
+        for name, (answered_at, count, hold_s, is_stopped) in cases.items():
+            with self.subTest(name):
+                self.quarantine = RequestQuarantine()
+                if answered_at is not None:
+                    self.quarantine.record_answer((KEY,), answered_at)
+                self.strike(*(f"s{number}" for number in range(count)), now=5.0)
+                self.assertEqual(self.hold(5.0), hold_s)
+                self.assertIs(self.quarantine.must_stop((KEY,), 5.0), is_stopped)
+
+    def test_answer_after_the_crashes(self):
+        """An answer that began after the crashes is no proof before them."""
+        self.strike("s1", "s2", now=5.0)
+        self.quarantine.record_answer((KEY,), 6.0)
+        self.assertEqual(self.hold(6.0), HOLD_S - 1.0)
+
     def test_one_send_after_a_hold(self):
         """When the time is over, one send is admitted, and no second one.
 
@@ -265,7 +297,7 @@
 
     def test_answers_that_are_remembered(self):
         """The parts that were answered last are remembered."""
-        with unittest.mock.patch.object(quarantine, "MAX_PROVEN_PARTS", 2):
+        with unittest.mock.patch.object(quarantine, "MAX_PROVEN", 2):
             self.quarantine.record_answer([DEADLY, SHARED], 0.0)
             self.quarantine.record_answer([DEADLY], 0.0)
             self.quarantine.record_answer([OTHER], 0.0)
--- a/tests/gateway/test_crashes.py
+++ b/tests/gateway/test_crashes.py
@@ -85,6 +85,42 @@
         second.crash_detector.apply_update(ViewUpdate(released=strikes))
         self.assertEqual((await second.call()).status, 200)
 
+    async def test_popular_request_at_joined_crashes(self):
+        """Crashes of two servers at once don't stop what runs elsewhere.
+
+        The answer that is under way clears a request that was answered
+        before. A new one is stopped and held back.
+        """
+        first = self.build([ENDED], [ENDED], down=("s1", "s2"))
+        await first.call()
+        strikes = first.crash_detector.list_strikes()
+        for name, is_proven in (("answered before", True), ("new", False)):
+            with self.subTest(name):
+                gateway = self.build([SUCCESS])
+                if is_proven:
+                    await gateway.call()
+                waiting = asyncio.Event()
+                client = gateway.clients["s1"]
+                answer = client.send
+
+                async def send(request, answer=answer, waiting=waiting):
+                    await waiting.wait()
+                    return await answer(request)
+
+                client.send = send
+                calling = asyncio.create_task(gateway.call())
+                await asyncio.sleep(0.05)
+                gateway.crash_detector.apply_update(ViewUpdate(strikes=strikes))
+                await asyncio.sleep(0.05)
+                self.assertIs(calling.done(), not is_proven)
+                waiting.set()
+                status = (await calling).status
+                self.assertEqual(status, 200 if is_proven else 502)
+                released = gateway.crash_detector.list_released()
+                self.assertEqual(len(released), 2 if is_proven else 0)
+                status = (await gateway.call()).status
+                self.assertEqual(status, 200 if is_proven else 503)
+
     async def test_success_clears_a_request(self):
         """A sound request that ran at a crash is cleared by its success."""
         gateway = self.build([ENDED], [SUCCESS], down=("s1",))
