Refuse odd check-ins, and let no bad item end what carries the others

Seen on systems like this: one odd entry among the check-ins, very deeply nested, with a number too large or a port out of range, and readers end again and again.

Cause: sizes, depths and texts had no bounds of their own, and each decoder listed the errors that it expected: RecursionError and ValueError were none. The same at headers (a number of 5,000 digits, a digit outside ASCII), at the node file, the admin API, consensus messages and log records. An error at one listed server ended the replica's stream.

Ruled out: that a process ends by itself (none did).

Change: one list of errors for all decoders; a check-in has 64 KiB, a number of a header 15 digits, an address of the sixth version stands in brackets. Servers, replicas' addresses, peers' messages and log records that can't be used are left out or named, and the others go on. Members that are gone make room in a full table.

--- a/carobspring/adapters/backend_http.py
+++ b/carobspring/adapters/backend_http.py
@@ -165,7 +165,7 @@
         self._connection_closes = "close" in values.get("connection", "").lower()
         timeout = values.get("keep-alive", "").lower().partition("timeout=")[2]
         digits = timeout.partition(",")[0].strip()
-        if digits.isdigit():
+        if digits.isascii() and digits.isdigit():
             self._connection.server_idle_timeout_s = float(digits)
 
 
--- a/carobspring/consensus/journal.py
+++ b/carobspring/consensus/journal.py
@@ -163,8 +163,7 @@
         entries: list[Entry] = []
         end = 0
         for record in split_records(self._log_file, stored):
-            decoder = _DECODERS[record.content[0]]
-            content = decoder.decode(memoryview(record.content)[1:])
+            content = self._decode_record(record.content, offset=end)
             if isinstance(content, HardState):
                 self.hard_state = content
             elif isinstance(content, Entry):
@@ -179,6 +178,17 @@
             self._storage.sync(self._log_file)
         self.entries = self._select_entries_after_snapshot(entries)
 
+    def _decode_record(
+        self, content: bytes, *, offset: int
+    ) -> LogHeader | HardState | Entry:
+        try:
+            decoder = _DECODERS[content[0]]
+            return decoder.decode(memoryview(content)[1:])
+        except (msgspec.MsgspecError, LookupError) as error:
+            raise CorruptRecordError(
+                file=self._log_file, offset=offset, reason=str(error)
+            ) from error
+
     def _replay(self, entries: list[Entry], entry: Entry, *, offset: int) -> None:
         if entries:
             position = entry.index - entries[0].index
--- a/carobspring/control/admin.py
+++ b/carobspring/control/admin.py
@@ -10,8 +10,8 @@
 from carobspring.control.errors import ControlError
 from carobspring.control.operators import OperatorTokens
 from carobspring.control.reports import ErrorReport, ErrorResponse
-from carobspring.domain import DomainError
 from carobspring.ports import HttpRequest, HttpResponder
+from carobspring.protocol import DECODE_ERRORS
 
 JSON_HEADERS = (("Content-Type", "application/json"),)
 
@@ -98,7 +98,7 @@
         except ControlError as error:
             report = ErrorReport(kind=error.kind, message=error.message)
             return 503, ErrorResponse(error=report)
-        except (msgspec.MsgspecError, DomainError, UnicodeError) as error:
+        except DECODE_ERRORS as error:
             report = ErrorReport(kind="invalid", message=str(error))
             return 400, ErrorResponse(error=report)
 
--- a/carobspring/domain/addresses.py
+++ b/carobspring/domain/addresses.py
@@ -25,6 +25,8 @@
 def parse_address(field: str, text: str) -> Address:
     """Parse an address of the form ``host:port``.
 
+    An IP address of the sixth version stands in brackets.
+
     Raises:
         InvalidValueError: The text is not an IP address and a port. The
             error names ``field``.
@@ -42,7 +44,7 @@
 def check_host(field: str, host: str) -> None:
     """Raise InvalidValueError unless the text is an IP address.
 
-    One of the sixth version may stand in brackets.
+    One of the sixth version stands in brackets, as in a URL.
     """
     if not _is_host(host):
         value = host[:MAX_TEXT_LENGTH]
@@ -62,12 +64,11 @@
 
 @functools.lru_cache(maxsize=10_000)
 def _is_host(host: str) -> bool:
-    if host.startswith("[") and host.endswith("]"):
-        host = host[1:-1]
-        if ":" not in host:
-            return False
     try:
-        ipaddress.ip_address(host)
+        if host.startswith("[") and host.endswith("]"):
+            ipaddress.IPv6Address(host[1:-1])
+        else:
+            ipaddress.IPv4Address(host)
     except ValueError:
         return False
     return True
--- a/carobspring/gateway/control.py
+++ b/carobspring/gateway/control.py
@@ -10,7 +10,7 @@
 from carobspring.adapters.metrics import Metrics
 from carobspring.adapters.rpc import ChannelOpener
 from carobspring.adapters.tasks import start_service_task
-from carobspring.domain import Address, parse_address
+from carobspring.domain import Address, InvalidValueError, parse_address
 from carobspring.gateway.replicas import KnownReplicas
 from carobspring.protocol import EntryReport, ViewUpdate
 
@@ -110,7 +110,10 @@
         for name in chosen:
             if name not in self._followed:
                 self._follow(name, now)
-        is_complete = all(self._followed[name].stream.connected for name in chosen)
+        is_complete = all(
+            name in self._followed and self._followed[name].stream.connected
+            for name in chosen
+        )
         for name, each in list(self._followed.items()):
             if name not in chosen and (is_complete or not each.stream.responding):
                 self._stop_following(name)
@@ -127,7 +130,13 @@
         return self._choose(replicas or available or names, zones)
 
     def _follow(self, name: str, now: float) -> None:
-        address: Address = parse_address("replica", name)
+        try:
+            address: Address = parse_address("replica", name)
+        except InvalidValueError as error:
+            self._avoided_until[name] = float("inf")
+            extra = {"replica": name, "reason": str(error)}
+            logger.error("control replica has no usable address", extra=extra)
+            return
 
         def apply(update: ViewUpdate) -> None:
             if self._replicas.apply_update(name, update):
--- a/carobspring/gateway/directory.py
+++ b/carobspring/gateway/directory.py
@@ -1,11 +1,14 @@
 """The list of backend servers, merged from several control replicas."""
 
+import logging
 from collections.abc import Callable
 from dataclasses import dataclass
 
 from carobspring.domain import BackendServer, LoadReport
 from carobspring.protocol import ViewUpdate
 
+logger = logging.getLogger(__name__)
+
 
 @dataclass(frozen=True, kw_only=True)
 class ListedServer:
@@ -121,7 +124,7 @@
             self._remove(name)
         elif self._listed.get(name) != listed:
             self._listed[name] = listed
-            self._on_change(name, listed)
+            self._report_change(name, listed)
 
     def _assign_address(self, server: BackendServer) -> bool:
         """Assign an address to a server unless a newer one has it."""
@@ -143,4 +146,12 @@
         address = (listed.server.host, listed.server.port)
         if self._by_address.get(address) == name:
             del self._by_address[address]
-        self._on_change(name, None)
+        self._report_change(name, None)
+
+    def _report_change(self, name: str, listed: ListedServer | None) -> None:
+        """Report a change; a server that can't be used hides no other one."""
+        try:
+            self._on_change(name, listed)
+        except Exception as error:
+            extra = {"server": name, "reason": repr(error)}
+            logger.exception("change of a server not applied", extra=extra)
--- a/carobspring/membership/table.py
+++ b/carobspring/membership/table.py
@@ -282,7 +282,7 @@
         server = gossip.server or (known.server if known is not None else None)
         if server is None or server.boot != gossip.boot:
             return ReportResult(accepted=False)
-        if known is None and len(self.members) >= MAX_MEMBERS:
+        if known is None and not self._make_room():
             return ReportResult(accepted=False)
         reported_at = now - gossip.age_ms / 1000
         if reported_at + self._lease_s <= now:
@@ -290,6 +290,18 @@
         self._update_member(known, gossip, server, reported_at, now, is_local)
         return ReportResult(accepted=True)
 
+    def _make_room(self) -> bool:
+        """Remove the member that is gone the longest if the table is full."""
+        if len(self.members) < MAX_MEMBERS:
+            return True
+        gone = [member for member in self.members.values() if member.is_gone]
+        if not gone:
+            return False
+        oldest = min(gone, key=lambda member: member.reported_at)
+        del self.members[oldest.server.server_id]
+        self._oldest_view = max(self._oldest_view, oldest.changed_view)
+        return True
+
     def _update_member(
         self,
         known: Member | None,
--- a/carobspring/platform/checkins.py
+++ b/carobspring/platform/checkins.py
@@ -1,7 +1,7 @@
 """Decoding of the check-ins by which backend servers register themselves."""
 
 from dataclasses import dataclass
-from typing import Any
+from typing import Any, Final
 
 import msgspec
 
@@ -13,7 +13,11 @@
     ServiceKind,
     parse_address,
 )
+from carobspring.protocol import DECODE_ERRORS
 
+#: Bytes of a check-in. A model server's has some hundred, and a few more for
+#: each of its adapters.
+MAX_CHECK_IN_BYTES: Final = 64 * 1024
 READY = "ready"
 DRAINING = "draining"
 
@@ -53,9 +57,12 @@
         InvalidValueError: The body is unreadable or was not written by a
             backend server, so it names no server.
     """
+    if len(body) > MAX_CHECK_IN_BYTES:
+        expected = f"up to {MAX_CHECK_IN_BYTES} bytes"
+        raise InvalidValueError(field="check-in", value=server_id, expected=expected)
     try:
         registration = msgspec.json.decode(body, type=_Registration)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+    except DECODE_ERRORS as error:
         raise InvalidValueError(
             field="check-in", value=server_id, expected=str(error)
         ) from error
--- a/carobspring/platform/configuration.py
+++ b/carobspring/platform/configuration.py
@@ -4,7 +4,6 @@
 
 import msgspec
 
-from carobspring.domain import InvalidValueError
 from carobspring.domain.routes import (
     CallerLimits,
     EngineTraits,
@@ -15,6 +14,7 @@
     RoutingTable,
     WeightedService,
 )
+from carobspring.protocol import DECODE_ERRORS
 
 #: Weight of the only service of a route.
 SINGLE_SERVICE_WEIGHT: Final = 100
@@ -110,7 +110,7 @@
     """
     try:
         return _decode_version(body).version
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+    except DECODE_ERRORS as error:
         raise ConfigurationError(reason=str(error)) from error
 
 
@@ -143,7 +143,7 @@
                 idle_timeout_s=decoded.limits.idle_timeout_ms / 1000,
             ),
         )
-    except (msgspec.MsgspecError, UnicodeDecodeError, InvalidValueError) as error:
+    except DECODE_ERRORS as error:
         raise ConfigurationError(reason=str(error)) from error
 
 
--- a/carobspring/platform/headers.py
+++ b/carobspring/platform/headers.py
@@ -23,6 +23,8 @@
 _LEAVING: Final = "server-leaving"
 _RETRY_AFTER: Final = "retry-after"
 _LOWEST_PRIORITY: Final = 9
+#: Digits of a number in a header; one with more is malformed.
+_MAX_DIGITS: Final = 15
 _BEARER_PREFIX: Final = "bearer "
 
 #: Headers that only this system may set. They are removed from callers'
@@ -221,7 +223,7 @@
 
 def _parse_integers(text: str) -> Sequence[int]:
     parts = [part.strip() for part in text.split(",")]
-    if not all(part.isascii() and part.isdigit() for part in parts):
+    if not all(_is_number(part) for part in parts):
         return ()
     return [int(part) for part in parts]
 
@@ -230,7 +232,11 @@
     parts = []
     for item in filter(None, (item.strip() for item in text.split(","))):
         part_id, _, tokens = item.partition(":")
-        if not (tokens.isascii() and tokens.isdigit()):
+        if not _is_number(tokens):
             return ()
         parts.append(PromptPart(part_id=part_id, tokens=int(tokens)))
     return tuple(parts)
+
+
+def _is_number(text: str) -> bool:
+    return text.isascii() and text.isdigit() and len(text) <= _MAX_DIGITS
--- a/carobspring/platform/node.py
+++ b/carobspring/platform/node.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from carobspring.domain import Address, InvalidValueError, parse_address
+from carobspring.protocol import DECODE_ERRORS
 
 FILE_VARIABLE: Final = "CAROBSPRING_NODE_FILE"
 DEFAULT_FILE: Final = "/etc/carobspring/local.json"
@@ -119,7 +120,7 @@
     except OSError as error:
         reason = error.strerror or str(error)
         raise NodeFileError(path=str(path), reason=reason) from error
-    except (msgspec.MsgspecError, InvalidValueError, UnicodeDecodeError) as error:
+    except DECODE_ERRORS as error:
         raise NodeFileError(path=str(path), reason=str(error)) from error
 
 
@@ -127,6 +128,10 @@
     """Decode the content of the node file."""
     file = msgspec.json.decode(data, type=_NodeFile)
     bounds = file.bounds
+    if not 0 < file.heartbeat_ms < float("inf"):
+        raise InvalidValueError(
+            field="heartbeat_ms", value=file.heartbeat_ms, expected="over 0 ms"
+        )
     return InstanceSettings(
         instance=file.node_name,
         role=file.role,
@@ -162,7 +167,8 @@
 
 def _parse_bound(bounds: Mapping[str, Any], name: str, default: float) -> float:
     value = bounds.get(name, default)
-    if isinstance(value, bool) or not isinstance(value, int | float):
+    is_number = isinstance(value, int | float) and not isinstance(value, bool)
+    if not is_number or not 0 <= value < float("inf"):
         expected = "a number"
         raise InvalidValueError(field=f"bounds.{name}", value=value, expected=expected)
     return float(value)
--- a/carobspring/programs/replica.py
+++ b/carobspring/programs/replica.py
@@ -46,6 +46,7 @@
     Storage,
 )
 from carobspring.programs.pending_requests import PendingRequests
+from carobspring.protocol import DECODE_ERRORS
 from carobspring.protocol.peers import PeerBatch
 
 logger = logging.getLogger(__name__)
@@ -99,6 +100,8 @@
         }
         self._is_started = False
         self._gossip_callbacks: list[Callable[[str, bytes], None]] = []
+        #: Peers that sent a message which can't be read, each logged once.
+        self._unreadable_peers: set[str] = set()
         self._open_callbacks: list[Callable[[str], None]] = []
         self._pending_requests = PendingRequests()
         self._driver = Driver(
@@ -310,13 +313,24 @@
 
     def _handle_batch(self, peer: str, batch: PeerBatch) -> None:
         for data in batch.messages:
-            message = decode_message(data)
+            try:
+                message = decode_message(data)
+            except DECODE_ERRORS as error:
+                # Like a message that was lost; the peer sends it again.
+                self._log_unreadable(peer, error)
+                continue
             if message is not None:
                 self._step(MessageReceived(message=message))
         for gossip in batch.gossip:
             for callback in self._gossip_callbacks:
                 callback(peer, gossip)
 
+    def _log_unreadable(self, peer: str, error: Exception) -> None:
+        if peer not in self._unreadable_peers:
+            self._unreadable_peers.add(peer)
+            extra = {"peer": peer, "reason": str(error)}
+            logger.error("message of a peer can't be read", extra=extra)
+
     async def _tick_periodically(self) -> None:
         while True:
             await asyncio.sleep(TICK_INTERVAL_S)
--- a/tests/adapters/test_backend_http.py
+++ b/tests/adapters/test_backend_http.py
@@ -283,6 +283,12 @@
                 {},
                 2,
             ),
+            "server timeout that is no number": (
+                [build_response(b"a", "Keep-Alive: timeout=\xb2")] * 2,
+                (repeatable_request, repeatable_request),
+                {},
+                1,
+            ),
             "server timeout of zero": (
                 [build_response(b"a", "Keep-Alive: timeout=0")],
                 (repeatable_request, repeatable_request),
--- a/tests/consensus/test_journal.py
+++ b/tests/consensus/test_journal.py
@@ -135,6 +135,24 @@
         )
         self.assertEqual(storage.points - before, 5)
 
+    def test_record_that_cannot_be_decoded(self) -> None:
+        """A record of no known kind, or of another form, is named."""
+        for name, content in (
+            ("kind", b"\x63\x80"),
+            ("empty", b""),
+            ("form", b"\x03\x81\xa5index\xa1x"),
+        ):
+            with self.subTest(name):
+                storage = MemoryStorage()
+                open_journal(storage)
+                file = next(n for n in storage.list_names() if n.startswith("log-"))
+                offset = len(storage.read(file))
+                storage.append(file, frame_record(content))
+                with self.assertRaises(CorruptRecordError) as caught:
+                    open_journal(storage)
+                self.assertEqual(caught.exception.file, file)
+                self.assertEqual(caught.exception.offset, offset)
+
 
 class RecordsTest(unittest.TestCase):
     def test_corruption_is_located(self) -> None:
--- a/tests/control/test_admin.py
+++ b/tests/control/test_admin.py
@@ -64,6 +64,14 @@
             "no such route": ("GET", "/v1/x", None, TOKEN, 404, "no_such_route"),
             "wrong method": ("PUT", "/v1/status", None, TOKEN, 404, "no_such_route"),
             "not JSON": ("POST", "/v1/changes", b"{", TOKEN, 400, "invalid"),
+            "too deep": (
+                "POST",
+                "/v1/changes",
+                b"[" * 100_000,
+                TOKEN,
+                400,
+                "invalid",
+            ),
             "no changes": (
                 "POST",
                 "/v1/changes",
--- a/tests/gateway/test_control.py
+++ b/tests/gateway/test_control.py
@@ -58,6 +58,16 @@
             self.opened[name].connected = True
             self.opened[name].responding = True
 
+    async def test_replica_without_usable_address(self):
+        """A replica without an address keeps no other from being followed."""
+        self.streams.check(0.0)
+        self.connect(*SEEDS)
+        self.opened[SEEDS[0]].apply_update(ViewUpdate(replicas=("!", *REPLICAS)))
+        with self.assertLogs("carobspring.gateway.control", "ERROR"):
+            self.streams.check(0.5)
+        self.streams.check(1.0)
+        self.assertLessEqual(set(REPLICAS[:2]), set(self.streams.followed))
+
     async def test_seeds_then_replicas(self):
         """The chosen replicas replace the seeds once they are connected."""
         self.streams.check(0.0)
--- a/tests/gateway/test_directory.py
+++ b/tests/gateway/test_directory.py
@@ -39,6 +39,21 @@
             for listed in self.directory.list_all()
         }
 
+    def test_server_that_cannot_be_used(self):
+        """A server whose change can't be applied hides no other one."""
+
+        def apply(name, listed):
+            if name == "s1":
+                raise ValueError("not usable")
+            self.changes.append(name)
+
+        directory = BackendDirectory(on_change=apply)
+        with self.assertLogs("carobspring.gateway.directory", "ERROR"):
+            directory.apply_update(
+                "r1", build_update(build_server("s1"), build_server("s2", port=81))
+            )
+        self.assertEqual(self.changes, ["s2"])
+
     def test_listed_while_any_replica_lists(self):
         """A server is removed only when no replica lists it any more."""
         for replica in ("r1", "r2"):
--- a/tests/membership/test_table.py
+++ b/tests/membership/test_table.py
@@ -345,6 +345,17 @@
             self.assertEqual(table.apply_gossip(gossip, 1.0), REFUSED)
             self.assertEqual(table.apply_gossip(build_gossip(6), 1.0), ACCEPTED)
 
+    def test_full_table(self):
+        """Members that are gone make room for servers that check in."""
+        with unittest.mock.patch.object(table_module, "MAX_MEMBERS", 1):
+            table = build_table()
+            table.apply_gossip(build_gossip(6, left=True), 1.0)
+            server = replace(SERVER, server_id="m2")
+            gossip = build_gossip(6, server_id="m2", server=server)
+            self.assertEqual(table.apply_gossip(gossip, 2.0), ACCEPTED)
+            self.assertEqual(list_visible(table), ["m2"])
+            self.assertIs(table.compute_delta(1).complete, True)
+
     def test_loss_reported_by_gossip(self):
         """A loss is applied unless it is older or of another boot."""
         cases = {
--- a/tests/platform/test_checkins.py
+++ b/tests/platform/test_checkins.py
@@ -1,5 +1,8 @@
 import json
 import unittest
+from urllib.parse import urlsplit
+
+from hypothesis import example, given, settings
 
 from carobspring.domain import (
     BackendServer,
@@ -8,6 +11,10 @@
     ServiceKind,
 )
 from carobspring.platform import CheckIn, decode_check_in
+from carobspring.platform.checkins import MAX_CHECK_IN_BYTES
+from carobspring.protocol import ViewUpdate, decode_soft_state, encode_soft_state
+from tests.platform import strategies
+from tests.platform.strategies import DEEP_TEXTS
 
 BODY = {
     "service": "svc",
@@ -108,6 +115,36 @@
                             "i-1", json.dumps({**BODY, field: value}).encode()
                         )
 
+    def test_size_and_depth(self):
+        """A check-in that no server writes costs little, and ends nothing."""
+        cases = {
+            "too long": json.dumps({**BODY, "x": "y" * MAX_CHECK_IN_BYTES}).encode(),
+            **{f"too deep {number}": body for number, body in enumerate(DEEP_TEXTS)},
+        }
+        for name, body in cases.items():
+            with self.subTest(name), self.assertRaises(InvalidValueError):
+                decode_check_in("i-1", body)
+
+    @settings(derandomize=True, deadline=None)
+    @given(strategies.build_variants(BODY))
+    @example(json.dumps({**BODY, "seq": 2**64}).encode())
+    @example(json.dumps({**BODY, "born": 10**300}).encode())
+    @example(json.dumps({**BODY, "address": "[::1:80"}).encode())
+    @example(json.dumps({**BODY, "address": "::1:80"}).encode())
+    def test_any_check_in(self, body):
+        """A check-in is refused, or can be sent on and used unchanged."""
+        try:
+            check_in = decode_check_in("i-1", body)
+        except InvalidValueError:
+            return
+        server = check_in.server
+        load = {server.server_id: check_in.load}
+        update = ViewUpdate(servers=(server,), loads=load)
+        data = encode_soft_state(update)
+        self.assertEqual(decode_soft_state(data, ViewUpdate), update)
+        url = urlsplit(f"http://{server.host}:{server.port}")
+        self.assertEqual(url.port, server.port)
+
     def test_identifiers(self):
         """An identifier is a name."""
         with self.subTest("an identifier with a slash"):
--- a/tests/platform/test_configuration.py
+++ b/tests/platform/test_configuration.py
@@ -2,6 +2,9 @@
 import json
 import unittest
 
+import msgspec
+from hypothesis import example, given, settings
+
 from carobspring.domain.routes import (
     CallerLimits,
     EngineTraits,
@@ -17,6 +20,8 @@
     decode_routing_table,
     decode_version,
 )
+from tests.platform import strategies
+from tests.platform.strategies import DEEP_TEXTS
 
 BODY = {
     "version": 7,
@@ -197,3 +202,35 @@
         self.assertEqual(decode_version(b'{"version": 9, "routes": 1}'), 9)
         with self.assertRaises(ConfigurationError):
             decode_version(b"[]")
+
+
+class OtherContentTests(unittest.TestCase):
+    """Contents that no operator's tool writes."""
+
+    def check(self, body):
+        """Check that a body is refused, or that the log can carry it."""
+        try:
+            table = decode_routing_table(body)
+        except ConfigurationError:
+            return
+        self.assertEqual(decode_version(body), table.version)
+        msgspec.msgpack.encode(table.version)
+
+    def test_depth(self):
+        """A configuration nested without end is invalid."""
+        for body in DEEP_TEXTS:
+            with self.subTest(body=body[:10]), self.assertRaises(ConfigurationError):
+                decode_routing_table(body)
+
+    @settings(derandomize=True, deadline=None)
+    @given(strategies.build_variants(BODY))
+    @example(json.dumps({**BODY, "version": 2**64}).encode())
+    def test_any_field(self, body):
+        """Any field may have any value."""
+        self.check(body)
+
+    @settings(derandomize=True, deadline=None)
+    @given(strategies.build_variants(BODY["routes"][0]))
+    def test_any_route(self, route):
+        """The same for the fields of a route."""
+        self.check(json.dumps({**BODY, "routes": [json.loads(route)]}).encode())
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -1,5 +1,7 @@
 import unittest
 
+from hypothesis import example, given, settings, strategies
+
 from carobspring.platform import (
     RequestMetadata,
     ResponseMetadata,
@@ -24,6 +26,28 @@
 )
 
 
+#: Names that are parsed, and values that a faulty peer may give them.
+NAMES = (
+    *(name for name, _ in REQUEST),
+    "Carobspring-Upstream-Load",
+    "Server-Limit",
+    "Server-Leaving",
+    "Retry-After",
+    "Content-Type",
+    "Connection",
+)
+HEADERS = strategies.lists(
+    strategies.tuples(
+        strategies.sampled_from(NAMES),
+        strategies.sampled_from(
+            ("9" * 5000, "1" * 20, "\xb2", "nan", "inf", "-1", "1e999", ",", ":")
+            + ("3,0,8", "x:" + "9" * 5000, "a:1,b:\xb9")
+        )
+        | strategies.text(strategies.characters(max_codepoint=255), max_size=10),
+    )
+)
+
+
 class RequestTests(unittest.TestCase):
     def test_metadata(self):
         """Headers are parsed whatever the case of their names."""
@@ -231,3 +255,30 @@
             build_error_headers(request_id="", retry_after_s=None),
             (("Content-Type", "application/json"),),
         )
+
+
+class OtherValueTests(unittest.TestCase):
+    """Values of headers that no sound peer sends."""
+
+    @settings(derandomize=True, deadline=None)
+    @given(HEADERS)
+    @example([("Carobspring-Token-Usage", "9" * 5000)])
+    def test_any_request(self, headers):
+        """Malformed values of callers are ignored; numbers are bounded."""
+        metadata = parse_request_headers(tuple(headers))
+        numbers = (
+            metadata.prompt_tokens,
+            metadata.max_output_tokens,
+            metadata.expected_output_tokens,
+            metadata.timeout_ms,
+            *(part.tokens for part in metadata.prompt_parts),
+        )
+        self.assertTrue(all(0 <= float(each) < 1e15 for each in numbers))
+
+    @settings(derandomize=True, deadline=None)
+    @given(strategies.sampled_from((200, 421, 500, 503)), HEADERS)
+    @example(200, [("Carobspring-Upstream-Load", "9" * 5000 + ",0,8")])
+    def test_any_response(self, status, headers):
+        """The same for a backend server's."""
+        metadata = parse_response_headers(status, tuple(headers))
+        self.assertTrue(all(0 <= each < 1e15 for each in metadata.load or ()))
--- a/tests/platform/test_node.py
+++ b/tests/platform/test_node.py
@@ -3,8 +3,12 @@
 import unittest
 from pathlib import Path
 
+from hypothesis import given, settings
+
 from carobspring.domain import Address
 from carobspring.platform import InstanceSettings, NodeFileError, read_node_file
+from tests.platform import strategies
+from tests.platform.strategies import DEEP_TEXTS
 
 FILE = {
     "node_name": "edge-a-1",
@@ -102,3 +106,22 @@
                     read_node_file(self.path)
         with self.subTest("no file"), self.assertRaisesRegex(NodeFileError, "No such"):
             read_node_file(self.path.parent / "none")
+
+    @settings(derandomize=True, deadline=None)
+    @given(strategies.build_variants(FILE))
+    def test_any_field(self, body):
+        """Any field may have any value; the file is read or refused."""
+        self.path.write_bytes(body)
+        try:
+            settings = read_node_file(self.path)
+        except NodeFileError:
+            return
+        self.assertGreater(settings.check_in_interval_s, 0.0)
+        self.assertLess(settings.check_in_interval_s, float("inf"))
+
+    def test_depth(self):
+        """A file nested without end is refused."""
+        for body in DEEP_TEXTS:
+            self.path.write_bytes(body)
+            with self.subTest(body=body[:10]), self.assertRaises(NodeFileError):
+                read_node_file(self.path)
--- a/tests/programs/test_replica.py
+++ b/tests/programs/test_replica.py
@@ -17,6 +17,7 @@
 from carobspring.consensus import ConsensusError, MembershipChangeRefusedError
 from carobspring.ports import NotLeaderError, QuorumLostError, StorageError
 from carobspring.programs.replica import Replica
+from carobspring.protocol.peers import PeerBatch
 from tests.consensus.simulation import ListMachine
 
 
@@ -173,6 +174,24 @@
         ):
             await leader.remove(leader.name)
 
+    async def test_message_that_cannot_be_read(self) -> None:
+        """A message that can't be read ends no stream, nor those behind it."""
+        leader = await self.start_all()
+        received: list[bytes] = []
+        leader.on_gossip(lambda peer, gossip: received.append(gossip))
+        opened = [link.opened_streams for link in leader._links.values()]
+        peer = next(name for name in "abc" if name != leader.name)
+        batch = PeerBatch(messages=(b"\x01\xff", b"\x01"), gossip=(b"state",))
+        with self.assertLogs("carobspring.programs.replica", "ERROR") as logs:
+            leader._handle_batch(peer, batch)
+            leader._handle_batch(peer, batch)
+        self.assertEqual(received, [b"state"] * 2)
+        self.assertEqual(len(logs.records), 1)
+        self.assertEqual(await leader.propose(b"x"), b"1")
+        self.assertEqual(
+            [link.opened_streams for link in leader._links.values()], opened
+        )
+
     async def test_rolling_restart(self) -> None:
         """A rolling restart with leadership transfers keeps the state."""
         await self.start_all()
