Ask behind a refusal that names no request before a booking is told so

Cause: a response without an identifier was taken for the answer to the request under way, also where it promises that nothing ran.

Ruled out: kept connections (what may run once gets a new one), and refusals with another identifier (they are skipped). Disbelieving all of them is no way: the users' servers name none in a true refusal.

Change: for a request that may run once, a health check is sent behind the refused request on the same connection. A server responds in order: its own answer comes next if there is one, and is delivered; else the response to the check, and the refusal stands. With Connection: close its orderly end is awaited. If nothing can be told, the request may have run. The heads of responses are read in gateway/heads.py.

Conclusion: closed for up to two such refusals in a row; repeatable requests are left as they were.

--- a/carobspring/adapters/backend_connection.py
+++ b/carobspring/adapters/backend_connection.py
@@ -150,6 +150,22 @@
             self._parse(trailing_data)
         return True
 
+    @property
+    def has_trailing_data(self) -> bool:
+        """Whether bytes came behind the current response."""
+        return bool(self._parser.trailing_data[0])
+
+    async def is_ended_by_server(self) -> bool:
+        """Wait for the end; return whether it is in order and without data."""
+        while not self.has_trailing_data:
+            if self._parser.trailing_data[1]:
+                return True
+            if self._close_reason:
+                return False
+            self._data_arrived.clear()
+            await self._data_arrived.wait()
+        return False
+
     def finish(self, now: float) -> bool:
         """End a complete exchange; return whether reuse is possible."""
         parser = self._parser
--- a/carobspring/adapters/backend_http.py
+++ b/carobspring/adapters/backend_http.py
@@ -38,6 +38,8 @@
 MAX_SKIPPED_BYTES: Final = 1024 * 1024
 MAX_SKIPPED_RESPONSES: Final = 16
 SKIP_TIMEOUT_S: Final = 1.0
+#: Seconds within which a server ends a connection that it says it closes.
+CLOSE_TIMEOUT_S: Final = 1.0
 #: Headers that apply to a single connection and are not forwarded.
 HOP_BY_HOP_HEADERS: Final = frozenset(
     {
@@ -82,6 +84,7 @@
         self._backend = backend
         self._connection = connection
         self._complete = False
+        self._must_close = False
         self._skipped_bytes = 0
         self._skipped_responses = 0
         self._skip_deadline: float | None = None
@@ -143,11 +146,48 @@
         )
         return True
 
+    async def read_follow_up(self) -> bool:
+        """Send a health check behind the request and read what comes next."""
+        while data := await self.read():
+            self._skipped_bytes += len(data)
+            if self._skipped_bytes > MAX_SKIPPED_BYTES:
+                raise IncompleteResponseError(reason="the answer is too long")
+        connection = self._connection
+        if self._connection_closes:
+            return not await self._is_last_response()
+        if not connection.has_trailing_data:
+            if not connection.finish(asyncio.get_running_loop().time()):
+                raise IncompleteResponseError(reason="the connection ended")
+            self._backend.send_health_check(connection)
+            # Its response may still come when the request's own is complete.
+            self._must_close = True
+        elif not connection.prepare_next_response():
+            raise IncompleteResponseError(reason="bytes behind a response")
+        event = await connection.read_event()
+        self._complete = False
+        self._read_head(event, _is_self_delimited(event))
+        return True
+
+    async def _is_last_response(self) -> bool:
+        """Return True if the server ends the connection without more data.
+
+        Raises:
+            IncompleteResponseError: It does not.
+        """
+        try:
+            async with asyncio.timeout(CLOSE_TIMEOUT_S):
+                if await self._connection.is_ended_by_server():
+                    return True
+        except TimeoutError:
+            pass
+        raise IncompleteResponseError(reason="the server goes on after a close")
+
     def close(self) -> None:
         """Release the connection after a complete response, or close it."""
         if self._connection.is_lost:
             return
-        if self._complete and self._is_delimited and not self._connection_closes:
+        is_reusable = not self._connection_closes and not self._must_close
+        if self._complete and self._is_delimited and is_reusable:
             self._backend.release(self._connection)
         else:
             self._connection.close()
@@ -232,6 +272,15 @@
             is_delimited=is_delimited or self._allow_close_delimited,
         )
 
+    def send_health_check(self, connection: BackendConnection) -> None:
+        """Send a health check on a connection whose response is complete."""
+        connection.send(
+            method="GET",
+            target=self._health_path,
+            headers=[("Host", f"{self._address[0]}:{self._address[1]}")],
+            body=b"",
+        )
+
     def release(self, connection: BackendConnection) -> None:
         """Keep a connection for reuse once its response is complete."""
         self._active.discard(connection)
--- a/carobspring/gateway/exchange.py
+++ b/carobspring/gateway/exchange.py
@@ -23,6 +23,7 @@
 from carobspring.gateway.announcements import AnnouncementRecorder
 from carobspring.gateway.backends import BackendConnections
 from carobspring.gateway.crashes import CrashDetector
+from carobspring.gateway.heads import read_head_behind_refusal, read_own_head
 from carobspring.gateway.identity import RequestIdentity
 from carobspring.gateway.origins import StreamOrigins
 from carobspring.gateway.outcomes import (
@@ -389,28 +390,28 @@
         self, response: BackendResponse, server: BackendServer
     ) -> AttemptResult:
         server_id = server.server_id
-        metadata = platform.parse_response_headers(response.status, response.headers)
-        while metadata.request_id not in ("", self._metadata.request_id):
-            # A late second response to an earlier request on the connection.
-            if not await response.read_next_response():
-                detail = f"answer to {metadata.request_id or 'no request'}"
-                return AttemptResult(outcome=AttemptOutcome.INCOMPLETE, detail=detail)
-            metadata = platform.parse_response_headers(
-                response.status, response.headers
-            )
+        request_id = self._metadata.request_id
+        metadata = await read_own_head(response, request_id)
+        status = response.status
+        if metadata.not_run and self._is_doubtful(metadata):
+            behind = await read_head_behind_refusal(response, request_id)
+            if behind is not None:
+                metadata, status = behind, response.status
+                extra = {"request": request_id, "server": server_id}
+                logger.warning("refusal of another request skipped", extra=extra)
         now = self._answered_since = self._context.read_clock()
         if metadata.load is not None:
             self._context.dispatcher.record_load(server_id, metadata.load, now)
         self._context.announcements.record(
-            metadata, server, status=response.status, request_id=self._query.request_id
+            metadata, server, status=status, request_id=self._query.request_id
         )
         if metadata.not_run:
             self._possibly_ran_on.discard(server_id)
-            misdirected = response.status == 421
+            misdirected = status == 421
             outcome = AttemptOutcome.NOT_RUN
             if misdirected:
                 outcome = AttemptOutcome.MISDIRECTED
-            return AttemptResult(outcome=outcome, detail=f"status {response.status}")
+            return AttemptResult(outcome=outcome, detail=f"status {status}")
         if not metadata.request_id:
             detail = "an answer without a request's identifier"
             return AttemptResult(outcome=AttemptOutcome.INCOMPLETE, detail=detail)
@@ -420,6 +421,15 @@
             )
         return await self._relay.relay_body(response)
 
+    def _is_doubtful(self, metadata: platform.ResponseMetadata) -> bool:
+        """Return whether a refusal may be one of an earlier request.
+
+        It is then one without an identifier. Only what must not run twice is
+        worth a check: a request that may be repeated loses nothing.
+        """
+        has_identifier = metadata.request_id == self._metadata.request_id
+        return not has_identifier and not self._route.repeatability.can_repeat
+
     def _handle_first_event(self) -> None:
         """Keep the stream at the version of the server that begins it."""
         version = self._server_version
--- /dev/null
+++ b/carobspring/gateway/heads.py
@@ -0,0 +1,52 @@
+"""Finds the response to a request among those on its connection.
+
+A faulty server may write a response to another request once more. Its
+identifier tells whose it is, if it has one.
+"""
+
+from typing import Final
+
+from carobspring import platform
+from carobspring.platform import ResponseMetadata
+from carobspring.ports import BackendResponse, IncompleteResponseError
+
+#: Refusals without an identifier that may come before an answer.
+MAX_REFUSAL_CHECKS: Final = 2
+
+
+async def read_own_head(response: BackendResponse, request_id: str) -> ResponseMetadata:
+    """Skip responses to other requests; return the metadata of the next one.
+
+    It may have no identifier.
+
+    Raises:
+        IncompleteResponseError: The connection carries no further response.
+    """
+    while True:
+        metadata = platform.parse_response_headers(response.status, response.headers)
+        if metadata.request_id in ("", request_id):
+            return metadata
+        if not await response.read_next_response():
+            raise IncompleteResponseError(reason=f"answer to {metadata.request_id}")
+
+
+async def read_head_behind_refusal(
+    response: BackendResponse, request_id: str
+) -> ResponseMetadata | None:
+    """Return the metadata of a response behind a refusal, or None.
+
+    Without one the refusal is the server's last word.
+
+    Raises:
+        IncompleteResponseError: Nobody can tell.
+    """
+    for _ in range(MAX_REFUSAL_CHECKS):
+        if not await response.read_follow_up():
+            return None
+        metadata = await read_own_head(response, request_id)
+        if metadata.request_id:
+            return metadata
+        if not metadata.not_run:
+            # The response to the health check that was sent behind.
+            return None
+    return None
--- a/carobspring/ports/backend.py
+++ b/carobspring/ports/backend.py
@@ -82,6 +82,21 @@
         """
         return False
 
+    async def read_follow_up(self) -> bool:
+        """Find out whether this response is the last one to the request.
+
+        A faulty server may write a response of another request before the
+        request's own. A health check is sent behind the request; since a
+        server responds in order, the next response is the request's own, if
+        there is one, or that to the check. Returns True with ``status`` and
+        ``headers`` of that response, or False if the server ended the
+        connection behind this one.
+
+        Raises:
+            IncompleteResponseError: Neither can be found out.
+        """
+        raise IncompleteResponseError(reason="the connection carries no check")
+
     @abstractmethod
     def close(self) -> None:
         """Close the connection, which cancels a request that still runs."""
--- a/standins/backend_server.py
+++ b/standins/backend_server.py
@@ -15,6 +15,12 @@
 SERVER_PORT = 8080
 CHECK_IN_INTERVAL_S = 0.4
 RESPONSE_TIMEOUT_S = 1.0
+HEALTH_PATH = "/healthz"
+#: A refusal of some request, without its identifier.
+EARLIER_REFUSAL = (
+    b"HTTP/1.1 503 Service Unavailable\r\nCarobspring-Not-Executed: 1\r\n"
+    b"Content-Length: 0\r\n\r\n"
+)
 ENDLESS_HEAD = (
     b"HTTP/1.1 200 OK\r\nCarobspring-Attempt-Id: other\r\n"
     b"Transfer-Encoding: chunked\r\n\r\n"
@@ -212,6 +218,9 @@
 
     async def _handle_request(self, request: web.Request) -> web.StreamResponse:
         headers = request.headers
+        if request.path == HEALTH_PATH:
+            headers = {"Carobspring-Upstream-Instance": self.server_id}
+            return web.Response(headers=headers)
         body = await request.read()
         attempt_id = headers.get("Carobspring-Attempt-Id", "")
         prefix = headers.get("Carobspring-Prefix-Hash", "")
@@ -240,6 +249,9 @@
                 headers={"Carobspring-Not-Executed": "1", **self.announcements},
             )
         self.run_counts[attempt_id] += 1
+        if self.fault == "repeated refusal":
+            assert isinstance(request.transport, asyncio.Transport)
+            request.transport.write(EARLIER_REFUSAL)
         response_headers = {
             "Carobspring-Attempt-Id": attempt_id,
             "Carobspring-Upstream-Signature": f"{self.server_id}.{attempt_id}",
--- a/tests/adapters/test_backend_http.py
+++ b/tests/adapters/test_backend_http.py
@@ -74,6 +74,11 @@
             await backend.close()
 
 
+def build_refusal(*headers):
+    lines = ["HTTP/1.1 503 Full", "Content-Length: 0", *headers, "", ""]
+    return "\r\n".join(lines).encode()
+
+
 async def fetch(url):
     backend = HttpBackend(url=url, health_path="/health")
     try:
@@ -342,6 +347,68 @@
         self.assertEqual(len(backend._idle), 0)
         await backend.close()
 
+    async def test_follow_up(self):
+        """What comes behind a response tells whether it was the last one."""
+        refusal = build_refusal()
+        closing = build_refusal("Connection: close")
+        own = build_response(b"own", "X-For: own")
+        health = build_response(b"", "X-For: health")
+        cases = {
+            # name: (sent at once, sent later, sent to the check, the response
+            # behind, False if there is none, or the error)
+            "answer at once": (refusal + own, b"", health, "own"),
+            "answer later": (refusal, own, health, "own"),
+            "last word": (refusal, b"", health, "health"),
+            "ends": (refusal, None, b"", IncompleteResponseError),
+            "says that it ends": (closing, None, b"", False),
+            "goes on after it says that it ends": (
+                closing + own,
+                None,
+                b"",
+                IncompleteResponseError,
+            ),
+        }
+        for name, (first, later, checked, expected) in cases.items():
+            with self.subTest(name):
+
+                async def respond(
+                    reader, writer, first=first, later=later, checked=checked
+                ):
+                    await reader.readuntil(b"\r\n\r\nbody")
+                    writer.write(first)
+                    await asyncio.sleep(0.05)
+                    if later is None:
+                        writer.close()
+                        return
+                    writer.write(later)
+                    with contextlib.suppress(asyncio.IncompleteReadError):
+                        head = await reader.readuntil(b"\r\n\r\n")
+                        self.assertIn(b"GET /health HTTP/1.1", head)
+                        writer.write(checked)
+                    writer.close()
+
+                server = await asyncio.start_server(respond, "127.0.0.1", 0)
+                port = server.sockets[0].getsockname()[1]
+                backend = HttpBackend(
+                    url=f"http://127.0.0.1:{port}",
+                    health_path="/health",
+                    idle_timeout_s=5.0,
+                )
+                response = await backend.send(REQUEST)
+                self.assertEqual(response.status, 503)
+                if expected is IncompleteResponseError:
+                    with self.assertRaises(IncompleteResponseError):
+                        await response.read_follow_up()
+                else:
+                    self.assertIs(
+                        await response.read_follow_up(), expected is not False
+                    )
+                    if expected:
+                        self.assertEqual(dict(response.headers)["X-For"], expected)
+                response.close()
+                await backend.close()
+                server.close()
+
     async def test_late_second_response(self):
         """A second response to an earlier request is skipped."""
         late = build_response(b"late", "X-For: old") + build_response(
--- a/tests/gateway/fakes.py
+++ b/tests/gateway/fakes.py
@@ -40,14 +40,28 @@
 
 
 class FakeResponse(BackendResponse):
-    """Returns chunks in order; raises errors and awaits events among them."""
+    """Returns chunks in order; raises errors and awaits events among them.
 
-    def __init__(self, status, headers, chunks):
+    ``follow_ups`` are the responses, or an error, that come behind this one.
+    """
+
+    def __init__(self, status, headers, chunks, follow_ups=()):
         self.status = status
         self.headers = headers
         self._chunks = list(chunks)
+        self._follow_ups = list(follow_ups)
         self.closed = False
 
+    async def read_follow_up(self):
+        if not self._follow_ups:
+            return False
+        follow_up = self._follow_ups.pop(0)
+        if isinstance(follow_up, Exception):
+            raise follow_up
+        self.status, self.headers, chunks = follow_up
+        self._chunks = list(chunks)
+        return True
+
     async def read(self):
         if not self._chunks:
             return b""
--- a/tests/gateway/test_exchange.py
+++ b/tests/gateway/test_exchange.py
@@ -108,6 +108,42 @@
                 self.assertEqual(response.status, status)
                 self.assertIs(response.retry_after is not None, has_retry_after)
 
+    async def test_refusal_of_an_earlier_request(self):
+        """A refusal that is no last word neither refuses nor repeats.
+
+        The server writes one of an earlier request before its own answer.
+        """
+        own_shed = (503, (*RESPONSE_HEADERS[:1], SHED[1][0]), [])
+        own_misdirected = (421, RESPONSE_HEADERS[:1], [])
+        health = (200, (("Carobspring-Upstream-Instance", "i-1"),), [])
+        cases = {
+            # name: (first response, those behind it, sends, status)
+            "answer behind": (SHED, [SUCCESS], (1, 0), 200),
+            "421, answer behind": (MISDIRECTED, [SUCCESS], (1, 0), 200),
+            "two, answer behind": (SHED, [SHED, SUCCESS], (1, 0), 200),
+            "failure behind": (SHED, [SERVER_ERROR], (1, 0), 500),
+            "own refusal behind": (SHED, [own_shed], (1, 1), 200),
+            "last word": (SHED, [health], (1, 1), 200),
+            "last word, check refused": (SHED, [SHED, SHED], (1, 1), 200),
+            "connection ended": (SHED, [], (1, 1), 200),
+            "nobody can tell": (SHED, [build_incomplete_error()], (1, 0), 502),
+            "with the identifier": (own_shed, [build_incomplete_error()], (1, 1), 200),
+            "421 with the identifier": (
+                own_misdirected,
+                [build_incomplete_error()],
+                (1, 1),
+                200,
+            ),
+        }
+        for name, (first, behind, sends, status) in cases.items():
+            with self.subTest(name):
+                gateway = GatewayHarness(
+                    [(*first, behind)], [SUCCESS], repeatability=ONCE
+                )
+                response = await gateway.call()
+                self.assertEqual(tuple(gateway.count_requests().values()), sends)
+                self.assertEqual(response.status, status)
+
     async def test_max_attempts(self):
         """A request runs on no more servers than its route allows."""
         scripts = [[build_incomplete_error()]] * 4
