Inject odd check-ins, repeated refusals and the loss of all entries in the soak

Ruled out: killing entries while a crashing request is reserved (the servers are reserved by one series at a time).

--- a/bench/faults.py
+++ b/bench/faults.py
@@ -9,6 +9,8 @@
 from collections.abc import AsyncIterator, Awaitable, Callable, Iterator, Sequence
 from typing import Final
 
+import aiohttp
+
 from bench.promises import (
     CONFIGURATION_APPLY_BOUND_S,
     CONTACT_BOUND_S,
@@ -18,6 +20,7 @@
 from standins.backend_server import StandInServer
 from standins.instances import CATCH_UP_S, Instance, InstanceSet
 from standins.link import Link
+from standins.odd_check_ins import build_odd_check_ins, send_check_in
 
 #: Mean seconds between consecutive faults of one series.
 MEAN_FAULT_INTERVAL_S: Final = 1.0
@@ -85,6 +88,8 @@
             self._break_streams,
             self._send_crashing_request,
             self._send_crashing_part,
+            self._send_odd_check_ins,
+            self._lose_entries_at_release,
         )
         while time.monotonic() < ends_at:
             await asyncio.sleep(self._generator.expovariate(1 / MEAN_FAULT_INTERVAL_S))
@@ -230,7 +235,7 @@
     async def _disrupt_server(self) -> None:
         server = self._generator.choice(self._servers)
         server.fault = self._generator.choice(
-            ("shed", "error", "cut", "hang", "stray", "endless")
+            ("shed", "error", "cut", "hang", "stray", "endless", "repeated refusal")
         )
         await asyncio.sleep(self._generator.uniform(0.5, 2.0))
         server.fault = ""
@@ -334,6 +339,48 @@
 
             await self._repeat(send)
 
+    async def _send_odd_check_ins(self) -> None:
+        """Check in like a server, with what no server writes."""
+        control = self._generator.choice(self._controls)
+        async with aiohttp.ClientSession() as client:
+            for name, body in build_odd_check_ins().items():
+                status = await send_check_in(client, control, "i-foreign", body)
+                self._checker.check_odd_check_in(name, status)
+
+    async def _lose_entries_at_release(self) -> None:
+        """Kill all entries while servers make way for another version."""
+        names = {f"{instance.name}/carob-entry" for instance in self._instances.entries}
+        async with self._reserve_servers() as servers:
+            if not servers or names & self._disrupted:
+                return
+            self._disrupted |= names
+            started_at = time.monotonic()
+            entries = self._instances.entries
+            try:
+                leaving = servers[: len(servers) // 2 + 1]
+                await asyncio.gather(
+                    *(entry.programs["carob-entry"].kill() for entry in entries),
+                    *(server.crash() for server in leaving),
+                )
+                version = self._generator.choice(SERVER_VERSIONS)
+                for server in leaving:
+                    server.version = version
+                    await server.start(is_restart=True)
+                await asyncio.sleep(self._generator.uniform(0.0, 1.5))
+                await asyncio.gather(
+                    *(self._instances.start(entry, "carob-entry") for entry in entries)
+                )
+            finally:
+                self._disrupted -= names
+                for entry in entries:
+                    self._checker.disruptions.append(
+                        Disruption(
+                            entry=entry.name,
+                            started_at=started_at,
+                            ended_at=time.monotonic(),
+                        )
+                    )
+
     @contextlib.asynccontextmanager
     async def _reserve_servers(self) -> AsyncIterator[Sequence[StandInServer]]:
         """Yield servers that no other series replaces meanwhile, or none."""
--- a/bench/promises.py
+++ b/bench/promises.py
@@ -193,6 +193,14 @@
                 detail = f"{cause!r}: {len(times)} crashes, {late} requests after"
                 self.record_violation("crashing requests are held back", detail)
 
+    def check_odd_check_in(self, name: str, status: int) -> None:
+        """Check that what no server writes is refused, if it is answered.
+
+        A daemon that stands still, stops or starts may answer otherwise.
+        """
+        if status not in (0, 307, 400, 503):
+            self.record_violation("odd check-ins are refused", f"{name}: {status}")
+
     def check_sound_part(self, part: str, status: int) -> None:
         """Check that a part that came beside the cause of crashes is free."""
         if status != 200:
