Ask behind every refusal that names no request

Seen by callers: repeatable requests were still told that none had run, by a refusal of an earlier request (the promise of 503 holds for them too).

Cause: the check was limited to what may run once, for its price.

Change: the check is made for every refusal without the identifier. If nobody can tell, a repeatable request goes on to another server, and ends with 502 instead of 503 if none serves it.

The new table of gateway.test_exchange and the GETs of endtoend.test_repeated_refusals fail without it. Suites of the gateway pass.

--- a/carobspring/gateway/exchange.py
+++ b/carobspring/gateway/exchange.py
@@ -393,8 +393,11 @@
         request_id = self._metadata.request_id
         metadata = await read_own_head(response, request_id)
         status = response.status
-        if metadata.not_run and self._is_doubtful(metadata):
-            behind = await read_head_behind_refusal(response, request_id)
+        if metadata.not_run and metadata.request_id != request_id:
+            # It may be the refusal of an earlier request, written once more.
+            behind = await self._await_or_abandon(
+                read_head_behind_refusal(response, request_id)
+            )
             if behind is not None:
                 metadata, status = behind, response.status
                 extra = {"request": request_id, "server": server_id}
@@ -421,15 +424,6 @@
             )
         return await self._relay.relay_body(response)
 
-    def _is_doubtful(self, metadata: platform.ResponseMetadata) -> bool:
-        """Return whether a refusal may be one of an earlier request.
-
-        It is then one without an identifier. Only what must not run twice is
-        worth a check: a request that may be repeated loses nothing.
-        """
-        has_identifier = metadata.request_id == self._metadata.request_id
-        return not has_identifier and not self._route.repeatability.can_repeat
-
     def _handle_first_event(self) -> None:
         """Keep the stream at the version of the server that begins it."""
         version = self._server_version
--- a/tests/endtoend/test_repeated_refusals.py
+++ b/tests/endtoend/test_repeated_refusals.py
@@ -5,20 +5,20 @@
 
 from tests.endtoend.instances import InstancesTestCase
 
-BOOKINGS = 120
+REQUESTS = 120
 
 
 class RepeatedRefusalTests(InstancesTestCase):
-    async def book(self, fault):
-        """Send bookings and return the number of each status."""
+    async def send_all(self, fault, path="/book/x", method="POST"):
+        """Send requests to all entries; return the number of each status."""
         for server in self.servers:
             server.fault = fault
             server.run_counts.clear()
         entries = self.instances.instances
         results = await asyncio.gather(
             *(
-                self.call(entries[number % len(entries)], "/book/x", method="POST")
-                for number in range(BOOKINGS)
+                self.call(entries[number % len(entries)], path, method=method)
+                for number in range(REQUESTS)
             )
         )
         return Counter(status for status, _ in results)
@@ -27,16 +27,17 @@
         return sum((server.run_counts for server in self.servers), Counter())
 
     async def test_refusal_before_the_own_answer(self):
-        """No booking that runs is refused, and none runs twice."""
-        statuses = await self.book("repeated refusal")
-        self.assertEqual(statuses, {200: BOOKINGS})
-        self.assertEqual(set(self.count_runs().values()), {1})
+        """No request that runs is refused, and none runs twice."""
+        for path, method in (("/book/x", "POST"), ("/read/x", "GET")):
+            with self.subTest(path):
+                statuses = await self.send_all("repeated refusal", path, method)
+                self.assertEqual(statuses, {200: REQUESTS})
+                self.assertEqual(set(self.count_runs().values()), {1})
 
     async def test_true_refusals(self):
         """A booking that its server refuses still goes to the next one."""
         shedding = self.servers[0]
-        statuses = await self.book("")
-        self.assertEqual(statuses, {200: BOOKINGS})
+        self.assertEqual(await self.send_all(""), {200: REQUESTS})
         shedding.fault = "shed"
         results = [
             (await self.call(entry, "/book/x", method="POST"))[0]
--- a/tests/gateway/test_exchange.py
+++ b/tests/gateway/test_exchange.py
@@ -144,6 +144,22 @@
                 self.assertEqual(tuple(gateway.count_requests().values()), sends)
                 self.assertEqual(response.status, status)
 
+    async def test_refusal_that_may_repeat(self):
+        """A request that may be repeated isn't told either that none ran."""
+        doubtful = (*SHED, [build_incomplete_error()])
+        cases = {
+            "answer behind": ((*SHED, [SUCCESS]), SHED, (1, 0), 200),
+            "goes on elsewhere": (doubtful, SUCCESS, (1, 1), 200),
+            "refused elsewhere": (doubtful, SHED, (1, 1), 502),
+            "refused everywhere": (SHED, SHED, (1, 1), 503),
+        }
+        for name, (first, second, sends, status) in cases.items():
+            with self.subTest(name):
+                gateway = GatewayHarness([first], [second], repeatability=IDEMPOTENT)
+                response = await gateway.call()
+                self.assertEqual(tuple(gateway.count_requests().values()), sends)
+                self.assertEqual(response.status, status)
+
     async def test_max_attempts(self):
         """A request runs on no more servers than its route allows."""
         scripts = [[build_incomplete_error()]] * 4
