Take 400 as the response to the request behind a refusal

Cause: the check goes to the path "/" without an identifier, which servers refuse with 400 at once; it was taken for one more refusal, and a second check was sent. The stand-in answered it with 421 and counted it as an arrival.

Ruled out: the service's health path, which waits for a place.

Change: 400 without an identifier is the response to the check. The stand-in answers like a server.

The new case of gateway.test_exchange fails without it; 47 tests of gateway, adapters and endtoend.test_repeated_refusals pass.

Conclusion: one request a refusal is sent behind.

--- a/carobspring/gateway/heads.py
+++ b/carobspring/gateway/heads.py
@@ -12,6 +12,9 @@
 
 #: Refusals without an identifier that may come before an answer.
 MAX_REFUSAL_CHECKS: Final = 2
+#: Status by which servers refuse a request that has no identifier, like the
+#: one that is sent behind a refusal.
+UNIDENTIFIED_STATUS: Final = 400
 
 
 async def read_own_head(response: BackendResponse, request_id: str) -> ResponseMetadata:
@@ -46,7 +49,7 @@
         metadata = await read_own_head(response, request_id)
         if metadata.request_id:
             return metadata
-        if not metadata.not_run:
-            # The response to the health check that was sent behind.
+        if not metadata.not_run or response.status == UNIDENTIFIED_STATUS:
+            # The response to the request that was sent behind.
             return None
     return None
--- a/carobspring/ports/backend.py
+++ b/carobspring/ports/backend.py
@@ -86,11 +86,12 @@
         """Find out whether this response is the last one to the request.
 
         A faulty server may write a response of another request before the
-        request's own. A health check is sent behind the request; since a
-        server responds in order, the next response is the request's own, if
-        there is one, or that to the check. Returns True with ``status`` and
-        ``headers`` of that response, or False if the server ended the
-        connection behind this one.
+        request's own. Another request is sent behind it, which asks for
+        nothing. A server responds in order, so the next response is the
+        request's own, if there is one, or that to the other request.
+
+        Returns True with ``status`` and ``headers`` of that response, or False
+        if the server ended the connection behind this one.
 
         Raises:
             IncompleteResponseError: Neither can be found out.
--- a/standins/backend_server.py
+++ b/standins/backend_server.py
@@ -15,7 +15,6 @@
 SERVER_PORT = 8080
 CHECK_IN_INTERVAL_S = 0.4
 RESPONSE_TIMEOUT_S = 1.0
-HEALTH_PATH = "/healthz"
 #: A refusal of some request, without its identifier.
 EARLIER_REFUSAL = (
     b"HTTP/1.1 503 Service Unavailable\r\nCarobspring-Not-Executed: 1\r\n"
@@ -218,11 +217,10 @@
 
     async def _handle_request(self, request: web.Request) -> web.StreamResponse:
         headers = request.headers
-        if request.path == HEALTH_PATH:
-            headers = {"Carobspring-Upstream-Instance": self.server_id}
-            return web.Response(headers=headers)
         body = await request.read()
         attempt_id = headers.get("Carobspring-Attempt-Id", "")
+        if not attempt_id:
+            return web.Response(status=400, headers={"Carobspring-Not-Executed": "1"})
         prefix = headers.get("Carobspring-Prefix-Hash", "")
         parts = tuple(item.partition(":")[0] for item in prefix.split(",") if item)
         expected_id = headers.get("Carobspring-Expected-Instance")
--- a/tests/gateway/test_exchange.py
+++ b/tests/gateway/test_exchange.py
@@ -116,6 +116,7 @@
         own_shed = (503, (*RESPONSE_HEADERS[:1], SHED[1][0]), [])
         own_misdirected = (421, RESPONSE_HEADERS[:1], [])
         health = (200, (("Carobspring-Upstream-Instance", "i-1"),), [])
+        unidentified = (400, SHED[1], [])
         cases = {
             # name: (first response, those behind it, sends, status)
             "answer behind": (SHED, [SUCCESS], (1, 0), 200),
@@ -123,7 +124,8 @@
             "two, answer behind": (SHED, [SHED, SUCCESS], (1, 0), 200),
             "failure behind": (SHED, [SERVER_ERROR], (1, 0), 500),
             "own refusal behind": (SHED, [own_shed], (1, 1), 200),
-            "last word": (SHED, [health], (1, 1), 200),
+            "last word": (SHED, [unidentified, SUCCESS], (1, 1), 200),
+            "last word, check served": (SHED, [health, SUCCESS], (1, 1), 200),
             "last word, check refused": (SHED, [SHED, SHED], (1, 1), 200),
             "connection ended": (SHED, [], (1, 1), 200),
             "nobody can tell": (SHED, [build_incomplete_error()], (1, 0), 502),
