Let no Connection header remove what the system sets

Cause: the system's headers were added to the caller's, and every header that Connection names was dropped after that. A server's Connection removed its own signature and identifier alike.

Ruled out: other spellings (both sides compare without case).

Change: headers that the system sets, and those that both ends rely on, are end to end whatever Connection says, for callers and for servers.

--- a/carobspring/adapters/backend_http.py
+++ b/carobspring/adapters/backend_http.py
@@ -8,6 +8,7 @@
 
 import asyncio
 from collections import deque
+from collections.abc import Set
 from typing import Any, Final
 from urllib.parse import urlsplit
 
@@ -58,15 +59,21 @@
 )
 
 
-def remove_hop_by_hop_headers(headers: CallHeaders) -> CallHeaders:
+def remove_hop_by_hop_headers(
+    headers: CallHeaders, *, end_to_end: Set[str] = frozenset()
+) -> CallHeaders:
     """Return the headers without the hop-by-hop ones.
 
-    A ``Connection`` header may name additional hop-by-hop headers.
+    A ``Connection`` header may name additional hop-by-hop headers, except
+    those in ``end_to_end``, which has names in lower case.
     """
-    dropped = set(HOP_BY_HOP_HEADERS)
-    for name, value in headers:
-        if name.lower() == "connection":
-            dropped.update(item.strip().lower() for item in value.split(","))
+    named = {
+        item.strip().lower()
+        for name, value in headers
+        if name.lower() == "connection"
+        for item in value.split(",")
+    }
+    dropped = HOP_BY_HOP_HEADERS | (named - end_to_end)
     return tuple(pair for pair in headers if pair[0].lower() not in dropped)
 
 
@@ -147,7 +154,7 @@
         return True
 
     async def read_follow_up(self) -> bool:
-        """Send a health check behind the request and read what comes next."""
+        """Send a check behind the request and read what comes next."""
         while data := await self.read():
             self._skipped_bytes += len(data)
             if self._skipped_bytes > MAX_SKIPPED_BYTES:
@@ -158,7 +165,7 @@
         if not connection.has_trailing_data:
             if not connection.finish(asyncio.get_running_loop().time()):
                 raise IncompleteResponseError(reason="the connection ended")
-            self._backend.send_health_check(connection)
+            self._backend.send_check(connection)
             # Its response may still come when the request's own is complete.
             self._must_close = True
         elif not connection.prepare_next_response():
@@ -199,7 +206,9 @@
         )
         values = {name.lower(): value for name, value in headers}
         self.status = response.status_code
-        self.headers = remove_hop_by_hop_headers(headers)
+        self.headers = remove_hop_by_hop_headers(
+            headers, end_to_end=self._backend.end_to_end_headers
+        )
         self._is_delimited = is_delimited
         self._accepts_close_delimited = is_delimited
         self._connection_closes = "close" in values.get("connection", "").lower()
@@ -225,6 +234,7 @@
         preserve_host: bool = False,
         allow_close_delimited: bool = False,
         idle_timeout_s: float = 0.0,
+        end_to_end_headers: Set[str] = frozenset(),
     ) -> None:
         parts = urlsplit(url)
         self._address = (parts.hostname or "127.0.0.1", parts.port or 80)
@@ -233,6 +243,8 @@
         self._preserve_host = preserve_host
         self._allow_close_delimited = allow_close_delimited
         self._idle_timeout_s = idle_timeout_s
+        #: Headers that no ``Connection`` header removes, in lower case.
+        self.end_to_end_headers = end_to_end_headers
         self._idle: deque[BackendConnection] = deque()
         self._active: set[BackendConnection] = set()
         self._closed = False
@@ -272,8 +284,8 @@
             is_delimited=is_delimited or self._allow_close_delimited,
         )
 
-    def send_health_check(self, connection: BackendConnection) -> None:
-        """Send a health check on a connection whose response is complete."""
+    def send_check(self, connection: BackendConnection) -> None:
+        """Request the health path on a connection that has responded."""
         connection.send(
             method="GET",
             target=self._health_path,
@@ -399,7 +411,10 @@
                 value for name, value in request.headers if name.lower() == "host"
             ]
             host = host_values[0] if host_values else host
-        headers = [("Host", host), *remove_hop_by_hop_headers(request.headers)]
+        forwarded = remove_hop_by_hop_headers(
+            request.headers, end_to_end=self.end_to_end_headers
+        )
+        headers = [("Host", host), *forwarded]
         if request.body or request.method in ("POST", "PUT", "PATCH"):
             headers.append(("Content-Length", str(len(request.body))))
         return headers
--- a/carobspring/gateway/backends.py
+++ b/carobspring/gateway/backends.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from carobspring import platform
 from carobspring.adapters.backend_http import HttpBackend
 from carobspring.adapters.tasks import start_task
 from carobspring.domain import BackendServer
@@ -27,6 +28,7 @@
             preserve_host=True,
             allow_close_delimited=True,
             idle_timeout_s=IDLE_TIMEOUT_S,
+            end_to_end_headers=platform.END_TO_END_HEADERS,
         )
 
     def remove(self, server_id: str) -> None:
--- a/carobspring/platform/__init__.py
+++ b/carobspring/platform/__init__.py
@@ -15,6 +15,7 @@
     decode_version,
 )
 from carobspring.platform.headers import (
+    END_TO_END_HEADERS,
     RequestMetadata,
     ResponseMetadata,
     build_backend_headers,
@@ -34,6 +35,7 @@
     "CONFIGURATION_PATH",
     "CheckIn",
     "ConfigurationError",
+    "END_TO_END_HEADERS",
     "InstanceSettings",
     "NodeFileError",
     "READINESS_PATH",
--- a/carobspring/platform/headers.py
+++ b/carobspring/platform/headers.py
@@ -46,6 +46,29 @@
 )
 
 
+#: Headers that reach the other end whatever a ``Connection`` header says, in
+#: lower case: those that the system sets, and those that both ends rely on.
+END_TO_END_HEADERS: Final = _SYSTEM_HEADERS | {
+    _REQUEST_ID,
+    _TOKEN_USAGE,
+    _PROMPT_PREFIX,
+    _OUTPUT_LENGTH_HINT,
+    _LAST_EVENT_ID,
+    _RESUMED_REQUEST,
+    _RATE_LIMIT,
+    _LEAVING,
+    _RETRY_AFTER,
+    "carobspring-model",
+    "carobspring-not-executed",
+    "carobspring-upstream-instance",
+    "carobspring-upstream-load",
+    "carobspring-upstream-signature",
+    "carobspring-weight-versions",
+    "content-encoding",
+    "content-type",
+}
+
+
 @dataclass(frozen=True, kw_only=True)
 class PromptPart:
     """A part of a prompt's prefix that other requests may share."""
