Close unused connections to servers in time

Cause: an idle connection's age was looked at only when a repeatable request took one.

tests.adapters.test_backend_http fails without it (four stay open). Connections held and bookings refused were not measured before and after, and max_conns is no bound yet.

--- a/carobspring/adapters/backend_http.py
+++ b/carobspring/adapters/backend_http.py
@@ -246,6 +246,7 @@
         self._idle: deque[BackendConnection] = deque()
         self._active: set[BackendConnection] = set()
         self._closed = False
+        self._expiry: asyncio.TimerHandle | None = None
         #: Number of connections opened so far, for metrics.
         self.opened_connections = 0
 
@@ -304,6 +305,7 @@
             connection.close()
         elif connection.finish(now):
             self._idle.append(connection)
+            self._schedule_expiry()
 
     async def probe(self, timeout_s: float) -> bool:
         """Return whether the health path responds in time, with no 5xx."""
@@ -357,11 +359,27 @@
     async def close(self) -> None:
         """Close every connection."""
         self._closed = True
+        if self._expiry is not None:
+            self._expiry.cancel()
         for connection in (*self._idle, *self._active):
             connection.close()
         self._idle.clear()
         self._active.clear()
 
+    def _schedule_expiry(self) -> None:
+        """Close idle connections in time, also if no request takes one."""
+        if self._expiry is None and self._idle and not self._closed:
+            loop = asyncio.get_running_loop()
+            self._expiry = loop.call_later(self._idle_timeout_s, self._expire_idle)
+
+    def _expire_idle(self) -> None:
+        self._expiry = None
+        now = asyncio.get_running_loop().time()
+        # The one that was used last is taken first, so the first is oldest.
+        while self._idle and now - self._idle[0].idle_since >= self._idle_timeout_s:
+            self._idle.popleft().close("idle for too long")
+        self._schedule_expiry()
+
     def _get_idle_connection(self) -> BackendConnection | None:
         now = asyncio.get_running_loop().time()
         while self._idle:
--- a/tests/adapters/test_backend_http.py
+++ b/tests/adapters/test_backend_http.py
@@ -371,6 +371,23 @@
                         self.assertEqual(backend._active, set())
                         self.assertEqual(len(backend._idle), 0)
 
+    async def test_unused_connections_are_closed(self):
+        """Connections that no request takes are closed in time.
+
+        Requests that may run once open one each and leave it to others.
+        """
+        async with ScriptedServer([build_response(b"a")] * 4) as server:
+            backend = HttpBackend(url=server.url, health_path="/", idle_timeout_s=0.2)
+            for _ in range(4):
+                await self.read_response(await backend.send(REQUEST))
+            self.assertEqual(len(backend._idle), 4)
+            idle = list(backend._idle)
+            async with asyncio.timeout(TEST_TIMEOUT_S):
+                while backend._idle:
+                    await asyncio.sleep(0.02)
+            self.assertTrue(all(connection.is_lost for connection in idle))
+            await backend.close()
+
     async def test_follow_up(self):
         """What comes behind a response tells whether it was the last one."""
         refusal = build_refusal()
