Take chunked bodies however their bytes are cut

PUT /v1/config shares the code.

Cause: the parser of circuits rejects a chunk whose line end comes later than its data, and was fed partial input.

Ruled out: h11, since it takes sizes of any length and has no bound on what a chunk announces; an endless one would be known by its bytes or its time only.

Change: http_framing.ChunkedBody decodes chunks. It is stricter than before: no space before a size, and a line end behind the data. What follows a chunked body is still not read.

Before: tests.adapters.test_http_server fails at cuts of two of four requests, and takes two malformed ones. After: every single cut, and a cut at every byte, gives the same response.

--- a/carobspring/adapters/http_connection.py
+++ b/carobspring/adapters/http_connection.py
@@ -10,7 +10,7 @@
 
 from carobspring.adapters.http_framing import (
     HEAD_END,
-    BoundedChunkParser,
+    ChunkedBody,
     Framing,
     FramingError,
     parse_framing,
@@ -51,7 +51,7 @@
         self._buffer = bytearray()
         self._framing: Framing | None = None
         self._head = b""
-        self._chunk_parser: HttpParser | None = None
+        self._chunked_body: ChunkedBody | None = None
         self._chunked_bytes = 0
         self._responder: CircuitsResponder | None = None
         self._task: asyncio.Task[None] | None = None
@@ -188,15 +188,15 @@
         self._framing = parse_framing(self._head, self._limits.max_body_bytes)
         del self._buffer[: end + len(HEAD_END)]
         if self._framing.length is None:
-            self._chunk_parser = self._parse_head()
+            max_bytes = self._limits.max_body_bytes
+            self._chunked_body = ChunkedBody(max_body_bytes=max_bytes)
             self._chunked_bytes = 0
         if self._framing.expects_continue:
             self.send_bytes(CONTINUE_RESPONSE)
         return True
 
     def _parse_head(self) -> HttpParser:
-        max_bytes = self._limits.max_body_bytes
-        parser = BoundedChunkParser(max_body_bytes=max_bytes)
+        parser = HttpParser(0, False)
         # The parser decodes escapes; doubling backslashes preserves them.
         raw = self._head.replace(b"\\", b"\\\\") + HEAD_END
         parser.execute(raw, len(raw))
@@ -217,35 +217,29 @@
         return body
 
     def _read_chunked_body(self) -> bytes | None:
-        parser = self._chunk_parser
-        assert parser is not None
+        body = self._chunked_body
+        assert body is not None
         data = bytes(self._buffer)
         self._buffer.clear()
         self._chunked_bytes += len(data)
         if self._chunked_bytes > self._limits.max_body_bytes:
             message = f"at most {self._limits.max_body_bytes} bytes are taken"
             raise FramingError(status=413, code="body_too_large", message=message)
-        if data:
-            parser.execute(data, len(data))
-        if parser.errno is not None:
-            message = "a chunk of the body is malformed"
-            raise FramingError(status=400, code="bad_chunk", message=message)
-        if not parser.is_message_complete():
+        if not body.feed(data):
             return None
-        # The parser discards data after the last chunk, so the connection
-        # can't be reused.
+        self._chunked_body = None
+        # What follows a chunked body is not read.
         self._closing = True
-        return bytes(parser.recv_body())
+        return bytes(body.content)
 
     def _begin_request(self, body: bytes) -> None:
         try:
-            parser = self._chunk_parser or self._parse_head()
+            parser = self._parse_head()
             request, response = self._build_request_and_response(parser)
         except FramingError as error:
             self._reject(error.status, error.code, str(error))
             return
         self._framing = None
-        self._chunk_parser = None
         self._responder = CircuitsResponder(connection=self, response=response)
         http_request = HttpRequest(
             method=parser.get_method(),
--- a/carobspring/adapters/http_framing.py
+++ b/carobspring/adapters/http_framing.py
@@ -4,12 +4,15 @@
 and decodes escapes in header values. These checks run before it.
 """
 
+import re
 from dataclasses import dataclass
+from typing import Final
 
-from circuits.web.parsers import HttpParser
-from circuits.web.parsers.http import InvalidChunkSize
-
+LINE_END: Final = b"\r\n"
 HEAD_END = b"\r\n\r\n"
+#: Bytes of the line before a chunk, with its extensions, and of a trailer.
+MAX_CHUNK_LINE_BYTES: Final = 4096
+CHUNK_SIZE: Final = re.compile(rb"[0-9A-Fa-f]{1,16}")
 MAX_LENGTH_DIGITS = 18
 
 
@@ -72,18 +75,67 @@
     return Framing(length=length, expects_continue=expects_continue)
 
 
-class BoundedChunkParser(HttpParser):
-    """The parser of circuits, with a limit on the size of a chunk."""
+class ChunkedBody:
+    """Decodes a chunked body, however its bytes are cut into segments.
+
+    The parser of circuits rejects a chunk whose line end comes later than its
+    data.
+
+    Example:
+        ``body.feed(data)`` with each segment, until it returns True; then
+        ``body.content``, and ``body.rest`` for what follows.
+    """
 
     def __init__(self, *, max_body_bytes: int) -> None:
-        super().__init__(0, False)
         self._max_body_bytes = max_body_bytes
-
-    def _parse_chunk_size(self, data: bytes) -> tuple[int | None, bytes | None]:
-        size, rest = super()._parse_chunk_size(data)
-        if size is not None and not 0 <= size <= self._max_body_bytes:
-            raise InvalidChunkSize(str(size))
-        return size, rest
+        self._in_trailers = False
+        self.content = bytearray()
+        #: Bytes that are not decoded yet, or that follow the complete body.
+        self.rest = bytearray()
+
+    def feed(self, data: bytes) -> bool:
+        """Decode a segment; return whether the body is complete.
+
+        Raises:
+            FramingError: A chunk is malformed or too large.
+        """
+        self.rest += data
+        while (line_end := self.rest.find(LINE_END)) >= 0:
+            data_start = line_end + len(LINE_END)
+            if self._in_trailers:
+                del self.rest[:data_start]
+                if line_end == 0:
+                    return True
+                continue
+            size = self._parse_size(bytes(self.rest[:line_end]))
+            if size == 0:
+                self._in_trailers = True
+                del self.rest[:data_start]
+                continue
+            data_end = data_start + size
+            if len(self.rest) < data_end + len(LINE_END):
+                return False
+            if not self.rest.startswith(LINE_END, data_end):
+                raise _build_chunk_error()
+            self.content += self.rest[data_start:data_end]
+            del self.rest[: data_end + len(LINE_END)]
+        if len(self.rest) > MAX_CHUNK_LINE_BYTES:
+            raise _build_chunk_error()
+        return False
+
+    def _parse_size(self, line: bytes) -> int:
+        digits = line.partition(b";")[0].rstrip(b" \t")
+        if len(line) > MAX_CHUNK_LINE_BYTES or not CHUNK_SIZE.fullmatch(digits):
+            raise _build_chunk_error()
+        size = int(digits, 16)
+        if size > self._max_body_bytes:
+            raise _build_chunk_error()
+        return size
+
+
+def _build_chunk_error() -> FramingError:
+    message = "a chunk of the body is malformed"
+    return FramingError(status=400, code="bad_chunk", message=message)
 
 
 def _check_request_line(line: bytes) -> None:
--- a/tests/adapters/test_http_server.py
+++ b/tests/adapters/test_http_server.py
@@ -32,6 +32,11 @@
     await responder.send(200, TEXT, echo.encode() + request.body)
 
 
+def strip_date(response):
+    lines = response.split(b"\r\n")
+    return b"\r\n".join(line for line in lines if not line.startswith(b"Date: "))
+
+
 class CircuitsHttpServerTests(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self):
         self.server = CircuitsHttpServer(
@@ -101,6 +106,38 @@
                 )
                 self.assertEqual(received[-len(ending) :], ending)
 
+    async def test_cuts(self):
+        """A request is the same however its bytes are cut into segments.
+
+        The server also takes configurations and check-ins.
+        """
+        close = b"Connection: close\r\n"
+        chunked = POST + close + b"Transfer-Encoding: chunked\r\n\r\n"
+        requests = {
+            "head": b"GET / HTTP/1.1\r\nHost: x\r\n" + close + b"\r\n",
+            "length": POST + close + b"Content-Length: 5\r\n\r\nabcde",
+            "chunks": chunked + b"3\r\nabc\r\nA;x=y\r\n0123456789\r\n0\r\n\r\n",
+            "trailers": chunked + b"3\r\nabc\r\n0\r\nX-One: 1\r\n\r\n",
+        }
+        for name, request in requests.items():
+            expected = strip_date(await self.exchange(request))
+            self.assertTrue(expected.startswith(b"HTTP/1.1 200 "), expected)
+            cuts = [(cut,) for cut in range(1, len(request))]
+            received = await asyncio.gather(
+                *(self.exchange_cut(request, *cut) for cut in cuts),
+                self.exchange_cut(request, *range(1, len(request))),
+            )
+            for cut, response in zip([*cuts, "every byte"], received, strict=True):
+                with self.subTest(name, cut=cut):
+                    self.assertEqual(strip_date(response), expected)
+
+    async def exchange_cut(self, request, *cuts):
+        """Send a request in segments that end at some bytes."""
+        ends = (*cuts, len(request))
+        starts = (0, *cuts)
+        segments = zip(starts, ends, strict=True)
+        return await self.exchange(*(request[start:end] for start, end in segments))
+
     async def test_rejected_requests(self):
         """Malformed and oversized requests get an error code and a close."""
         chunked = b"POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n"
@@ -156,6 +193,13 @@
                 b"bad_request",
             ),
             "huge chunk": (chunked + b"\r\n" + b"f" * 18 + b"\r\n", 400, b"bad_chunk"),
+            "chunk without its line end": (
+                chunked + b"\r\n1\r\nabc",
+                400,
+                b"bad_chunk",
+            ),
+            "space before a size": (chunked + b"\r\n 1\r\n", 400, b"bad_chunk"),
+            "no size": (chunked + b"\r\n\r\n", 400, b"bad_chunk"),
             "negative chunk": (chunked + b"\r\n-1\r\n", 400, b"bad_chunk"),
             "no host": (b"GET / HTTP/1.1\r\n\r\n", 400, b"bad_host"),
             "two hosts": (
