Let agents announce host names and bare addresses as before

Seen by nobody: since a server's host had to be an IPv4 address or a bracketed one, so that agents at "::1" or at a host name would have been refused.

Cause: one check served check-ins, whose address is part of a URL, and the hosts that agents announce.

Ruled out: parse_address, which stays as strict.

--- a/carobspring/domain/addresses.py
+++ b/carobspring/domain/addresses.py
@@ -2,6 +2,7 @@
 
 import functools
 import ipaddress
+import re
 from dataclasses import dataclass
 from typing import Final
 
@@ -9,6 +10,7 @@
 
 EXPECTED_ADDRESS = "an IP number and a port, like 10.0.0.1:7100"
 MAX_PORT_DIGITS: Final = 5
+HOST_NAME: Final = re.compile(r"[A-Za-z0-9]([A-Za-z0-9.-]*[A-Za-z0-9])?")
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -42,13 +44,15 @@
 
 
 def check_host(field: str, host: str) -> None:
-    """Raise InvalidValueError unless the text is an IP address.
+    """Raise InvalidValueError unless the text names a host.
 
-    One of the sixth version stands in brackets, as in a URL.
+    That is an IP address, one of the sixth version with brackets or without,
+    or a host name.
     """
-    if not _is_host(host):
+    is_name = len(host) <= MAX_TEXT_LENGTH and HOST_NAME.fullmatch(host)
+    if not (is_name or _is_host(host) or _is_host(f"[{host}]")):
         value = host[:MAX_TEXT_LENGTH]
-        raise InvalidValueError(field=field, value=value, expected="an IP address")
+        raise InvalidValueError(field=field, value=value, expected="a host")
 
 
 def parse_addresses(field: str, text: str) -> tuple[Address, ...]:
