Share a test's clock, and say what a held cause stops

Cause: read as a newcomer: a fake clock stood twice, and a comment told of a step, not of what is so.

Ruled out: a clock of all tests; most set other times.

Change: test_sessions takes the clock of test_gossip; the comment of _HeldCause.

tests.control.test_sessions passes.

Conclusion: nothing moves.

--- a/carobspring/dispatch/quarantine.py
+++ b/carobspring/dispatch/quarantine.py
@@ -75,7 +75,7 @@
 
     key: CauseKey
     until: float
-    #: Whether runs under way end sooner than they could crash more servers.
+    #: Whether what runs of the request already is stopped as well.
     stops_runs: bool = True
 
 
--- a/tests/control/test_sessions.py
+++ b/tests/control/test_sessions.py
@@ -3,8 +3,8 @@
 from carobspring.adapters.clock import SystemClock
 from carobspring.control.sessions import EntrySession
 from carobspring.control.state import ControlState
-from carobspring.ports import Clock
 from carobspring.protocol import EntryReport, VersionSighting
+from tests.control.test_gossip import ManualClock
 
 
 class PeerAddressTests(unittest.TestCase):
@@ -69,14 +69,3 @@
                 self.assertEqual(
                     (update.sightings, update.sightings_cover_ms), expected
                 )
-
-
-class ManualClock(Clock):
-    def __init__(self):
-        self.now = 0.0
-
-    def read_monotonic(self):
-        return self.now
-
-    def read_wall_ms(self):
-        return 0
