--- a/bench/promises.py
+++ b/bench/promises.py
@@ -295,7 +295,8 @@
                     detail = f"{server.server_id}: {arrival.attempt_id} by {entry}"
                     self.record_violation("leaving servers get nothing", detail)
                     break
-                if arrival.announced.get("Server-Leaving") == "1":
+                is_told = arrival.announced.get("Server-Leaving") == "1"
+                if is_told and not arrival.is_unanswered:
                     told_at.setdefault(arrival.started_at_ms, arrival.at)
 
     def _group_arrivals(
--- a/standins/backend_server.py
+++ b/standins/backend_server.py
@@ -13,6 +13,9 @@
 from standins.deployment import wait_until
 
 SERVER_PORT = 8080
+#: Faults in which a request gets no answer that the server's announcements
+#: are part of.
+SILENT_FAULTS = ("hang", "cut", "stray", "endless")
 CHECK_IN_INTERVAL_S = 0.4
 RESPONSE_TIMEOUT_S = 1.0
 #: A refusal of some request, without its identifier.
@@ -46,6 +49,9 @@
     started_at_ms: int = 0
     is_rejected: bool = False
     is_misdirected: bool = False
+    #: Whether it got no answer of its own, so that nobody heard what was
+    #: announced.
+    is_unanswered: bool = False
 
 
 class StandInServer:
@@ -237,6 +243,7 @@
                 started_at_ms=self._started_at_ms,
                 is_rejected=self.fault == "shed",
                 is_misdirected=is_misdirected,
+                is_unanswered=self.fault in SILENT_FAULTS,
             )
         )
         if is_misdirected:
--- a/tests/benchmarks/test_soak.py
+++ b/tests/benchmarks/test_soak.py
@@ -225,8 +225,11 @@
 class NoticeTests(unittest.TestCase):
     """The checks of servers that ask for rest or say that they leave."""
 
-    def check(self, check, arrivals, *, disruptions=()):
-        """Return what arrivals violate, given by time, entry and start."""
+    def check(self, check, arrivals, *, disruptions=(), unanswered=()):
+        """Return what arrivals violate, given by time, entry and start.
+
+        ``unanswered`` has the numbers of those whose server said nothing.
+        """
         checker = InvariantChecker()
         checker.disruptions = list(disruptions)
         server = SimpleNamespace(server_id="s1", arrivals=[])
@@ -241,6 +244,7 @@
                     announced=announced,
                     started_at_ms=start,
                     is_rejected="Retry-After" in announced,
+                    is_unanswered=number in unanswered,
                 )
             )
         getattr(checker, check)([server])
@@ -285,6 +289,13 @@
                     "check_leaving_servers", arrivals, disruptions=disruptions
                 )
                 self.assertEqual(found, expected)
+        with self.subTest("nobody heard it"):
+            arrivals = [(0.0, "e", 1, leaving), (2.1, "e", 1, leaving)]
+            found = self.check("check_leaving_servers", arrivals, unanswered=(0,))
+            self.assertEqual(found, [])
+            arrivals.append((4.2, "e", 1, leaving))
+            found = self.check("check_leaving_servers", arrivals, unanswered=(0,))
+            self.assertEqual(found, violated)
 
 
 class RecoveryTests(unittest.IsolatedAsyncioTestCase):
