Name in the log what a stop finds open and what it cuts

Ruled out: a metric; it names no request. Change: an entry logs each open request at a stop with its age, each one that the end of the stop cuts, and for each request that ends how long after the start of the stop it arrived; every program logs the signals that it gets. At most 100 requests are named at a time. Conclusion: a request taken late, a stop that ended early and a signal that came twice look different now.

--- a/carobspring/gateway/api.py
+++ b/carobspring/gateway/api.py
@@ -12,6 +12,7 @@
 from carobspring.gateway.budget import RetryBudget
 from carobspring.gateway.exchange import Exchange, ExchangeContext
 from carobspring.gateway.metrics import GatewayMetrics
+from carobspring.gateway.open_requests import OpenRequests
 from carobspring.gateway.outcomes import ExchangeReport, encode_error
 from carobspring.gateway.state import GatewayState
 from carobspring.ports import HttpRequest, HttpResponder, RandomSource
@@ -50,13 +51,26 @@
         self._find_budget = find_budget
         self._random = random
         self._metrics = metrics
-        #: Number of requests in flight.
-        self.open_requests = 0
+        #: The requests in flight.
+        self.open_requests = OpenRequests()
 
     async def handle(self, request: HttpRequest, responder: HttpResponder) -> None:
         """Handle one request."""
         started_at = self._context.read_clock()
         metadata = platform.parse_request_headers(request.headers)
+        number = self.open_requests.add(metadata.request_id, started_at)
+        try:
+            await self._handle_parsed(request, metadata, responder, started_at)
+        finally:
+            self.open_requests.remove(number)
+
+    async def _handle_parsed(
+        self,
+        request: HttpRequest,
+        metadata: platform.RequestMetadata,
+        responder: HttpResponder,
+        started_at: float,
+    ) -> None:
         table = await self._state.wait_for_table(STARTUP_WAIT_S)
         if table is None:
             await self._refuse(
@@ -93,11 +107,7 @@
             engine_priority=rank if service.engine else None,
         )
         self._find_budget(query.service).record_request(started_at)
-        self.open_requests += 1
-        try:
-            report = await self._run_exchange(exchange, responder)
-        finally:
-            self.open_requests -= 1
+        report = await self._run_exchange(exchange, responder)
         self._record_end(table, route, query, metadata, report, started_at)
 
     async def _run_exchange(
@@ -218,12 +228,12 @@
         *,
         detail: str = "",
     ) -> None:
+        now = self._context.read_clock()
         table = self._state.table
         confirmed_at = self._state.confirmed_at
         confirmed_ms = None
         if confirmed_at is not None:
-            age_s = self._context.read_clock() - confirmed_at
-            confirmed_ms = round(age_s * 1000, 1)
+            confirmed_ms = round((now - confirmed_at) * 1000, 1)
         self._metrics.record_refusal(reason)
         logger.info(
             "request refused",
@@ -235,6 +245,7 @@
                 "resumes": metadata.resumed_request_id,
                 "routes": table.version if table else None,
                 "confirmed_ms": confirmed_ms,
+                "after_stop_ms": self._state.compute_after_stop_ms(now),
             },
         )
         headers = platform.build_error_headers(
@@ -283,5 +294,6 @@
                 "took_ms": round((now - started_at) * 1000, 1),
                 "left_ms": round((query.deadline - now) * 1000, 1),
                 "prompt": query.prompt_tokens,
+                "after_stop_ms": self._state.compute_after_stop_ms(started_at),
             },
         )
--- a/carobspring/gateway/state.py
+++ b/carobspring/gateway/state.py
@@ -23,7 +23,8 @@
         #: Monotonic time at which a replica last confirmed, with the quorum,
         #: that the table is the newest; None before the first time.
         self.confirmed_at: float | None = None
-        self.is_stopping = False
+        #: Monotonic time at which a planned stop began, or None.
+        self.stopping_since: float | None = None
         self._has_table = asyncio.Event()
 
     def apply_table(self, table: RoutingTable, now: float) -> bool:
@@ -64,3 +65,21 @@
     def is_ready(self) -> bool:
         """Whether this entry should get requests."""
         return self.table is not None and not self.is_stopping
+
+    @property
+    def is_stopping(self) -> bool:
+        """Whether a planned stop has begun."""
+        return self.stopping_since is not None
+
+    def begin_stop(self, now: float) -> None:
+        """Record that a planned stop begins."""
+        self.stopping_since = now
+
+    def compute_after_stop_ms(self, at: float) -> float | None:
+        """Return how long after the start of a stop a time is, or None.
+
+        Negative for a time before the stop.
+        """
+        if self.stopping_since is None:
+            return None
+        return round((at - self.stopping_since) * 1000, 1)
--- a/carobspring/programs/instance_entry.py
+++ b/carobspring/programs/instance_entry.py
@@ -57,6 +57,8 @@
 STOP_LISTEN_S: Final = 2.6
 #: Seconds before SIGKILL at which the process exits by itself.
 EXIT_MARGIN_S: Final = 0.4
+#: Open requests that the log names at the start of a stop, and at its end.
+MAX_NAMED_REQUESTS: Final = 100
 
 #: Offset of the port for datagrams of other entries in the ports for internal
 #: use. The first one is the control daemon's.
@@ -208,12 +210,15 @@
 
     async def stop(self) -> None:
         """Report not ready, wait until open requests end, and close."""
-        logger.info("stopping", extra={"open_requests": self._api.open_requests})
-        self._state.is_stopping = True
+        self._state.begin_stop(self._clock.read_monotonic())
+        logger.info("stopping", extra={"open_requests": len(self._api.open_requests)})
+        self._log_open_requests("request open at stop")
         left_s = self._settings.stop_grace_s - EXIT_MARGIN_S
         listen_s = min(STOP_LISTEN_S, left_s / 2)
         await self._frontend.disable_keep_alive(listen_s)
         drained = await self._frontend.drain(max(0.0, left_s - listen_s))
+        extra = {"drained": drained, "open_requests": len(self._api.open_requests)}
+        self._log_open_requests("request cut by stop")
         for task in self._tasks:
             task.cancel()
         for task in self._tasks:
@@ -224,9 +229,19 @@
         self._admission_client.close()
         self._peer_socket.close()
         await self._backend_connections.close()
-        extra = {"drained": drained, "open_requests": self._api.open_requests}
         logger.info("stopped", extra=extra)
 
+    def _log_open_requests(self, message: str) -> None:
+        """Name the oldest open requests, one a line."""
+        now = self._clock.read_monotonic()
+        for request in self._api.open_requests.list_oldest(MAX_NAMED_REQUESTS):
+            extra = {
+                "request": request.request_id,
+                "age_ms": round((now - request.arrived_at) * 1000, 1),
+                "after_stop_ms": self._state.compute_after_stop_ms(request.arrived_at),
+            }
+            logger.info(message, extra=extra)
+
     def reload(self) -> None:
         """Read the node file again; called at SIGHUP."""
         self._node_file_watcher.check(log_unchanged=True)
--- a/carobspring/programs/runner.py
+++ b/carobspring/programs/runner.py
@@ -1,6 +1,7 @@
 """Runs a program on an asyncio loop until a signal stops it."""
 
 import asyncio
+import logging
 import signal
 import sys
 from abc import ABC, abstractmethod
@@ -19,6 +20,8 @@
 
 Options = TypeVar("Options")
 
+logger = logging.getLogger(__name__)
+
 
 class Program(ABC):
     """A program that runs until it is stopped."""
@@ -47,11 +50,13 @@
     stop_requested = asyncio.Event()
     exit_requested = asyncio.Event()
 
-    def handle_signal() -> None:
+    def handle_signal(number: signal.Signals) -> None:
+        extra = {"signal": number.name, "stopping": stop_requested.is_set()}
+        logger.info("signal received", extra=extra)
         (exit_requested if stop_requested.is_set() else stop_requested).set()
 
     for number in STOP_SIGNALS:
-        loop.add_signal_handler(number, handle_signal)
+        loop.add_signal_handler(number, handle_signal, number)
     loop.add_signal_handler(signal.SIGHUP, program.reload)
     ports = await program.start()
     port_list = " ".join(f"{name}={port}" for name, port in ports.items())
--- a/standins/backend_server.py
+++ b/standins/backend_server.py
@@ -98,6 +98,8 @@
         self.error_share = 0.0
         self.announcements: dict[str, str] = {}
         self.fault = ""
+        #: Seconds until a response that is no stream.
+        self.response_delay_s = 0.0
         self.event_interval_s = 0.02
         self.event_count = 5
         #: Events after which a new stream is broken off; zero is off.
@@ -287,6 +289,7 @@
             return web.Response(status=500, headers=response_headers, text="failed")
         if request.path.startswith(("/stream/", "/model/")):
             return await self._send_stream(request, response_headers)
+        await asyncio.sleep(self.response_delay_s)
         return web.Response(
             headers=response_headers, text=f"{request.method} {attempt_id}"
         )
--- a/tests/gateway/test_api.py
+++ b/tests/gateway/test_api.py
@@ -84,7 +84,7 @@
         responder = FakeResponder()
         responder.disconnected.set()
         await asyncio.wait_for(gateway.call(responder=responder), 5)
-        self.assertEqual(gateway.api.open_requests, 0)
+        self.assertEqual(len(gateway.api.open_requests), 0)
 
 
 class StateTests(unittest.TestCase):
@@ -115,7 +115,7 @@
         readiness = [state.is_ready]
         state.apply_table(build_table(1), 0.0)
         readiness.append(state.is_ready)
-        state.is_stopping = True
+        state.begin_stop(1.0)
         readiness.append(state.is_ready)
         self.assertEqual(readiness, [False, True, False])
 
--- a/tests/gateway/test_exchange.py
+++ b/tests/gateway/test_exchange.py
@@ -394,7 +394,7 @@
         responder.disconnected.set()
         await asyncio.wait_for(call, 10)
         self.assertIs(gateway.clients["s1"].responses[0].closed, True)
-        self.assertEqual(gateway.api.open_requests, 0)
+        self.assertEqual(len(gateway.api.open_requests), 0)
 
 
 class StartupTests(unittest.IsolatedAsyncioTestCase):
