Show that a stop cuts requests on kept connections and at a second signal

Cause: what callers saw: a stream or booking that a server had run ended with a closed connection around SIGTERM. Ruled out: a single SIGTERM without further requests cuts nothing (tests.endtoend.test_instances, test_planned_stop). Change: three tests with callers that go on asking until nobody listens, and signals in series.

--- a/tests/endtoend/test_stop_signals.py
+++ b/tests/endtoend/test_stop_signals.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import signal
+from collections import Counter
 
 from standins.kept_caller import KeptCaller
 from tests.endtoend.instances import InstancesTestCase
@@ -49,6 +50,39 @@
         self.assertEqual(await self.program.stop(), 0)
         return results
 
+    def list_lost(self, results):
+        """Return requests that reached a server and have no whole response."""
+        runs = sum((server.run_counts for server in self.servers), Counter())
+        return [
+            result.attempt_id
+            for result in results
+            if runs[result.attempt_id] and not self.is_whole(result)
+        ]
+
+    def is_whole(self, result):
+        if result.status != 200:
+            return False
+        return not result.body.startswith(b"id:") or (
+            result.body.count(b"\n\n") == STREAM_EVENTS
+        )
+
+    async def test_requests_on_kept_connections(self):
+        """No request that a server got is cut by a stop."""
+        results = await self.run_callers([(0, signal.SIGTERM)])
+        self.assertEqual(self.list_lost(results), [])
+
+    async def test_repeated_signals(self):
+        """No request that a server got is cut by signals that repeat."""
+        signals = [(0, signal.SIGTERM), (0.5, signal.SIGTERM), (0.5, signal.SIGTERM)]
+        results = await self.run_callers(signals)
+        self.assertEqual(self.list_lost(results), [])
+
+    async def test_two_kinds_of_signals(self):
+        """No request is cut by the signals of a terminal and a supervisor."""
+        signals = [(0, signal.SIGINT), (0, signal.SIGTERM), (0.5, signal.SIGINT)]
+        results = await self.run_callers(signals)
+        self.assertEqual(self.list_lost(results), [])
+
     async def test_open_requests_are_named(self):
         """The log names each request open at a stop, with its age."""
         results = await self.run_callers([(0, signal.SIGTERM)])
