Reserve the loopback network of a test run

Ruled out: identifiers of processes that collide; neighbouring ones differ, but the first run moves on to the next network when its own is in use. Change: the network stays reserved, by a bound socket, until the process ends. Conclusion: whole runs may go side by side.

--- a/standins/instances.py
+++ b/standins/instances.py
@@ -21,6 +21,9 @@
 CONTROL_PORT = 8229
 INTERNAL_PORT_RANGE = (7340, 7355)
 LOOPBACK_NETWORKS = range(20, 250)
+#: Host and port that a process binds to reserve a network.
+RESERVATION_HOST = "255.1"
+RESERVATION_PORT = 7339
 
 #: Seconds that a successor has to take the place of a lost instance.
 CATCH_UP_S = 4
@@ -53,23 +56,47 @@
         return f"http://{self.ip}:{FRONTEND_PORT}"
 
 
+#: Sockets that reserve networks for this process until it ends.
+_reservations: dict[int, socket.socket] = {}
+
+
 def find_free_network() -> int:
     """Return the second octet of a range of unused loopback addresses.
 
-    Separate ranges let several test runs share one machine.
+    Separate ranges let several test runs share one machine: a network stays
+    reserved for the process that found it.
     """
     first = os.getpid() % len(LOOPBACK_NETWORKS)
     for offset in range(len(LOOPBACK_NETWORKS)):
         network = LOOPBACK_NETWORKS[(first + offset) % len(LOOPBACK_NETWORKS)]
-        with socket.socket() as probe:
-            try:
-                probe.bind((f"127.{network}.1.1", FRONTEND_PORT))
-            except OSError:
-                continue
+        if _is_unused(network) and _reserve(network):
             return network
     raise DeploymentError("every loopback network is in use")
 
 
+def _is_unused(network: int) -> bool:
+    with socket.socket() as probe:
+        try:
+            probe.bind((f"127.{network}.1.1", FRONTEND_PORT))
+        except OSError:
+            return False
+    return True
+
+
+def _reserve(network: int) -> bool:
+    """Reserve a network; return whether it is reserved for this process."""
+    if network in _reservations:
+        return True
+    reservation = socket.socket()
+    try:
+        reservation.bind((f"127.{network}.{RESERVATION_HOST}", RESERVATION_PORT))
+    except OSError:
+        reservation.close()
+        return False
+    _reservations[network] = reservation
+    return True
+
+
 class InstanceSet:
     """Instances whose control daemons and entries run as processes.
 
