Let a stop go on when its signal is repeated

Callers saw: streams and bookings that ran were cut together, around SIGTERM. Cause: a second stop signal ended any program at once. Supervisors repeat SIGTERM and send it to a group and to its members; a terminal adds SIGINT. Ruled out: an error in stop(); the log shows two signals and no error. Change: SIGTERM and SIGINT that follow the first are logged and change nothing. SIGQUIT ends a program at once, for an operator who wants that; tasks are cancelled in order. One rule for all programs, in programs/runner.py. Two ^C were weighed as such an order: a supervisor that forwards the signal of a terminal sends two as well.

--- a/carobspring/programs/runner.py
+++ b/carobspring/programs/runner.py
@@ -17,6 +17,8 @@
 EXIT_USAGE = 2
 
 STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
+#: Ends a program at once, and cuts what is open.
+EXIT_SIGNAL = signal.SIGQUIT
 
 Options = TypeVar("Options")
 
@@ -44,30 +46,47 @@
 async def run_until_signal(program: Program) -> None:
     """Start a program, print its ports, and stop it on a signal.
 
-    A second signal ends the program without waiting for the drain.
+    A stop goes on to its end whatever stop signals follow: supervisors repeat
+    a signal, and send it to a group of processes and to each member. Only
+    ``SIGQUIT`` ends the program without waiting for the drain.
     """
     loop = asyncio.get_running_loop()
     stop_requested = asyncio.Event()
     exit_requested = asyncio.Event()
 
-    def handle_signal(number: signal.Signals) -> None:
+    def handle_stop_signal(number: signal.Signals) -> None:
         extra = {"signal": number.name, "stopping": stop_requested.is_set()}
+        if stop_requested.is_set():
+            extra["hint"] = f"{EXIT_SIGNAL.name} ends the program at once"
         logger.info("signal received", extra=extra)
-        (exit_requested if stop_requested.is_set() else stop_requested).set()
+        stop_requested.set()
+
+    def handle_exit_signal() -> None:
+        logger.warning("signal received", extra={"signal": EXIT_SIGNAL.name})
+        exit_requested.set()
 
     for number in STOP_SIGNALS:
-        loop.add_signal_handler(number, handle_signal, number)
+        loop.add_signal_handler(number, handle_stop_signal, number)
+    loop.add_signal_handler(EXIT_SIGNAL, handle_exit_signal)
     loop.add_signal_handler(signal.SIGHUP, program.reload)
     ports = await program.start()
     port_list = " ".join(f"{name}={port}" for name, port in ports.items())
     print(f"listening {port_list}", flush=True)
-    await stop_requested.wait()
-    stop_task = asyncio.ensure_future(program.stop())
     exit_task = asyncio.ensure_future(exit_requested.wait())
-    await asyncio.wait({stop_task, exit_task}, return_when=asyncio.FIRST_COMPLETED)
+    run_task = asyncio.ensure_future(_stop_when_requested(program, stop_requested))
+    await asyncio.wait({run_task, exit_task}, return_when=asyncio.FIRST_COMPLETED)
     exit_task.cancel()
-    if stop_task.done():
-        stop_task.result()
+    if run_task.done():
+        run_task.result()
+        return
+    run_task.cancel()
+    await asyncio.wait({run_task})
+    logger.warning("ended before the stop was complete")
+
+
+async def _stop_when_requested(program: Program, stop_requested: asyncio.Event) -> None:
+    await stop_requested.wait()
+    await program.stop()
 
 
 def run_program(
