Ignore signals that come once a stop is over

What supervisors saw: exit code -15 after a planned stop, when SIGTERM came again in its last moments. Cause: the event loop restores the default action of its signals when it closes, some 50 ms before the interpreter ends. Ruled out: open requests that are cut; nothing is open by then. Change: stop signals and SIGHUP are blocked once the stop is over. Figures: tests.programs.test_runner.test_signals_at_the_end ends the test process with 143 before; after, the signals stay pending.

--- a/carobspring/programs/runner.py
+++ b/carobspring/programs/runner.py
@@ -75,6 +75,9 @@
     exit_task = asyncio.ensure_future(exit_requested.wait())
     run_task = asyncio.ensure_future(_stop_when_requested(program, stop_requested))
     await asyncio.wait({run_task, exit_task}, return_when=asyncio.FIRST_COMPLETED)
+    # The loop restores the default action of its signals when it closes, and
+    # one that follows would then change the exit code.
+    signal.pthread_sigmask(signal.SIG_BLOCK, (*STOP_SIGNALS, signal.SIGHUP))
     exit_task.cancel()
     if run_task.done():
         run_task.result()
--- a/tests/programs/test_runner.py
+++ b/tests/programs/test_runner.py
@@ -29,6 +29,8 @@
 class RunUntilSignalTests(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self):
         self.enterContext(mock.patch("builtins.print"))
+        mask = signal.pthread_sigmask(signal.SIG_BLOCK, ())
+        self.addCleanup(signal.pthread_sigmask, signal.SIG_SETMASK, mask)
         self.program = FakeProgram()
         self.run = asyncio.create_task(run_until_signal(self.program))
         await self.program.started.wait()
@@ -53,6 +55,22 @@
         await asyncio.wait_for(self.run, 1)
         self.assertIs(self.program.has_drained, False)
 
+    async def test_signals_at_the_end(self):
+        """A signal after the end of a stop doesn't change the exit code."""
+        self.program.may_end.set()
+        await self.send_signals(signal.SIGTERM)
+        await self.run
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGHUP):
+            # As the loop does when it closes.
+            loop.remove_signal_handler(number)
+            os.kill(os.getpid(), number)
+        pending = signal.sigpending()
+        for number in (signal.SIGTERM, signal.SIGHUP):
+            signal.signal(number, signal.SIG_IGN)
+            signal.signal(number, signal.SIG_DFL)
+        self.assertEqual(pending, {signal.SIGTERM, signal.SIGHUP})
+
     async def test_quit_without_a_stop(self):
         """SIGQUIT ends a running program."""
         await self.send_signals(signal.SIGQUIT)
