Take no request in a stop that may outlast it

Callers saw: requests cut some 7.6 s after SIGTERM, each sent on a connection that was kept from before. Cause: a response whose head was sent before SIGTERM announces no close, so its connection outlives the notice, and a request that came on it was taken at any moment of the stop. One taken at 3.6 s that needs 4 s is cut when the process ends. Ruled out: closing such connections behind their responses: a request that crosses the close makes a reset of it, which may take the end of the response from the caller. Refusing all that may last as long as the route allows: in the first 2.6 s the balancer still sends callers here, most have one retry, and nearly all would end in time. Change: dispatch/stopping.py decides. A request whose limit (the caller's deadline or the route's timeout) lies before the end of the stop is taken. One that may last longer is taken only while the balancer still sends callers, and if requests of its route in the last minute or two lasted four fifths of the time left at most. All others get 503 at once, with Retry-After 0 and the close announced: another entry may take them now, and they have not run. What is taken is what ends.

--- a/carobspring/dispatch/__init__.py
+++ b/carobspring/dispatch/__init__.py
@@ -19,6 +19,7 @@
     RefusalReason,
 )
 from carobspring.dispatch.specialization import EngineDemand
+from carobspring.dispatch.stopping import StopAdmission, StopSchedule
 
 __all__ = [
     "AttemptOutcome",
@@ -36,4 +37,6 @@
     "Refusal",
     "RefusalReason",
     "RequestQuarantine",
+    "StopAdmission",
+    "StopSchedule",
 ]
--- a/carobspring/dispatch/queries.py
+++ b/carobspring/dispatch/queries.py
@@ -94,6 +94,8 @@
     QUARANTINED = "quarantined"
     #: Several servers have crashed under requests with parts of its prompt.
     QUARANTINED_PARTS = "quarantined_parts"
+    #: The entry stops, and the request may last longer than that takes.
+    STOPPING = "stopping"
 
 
 @dataclass(frozen=True, kw_only=True)
--- a/carobspring/gateway/api.py
+++ b/carobspring/gateway/api.py
@@ -7,13 +7,23 @@
 
 from carobspring import platform
 from carobspring.adapters.tasks import start_task
-from carobspring.dispatch import DispatchQuery, RefusalReason
+from carobspring.dispatch import (
+    DispatchQuery,
+    Refusal,
+    RefusalReason,
+    StopAdmission,
+    StopSchedule,
+)
 from carobspring.domain.routes import Repeatability, Route, RoutingTable
 from carobspring.gateway.budget import RetryBudget
 from carobspring.gateway.exchange import Exchange, ExchangeContext
 from carobspring.gateway.metrics import GatewayMetrics
 from carobspring.gateway.open_requests import OpenRequests
-from carobspring.gateway.outcomes import ExchangeReport, encode_error
+from carobspring.gateway.outcomes import (
+    ExchangeReport,
+    RequestOutcome,
+    encode_error,
+)
 from carobspring.gateway.state import GatewayState
 from carobspring.ports import HttpRequest, HttpResponder, RandomSource
 from carobspring.resumption import (
@@ -53,6 +63,12 @@
         self._metrics = metrics
         #: The requests in flight.
         self.open_requests = OpenRequests()
+        self._stop_admission = StopAdmission()
+
+    def begin_stop(self, schedule: StopSchedule) -> None:
+        """Report not ready, and take only what ends before the stop does."""
+        self._state.begin_stop(self._context.read_clock())
+        self._stop_admission.begin(schedule)
 
     async def handle(self, request: HttpRequest, responder: HttpResponder) -> None:
         """Handle one request."""
@@ -95,6 +111,10 @@
             return
         rank = table.compute_rank(route, owner)
         query = self._build_query(request, metadata, route, origin, rank, started_at)
+        refusal = self._stop_admission.check(route.name, query.deadline, started_at)
+        if refusal is not None:
+            await self._refuse_for_now(responder, metadata, refusal)
+            return
         service = table.services[query.service]
         exchange = Exchange(
             context=self._context,
@@ -194,6 +214,14 @@
         self, responder: HttpResponder, metadata: platform.RequestMetadata, detail: str
     ) -> None:
         refusal = self._context.dispatcher.refuse(RefusalReason.UNKNOWN_STREAM, detail)
+        await self._refuse_for_now(responder, metadata, refusal)
+
+    async def _refuse_for_now(
+        self,
+        responder: HttpResponder,
+        metadata: platform.RequestMetadata,
+        refusal: Refusal,
+    ) -> None:
         await self._refuse(
             responder,
             metadata,
@@ -267,6 +295,8 @@
             None if report.first_byte_at is None else report.first_byte_at - started_at
         )
         self._metrics.record_end(report, first_byte_s, now - started_at)
+        if report.outcome is not RequestOutcome.REFUSED:
+            self._stop_admission.durations.record(route.name, now - started_at, now)
         logger.info(
             "request ended",
             extra={
--- a/carobspring/programs/instance_entry.py
+++ b/carobspring/programs/instance_entry.py
@@ -16,7 +16,7 @@
 from carobspring.adapters.metrics import Metrics, serve_metrics
 from carobspring.adapters.rpc import open_channel
 from carobspring.adapters.tasks import start_service_task
-from carobspring.dispatch import Dispatcher, EngineDemand
+from carobspring.dispatch import Dispatcher, EngineDemand, StopSchedule
 from carobspring.gateway import (
     AdmissionClient,
     BackendConnections,
@@ -210,11 +210,13 @@
 
     async def stop(self) -> None:
         """Report not ready, wait until open requests end, and close."""
-        self._state.begin_stop(self._clock.read_monotonic())
-        logger.info("stopping", extra={"open_requests": len(self._api.open_requests)})
-        self._log_open_requests("request open at stop")
+        now = self._clock.read_monotonic()
         left_s = self._settings.stop_grace_s - EXIT_MARGIN_S
         listen_s = min(STOP_LISTEN_S, left_s / 2)
+        schedule = StopSchedule(listens_until=now + listen_s, ends_at=now + left_s)
+        self._api.begin_stop(schedule)
+        logger.info("stopping", extra={"open_requests": len(self._api.open_requests)})
+        self._log_open_requests("request open at stop")
         await self._frontend.disable_keep_alive(listen_s)
         drained = await self._frontend.drain(max(0.0, left_s - listen_s))
         extra = {"drained": drained, "open_requests": len(self._api.open_requests)}
--- a/tests/gateway/test_api.py
+++ b/tests/gateway/test_api.py
@@ -1,6 +1,7 @@
 import asyncio
 import unittest
 
+from carobspring.dispatch import StopSchedule
 from carobspring.domain.routes import KeyOwner, RoutingTable
 from carobspring.gateway import GatewayState
 from tests.gateway.fakes import RESPONSE_HEADERS, FakeResponder, GatewayHarness
@@ -58,6 +59,24 @@
         self.assertEqual(headers["carobspring-tenant"], "acme")
         self.assertNotIn("authorization", headers)
 
+    async def test_requests_during_a_stop(self):
+        """A stop takes what it can end, and refuses the rest unsent."""
+        cases = {
+            "ends in time": (10.0, 200, None, 1),
+            "too late": (1.0, 503, "0.000", 0),
+        }
+        for name, (left_s, status, retry_after, sends) in cases.items():
+            with self.subTest(name):
+                gateway = GatewayHarness([SUCCESS], timeout_ms=2000)
+                now = asyncio.get_running_loop().time()
+                schedule = StopSchedule(listens_until=now, ends_at=now + left_s)
+                gateway.api.begin_stop(schedule)
+                response = await gateway.call()
+                self.assertEqual(
+                    (response.status, response.retry_after), (status, retry_after)
+                )
+                self.assertEqual(gateway.count_requests(), {"s1": sends})
+
     async def test_request_waits_for_the_first_table(self):
         """A request to a newly started entry waits for the routing table."""
         gateway = GatewayHarness([SUCCESS])
