Let only what follows be added to a stream that broke off

Callers saw: an error's text or a response's head in the middle of their stream, events missing, or a stream that ended as complete midway. Cause: what a second server answered was believed as soon as its status was below 300 and its type that of events. Its events were only checked for ones that the caller has. Ruled out: error statuses and other types; they broke the stream off before, though a body without end was read to 16 MB, which now is not read at all. Change: resumption/sequences.py decides where an event belongs. A response continues a stream only with status 200, the type of events and a receipt. Its events must have identifiers and follow by the step of the stream's own events, else of its route's, else increase; identifiers of a route that lately varied must only increase, as the protocol promises no more. The response ends as complete only after an event that follows. A stream whose last event has no identifier is not continued, as another server can't be told where. Comments neither begin nor continue a response. The same holds for what follows a caller's own Last-Event-Id, except that a server's empty answer to that is its whole answer and passed on. The first server's stream is believed as before: a gap in it, or an event without an identifier, is its own answer. Conclusion: what can't be shown to follow breaks the stream off visibly, or the next server is tried.

--- a/carobspring/gateway/events.py
+++ b/carobspring/gateway/events.py
@@ -5,6 +5,7 @@
 
 _TERMINATORS: Final = (b"\n\n", b"\r\n\r\n")
 _ID_FIELD: Final = b"id:"
+_COMMENT_MARK: Final = b":"
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -15,6 +16,12 @@
     #: Empty if the event has no identifier.
     event_id: str
 
+    @property
+    def is_comment(self) -> bool:
+        """Whether there are only comments, which keep a connection alive."""
+        lines = filter(None, self.data.splitlines())
+        return all(line.startswith(_COMMENT_MARK) for line in lines)
+
 
 class EventSplitter:
     r"""Splits the bytes of an event stream into complete events.
--- a/carobspring/gateway/exchange.py
+++ b/carobspring/gateway/exchange.py
@@ -43,7 +43,12 @@
     IncompleteResponseError,
     RequestWithheldError,
 )
-from carobspring.resumption import build_stream_key, compute_lifetime_s
+from carobspring.resumption import (
+    EventSequence,
+    RouteSteps,
+    build_stream_key,
+    compute_lifetime_s,
+)
 
 #: Seconds after the start of an entry during which it may not know all
 #: servers.
@@ -75,6 +80,7 @@
     crash_detector: CrashDetector
     admission_client: AdmissionClient
     stream_origins: StreamOrigins
+    route_steps: RouteSteps
     announcements: AnnouncementRecorder
     read_clock: Callable[[], float]
     #: Takes one retry to a service from its budget; False if none is left.
@@ -123,6 +129,11 @@
             dispatcher=context.dispatcher,
             admission_client=context.admission_client,
             read_clock=context.read_clock,
+            sequence=EventSequence(
+                route=route.name,
+                steps=context.route_steps,
+                last_id=metadata.last_event_id if self._is_resumable else "",
+            ),
             on_first_event=self._handle_first_event,
         )
         self._admission = RequestAdmission(
@@ -293,6 +304,8 @@
         """
         if self._relay.has_started and not self._is_resumable:
             return False
+        if not self._relay.can_continue:
+            return False
         attempts = self._route.max_attempts
         return (
             self._route.repeatability.can_repeat
@@ -418,6 +431,9 @@
         if not metadata.request_id:
             detail = "an answer without a request's identifier"
             return AttemptResult(outcome=AttemptOutcome.INCOMPLETE, detail=detail)
+        rejected = self._relay.reject_continuation(status, metadata)
+        if rejected is not None:
+            return rejected
         if response.status < 300 and metadata.is_event_stream:
             return await self._relay.relay_events(
                 response, server_id, self._await_or_abandon
--- a/carobspring/gateway/relay.py
+++ b/carobspring/gateway/relay.py
@@ -8,11 +8,13 @@
 from carobspring.gateway.admission import AdmissionClient
 from carobspring.gateway.events import EventSplitter, StreamEvent
 from carobspring.gateway.outcomes import AttemptResult, BufferedResponse, encode_error
+from carobspring.platform import ResponseMetadata
 from carobspring.ports import (
     BackendResponse,
     HttpResponder,
     IncompleteResponseError,
 )
+from carobspring.resumption import EventPosition, EventSequence
 
 #: Responses up to this size are sent only when they are complete, so that a
 #: caller never gets part of a response that breaks off.
@@ -21,6 +23,9 @@
 MAX_RESPONSE_BYTES: Final = 16 * 1024 * 1024
 MAX_EVENT_BYTES: Final = 1024 * 1024
 
+#: The only status of a response that continues a stream.
+CONTINUATION_STATUS: Final = 200
+
 ANSWERED: Final = AttemptResult(outcome=AttemptOutcome.ANSWERED)
 
 #: Awaits a read, and raises an error if the request should move to another
@@ -32,7 +37,8 @@
     """Sends a caller one response, from one backend server or from several.
 
     A stream that moves to another server continues after the last relayed
-    event. Its status and headers are those of the first server.
+    event, if what comes then proves that it follows. Its status and headers
+    are those of the first server.
     """
 
     def __init__(
@@ -43,6 +49,7 @@
         dispatcher: Dispatcher,
         admission_client: AdmissionClient,
         read_clock: Callable[[], float],
+        sequence: EventSequence,
         on_first_event: Callable[[], None],
     ) -> None:
         """Create a relay.
@@ -55,11 +62,12 @@
         self._dispatcher = dispatcher
         self._admission_client = admission_client
         self._read_clock = read_clock
+        self._sequence = sequence
         self._on_first_event = on_first_event
         #: Monotonic time of the first byte sent to the caller, or None.
         self.first_byte_at: float | None = None
-        #: Identifier of the last event sent to the caller, or empty.
-        self.last_event_id = ""
+        #: Comments before the first event.
+        self._held_comments = b""
         self.longest_event_gap_s = 0.0
         self.event_count = 0
         self._last_event_at = 0.0
@@ -69,12 +77,22 @@
         """Whether a part of the response was sent to the caller."""
         return self.first_byte_at is not None
 
+    @property
+    def last_event_id(self) -> str:
+        """Identifier of the last event sent to the caller, or empty."""
+        return self._sequence.last_id if self.event_count else ""
+
+    @property
+    def can_continue(self) -> bool:
+        """Whether another server can go on with what the caller has."""
+        return not self.has_started or self._sequence.can_continue
+
     async def relay_body(self, backend_response: BackendResponse) -> AttemptResult:
         """Relay a response when it is complete; stream a large one."""
         body = bytearray()
         while data := await backend_response.read():
             body += data
-            if len(body) > MAX_BUFFERED_BYTES and not self.has_started:
+            if len(body) > MAX_BUFFERED_BYTES:
                 return await self._stream_large_body(backend_response, bytes(body))
         detail = f"status {backend_response.status}"
         buffered = BufferedResponse(
@@ -86,16 +104,35 @@
             return AttemptResult(
                 outcome=AttemptOutcome.SERVER_ERROR, detail=detail, response=buffered
             )
-        if self.has_started:
-            # The caller has part of a stream, which a body can't continue.
-            return AttemptResult(outcome=AttemptOutcome.INCOMPLETE, detail=detail)
         await self.send_response(buffered)
         return ANSWERED
 
+    def reject_continuation(
+        self, status: int, metadata: ResponseMetadata
+    ) -> AttemptResult | None:
+        """Return why a response can't go on with a stream; None if it can."""
+        if not self.has_started:
+            return None
+        is_continuation = (
+            status == CONTINUATION_STATUS
+            and metadata.is_event_stream
+            and bool(metadata.signature)
+        )
+        if is_continuation:
+            self._sequence.begin_continuation()
+            return None
+        outcome = AttemptOutcome.INCOMPLETE
+        if status >= 500:
+            outcome = AttemptOutcome.SERVER_ERROR
+        detail = f"no continuation of the stream: status {status}"
+        return AttemptResult(outcome=outcome, detail=detail)
+
     async def relay_events(
         self, backend_response: BackendResponse, server_id: str, watch_read: ReadWatcher
     ) -> AttemptResult:
         """Relay the events of a stream, each as soon as it is complete."""
+        is_continuation = self.has_started
+        self._held_comments = b""
         splitter = EventSplitter()
         read_bytes = 0
         while data := await watch_read(backend_response.read()):
@@ -107,6 +144,10 @@
         if splitter.buffered_bytes:
             detail = "the stream ended inside an event"
             return AttemptResult(outcome=AttemptOutcome.INCOMPLETE, detail=detail)
+        if is_continuation and not self._sequence.has_progress:
+            # Whether the caller has the whole stream, nothing tells.
+            detail = "no further event of the stream"
+            return AttemptResult(outcome=AttemptOutcome.INCOMPLETE, detail=detail)
         if not self.has_started:
             await self._start_response(backend_response)
         await self._responder.finish()
@@ -133,6 +174,7 @@
     async def _start_response(self, backend_response: BackendResponse) -> None:
         self.first_byte_at = self._read_clock()
         await self._responder.start(backend_response.status, backend_response.headers)
+        await self._responder.write(self._held_comments)
 
     async def _stream_large_body(
         self, backend_response: BackendResponse, start: bytes
@@ -150,15 +192,21 @@
     async def _relay_event(
         self, event: StreamEvent, backend_response: BackendResponse, server_id: str
     ) -> None:
+        if event.is_comment:
+            await self._relay_comment(event)
+            return
+        now = self._read_clock()
+        position = self._sequence.locate(event.event_id, now)
+        if position is EventPosition.REPEATED:
+            return
+        if position is not EventPosition.NEXT:
+            reason = f"the stream does not go on: {position.value}"
+            raise IncompleteResponseError(reason=reason)
         if not self.has_started:
-            now = self._read_clock()
             self._dispatcher.record_first_event(server_id, self._request_id, now)
             self._admission_client.release(server_id, self._request_id)
             self._on_first_event()
             await self._start_response(backend_response)
-        elif _is_duplicate(event.event_id, self.last_event_id):
-            return
-        self.last_event_id = event.event_id or self.last_event_id
         now = self._read_clock()
         if self.event_count:
             event_gap_s = now - self._last_event_at
@@ -168,13 +216,14 @@
         self.event_count += 1
         await self._responder.write(event.data)
 
+    async def _relay_comment(self, event: StreamEvent) -> None:
+        """Relay comments, which never begin or continue a response."""
+        if not self.has_started:
+            self._held_comments += event.data
+        elif not self._sequence.is_continued:
+            await self._responder.write(event.data)
+
 
 def _check_size(size: int, limit: int) -> None:
     if size > limit:
         raise IncompleteResponseError(reason=f"the answer exceeds {limit} bytes")
-
-
-def _is_duplicate(event_id: str, last_event_id: str) -> bool:
-    if not (event_id.isdigit() and last_event_id.isdigit()):
-        return False
-    return int(event_id) <= int(last_event_id)
--- a/carobspring/programs/instance_entry.py
+++ b/carobspring/programs/instance_entry.py
@@ -49,7 +49,7 @@
 from carobspring.programs.runner import Program, run_command_line
 from carobspring.programs.stalls import StallDetector
 from carobspring.protocol import EntryReport, StreamMessage, ViewUpdate
-from carobspring.resumption import PeerDirectory
+from carobspring.resumption import PeerDirectory, RouteSteps
 
 #: Seconds after SIGTERM during which new connections are still accepted:
 #: callers are sent elsewhere only after two failed readiness checks, one
@@ -123,6 +123,7 @@
             read_clock=self._clock.read_monotonic,
             metrics=StreamMetrics(metrics),
         )
+        self._route_steps = RouteSteps()
         self._entry_count = EntryCount(window_s=settings.retry_window_s)
         self._budgets: dict[str, RetryBudget] = {}
         self._api = GatewayApi(
@@ -133,6 +134,7 @@
                 crash_detector=self._crash_detector,
                 admission_client=self._admission_client,
                 stream_origins=self._stream_origins,
+                route_steps=self._route_steps,
                 announcements=AnnouncementRecorder(
                     dispatcher=self._dispatcher,
                     crash_detector=self._crash_detector,
@@ -306,6 +308,7 @@
             logger.error("committed routes cannot be decoded", extra=extra)
             return False
         self._state.apply_table(table, self._clock.read_monotonic())
+        self._route_steps.keep_only(frozenset(each.name for each in table.routes))
         logger.info(
             "routes in force",
             extra={
--- a/carobspring/resumption/__init__.py
+++ b/carobspring/resumption/__init__.py
@@ -17,10 +17,18 @@
     build_stream_key,
     compute_lifetime_s,
 )
+from carobspring.resumption.sequences import (
+    EventPosition,
+    EventSequence,
+    RouteSteps,
+)
 
 __all__ = [
+    "EventPosition",
+    "EventSequence",
     "MAX_LIFETIME_S",
     "PeerDirectory",
+    "RouteSteps",
     "SeveralVersionsError",
     "StreamOrigin",
     "StreamRecordTable",
--- a/tests/gateway/fakes.py
+++ b/tests/gateway/fakes.py
@@ -29,7 +29,7 @@
     HttpResponder,
     IncompleteResponseError,
 )
-from carobspring.resumption import PeerDirectory
+from carobspring.resumption import PeerDirectory, RouteSteps
 
 REQUEST_ID = "9c41"
 RESPONSE_HEADERS = (
@@ -307,6 +307,7 @@
                 crash_detector=self.crash_detector,
                 admission_client=self.admission_client,
                 stream_origins=self.origins,
+                route_steps=RouteSteps(),
                 announcements=AnnouncementRecorder(
                     dispatcher=dispatcher,
                     crash_detector=self.crash_detector,
