Pass on no success that no server signed

Callers could see: a 2xx without the receipt of a backend server. Cause: the receipt was read from responses and never asked for. Ruled out: refusals and errors; the protocol asks for none there. Change: a 2xx without a receipt counts as no complete answer: the request goes to another server if it may be repeated, else its caller gets 502. The servers of tests.gateway.test_endless_responses now sign, as real ones do: without, the bodies that they test would be refused before they begin. Figures: tests.gateway.test_continuations.ReceiptTests: both cases passed on as 200 before, 502 after. Conclusion: a success counts only with its receipt and its whole body.

--- a/carobspring/gateway/exchange.py
+++ b/carobspring/gateway/exchange.py
@@ -434,6 +434,9 @@
         rejected = self._relay.reject_continuation(status, metadata)
         if rejected is not None:
             return rejected
+        if response.status < 300 and not metadata.signature:
+            detail = "a success without a receipt"
+            return AttemptResult(outcome=AttemptOutcome.INCOMPLETE, detail=detail)
         if response.status < 300 and metadata.is_event_stream:
             return await self._relay.relay_events(
                 response, server_id, self._await_or_abandon
--- a/tests/gateway/test_continuations.py
+++ b/tests/gateway/test_continuations.py
@@ -145,3 +145,16 @@
         self.assertEqual(
             (response.body, response.ended), (build_events(4, 5), "complete")
         )
+
+
+class ReceiptTests(unittest.IsolatedAsyncioTestCase):
+    async def test_success_without_a_receipt(self):
+        """A success that no server signed is not passed on as one."""
+        cases = {
+            "a body": (Repeatability.ONCE, RESPONSE_HEADERS[:1], b"answer"),
+            "a stream": (Repeatability.STREAM_ONCE, UNSIGNED, build_event(1)),
+        }
+        for name, (kind, headers, body) in cases.items():
+            with self.subTest(name):
+                gateway = GatewayHarness([(200, headers, [body])], repeatability=kind)
+                self.assertEqual((await gateway.call()).status, 502)
--- a/tests/gateway/test_endless_responses.py
+++ b/tests/gateway/test_endless_responses.py
@@ -16,7 +16,10 @@
 CHUNK_BYTES = 16 * 1024
 FILLER = b"x" * CHUNK_BYTES
 CHUNK = b"%x\r\n%s\r\n" % (CHUNK_BYTES, FILLER)
-HEAD = f"HTTP/1.1 200 OK\r\nCarobspring-Attempt-Id: {REQUEST_ID}\r\n".encode()
+HEAD = (
+    f"HTTP/1.1 200 OK\r\nCarobspring-Attempt-Id: {REQUEST_ID}\r\n"
+    "Carobspring-Upstream-Signature: s\r\n"
+).encode()
 OTHER_HEAD = b"HTTP/1.1 200 OK\r\nCarobspring-Attempt-Id: other\r\n"
 CHUNKED = b"Transfer-Encoding: chunked\r\n\r\n"
 EVENTS = b"Content-Type: text/event-stream\r\n"
