--- a/carobspring/gateway/events.py
+++ b/carobspring/gateway/events.py
@@ -19,6 +19,8 @@
     @property
     def is_comment(self) -> bool:
         """Whether there are only comments, which keep a connection alive."""
+        if self.event_id:
+            return False
         lines = filter(None, self.data.splitlines())
         return all(line.startswith(_COMMENT_MARK) for line in lines)
 
