Bound the idle connections to a server by what it takes

Cause: each request that may run once opens a connection and leaves it to others; idle ones were bounded by their age only, so at some rate they are all that a server takes. Ruled out: reusing them for such requests: a server that just closed one can't be told from a crash.

--- a/carobspring/adapters/backend_http.py
+++ b/carobspring/adapters/backend_http.py
@@ -8,7 +8,7 @@
 
 import asyncio
 from collections import deque
-from collections.abc import Set
+from collections.abc import Callable, Set
 from typing import Any, Final
 from urllib.parse import urlsplit
 
@@ -232,8 +232,14 @@
         preserve_host: bool = False,
         allow_close_delimited: bool = False,
         idle_timeout_s: float = 0.0,
+        compute_max_idle: Callable[[], int] | None = None,
         end_to_end_headers: Set[str] = frozenset(),
     ) -> None:
+        """Create a client.
+
+        ``compute_max_idle`` returns how many idle connections to keep; None
+        keeps them all until they time out.
+        """
         parts = urlsplit(url)
         self._address = (parts.hostname or "127.0.0.1", parts.port or 80)
         self._base_path = parts.path.rstrip("/")
@@ -241,6 +247,7 @@
         self._preserve_host = preserve_host
         self._allow_close_delimited = allow_close_delimited
         self._idle_timeout_s = idle_timeout_s
+        self._compute_max_idle = compute_max_idle
         #: Headers that no ``Connection`` header removes, in lower case.
         self.end_to_end_headers = end_to_end_headers
         self._idle: deque[BackendConnection] = deque()
@@ -305,6 +312,7 @@
             connection.close()
         elif connection.finish(now):
             self._idle.append(connection)
+            self._close_surplus()
             self._schedule_expiry()
 
     async def probe(self, timeout_s: float) -> bool:
@@ -366,6 +374,14 @@
         self._idle.clear()
         self._active.clear()
 
+    def _close_surplus(self) -> None:
+        """Close the oldest idle connections beyond the number to keep."""
+        if self._compute_max_idle is None:
+            return
+        max_idle = self._compute_max_idle()
+        while len(self._idle) > max_idle:
+            self._idle.popleft().close("too many idle connections")
+
     def _schedule_expiry(self) -> None:
         """Close idle connections in time, also if no request takes one."""
         if self._expiry is None and self._idle and not self._closed:
--- a/carobspring/programs/instance_entry.py
+++ b/carobspring/programs/instance_entry.py
@@ -26,6 +26,7 @@
     GatewayState,
 )
 from carobspring.gateway.announcements import AnnouncementRecorder
+from carobspring.gateway.backends import compute_max_idle
 from carobspring.gateway.budget import RetryBudget
 from carobspring.gateway.crashes import CrashDetector
 from carobspring.gateway.directory import ListedServer
@@ -89,7 +90,9 @@
         random = SystemRandom()
         metrics = self._metrics = Metrics(labels={"zone": settings.availability_zone})
         self._state = GatewayState()
-        self._backend_connections = BackendConnections()
+        self._backend_connections = BackendConnections(
+            find_max_idle=self._find_max_idle
+        )
         self._dispatcher = Dispatcher(zone=settings.availability_zone, random=random)
         self._admission_client = AdmissionClient(
             open_channel=self._open_channel,
@@ -401,6 +404,12 @@
     def _count_entries(self) -> int:
         return self._entry_count.find_largest(self._clock.read_monotonic())
 
+    def _find_max_idle(self, service: str) -> int:
+        table = self._state.table
+        routed = table.services.get(service) if table else None
+        max_connections = routed.max_connections if routed else 0
+        return compute_max_idle(max_connections, self._count_entries())
+
     def _try_spend_retry(self, service: str) -> bool:
         return self._find_budget(service).try_spend(self._clock.read_monotonic())
 
--- a/tests/adapters/test_backend_http.py
+++ b/tests/adapters/test_backend_http.py
@@ -388,6 +388,23 @@
             self.assertTrue(all(connection.is_lost for connection in idle))
             await backend.close()
 
+    async def test_idle_connections_are_bounded(self):
+        """Of more idle connections than a client may keep, the oldest go."""
+        async with ScriptedServer([build_response(b"a")] * 4) as server:
+            backend = HttpBackend(
+                url=server.url,
+                health_path="/",
+                idle_timeout_s=5.0,
+                compute_max_idle=lambda: 2,
+            )
+            for _ in range(4):
+                await self.read_response(await backend.send(REQUEST))
+            kept = list(backend._idle)
+            self.assertEqual(len(kept), 2)
+            self.assertLess(kept[0].idle_since, kept[1].idle_since)
+            self.assertEqual(backend.opened_connections, 4)
+            await backend.close()
+
     async def test_follow_up(self):
         """What comes behind a response tells whether it was the last one."""
         refusal = build_refusal()
--- a/tests/gateway/test_backends.py
+++ b/tests/gateway/test_backends.py
@@ -3,7 +3,11 @@
 
 from carobspring import platform
 from carobspring.domain import BackendServer, ServiceKind
-from carobspring.gateway.backends import BackendConnections
+from carobspring.gateway.backends import (
+    MAX_IDLE,
+    BackendConnections,
+    compute_max_idle,
+)
 from carobspring.ports import BackendRequest
 
 #: What a ``Connection`` header may say to name another header.
@@ -27,6 +31,21 @@
 )
 
 
+class ComputeMaxIdleTests(unittest.TestCase):
+    def test_parts(self):
+        """All entries together keep half of what a server takes."""
+        cases = {
+            "few entries": (110, 6, 9),
+            "many entries": (110, 400, 1),
+            "one entry": (370, 1, MAX_IDLE),
+            "no bound known": (0, 6, MAX_IDLE),
+            "no entry counted yet": (110, 0, 55),
+        }
+        for name, (max_connections, entries, expected) in cases.items():
+            with self.subTest(name):
+                self.assertEqual(compute_max_idle(max_connections, entries), expected)
+
+
 class ConnectionHeaderTests(unittest.IsolatedAsyncioTestCase):
     """A ``Connection`` header names headers that the other end must get."""
 
@@ -35,7 +54,7 @@
         self.response = b""
         server = await asyncio.start_server(self.respond, "127.0.0.1", 0)
         self.addCleanup(server.close)
-        self.connections = BackendConnections()
+        self.connections = BackendConnections(find_max_idle=lambda service: 4)
         self.connections.add(
             BackendServer(
                 server_id="i-1",
