Run every step of a stop, whatever fails before it

Callers saw, in the worst case, everything that was open cut at once: an exception anywhere in a program's stop() ended the process before it waited for open requests, or before it closed what came later. No such exception was seen in the field; the cause was found by reading.

Cause: five programs each had their stop as one function, in which any error skips the rest, a task's own error too when it is awaited.

Ruled out: a cancelled stop (SIGQUIT) still ends at once; the old form could also swallow that cancellation while it awaited a task.

Change: a program lists its steps, and programs/stopping.py runs each and logs the ones that fail. The last line of an entry's stop is now two: "drain ended" with the figures, then "stopped". The metrics listener of the control daemon is closed.

test_runner's program lists its drain as a step instead of overriding stop(); what is asserted is the same.

Conclusion: the class is a stop whose steps depend on each other's success; they no longer do.

--- a/carobspring/programs/agent.py
+++ b/carobspring/programs/agent.py
@@ -3,6 +3,7 @@
 import asyncio
 import logging
 import time
+from collections.abc import Sequence
 from dataclasses import dataclass
 from typing import Annotated, Any, Literal
 
@@ -32,6 +33,7 @@
 from carobspring.programs.agent_status import AgentStatusApi
 from carobspring.programs.options import OptionError
 from carobspring.programs.runner import Program, run_command_line
+from carobspring.programs.stopping import StopStep
 from carobspring.protocol import AgentReport, AgentUpdate
 from carobspring.scheduling import Scheduler, SchedulerLimits
 
@@ -177,21 +179,29 @@
         self._control_stream.start()
         return {"rpc": self._rpc_port, "http": self._http_server.port}
 
-    async def stop(self) -> None:
+    def list_stop_steps(self) -> Sequence[StopStep]:
         """Announce that the agent is leaving, drain its calls, and close."""
+        return (
+            StopStep(name="announce", run=self._announce_leaving),
+            StopStep(name="drain", run=self._drain),
+            StopStep(name="calls", run=self._manager.close),
+            StopStep(name="control stream", run=self._control_stream.close),
+            StopStep(name="rpc server", run=self._rpc_server.close),
+            StopStep(name="server", run=self._http_server.close),
+            StopStep(name="backend server", run=self._backend.close),
+        )
+
+    async def _announce_leaving(self) -> None:
         self._agent_state.leaving = True
         self._control_stream.request_report()
         await asyncio.sleep(LEAVING_REPORT_DELAY_S)
+
+    async def _drain(self) -> None:
         try:
             async with asyncio.timeout(self._options.drain_s):
                 await self._manager.drain()
         except TimeoutError:
             logger.error("calls were still running after the drain timeout")
-        await self._manager.close()
-        await self._control_stream.close()
-        self._rpc_server.close()
-        await self._http_server.close()
-        await self._backend.close()
 
     def _build_report(self) -> AgentReport:
         options = self._options
--- a/carobspring/programs/control.py
+++ b/carobspring/programs/control.py
@@ -1,8 +1,9 @@
 """``carob-control``: settings, membership, unique calls and admin API."""
 
 import asyncio
-import contextlib
+import functools
 import logging
+from collections.abc import Sequence
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Annotated, Any
@@ -38,6 +39,7 @@
 from carobspring.programs.options import OptionError
 from carobspring.programs.replica import Replica
 from carobspring.programs.runner import Program, run_command_line
+from carobspring.programs.stopping import StopStep, cancel_tasks
 
 TICK_INTERVAL_S = 0.1
 DRAIN_TIMEOUT_S = 5.0
@@ -146,29 +148,40 @@
             "admin": self._admin_server.port,
         }
 
-    async def stop(self) -> None:
+    def list_stop_steps(self) -> Sequence[StopStep]:
         """Transfer leadership, complete open requests, and close."""
-        if self._replica is not None and self._replica.is_leader() and self._peers:
-            is_transferred = await self._replica.transfer_leadership()
-            logger.info("leadership transferred: %s", is_transferred)
-        self.state.draining = True
-        self.state.notify_all_streams()
+        steps = []
+        if self._replica is not None:
+            steps.append(StopStep(name="leadership", run=self._transfer_leadership))
+        steps.append(StopStep(name="streams", run=self._redirect_streams))
         if self._admin_server is not None:
-            await self._admin_server.drain(DRAIN_TIMEOUT_S)
-            await self._admin_server.close()
+            drain = functools.partial(self._admin_server.drain, DRAIN_TIMEOUT_S)
+            steps.append(StopStep(name="drain", run=drain))
+            steps.append(StopStep(name="server", run=self._admin_server.close))
         if self._tick_task is not None:
-            self._tick_task.cancel()
-            with contextlib.suppress(asyncio.CancelledError):
-                await self._tick_task
+            tick = functools.partial(cancel_tasks, (self._tick_task,))
+            steps.append(StopStep(name="tick", run=tick))
         if self._replica is not None:
-            await self._replica.stop()
+            steps.append(StopStep(name="replica", run=self._replica.stop))
         if self._rpc_server is not None:
-            self._rpc_server.close()
-            await self._rpc_server.wait_closed()
+            steps.append(StopStep(name="rpc server", run=self._rpc_server.close))
+            wait = self._rpc_server.wait_closed
+            steps.append(StopStep(name="rpc streams", run=wait))
         for peer in self._peers.values():
-            peer.close()
+            steps.append(StopStep(name="peer", run=peer.close))
         if self._storage is not None:
-            self._storage.close()
+            steps.append(StopStep(name="storage", run=self._storage.close))
+        return steps
+
+    async def _transfer_leadership(self) -> None:
+        replica = self._replica
+        if replica is not None and replica.is_leader() and self._peers:
+            is_transferred = await replica.transfer_leadership()
+            logger.info("leadership transferred: %s", is_transferred)
+
+    def _redirect_streams(self) -> None:
+        self.state.draining = True
+        self.state.notify_all_streams()
 
     def _build_log(self) -> ReplicatedLog:
         options = self._options
--- a/carobspring/programs/entry.py
+++ b/carobspring/programs/entry.py
@@ -1,6 +1,7 @@
 """``carob-entry``: routes callers' requests to backend servers."""
 
 import asyncio
+from collections.abc import Sequence
 from dataclasses import dataclass
 from typing import Annotated
 
@@ -30,6 +31,7 @@
 from carobspring.ports import HttpLimits
 from carobspring.programs.options import OptionError
 from carobspring.programs.runner import Program, run_command_line
+from carobspring.programs.stopping import StopStep, cancel_tasks
 from carobspring.protocol import EntryReport
 from carobspring.routing import Router
 
@@ -140,17 +142,23 @@
         await self._http_server.start()
         return {"http": self._http_server.port}
 
-    async def stop(self) -> None:
+    def list_stop_steps(self) -> Sequence[StopStep]:
         """Report not ready, wait until all open calls end, and close."""
+        tasks = () if self._control_task is None else (self._control_task,)
+        server = self._http_server
+        return (
+            StopStep(name="send callers elsewhere", run=self._send_elsewhere),
+            StopStep(name="drain", run=lambda: server.drain(DRAIN_TIMEOUT_S)),
+            StopStep(name="cancellations", run=self._canceller.finish),
+            StopStep(name="tasks", run=lambda: cancel_tasks(tasks)),
+            StopStep(name="server", run=server.close),
+            StopStep(name="channels", run=self._pool.close),
+            StopStep(name="control client", run=self._control_client.close),
+        )
+
+    async def _send_elsewhere(self) -> None:
         self._state.stopping = True
         await asyncio.sleep(self._options.stop_grace_s)
-        await self._http_server.drain(DRAIN_TIMEOUT_S)
-        await self._canceller.finish()
-        if self._control_task is not None:
-            self._control_task.cancel()
-        await self._http_server.close()
-        self._pool.close()
-        self._control_client.close()
 
     def _open_channel(self, host: str, port: int) -> Channel:
         return open_channel(host=host, port=port, secret=self._options.secret)
--- a/carobspring/programs/instance_control.py
+++ b/carobspring/programs/instance_control.py
@@ -1,8 +1,9 @@
 """``carob-control`` on an instance of a platform: discovers its peers."""
 
 import asyncio
-import contextlib
+import functools
 import logging
+from collections.abc import Sequence
 from dataclasses import replace
 from pathlib import Path
 from typing import Any, Final
@@ -47,6 +48,7 @@
 )
 from carobspring.programs.runner import Program, run_command_line
 from carobspring.programs.stalls import StallDetector
+from carobspring.programs.stopping import StopStep, cancel_tasks
 
 TICK_INTERVAL_S: Final = 0.1
 #: Check-in intervals that a backend server's lease lasts. A server that misses
@@ -227,27 +229,30 @@
         )
         return {"control": self._control_port, "rpc": self._rpc_port}
 
-    async def stop(self) -> None:
+    def list_stop_steps(self) -> Sequence[StopStep]:
         """Transfer leadership, complete open requests, and close."""
-        logger.info("stopping", extra={"daemon": self._name})
-        self.state.draining = True
-        self.state.notify_all_streams()
+        steps = [StopStep(name="begin", run=self._begin_stop)]
         if self._supervisor is not None:
-            await self._supervisor.stop()
+            steps.append(StopStep(name="replica", run=self._supervisor.stop))
         if self._http_server is not None:
-            await self._http_server.drain(DRAIN_TIMEOUT_S)
-            await self._http_server.close()
-        for task in self._tasks:
-            task.cancel()
-        for task in self._tasks:
-            with contextlib.suppress(asyncio.CancelledError):
-                await task
+            drain = functools.partial(self._http_server.drain, DRAIN_TIMEOUT_S)
+            steps.append(StopStep(name="drain", run=drain))
+            steps.append(StopStep(name="server", run=self._http_server.close))
+        if self._metrics_server is not None:
+            steps.append(StopStep(name="metrics", run=self._metrics_server.close))
+        steps.append(StopStep(name="tasks", run=lambda: cancel_tasks(self._tasks)))
         if self._rpc_server is not None:
-            self._rpc_server.close()
-        self._discovery.close()
+            steps.append(StopStep(name="rpc server", run=self._rpc_server.close))
+        steps.append(StopStep(name="discovery", run=self._discovery.close))
         for peer in self._rpc_peers.values():
-            peer.close()
-        logger.info("stopped", extra={"daemon": self._name})
+            steps.append(StopStep(name="peer", run=peer.close))
+        steps.append(StopStep(name="last line", run=lambda: logger.info("stopped")))
+        return steps
+
+    def _begin_stop(self) -> None:
+        logger.info("stopping", extra={"daemon": self._name})
+        self.state.draining = True
+        self.state.notify_all_streams()
 
     def reload(self) -> None:
         """Read the node file again; called at SIGHUP."""
--- a/carobspring/programs/instance_entry.py
+++ b/carobspring/programs/instance_entry.py
@@ -1,10 +1,9 @@
 """``carob-entry`` on an instance of a platform: routes any request."""
 
 import asyncio
-import contextlib
 import logging
 import zlib
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable, Mapping, Sequence
 from typing import Final
 
 from grpclib.client import Channel
@@ -48,6 +47,7 @@
 from carobspring.programs.options import OptionError
 from carobspring.programs.runner import Program, run_command_line
 from carobspring.programs.stalls import StallDetector
+from carobspring.programs.stopping import StopStep, cancel_tasks
 from carobspring.protocol import EntryReport, StreamMessage, ViewUpdate
 from carobspring.resumption import PeerDirectory, RouteSteps
 
@@ -210,30 +210,39 @@
             "readiness": self._readiness_address.port,
         }
 
-    async def stop(self) -> None:
+    def list_stop_steps(self) -> Sequence[StopStep]:
         """Report not ready, wait until open requests end, and close."""
         now = self._clock.read_monotonic()
         left_s = self._settings.stop_grace_s - EXIT_MARGIN_S
         listen_s = min(STOP_LISTEN_S, left_s / 2)
         schedule = StopSchedule(listens_until=now + listen_s, ends_at=now + left_s)
-        self._api.begin_stop(schedule)
+        connections = self._backend_connections
+        return (
+            StopStep(name="begin", run=lambda: self._api.begin_stop(schedule)),
+            StopStep(name="report", run=self._log_stop_begin),
+            StopStep(
+                name="send callers elsewhere",
+                run=lambda: self._frontend.disable_keep_alive(listen_s),
+            ),
+            StopStep(name="drain", run=lambda: self._drain(schedule)),
+            StopStep(name="tasks", run=lambda: cancel_tasks(self._tasks)),
+            *(StopStep(name="server", run=each.close) for each in self._servers),
+            StopStep(name="admission client", run=self._admission_client.close),
+            StopStep(name="peer socket", run=self._peer_socket.close),
+            StopStep(name="backend connections", run=connections.close),
+            StopStep(name="last line", run=lambda: logger.info("stopped")),
+        )
+
+    def _log_stop_begin(self) -> None:
         logger.info("stopping", extra={"open_requests": len(self._api.open_requests)})
         self._log_open_requests("request open at stop")
-        await self._frontend.disable_keep_alive(listen_s)
-        drained = await self._frontend.drain(max(0.0, left_s - listen_s))
+
+    async def _drain(self, schedule: StopSchedule) -> None:
+        left_s = schedule.ends_at - self._clock.read_monotonic()
+        drained = await self._frontend.drain(max(0.0, left_s))
         extra = {"drained": drained, "open_requests": len(self._api.open_requests)}
+        logger.info("drain ended", extra=extra)
         self._log_open_requests("request cut by stop")
-        for task in self._tasks:
-            task.cancel()
-        for task in self._tasks:
-            with contextlib.suppress(asyncio.CancelledError):
-                await task
-        for server in self._servers:
-            await server.close()
-        self._admission_client.close()
-        self._peer_socket.close()
-        await self._backend_connections.close()
-        logger.info("stopped", extra=extra)
 
     def _log_open_requests(self, message: str) -> None:
         """Name the oldest open requests, one a line."""
--- a/carobspring/programs/runner.py
+++ b/carobspring/programs/runner.py
@@ -5,13 +5,14 @@
 import signal
 import sys
 from abc import ABC, abstractmethod
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 from typing import Any, TypeVar
 
 import fire
 
 from carobspring.programs.logs import configure_logging
 from carobspring.programs.options import OptionError, load_options
+from carobspring.programs.stopping import StopStep, run_steps
 
 EXIT_FAILURE = 1
 EXIT_USAGE = 2
@@ -33,12 +34,17 @@
         """Start the program and return the ports it listens on, by purpose."""
 
     @abstractmethod
-    async def stop(self) -> None:
-        """Transfer leadership if held, drain, and close.
+    def list_stop_steps(self) -> Sequence[StopStep]:
+        """Return the steps that stop the program, such as a drain.
 
-        Called once, after SIGTERM or SIGINT.
+        Called once, after SIGTERM or SIGINT. Each step runs even if one before
+        it has failed.
         """
 
+    async def stop(self) -> None:
+        """Run every step of a planned stop."""
+        await run_steps(self.list_stop_steps())
+
     def reload(self) -> None:
         """Reload settings that may have changed; called at SIGHUP."""
 
--- a/tests/programs/test_runner.py
+++ b/tests/programs/test_runner.py
@@ -5,6 +5,7 @@
 from unittest import mock
 
 from carobspring.programs.runner import Program, run_until_signal
+from carobspring.programs.stopping import StopStep
 
 
 class FakeProgram(Program):
@@ -20,8 +21,11 @@
         self.started.set()
         return {}
 
-    async def stop(self):
+    def list_stop_steps(self):
         self.stop_count += 1
+        return (StopStep(name="drain", run=self.drain),)
+
+    async def drain(self):
         await self.may_end.wait()
         self.has_drained = True
 
