Hold signals back until a program can handle them

Operators saw a program end at SIGHUP in its first second, by the default action of the signal; SIGTERM and SIGINT did the same, with an exit code of -15 or -2, and SIGINT once crashed an extension that was being loaded (-11). Callers that an entry had let connect meanwhile got a reset.

Cause: loading the modules takes some 0.5 s, the loop's handlers are set behind that.

Ruled out: signals during start() itself; the handlers exist then, and a stop follows once the program has started.

Change: each program is started by a small module that blocks SIGTERM, SIGINT and SIGHUP before it loads the rest (programs/start.py); the runner releases them as soon as the loop handles them. The modules keep their names as commands; the programs themselves move to *_program. What remains are the first 0.04 s, in which the interpreter itself starts.

--- a/carobspring/programs/entry_start.py
+++ b/carobspring/programs/entry_start.py
@@ -6,20 +6,25 @@
 
 import contextlib
 
-from carobspring.adapters.listeners import open_listener
-from carobspring.platform.node import NodeFileError, read_node_file
+from carobspring.programs.start import hold_signals, start_program
 
 
 def main() -> None:
     """Listen for callers, load the entry, and run it."""
+    hold_signals()
+    _listen_for_callers()
+    start_program("instance_entry_program")
+
+
+def _listen_for_callers() -> None:
+    from carobspring.adapters.listeners import open_listener
+    from carobspring.platform.node import NodeFileError, read_node_file
+
     # The entry reports an invalid file or address itself.
     with contextlib.suppress(NodeFileError, OSError):
         address = read_node_file().frontend_address
         if address is not None:
             open_listener(address.host, address.port)
-    from carobspring.programs.instance_entry import main as run_entry
-
-    run_entry()
 
 
 if __name__ == "__main__":
--- a/carobspring/programs/instance_entry.py
+++ b/carobspring/programs/instance_entry_program.py
@@ -443,7 +443,3 @@
 def main() -> None:
     """Run ``carob-entry``."""
     run_command_line("carob-entry", InstanceEntryProgram, InstanceOptions)
-
-
-if __name__ == "__main__":
-    main()
--- a/carobspring/programs/options_page.py
+++ b/carobspring/programs/options_page.py
@@ -11,9 +11,9 @@
 
 from msgspec import Meta
 
-from carobspring.programs.agent import AgentOptions
-from carobspring.programs.control import ControlOptions
-from carobspring.programs.entry import EntryOptions
+from carobspring.programs.agent_program import AgentOptions
+from carobspring.programs.control_program import ControlOptions
+from carobspring.programs.entry_program import EntryOptions
 from carobspring.programs.options import SECRET_OPTIONS, VARIABLE_PREFIX
 
 PROGRAMS: dict[str, type[Any]] = {
--- a/carobspring/programs/runner.py
+++ b/carobspring/programs/runner.py
@@ -12,12 +12,12 @@
 
 from carobspring.programs.logs import configure_logging
 from carobspring.programs.options import OptionError, load_options
+from carobspring.programs.start import STOP_SIGNALS, hold_signals, release_signals
 from carobspring.programs.stopping import StopStep, run_steps
 
 EXIT_FAILURE = 1
 EXIT_USAGE = 2
 
-STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 #: Ends a program at once, and cuts what is open.
 EXIT_SIGNAL = signal.SIGQUIT
 
@@ -75,6 +75,7 @@
         loop.add_signal_handler(number, handle_stop_signal, number)
     loop.add_signal_handler(EXIT_SIGNAL, handle_exit_signal)
     loop.add_signal_handler(signal.SIGHUP, program.reload)
+    release_signals()
     ports = await program.start()
     port_list = " ".join(f"{name}={port}" for name, port in ports.items())
     print(f"listening {port_list}", flush=True)
@@ -83,7 +84,7 @@
     await asyncio.wait({run_task, exit_task}, return_when=asyncio.FIRST_COMPLETED)
     # The loop restores the default action of its signals when it closes, and
     # one that follows would then change the exit code.
-    signal.pthread_sigmask(signal.SIG_BLOCK, (*STOP_SIGNALS, signal.SIGHUP))
+    hold_signals()
     exit_task.cancel()
     if run_task.done():
         run_task.result()
--- a/standins/delayed_entry.py
+++ b/standins/delayed_entry.py
@@ -9,7 +9,7 @@
 
 from grpclib.client import Channel
 
-from carobspring.programs.entry import EntryOptions, EntryProgram
+from carobspring.programs.entry_program import EntryOptions, EntryProgram
 from carobspring.programs.runner import run_command_line
 from standins.link import Link
 
--- a/tests/adapters/test_agent_service.py
+++ b/tests/adapters/test_agent_service.py
@@ -22,7 +22,7 @@
     open_channel,
 )
 from carobspring.domain import Address, RunStatus
-from carobspring.programs.agent import start_rpc_server
+from carobspring.programs.agent_program import start_rpc_server
 from carobspring.protocol import (
     AgentReport,
     AgentUpdate,
--- a/tests/control/harness.py
+++ b/tests/control/harness.py
@@ -10,7 +10,7 @@
 from carobspring.adapters import paths
 from carobspring.adapters.rpc import open_channel
 from carobspring.domain import BackendServer, LoadReport, ServiceKind
-from carobspring.programs.control import ControlOptions, ControlProgram
+from carobspring.programs.control_program import ControlOptions, ControlProgram
 from carobspring.protocol import (
     AgentReport,
     AgentUpdate,
--- a/tests/entry/deployment.py
+++ b/tests/entry/deployment.py
@@ -7,7 +7,7 @@
 import aiohttp
 
 from carobspring.domain import ServiceKind
-from carobspring.programs.entry import EntryOptions, EntryProgram
+from carobspring.programs.entry_program import EntryOptions, EntryProgram
 from carobspring.protocol import ViewUpdate
 from tests.entry.fakes import KEY_A, SECRET, FakeAgent, FakeControl, build_settings
 
--- a/tests/entry/test_api.py
+++ b/tests/entry/test_api.py
@@ -8,7 +8,7 @@
 from carobspring.domain import RunStatus
 from carobspring.entry import ERROR_KINDS
 from carobspring.ports import HttpRequest, HttpResponder
-from carobspring.programs.entry import EntryOptions, EntryProgram
+from carobspring.programs.entry_program import EntryOptions, EntryProgram
 from carobspring.protocol import CallEnd, CallEvent, ResponseHead, ViewUpdate
 from tests.entry.deployment import EntryTestCase, wait_until
 from tests.entry.fakes import KEY_A, SECRET, build_settings
--- a/tests/gateway/test_admission.py
+++ b/tests/gateway/test_admission.py
@@ -15,7 +15,7 @@
 from carobspring.domain import BackendServer, ServiceKind
 from carobspring.gateway import AdmissionClient
 from carobspring.gateway.admission import AdmissionOutcome
-from carobspring.programs.agent import start_rpc_server
+from carobspring.programs.agent_program import start_rpc_server
 from carobspring.protocol import EngineLoad
 from standins.deployment import wait_until
 
--- a/tests/programs/test_program_stops.py
+++ b/tests/programs/test_program_stops.py
@@ -5,11 +5,11 @@
 from collections import defaultdict
 from unittest import mock
 
-from carobspring.programs.agent import AgentProgram
-from carobspring.programs.control import ControlProgram
-from carobspring.programs.entry import EntryProgram
-from carobspring.programs.instance_control import InstanceControlProgram
-from carobspring.programs.instance_entry import InstanceEntryProgram
+from carobspring.programs.agent_program import AgentProgram
+from carobspring.programs.control_program import ControlProgram
+from carobspring.programs.entry_program import EntryProgram
+from carobspring.programs.instance_control_program import InstanceControlProgram
+from carobspring.programs.instance_entry_program import InstanceEntryProgram
 
 #: Program, part that fails, parts that wait for open requests or close.
 CASES = {
