Accept the connections that wait when listening ends

Callers that had connected, and may have sent their request, got a reset if the server stopped listening before it came to accept them: in a burst, or while its loop was busy.

Cause: closing a listening socket resets what waits in its queue. A drain also looked only at connections whose event had been handled.

Ruled out: the request was not passed on in any case, so nothing ran.

Change: the queue is accepted before the socket closes; these connections are drained like the others, served or closed in order. What arrives between the last accept and the close can still be reset.

Before: 20 of 20 waiting connections are reset, with and without a request. After: 20 of 20 are answered, 20 of 20 closed in order; the tests of the server, its listeners and kept connections pass.

Conclusion: what the kernel took for the server counts as taken.

--- a/carobspring/adapters/http_server.py
+++ b/carobspring/adapters/http_server.py
@@ -66,12 +66,30 @@
             with contextlib.suppress(OSError):
                 sock.shutdown(socket.SHUT_WR)
 
+    @property
+    def has_connections(self) -> bool:
+        """Whether any connection that was accepted is still open."""
+        return bool(self._clients)
+
     def stop_listening(self) -> None:
-        """Reject new connections and keep the open ones."""
-        if self._sock is not None:
-            self._poller.discard(self._sock)
-            self._sock.close()
-            self._sock = None
+        """Reject new connections and keep those that callers have opened.
+
+        Closing the socket would reset the connections that wait to be
+        accepted, so they are accepted before.
+        """
+        if self._sock is None:
+            return
+        with contextlib.suppress(OSError):
+            while True:
+                self._on_accept_done(self._sock.accept()[0])
+        self._poller.discard(self._sock)
+        self._sock.close()
+        self._sock = None
+
+    def close_all(self) -> None:
+        """Close every connection at once."""
+        for sock in list(self._clients):
+            self._close(sock)
 
     def discard_closed_buffers(self) -> None:
         """Remove the empty buffers of closed connections."""
@@ -226,7 +244,7 @@
         self._web.http.draining = True
         self._web.server.stop_listening()
         deadline = time.monotonic() + timeout_s
-        while self._web.http.connections:
+        while self._web.server.has_connections:
             if time.monotonic() > deadline:
                 return False
             self._close_idle(DRAIN_IDLE_TIMEOUT_S)
@@ -242,6 +260,7 @@
         self._web.server.stop_listening()
         for connection in list(self._web.http.connections.values()):
             connection.close_now()
+        self._web.server.close_all()
         await asyncio.sleep(DRAIN_POLL_INTERVAL_S)
         self._root.close()
         self._web = None
