Read on behind a response until its caller closes

Callers that sent more bytes while a connection closed, such as the next request, got a reset, and with it lost what they had not yet read of the response before: behind a response that announces the close, in a drain, in the wind-down before it, and at the idle timeout.

Cause: a close with unread bytes, or bytes that arrive behind it, makes the kernel reset the connection and drop what it still has to send.

Ruled out: bytes that the server itself had not passed to the kernel; those were waited for before.

Change: only the write side is shut down, as for rejected requests; what the caller sends is discarded until it closes, for linger_s after the last byte was sent at most. A drain waits 0.3 s for that.

Conclusion: a close is now the caller's to make, within a bound.

--- a/carobspring/adapters/http_connection.py
+++ b/carobspring/adapters/http_connection.py
@@ -57,10 +57,14 @@
         self._task: asyncio.Task[None] | None = None
         self._unsent_bytes = 0
         self._last_sent_at = time.monotonic()
-        self._close_deadline: float | None = None
+        #: When the server had sent everything before a close.
+        self._lingers_since: float | None = None
         self._writable = asyncio.Event()
         self._writable.set()
+        #: Nothing more is read.
         self._closing = False
+        #: Nothing more is written either.
+        self._is_ending = False
         self._closed = False
         self._waiting_since = time.monotonic()
 
@@ -84,7 +88,7 @@
         if stalled_s > self._limits.stall_timeout_s:
             self.close_now()
             return
-        if self._close_deadline is not None and now > self._close_deadline:
+        if self.has_lingered(now, self._limits.linger_s):
             self.close_now()
             return
         if self._responder is not None or self._closing:
@@ -95,17 +99,23 @@
                 message = "the request took too long to arrive"
                 self._reject(408, "request_timeout", message)
         elif waited_s > self._limits.idle_timeout_s:
-            self.close_now()
+            self.close_after_sending()
+
+    def has_lingered(self, now: float, duration_s: float) -> bool:
+        """Return whether only the caller's close was missing for so long."""
+        since = self._lingers_since
+        return since is not None and now - since > duration_s
 
     def close_when_idle(self, now: float, idle_s: float) -> None:
         """Close if there has been no request for a while."""
         is_busy = self._responder is not None or self._buffer or self._framing
         if (
             not is_busy
+            and not self._closing
             and not self._unsent_bytes
             and now - self._waiting_since > idle_s
         ):
-            self.close_now()
+            self.close_after_sending()
 
     def handle_close(self) -> None:
         """Notify the handler that its caller has disconnected."""
@@ -119,6 +129,8 @@
         """Record bytes that were sent."""
         self._unsent_bytes = max(0, self._unsent_bytes - size)
         self._last_sent_at = time.monotonic()
+        if self._is_ending and not self._unsent_bytes:
+            self._lingers_since = self._last_sent_at
         if self._unsent_bytes < self._limits.write_buffer_bytes:
             self._writable.set()
 
@@ -149,11 +161,19 @@
             asyncio.get_running_loop().call_soon(self._read_request)
 
     def close_after_sending(self) -> None:
-        """Send the buffered bytes, then close without marking an end."""
-        if not self._closed:
-            self._closing = True
-            self._close_deadline = time.monotonic() + self._limits.stall_timeout_s
-            self._tcp_server.close(self._sock)
+        """Send the buffered bytes, then close once the caller has closed.
+
+        A close with unread bytes would reset the connection, and the caller
+        might not get the end of the response. So only the write side is shut
+        down, and for ``linger_s`` what the caller still sends is discarded.
+        """
+        if self._closed:
+            return
+        self._closing = self._is_ending = True
+        self._buffer.clear()
+        if not self._unsent_bytes:
+            self._lingers_since = time.monotonic()
+        self._tcp_server.shutdown_write(self._sock)
 
     def close_now(self) -> None:
         """Close without sending the buffered bytes."""
@@ -301,15 +321,10 @@
 
     def _reject(self, status: int, code: str, message: str) -> None:
         self._closing = True
-        self._buffer.clear()
         body = encode_error(code=code, message=message)
         head = (
             f"HTTP/1.1 {status} Refused\r\nContent-Type: application/json\r\n"
             f"Content-Length: {len(body)}\r\nConnection: close\r\n\r\n"
         )
-        # Closing while bytes arrive would reset the connection, and the
-        # caller might not read the error. So only the write side is shut
-        # down, and the caller closes the connection within ``linger_s``.
-        self._close_deadline = time.monotonic() + self._limits.linger_s
         self.send_bytes(head.encode() + body)
-        self._tcp_server.shutdown_write(self._sock)
+        self.close_after_sending()
--- a/carobspring/adapters/http_responder.py
+++ b/carobspring/adapters/http_responder.py
@@ -46,7 +46,7 @@
         """Start reading the next request of the connection."""
 
     def close_after_sending(self) -> None:
-        """Send the buffered bytes, then close without marking an end."""
+        """Send the buffered bytes, then close once the caller has closed."""
 
     def should_close(self) -> bool:
         """Return whether the connection closes after this response."""
--- a/carobspring/adapters/http_server.py
+++ b/carobspring/adapters/http_server.py
@@ -24,6 +24,8 @@
 DRAIN_POLL_INTERVAL_S = 0.02
 #: Seconds that idle connections stay open in a drain, for requests in flight.
 DRAIN_IDLE_TIMEOUT_S = 0.5
+#: Seconds that a drain waits for callers to close, after all was sent.
+DRAIN_LINGER_S = 0.3
 #: Seconds that idle connections stay open after keep-alive was disabled. A
 #: caller whose request crosses the close may send it again.
 NO_KEEP_ALIVE_IDLE_TIMEOUT_S = 0.1
@@ -67,9 +69,9 @@
                 sock.shutdown(socket.SHUT_WR)
 
     @property
-    def has_connections(self) -> bool:
-        """Whether any connection that was accepted is still open."""
-        return bool(self._clients)
+    def connection_count(self) -> int:
+        """Number of accepted connections that are open."""
+        return len(self._clients)
 
     def stop_listening(self) -> None:
         """Reject new connections and keep those that callers have opened.
@@ -244,7 +246,7 @@
         self._web.http.draining = True
         self._web.server.stop_listening()
         deadline = time.monotonic() + timeout_s
-        while self._web.server.has_connections:
+        while not self._is_drained(time.monotonic()):
             if time.monotonic() > deadline:
                 return False
             self._close_idle(DRAIN_IDLE_TIMEOUT_S)
@@ -265,8 +267,19 @@
         self._root.close()
         self._web = None
 
+    def _is_drained(self, now: float) -> bool:
+        """Return whether no caller has to be waited for any more."""
+        if self._web is None:
+            return True
+        connections = self._web.http.connections.values()
+        if self._web.server.connection_count > len(connections):
+            # An accepted connection is not handled yet.
+            return False
+        return all(each.has_lingered(now, DRAIN_LINGER_S) for each in connections)
+
     def _close_idle(self, idle_s: float) -> None:
-        assert self._web is not None
+        if self._web is None:
+            return
         now = time.monotonic()
         for connection in list(self._web.http.connections.values()):
             connection.close_when_idle(now, idle_s)
--- a/tests/adapters/test_server_close.py
+++ b/tests/adapters/test_server_close.py
@@ -2,18 +2,31 @@
 
 import asyncio
 import socket
+import time
 import unittest
+from unittest import mock
 
+from carobspring.adapters import http_server
 from carobspring.adapters.http_server import CircuitsHttpServer
 from carobspring.ports import HttpLimits
 
 GET = b"GET /x HTTP/1.1\r\nHost: x\r\n\r\n"
+GET_AND_CLOSE = b"GET /x HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n"
 WAITING_CONNECTIONS = 20
-LIMITS = HttpLimits(linger_s=1.0)
+LINGER_S = 1.0
+LIMITS = HttpLimits(linger_s=LINGER_S, idle_timeout_s=0.2)
+#: More than a caller that doesn't read takes, less than the server's kernel
+#: does.
+LARGE_BODY_BYTES = 256 * 1024
+RECEIVE_BUFFER_BYTES = 16 * 1024
+#: Seconds that a drain may wait for callers that keep their connection.
+MAX_CALM_DRAIN_S = 1.2
 
 
 class ServerCloseTestCase(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self):
+        patch = mock.patch.multiple(http_server, TIMEOUT_CHECK_INTERVAL_S=0.05)
+        self.enterContext(patch)
         self.server = CircuitsHttpServer(
             host="127.0.0.1", port=0, handler=self.handle, limits=LIMITS
         )
@@ -21,12 +34,25 @@
         self.addAsyncCleanup(self.server.close)
 
     async def handle(self, request, responder):
-        await responder.send(200, (), b"served")
+        body = b"served"
+        if request.path == "/slow":
+            await responder.start(200, ())
+            await responder.write(b"first")
+            await asyncio.sleep(LINGER_S + 0.5)
+            await responder.write(b"last")
+            await responder.finish()
+            return
+        if request.path == "/large":
+            body = bytes(LARGE_BODY_BYTES) + body
+        await responder.send(200, (), body)
 
     def connect(self):
         """Connect without a turn of the event loop."""
-        sock = socket.create_connection(("127.0.0.1", self.server.port), 5)
+        sock = socket.socket()
         self.addCleanup(sock.close)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+        sock.settimeout(5)
+        sock.connect(("127.0.0.1", self.server.port))
         return sock
 
     async def read_all(self, sock):
@@ -62,3 +88,85 @@
         received = await asyncio.gather(*(self.read_all(sock) for sock in socks))
         self.assertEqual(received, [b""] * WAITING_CONNECTIONS)
         self.assertIs(await drained, True)
+
+
+class LastBytesTests(ServerCloseTestCase):
+    """Callers that send more while a connection closes lose no response."""
+
+    async def receive_slowly(self, request, close=None):
+        """Return a response whose caller sends more before it reads.
+
+        Until then the server has passed all of it to its kernel.
+        """
+        sock = self.connect()
+        sock.sendall(request.replace(b"/x", b"/large"))
+        await asyncio.sleep(0.1)
+        if close is not None:
+            closing = asyncio.create_task(close())
+            self.addAsyncCleanup(asyncio.wait, {closing})
+        await asyncio.sleep(0.5)
+        sock.sendall(GET)
+        await asyncio.sleep(0.1)
+        return await self.read_all(sock)
+
+    async def test_more_bytes_at_a_close(self):
+        """A response is whole, whatever closes the connection behind it."""
+        cases = {
+            "announced close": (GET_AND_CLOSE, None),
+            "drain": (GET, lambda: self.server.drain(5)),
+            "wind-down": (GET, lambda: self.server.disable_keep_alive(1)),
+            "idle timeout": (GET, None),
+        }
+        for name, (request, close) in cases.items():
+            with self.subTest(name):
+                await self.server.close()
+                await self.asyncSetUp()
+                received = await self.receive_slowly(request, close)
+                head, _, body = received.partition(b"\r\n\r\n")
+                self.assertEqual(head[:15], b"HTTP/1.1 200 OK")
+                self.assertEqual(len(body), LARGE_BODY_BYTES + len(b"served"))
+
+    async def test_callers_that_keep_the_connection(self):
+        """One that never closes holds neither its connection nor a drain."""
+        for name, request in {"closed": GET_AND_CLOSE, "idle": GET}.items():
+            with self.subTest(name):
+                await self.server.close()
+                await self.asyncSetUp()
+                sock = self.connect()
+                sock.sendall(request)
+                await asyncio.sleep(0.05)
+                started_at = time.monotonic()
+                self.assertIs(await self.server.drain(10), True)
+                self.assertLess(time.monotonic() - started_at, MAX_CALM_DRAIN_S)
+
+    async def test_slow_stream(self):
+        """A stream that is not at its end is no connection that lingers."""
+        chunked = b"POST /slow HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n"
+        requests = {
+            "kept": GET.replace(b"/x", b"/slow"),
+            "closed": GET_AND_CLOSE.replace(b"/x", b"/slow"),
+            "chunks": chunked + b"\r\n0\r\n\r\n",
+        }
+        for name, request in requests.items():
+            with self.subTest(name):
+                await self.server.close()
+                await self.asyncSetUp()
+                sock = self.connect()
+                sock.sendall(request)
+                await asyncio.sleep(0.05)
+                self.assertIs(await self.server.drain(10), True)
+                received = await self.read_all(sock)
+                ending = b"5\r\nfirst\r\n4\r\nlast\r\n0\r\n\r\n"
+                self.assertEqual(received[-len(ending) :], ending)
+
+    async def test_end_of_lingering(self):
+        """A connection that its caller keeps is closed after the bound."""
+        sock = self.connect()
+        sock.sendall(GET_AND_CLOSE)
+        received = await asyncio.wait_for(self.read_all(sock), 1)
+        self.assertEqual(received[-6:], b"served")
+        await asyncio.sleep(LINGER_S + 0.5)
+        sock.sendall(GET)
+        await asyncio.sleep(0.05)
+        with self.assertRaises(OSError):
+            sock.sendall(GET)
