Reset a connection whose unframed response is broken off

Callers that speak HTTP/1.0 took a response of unknown length for complete when it was broken off: by an abort, a handler that failed or ended early, a limit, the end of a stop, or the kill of the process.

Cause: such a response has neither length nor chunks, so the close of the connection is its end, and every way to break off closed in order.

Ruled out: HTTP/1.1, where a response without a length is sent in chunks and an abort leaves out the last one; responses with a length.

Change: from the head of such a response until all of it was sent, the socket has a linger time of zero, so that any close resets the connection, the kernel's own when a process dies included. It is taken back just before the write side is shut down behind a whole response.

Conclusion: the class is an abort that looks like an end; with the kernel's help it doesn't depend on which code ends the connection.

--- a/carobspring/adapters/http_connection.py
+++ b/carobspring/adapters/http_connection.py
@@ -175,6 +175,11 @@
             self._lingers_since = time.monotonic()
         self._tcp_server.shutdown_write(self._sock)
 
+    def reset_on_close(self) -> None:
+        """Let any close reset the connection until the response is whole."""
+        if not self._closed:
+            self._tcp_server.reset_on_close(self._sock)
+
     def close_now(self) -> None:
         """Close without sending the buffered bytes."""
         if not self._closed:
--- a/carobspring/adapters/http_responder.py
+++ b/carobspring/adapters/http_responder.py
@@ -48,6 +48,12 @@
     def close_after_sending(self) -> None:
         """Send the buffered bytes, then close once the caller has closed."""
 
+    def close_now(self) -> None:
+        """Close without sending the buffered bytes."""
+
+    def reset_on_close(self) -> None:
+        """Let any close reset the connection until the response is whole."""
+
     def should_close(self) -> bool:
         """Return whether the connection closes after this response."""
 
@@ -87,7 +93,11 @@
             return
         # An empty tuple, unlike an empty list, adds no Content-Length.
         self._response._body = ()
-        self._connection.send_bytes(self._build_head(status, headers))
+        head = self._build_head(status, headers)
+        if self._ends_with_close():
+            # An orderly close would mark the end of the response.
+            self._connection.reset_on_close()
+        self._connection.send_bytes(head)
 
     async def write(self, data: bytes) -> None:
         """Send a chunk; wait while too much is unread by a slow caller."""
@@ -113,7 +123,16 @@
         """Close the connection; the caller sees an incomplete response."""
         self._flush()
         self.ended = True
-        self._connection.close_after_sending()
+        if self._ends_with_close():
+            self._connection.close_now()
+        else:
+            self._connection.close_after_sending()
+
+    def _ends_with_close(self) -> bool:
+        """Return whether only the close tells where the response ends."""
+        response = self._response
+        is_framed = response.chunked or "Content-Length" in response.headers
+        return response.close and not is_framed
 
     def _flush(self) -> None:
         """Send the bytes written since the last flush."""
--- a/carobspring/adapters/http_server.py
+++ b/carobspring/adapters/http_server.py
@@ -4,6 +4,7 @@
 import contextlib
 import logging
 import socket
+import struct
 import time
 from typing import Any
 
@@ -21,6 +22,9 @@
 CHANNEL = "web"
 READ_SIZE_BYTES = 64 * 1024
 TIMEOUT_CHECK_INTERVAL_S = 1.0
+#: Values of SO_LINGER: on or off, and seconds.
+RESET_LINGER = struct.pack("ii", 1, 0)
+NO_LINGER = struct.pack("ii", 0, 0)
 DRAIN_POLL_INTERVAL_S = 0.02
 #: Seconds that idle connections stay open in a drain, for requests in flight.
 DRAIN_IDLE_TIMEOUT_S = 0.5
@@ -44,6 +48,8 @@
         self._on_sent = on_sent
         #: Sockets whose write side is shut down once their buffer is sent.
         self._shutting_down: set[Any] = set()
+        #: Sockets whose close resets the connection.
+        self._resetting: set[Any] = set()
 
     @handler("write", override=True)
     def write(self, sock: Any, data: bytes) -> None:
@@ -66,8 +72,20 @@
         else:
             self._shutting_down.discard(sock)
             with contextlib.suppress(OSError):
+                if sock in self._resetting:
+                    self._resetting.discard(sock)
+                    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER)
                 sock.shutdown(socket.SHUT_WR)
 
+    def reset_on_close(self, sock: Any) -> None:
+        """Let any close reset the connection, also that of a killed process.
+
+        This ends when the write side is shut down.
+        """
+        self._resetting.add(sock)
+        with contextlib.suppress(OSError):
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_LINGER)
+
     @property
     def connection_count(self) -> int:
         """Number of accepted connections that are open."""
@@ -99,6 +117,15 @@
         for sock in [key for key in self._buffers if key not in open_sockets]:
             del self._buffers[sock]
         self._shutting_down &= open_sockets
+        self._resetting &= open_sockets
+
+    def _close(self, sock: Any) -> None:
+        if sock in self._resetting:
+            # The component's own close would mark an end first.
+            self._resetting.discard(sock)
+            self._poller.discard(sock)
+            sock.close()
+        super()._close(sock)
 
     def _write(self, sock: Any, data: bytes) -> None:
         buffers_before = len(self._buffers[sock])
--- a/tests/adapters/test_server_close.py
+++ b/tests/adapters/test_server_close.py
@@ -1,7 +1,9 @@
 """Tests of what callers get when the server or a response ends."""
 
 import asyncio
+import contextlib
 import socket
+import sys
 import time
 import unittest
 from unittest import mock
@@ -22,11 +24,30 @@
 #: Seconds that a drain may wait for callers that keep their connection.
 MAX_CALM_DRAIN_S = 1.2
 
+ENDLESS_SERVER = """
+import asyncio
+from carobspring.adapters.http_server import CircuitsHttpServer
+
+async def handle(request, responder):
+    await responder.start(200, ())
+    await responder.write(b"first")
+    await asyncio.sleep(60)
+
+async def main():
+    server = CircuitsHttpServer(host="127.0.0.1", port=0, handler=handle)
+    await server.start()
+    print(server.port, flush=True)
+    await asyncio.sleep(60)
+
+asyncio.run(main())
+"""
+
 
 class ServerCloseTestCase(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self):
         patch = mock.patch.multiple(http_server, TIMEOUT_CHECK_INTERVAL_S=0.05)
         self.enterContext(patch)
+        self.may_end = asyncio.Event()
         self.server = CircuitsHttpServer(
             host="127.0.0.1", port=0, handler=self.handle, limits=LIMITS
         )
@@ -42,6 +63,18 @@
             await responder.write(b"last")
             await responder.finish()
             return
+        if request.path in ("/cut", "/fail", "/open", "/whole"):
+            await responder.start(200, ())
+            await responder.write(b"first")
+            await self.may_end.wait()
+            if request.path == "/cut":
+                responder.abort()
+            elif request.path == "/whole":
+                await responder.write(bytes(LARGE_BODY_BYTES))
+                await responder.finish()
+            elif request.path == "/fail":
+                raise ValueError("expected failure")
+            return
         if request.path == "/large":
             body = bytes(LARGE_BODY_BYTES) + body
         await responder.send(200, (), body)
@@ -170,3 +203,74 @@
         await asyncio.sleep(0.05)
         with self.assertRaises(OSError):
             sock.sendall(GET)
+
+
+class UnframedResponseTests(ServerCloseTestCase):
+    """Responses whose end only the close tells, to callers of HTTP/1.0."""
+
+    async def begin_response(self, path):
+        """Return a connection that has got the first bytes of a response."""
+        sock = self.connect()
+        sock.sendall(f"GET {path} HTTP/1.0\r\nHost: x\r\n\r\n".encode())
+        sock.setblocking(False)
+        loop = asyncio.get_running_loop()
+        received = b""
+        while not received.endswith(b"first"):
+            received += await asyncio.wait_for(loop.sock_recv(sock, 1024), 5)
+        return sock
+
+    async def test_incomplete_responses(self):
+        """One that is broken off ends with a reset, not as if complete."""
+
+        async def close_server():
+            await self.server.close()
+
+        async def end_response():
+            self.may_end.set()
+
+        async def stall():
+            """Let the connection's own check end it."""
+            for connection in self.server._web.http.connections.values():
+                connection.close_now()
+
+        cases = {
+            "abort": ("/cut", end_response),
+            "failed handler": ("/fail", end_response),
+            "no end by the handler": ("/open", end_response),
+            "close of the server": ("/open", close_server),
+            "close by a limit": ("/open", stall),
+        }
+        for name, (path, end) in cases.items():
+            with self.subTest(name):
+                await self.server.close()
+                await self.asyncSetUp()
+                sock = await self.begin_response(path)
+                with contextlib.ExitStack() as stack:
+                    if path == "/fail":
+                        stack.enter_context(
+                            self.assertLogs("carobspring.adapters.http_connection")
+                        )
+                    await end()
+                    with self.assertRaises(ConnectionResetError):
+                        await asyncio.wait_for(self.read_all(sock), 5)
+
+    async def test_whole_response(self):
+        """One that is whole ends in order, though its caller reads slowly."""
+        sock = await self.begin_response("/whole")
+        self.may_end.set()
+        await asyncio.sleep(0.2)
+        received = await self.read_all(sock)
+        self.assertEqual(received, bytes(LARGE_BODY_BYTES))
+
+    async def test_killed_process(self):
+        """One whose server is killed ends with a reset too."""
+        program = await asyncio.create_subprocess_exec(
+            sys.executable, "-c", ENDLESS_SERVER, stdout=asyncio.subprocess.PIPE
+        )
+        self.addAsyncCleanup(program.wait)
+        self.addCleanup(program.kill)
+        self.server.port = int(await program.stdout.readline())
+        sock = await self.begin_response("/x")
+        program.kill()
+        with self.assertRaises(ConnectionResetError):
+            await asyncio.wait_for(self.read_all(sock), 5)
