--- a/carobspring/adapters/http_server.py
+++ b/carobspring/adapters/http_server.py
@@ -4,6 +4,7 @@
 import contextlib
 import logging
 import socket
+import struct
 import time
 from typing import Any
 
@@ -21,9 +22,14 @@
 CHANNEL = "web"
 READ_SIZE_BYTES = 64 * 1024
 TIMEOUT_CHECK_INTERVAL_S = 1.0
+#: Values of SO_LINGER: on or off, and seconds.
+RESET_LINGER = struct.pack("ii", 1, 0)
+NO_LINGER = struct.pack("ii", 0, 0)
 DRAIN_POLL_INTERVAL_S = 0.02
 #: Seconds that idle connections stay open in a drain, for requests in flight.
 DRAIN_IDLE_TIMEOUT_S = 0.5
+#: Seconds that a drain waits for callers to close, after all was sent.
+DRAIN_LINGER_S = 0.3
 #: Seconds that idle connections stay open after keep-alive was disabled. A
 #: caller whose request crosses the close may send it again.
 NO_KEEP_ALIVE_IDLE_TIMEOUT_S = 0.1
@@ -42,6 +48,8 @@
         self._on_sent = on_sent
         #: Sockets whose write side is shut down once their buffer is sent.
         self._shutting_down: set[Any] = set()
+        #: Sockets whose close resets the connection.
+        self._resetting: set[Any] = set()
 
     @handler("write", override=True)
     def write(self, sock: Any, data: bytes) -> None:
@@ -64,14 +72,44 @@
         else:
             self._shutting_down.discard(sock)
             with contextlib.suppress(OSError):
+                if sock in self._resetting:
+                    self._resetting.discard(sock)
+                    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER)
                 sock.shutdown(socket.SHUT_WR)
 
+    def reset_on_close(self, sock: Any) -> None:
+        """Let any close reset the connection, also that of a killed process.
+
+        This ends when the write side is shut down.
+        """
+        self._resetting.add(sock)
+        with contextlib.suppress(OSError):
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_LINGER)
+
+    @property
+    def connection_count(self) -> int:
+        """Number of accepted connections that are open."""
+        return len(self._clients)
+
     def stop_listening(self) -> None:
-        """Reject new connections and keep the open ones."""
-        if self._sock is not None:
-            self._poller.discard(self._sock)
-            self._sock.close()
-            self._sock = None
+        """Reject new connections and keep those that callers have opened.
+
+        Closing the socket would reset the connections that wait to be
+        accepted, so they are accepted before.
+        """
+        if self._sock is None:
+            return
+        with contextlib.suppress(OSError):
+            while True:
+                self._on_accept_done(self._sock.accept()[0])
+        self._poller.discard(self._sock)
+        self._sock.close()
+        self._sock = None
+
+    def close_all(self) -> None:
+        """Close every connection at once."""
+        for sock in list(self._clients):
+            self._close(sock)
 
     def discard_closed_buffers(self) -> None:
         """Remove the empty buffers of closed connections."""
@@ -79,6 +117,15 @@
         for sock in [key for key in self._buffers if key not in open_sockets]:
             del self._buffers[sock]
         self._shutting_down &= open_sockets
+        self._resetting &= open_sockets
+
+    def _close(self, sock: Any) -> None:
+        if sock in self._resetting:
+            # The component's own close would mark an end first.
+            self._resetting.discard(sock)
+            self._poller.discard(sock)
+            sock.close()
+        super()._close(sock)
 
     def _write(self, sock: Any, data: bytes) -> None:
         buffers_before = len(self._buffers[sock])
@@ -226,7 +273,7 @@
         self._web.http.draining = True
         self._web.server.stop_listening()
         deadline = time.monotonic() + timeout_s
-        while self._web.http.connections:
+        while not self._is_drained(time.monotonic()):
             if time.monotonic() > deadline:
                 return False
             self._close_idle(DRAIN_IDLE_TIMEOUT_S)
@@ -242,12 +289,24 @@
         self._web.server.stop_listening()
         for connection in list(self._web.http.connections.values()):
             connection.close_now()
+        self._web.server.close_all()
         await asyncio.sleep(DRAIN_POLL_INTERVAL_S)
         self._root.close()
         self._web = None
 
+    def _is_drained(self, now: float) -> bool:
+        """Return whether no caller has to be waited for any more."""
+        if self._web is None:
+            return True
+        connections = self._web.http.connections.values()
+        if self._web.server.connection_count > len(connections):
+            # An accepted connection is not handled yet.
+            return False
+        return all(each.has_lingered(now, DRAIN_LINGER_S) for each in connections)
+
     def _close_idle(self, idle_s: float) -> None:
-        assert self._web is not None
+        if self._web is None:
+            return
         now = time.monotonic()
         for connection in list(self._web.http.connections.values()):
             connection.close_when_idle(now, idle_s)
