Let the soak stop entries in many ways under kept connections

Callers saw: requests cut around planned stops, and streams with foreign text, gaps or an early end; the soak found neither. Cause: it sent one SIGTERM at a time, its callers left at the end of each response, and its servers went on with streams only as they should. Change: bench/stops.py sends series of signals (repeated, of two kinds, reloads before, between and behind, while suspended), to core and entry of an instance at once as well, with the restart at once. Two series of faults do nothing else. 16 callers keep their connections to entries and go on asking until nobody listens, for bookings and streams of up to 5.5 s. Streams have 20 events. New checks: planned stops cut nothing, kept connections are answered (three may fail), streams hold only their events, bodies come from one server, successes have receipts; streams that break off are checked up to there. A stop excuses what was sent up to 3 s after its first signal and is at work in the last sixth of grace_s, what its server broke off, what reached its deadline, and what an unplanned fault of the instance touched within 3 s. The check of whole streams compares the text, no longer only the numbers; the streams of its unit test are those of a stand-in for that.

--- a/bench/faults.py
+++ b/bench/faults.py
@@ -16,14 +16,25 @@
     CONTACT_BOUND_S,
     Disruption,
     InvariantChecker,
+    PlannedStop,
 )
+from bench.stops import STOP_SERIES, send_stop_series
 from standins.backend_server import StandInServer
 from standins.instances import CATCH_UP_S, Instance, InstanceSet
 from standins.link import Link
 from standins.odd_check_ins import build_odd_check_ins, send_check_in
+from standins.odd_continuations import ODD_CONTINUATIONS
 
 #: Mean seconds between consecutive faults of one series.
 MEAN_FAULT_INTERVAL_S: Final = 1.0
+#: Mean seconds between two stops of the series that has nothing else.
+MEAN_STOP_INTERVAL_S: Final = 0.5
+#: Mean seconds between two times of odd continuations.
+MEAN_ODD_INTERVAL_S: Final = 3.0
+#: Seconds behind a signal of a stop, one of which is drawn each time.
+SIGNAL_DELAYS_S: Final = (0.0, 0.02, 0.3, 1.0, 2.5)
+CONTROL_ROLE: Final = "carob-control"
+ENTRY_ROLE: Final = "carob-entry"
 #: Software versions, one of which a server has from each start on.
 SERVER_VERSIONS: Final = ("v1", "v2")
 
@@ -76,6 +87,7 @@
             self._freeze,
             self._kill,
             self._stop,
+            self._stop_instance,
             self._send_hangup,
             self._erase_disk,
             self._replace_control,
@@ -95,6 +107,20 @@
             await asyncio.sleep(self._generator.expovariate(1 / MEAN_FAULT_INTERVAL_S))
             await self._generator.choice(faults)()
 
+    async def run_stops(self, ends_at: float) -> None:
+        """Stop one entry after another by plan until ``ends_at``."""
+        while time.monotonic() < ends_at:
+            await asyncio.sleep(self._generator.expovariate(1 / MEAN_STOP_INTERVAL_S))
+            await self._disrupt_program(
+                self._stop_by_series, durable=False, is_planned=True
+            )
+
+    async def run_odd_continuations(self, ends_at: float) -> None:
+        """Let servers go on with streams wrongly, again and again."""
+        while time.monotonic() < ends_at:
+            await asyncio.sleep(self._generator.expovariate(1 / MEAN_ODD_INTERVAL_S))
+            await self._continue_oddly()
+
     def _choose_program(
         self, *, durable: bool | None = None
     ) -> tuple[Instance, str] | None:
@@ -123,6 +149,7 @@
         disrupt: Callable[[Instance, str], Awaitable[None]],
         *,
         durable: bool | None = None,
+        is_planned: bool = False,
     ) -> None:
         """Run ``disrupt`` on a random program.
 
@@ -134,24 +161,38 @@
         if chosen is None:
             return
         instance, role = chosen
-        affected = {f"{instance.name}/{role}"}
-        if role == "carob-control":
-            affected.add("carob-control")
+        async with self._reserve(instance, (role,), is_planned=is_planned):
+            await disrupt(instance, role)
+
+    @contextlib.asynccontextmanager
+    async def _reserve(
+        self, instance: Instance, roles: Sequence[str], *, is_planned: bool = False
+    ) -> AsyncIterator[None]:
+        """Let no other fault affect some programs until the body is done."""
+        affected = {f"{instance.name}/{role}" for role in roles}
+        if CONTROL_ROLE in roles:
+            affected.add(CONTROL_ROLE)
         self._disrupted |= affected
         started_at = time.monotonic()
         try:
-            await disrupt(instance, role)
-            if role == "carob-control":
+            yield
+            if CONTROL_ROLE in roles:
                 await asyncio.sleep(CONFIGURATION_APPLY_BOUND_S)
         finally:
             self._disrupted -= affected
-            self._checker.disruptions.append(
-                Disruption(
-                    entry=instance.name,
-                    started_at=started_at,
-                    ended_at=time.monotonic(),
-                )
+            self._record_disruption(instance, started_at, is_planned=is_planned)
+
+    def _record_disruption(
+        self, instance: Instance, started_at: float, *, is_planned: bool = False
+    ) -> None:
+        self._checker.disruptions.append(
+            Disruption(
+                entry=instance.name,
+                started_at=started_at,
+                ended_at=time.monotonic(),
+                is_planned=is_planned,
             )
+        )
 
     async def _freeze(self) -> None:
         async def disrupt(instance: Instance, role: str) -> None:
@@ -171,20 +212,57 @@
         await self._disrupt_program(disrupt)
 
     async def _stop(self) -> None:
-        async def disrupt(instance: Instance, role: str) -> None:
-            program = instance.programs[role]
-            if await program.stop() != 0:
-                detail = f"{instance.name}/{role}: {program.returncode}"
-                self._checker.record_violation("clean shutdown", detail)
-            await self._instances.start(instance, role)
+        await self._disrupt_program(self._stop_by_series, is_planned=True)
+
+    async def _stop_instance(self) -> None:
+        """Stop both programs of an instance at once."""
+        instances = [
+            instance
+            for instance in self._instances.instances
+            if len(instance.programs) > 1
+            and CONTROL_ROLE not in self._disrupted
+            and f"{instance.name}/{ENTRY_ROLE}" not in self._disrupted
+        ]
+        if not instances:
+            return
+        instance = self._generator.choice(instances)
+        roles = tuple(instance.programs)
+        async with self._reserve(instance, roles, is_planned=True):
+            await self._stop_programs(instance, roles)
+
+    async def _stop_by_series(self, instance: Instance, role: str) -> None:
+        await self._stop_programs(instance, (role,))
+
+    async def _stop_programs(self, instance: Instance, roles: Sequence[str]) -> None:
+        """Stop programs by a series of signals, and start them at once."""
+        programs = [instance.programs[role] for role in roles]
+        numbers = STOP_SERIES[self._generator.choice(tuple(STOP_SERIES))]
+        started_at = time.monotonic()
+        signalled_at = await send_stop_series(
+            programs, numbers, lambda: self._generator.choice(SIGNAL_DELAYS_S)
+        )
+        if signal.SIGSTOP in numbers:
+            # It stood still, which is more than a planned stop.
+            self._record_disruption(instance, started_at)
+        if ENTRY_ROLE in roles:
+            stop = PlannedStop(entry=instance.name, signalled_at=signalled_at)
+            self._checker.planned_stops.append(stop)
+        await asyncio.gather(
+            *(self._await_end(instance, role) for role in roles),
+        )
 
-        await self._disrupt_program(disrupt)
+    async def _await_end(self, instance: Instance, role: str) -> None:
+        program = instance.programs[role]
+        if await program.wait() != 0:
+            detail = f"{instance.name}/{role}: {program.returncode}"
+            self._checker.record_violation("clean shutdown", detail)
+        await self._instances.start(instance, role)
 
     async def _send_hangup(self) -> None:
         async def disrupt(instance: Instance, role: str) -> None:
             instance.programs[role].send_signal(signal.SIGHUP)
 
-        await self._disrupt_program(disrupt)
+        await self._disrupt_program(disrupt, is_planned=True)
 
     async def _erase_disk(self) -> None:
         async def disrupt(instance: Instance, role: str) -> None:
@@ -303,6 +381,16 @@
         for server in self._servers:
             server.cut_after_events = 0
 
+    async def _continue_oddly(self) -> None:
+        """Let servers break streams off, and go on with none rightly."""
+        for server in self._servers:
+            server.cut_after_events = self._generator.randint(1, 3)
+            server.odd_continuation = self._generator.choice(ODD_CONTINUATIONS)
+        await asyncio.sleep(self._generator.uniform(0.5, 2.0))
+        for server in self._servers:
+            server.cut_after_events = 0
+            server.odd_continuation = ""
+
     async def _send_crashing_request(self) -> None:
         """Send a body again and again that crashes each server it reaches."""
         async with self._reserve_servers() as servers:
@@ -373,13 +461,7 @@
             finally:
                 self._disrupted -= names
                 for entry in entries:
-                    self._checker.disruptions.append(
-                        Disruption(
-                            entry=entry.name,
-                            started_at=started_at,
-                            ended_at=time.monotonic(),
-                        )
-                    )
+                    self._record_disruption(entry, started_at)
 
     @contextlib.asynccontextmanager
     async def _reserve_servers(self) -> AsyncIterator[Sequence[StandInServer]]:
--- a/bench/promises.py
+++ b/bench/promises.py
@@ -8,7 +8,11 @@
 from dataclasses import dataclass, field
 from typing import Final
 
-from standins.backend_server import Arrival, StandInServer
+from standins.backend_server import Arrival, ServerRun, StandInServer
+from standins.events import StreamText, parse_stream
+from standins.instances import STOP_GRACE_S
+from standins.kept_caller import DEADLINE_S, KeptResult
+from standins.odd_continuations import is_odd_text
 from standins.resuming_caller import ResumedStream
 
 #: Seconds in which an instance applies a new configuration, as the user
@@ -38,7 +42,17 @@
 #: the instance may have been sent for it.
 LEAVE_BOUND_S: Final = 2.0
 #: Number of events in each complete stream.
-STREAM_EVENT_COUNT: Final = 5
+STREAM_EVENT_COUNT: Final = 20
+#: Seconds after SIGTERM in which callers can't know of a stop, and seconds in
+#: which what they sent until then has to end.
+STOP_NOTICE_S: Final = 3.0
+STOP_WORK_S: Final = STOP_GRACE_S * 5 / 6
+#: Seconds after SIGTERM until which a missing response counts as cut by it.
+STOP_END_S: Final = STOP_GRACE_S + 1.0
+#: Seconds before a caller's deadline from which on its time is up.
+DEADLINE_MARGIN_S: Final = 0.1
+#: Requests of kept connections that may stay without a response in a run.
+MAX_UNANSWERED_REQUESTS: Final = 3
 #: Streams that may hold events of two software versions.
 MAX_MIXED_STREAMS: Final = 2
 
@@ -58,6 +72,16 @@
     entry: str
     started_at: float
     ended_at: float
+    #: Whether there were only signals that a program must take in order.
+    is_planned: bool = False
+
+
+@dataclass(frozen=True, kw_only=True)
+class PlannedStop:
+    """A planned stop of an entry, from its first signal on."""
+
+    entry: str
+    signalled_at: float
 
 
 @dataclass(kw_only=True)
@@ -73,6 +97,9 @@
     #: Entry and time of each request, by identifier.
     sent_requests: dict[str, tuple[str, float]] = field(default_factory=dict)
     disruptions: list[Disruption] = field(default_factory=list)
+    planned_stops: list[PlannedStop] = field(default_factory=list)
+    #: Entries and results of callers that keep their connections.
+    kept_results: list[tuple[str, KeptResult]] = field(default_factory=list)
     #: Times and versions of confirmed configurations.
     confirmed_versions: list[tuple[float, int]] = field(default_factory=list)
     #: Identifiers of streams that hold events of several software versions.
@@ -80,6 +107,8 @@
     #: Number of tries to take a stream up, and of those that went on.
     resumption_count: int = 0
     resumed_count: int = 0
+    #: Number of responses that went on with a stream as none should.
+    odd_response_count: int = 0
 
     def record_violation(self, invariant: str, detail: str) -> None:
         """Record a violated invariant and print it immediately."""
@@ -94,27 +123,104 @@
         if status != 200:
             return
         if kind in ("stream", "model"):
-            numbers = [
-                int(line[4:]) for line in body.splitlines() if line.startswith(b"id: ")
-            ]
-            if numbers != list(range(1, STREAM_EVENT_COUNT + 1)):
-                self.record_violation("complete ordered streams", f"{name}: {numbers}")
+            self.check_stream_text(name, body, is_complete=True)
         elif body.split()[-1:] != [name.encode()]:
             self.record_violation("responses match requests", f"{name}: {body!r}")
 
+    def check_stream_text(self, name: str, body: bytes, *, is_complete: bool) -> None:
+        """Check all that a caller got of one stream, whether it broke off."""
+        self._check_text(name, parse_stream(body), is_complete=is_complete)
+
     def check_stream(self, stream: ResumedStream) -> None:
         """Check a stream that its caller took up after each break."""
-        numbers = [event.number for event in stream.events]
-        is_ordered = numbers == list(range(1, len(numbers) + 1))
-        is_whole = len(numbers) == STREAM_EVENT_COUNT
-        if not is_ordered or (stream.is_complete and not is_whole):
-            detail = f"{stream.began_as}, taken up: {numbers}"
-            self.record_violation("complete ordered streams", detail)
+        text = StreamText(events=tuple(stream.events), foreign=tuple(stream.foreign))
+        name = f"{stream.began_as}, taken up"
+        self._check_text(name, text, is_complete=stream.is_complete)
+        for body in stream.other_bodies:
+            if not is_odd_text(body):
+                detail = f"{name}: {body[:40]!r} to {body[-80:]!r}"
+                self.record_violation("bodies come from one server", detail)
         self.resumption_count += len(stream.resumptions)
         self.resumed_count += sum(stream.resumptions)
         if stream.is_mixed:
             self.mixed_streams.append(stream.began_as)
 
+    def _check_text(self, name: str, text: StreamText, *, is_complete: bool) -> None:
+        numbers = text.numbers
+        is_ordered = numbers == list(range(1, len(numbers) + 1))
+        is_whole = len(numbers) == STREAM_EVENT_COUNT and not text.rest
+        if not is_ordered or (is_complete and not is_whole):
+            detail = f"{name}: {numbers}, rest {text.rest!r}, complete: {is_complete}"
+            self.record_violation("complete ordered streams", detail)
+        if text.foreign:
+            detail = f"{name}: {[each[:80] for each in text.foreign]}"
+            self.record_violation("streams hold only their events", detail)
+
+    def check_receipt(self, name: str, status: int, signature: str) -> None:
+        """Check that a success bears the receipt of a server for it."""
+        if status // 100 == 2 and signature.rpartition(".")[2] != name:
+            detail = f"{name}: status {status}, receipt {signature!r}"
+            self.record_violation("successes have receipts", detail)
+
+    def record_kept(self, entry: str, result: KeptResult) -> None:
+        """Record and check what a caller on a kept connection got."""
+        self.kept_results.append((entry, result))
+        name, kind = result.attempt_id, result.path.split("/")[1]
+        self.check_receipt(name, result.status, result.signature)
+        if result.status:
+            self.check_response(name, kind, result.status, result.body)
+            return
+        self.status_counts[0] += 1
+        if kind == "stream" and result.signature:
+            self.check_stream_text(name, result.body, is_complete=False)
+
+    def check_kept_requests(self, servers: Iterable[StandInServer]) -> None:
+        """Check that requests on kept connections that ran got responses.
+
+        A planned stop may cut none. At other times a few may be cut.
+        """
+        last_runs: dict[str, ServerRun] = {}
+        for server in servers:
+            for run in server.runs:
+                last = last_runs.get(run.attempt_id)
+                if last is None or last.started_at < run.started_at:
+                    last_runs[run.attempt_id] = run
+        unanswered = []
+        for entry, result in self.kept_results:
+            last = last_runs.get(result.attempt_id)
+            if last is None or not self._is_owed_response(entry, result, last):
+                continue
+            stop = self._find_stop(entry, result)
+            detail = _describe_missing_response(entry, result, last, stop)
+            if stop is None:
+                unanswered.append(detail)
+            elif not _was_at_work_too_long(result, last, stop):
+                self.record_violation("planned stops cut nothing", detail)
+        if len(unanswered) > MAX_UNANSWERED_REQUESTS:
+            detail = f"{len(unanswered)}: {'; '.join(unanswered)}"
+            self.record_violation("kept connections are answered", detail)
+
+    def _is_owed_response(self, entry: str, result: KeptResult, run: ServerRun) -> bool:
+        """Return whether a response is missing and nothing excuses that."""
+        is_in_time = result.ended_at - result.sent_at < DEADLINE_S - DEADLINE_MARGIN_S
+        since = result.sent_at - CONTACT_BOUND_S
+        return (
+            result.status == 0
+            and run.is_sound
+            and is_in_time
+            and not self._was_disrupted(
+                entry, since, result.ended_at, counts_planned=False
+            )
+        )
+
+    def _find_stop(self, entry: str, result: KeptResult) -> PlannedStop | None:
+        """Return the stop in which a request ended, if any."""
+        for stop in reversed(self.planned_stops):
+            after_s = result.ended_at - stop.signalled_at
+            if stop.entry == entry and 0 <= after_s <= STOP_END_S:
+                return stop
+        return None
+
     def check_stream_versions(self) -> None:
         """Check that streams keep the software version that began them."""
         if len(self.mixed_streams) > MAX_MIXED_STREAMS:
@@ -312,12 +418,43 @@
             for entry, arrivals in by_entry.items():
                 yield server, entry, arrivals
 
-    def _was_disrupted(self, entry: str, since: float | None, until: float) -> bool:
+    def _was_disrupted(
+        self,
+        entry: str,
+        since: float | None,
+        until: float,
+        *,
+        counts_planned: bool = True,
+    ) -> bool:
         return since is not None and any(
-            each.entry == entry and each.started_at <= until and each.ended_at >= since
+            each.entry == entry
+            and each.started_at <= until
+            and each.ended_at >= since
+            and (counts_planned or not each.is_planned)
             for each in self.disruptions
         )
 
 
+def _was_at_work_too_long(
+    result: KeptResult, run: ServerRun, stop: PlannedStop
+) -> bool:
+    """Return whether it outlasts a stop that its caller could not see."""
+    return (
+        result.sent_at <= stop.signalled_at + STOP_NOTICE_S
+        and run.ended_at is not None
+        and run.ended_at >= stop.signalled_at + STOP_WORK_S
+    )
+
+
+def _describe_missing_response(
+    entry: str, result: KeptResult, run: ServerRun, stop: PlannedStop | None
+) -> str:
+    detail = (
+        f"{result.attempt_id} {result.path} by {entry}, sent {result.sent_at:.2f}, "
+        f"run {run.started_at:.2f}, cut {result.ended_at:.2f}"
+    )
+    return detail if stop is None else f"{detail}, signal {stop.signalled_at:.2f}"
+
+
 def _count_in_window(times: Iterable[float], start: float, window_s: float) -> int:
     return sum(start <= at < start + window_s for at in times)
--- a/bench/soak.py
+++ b/bench/soak.py
@@ -2,9 +2,10 @@
 
 Control daemons and entries run as separate processes on loopback addresses.
 Callers, backend servers and the operator are simulated in this process. Faults
-are external and come in series that overlap: signals, restarts, erased disks,
-links that add delay, reset connections, go silent or pass data one way only,
-faulty backend servers, and configuration changes. The invariants of
+are external and come in series that overlap: signals, planned stops one after
+another, restarts, erased disks, links that add delay, reset connections, go
+silent or pass data one way only, faulty backend servers, servers that go on
+with a stream as none should, and configuration changes. The invariants of
 ``bench.promises`` are checked during the run and at its end.
 
 Example:
@@ -13,6 +14,7 @@
 
 import asyncio
 import collections
+import itertools
 import random
 import sys
 import time
@@ -24,10 +26,16 @@
 import fire
 
 from bench.faults import SERVER_VERSIONS, FaultInjector
-from bench.promises import RETRY_SLACK, InvariantChecker
+from bench.promises import RETRY_SLACK, STREAM_EVENT_COUNT, InvariantChecker
 from standins.backend_server import StandInServer
 from standins.deployment import Deployment, DeploymentError, open_client, wait_until
-from standins.instances import FRONTEND_PORT, InstanceSet, find_free_network
+from standins.instances import (
+    FRONTEND_PORT,
+    Instance,
+    InstanceSet,
+    find_free_network,
+)
+from standins.kept_caller import KeptCaller
 from standins.link import Link
 from standins.operator import Operator, build_configuration
 from standins.resuming_caller import ResumingCaller
@@ -41,6 +49,21 @@
 #: Number of fault series that run at the same time.
 FAULT_SERIES_COUNT: Final = 3
 CALLER_COUNT: Final = 6
+#: Callers that keep their connections, on the entries in turn, and what each
+#: asks for, some of these again and again. Paths name seconds; the longest
+#: outlast the end of a stop.
+KEPT_CALLER_COUNT: Final = 16
+KEPT_PATHS: Final = (
+    "/book/lasting/0.1",
+    "/book/lasting/2.5",
+    "/book/lasting/5.5",
+    "/stream/lasting/1.0",
+    "/stream/lasting/5.0",
+    "/stream/lasting/5.5",
+)
+KEPT_PATH_COUNT: Final = 4
+#: Number of series of planned stops that run at the same time.
+STOP_SERIES_COUNT: Final = 2
 #: Callers that take their streams up again, and seconds between events of
 #: these streams.
 RESUMING_CALLER_COUNT: Final = 3
@@ -92,12 +115,14 @@
             )
             await self._instances.start_all()
             controls = [instance.control_url for instance in self._instances.controls]
+            begun_streams: set[str] = set()
             for number in range(3):
                 server = StandInServer(
                     service="svc",
                     ip=f"127.{network}.{200 + number}.1",
                     controls=controls,
                     version=self._generator.choice(SERVER_VERSIONS),
+                    begun_streams=begun_streams,
                 )
                 server.event_interval_s = EVENT_INTERVAL_S
                 await server.start()
@@ -105,13 +130,19 @@
             for number in range(ENGINE_COUNT):
                 ip = f"127.{network}.{210 + number}.1"
                 engine = StandInServer(
-                    service="engines", ip=ip, controls=controls, is_engine=True
+                    service="engines",
+                    ip=ip,
+                    controls=controls,
+                    is_engine=True,
+                    begun_streams=begun_streams,
                 )
                 await engine.start()
                 self._servers.append(engine)
             self._new_ips = (
                 f"127.{network}.{20 + number}.1" for number in range(MAX_SUCCESSORS)
             )
+            for server in self._servers:
+                server.event_count = STREAM_EVENT_COUNT
             for instance in self._instances.entries:
                 link = Link(target_host=instance.ip, target_port=FRONTEND_PORT)
                 await link.start()
@@ -140,6 +171,11 @@
             self._send_resumed_streams(client, ends_at)
             for _ in range(RESUMING_CALLER_COUNT)
         ]
+        entries = self._instances.entries
+        tasks += [
+            self._keep_asking(entries[number % len(entries)], number, ends_at)
+            for number in range(KEPT_CALLER_COUNT)
+        ]
         fault_injector = FaultInjector(
             generator=self._generator,
             instances=self._instances,
@@ -152,6 +188,8 @@
             send_parts=lambda parts: self._send_parts(client, parts),
         )
         tasks += [fault_injector.run(ends_at) for _ in range(FAULT_SERIES_COUNT)]
+        tasks += [fault_injector.run_stops(ends_at) for _ in range(STOP_SERIES_COUNT)]
+        tasks.append(fault_injector.run_odd_continuations(ends_at))
         tasks += [self._send_changes(ends_at), self._poll_versions(controls, ends_at)]
         tasks.append(self._call_newest_routes(client, ends_at))
         await asyncio.gather(*tasks)
@@ -163,6 +201,10 @@
         await self._check_final_versions(controls)
         await self._check_sound_parts(client, fault_injector.sound_parts)
         self.checker.check_executions(self._servers)
+        self.checker.check_kept_requests(self._servers)
+        self.checker.odd_response_count = sum(
+            server.odd_response_count for server in self._servers
+        )
         self.checker.check_crashing_requests(self._servers)
         self.checker.check_announced_limits(self._servers)
         self.checker.check_rests(self._servers)
@@ -248,6 +290,30 @@
             self.checker.check_stream(await caller.run())
             await asyncio.sleep(CALLER_INTERVAL_S)
 
+    async def _keep_asking(
+        self, instance: Instance, number: int, ends_at: float
+    ) -> None:
+        """Ask one entry on a kept connection, anew after each of its ends."""
+        paths = self._generator.sample(KEPT_PATHS, KEPT_PATH_COUNT)
+
+        def record_send(attempt_id: str) -> None:
+            self.checker.sent_requests[attempt_id] = (instance.name, time.monotonic())
+
+        for generation in itertools.count():
+            if time.monotonic() >= ends_at:
+                return
+            caller = KeptCaller(
+                url=instance.frontend_url,
+                paths=paths,
+                name=f"k{number}-{generation}",
+                on_send=record_send,
+            )
+            for result in await caller.run(ends_at):
+                if result.path.startswith("/book/"):
+                    self.checker.at_most_once.add(result.attempt_id)
+                self.checker.record_kept(instance.name, result)
+            await asyncio.sleep(CALLER_INTERVAL_S)
+
     async def _send_body(self, client: aiohttp.ClientSession, body: bytes) -> None:
         entry = self._generator.choice(list(self._links))
         await self._call(client, entry, "read", body)
@@ -305,13 +371,19 @@
         url = f"http://127.0.0.1:{self._links[entry].port}/{kind}/x"
         method = "POST" if kind == "book" or body else "GET"
         timeout = aiohttp.ClientTimeout(total=REQUEST_TIMEOUT_S)
+        content = b""
         try:
             async with client.request(
                 method, url, headers=headers, timeout=timeout, data=body
             ) as response:
-                content = await response.read()
+                signature = response.headers.get("Carobspring-Upstream-Signature", "")
+                self.checker.check_receipt(name, response.status, signature)
+                async for data in response.content.iter_any():
+                    content += data
         except (aiohttp.ClientError, TimeoutError, OSError):
             self.checker.status_counts[0] += 1
+            if content and response.status == 200 and kind in ("stream", "model"):
+                self.checker.check_stream_text(name, content, is_complete=False)
             return None
         self.checker.check_response(name, kind, response.status, content)
         return response.status
@@ -373,7 +445,9 @@
     print(
         f"seed {seed}: {len(checker.violations)} violations; responses {counts}; "
         f"streams taken up {checker.resumption_count}, went on "
-        f"{checker.resumed_count}, mixed {len(checker.mixed_streams)}",
+        f"{checker.resumed_count}, mixed {len(checker.mixed_streams)}; planned stops "
+        f"{len(checker.planned_stops)}, kept requests {len(checker.kept_results)}, "
+        f"odd continuations {checker.odd_response_count}",
         flush=True,
     )
     sys.exit(1 if checker.violations else 0)
--- a/standins/backend_server.py
+++ b/standins/backend_server.py
@@ -4,18 +4,26 @@
 import secrets
 import time
 from collections import Counter
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 from dataclasses import dataclass
 
 import aiohttp
 from aiohttp import web
 
 from standins.deployment import wait_until
+from standins.events import StreamEvent, format_event
+from standins.odd_continuations import (
+    OWN_ANSWERS,
+    OddContinuation,
+    build_odd_continuations,
+)
 
 SERVER_PORT = 8080
 #: Faults in which a request gets no answer that the server's announcements
 #: are part of.
 SILENT_FAULTS = ("hang", "cut", "stray", "endless")
+#: Part of a path before the seconds that a request is to last.
+LASTING_MARK = "/lasting/"
 CHECK_IN_INTERVAL_S = 0.4
 RESPONSE_TIMEOUT_S = 1.0
 #: A refusal of some request, without its identifier.
@@ -54,6 +62,18 @@
     is_unanswered: bool = False
 
 
+@dataclass(kw_only=True)
+class ServerRun:
+    """A request that a backend server worked on."""
+
+    attempt_id: str
+    started_at: float
+    #: Time at which the work was done or given up; None during it.
+    ended_at: float | None = None
+    #: Whether the server did all that it should until then.
+    is_sound: bool = True
+
+
 class StandInServer:
     """A backend server in this process that checks in and serves requests.
 
@@ -66,7 +86,11 @@
     the server, which returns with a new identifier after
     ``restart_delay_s``. ``error_share`` of the runs get a 500 response
     instead, that of a crashing request too. All responses to callers carry
-    the headers in ``announcements``.
+    the headers in ``announcements``. A request whose path ends with
+    ``/lasting/`` and a number takes so many seconds. ``odd_continuation``
+    names the response to requests that go on with a stream; what is no fault
+    towards a caller goes to entries only. Servers share the identifiers of
+    requests that began streams in ``begun_streams``, to tell them apart.
     """
 
     def __init__(
@@ -78,12 +102,15 @@
         zone: str = "a",
         is_engine: bool = False,
         version: str = "v1",
+        begun_streams: set[str] | None = None,
     ) -> None:
+        self._begun_streams = set() if begun_streams is None else begun_streams
         self.server_id = f"i-{secrets.token_hex(4)}"
         #: Version of the software, which each event names.
         self.version = version
         self.service = service
         self.run_counts: Counter[str] = Counter()
+        self.runs: list[ServerRun] = []
         self.arrivals: list[Arrival] = []
         #: Monotonic times of crashes, and the body or the part of a prompt
         #: that caused them; empty if the server crashed by itself.
@@ -104,6 +131,9 @@
         self.event_count = 5
         #: Events after which a new stream is broken off; zero is off.
         self.cut_after_events = 0
+        #: A name of ``ODD_CONTINUATIONS``; empty is off.
+        self.odd_continuation = ""
+        self.odd_response_count = 0
         self.state = "ready"
         #: Monotonic time at which a control daemon first confirmed the drain.
         self.drain_confirmed_at: float | None = None
@@ -116,6 +146,8 @@
         self._runner: web.AppRunner | None = None
         self._check_in_task: asyncio.Task[None] | None = None
         self._restart_task: asyncio.Task[None] | None = None
+        #: Whether the server is down, or going down.
+        self._is_down = False
 
     @property
     def address(self) -> str:
@@ -136,6 +168,7 @@
         if is_restart:
             self._started_at_ms = int(time.time() * 1000)
             self._sequence = 0
+        self._is_down = False
         app = web.Application()
         app.router.add_route("*", "/{path:.*}", self._handle_request)
         self._runner = web.AppRunner(
@@ -153,6 +186,7 @@
 
     async def crash(self) -> None:
         """Stop serving and checking in, without a drain."""
+        self._is_down = True
         if self._check_in_task is not None:
             self._check_in_task.cancel()
         if self._runner is not None:
@@ -163,6 +197,7 @@
         if self._runner is None or self._runner.server is None:
             # It has not returned from its last crash.
             return
+        self._is_down = True
         self.crashes.append((time.monotonic(), cause))
         for site in tuple(self._runner.sites):
             # Closes the listening socket at once, unlike stopping the site.
@@ -256,6 +291,20 @@
                 headers={"Carobspring-Not-Executed": "1", **self.announcements},
             )
         self.run_counts[attempt_id] += 1
+        run = ServerRun(
+            attempt_id=attempt_id, started_at=time.monotonic(), is_sound=not self.fault
+        )
+        self.runs.append(run)
+        try:
+            return await self._run(request, run, body, parts)
+        finally:
+            run.ended_at = time.monotonic()
+            run.is_sound = run.is_sound and not self._is_down
+
+    async def _run(
+        self, request: web.Request, run: ServerRun, body: bytes, parts: Sequence[str]
+    ) -> web.StreamResponse:
+        attempt_id = run.attempt_id
         if self.fault == "repeated refusal":
             assert isinstance(request.transport, asyncio.Transport)
             request.transport.write(EARLIER_REFUSAL)
@@ -287,9 +336,11 @@
             return web.Response()
         if self.fault == "error":
             return web.Response(status=500, headers=response_headers, text="failed")
+        _, _, seconds = request.path.partition(LASTING_MARK)
+        lasting_s = float(seconds or 0.0)
         if request.path.startswith(("/stream/", "/model/")):
-            return await self._send_stream(request, response_headers)
-        await asyncio.sleep(self.response_delay_s)
+            return await self._send_stream(request, run, response_headers, lasting_s)
+        await asyncio.sleep(lasting_s or self.response_delay_s)
         return web.Response(
             headers=response_headers, text=f"{request.method} {attempt_id}"
         )
@@ -310,20 +361,63 @@
             await asyncio.sleep(0.001)
 
     async def _send_stream(
-        self, request: web.Request, response_headers: dict[str, str]
+        self,
+        request: web.Request,
+        run: ServerRun,
+        response_headers: dict[str, str],
+        lasting_s: float,
     ) -> web.StreamResponse:
-        first_number = int(request.headers.get("Last-Event-Id", "0")) + 1
-        cut_after = self.cut_after_events if first_number == 1 else 0
+        last_number = int(request.headers.get("Last-Event-Id", "0"))
+        if not last_number:
+            self._begun_streams.add(run.attempt_id)
+        odd = self._choose_odd_continuation(run.attempt_id, last_number)
+        if odd is not None:
+            self.odd_response_count += 1
+            run.is_sound = False
+            return await self._send_odd_continuation(request, response_headers, odd)
+        cut_after = 0 if last_number else self.cut_after_events
+        interval_s = lasting_s / self.event_count or self.event_interval_s
         response = web.StreamResponse(headers=response_headers)
         response.content_type = "text/event-stream"
         await response.prepare(request)
-        for number in range(first_number, self.event_count + 1):
-            event = f"id: {number}\ndata: {number} {self.version}\n\n"
-            await response.write(event.encode())
-            await asyncio.sleep(self.event_interval_s)
+        for number in range(last_number + 1, self.event_count + 1):
+            event = StreamEvent(number=number, version=self.version)
+            await response.write(format_event(event))
+            await asyncio.sleep(interval_s)
             if number == cut_after:
+                run.is_sound = False
                 assert request.transport is not None
                 request.transport.abort()
                 return response
         await response.write_eof()
         return response
+
+    def _choose_odd_continuation(
+        self, attempt_id: str, last_number: int
+    ) -> OddContinuation | None:
+        name = self.odd_continuation
+        if not name or not last_number:
+            return None
+        if name in OWN_ANSWERS and attempt_id not in self._begun_streams:
+            return None
+        odd = build_odd_continuations(last_number, self.version)
+        return odd[name]
+
+    async def _send_odd_continuation(
+        self,
+        request: web.Request,
+        response_headers: dict[str, str],
+        odd: OddContinuation,
+    ) -> web.StreamResponse:
+        headers = dict(response_headers)
+        if not odd.is_signed:
+            del headers["Carobspring-Upstream-Signature"]
+        response = web.StreamResponse(status=odd.status, headers=headers)
+        response.content_type = odd.content_type
+        await response.prepare(request)
+        await response.write(odd.body)
+        while odd.is_endless:
+            await response.write(odd.body)
+            await asyncio.sleep(0.001)
+        await response.write_eof()
+        return response
--- a/standins/deployment.py
+++ b/standins/deployment.py
@@ -136,6 +136,14 @@
             DeploymentError: It did not exit in time and was killed.
         """
         self.send_signal(signal.SIGTERM)
+        return await self.wait(timeout_s)
+
+    async def wait(self, timeout_s: float = STOP_TIMEOUT_S) -> int:
+        """Wait until the process ends and return its exit code.
+
+        Raises:
+            DeploymentError: It did not exit in time and was killed.
+        """
         try:
             return await asyncio.wait_for(self._process.wait(), timeout_s)
         except TimeoutError as error:
--- a/standins/instances.py
+++ b/standins/instances.py
@@ -25,6 +25,8 @@
 RESERVATION_HOST = "255.1"
 RESERVATION_PORT = 7339
 
+#: Seconds that a program has to stop.
+STOP_GRACE_S = 8
 #: Seconds that a successor has to take the place of a lost instance.
 CATCH_UP_S = 4
 
@@ -116,7 +118,7 @@
     ) -> None:
         self._deployment = deployment
         self._bounds: dict[str, float] = {
-            "grace_s": 8,
+            "grace_s": STOP_GRACE_S,
             "retry_slack": 58,
             "catch_up_s": CATCH_UP_S,
             **(bounds or {}),
--- a/standins/kept_caller.py
+++ b/standins/kept_caller.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import time
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 
 import aiohttp
@@ -16,11 +16,15 @@
     """What became of one request."""
 
     attempt_id: str
+    path: str
     sent_at: float
     ended_at: float
     #: Status of the response, or 0 without a complete one.
     status: int
     retry_after: str = ""
+    #: The receipt of the server that answered, or empty.
+    signature: str = ""
+    #: What came of the body, also without a complete response.
     body: bytes = b""
 
 
@@ -35,10 +39,19 @@
         name="c1").run()``
     """
 
-    def __init__(self, *, url: str, paths: Sequence[str], name: str) -> None:
+    def __init__(
+        self,
+        *,
+        url: str,
+        paths: Sequence[str],
+        name: str,
+        on_send: Callable[[str], None] = lambda attempt_id: None,
+    ) -> None:
+        """Create a caller; ``on_send`` gets the identifier of each request."""
         self._url = url
         self._paths = paths
         self._name = name
+        self._on_send = on_send
         self.results: list[KeptResult] = []
 
     async def run(self, ends_at: float = float("inf")) -> list[KeptResult]:
@@ -63,25 +76,32 @@
             "Carobspring-Deadline-Ms": str(round(DEADLINE_S * 1000)),
             "Authorization": "Bearer key-1",
         }
-        url = self._url + self._paths[count % len(self._paths)]
+        path = self._paths[count % len(self._paths)]
         timeout = aiohttp.ClientTimeout(total=DEADLINE_S)
+        self._on_send(attempt_id)
         sent_at = time.monotonic()
-        status, retry_after, body = 0, "", b""
+        status, retry_after, signature, body = 0, "", "", b""
         try:
             # No client sends a POST again by itself.
-            async with client.post(url, headers=headers, timeout=timeout) as response:
-                body = await response.read()
-                status = response.status
+            async with client.post(
+                self._url + path, headers=headers, timeout=timeout
+            ) as response:
                 retry_after = response.headers.get("Retry-After", "")
+                signature = response.headers.get("Carobspring-Upstream-Signature", "")
+                async for data in response.content.iter_any():
+                    body += data
+                status = response.status
         except aiohttp.ClientConnectorError:
             raise
         except (aiohttp.ClientError, TimeoutError, OSError):
             status = 0
         return KeptResult(
             attempt_id=attempt_id,
+            path=path,
             sent_at=sent_at,
             ended_at=time.monotonic(),
             status=status,
             retry_after=retry_after,
+            signature=signature,
             body=body,
         )
--- a/standins/resuming_caller.py
+++ b/standins/resuming_caller.py
@@ -8,6 +8,9 @@
 
 import aiohttp
 
+from standins.events import StreamEvent, parse_event
+
+STREAM_TYPE = "text/event-stream"
 #: Tries of a caller for one stream, the first one included.
 MAX_TRIES = 4
 #: Retry-After that is honoured at most, as a share of the time that is left.
@@ -18,19 +21,15 @@
 _numbers = itertools.count(1)
 
 
-@dataclass(frozen=True, kw_only=True)
-class StreamEvent:
-    """One event, as a stand-in server writes it."""
-
-    number: int
-    version: str
-
-
 @dataclass(kw_only=True)
 class ResumedStream:
     """What a caller got of one stream, over all its tries."""
 
     events: list[StreamEvent] = field(default_factory=list)
+    #: Texts in the stream that are no event of it.
+    foreign: list[bytes] = field(default_factory=list)
+    #: Bodies of responses that are no event streams, as far as they came.
+    other_bodies: list[bytes] = field(default_factory=list)
     is_complete: bool = False
     #: Identifier of the try that brought the first event.
     began_as: str = ""
@@ -122,7 +121,9 @@
             ) as response:
                 stream.statuses.append(response.status)
                 retry_after_s = float(response.headers.get("Retry-After", 0.0))
-                if response.status == 200:
+                if response.content_type != STREAM_TYPE:
+                    await self._read_other_body(response)
+                elif response.status == 200:
                     await self._read_events(response, attempt_id)
         except aiohttp.ClientConnectorError:
             # The entry is gone, so nobody was asked to go on.
@@ -137,6 +138,16 @@
             await asyncio.sleep(self._resume_delay_s)
         return max(retry_after_s, RETRY_DELAY_S)
 
+    async def _read_other_body(self, response: aiohttp.ClientResponse) -> None:
+        if response.status != 200:
+            return
+        body = bytearray()
+        try:
+            async for data in response.content.iter_any():
+                body += data
+        finally:
+            self.stream.other_bodies.append(bytes(body))
+
     async def _read_events(
         self, response: aiohttp.ClientResponse, attempt_id: str
     ) -> None:
@@ -145,10 +156,13 @@
             buffer += data
             while b"\n\n" in buffer:
                 text, _, buffer = buffer.partition(b"\n\n")
-                words = text.decode().split()
+                event = parse_event(text)
+                if event is None:
+                    self.stream.foreign.append(text)
+                    continue
                 if not self.stream.events:
                     self.stream.began_as = attempt_id
-                self.stream.events.append(
-                    StreamEvent(number=int(words[1]), version=words[-1])
-                )
+                self.stream.events.append(event)
+        if buffer:
+            self.stream.foreign.append(buffer)
         self.stream.is_complete = True
--- a/tests/benchmarks/test_soak.py
+++ b/tests/benchmarks/test_soak.py
@@ -1,23 +1,36 @@
+import signal
+import time
 import unittest
 from collections import Counter
 from dataclasses import replace
 from types import SimpleNamespace
+from unittest import mock
 
 from aiohttp import web
 
 from bench.promises import (
     CONFIGURATION_APPLY_BOUND_S,
+    STREAM_EVENT_COUNT,
     Disruption,
     InvariantChecker,
+    PlannedStop,
 )
 from bench.soak import SoakRun
-from standins.backend_server import Arrival
-from standins.deployment import open_client
+from bench.stops import STOP_SERIES, send_stop_series
+from standins.backend_server import Arrival, ServerRun
+from standins.deployment import RunningProgram, open_client
+from standins.events import StreamEvent
+from standins.kept_caller import KeptResult
 from standins.link import Link
-from standins.resuming_caller import ResumedStream, StreamEvent
+from standins.resuming_caller import ResumedStream
 
-SECONDS = 8.0
-COMPLETE_STREAM = b"".join(b"id: %d\ndata: x\n\n" % number for number in range(1, 6))
+#: Longer than a stop of an entry may last.
+SECONDS = 20.0
+EVENTS = [
+    b"id: %d\ndata: %d v1\n\n" % (number, number)
+    for number in range(1, STREAM_EVENT_COUNT + 1)
+]
+COMPLETE_STREAM = b"".join(EVENTS)
 
 
 class InvariantTests(unittest.TestCase):
@@ -41,6 +54,16 @@
                 COMPLETE_STREAM + COMPLETE_STREAM,
                 ["complete ordered streams"],
             ),
+            "half an event behind": (
+                "stream",
+                COMPLETE_STREAM + b"id: 21",
+                ["complete ordered streams"],
+            ),
+            "foreign text": (
+                "stream",
+                b"data: error\n\n" + COMPLETE_STREAM,
+                ["streams hold only their events"],
+            ),
         }
         for name, (kind, body, violated) in cases.items():
             with self.subTest(name):
@@ -48,12 +71,60 @@
                 self.checker.check_response("q1", kind, 200, body)
                 self.assertEqual(self.list_violated(), violated)
 
+    def test_streams_that_break_off(self):
+        """What a caller got of a broken stream is the begin of that stream."""
+        cases = {
+            "nothing": (b"", []),
+            "some events": (EVENTS[0] + EVENTS[1], []),
+            "part of an event": (EVENTS[0] + EVENTS[1][:9], []),
+            "a gap": (
+                EVENTS[0] + EVENTS[2],
+                ["complete ordered streams"],
+            ),
+            "a repeat": (
+                EVENTS[0] + EVENTS[0],
+                ["complete ordered streams"],
+            ),
+            "a head": (
+                EVENTS[0] + b"HTTP/1.1 500 Failed\r\n\r\nfailed\n\n",
+                ["streams hold only their events"],
+            ),
+            "a text": (
+                EVENTS[0] + b"failed",
+                ["streams hold only their events"],
+            ),
+        }
+        for name, (body, violated) in cases.items():
+            with self.subTest(name):
+                self.checker = InvariantChecker()
+                self.checker.check_stream_text("q1", body, is_complete=False)
+                self.assertEqual(self.list_violated(), violated)
+
+    def test_receipts(self):
+        """A success without the receipt for its request is detected."""
+        violated = ["successes have receipts"]
+        cases = {
+            "receipt": (200, "i-1.q1", []),
+            "no receipt": (200, "", violated),
+            "another's receipt": (206, "i-1.q2", violated),
+            "no success": (503, "", []),
+        }
+        for name, (status, signature, expected) in cases.items():
+            with self.subTest(name):
+                self.checker = InvariantChecker()
+                self.checker.check_receipt("q1", status, signature)
+                self.assertEqual(self.list_violated(), expected)
+
     def test_taken_up_streams(self):
         """Streams of two versions, or in disorder, are detected."""
         mixed = (1, "v1"), (2, "v2")
         cases = {
             # name: (streams of (number, version), whether complete, violated)
-            "whole": ([[(n, "v1") for n in range(1, 6)]], True, []),
+            "whole": (
+                [[(n, "v1") for n in range(1, STREAM_EVENT_COUNT + 1)]],
+                True,
+                [],
+            ),
             "cut": ([[(1, "v1"), (2, "v1")]], False, []),
             "not whole": ([[(1, "v1")]], True, ["complete ordered streams"]),
             "a gap": (
@@ -76,6 +147,23 @@
                 self.checker.check_stream_versions()
                 self.assertEqual(self.list_violated(), violated)
 
+    def test_foreign_text_in_taken_up_streams(self):
+        """Text that is no event, or of two servers, is detected."""
+        joint = ResumedStream(other_bodies=[b"xx" + EVENTS[3]])
+        cases = {
+            "foreign": (
+                ResumedStream(foreign=[b"failed"]),
+                ["streams hold only their events"],
+            ),
+            "of one server": (ResumedStream(other_bodies=[b"xx", EVENTS[3]]), []),
+            "of two servers": (joint, ["bodies come from one server"]),
+        }
+        for name, (stream, violated) in cases.items():
+            with self.subTest(name):
+                self.checker = InvariantChecker()
+                self.checker.check_stream(stream)
+                self.assertEqual(self.list_violated(), violated)
+
     def test_reads(self):
         """A version that is outdated for longer than the bound is detected."""
         self.checker.confirmed_versions = [(0.0, 3), (10.0, 5)]
@@ -298,6 +386,174 @@
             self.assertEqual(found, violated)
 
 
+class KeptRequestTests(unittest.TestCase):
+    """The check of requests on connections that outlive a stop's begin.
+
+    The entry gets its first stop signal at 100 s.
+    """
+
+    def check(
+        self,
+        *,
+        sent_at=99.0,
+        ended_at=104.0,
+        run_until=104.0,
+        status=0,
+        is_sound=True,
+        runs=1,
+        disruptions=(),
+        stopped="e",
+        count=1,
+    ):
+        """Return what equal requests by the entry "e" violate."""
+        checker = InvariantChecker()
+        checker.disruptions = [
+            Disruption(entry=entry, started_at=start, ended_at=end, is_planned=planned)
+            for entry, start, end, planned in disruptions
+        ]
+        checker.planned_stops = [
+            PlannedStop(entry=stopped, signalled_at=50.0),
+            PlannedStop(entry=stopped, signalled_at=100.0),
+        ]
+        server = SimpleNamespace(runs=[])
+        for number in range(count):
+            result = KeptResult(
+                attempt_id=f"k{number}",
+                path="/book/lasting/5",
+                sent_at=sent_at,
+                ended_at=ended_at,
+                status=status,
+                signature=f"i-1.k{number}" if status else "",
+                body=b"POST k%d" % number,
+            )
+            checker.record_kept("e", result)
+            server.runs += [
+                ServerRun(
+                    attempt_id=result.attempt_id,
+                    started_at=sent_at + run,
+                    ended_at=run_until,
+                    # Only the last run counts.
+                    is_sound=is_sound if run == runs - 1 else not is_sound,
+                )
+                for run in range(runs)
+            ]
+        checker.check_kept_requests([server])
+        return [violation.invariant for violation in checker.violations]
+
+    def test_stops(self):
+        """A request that a server got and a planned stop cuts is detected."""
+        cut = ["planned stops cut nothing"]
+        cases = {
+            "cut": ({}, cut),
+            "answered": ({"status": 200}, []),
+            "refused": ({"status": 503, "runs": 0}, []),
+            "never sent to a server": ({"runs": 0}, []),
+            "broken off by its server": ({"is_sound": False}, []),
+            "broken off once, then cut": ({"runs": 2}, cut),
+            "cut once, then broken off": ({"runs": 2, "is_sound": False}, []),
+            "sent late": ({"sent_at": 103.1, "ended_at": 107.6}, cut),
+            "at its deadline": ({"sent_at": 94.0}, []),
+            "shortly before its deadline": ({"sent_at": 94.2}, cut),
+            "at the end of the stop": ({"ended_at": 108.9, "sent_at": 103.1}, cut),
+            "after the stop": ({"ended_at": 109.1, "sent_at": 103.1}, []),
+            "of another entry's stop": ({"stopped": "f"}, []),
+        }
+        for name, (changes, expected) in cases.items():
+            with self.subTest(name):
+                self.assertEqual(self.check(**changes), expected)
+
+    def test_work_near_the_end(self):
+        """Work in the last sixth counts only if it was sent too late."""
+        cut = ["planned stops cut nothing"]
+        cases = {
+            "sent in time, long": (102.9, 106.7, []),
+            "sent in time, given up before": (102.9, 106.6, cut),
+            "sent too late": (103.1, 107.5, cut),
+        }
+        for name, (sent_at, run_until, expected) in cases.items():
+            with self.subTest(name):
+                violated = self.check(
+                    sent_at=sent_at, run_until=run_until, ended_at=107.6
+                )
+                self.assertEqual(violated, expected)
+
+    def test_disruptions(self):
+        """What else befell the instance near the request excuses the cut."""
+        cut = ["planned stops cut nothing"]
+        cases = {
+            "unplanned": (("e", 103.0, 103.5, False), []),
+            "shortly before": (("e", 90.0, 96.1, False), []),
+            "long before": (("e", 90.0, 95.9, False), cut),
+            "after it": (("e", 104.1, 105.0, False), cut),
+            "planned": (("e", 100.0, 108.0, True), cut),
+            "at another instance": (("f", 103.0, 103.5, False), cut),
+        }
+        for name, (disruption, expected) in cases.items():
+            with self.subTest(name):
+                self.assertEqual(self.check(disruptions=[disruption]), expected)
+
+    def test_calm_times(self):
+        """More than three requests cut outside of stops are detected."""
+        calm = {"sent_at": 9.0, "ended_at": 10.0, "run_until": 10.0}
+        self.assertEqual(self.check(count=3, **calm), [])
+        self.assertEqual(self.check(count=4, **calm), ["kept connections are answered"])
+
+    def test_responses(self):
+        """What such a caller gets is checked like any response."""
+        checker = InvariantChecker()
+        whole = {"sent_at": 0.0, "ended_at": 1.0, "status": 200}
+        results = {
+            "unsigned": {"path": "/book/x", "body": b"POST unsigned", **whole},
+            "foreign": {"path": "/stream/x", "body": b"x", "signature": "i.foreign"}
+            | whole,
+            "broken": {"path": "/stream/x", "body": b"x", "signature": "i.broken"}
+            | whole
+            | {"status": 0},
+            "refused": {"path": "/book/x"} | whole | {"status": 503},
+        }
+        for name, values in results.items():
+            checker.record_kept("e", KeptResult(attempt_id=name, **values))
+        violated = [
+            (each.invariant, each.detail.split(":")[0]) for each in checker.violations
+        ]
+        self.assertEqual(
+            violated,
+            [
+                ("successes have receipts", "unsigned"),
+                ("complete ordered streams", "foreign"),
+                ("streams hold only their events", "foreign"),
+                ("streams hold only their events", "broken"),
+            ],
+        )
+        self.assertEqual(checker.refused, {"refused"})
+
+
+class StopSeriesTests(unittest.IsolatedAsyncioTestCase):
+    """Series of signals of planned stops."""
+
+    async def test_signals(self):
+        """Every program gets each signal in order, and what froze goes on."""
+        for name, numbers in STOP_SERIES.items():
+            with self.subTest(name):
+                programs = [mock.Mock(spec=RunningProgram) for _ in range(2)]
+                await send_stop_series(programs, numbers, lambda: 0.0)
+                for program in programs:
+                    sent = [call.args[0] for call in program.send_signal.mock_calls]
+                    self.assertEqual(sent, list(numbers))
+                suspended = numbers.count(signal.SIGSTOP)
+                self.assertEqual(suspended, numbers.count(signal.SIGCONT))
+
+    async def test_begin(self):
+        """A stop begins at its first stop signal, not at a reload."""
+        delays = iter((0.05, 0.05, 0.0))
+        began_at = time.monotonic()
+        stopped_at = await send_stop_series(
+            [], STOP_SERIES["reload before"], lambda: next(delays)
+        )
+        self.assertGreaterEqual(stopped_at, began_at + 0.1)
+        self.assertGreater(time.monotonic(), stopped_at)
+
+
 class RecoveryTests(unittest.IsolatedAsyncioTestCase):
     """The check that every entry serves uses its own connections."""
 
@@ -341,7 +597,15 @@
 
 class SoakTests(unittest.IsolatedAsyncioTestCase):
     async def test_short_run(self):
-        """A few seconds of faults violate no invariant."""
+        """Some seconds of all kinds of faults violate no invariant."""
         checker = await SoakRun(seed=1, seconds=SECONDS, processes=7).run()
         self.assertEqual(checker.violations, [])
-        self.assertGreater(checker.status_counts[200], 0)
+        played = {
+            "responses": checker.status_counts[200],
+            "planned stops": len(checker.planned_stops),
+            "requests on kept connections": len(checker.kept_results),
+            "odd continuations": checker.odd_response_count,
+        }
+        for name, count in played.items():
+            with self.subTest(name):
+                self.assertGreater(count, 0)
