Add no events to a body that is no event stream

Cause: whether a response may be continued was asked of the sequence of events, which says yes as soon as the caller sent Last-Event-Id, also if what began the response has no events. Ruled out: bodies up to 256 KB, which are sent only when they are complete. Change: only a response with an event of its own is continued.

--- a/carobspring/gateway/relay.py
+++ b/carobspring/gateway/relay.py
@@ -85,7 +85,8 @@
     @property
     def can_continue(self) -> bool:
         """Whether another server can go on with what the caller has."""
-        return not self.has_started or self._sequence.can_continue
+        has_events = self.event_count > 0
+        return not self.has_started or (has_events and self._sequence.can_continue)
 
     async def relay_body(self, backend_response: BackendResponse) -> AttemptResult:
         """Relay a response when it is complete; stream a large one."""
