End no stream as complete that its caller took up in vain

Cause: whether a server added anything was asked only inside one answer; for a stream that its caller takes up a server's empty answer was passed on as its whole answer. That was weighed in and is wrong for the caller, whose stream then ends as complete before its last event. Ruled out: gaps and foreign events there, which were refused already. Change: one rule for both: what goes on with a stream must add an event, else another server is tried, else the caller gets 502. Conclusion: a caller that has all events but missed the end gets 502 now; nothing tells that case from a lost rest.

--- a/carobspring/gateway/relay.py
+++ b/carobspring/gateway/relay.py
@@ -132,7 +132,6 @@
         self, backend_response: BackendResponse, server_id: str, watch_read: ReadWatcher
     ) -> AttemptResult:
         """Relay the events of a stream, each as soon as it is complete."""
-        is_continuation = self.has_started
         self._held_comments = b""
         splitter = EventSplitter()
         read_bytes = 0
@@ -145,7 +144,7 @@
         if splitter.buffered_bytes:
             detail = "the stream ended inside an event"
             return AttemptResult(outcome=AttemptOutcome.INCOMPLETE, detail=detail)
-        if is_continuation and not self._sequence.has_progress:
+        if self._sequence.is_continued and not self._sequence.has_progress:
             # Whether the caller has the whole stream, nothing tells.
             detail = "no further event of the stream"
             return AttemptResult(outcome=AttemptOutcome.INCOMPLETE, detail=detail)
