Go back to a server that was only silent if no other takes its stream

Cause: a silent server is left before another one has accepted the stream, and was never tried again. Ruled out: asking the other server first: the request would run at both. Change: once no other server takes the request, those that were left only because they were silent may be tried again, each time they were left; a retry is taken from the budget as for any other send. Conclusion: silence alone ends no stream any more, unless the budget for retries is used up.

--- a/carobspring/gateway/exchange.py
+++ b/carobspring/gateway/exchange.py
@@ -145,6 +145,8 @@
         )
         #: Servers that are not tried again.
         self._excluded: set[str] = set()
+        #: Servers that were left only because they were silent.
+        self._silent: set[str] = set()
         #: Servers that may have run the request.
         self._possibly_ran_on: set[str] = set()
         #: True once a server shed the request for lack of capacity.
@@ -184,6 +186,8 @@
                 return await self._finish_refused(held)
             placement = self._place(now)
             if isinstance(placement, Refusal):
+                if self._go_back():
+                    continue
                 placement = self._admission.explain_refusal(placement)
                 if await self._wait_for_servers(placement, now):
                     continue
@@ -251,6 +255,16 @@
                 return placement
         return self._context.dispatcher.place(self._query, excluded, now)
 
+    def _go_back(self) -> bool:
+        """Allow the servers that were only silent, if no other is left.
+
+        A server that is silent may be sound. The stream can go on there, as
+        nobody else takes it.
+        """
+        silent, self._silent = self._silent, set()
+        self._excluded -= silent
+        return bool(silent)
+
     async def _wait_for_servers(self, refusal: Refusal, now: float) -> bool:
         """Wait for servers that a newly started entry doesn't know yet.
 
@@ -468,6 +482,7 @@
         try:
             while not (await asyncio.wait({task}, timeout=SILENCE_CHECK_INTERVAL_S))[0]:
                 if self._should_abandon_server():
+                    self._silent.add(self._server_id)
                     raise IncompleteResponseError(reason="the server is silent")
             if task.cancelled():
                 raise IncompleteResponseError(reason="the request is held back")
