Believe an unmarked end of a stream only behind a whole event

The class: the end of a connection is taken as the end of an answer though what came shows that it isn't.

Ruled out: a head without its blank line.

Change: responses tell whether they mark their end themselves. A stream that doesn't needs an event, and on a streaming route every success that doesn't is read as events, whatever its type. What marks its end is believed as before, also without events or type. A backend that accepts no unmarked ends now refuses them behind a skipped response, too.

Conclusion: what can be told is told now. A plain answer till close that is cut in order, and a stream cut so between two events, still look whole.

--- a/carobspring/adapters/backend_connection.py
+++ b/carobspring/adapters/backend_connection.py
@@ -45,6 +45,11 @@
         """Return whether the connection can no longer be used."""
         return bool(self._close_reason) or self._transport is None
 
+    @property
+    def request_method(self) -> str:
+        """Method of the current request, or empty."""
+        return self._request.method.decode() if self._request is not None else ""
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport."""
         assert isinstance(transport, asyncio.Transport)
--- a/carobspring/adapters/backend_http.py
+++ b/carobspring/adapters/backend_http.py
@@ -86,7 +86,7 @@
         backend: "HttpBackend",
         connection: BackendConnection,
         response: h11.Response,
-        is_delimited: bool,
+        accepts_close_delimited: bool,
     ) -> None:
         self._backend = backend
         self._connection = connection
@@ -95,7 +95,8 @@
         self._skipped_bytes = 0
         self._skipped_responses = 0
         self._skip_deadline: float | None = None
-        self._read_head(response, is_delimited)
+        self._accepts_close_delimited = accepts_close_delimited
+        self._read_head(response)
 
     async def read(self) -> bytes:
         """Return the next chunk, or empty bytes at the end of the response."""
@@ -106,7 +107,7 @@
                     return bytes(event.data)
                 continue
             self._complete = True
-            if not self._is_delimited:
+            if not self.is_end_marked and not self._accepts_close_delimited:
                 # May reach callers and a metric label: keep the text.
                 raise IncompleteResponseError(
                     reason="the answer's length is not marked"
@@ -148,9 +149,7 @@
         if not isinstance(event, h11.Response):
             return False
         self._complete = False
-        self._read_head(
-            event, _is_self_delimited(event) or self._accepts_close_delimited
-        )
+        self._read_head(event)
         return True
 
     async def read_follow_up(self) -> bool:
@@ -172,7 +171,9 @@
             raise IncompleteResponseError(reason="bytes behind a response")
         event = await connection.read_event()
         self._complete = False
-        self._read_head(event, _is_self_delimited(event))
+        # The response to the check comes next on the same connection.
+        self._accepts_close_delimited = False
+        self._read_head(event)
         return True
 
     async def _is_last_response(self) -> bool:
@@ -192,12 +193,12 @@
     def close(self) -> None:
         """Release the connection after a complete response, or close it."""
         is_reusable = not self._connection_closes and not self._must_close
-        if self._complete and self._is_delimited and is_reusable:
+        if self._complete and is_reusable:
             self._backend.release(self._connection)
         else:
             self._backend.drop(self._connection)
 
-    def _read_head(self, response: h11.Response, is_delimited: bool) -> None:
+    def _read_head(self, response: h11.Response) -> None:
         headers = tuple(
             (name.decode("latin-1"), value.decode("latin-1"))
             for name, value in response.headers.raw_items()
@@ -207,8 +208,9 @@
         self.headers = remove_hop_by_hop_headers(
             headers, end_to_end=self._backend.end_to_end_headers
         )
-        self._is_delimited = is_delimited
-        self._accepts_close_delimited = is_delimited
+        self.is_end_marked = (
+            self._connection.request_method == "HEAD" or _is_self_delimited(response)
+        )
         self._connection_closes = "close" in values.get("connection", "").lower()
         timeout = values.get("keep-alive", "").lower().partition("timeout=")[2]
         digits = timeout.partition(",")[0].strip()
@@ -275,12 +277,11 @@
         except BaseException:
             self.drop(connection)
             raise
-        is_delimited = _is_self_delimited(event) or request.method == "HEAD"
         return HttpBackendResponse(
             backend=self,
             connection=connection,
             response=event,
-            is_delimited=is_delimited or self._allow_close_delimited,
+            accepts_close_delimited=self._allow_close_delimited,
         )
 
     def send_check(self, connection: BackendConnection) -> None:
--- a/carobspring/gateway/exchange.py
+++ b/carobspring/gateway/exchange.py
@@ -34,6 +34,7 @@
 )
 from carobspring.gateway.relay import ResponseRelay
 from carobspring.gateway.request_admission import RequestAdmission
+from carobspring.platform import ResponseMetadata
 from carobspring.ports import (
     BackendRequest,
     BackendResponse,
@@ -437,12 +438,25 @@
         if response.status < 300 and not metadata.signature:
             detail = "a success without a receipt"
             return AttemptResult(outcome=AttemptOutcome.INCOMPLETE, detail=detail)
-        if response.status < 300 and metadata.is_event_stream:
+        if response.status < 300 and self._is_event_stream(response, metadata):
             return await self._relay.relay_events(
                 response, server_id, self._await_or_abandon
             )
         return await self._relay.relay_body(response)
 
+    def _is_event_stream(
+        self, response: BackendResponse, metadata: ResponseMetadata
+    ) -> bool:
+        """Return whether a response is relayed event by event.
+
+        On a streaming route a response without a marked end is, whatever its
+        type: only its events tell whether it ends where it should.
+        """
+        is_streaming_route = self._route.repeatability.is_stream
+        return metadata.is_event_stream or (
+            is_streaming_route and not response.is_end_marked
+        )
+
     def _handle_first_event(self) -> None:
         """Keep the stream at the version of the server that begins it."""
         version = self._server_version
--- a/carobspring/gateway/relay.py
+++ b/carobspring/gateway/relay.py
@@ -144,6 +144,9 @@
         if splitter.buffered_bytes:
             detail = "the stream ended inside an event"
             return AttemptResult(outcome=AttemptOutcome.INCOMPLETE, detail=detail)
+        if not self.event_count and not backend_response.is_end_marked:
+            detail = "the stream ended before its first event"
+            return AttemptResult(outcome=AttemptOutcome.INCOMPLETE, detail=detail)
         if is_continuation and not self._sequence.has_progress:
             # Whether the caller has the whole stream, nothing tells.
             detail = "no further event of the stream"
--- a/carobspring/ports/backend.py
+++ b/carobspring/ports/backend.py
@@ -64,6 +64,9 @@
 
     status: int
     headers: CallHeaders
+    #: Whether the response itself marks its end. Otherwise the end of its
+    #: connection is the only sign of it, and of a server that stopped.
+    is_end_marked: bool = True
 
     @abstractmethod
     async def read(self) -> bytes:
--- a/tests/adapters/test_backend_http.py
+++ b/tests/adapters/test_backend_http.py
@@ -466,6 +466,30 @@
             response.close()
             await backend.close()
 
+    async def test_unmarked_end_behind_a_late_response(self):
+        """An end that nothing marks is refused behind a marked one, too."""
+        late = build_response(b"late") + b"HTTP/1.1 200 OK\r\n\r\nown"
+        for allowed in (False, True):
+            with self.subTest(allowed=allowed):
+                async with RawServer(late) as server:
+                    backend = HttpBackend(
+                        url=server.url,
+                        health_path="/",
+                        allow_close_delimited=allowed,
+                    )
+                    response = await backend.send(REQUEST)
+                    self.assertIs(response.is_end_marked, True)
+                    self.assertIs(await response.read_next_response(), True)
+                    self.assertIs(response.is_end_marked, False)
+                    self.assertEqual(await response.read(), b"own")
+                    if allowed:
+                        self.assertEqual(await response.read(), b"")
+                    else:
+                        with self.assertRaises(IncompleteResponseError):
+                            await response.read()
+                    response.close()
+                    await backend.close()
+
     async def test_close_delimited_response(self):
         """If allowed, a close ends a response, but a reset does not."""
         start = b"HTTP/1.1 200 OK\r\n\r\nabc"
--- a/tests/gateway/test_close_delimited.py
+++ b/tests/gateway/test_close_delimited.py
@@ -36,6 +36,7 @@
     def __init__(self, data, *, resets=False):
         self._data = data
         self._resets = resets
+        self._tasks = []
 
     async def __aenter__(self):
         self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
@@ -44,8 +45,10 @@
 
     async def __aexit__(self, *error):
         self._server.close()
+        await asyncio.gather(*self._tasks)
 
     async def _serve(self, reader, writer):
+        self._tasks.append(asyncio.current_task())
         try:
             await reader.readuntil(b"\r\n\r\n")
         except asyncio.IncompleteReadError:
