Refuse a head that another one broke into

What callers saw: the status of one answer with the identifier, receipt and body of another one, framed as whole; and a request that may run once was sent to a second server though the first had run it.

Cause: a head of another request (a late answer, written once more) that breaks off inside a header's value or the reason swallows the status line of the request's own head. The rest of that head then counts as its own: a failure's status with a success's body, a success with a failure's, and a refusal without an identifier gets the identifier of the answer behind it. Of two identifiers the last one was believed. Class: parts of two messages are read as one.

Ruled out: a cut between two lines, in a header's name, in the status, or inside an interim response; none of these was taken as an answer before.

Change: a head with the start of a status line inside one of its lines is refused, and the connection closed. A head with several identifiers names none of these requests.

Conclusion: mended where the head shows it. An answer whose body breaks off before its length and is followed by other bytes on the same connection can't be told from a whole one.

--- a/carobspring/adapters/backend_connection.py
+++ b/carobspring/adapters/backend_connection.py
@@ -1,6 +1,7 @@
 """One HTTP connection to a backend server, implemented with h11."""
 
 import asyncio
+import re
 from typing import Any, Final
 
 import h11
@@ -13,6 +14,9 @@
 READ_BUFFER_BYTES: Final = 256 * 1024
 #: Interim responses (status 1xx) before a response.
 MAX_INTERIM_RESPONSES: Final = 10
+#: The start of a head. Inside a line of another one it shows that the other
+#: one broke off.
+STATUS_LINE: Final = re.compile(rb"HTTP/\d\.\d \d{3}")
 
 
 class BackendConnection(asyncio.Protocol):
@@ -115,6 +119,9 @@
                 raise IncompleteResponseError(
                     reason=reason, peer_ended=self._peer_ended
                 ) from error
+            if _is_joined_head(event):
+                self.close("a head that broke off before another one")
+                raise IncompleteResponseError(reason=self._close_reason)
             if isinstance(event, h11.InformationalResponse):
                 self._interim_count += 1
                 if self._interim_count > MAX_INTERIM_RESPONSES:
@@ -214,5 +221,13 @@
         self._unread_bytes = 0
 
 
+def _is_joined_head(event: Any) -> bool:
+    """Return whether another head begins inside a line of a head."""
+    if not isinstance(event, h11.InformationalResponse | h11.Response):
+        return False
+    texts = (event.reason, *(value for _, value in event.headers))
+    return any(STATUS_LINE.search(text) for text in texts)
+
+
 def _make_parser() -> h11.Connection:
     return h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
--- a/carobspring/platform/headers.py
+++ b/carobspring/platform/headers.py
@@ -103,6 +103,8 @@
 class ResponseMetadata:
     """What the status and headers of a backend server's response say."""
 
+    #: The request that is answered; empty if none is named. Several different
+    #: ones are joined, which names no request.
     request_id: str = ""
     #: Proves that a backend server generated the response.
     signature: str = ""
@@ -192,12 +194,13 @@
 def parse_response_headers(status: int, headers: CallHeaders) -> ResponseMetadata:
     """Parse the status and headers of a backend server's response."""
     values = {name.lower(): value.strip() for name, value in headers}
+    request_ids = {v.strip() for name, v in headers if name.lower() == _REQUEST_ID}
     load = _parse_integers(values.get("carobspring-upstream-load", ""))
     # A server with another identifier responds 421 and does not run it.
     not_run = status == 421 or "carobspring-not-executed" in values
     media_type = values.get("content-type", "").partition(";")[0]
     return ResponseMetadata(
-        request_id=values.get(_REQUEST_ID, ""),
+        request_id=",".join(sorted(request_ids)),
         signature=values.get("carobspring-upstream-signature", ""),
         not_run=not_run and status >= 400,
         load=(load[0], load[1], load[2]) if len(load) == 3 else None,
--- a/tests/gateway/test_cut_heads.py
+++ b/tests/gateway/test_cut_heads.py
@@ -121,3 +121,57 @@
         await self.check(answers, kind=STREAM_ONCE, expected=(200, "complete", b""))
         no_content = {"no content": HEAD.replace(b"200", b"204") + b"\r\n"}
         await self.check(no_content, kind=STREAM_ONCE, expected=(204, "complete", b""))
+
+
+class JoinedHeadTests(unittest.IsolatedAsyncioTestCase):
+    """Heads of other answers that break off where the request's own begins."""
+
+    async def test_heads_that_join(self):
+        """What two heads say together is no answer, nor a refusal."""
+        body = build_length(b"hello") + b"\r\nhello"
+        own = HEAD + body
+        failure = b"HTTP/1.1 500 Failed\r\n" + IDENTIFIER + RECEIPT + body
+        other = b"Carobspring-Attempt-Id: other\r\n"
+        answers = {
+            "another's failure, inside a header": (
+                b"HTTP/1.1 500 Failed\r\n" + other + b"Content-Type: te" + own
+            ),
+            "another's success, inside a header": (
+                b"HTTP/1.1 200 OK\r\n" + other + RECEIPT + b"Content-Type: te" + failure
+            ),
+            "behind a colon": b"HTTP/1.1 200 OK\r\nX-A:" + failure,
+            "behind a colon and a space": b"HTTP/1.1 200 OK\r\nX-A: " + failure,
+            "inside the reason": b"HTTP/1.1 200 O" + failure,
+            "behind the status": b"HTTP/1.1 200 " + failure,
+            "a refusal": (
+                b"HTTP/1.1 503 Full\r\nCarobspring-Not-Executed: 1\r\nX-A: 1" + own
+            ),
+            "an interim response": b"HTTP/1.1 103 Early\r\nLink: <x>" + own,
+            "two identifiers, the own one last": (
+                b"HTTP/1.1 200 OK\r\n" + other + IDENTIFIER + RECEIPT + body
+            ),
+            "two identifiers, the own one first": (
+                b"HTTP/1.1 200 OK\r\n" + IDENTIFIER + other + RECEIPT + body
+            ),
+            "a refusal with two identifiers": (
+                b"HTTP/1.1 503 Full\r\nCarobspring-Not-Executed: 1\r\n"
+                + other
+                + IDENTIFIER
+                + body
+            ),
+        }
+        for name, data in answers.items():
+            with self.subTest(name):
+                response, other_count = await call(data, kind=ONCE)
+                got = response.status, response.ended, other_count
+                self.assertEqual(got, (502, "complete", 0))
+                response, other_count = await call(data, kind=IDEMPOTENT)
+                got = response.status, bytes(response.body), other_count
+                self.assertEqual(got, (200, b"other", 1))
+
+    async def test_identifier_that_is_written_twice(self):
+        """The same identifier twice names one request."""
+        data = HEAD + IDENTIFIER + build_length(b"hello") + b"\r\nhello"
+        response, other_count = await call(data, kind=ONCE)
+        got = response.status, bytes(response.body), other_count
+        self.assertEqual(got, (200, b"hello", 0))
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -170,6 +170,19 @@
                 ResponseMetadata(not_run=True),
             ),
             "misdirected": (421, (), ResponseMetadata(not_run=True)),
+            "an identifier twice": (
+                200,
+                (
+                    ("Carobspring-Attempt-Id", "9c41"),
+                    ("carobspring-attempt-id", "9c41"),
+                ),
+                ResponseMetadata(request_id="9c41"),
+            ),
+            "two identifiers": (
+                200,
+                (("Carobspring-Attempt-Id", "9c41"), ("Carobspring-Attempt-Id", "77")),
+                ResponseMetadata(request_id="77,9c41"),
+            ),
             "not executed, but a success": (
                 200,
                 (("Carobspring-Not-Executed", "1"),),
