Go on only with the run that a response began with

What callers could see: on the agent's path, a response whose beginning is of one run and whose rest is of another, ended as complete; or one that ended as complete with bytes missing.

Cause: an entry whose connection breaks asks the agent for the rest of a call by its identifier and offset. The identifier of a call with an idempotency key is the same at each resend, so an agent that has started again may run a resend under it; it answered with that run whatever start the entry had sent the call to. An offset behind the output ended as the call did, and the entry took an end at an offset below its own. Class: a second send is believed because it has the same name.

Ruled out: a second run at another agent. The driver only begins one while the caller has nothing, and drops what came before. A run that is preempted and begun again has sent no head.

Change: the agent resumes a call only for its own start, or for an entry that names none; an offset outside the output is lost; the entry takes a whole end only at its own offset. An entry that still lists an agent under its former start can't resume there; it gets "unknown", as before for calls that the agent doesn't know.

Not shown with running programs.

--- a/carobspring/adapters/agent_service.py
+++ b/carobspring/adapters/agent_service.py
@@ -73,7 +73,14 @@
     async def resume_call(self, request: ResumeCall, stream: Stream[Any, Any]) -> None:
         """Send a call's events from an offset of its response."""
         table = self._manager.table
+        own_boot = self._manager.agent_state.boot
         record = table.find(request.call_id)
+        if record is not None and request.boot not in (0, own_boot):
+            # A resend of the call, which runs since the agent has started
+            # again: its response is not the one to go on with.
+            event = CallEvent(end=CallEnd(run_status=RunStatus.UNKNOWN, reason="past"))
+            await self._send_event(stream, event, request.call_id)
+            return
         if record is not None:
             await self._send_events(record, request.offset, stream, request.call_id)
             return
@@ -81,7 +88,7 @@
         if status is None:
             # An agent with another boot number may have run the call. Only
             # for its own boot can this agent tell that it did not run.
-            is_own_boot = request.boot == self._manager.agent_state.boot
+            is_own_boot = request.boot == own_boot
             status = RunStatus.NOT_RUN if is_own_boot else RunStatus.UNKNOWN
             table.fence(request.call_id, status)
         not_run = status is RunStatus.NOT_RUN
--- a/carobspring/agent/records.py
+++ b/carobspring/agent/records.py
@@ -76,7 +76,7 @@
         if record.head is not None and not self._head_sent:
             self._head_sent = True
             return CallEvent(head=record.head)
-        if self.offset < record.buffer_start:
+        if not record.buffer_start <= self.offset <= record.size:
             return self._end(CallEnd(run_status=RunStatus.UNKNOWN, reason="lost"))
         data = record.read(self.offset)
         if data:
@@ -119,6 +119,11 @@
         #: Set when the buffer may have space for more output.
         self.space_available = asyncio.Event()
 
+    @property
+    def size(self) -> int:
+        """Number of bytes of output so far."""
+        return self.buffer_start + len(self.buffer)
+
     def read(self, offset: int) -> bytes:
         """Return a chunk of output from an offset in the buffer."""
         start = offset - self.buffer_start
--- a/carobspring/entry/call_stream.py
+++ b/carobspring/entry/call_stream.py
@@ -196,7 +196,7 @@
             )
         if event.end is not None:
             is_complete = event.end.run_status is RunStatus.RAN
-            if is_complete and event.offset > progress.offset:
-                raise StreamTerminatedError("call ended before all response data")
+            if is_complete and event.offset != progress.offset:
+                raise StreamTerminatedError("call ended elsewhere in its response")
             progress.end = event.end
         await deliver(event)
--- a/tests/adapters/test_agent_service.py
+++ b/tests/adapters/test_agent_service.py
@@ -89,6 +89,36 @@
         self.assertEqual(events[-1].end, CallEnd(run_status=RunStatus.RAN))
         self.assertEqual(len(self.harness.backend.responses), 1)
 
+    async def test_resume_of_a_call_that_runs_again(self):
+        """A run of another start gets no part of this start's response.
+
+        A resend has the identifier of the call, and may run here since the
+        agent has started again.
+        """
+        call = RunCall(
+            call_id="c",
+            boot=7,
+            workspace="w",
+            service_class="chat",
+            method="POST",
+            path="/",
+        )
+        response_task = asyncio.create_task(self.harness.backend.wait_for_response(0))
+        call_task = asyncio.create_task(self.read_events(RUN_CALL, call))
+        (await response_task).feed(b"abcdef", b"")
+        await call_task
+        ran = CallEnd(run_status=RunStatus.RAN)
+        past = CallEnd(run_status=RunStatus.UNKNOWN, reason="past")
+        cases = {6: (None, b"", past), 7: (200, b"cdef", ran), 0: (200, b"cdef", ran)}
+        for boot, expected in cases.items():
+            with self.subTest(boot=boot):
+                request = ResumeCall(call_id="c", offset=2, boot=boot)
+                events = await self.read_events(RESUME_CALL, request)
+                statuses = [event.head.status for event in events if event.head]
+                data = b"".join(event.data for event in events)
+                got = (statuses[0] if statuses else None, data, events[-1].end)
+                self.assertEqual(got, expected)
+
     async def test_resume_of_an_unknown_call(self):
         """NOT_RUN is reported only for the agent's own boot, else UNKNOWN."""
         cases = {7: RunStatus.NOT_RUN, 6: RunStatus.UNKNOWN, 0: RunStatus.UNKNOWN}
--- a/tests/agent/test_records.py
+++ b/tests/agent/test_records.py
@@ -51,6 +51,19 @@
                 ]
                 self.assertEqual(events, expected)
 
+    async def test_offset_behind_the_output(self):
+        """A reader that has more than the output belongs to another run."""
+        table, record = await self.build_record()
+        record.set_head(HEAD)
+        await record.write(b"abc")
+        for ended in (False, True):
+            with self.subTest(ended=ended):
+                if ended:
+                    table.finish(record, RAN, 1.0)
+                async with asyncio.timeout(TEST_TIMEOUT_S):
+                    events = await read_all(record.attach(4, 1.0))
+                self.assertEqual(events[-1], CallEvent(end=LOST, offset=4))
+
     async def test_chunk_size(self):
         """A large response is split into chunks of at most 64 KiB."""
         table, record = await self.build_record()
--- a/tests/entry/test_call_stream.py
+++ b/tests/entry/test_call_stream.py
@@ -105,6 +105,7 @@
             "silent within the response": [head, start],
             "a gap in the bytes": [head, start, CallEvent(data=b"9", offset=9)],
             "end before the last bytes": [head, start, CallEvent(end=RAN, offset=10)],
+            "end of a shorter response": [head, start, CallEvent(end=RAN, offset=3)],
             "an event of another call": [
                 head,
                 start,
