Take nothing but the end of an answer for its end

What callers saw: 200 with an empty body, framed as whole, to a request with the method CONNECT, whatever the server had sent as its body. On the agent's path as well.

Cause: a success to CONNECT ends HTTP on its connection, and the parser reports a pause. The response took any report that isn't data for the end.

Change: only the end of a message ends it; anything else breaks it off.

Conclusion: of the parser's other reports none was found that comes before the end of an answer to another method; the check now covers them, too.

--- a/carobspring/adapters/backend_http.py
+++ b/carobspring/adapters/backend_http.py
@@ -106,7 +106,10 @@
                 if event.data:
                     return bytes(event.data)
                 continue
-            self._complete = True
+            self._complete = isinstance(event, h11.EndOfMessage)
+            if not self._complete:
+                # May reach callers and a metric label: keep the text.
+                raise IncompleteResponseError(reason="the answer has no end in HTTP")
             if not self.is_end_marked and not self._accepts_close_delimited:
                 # May reach callers and a metric label: keep the text.
                 raise IncompleteResponseError(
--- a/tests/adapters/test_backend_http.py
+++ b/tests/adapters/test_backend_http.py
@@ -137,6 +137,25 @@
                     else:
                         self.assertEqual((await fetch(server.url))[::2], (200, body))
 
+    async def test_answer_that_leaves_http(self):
+        """An answer behind which there is another protocol has no end."""
+        for allowed in (False, True):
+            with self.subTest(allowed=allowed):
+                response = b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello"
+                async with RawServer(response) as server:
+                    backend = HttpBackend(
+                        url=server.url,
+                        health_path="/health",
+                        allow_close_delimited=allowed,
+                    )
+                    connect = replace(REQUEST, method="CONNECT")
+                    with contextlib.closing(await backend.send(connect)) as got:
+                        with self.assertRaisesRegex(
+                            IncompleteResponseError, "has no end in HTTP"
+                        ):
+                            await got.read()
+                    await backend.close()
+
     async def test_request_is_unchanged(self):
         """The path, query and headers are forwarded unchanged."""
         response = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
