Ask by HEAD behind a refusal of a HEAD request

What callers could see: a HEAD request that was held up until its time limit; the gateway took the beginning of another response for the body of an answer that has none.

Cause: behind a refusal without an identifier a check is sent, by GET. The answer to the request may come then, and was framed as that to a GET.

Change: the check is sent with a method whose answers are framed alike.

Conclusion: no other method that is passed on is framed differently, except CONNECT, whose success is refused.

--- a/carobspring/adapters/backend_http.py
+++ b/carobspring/adapters/backend_http.py
@@ -165,9 +165,10 @@
         if self._connection_closes:
             return not await self._is_last_response()
         if not connection.has_trailing_data:
+            request_method = connection.request_method
             if not connection.finish(asyncio.get_running_loop().time()):
                 raise IncompleteResponseError(reason="the connection ended")
-            self._backend.send_check(connection)
+            self._backend.send_check(connection, request_method)
             # Its response may still come when the request's own is complete.
             self._must_close = True
         elif not connection.prepare_next_response():
@@ -287,10 +288,14 @@
             accepts_close_delimited=self._allow_close_delimited,
         )
 
-    def send_check(self, connection: BackendConnection) -> None:
-        """Request the health path on a connection that has responded."""
+    def send_check(self, connection: BackendConnection, request_method: str) -> None:
+        """Request the health path on a connection that has responded.
+
+        The response to the request before may still come, so the method must
+        not say that it has a body if that one has none.
+        """
         connection.send(
-            method="GET",
+            method="HEAD" if request_method == "HEAD" else "GET",
             target=self._health_path,
             headers=[("Host", f"{self._address[0]}:{self._address[1]}")],
             body=b"",
--- a/tests/adapters/test_backend_http.py
+++ b/tests/adapters/test_backend_http.py
@@ -469,6 +469,32 @@
                 await backend.close()
                 server.close()
 
+    async def test_follow_up_to_a_request_for_a_head(self):
+        """No part of what follows is the body of an answer without one."""
+        refusal = b"HTTP/1.1 503 Full\r\nContent-Length: 0\r\n\r\n"
+        own = b"HTTP/1.1 200 OK\r\nX-For: own\r\nContent-Length: 5\r\n\r\n"
+        check = b"HTTP/1.1 200 OK\r\nX-For: check\r\nContent-Length: 9\r\n\r\n"
+
+        async def respond(reader, writer):
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(refusal)
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(own + check)
+            await reader.read()
+            writer.close()
+
+        server = await asyncio.start_server(respond, "127.0.0.1", 0)
+        self.addCleanup(server.close)
+        port = server.sockets[0].getsockname()[1]
+        backend = HttpBackend(url=f"http://127.0.0.1:{port}", health_path="/")
+        request = replace(REQUEST, method="HEAD", body=b"")
+        response = await backend.send(request)
+        self.assertIs(await response.read_follow_up(), True)
+        self.assertEqual(dict(response.headers)["X-For"], "own")
+        self.assertEqual(await response.read(), b"")
+        response.close()
+        await backend.close()
+
     async def test_late_second_response(self):
         """A second response to an earlier request is skipped."""
         late = build_response(b"late", "X-For: old") + build_response(
