Reset what an HTTP/1.0 caller would take for whole

What callers could see: with HTTP/1.0, an answer that broke off, framed as whole: the connection was closed in order, which is how such a response ends. The same when the entry ended its stop with the response under way, and when a caller read so slowly that the rest was dropped.

Cause: a response of unknown length ends in chunks, and HTTP/1.0 has none. Breaking off was the same close as completing.

Ruled out: HTTP/1.1, where the last chunk or a part of the length is missing; and answers that are sent whole, with a length.

Change: a connection whose close would complete a response that isn't complete is reset, without the shutdown by which circuits begins a close.

Conclusion: mended where the entry ends the connection. If its process is killed, the system closes in order; only a length or chunks help there.

--- a/carobspring/adapters/http_connection.py
+++ b/carobspring/adapters/http_connection.py
@@ -56,6 +56,8 @@
         self._responder: CircuitsResponder | None = None
         self._task: asyncio.Task[None] | None = None
         self._unsent_bytes = 0
+        #: Whether a close marks the end of the last response.
+        self._ends_by_close = False
         self._last_sent_at = time.monotonic()
         self._close_deadline: float | None = None
         self._writable = asyncio.Event()
@@ -143,6 +145,8 @@
 
     def end_request(self) -> None:
         """Start reading the next request of the connection."""
+        assert self._responder is not None
+        self._ends_by_close = self._responder.ends_by_close
         self._responder = None
         self._waiting_since = time.monotonic()
         if self._buffer and not self._closing:
@@ -157,10 +161,20 @@
 
     def close_now(self) -> None:
         """Close without sending the buffered bytes."""
-        if not self._closed:
+        responder = self._responder
+        is_under_way = responder is not None and responder.ends_by_close
+        if is_under_way or (self._unsent_bytes and self._ends_by_close):
+            self.reset()
+        elif not self._closed:
             self._closing = True
             self._tcp_server._close(self._sock)
 
+    def reset(self) -> None:
+        """Reset the connection; a response that a close ends is incomplete."""
+        if not self._closed:
+            self._closing = True
+            self._tcp_server.reset(self._sock)
+
     def _read_request(self) -> None:
         if self._responder is not None or self._closing:
             return
--- a/carobspring/adapters/http_responder.py
+++ b/carobspring/adapters/http_responder.py
@@ -48,6 +48,9 @@
     def close_after_sending(self) -> None:
         """Send the buffered bytes, then close without marking an end."""
 
+    def reset(self) -> None:
+        """Reset the connection; a response that a close ends is incomplete."""
+
     def should_close(self) -> bool:
         """Return whether the connection closes after this response."""
 
@@ -63,16 +66,23 @@
         self.disconnected = asyncio.Event()
         self.started = False
         self.ended = False
+        self._has_length = False
         self._connection = connection
         self._response = response
         #: Written but unsent bytes. Chunks written in one iteration of the
         #: event loop are sent together.
         self._pending = bytearray()
 
+    @property
+    def ends_by_close(self) -> bool:
+        """Whether a close marks the end, since HTTP/1.0 has no chunks."""
+        return self.started and not self._has_length and not self._response.chunked
+
     async def send(self, status: int, headers: CallHeaders, body: bytes) -> None:
         """Send a response with a complete body; Content-Length is added."""
         if self.disconnected.is_set() or self.started:
             return
+        self._has_length = True
         has_no_body = status in BODILESS_STATUSES
         self._response.body = b"" if has_no_body else body
         head = self._build_head(status, headers)
@@ -113,7 +123,10 @@
         """Close the connection; the caller sees an incomplete response."""
         self._flush()
         self.ended = True
-        self._connection.close_after_sending()
+        if self.ends_by_close:
+            self._connection.reset()
+        else:
+            self._connection.close_after_sending()
 
     def _flush(self) -> None:
         """Send the bytes written since the last flush."""
--- a/carobspring/adapters/http_server.py
+++ b/carobspring/adapters/http_server.py
@@ -4,8 +4,9 @@
 import contextlib
 import logging
 import socket
+import struct
 import time
-from typing import Any
+from typing import Any, Final
 
 from circuits import BaseComponent, handler
 from circuits.net.events import close
@@ -28,6 +29,9 @@
 #: caller whose request crosses the close may send it again.
 NO_KEEP_ALIVE_IDLE_TIMEOUT_S = 0.1
 
+#: Option of a socket that is reset when it is closed.
+RESET_ON_CLOSE: Final = struct.pack("ii", 1, 0)
+
 logger = logging.getLogger(__name__)
 
 
@@ -66,6 +70,17 @@
             with contextlib.suppress(OSError):
                 sock.shutdown(socket.SHUT_WR)
 
+    def reset(self, sock: Any) -> None:
+        """Reset a connection, without the bytes that are not sent yet."""
+        if sock not in self._clients:
+            return
+        self._poller.discard(sock)
+        with contextlib.suppress(OSError):
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+            # A shutdown, as in the close of circuits, would end it in order.
+            sock.close()
+        self._close(sock)
+
     def stop_listening(self) -> None:
         """Reject new connections and keep the open ones."""
         if self._sock is not None:
