--- a/tests/adapters/test_backend_http.py
+++ b/tests/adapters/test_backend_http.py
@@ -137,6 +137,25 @@
                     else:
                         self.assertEqual((await fetch(server.url))[::2], (200, body))
 
+    async def test_cut_responses(self):
+        """A response that ends at any byte before its end is incomplete."""
+        start = b"HTTP/1.1 200 OK\r\nX-A: b\r\n"
+        interim = b"HTTP/1.1 103 Early Hints\r\n\r\n"
+        responses = {
+            "length": start + b"Content-Length: 3\r\n\r\nabc",
+            "chunked": start
+            + b"Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n",
+            "behind an interim one": interim + start + b"Content-Length: 3\r\n\r\nabc",
+            "no length": start + b"\r\nabc",
+        }
+        for name, response in responses.items():
+            sizes = range(len(response) + (name == "no length"))
+            # Every second byte of a head is enough.
+            for size in (*sizes[:-12:2], *sizes[-12:]):
+                async with RawServer(response[:size]) as server:
+                    with self.assertRaises(IncompleteResponseError, msg=(name, size)):
+                        await fetch(server.url)
+
     async def test_answer_that_leaves_http(self):
         """An answer behind which there is another protocol has no end."""
         for allowed in (False, True):
