Break a stream off where another answer's head begins

Cause: a server that breaks off in a stream and writes an answer behind it on the same connection. A head ends in a blank line as an event does, and what a stream's first server writes is believed. The part of an event before the head became one event with it, with a proper identifier.

Ruled out: the same from a later server, which must prove that its events follow; chunks, whose framing such a head breaks.

Change: an event that holds the start of a status line anywhere but in its data ends the stream as broken off, so that a resumable one goes on elsewhere. Data may be anything.

Conclusion: a head behind the first bytes of an event's data can't be told from data, nor can an error's text without a head.

--- a/carobspring/gateway/events.py
+++ b/carobspring/gateway/events.py
@@ -1,11 +1,14 @@
 """Parsing of event streams into events and their identifiers."""
 
+import re
 from dataclasses import dataclass
 from typing import Final
 
 _TERMINATORS: Final = (b"\n\n", b"\r\n\r\n")
 _ID_FIELD: Final = b"id:"
 _COMMENT_MARK: Final = b":"
+_DATA_FIELD: Final = b"data"
+_STATUS_LINE: Final = re.compile(rb"HTTP/\d\.\d \d{3}")
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -22,6 +25,15 @@
         lines = filter(None, self.data.splitlines())
         return all(line.startswith(_COMMENT_MARK) for line in lines)
 
+    @property
+    def holds_head(self) -> bool:
+        """Whether the head of a response begins in it, outside of its data."""
+        if not _STATUS_LINE.search(self.data):
+            return False
+        lines = self.data.splitlines()
+        others = (line for line in lines if line.partition(b":")[0] != _DATA_FIELD)
+        return any(_STATUS_LINE.search(line) for line in others)
+
 
 class EventSplitter:
     r"""Splits the bytes of an event stream into complete events.
--- a/carobspring/gateway/relay.py
+++ b/carobspring/gateway/relay.py
@@ -195,6 +195,8 @@
     async def _relay_event(
         self, event: StreamEvent, backend_response: BackendResponse, server_id: str
     ) -> None:
+        if event.holds_head:
+            raise IncompleteResponseError(reason="another answer inside the stream")
         if event.is_comment:
             await self._relay_comment(event)
             return
--- a/tests/gateway/test_cut_heads.py
+++ b/tests/gateway/test_cut_heads.py
@@ -409,6 +409,37 @@
         await self.check(answers, kind=STREAM_ONCE, expected=begun)
         await self.check(answers, kind=RESUMABLE, expected=(200, "complete", EVENTS))
 
+    async def test_another_answer_in_a_stream(self):
+        """A stream breaks off where the head of an answer begins."""
+        head = b"HTTP/1.1 500 Failed\r\nContent-Length: 5\r\n\r\n"
+        stream = HEAD + STREAM_TYPE + b"\r\n" + build_event(1)
+        answers = {
+            "behind an event": stream + head + b"error",
+            "inside an identifier": stream + b"id: 2" + head + b"error",
+            "inside a name": stream + b"id: 2\nda" + head + b"error",
+            "behind a line": stream + b"id: 2\ndata: y\n" + head + b"error",
+            "with another length": (
+                HEAD
+                + STREAM_TYPE
+                + build_length(build_event(1) + head)
+                + b"\r\n"
+                + build_event(1)
+                + head
+            ),
+        }
+        begun = (200, "aborted", build_event(1))
+        await self.check(answers, kind=STREAM_ONCE, expected=begun)
+        await self.check(answers, kind=RESUMABLE, expected=(200, "complete", EVENTS))
+        first = {"before an event": HEAD + STREAM_TYPE + b"\r\n" + head + b"error"}
+        error = encode_error("another answer inside the stream")
+        await self.check(first, kind=STREAM_ONCE, expected=(502, "complete", error))
+
+    async def test_events_that_speak_of_answers(self):
+        """The data of an event may be anything."""
+        events = b"id: 1\ndata: HTTP/1.1 500 Failed\n\nid: 2\ndata:HTTP/1.1 200\n\n"
+        answers = {"till close": HEAD + STREAM_TYPE + b"\r\n" + events}
+        await self.check(answers, kind=STREAM_ONCE, expected=(200, "complete", events))
+
     async def test_whole_answers(self):
         """An answer that ends where it should is passed on."""
         answers = {
--- a/tests/gateway/test_events.py
+++ b/tests/gateway/test_events.py
@@ -20,3 +20,24 @@
                     events += splitter.feed(stream[start : start + chunk_size])
                 self.assertEqual(events, expected)
                 self.assertEqual(splitter.buffered_bytes, len(b"id: 4"))
+
+
+class StreamEventTests(unittest.TestCase):
+    def test_heads_inside_events(self):
+        """The head of a response is found outside of an event's data."""
+        head = b"HTTP/1.1 500 Failed\r\n\r\n"
+        cases = {
+            "a head": (head, True),
+            "inside a name": (b"id: 1\nda" + head, True),
+            "inside an identifier": (b"id: 1" + head, True),
+            "in a comment": (b": x" + head, True),
+            "data": (b"id: 1\ndata: " + head, False),
+            "data without a space": (b"data:" + head, False),
+            "several lines of data": (b"data: a\ndata: " + head, False),
+            "another version": (b"HTTP/2 500\n\n", False),
+            "no status": (b"x: HTTP/1.1\n\n", False),
+        }
+        for name, (data, expected) in cases.items():
+            with self.subTest(name):
+                event = StreamEvent(data=data, event_id="")
+                self.assertIs(event.holds_head, expected)
