Send nothing behind a unique call's response that has begun

What callers could see: a response to a call with an idempotency key, over 4 MiB, whose beginning comes twice, ended as complete.

Cause: the driver of unique calls asks for the outcome again when a run ends without one, and writes what it then gets from the start. That a part of the response was sent already it didn't ask; the driver of other calls does.

Ruled out: the same with a real agent by one lost connection: an agent has dropped the beginning of an output over 4 MiB by then, and says "lost". The test has an agent that kept it. Smaller responses are sent only when whole.

Change: no further round once the response has begun; it is broken off.

--- a/carobspring/entry/unique.py
+++ b/carobspring/entry/unique.py
@@ -95,6 +95,9 @@
                 return
             elif choice is None and claim.state is ClaimState.NOT_RUN:
                 raise self._build_no_server_error()
+            if self._response.has_started:
+                # A further round would begin the response once more.
+                raise self._build_still_running_error()
             self._attempts.reset()
             await asyncio.sleep(ROUND_DELAY_S * round_index)
         raise self._build_still_running_error()
--- a/tests/entry/test_unique.py
+++ b/tests/entry/test_unique.py
@@ -1,6 +1,9 @@
 import asyncio
 
+from aiohttp import ClientPayloadError
+
 from carobspring.domain import RunStatus, ServiceKind, hash_request
+from carobspring.entry.responses import MAX_BUFFERED_BYTES
 from carobspring.ledger import ClaimCommand, OutcomeCommand, UniqueCallLedger
 from carobspring.protocol import (
     CallEnd,
@@ -11,6 +14,7 @@
     FenceReply,
     OutcomeReply,
     OutcomeReport,
+    ResponseHead,
     StoredResponse,
     ViewUpdate,
 )
@@ -180,6 +184,34 @@
         self.assertEqual(await self.book(), (409, "outcome_unknown", "unknown"))
         self.assertEqual(len(self.plain_agent.runs), 1)
 
+    async def test_response_that_broke_off_after_it_began(self):
+        """Nothing is sent behind what the caller already has."""
+        part = b"x" * (1024 * 1024)
+        parts = [
+            CallEvent(data=part, offset=number * len(part))
+            for number in range(MAX_BUFFERED_BYTES // len(part) + 1)
+        ]
+        head = CallEvent(head=ResponseHead(status=200))
+        size = len(part) * len(parts)
+        lost = CallEnd(run_status=RunStatus.UNKNOWN, reason="agent_lost")
+        ran = CallEnd(run_status=RunStatus.RAN)
+
+        async def break_off(request, send):
+            self.plain_agent.fence_reply = FenceReply(
+                run_status=RunStatus.UNKNOWN, call_id=request.call_id
+            )
+            for event in (head, *parts, CallEvent(end=lost, offset=size)):
+                await send(event)
+
+        async def send_all(request, send):
+            for event in (head, *parts, CallEvent(end=ran, offset=size)):
+                await send(event)
+
+        self.plain_agent.on_run = break_off
+        self.plain_agent.on_resume = send_all
+        with self.assertRaises(ClientPayloadError):
+            await self.book()
+
     async def test_refused_run_is_claimed_for_another_server(self):
         """A call rejected by its agent is claimed for another server."""
         second = await FakeAgent("d2", kind=ServiceKind.PLAIN).start()
