--- a/carobspring/adapters/backend_http.py
+++ b/carobspring/adapters/backend_http.py
@@ -86,7 +86,7 @@
         backend: "HttpBackend",
         connection: BackendConnection,
         response: h11.Response,
-        is_delimited: bool,
+        accepts_close_delimited: bool,
     ) -> None:
         self._backend = backend
         self._connection = connection
@@ -95,7 +95,8 @@
         self._skipped_bytes = 0
         self._skipped_responses = 0
         self._skip_deadline: float | None = None
-        self._read_head(response, is_delimited)
+        self._accepts_close_delimited = accepts_close_delimited
+        self._read_head(response)
 
     async def read(self) -> bytes:
         """Return the next chunk, or empty bytes at the end of the response."""
@@ -105,8 +106,11 @@
                 if event.data:
                     return bytes(event.data)
                 continue
-            self._complete = True
-            if not self._is_delimited:
+            self._complete = isinstance(event, h11.EndOfMessage)
+            if not self._complete:
+                # May reach callers and a metric label: keep the text.
+                raise IncompleteResponseError(reason="the answer has no end in HTTP")
+            if not self.is_end_marked and not self._accepts_close_delimited:
                 # May reach callers and a metric label: keep the text.
                 raise IncompleteResponseError(
                     reason="the answer's length is not marked"
@@ -148,9 +152,7 @@
         if not isinstance(event, h11.Response):
             return False
         self._complete = False
-        self._read_head(
-            event, _is_self_delimited(event) or self._accepts_close_delimited
-        )
+        self._read_head(event)
         return True
 
     async def read_follow_up(self) -> bool:
@@ -163,16 +165,19 @@
         if self._connection_closes:
             return not await self._is_last_response()
         if not connection.has_trailing_data:
+            request_method = connection.request_method
             if not connection.finish(asyncio.get_running_loop().time()):
                 raise IncompleteResponseError(reason="the connection ended")
-            self._backend.send_check(connection)
+            self._backend.send_check(connection, request_method)
             # Its response may still come when the request's own is complete.
             self._must_close = True
         elif not connection.prepare_next_response():
             raise IncompleteResponseError(reason="bytes behind a response")
         event = await connection.read_event()
         self._complete = False
-        self._read_head(event, _is_self_delimited(event))
+        # The response to the check comes next on the same connection.
+        self._accepts_close_delimited = False
+        self._read_head(event)
         return True
 
     async def _is_last_response(self) -> bool:
@@ -192,12 +197,12 @@
     def close(self) -> None:
         """Release the connection after a complete response, or close it."""
         is_reusable = not self._connection_closes and not self._must_close
-        if self._complete and self._is_delimited and is_reusable:
+        if self._complete and is_reusable:
             self._backend.release(self._connection)
         else:
             self._backend.drop(self._connection)
 
-    def _read_head(self, response: h11.Response, is_delimited: bool) -> None:
+    def _read_head(self, response: h11.Response) -> None:
         headers = tuple(
             (name.decode("latin-1"), value.decode("latin-1"))
             for name, value in response.headers.raw_items()
@@ -207,8 +212,9 @@
         self.headers = remove_hop_by_hop_headers(
             headers, end_to_end=self._backend.end_to_end_headers
         )
-        self._is_delimited = is_delimited
-        self._accepts_close_delimited = is_delimited
+        self.is_end_marked = (
+            self._connection.request_method == "HEAD" or _is_self_delimited(response)
+        )
         self._connection_closes = "close" in values.get("connection", "").lower()
         timeout = values.get("keep-alive", "").lower().partition("timeout=")[2]
         digits = timeout.partition(",")[0].strip()
@@ -282,18 +288,21 @@
         except BaseException:
             self.drop(connection)
             raise
-        is_delimited = _is_self_delimited(event) or request.method == "HEAD"
         return HttpBackendResponse(
             backend=self,
             connection=connection,
             response=event,
-            is_delimited=is_delimited or self._allow_close_delimited,
+            accepts_close_delimited=self._allow_close_delimited,
         )
 
-    def send_check(self, connection: BackendConnection) -> None:
-        """Request the health path on a connection that has responded."""
+    def send_check(self, connection: BackendConnection, request_method: str) -> None:
+        """Request the health path on a connection that has responded.
+
+        The response to the request before may still come, so the method must
+        not say that it has a body if that one has none.
+        """
         connection.send(
-            method="GET",
+            method="HEAD" if request_method == "HEAD" else "GET",
             target=self._health_path,
             headers=[("Host", f"{self._address[0]}:{self._address[1]}")],
             body=b"",
--- a/carobspring/gateway/relay.py
+++ b/carobspring/gateway/relay.py
@@ -144,6 +144,9 @@
         if splitter.buffered_bytes:
             detail = "the stream ended inside an event"
             return AttemptResult(outcome=AttemptOutcome.INCOMPLETE, detail=detail)
+        if not self.event_count and not backend_response.is_end_marked:
+            detail = "the stream ended before its first event"
+            return AttemptResult(outcome=AttemptOutcome.INCOMPLETE, detail=detail)
         if self._sequence.is_continued and not self._sequence.has_progress:
             # Whether the caller has the whole stream, nothing tells.
             detail = "no further event of the stream"
@@ -192,6 +195,8 @@
     async def _relay_event(
         self, event: StreamEvent, backend_response: BackendResponse, server_id: str
     ) -> None:
+        if event.holds_head:
+            raise IncompleteResponseError(reason="another answer inside the stream")
         if event.is_comment:
             await self._relay_comment(event)
             return
--- a/tests/adapters/test_backend_http.py
+++ b/tests/adapters/test_backend_http.py
@@ -137,6 +137,44 @@
                     else:
                         self.assertEqual((await fetch(server.url))[::2], (200, body))
 
+    async def test_cut_responses(self):
+        """A response that ends at any byte before its end is incomplete."""
+        start = b"HTTP/1.1 200 OK\r\nX-A: b\r\n"
+        interim = b"HTTP/1.1 103 Early Hints\r\n\r\n"
+        responses = {
+            "length": start + b"Content-Length: 3\r\n\r\nabc",
+            "chunked": start
+            + b"Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n",
+            "behind an interim one": interim + start + b"Content-Length: 3\r\n\r\nabc",
+            "no length": start + b"\r\nabc",
+        }
+        for name, response in responses.items():
+            sizes = range(len(response) + (name == "no length"))
+            # Every second byte of a head is enough.
+            for size in (*sizes[:-12:2], *sizes[-12:]):
+                async with RawServer(response[:size]) as server:
+                    with self.assertRaises(IncompleteResponseError, msg=(name, size)):
+                        await fetch(server.url)
+
+    async def test_answer_that_leaves_http(self):
+        """An answer behind which there is another protocol has no end."""
+        for allowed in (False, True):
+            with self.subTest(allowed=allowed):
+                response = b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello"
+                async with RawServer(response) as server:
+                    backend = HttpBackend(
+                        url=server.url,
+                        health_path="/health",
+                        allow_close_delimited=allowed,
+                    )
+                    connect = replace(REQUEST, method="CONNECT")
+                    with contextlib.closing(await backend.send(connect)) as got:
+                        with self.assertRaisesRegex(
+                            IncompleteResponseError, "has no end in HTTP"
+                        ):
+                            await got.read()
+                    await backend.close()
+
     async def test_request_is_unchanged(self):
         """The path, query and headers are forwarded unchanged."""
         response = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
@@ -467,6 +505,32 @@
                 await backend.close()
                 server.close()
 
+    async def test_follow_up_to_a_request_for_a_head(self):
+        """No part of what follows is the body of an answer without one."""
+        refusal = b"HTTP/1.1 503 Full\r\nContent-Length: 0\r\n\r\n"
+        own = b"HTTP/1.1 200 OK\r\nX-For: own\r\nContent-Length: 5\r\n\r\n"
+        check = b"HTTP/1.1 200 OK\r\nX-For: check\r\nContent-Length: 9\r\n\r\n"
+
+        async def respond(reader, writer):
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(refusal)
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(own + check)
+            await reader.read()
+            writer.close()
+
+        server = await asyncio.start_server(respond, "127.0.0.1", 0)
+        self.addCleanup(server.close)
+        port = server.sockets[0].getsockname()[1]
+        backend = HttpBackend(url=f"http://127.0.0.1:{port}", health_path="/")
+        request = replace(REQUEST, method="HEAD", body=b"")
+        response = await backend.send(request)
+        self.assertIs(await response.read_follow_up(), True)
+        self.assertEqual(dict(response.headers)["X-For"], "own")
+        self.assertEqual(await response.read(), b"")
+        response.close()
+        await backend.close()
+
     async def test_late_second_response(self):
         """A second response to an earlier request is skipped."""
         late = build_response(b"late", "X-For: old") + build_response(
@@ -483,6 +547,30 @@
             response.close()
             await backend.close()
 
+    async def test_unmarked_end_behind_a_late_response(self):
+        """An end that nothing marks is refused behind a marked one, too."""
+        late = build_response(b"late") + b"HTTP/1.1 200 OK\r\n\r\nown"
+        for allowed in (False, True):
+            with self.subTest(allowed=allowed):
+                async with RawServer(late) as server:
+                    backend = HttpBackend(
+                        url=server.url,
+                        health_path="/",
+                        allow_close_delimited=allowed,
+                    )
+                    response = await backend.send(REQUEST)
+                    self.assertIs(response.is_end_marked, True)
+                    self.assertIs(await response.read_next_response(), True)
+                    self.assertIs(response.is_end_marked, False)
+                    self.assertEqual(await response.read(), b"own")
+                    if allowed:
+                        self.assertEqual(await response.read(), b"")
+                    else:
+                        with self.assertRaises(IncompleteResponseError):
+                            await response.read()
+                    response.close()
+                    await backend.close()
+
     async def test_close_delimited_response(self):
         """If allowed, a close ends a response, but a reset does not."""
         start = b"HTTP/1.1 200 OK\r\n\r\nabc"
