Refuse requests that are incomplete when a drain ends

Callers whose request was still arriving when a stop ended, such as a long body over a slow link, saw their connection close without a word.

Cause: a drain waits for such a request like for an open one, and its end closes what is left.

Ruled out: nothing of such a request is passed on, so none has run; a request that is complete in time is served.

After: 4 of 4 are refused; a body whose last byte comes in the drain is served, as before.

Conclusion: of what reaches a stop, everything is now served or refused.

--- a/carobspring/adapters/http_connection.py
+++ b/carobspring/adapters/http_connection.py
@@ -117,6 +117,13 @@
         ):
             self.close_after_sending()
 
+    def refuse_incomplete(self) -> None:
+        """Refuse a request that still arrives, as the server stops."""
+        is_incomplete = self._buffer or self._framing is not None
+        if self._responder is None and is_incomplete and not self._closing:
+            message = "the server stops, and the request is incomplete"
+            self._reject(503, "stopping", message)
+
     def handle_close(self) -> None:
         """Notify the handler that its caller has disconnected."""
         self._closed = True
--- a/carobspring/adapters/http_server.py
+++ b/carobspring/adapters/http_server.py
@@ -267,15 +267,22 @@
             await asyncio.sleep(DRAIN_POLL_INTERVAL_S)
 
     async def drain(self, timeout_s: float) -> bool:
-        """Accept no new requests; return whether the open ones end in time."""
+        """Accept no new requests; return whether the open ones end in time.
+
+        A request that is still incomplete shortly before is refused.
+        """
         if self._web is None:
             return True
         self._web.http.draining = True
         self._web.server.stop_listening()
         deadline = time.monotonic() + timeout_s
         while not self._is_drained(time.monotonic()):
-            if time.monotonic() > deadline:
+            now = time.monotonic()
+            if now > deadline:
                 return False
+            if now > deadline - DRAIN_LINGER_S:
+                for connection in list(self._web.http.connections.values()):
+                    connection.refuse_incomplete()
             self._close_idle(DRAIN_IDLE_TIMEOUT_S)
             await asyncio.sleep(DRAIN_POLL_INTERVAL_S)
         return True
--- a/tests/adapters/test_server_close.py
+++ b/tests/adapters/test_server_close.py
@@ -122,6 +122,44 @@
         self.assertEqual(received, [b""] * WAITING_CONNECTIONS)
         self.assertIs(await drained, True)
 
+    async def test_incomplete_requests(self):
+        """Those that still arrive when a drain ends are refused in order."""
+        post = b"POST /x HTTP/1.1\r\nHost: x\r\n"
+        cases = {
+            "head": GET[:-2],
+            "body": post + b"Content-Length: 5\r\n\r\nabcd",
+            "no body": post + b"Content-Length: 5\r\n\r\n",
+            "chunks": post + b"Transfer-Encoding: chunked\r\n\r\n5\r\nabcd",
+        }
+        socks = [self.connect() for _ in cases]
+        for sock, request in zip(socks, cases.values(), strict=True):
+            sock.sendall(request)
+        await asyncio.sleep(0.05)
+        drained = asyncio.create_task(self.server.drain(1.0))
+        results = await asyncio.gather(
+            *(self.read_all(sock) for sock in socks), return_exceptions=True
+        )
+        for name, received in zip(cases, results, strict=True):
+            with self.subTest(name):
+                self.assertIsInstance(received, bytes)
+                self.assertEqual(received[:13], b"HTTP/1.1 503 ")
+                self.assertIn(b'"code":"stopping","ran":"not_run"', received)
+        for sock in socks:
+            sock.close()
+        self.assertIs(await drained, True)
+
+    async def test_body_that_arrives_during_a_drain(self):
+        """One that is complete before the end of the drain is served."""
+        sock = self.connect()
+        sock.sendall(b"POST /x HTTP/1.1\r\nHost: x\r\nContent-Length: 5\r\n\r\nabcd")
+        await asyncio.sleep(0.05)
+        drained = asyncio.create_task(self.server.drain(2.0))
+        await asyncio.sleep(1.0)
+        sock.sendall(b"e")
+        self.assertEqual((await self.read_all(sock))[-6:], b"served")
+        sock.close()
+        self.assertIs(await drained, True)
+
 
 class LastBytesTests(ServerCloseTestCase):
     """Callers that send more while a connection closes lose no response."""
