Reap the killed server of a test only once

test_killed_process failed once in seven runs with ProcessLookupError: its clean-up killed a process that had already been waited for.

--- a/tests/adapters/test_server_close.py
+++ b/tests/adapters/test_server_close.py
@@ -300,15 +300,20 @@
         received = await self.read_all(sock)
         self.assertEqual(received, bytes(LARGE_BODY_BYTES))
 
+    async def kill_process(self, process):
+        """Kill a process if it still runs."""
+        if process.returncode is None:
+            process.kill()
+        await process.wait()
+
     async def test_killed_process(self):
         """One whose server is killed ends with a reset too."""
         program = await asyncio.create_subprocess_exec(
             sys.executable, "-c", ENDLESS_SERVER, stdout=asyncio.subprocess.PIPE
         )
-        self.addAsyncCleanup(program.wait)
-        self.addCleanup(program.kill)
+        self.addAsyncCleanup(self.kill_process, program)
         self.server.port = int(await program.stdout.readline())
         sock = await self.begin_response("/x")
-        program.kill()
+        await self.kill_process(program)
         with self.assertRaises(ConnectionResetError):
             await asyncio.wait_for(self.read_all(sock), 5)
