Complete an operator's requests before the replica ends

Operators whose request met the stop of a control daemon: a configuration that took more than 2 s to arrive was cut, and reads on kept connections got 503 for the last part of the stop, as the replica that serves them had ended before the connections were drained.

Cause: the stop ended the replica first, and then drained for 2 s; if the transfer of leadership takes its 5 s, too, SIGKILL may come before the drain.

Ruled out: check-ins; they are answered 503 from the signal on, and sent to another daemon.

Change: the drain comes first, until 2.5 s before SIGKILL, and a calm one ends at once; then the replica transfers leadership and leaves.

tests.endtoend.test_control_stops: a body of 4 s fails before (broken pipe) and is put in force after; one that never ends is refused. Also run: tests.endtoend.test_instances, test_rest_and_leave, 24 tests, passed.

--- a/carobspring/programs/instance_control_program.py
+++ b/carobspring/programs/instance_control_program.py
@@ -54,8 +54,8 @@
 #: Check-in intervals that a backend server's lease lasts. A server that misses
 #: this many check-ins counts as gone.
 LEASE_CHECK_INS: Final = 5
-#: Seconds that a stop waits for open requests.
-DRAIN_TIMEOUT_S: Final = 2.0
+#: Seconds of a stop that are left to the replica behind the drain.
+REPLICA_STOP_S: Final = 2.5
 #: Share of the time for catching up after which a silent voter is replaced.
 REPLACEMENT_SHARE: Final = 0.5
 MAX_CONFIGURATION_BYTES: Final = 16 * 1024 * 1024
@@ -230,14 +230,16 @@
         return {"control": self._control_port, "rpc": self._rpc_port}
 
     def list_stop_steps(self) -> Sequence[StopStep]:
-        """Transfer leadership, complete open requests, and close."""
+        """Complete open requests, transfer leadership, and close."""
         steps = [StopStep(name="begin", run=self._begin_stop)]
-        if self._supervisor is not None:
-            steps.append(StopStep(name="replica", run=self._supervisor.stop))
         if self._http_server is not None:
-            drain = functools.partial(self._http_server.drain, DRAIN_TIMEOUT_S)
+            # Open requests need the replica.
+            drain_s = max(0.0, self._settings.stop_grace_s - REPLICA_STOP_S)
+            drain = functools.partial(self._http_server.drain, drain_s)
             steps.append(StopStep(name="drain", run=drain))
             steps.append(StopStep(name="server", run=self._http_server.close))
+        if self._supervisor is not None:
+            steps.append(StopStep(name="replica", run=self._supervisor.stop))
         if self._metrics_server is not None:
             steps.append(StopStep(name="metrics", run=self._metrics_server.close))
         steps.append(StopStep(name="tasks", run=lambda: cancel_tasks(self._tasks)))
