Believe no "not run" of a call that has sent a part of its response

What callers could see: a stream with the pieces of two runs, or of up to sixteen, ended as complete; a call that may run once run twice.

Cause: the entry took every "not run" as a fact, also behind a head or data of the same call, and sent the call on. An agent says so of calls that it has forgotten, which it may after 20,000 others.

Ruled out: other ends behind data, which break a begun response off.

Change: behind a part of the response "not run" counts as "unknown", for calls of all kinds.

Shown with agents that are scripts, not with running programs.

Conclusion: the class is that of the agent's resumed calls: a later statement was believed without regard to what came before.

--- a/carobspring/entry/call_stream.py
+++ b/carobspring/entry/call_stream.py
@@ -25,6 +25,8 @@
 #: Reasons of call ends that the entry determines itself.
 UNREACHABLE = "unreachable"
 AGENT_LOST = "agent_lost"
+#: The agent sent a part of the response and then said "not run".
+DENIED_AFTER_START = "denied_after_start"
 
 Deliver = Callable[[CallEvent], Awaitable[None]]
 
@@ -54,6 +56,11 @@
     #: Number of events that repeated data already received.
     duplicates: int = 0
 
+    @property
+    def has_begun(self) -> bool:
+        """Whether a part of the response was received."""
+        return self.has_head or self.offset > 0
+
 
 class ConnectionObserver(ABC):
     """Receives what the stream reader observes about agent connections."""
@@ -199,4 +206,8 @@
             if is_complete and event.offset != progress.offset:
                 raise StreamTerminatedError("call ended elsewhere in its response")
             progress.end = event.end
+            if event.end.run_status is RunStatus.NOT_RUN and progress.has_begun:
+                progress.end = CallEnd(
+                    run_status=RunStatus.UNKNOWN, reason=DENIED_AFTER_START
+                )
         await deliver(event)
--- a/tests/entry/test_call_stream.py
+++ b/tests/entry/test_call_stream.py
@@ -189,6 +189,33 @@
         not_sent = CallEnd(run_status=RunStatus.NOT_RUN, reason="unreachable")
         self.assertEqual((end, self.zones), (not_sent, []))
 
+    async def test_not_run_after_a_part_of_the_response_is_unknown(self):
+        """A call whose response has begun is never taken for not run."""
+        not_run = CallEnd(run_status=RunStatus.NOT_RUN, reason="past")
+        unknown = CallEnd(run_status=RunStatus.UNKNOWN, reason="denied_after_start")
+        head = CallEvent(head=ResponseHead(status=200))
+        start = CallEvent(data=BODY[:4], offset=0)
+        cases = {
+            "heartbeat": ([CallEvent()], not_run),
+            "head": ([head], unknown),
+            "data": ([head, start], unknown),
+        }
+        for name, (events, expected) in cases.items():
+            for is_resumed in (False, True):
+                with self.subTest(name, is_resumed=is_resumed):
+                    self.progress = CallProgress(call_id="c1")
+                    self.break_after(events)
+                    if not is_resumed:
+                        offset = sum(len(event.data) for event in events)
+                        end = CallEvent(end=not_run, offset=offset)
+                        self.break_after([*events, end])
+
+                    async def deny(request, send):
+                        await send(CallEvent(end=not_run, offset=request.offset))
+
+                    self.agent.on_resume = deny
+                    self.assertEqual(await self.read_call(), expected)
+
     async def test_refused_after_sending_is_unknown(self):
         """A call whose agent stopped after receiving it ends as UNKNOWN."""
 
--- a/tests/entry/test_driver.py
+++ b/tests/entry/test_driver.py
@@ -65,6 +65,32 @@
         self.assertNotIn(b"[DONE]", got)
         self.assertEqual(self.count_runs(), 1)
 
+    async def test_stream_that_is_denied_is_never_joined_by_another(self):
+        """No end of a call that has sent data lets another run follow."""
+        key = {"Idempotency-Key": "k1"}
+        cases = {
+            "not run": ({}, CallEnd(run_status=RunStatus.NOT_RUN, reason="past")),
+            "moved": ({}, CallEnd(run_status=RunStatus.NOT_RUN, reason="moved")),
+            "an earlier run": (
+                key,
+                CallEnd(run_status=RunStatus.UNKNOWN, reason="past"),
+            ),
+        }
+        for name, (headers, end) in cases.items():
+            with self.subTest(name):
+                self.script_all([*START, CallEvent(end=end, offset=9)])
+                before = self.count_runs()
+                got = b""
+                with self.assertRaises(aiohttp.ClientPayloadError):
+                    async with self.client.post(
+                        PATH, json=STREAM, headers=headers
+                    ) as response:
+                        async for chunk in response.content.iter_any():
+                            got += chunk
+                self.assertEqual(got.count(b"data: 1\n\n"), 1)
+                self.assertIn(b"event: error", got)
+                self.assertEqual(self.count_runs() - before, 1)
+
     async def test_broken_buffered_response_runs_again(self):
         """A model call with nothing sent to the caller runs elsewhere."""
         self.agents[0].script = [*START, CallEvent(end=FAILED, offset=9)]
