Ask a control replica before one version is certain

Callers saw: streams with events of two software versions. During a release two entries reached each other, but neither control replicas nor the entries where the streams had begun, or they had stood still. They took the former version for the only one and went on with it. Cause: "this service has had one version" was believed for two seconds after the last confirmed update, whenever that update was sent. A release and the first streams of the new version take a tenth of that. One entry alone refuses when nobody answers; a second one in the same state answered that it is certain. Change: a stream without a record goes on only if a followed replica has answered a question that was asked since its caller came: whatever began the stream was listed before. Reports carry the time of the question and updates repeat it; all who wait share a question, and the pause between two grows with the number of entries. An entry that no replica answers asks the others to have it confirmed, in its second round. Replicas answer at once. Conclusion: what an entry has heard is no longer taken for what is.

--- a/carobspring/control/sessions.py
+++ b/carobspring/control/sessions.py
@@ -123,14 +123,21 @@
         #: whether the last update was confirmed.
         self._sighting_change = -1
         self._was_confirmed = False
+        #: When the entry asked for an update, by its clock, or zero.
+        self._asked_at = 0.0
 
-    def handle_report(self, report: EntryReport) -> None:
-        """Store a report in the table of entries."""
+    def handle_report(self, report: EntryReport) -> bool:
+        """Store a report in the table of entries.
+
+        Returns whether the entry asks for an update at once.
+        """
         state = self._state
         state.entries.apply_report(report, state.clock.read_monotonic())
         if state.merge_strikes(report.strikes, report.released):
             # Peers must learn of strikes at once.
             state.local_change_count += 1
+        self._asked_at = report.asked_at or self._asked_at
+        return bool(report.asked_at)
 
     def build_update(self) -> ViewUpdate:
         """Return the changes; an empty update serves as a heartbeat."""
@@ -141,6 +148,7 @@
         is_new = members.complete or confirmed is not self._was_confirmed
         self._was_confirmed = confirmed
         sightings, cover_ms = self._take_new_sightings(is_new=is_new)
+        asked_at, self._asked_at = self._asked_at, 0.0
         replicas = self._take_new_replicas()
         peers_before = frozenset() if members.complete else self._peer_addresses
         peers = self._peer_addresses = self._state.entries.peer_addresses
@@ -164,6 +172,7 @@
             entries_removed=tuple(sorted(peers_before - peers)),
             sightings=sightings,
             sightings_cover_ms=cover_ms,
+            asked_at=asked_at,
         )
 
     def _take_new_sightings(
--- a/carobspring/control/streams.py
+++ b/carobspring/control/streams.py
@@ -72,9 +72,10 @@
         """Receive an agent's reports and send it updates until either ends."""
         session = AgentSession(state=self._state)
 
-        def handle_report(report: AgentReport) -> None:
+        def handle_report(report: AgentReport) -> bool:
             session.handle_report(report)
             self._commit_strikes(report)
+            return False
 
         try:
             notifier = self._state.agent_notifier
@@ -136,23 +137,27 @@
         session = EntrySession(state=self._state, is_confirmed=lambda: False)
         notifier = self._state.entry_notifier
         await _run_stream(
-            self._state, stream, lambda report: None, session.build_update, notifier
+            self._state, stream, lambda report: False, session.build_update, notifier
         )
 
 
 async def _run_stream(
     state: ControlState,
     stream: Stream[Any, Any],
-    handle_message: Callable[[Any], None],
+    handle_message: Callable[[Any], bool],
     build_message: Callable[[], Any],
     notifier: StreamNotifier,
 ) -> None:
+    """Exchange messages until either side ends.
+
+    ``handle_message`` returns whether the peer asks for a message at once.
+    """
     wakeup = notifier.subscribe()
     wakeup.set()
     # The task that ends first cancels the other: if the peer hangs and stops
     # reading, the writer would block forever.
     tasks = {
-        asyncio.create_task(_read_all(stream, handle_message)),
+        asyncio.create_task(_read_all(stream, handle_message, wakeup)),
         asyncio.create_task(_write_all(state, stream, build_message, wakeup)),
     }
     try:
@@ -179,7 +184,9 @@
 
 
 async def _read_all(
-    stream: Stream[Any, Any], handle_message: Callable[[Any], None]
+    stream: Stream[Any, Any],
+    handle_message: Callable[[Any], bool],
+    wakeup: asyncio.Event,
 ) -> None:
     with contextlib.suppress(TimeoutError):
         while True:
@@ -187,7 +194,8 @@
                 message = await stream.recv_message()
             if message is None:
                 return
-            handle_message(message)
+            if handle_message(message):
+                wakeup.set()
 
 
 async def _wait_for_event(event: asyncio.Event, timeout_s: float) -> None:
--- a/carobspring/gateway/origins.py
+++ b/carobspring/gateway/origins.py
@@ -7,7 +7,9 @@
 from dataclasses import dataclass, field
 from typing import Final
 
+from carobspring.adapters.tasks import start_task
 from carobspring.domain import BackendServer
+from carobspring.gateway.confirmations import ListConfirmations
 from carobspring.gateway.metrics import StreamMetrics
 from carobspring.protocol import (
     ServiceVersions,
@@ -35,6 +37,8 @@
 #: Seconds for which the answers to each round of questions are awaited. A
 #: round trip between zones takes some 10 ms.
 ROUNDS_S: Final = (0.06, 0.09, 0.15)
+#: Seconds for which a question of another entry waits for a control replica.
+CONFIRMATION_WAIT_S: Final = 0.05
 #: Records in one datagram, which then fits any link.
 MAX_BATCH: Final = 8
 #: Seconds between two checks whether records must be sent.
@@ -73,10 +77,16 @@
         *,
         peers: PeerDirectory,
         send: Callable[[str, StreamMessage], None],
+        request_report: Callable[[], None],
         read_clock: Callable[[], float],
         metrics: StreamMetrics,
     ) -> None:
         self._peers = peers
+        self._confirmations = ListConfirmations(
+            request_report=request_report,
+            read_clock=read_clock,
+            count_entries=lambda: len(peers.addresses),
+        )
         self._send = send
         self._read_clock = read_clock
         self._metrics = metrics
@@ -93,12 +103,20 @@
         now = self._read_clock()
         self._history.record_sightings(update.sightings, now)
         if update.confirmed:
-            cover_s = update.sightings_cover_ms / 1000
-            self._history.record_contact(now, cover_s=cover_s)
+            self._history.record_contact(
+                now,
+                cover_s=update.sightings_cover_ms / 1000,
+                asked_at=update.asked_at,
+            )
+            self._confirmations.handle_answer(update.asked_at)
         if self._peers.apply_update(replica, update):
             extra = {"peers": len(self._peers.addresses), "replica": replica}
             logger.info("peer entries changed", extra=extra)
 
+    def take_question(self) -> float:
+        """Return when a report to replicas asks for an update, or zero."""
+        return self._confirmations.take_question()
+
     def handle_listed(self, server: BackendServer) -> None:
         """Handle a server that is listed, anew or with another version."""
         self._history.record_listed(server, self._read_clock())
@@ -160,8 +178,7 @@
         for record in message.records:
             self._records.add(record, now)
         if message.question is not None:
-            answer = self._answer(message.question, now)
-            self._send(sender, StreamMessage(answer=answer))
+            self._handle_question(sender, message.question, now)
         if message.answer is not None:
             question = self._questions.get(message.answer.number)
             if question is not None:
@@ -184,38 +201,53 @@
     ) -> StreamOrigin:
         """Ask other entries in some rounds, until one knows enough.
 
-        Each is asked twice at least: the record may still be under way.
+        Each is asked twice at least: the record may still be under way. That
+        one version is certain counts only if a control replica has confirmed
+        it since: the stream may have begun at a version that this entry has
+        not heard of yet.
         """
-        peers = self._peers.choose(stream, ASKED_PEERS)
-        message = StreamMessage(
-            question=StreamQuestion(
-                stream=stream,
-                number=number,
-                services=tuple(services),
-                stream_lifetime_ms=round(MAX_LIFETIME_S * 1000),
-            )
+        asked_at = self._read_clock()
+        confirming = start_task(
+            self._confirmations.wait(since=asked_at, until=asked_at + sum(ROUNDS_S)),
+            name="confirm versions",
         )
+        peers = self._peers.choose(stream, ASKED_PEERS)
         reason = "no other entry answers"
-        for round_number, round_s in enumerate(ROUNDS_S, start=1):
-            ends_at = self._read_clock() + round_s
-            question.answers.clear()
-            for peer in peers:
-                self._send(peer, message)
-            await self._await_answers(question, len(peers), ends_at)
-            if peers and not question.answers:
-                continue
-            now = self._read_clock()
-            opinions = [answer.services for answer in question.answers.values()]
-            opinions.append(self._describe_all(services, now))
-            records = question.list_records() + self._records.find(stream, now)
-            try:
-                return find_origin(services, records, opinions)
-            except SeveralVersionsError as error:
-                reason = error.reason
-                have_all_answered = len(question.answers) == len(peers)
-                if records or (have_all_answered and round_number > 1):
-                    break
-            await asyncio.sleep(max(0.0, ends_at - now))
+        try:
+            for round_number, round_s in enumerate(ROUNDS_S, start=1):
+                ends_at = self._read_clock() + round_s
+                question.answers.clear()
+                message = StreamMessage(
+                    question=StreamQuestion(
+                        stream=stream,
+                        number=number,
+                        services=tuple(services),
+                        stream_lifetime_ms=round(MAX_LIFETIME_S * 1000),
+                        must_confirm=round_number > 1,
+                    )
+                )
+                for peer in peers:
+                    self._send(peer, message)
+                await self._await_answers(question, len(peers), ends_at)
+                if peers and not question.answers:
+                    continue
+                if not question.list_records():
+                    left_s = max(0.0, ends_at - self._read_clock())
+                    await asyncio.wait({confirming}, timeout=left_s)
+                now = self._read_clock()
+                opinions = [answer.services for answer in question.answers.values()]
+                opinions.append(self._describe_all(services, now, asked_at))
+                records = question.list_records() + self._records.find(stream, now)
+                try:
+                    return find_origin(services, records, opinions)
+                except SeveralVersionsError as error:
+                    reason = error.reason
+                    have_all_answered = len(question.answers) == len(peers)
+                    if records or (have_all_answered and round_number > 1):
+                        break
+                await asyncio.sleep(max(0.0, ends_at - now))
+        finally:
+            confirming.cancel()
         raise SeveralVersionsError(reason=reason)
 
     async def _await_answers(
@@ -233,12 +265,38 @@
             except TimeoutError:
                 return
 
-    def _answer(self, question: StreamQuestion, now: float) -> StreamAnswer:
-        return StreamAnswer(
+    def _handle_question(
+        self, sender: str, question: StreamQuestion, now: float
+    ) -> None:
+        """Answer another entry, at once unless a replica must confirm it."""
+        opinion = self._describe_all(question.services, now, now)
+        is_known = bool(self._records.find(question.stream, now)) or any(
+            each.is_mixed for each in opinion.values()
+        )
+        if question.must_confirm and not is_known:
+            start_task(
+                self._answer_when_confirmed(sender, question, now),
+                name="answer when confirmed",
+            )
+        else:
+            self._answer(sender, question, now)
+
+    async def _answer_when_confirmed(
+        self, sender: str, question: StreamQuestion, asked_at: float
+    ) -> None:
+        await self._confirmations.wait(
+            since=asked_at, until=asked_at + CONFIRMATION_WAIT_S
+        )
+        self._answer(sender, question, asked_at)
+
+    def _answer(self, sender: str, question: StreamQuestion, asked_at: float) -> None:
+        now = self._read_clock()
+        answer = StreamAnswer(
             number=question.number,
             records=self._records.find(question.stream, now),
-            services=self._describe_all(question.services, now),
+            services=self._describe_all(question.services, now, asked_at),
         )
+        self._send(sender, StreamMessage(answer=answer))
 
     def _handle_versions(self, service: str) -> None:
         """Log a change of versions, and send records if there are several."""
@@ -271,6 +329,15 @@
         return self._history.describe(service, now, stream_lifetime_s=MAX_LIFETIME_S)
 
     def _describe_all(
-        self, services: Sequence[str], now: float
+        self, services: Sequence[str], now: float, asked_at: float
     ) -> Mapping[str, ServiceVersions]:
-        return {service: self._describe(service, now) for service in services}
+        """Return what is certain of streams that began before a time."""
+        return {
+            service: self._history.describe(
+                service,
+                now,
+                stream_lifetime_s=MAX_LIFETIME_S,
+                confirmed_since=asked_at,
+            )
+            for service in services
+        }
--- a/carobspring/programs/instance_entry.py
+++ b/carobspring/programs/instance_entry.py
@@ -120,6 +120,7 @@
         self._stream_origins = StreamOrigins(
             peers=self._peers,
             send=self._peer_socket.send,
+            request_report=self._request_report,
             read_clock=self._clock.read_monotonic,
             metrics=StreamMetrics(metrics),
         )
@@ -428,6 +429,7 @@
             strikes=self._crash_detector.list_strikes(),
             released=self._crash_detector.list_released(),
             peer_address=self._peer_address,
+            asked_at=self._stream_origins.take_question(),
         )
 
 
--- a/carobspring/protocol/control.py
+++ b/carobspring/protocol/control.py
@@ -84,6 +84,9 @@
     released: tuple[Strike, ...] = ()
     #: Host and port where the entry gets datagrams of other entries, or empty.
     peer_address: str = ""
+    #: Time of the entry's clock at which it asks for an update at once; zero
+    #: if it doesn't.
+    asked_at: float = 0.0
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -147,6 +150,9 @@
     sightings: tuple[VersionSighting, ...] = ()
     #: Time for which the replica has missed no version; zero if not told.
     sightings_cover_ms: int = 0
+    #: ``asked_at`` of the entry's last report that asked, if this update is
+    #: the first one since; else zero.
+    asked_at: float = 0.0
 
 
 @dataclass(frozen=True, kw_only=True)
--- a/carobspring/protocol/streams.py
+++ b/carobspring/protocol/streams.py
@@ -31,6 +31,8 @@
     services: tuple[str, ...] = ()
     #: Longest time for which a stream of these services may be taken up.
     stream_lifetime_ms: int = 0
+    #: Whether to ask a control replica before a single version is named.
+    must_confirm: bool = False
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -39,7 +41,8 @@
 
     Either flag is set only if it is certain for as long as a stream may last;
     neither is set at an entry that has lately started or lost its control
-    replicas.
+    replicas. That there was one version is certain only until a control
+    replica was last heard: it says nothing of a stream that began later.
     """
 
     #: All servers had the version ``version``.
--- a/carobspring/resumption/history.py
+++ b/carobspring/resumption/history.py
@@ -19,6 +19,8 @@
     That is certain only if no control replica has listed servers of another
     version for as long as a stream may be taken up. An entry knows this from
     updates without a gap since then, or from a replica that has missed none.
+    A version that was listed since an update was sent is unknown here, however
+    late that update was received.
 
     Example:
         ``history.record_contact(now)`` with each confirmed update,
@@ -34,19 +36,27 @@
         #: are.
         self._seen_at: dict[str, dict[str, float]] = {}
         self._contact_at = float("-inf")
+        #: When this entry last asked a replica that has confirmed its list
+        #: since.
+        self.confirmed_at = float("-inf")
         #: Since when no version was missed: there was no gap between
         #: confirmations, or a replica has known them before.
         self._known_since = float("inf")
 
-    def record_contact(self, now: float, *, cover_s: float = 0.0) -> None:
+    def record_contact(
+        self, now: float, *, cover_s: float = 0.0, asked_at: float = 0.0
+    ) -> None:
         """Record that a control replica has confirmed its list.
 
-        ``cover_s`` is for how long the replica has missed no version.
+        ``cover_s`` is for how long the replica has missed no version, and
+        ``asked_at`` when this entry asked for the update, or zero.
         """
         if not self._has_contact(now):
             self._known_since = now
         self._known_since = min(self._known_since, now - cover_s)
         self._contact_at = now
+        if asked_at:
+            self.confirmed_at = max(self.confirmed_at, asked_at)
 
     def record_sightings(
         self, sightings: Iterable[VersionSighting], now: float
@@ -82,9 +92,18 @@
         return tuple(sorted(self._listed.get(service, ())))
 
     def describe(
-        self, service: str, now: float, *, stream_lifetime_s: float
+        self,
+        service: str,
+        now: float,
+        *,
+        stream_lifetime_s: float,
+        confirmed_since: float = float("-inf"),
     ) -> ServiceVersions:
-        """Return what is certain of a service's versions."""
+        """Return what is certain of a service's versions.
+
+        One version is certain only if a replica was asked at
+        ``confirmed_since``, or later, and has answered.
+        """
         seen_at = self._seen_at.get(service, {})
         since = now - stream_lifetime_s
         versions = {version for version, at in seen_at.items() if at > since}
@@ -96,6 +115,8 @@
             versions.update(sorted(seen_at, key=lambda version: seen_at[version])[-1:])
         if not versions or not self._has_contact(now) or self._known_since > since:
             return ServiceVersions()
+        if self.confirmed_at < confirmed_since:
+            return ServiceVersions()
         return ServiceVersions(is_single=True, version=versions.pop())
 
     def _record_seen(self, service: str, version: str, at: float) -> None:
--- a/standins/instances.py
+++ b/standins/instances.py
@@ -112,9 +112,11 @@
         network: int,
         zones: str = "abc",
         diskless_entries: int = 1,
+        entry_module: str = ENTRY_MODULE,
         bounds: Mapping[str, float] | None = None,
     ) -> None:
         self._deployment = deployment
+        self._entry_module = entry_module
         self._bounds: dict[str, float] = {
             "grace_s": 8,
             "retry_slack": 58,
@@ -158,7 +160,7 @@
         self._write_node_file(instance, role)
         path = instance.node_file.with_suffix(f".{role}.json")
         instance.programs[role] = await self._deployment.start(
-            CONTROL_MODULE if role == "carob-control" else ENTRY_MODULE,
+            CONTROL_MODULE if role == "carob-control" else self._entry_module,
             {"secret": self._deployment.secret},
             f"{instance.name}/{role}",
             {FILE_VARIABLE: str(path)},
--- a/standins/link.py
+++ b/standins/link.py
@@ -13,8 +13,9 @@
     """Forwards connections to a target, with a delay in each direction.
 
     ``cut`` drops the bytes of all connections without closing any, like a
-    network partition. ``silence_connections`` permanently drops the bytes of
-    the open connections, while new ones work.
+    network partition. ``hold`` keeps them, like one that heals before senders
+    give up, until ``release`` delivers them. ``silence_connections``
+    permanently drops the bytes of the open connections, while new ones work.
     """
 
     def __init__(
@@ -29,6 +30,8 @@
         self.port = 0
         self.is_cut = False
         self._drops_downstream = False
+        #: What is delivered at the release, in order, or None.
+        self._held: list[Callable[[], None]] | None = None
         #: Bytes received in both directions.
         self.received_bytes = 0
         self._target = (target_host, target_port)
@@ -66,6 +69,17 @@
         self.is_cut = self._drops_downstream = False
         self._generation += 1
 
+    def hold(self) -> None:
+        """Hold all bytes from now on, also of new connections."""
+        if self._held is None:
+            self._held = []
+
+    def release(self) -> None:
+        """Deliver what was held, and hold nothing more."""
+        held, self._held = self._held or [], None
+        for deliver in held:
+            deliver()
+
     def reset_connections(self) -> None:
         """Reset the open connections."""
         for task in self._tasks:
@@ -105,6 +119,9 @@
         deliver_at = 0.0
 
         def deliver(action: Callable[[], None]) -> None:
+            if self._held is not None:
+                self._held.append(lambda: deliver(action))
+                return
             is_dropped = self.is_cut or (is_downstream and self._drops_downstream)
             if not is_dropped and generation == self._generation:
                 action()
--- a/tests/control/test_sessions.py
+++ b/tests/control/test_sessions.py
@@ -69,3 +69,32 @@
                 self.assertEqual(
                     (update.sightings, update.sightings_cover_ms), expected
                 )
+
+
+class QuestionTests(unittest.TestCase):
+    def test_answers(self):
+        """The next update repeats when the entry asked, once."""
+        session = EntrySession(state=ControlState(replica_id="r1", clock=SystemClock()))
+        steps = {
+            # name: (when the entry asks, answer, whether it asks at once)
+            "no report": (None, 0.0, None),
+            "a report that doesn't ask": (0.0, 0.0, False),
+            "one that asks": (3.5, 3.5, True),
+            "after the answer": (None, 0.0, None),
+        }
+        for name, (asked_at, expected, is_urgent) in steps.items():
+            with self.subTest(name):
+                if asked_at is not None:
+                    report = EntryReport(entry_id="e1", zone="a", asked_at=asked_at)
+                    self.assertIs(session.handle_report(report), is_urgent)
+                update = session.build_update()
+                self.assertEqual(update.asked_at, expected)
+
+    def test_report_after_a_question(self):
+        """A heartbeat before the answer doesn't take the question back."""
+        session = EntrySession(state=ControlState(replica_id="r1", clock=SystemClock()))
+        for asked_at in (3.5, 0.0):
+            session.handle_report(
+                EntryReport(entry_id="e1", zone="a", asked_at=asked_at)
+            )
+        self.assertEqual(session.build_update().asked_at, 3.5)
--- a/tests/control/test_streams.py
+++ b/tests/control/test_streams.py
@@ -68,6 +68,20 @@
 
 
 class StreamTests(unittest.IsolatedAsyncioTestCase):
+    async def test_entry_that_asks(self):
+        """An entry that asks gets an update at once."""
+        async with run_control() as (_, ports), open_entry(ports["rpc"]) as entry:
+            await entry.send(EntryReport(entry_id="e1", zone="a"))
+            await entry.wait_for(lambda update: update.complete)
+            loop = asyncio.get_running_loop()
+            asked_at = loop.time()
+            for number in range(3):
+                await entry.send(
+                    EntryReport(entry_id="e1", zone="a", asked_at=number + 1.0)
+                )
+                await entry.wait_for(lambda update: update.asked_at == number + 1.0)
+            self.assertLess(loop.time(), asked_at + streams.HEARTBEAT_INTERVAL_S)
+
     async def test_entries_learn_of_servers(self):
         """An entry is sent settings, a new server, and its removal."""
         async with run_control() as (_, ports):
--- a/tests/endtoend/instances.py
+++ b/tests/endtoend/instances.py
@@ -7,7 +7,7 @@
 
 from standins.backend_server import StandInServer
 from standins.deployment import Deployment, open_client, wait_until
-from standins.instances import InstanceSet, find_free_network
+from standins.instances import ENTRY_MODULE, InstanceSet, find_free_network
 from standins.operator import Operator, build_configuration
 
 
@@ -20,6 +20,7 @@
     #: Values of the node file that differ from those of the stand-in.
     BOUNDS = {}
     DISKLESS_ENTRIES = 1
+    ENTRY_MODULE = ENTRY_MODULE
 
     async def asyncSetUp(self):
         self.deployment = await self.enterAsyncContext(Deployment())
@@ -30,6 +31,7 @@
             self.deployment,
             network=self.network,
             diskless_entries=self.DISKLESS_ENTRIES,
+            entry_module=self.ENTRY_MODULE,
             bounds=self.BOUNDS,
         )
         await self.instances.start_all()
--- a/tests/gateway/fakes.py
+++ b/tests/gateway/fakes.py
@@ -296,6 +296,7 @@
         self.origins = StreamOrigins(
             peers=self.peers,
             send=lambda peer, message: self.peer_messages.append((peer, message)),
+            request_report=lambda: None,
             read_clock=loop.time,
             metrics=StreamMetrics(Metrics()),
         )
--- a/tests/gateway/test_origins.py
+++ b/tests/gateway/test_origins.py
@@ -43,6 +43,10 @@
     def __init__(self, names, *, versions=("v1", "v2"), up_s=180.0):
         self.now_offset = 0.0
         self.down = set()
+        #: Reports to the replica.
+        self.report_count = 0
+        #: Entries that no control replica reaches.
+        self.cut_off = set()
         self.sent = []
         self.origins = {}
         addresses = [f"{name}:1" for name in names]
@@ -62,11 +66,20 @@
         origins = self.origins[address] = StreamOrigins(
             peers=PeerDirectory(own_address=address),
             send=lambda to, message: self.send(address, to, message),
+            request_report=lambda: loop.call_soon(self.report, address),
             read_clock=lambda: loop.time() + self.now_offset,
             metrics=StreamMetrics(Metrics()),
         )
         origins.apply_update("replica", self.first_update)
 
+    def report(self, address):
+        """Send a report to the replica, which answers at once."""
+        self.report_count += 1
+        asked_at = self.origins[address].take_question()
+        if address not in self.cut_off:
+            update = ViewUpdate(asked_at=asked_at)
+            self.origins[address].apply_update("replica", update)
+
     def restart(self, name):
         self.start(f"{name}:1")
 
@@ -295,3 +308,127 @@
         await entries.find("b")
         for sender, to, message in list(entries.sent):
             entries.origins[to].handle_message(sender, message)
+
+
+class OutOfStepTests(unittest.IsolatedAsyncioTestCase):
+    """Entries that have not heard of the version that began a stream."""
+
+    def release(self, *, cut_off, up_s=180.0, names="abcdef"):
+        """Let a version join while a replica doesn't reach some entries."""
+        entries = Entries(names, versions=("v1",), up_s=up_s)
+        entries.cut_off.update(f"{name}:1" for name in cut_off)
+        for name in names:
+            if name not in cut_off:
+                entries[name].handle_listed(build_server("s9", "v2"))
+        return entries
+
+    def heal(self, entries, *names):
+        """Let a replica reach entries, which hear of what they missed."""
+        for name in names:
+            entries.cut_off.discard(f"{name}:1")
+            entries[name].handle_listed(build_server("s9", "v2"))
+
+    async def test_only_such_entries_answer(self):
+        """Nobody goes on with the former version for certain."""
+        cases = {
+            # name: (entries out of step, entries down, seconds since contact)
+            "alone": ("b", "acdef", 0.0),
+            "two": ("bc", "adef", 0.0),
+            "two, contact is as old as it may be": ("bc", "adef", 2.0),
+            "all that are left of six": ("bcdef", "a", 1.0),
+        }
+        for name, (cut_off, down, silent_s) in cases.items():
+            with self.subTest(name):
+                entries = self.release(cut_off=cut_off)
+                entries.down.update(f"{each}:1" for each in down)
+                entries.now_offset += silent_s
+                with self.assertRaises(SeveralVersionsError):
+                    await entries.find("b")
+
+    async def test_lone_entry(self):
+        """An entry that knows no other one asks a replica as well."""
+        entries = self.release(cut_off="b", names="b")
+        with self.assertRaises(SeveralVersionsError):
+            await entries.find("b")
+
+    async def test_answer_of_an_entry_that_knows_nothing(self):
+        """One that has just started makes nothing certain."""
+        entries = self.release(cut_off="bc")
+        entries.first_update = ViewUpdate(confirmed=False)
+        entries.restart("c")
+        entries.down.update(f"{each}:1" for each in "adef")
+        with self.assertRaises(SeveralVersionsError):
+            await entries.find("b")
+
+    async def test_update_that_was_sent_before(self):
+        """What a replica said before a stall doesn't count after it."""
+        entries = self.release(cut_off="bc")
+        entries.down.update(f"{each}:1" for each in "adef")
+        entries.now_offset += 3.0
+        for update in (ViewUpdate(), ViewUpdate(sightings_cover_ms=600_000)):
+            with self.subTest(update):
+                entries["b"].apply_update("replica", update)
+                entries["c"].apply_update("replica", update)
+                with self.assertRaises(SeveralVersionsError):
+                    await entries.find("b")
+
+    async def test_answer_to_an_earlier_question(self):
+        """A replica must have been asked since the stream was taken up."""
+        entries = self.release(cut_off="bc")
+        entries.down.update(f"{each}:1" for each in "adef")
+        loop = asyncio.get_running_loop()
+        earlier = ViewUpdate(asked_at=loop.time() + entries.now_offset - 0.01)
+        finding = asyncio.create_task(entries.find("b"))
+        await asyncio.sleep(0.02)
+        entries["b"].apply_update("replica", earlier)
+        with self.assertRaises(SeveralVersionsError):
+            await finding
+
+    async def test_one_entry_in_step(self):
+        """Its knowledge decides; a stream whose record it has goes on."""
+        entries = self.release(cut_off="bcdef")
+        with self.assertRaises(SeveralVersionsError):
+            await entries.find("b")
+        entries.begin("a", "v2")
+        origin = await entries.find("b")
+        self.assertEqual(origin, StreamOrigin(service="svc", versions={"svc": "v2"}))
+
+    async def test_one_version_goes_on(self):
+        """Streams of a sole version go on unless nobody can confirm it."""
+        cases = {
+            # name: (entries out of step, entries down, origin)
+            "others are in step": ("b", "", SINGLE),
+            "one other is in step": ("bcde", "a", SINGLE),
+            "back in step": ("", "adef", SINGLE),
+            "none is in step": ("bc", "adef", None),
+        }
+        for name, (cut_off, down, expected) in cases.items():
+            with self.subTest(name):
+                entries = Entries("abcdef", versions=("v1",))
+                entries.cut_off.update(f"{each}:1" for each in cut_off)
+                entries.down.update(f"{each}:1" for each in down)
+                if expected is None:
+                    with self.assertRaises(SeveralVersionsError):
+                        await entries.find("b")
+                else:
+                    self.assertEqual(await entries.find("b"), expected)
+
+    async def test_return_with_a_new_version(self):
+        """What an entry missed counts as soon as it hears of it."""
+        entries = self.release(cut_off="bc")
+        entries.down.update(f"{each}:1" for each in "adef")
+        finding = asyncio.create_task(entries.find("b"))
+        await asyncio.sleep(0.05)
+        self.heal(entries, "b", "c")
+        with self.assertRaises(SeveralVersionsError):
+            await finding
+
+    async def test_questions_are_few(self):
+        """Many streams that are taken up at once need few questions."""
+        entries = Entries("abcdef", versions=("v1",))
+        streams = [build_stream_key("acme", str(n)) for n in range(100)]
+        origins = await asyncio.gather(
+            *(entries.find("b", stream=each) for each in streams)
+        )
+        self.assertEqual(origins, [SINGLE] * len(streams))
+        self.assertLessEqual(entries.report_count, 5)
--- a/tests/standin/test_link.py
+++ b/tests/standin/test_link.py
@@ -56,3 +56,16 @@
         self.link.heal()
         self.assertIsNone(await self.ping(new))
         self.assertEqual(await self.ping(await self.connect()), b"ping")
+
+    async def test_held_bytes(self):
+        """Held bytes arrive in order once released, new connections too."""
+        old = await self.connect()
+        self.assertEqual(await self.ping(old), b"ping")
+        self.link.hold()
+        new = await self.connect()
+        for connection in (old, new):
+            connection[1].write(b"1")
+            self.assertIsNone(await self.ping(connection))
+        self.link.release()
+        for connection in (old, new):
+            self.assertEqual(await connection[0].readexactly(5), b"1ping")
