Let a replica's answer bring its account of versions

Callers saw: 503 for every stream that two entries took up after they had heard of no control replica for 2.4 s, though the service had one version only. Cause: a gap of over two seconds voids what an entry knows of former versions. A replica tells it again when a stream opens, not on one that goes on, so one version was certain again only two minutes later. Ruled out: shorter gaps; and streams that are opened anew, after 3 s of silence. Change: an update that answers an entry's question tells for how long the replica has missed no version. The entry was told of the former versions themselves. Conclusion: an entry is certain again as soon as a replica answers it.

--- a/carobspring/control/sessions.py
+++ b/carobspring/control/sessions.py
@@ -149,6 +149,10 @@
         self._was_confirmed = confirmed
         sightings, cover_ms = self._take_new_sightings(is_new=is_new)
         asked_at, self._asked_at = self._asked_at, 0.0
+        if asked_at:
+            # The entry was told of all sightings that it doesn't get now.
+            now = self._state.clock.read_monotonic()
+            cover_ms = self._state.members.versions.compute_cover_ms(now)
         replicas = self._take_new_replicas()
         peers_before = frozenset() if members.complete else self._peer_addresses
         peers = self._peer_addresses = self._state.entries.peer_addresses
--- a/tests/control/test_sessions.py
+++ b/tests/control/test_sessions.py
@@ -73,14 +73,18 @@
 
 class QuestionTests(unittest.TestCase):
     def test_answers(self):
-        """The next update repeats when the entry asked, once."""
-        session = EntrySession(state=ControlState(replica_id="r1", clock=SystemClock()))
+        """The next update repeats when the entry asked, and the account."""
+        clock = ManualClock()
+        state = ControlState(replica_id="r1", clock=clock)
+        clock.now = 9.0
+        session = EntrySession(state=state)
+        session.build_update()
         steps = {
-            # name: (when the entry asks, answer, whether it asks at once)
-            "no report": (None, 0.0, None),
-            "a report that doesn't ask": (0.0, 0.0, False),
-            "one that asks": (3.5, 3.5, True),
-            "after the answer": (None, 0.0, None),
+            # name: (when the entry asks, answer and account, asks at once)
+            "no report": (None, (0.0, 0), None),
+            "a report that doesn't ask": (0.0, (0.0, 0), False),
+            "one that asks": (3.5, (3.5, 9000), True),
+            "after the answer": (None, (0.0, 0), None),
         }
         for name, (asked_at, expected, is_urgent) in steps.items():
             with self.subTest(name):
@@ -88,7 +92,7 @@
                     report = EntryReport(entry_id="e1", zone="a", asked_at=asked_at)
                     self.assertIs(session.handle_report(report), is_urgent)
                 update = session.build_update()
-                self.assertEqual(update.asked_at, expected)
+                self.assertEqual((update.asked_at, update.sightings_cover_ms), expected)
 
     def test_report_after_a_question(self):
         """A heartbeat before the answer doesn't take the question back."""
--- a/tests/endtoend/test_out_of_step.py
+++ b/tests/endtoend/test_out_of_step.py
@@ -127,3 +127,18 @@
         await asyncio.sleep(0.3)
         await self.cut()
         await self.check_taken_up(streaming)
+
+    async def test_return_after_a_gap(self):
+        """Streams of a sole version go on soon after such entries are back."""
+        self.slow_down(events=60, interval_s=0.1)
+        await self.cut(*ALL_LINKS)
+        streaming = self.begin_streams()
+        # Longer than a confirmation counts, shorter than a stream's silence.
+        await asyncio.sleep(2.4)
+        await self.cut()
+        await asyncio.sleep(0.2)
+        await self.kill_others()
+        streams = await streaming
+        taken_up = [went_on for each in streams for went_on in each.resumptions]
+        self.assertGreaterEqual(len(taken_up), COUNTED_RESUMPTIONS)
+        self.assertGreater(sum(taken_up), 0.9 * len(taken_up))
--- a/tests/gateway/test_origins.py
+++ b/tests/gateway/test_origins.py
@@ -43,8 +43,9 @@
     def __init__(self, names, *, versions=("v1", "v2"), up_s=180.0):
         self.now_offset = 0.0
         self.down = set()
-        #: Reports to the replica.
+        #: Reports to the replica, and for how long it has missed no version.
         self.report_count = 0
+        self.cover_ms = 0
         #: Entries that no control replica reaches.
         self.cut_off = set()
         self.sent = []
@@ -77,7 +78,7 @@
         self.report_count += 1
         asked_at = self.origins[address].take_question()
         if address not in self.cut_off:
-            update = ViewUpdate(asked_at=asked_at)
+            update = ViewUpdate(asked_at=asked_at, sightings_cover_ms=self.cover_ms)
             self.origins[address].apply_update("replica", update)
 
     def restart(self, name):
@@ -413,6 +414,14 @@
                 else:
                     self.assertEqual(await entries.find("b"), expected)
 
+    async def test_return_after_a_gap(self):
+        """A replica's account makes one version certain again at once."""
+        entries = Entries("abcdef", versions=("v1",))
+        entries.down.update(f"{each}:1" for each in "adef")
+        entries.cover_ms = 600_000
+        entries.now_offset += 7.0
+        self.assertEqual(await entries.find("b"), SINGLE)
+
     async def test_return_with_a_new_version(self):
         """What an entry missed counts as soon as it hears of it."""
         entries = self.release(cut_off="bc")
