Let no unproven record take a server's address

Cause: entries gave an address to the latest start that names it, whatever its service and whoever answers there, forgot the earlier record for good, and took the listing of a later start at an address for the crash of the earlier one. A check-in under a server's own identifier replaced its record at the control daemons in the same way.

Ruled out: that only services which aren't named do this; a named one did.

Change: a control daemon shows a server once the newest routes name its service, and a report of an unnamed service takes no identifier of a named one. Up to 500 servers of unnamed services are kept. Of several servers at one address an entry lists who answered it within a second or works for it, then who was not refuted by a 421, then the latest start; what waits is listed when that changes. A start at a contested address proves a crash by an answer only.

Not mended: a foreign check-in with a server's identifier, a named service and a later start still replaces that server's record.

--- a/carobspring/control/last_known_state.py
+++ b/carobspring/control/last_known_state.py
@@ -102,7 +102,7 @@
             return
         self._written = last_known
         state = self._state
-        state.last_known_routing = last_known.routing
+        state.restore_routing(last_known.routing)
         now = state.clock.read_monotonic()
         age_ms = max(0, int((lease_s - RESTORED_LEASE_S) * 1000))
         for known_server in last_known.servers:
--- a/carobspring/control/state.py
+++ b/carobspring/control/state.py
@@ -1,7 +1,7 @@
 """State shared by the components of one control replica."""
 
 import asyncio
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 from carobspring.control.entry_strikes import EntryStrikes
 from carobspring.control.machine import ControlMachine
@@ -40,12 +40,25 @@
 
 
 class ControlState:
-    """Holds the replicated state, the soft state and the stream notifiers."""
+    """Holds the replicated state, the soft state and the stream notifiers.
+
+    ``find_services`` returns the services that a routing configuration names,
+    or None if any server may be used.
+    """
 
     def __init__(
-        self, *, replica_id: str, clock: Clock, lease_s: float = LEASE_S
+        self,
+        *,
+        replica_id: str,
+        clock: Clock,
+        lease_s: float = LEASE_S,
+        find_services: Callable[
+            [RoutingConfiguration], frozenset[str] | None
+        ] = lambda routing: None,
     ) -> None:
         self.replica_id = replica_id
+        self._find_services = find_services
+        self._services_version = 0
         self.clock = clock
         self.agent_notifier = StreamNotifier()
         self.entry_notifier = StreamNotifier()
@@ -74,6 +87,19 @@
         last_known = self.last_known_routing
         return applied if applied.version >= last_known.version else last_known
 
+    def restore_routing(self, routing: RoutingConfiguration) -> None:
+        """Set the routes committed before this start."""
+        self.last_known_routing = routing
+        self._update_services()
+
+    def _update_services(self) -> None:
+        routing = self.find_routing()
+        if routing.version == self._services_version:
+            return
+        self._services_version = routing.version
+        services = self._find_services(routing)
+        self.members.set_services(services, self.clock.read_monotonic())
+
     def merge_strikes(
         self, strikes: Iterable[Strike], released: Iterable[Strike]
     ) -> bool:
@@ -89,6 +115,7 @@
         if self.machine.drained != self.members.drained:
             now = self.clock.read_monotonic()
             self.members.set_drained(self.machine.drained, now)
+        self._update_services()
         self.notify_all_streams()
 
     def notify_all_streams(self) -> None:
--- a/carobspring/dispatch/dispatcher.py
+++ b/carobspring/dispatch/dispatcher.py
@@ -82,6 +82,25 @@
         record = self._records.get(server.server_id)
         return record is not None and record.server == server
 
+    def is_serving(self, server: BackendServer, now: float) -> bool:
+        """Return whether a server answered lately, or works on a request.
+
+        One that failed since, drains or leaves does not count.
+        """
+        record = self._records.get(server.server_id)
+        if record is None or record.server != server or record.is_closing:
+            return False
+        if record.breaker.state is not BreakerState.CLOSED:
+            return False
+        has_answered = now - record.answered_at <= self._limits.proof_s
+        return has_answered or bool(record.in_flight)
+
+    def record_crash(self, server_id: str) -> None:
+        """Record that a server has crashed, whatever it answered before."""
+        record = self._records.get(server_id)
+        if record is not None:
+            record.answered_at = float("-inf")
+
     def remove_server(self, server_id: str) -> None:
         """Remove a server from placement."""
         record = self._records.pop(server_id, None)
@@ -383,10 +402,13 @@
         if call is not None and outcome is AttemptOutcome.ANSWERED:
             record.service_time_s.observe(now - call.sent_at)
         if outcome in (AttemptOutcome.ANSWERED, AttemptOutcome.SERVER_ERROR):
+            record.answered_at = now
             record.breaker.record_success()
         elif outcome in (AttemptOutcome.UNREACHABLE, AttemptOutcome.MISDIRECTED):
+            record.answered_at = float("-inf")
             record.breaker.record_failure(now, self._random.draw_uniform(), True)
         elif outcome is AttemptOutcome.INCOMPLETE:
+            record.answered_at = float("-inf")
             record.breaker.record_failure(now, self._random.draw_uniform(), False)
 
     def _refuse_resting(
--- a/carobspring/dispatch/limits.py
+++ b/carobspring/dispatch/limits.py
@@ -12,6 +12,8 @@
     prefill_tokens_per_s: float = 60_000.0
     #: Seconds from the start of reading to the first event of an idle engine.
     first_event_s: float = 0.07
+    #: Seconds for which an answer proves that a server has its address.
+    proof_s: float = 1.0
     #: Seconds by which each running request delays the first event of a new
     #: one, since it slows the steps: 0.12 ms a step, some 16 steps to the
     #: first event.
--- a/carobspring/dispatch/servers.py
+++ b/carobspring/dispatch/servers.py
@@ -59,6 +59,8 @@
         self.breaker = breaker
         self.notice = notice
         self.draining = False
+        #: When it last answered, unless it failed since.
+        self.answered_at = float("-inf")
         #: Requests a second that the server takes from all entries together,
         #: as its last response announced, or None.
         self.rate_limit: float | None = None
--- a/carobspring/gateway/announcements.py
+++ b/carobspring/gateway/announcements.py
@@ -26,11 +26,13 @@
         *,
         dispatcher: Dispatcher,
         crash_detector: CrashDetector,
+        handle_misdirected: Callable[[BackendServer], None],
         read_clock: Callable[[], float],
         metrics: Metrics,
     ) -> None:
         self._dispatcher = dispatcher
         self._crash_detector = crash_detector
+        self._handle_misdirected = handle_misdirected
         self._read_clock = read_clock
         self._changes = metrics.add_counter(
             "carob_gateway_server_notices_total",
@@ -51,7 +53,12 @@
     ) -> None:
         """Record what a response says about the server that sent it."""
         if status == MISDIRECTED_STATUS:
+            # One with another identifier tells of an earlier request.
+            if metadata.request_id in ("", request_id):
+                self._handle_misdirected(server)
             return
+        if metadata.request_id == request_id:
+            self._crash_detector.handle_answer(server)
         if metadata.asks_for_rest:
             change = self._dispatcher.record_rest(
                 server, metadata.rest_s, self._read_clock()
--- a/carobspring/gateway/crashes.py
+++ b/carobspring/gateway/crashes.py
@@ -62,6 +62,8 @@
         read_wall_ms: Callable[[], int],
         request_report: Callable[[], None],
         count_entries: Callable[[], int],
+        is_contested: Callable[[BackendServer], bool],
+        handle_crash: Callable[[str], None],
         trial_turn: float,
         evidence_s: float,
         metrics: CrashMetrics,
@@ -72,6 +74,11 @@
         self._read_wall_ms = read_wall_ms
         self._request_report = request_report
         self._count_entries = count_entries
+        self._is_contested = is_contested
+        self._handle_crash = handle_crash
+        #: Listed servers whose address another one names too, so that their
+        #: start does not prove that other one's end.
+        self._unproven: dict[str, ListedServer] = {}
         self._metrics = metrics
         self._attribution = CrashAttribution(evidence_s=evidence_s)
         self._quarantine = RequestQuarantine(trial_turn=trial_turn)
@@ -177,7 +184,26 @@
         await asyncio.shield(probe)
 
     def handle_listed(self, listed: ListedServer) -> None:
-        """Handle a server that a control replica lists anew or changed."""
+        """Handle a server that a control replica lists anew or changed.
+
+        While another one names its address, it proves by an answer that it
+        has taken that one's place.
+        """
+        server_id = listed.server.server_id
+        if self._is_contested(listed.server):
+            self._unproven[server_id] = listed
+            return
+        self._unproven.pop(server_id, None)
+        self._record_listed(listed)
+
+    def handle_answer(self, server: BackendServer) -> None:
+        """Handle an answer of a server, which has its address."""
+        listed = self._unproven.get(server.server_id)
+        if listed is not None and listed.server == server:
+            del self._unproven[server.server_id]
+            self._record_listed(listed)
+
+    def _record_listed(self, listed: ListedServer) -> None:
         crashed = self._attribution.record_listed(
             listed.server, draining=listed.draining
         )
@@ -191,6 +217,11 @@
     def apply_update(self, update: ViewUpdate) -> None:
         """Apply the strikes that a control replica knows of all entries."""
         now = self._read_clock()
+        for listed in tuple(self._unproven.values()):
+            if self._find_listing(listed.server.server_id) != listed:
+                del self._unproven[listed.server.server_id]
+            elif not self._is_contested(listed.server):
+                self.handle_listed(listed)
         if update.complete:
             # The replica may have lost what was reported to it before.
             self._complete_until = now + REPORT_S
@@ -242,6 +273,7 @@
     def _record_crash(self, server_run: ServerRun, proof: str) -> None:
         causes = self._attribution.record_crash(server_run, self._read_clock())
         self._metrics.record_crash()
+        self._handle_crash(server_run[0])
         logger.info(
             "backend server crashed",
             extra={
--- a/carobspring/gateway/directory.py
+++ b/carobspring/gateway/directory.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 
 from carobspring.domain import BackendServer, LoadReport
+from carobspring.gateway.claims import AddressClaims, Place, get_place
 from carobspring.protocol import ViewUpdate
 
 logger = logging.getLogger(__name__)
@@ -31,23 +32,28 @@
 
     A server is listed while any replica lists it. If replicas differ about a
     server, the report with the highest boot and sequence is used; if several
-    servers have the same address, the one with the highest boot is listed. A
-    server that drains stays draining until its next boot. While no replica is
-    connected, the last list is kept.
+    servers name the same address, the one that AddressClaims finds is listed.
+    A server that drains stays draining until its next boot. While no replica
+    is connected, the last list is kept.
 
     ``on_change`` gets a server's name, and its listing or None if it was
-    removed.
+    removed. ``is_serving`` returns whether a server answers at its address.
     """
 
     def __init__(
-        self, *, on_change: Callable[[str, ListedServer | None], None]
+        self,
+        *,
+        on_change: Callable[[str, ListedServer | None], None],
+        is_serving: Callable[[BackendServer], bool],
     ) -> None:
         self._on_change = on_change
+        self._claims = AddressClaims(is_serving=is_serving)
         self._views: dict[str, _View] = {}
         #: Replicas whose view is kept although they are no longer followed.
         self._unfollowed: set[str] = set()
+        #: Servers that some replica lists, those that lack their address too.
+        self._known: dict[str, ListedServer] = {}
         self._listed: dict[str, ListedServer] = {}
-        self._by_address: dict[tuple[str, int], str] = {}
         self._draining_boots: dict[str, int] = {}
 
     def find(self, server_id: str) -> ListedServer | None:
@@ -65,7 +71,7 @@
         if view is None or update.complete:
             affected |= set(view.servers) if view else set()
             view = self._views[replica] = _View(servers={}, loads={})
-            affected |= set(self._listed)
+            affected |= set(self._known)
         for server in update.servers:
             view.servers[server.server_id] = server
             affected.add(server.server_id)
@@ -83,6 +89,22 @@
             self._unfollowed.clear()
         for name in sorted(affected):
             self._merge(name)
+        self.settle_contests()
+
+    def settle_contests(self) -> None:
+        """Find anew who has an address, as what servers answer changes."""
+        for place in tuple(self._claims.contested):
+            self._settle(place)
+
+    def is_contested(self, server: BackendServer) -> bool:
+        """Return whether another server names a server's address too."""
+        return get_place(server) in self._claims.contested
+
+    def record_misdirected(self, server: BackendServer) -> None:
+        """Record that another server answered at a server's address."""
+        place = self._claims.refute(server)
+        if place is not None:
+            self._settle(place, refuted_now=server.server_id)
 
     def remove_replica(self, replica: str) -> None:
         """Drop the view of a replica that is no longer followed.
@@ -112,41 +134,42 @@
             if order > best_order:
                 best, best_order = server, order
                 draining = bool(load and load.draining)
+        before = self._known.get(name)
         if best is None:
-            self._remove(name)
-            return
-        if draining:
-            self._draining_boots[name] = best.boot
-        listed = ListedServer(
-            server=best, draining=self._draining_boots.get(name) == best.boot
-        )
-        if not self._assign_address(best):
-            self._remove(name)
-        elif self._listed.get(name) != listed:
-            self._listed[name] = listed
-            self._report_change(name, listed)
-
-    def _assign_address(self, server: BackendServer) -> bool:
-        """Assign an address to a server unless a newer one has it."""
-        address = (server.host, server.port)
-        owner = self._by_address.get(address)
-        if owner is not None and owner != server.server_id:
-            other = self._listed.get(owner)
-            if other is not None:
-                if other.server.boot > server.boot:
-                    return False
-                self._remove(owner)
-        self._by_address[address] = server.server_id
-        return True
-
-    def _remove(self, name: str) -> None:
-        listed = self._listed.pop(name, None)
-        if listed is None:
+            if before is None:
+                return
+            del self._known[name]
+            self._unlist(name)
+            place = self._claims.withdraw(name)
+        else:
+            if draining:
+                self._draining_boots[name] = best.boot
+            draining = self._draining_boots.get(name) == best.boot
+            self._known[name] = ListedServer(server=best, draining=draining)
+            if before is not None and get_place(before.server) != get_place(best):
+                left = self._claims.withdraw(name)
+                if left is not None:
+                    self._settle(left)
+            place = self._claims.claim(best)
+        if place is not None:
+            self._settle(place)
+
+    def _settle(self, place: Place, *, refuted_now: str = "") -> None:
+        """List the server that has an address, and no other one there."""
+        holder = self._claims.find_holder(place, refuted_now=refuted_now)
+        for name in self._claims.list_claimants(place):
+            if name != holder:
+                self._unlist(name)
+        if holder is None:
             return
-        address = (listed.server.host, listed.server.port)
-        if self._by_address.get(address) == name:
-            del self._by_address[address]
-        self._report_change(name, None)
+        listed = self._known[holder]
+        if self._listed.get(holder) != listed:
+            self._listed[holder] = listed
+            self._report_change(holder, listed)
+
+    def _unlist(self, name: str) -> None:
+        if self._listed.pop(name, None) is not None:
+            self._report_change(name, None)
 
     def _report_change(self, name: str, listed: ListedServer | None) -> None:
         """Report a change; a server that can't be used hides no other one."""
--- a/carobspring/membership/table.py
+++ b/carobspring/membership/table.py
@@ -34,6 +34,8 @@
 FLAP_DAMPING_S = 5.0
 #: Largest number of members, including those that are gone.
 MAX_MEMBERS = 5_000
+#: Largest number of members of services that no route may name.
+MAX_UNNAMED_MEMBERS = 500
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -93,11 +95,32 @@
         self.urgent_change_count = 0
         #: Servers that an operator drains; entries see them as draining.
         self.drained: frozenset[str] = frozenset()
+        #: Services that routes may name; None if that isn't known.
+        self._services: frozenset[str] | None = None
+        #: Members of other services that entries never saw, those that
+        #: reported last at the end.
+        self._unnamed: OrderedDict[str, None] = OrderedDict()
         #: Versions of servers that are gone or were replaced.
         self.versions = VersionLog(known_since=now)
         #: Oldest view from which a delta can still be computed.
         self._oldest_view = 0
 
+    def set_services(self, services: frozenset[str] | None, now: float) -> None:
+        """Set the services that routes may name, or None if any may be.
+
+        Servers of other services are kept, but not shown to entries. One that
+        was shown stays so, since it may still serve.
+        """
+        self._services = services
+        self._unnamed = OrderedDict(
+            (server_id, None)
+            for server_id, member in self.members.items()
+            if not member.is_visible and not self._is_named(member.server)
+        )
+        for server_id, member in list(self.members.items()):
+            if not member.is_gone and self._should_show(member, now):
+                self._make_visible(server_id, member, now)
+
     def apply_report(self, report: AgentReport, now: float) -> ReportResult:
         """Apply a report that an agent sent to this replica."""
         server = report.server
@@ -151,12 +174,11 @@
         for server_id, member in list(self.members.items()):
             if member.is_gone:
                 if now - member.reported_at > GONE_RETENTION_S:
-                    del self.members[server_id]
-                    self._oldest_view = max(self._oldest_view, member.changed_view)
+                    self._forget(member)
             elif now >= member.lease_expires_at:
                 self._mark_gone(server_id, member, now)
                 expired.append(server_id)
-            elif not member.is_visible and now >= member.visible_from:
+            elif self._should_show(member, now):
                 self._make_visible(server_id, member, now)
             elif member.is_visible and member.load is not member.published_load:
                 self._publish_load(server_id, member, now)
@@ -270,6 +292,15 @@
         self, gossip: MemberGossip, now: float, *, is_local: bool
     ) -> ReportResult:
         known = self.members.get(gossip.server_id)
+        server = gossip.server or (known.server if known is not None else None)
+        if known is not None and server is not None:
+            is_named, was_named = self._is_named(server), self._is_named(known.server)
+            if was_named and not is_named:
+                # Another writer uses the identifier of a server.
+                return ReportResult(accepted=False)
+            if is_named and not was_named:
+                self._forget(known)
+                known = None
         if known is not None:
             order = (gossip.boot, gossip.sequence)
             known_order = (known.server.boot, known.sequence)
@@ -279,29 +310,54 @@
                 return ReportResult(accepted=False)
         if gossip.left:
             return self._handle_leave(known, gossip, now)
-        server = gossip.server or (known.server if known is not None else None)
         if server is None or server.boot != gossip.boot:
             return ReportResult(accepted=False)
-        if known is None and not self._make_room():
-            return ReportResult(accepted=False)
         reported_at = now - gossip.age_ms / 1000
         if reported_at + self._lease_s <= now:
             return ReportResult(accepted=False)
+        if known is None and not self._make_room(server):
+            return ReportResult(accepted=False)
         self._update_member(known, gossip, server, reported_at, now, is_local)
         return ReportResult(accepted=True)
 
-    def _make_room(self) -> bool:
-        """Remove the member that is gone the longest if the table is full."""
-        if len(self.members) < MAX_MEMBERS:
+    def _is_named(self, server: BackendServer) -> bool:
+        return self._services is None or server.service in self._services
+
+    def _should_show(self, member: Member, now: float) -> bool:
+        return (
+            not member.is_visible
+            and now >= member.visible_from
+            and self._is_named(member.server)
+        )
+
+    def _make_room(self, server: BackendServer) -> bool:
+        """Make room for a new member; return whether there is any.
+
+        Servers of services that no route may name yield to each other and to
+        all others, then those that are gone, the longest first.
+        """
+        is_full = len(self.members) >= MAX_MEMBERS
+        is_named = self._is_named(server)
+        if self._unnamed and (
+            is_full or (not is_named and len(self._unnamed) >= MAX_UNNAMED_MEMBERS)
+        ):
+            self._forget(self.members[next(iter(self._unnamed))])
+            return True
+        if not is_full:
             return True
         gone = [member for member in self.members.values() if member.is_gone]
         if not gone:
             return False
-        oldest = min(gone, key=lambda member: member.reported_at)
-        del self.members[oldest.server.server_id]
-        self._oldest_view = max(self._oldest_view, oldest.changed_view)
+        self._forget(min(gone, key=lambda member: member.reported_at))
         return True
 
+    def _forget(self, member: Member) -> None:
+        """Remove a member and what is known of it."""
+        server_id = member.server.server_id
+        self._oldest_view = max(self._oldest_view, member.changed_view)
+        del self.members[server_id]
+        self._unnamed.pop(server_id, None)
+
     def _update_member(
         self,
         known: Member | None,
@@ -360,8 +416,14 @@
                     member = self._record_change(replace(member, is_visible=False))
                     self._store_newest(member)
         self.members[server.server_id] = member
+        if not member.is_visible and not self._is_named(server):
+            if known is None:
+                # Members are ordered by their last change, and it has none.
+                self.members.move_to_end(server.server_id, last=False)
+            self._unnamed[server.server_id] = None
+            self._unnamed.move_to_end(server.server_id)
         if not member.is_visible:
-            if now >= member.visible_from:
+            if self._should_show(member, now):
                 self._make_visible(server.server_id, member, now)
         elif known is not None and known.server != server:
             self._store_newest(self._record_change(member))
--- a/carobspring/programs/instance_control.py
+++ b/carobspring/programs/instance_control.py
@@ -3,12 +3,14 @@
 import asyncio
 import contextlib
 import logging
+import zlib
 from dataclasses import replace
 from pathlib import Path
 from typing import Any, Final
 
 from grpclib.server import Server
 
+from carobspring import platform
 from carobspring.adapters.admission_service import AdmissionService
 from carobspring.adapters.clock import SystemClock, SystemRandom
 from carobspring.adapters.discovery import DiscoveryExchange
@@ -47,6 +49,7 @@
 )
 from carobspring.programs.runner import Program, run_command_line
 from carobspring.programs.stalls import StallDetector
+from carobspring.protocol import RoutingConfiguration
 
 TICK_INTERVAL_S: Final = 0.1
 #: Check-in intervals that a backend server's lease lasts. A server that misses
@@ -74,6 +77,23 @@
     )
 
 
+def find_services(routing: RoutingConfiguration) -> frozenset[str] | None:
+    """Return the services that a committed configuration names.
+
+    It is None if there is no configuration, or none that can be read.
+    """
+    if not routing.version:
+        return None
+    try:
+        table = platform.decode_routing_table(zlib.decompress(routing.body))
+    except (platform.ConfigurationError, zlib.error) as error:
+        # Unexpected: routes are validated before they are committed.
+        extra = {"version": routing.version, "reason": str(error)}
+        logger.error("committed routes cannot be decoded", extra=extra)
+        return None
+    return frozenset(table.services)
+
+
 class InstanceControlProgram(Program, RedirectFinder):
     """A control daemon.
 
@@ -96,7 +116,10 @@
         now = self._clock.read_monotonic()
         lease_s = settings.check_in_interval_s * LEASE_CHECK_INS
         self.state = ControlState(
-            replica_id=self._name, clock=self._clock, lease_s=lease_s
+            replica_id=self._name,
+            clock=self._clock,
+            lease_s=lease_s,
+            find_services=find_services,
         )
         self._supervisor: ReplicaSupervisor | None = None
         self._last_known_state: LastKnownStateFile | None = None
--- a/carobspring/programs/instance_entry.py
+++ b/carobspring/programs/instance_entry.py
@@ -17,6 +17,7 @@
 from carobspring.adapters.rpc import open_channel
 from carobspring.adapters.tasks import start_service_task
 from carobspring.dispatch import Dispatcher, EngineDemand, StopSchedule
+from carobspring.domain import BackendServer
 from carobspring.gateway import (
     AdmissionClient,
     BackendConnections,
@@ -96,7 +97,10 @@
             dispatcher=self._dispatcher,
             read_clock=self._clock.read_monotonic,
         )
-        self._backend_directory = BackendDirectory(on_change=self._handle_server_change)
+        self._backend_directory = BackendDirectory(
+            on_change=self._handle_server_change,
+            is_serving=self._is_serving,
+        )
         self._crash_detector = CrashDetector(
             connections=self._backend_connections,
             find_listing=self._backend_directory.find,
@@ -104,6 +108,8 @@
             read_wall_ms=self._clock.read_wall_ms,
             request_report=self._request_report,
             count_entries=self._count_entries,
+            is_contested=self._backend_directory.is_contested,
+            handle_crash=self._handle_crash,
             trial_turn=random.draw_uniform(),
             evidence_s=settings.check_in_interval_s * EVIDENCE_CHECK_INS,
             metrics=CrashMetrics(metrics),
@@ -138,6 +144,7 @@
                 announcements=AnnouncementRecorder(
                     dispatcher=self._dispatcher,
                     crash_detector=self._crash_detector,
+                    handle_misdirected=self._backend_directory.record_misdirected,
                     read_clock=self._clock.read_monotonic,
                     metrics=metrics,
                 ),
@@ -361,6 +368,13 @@
             },
         )
 
+    def _is_serving(self, server: BackendServer) -> bool:
+        return self._dispatcher.is_serving(server, self._clock.read_monotonic())
+
+    def _handle_crash(self, server_id: str) -> None:
+        self._dispatcher.record_crash(server_id)
+        self._backend_directory.settle_contests()
+
     def _apply_settings(self, settings: platform.InstanceSettings) -> None:
         self._control_streams.update_seeds(self._build_seed_names(settings))
 
--- a/standins/odd_check_ins.py
+++ b/standins/odd_check_ins.py
@@ -60,3 +60,19 @@
             return response.status
     except (aiohttp.ClientError, TimeoutError, OSError):
         return 0
+
+
+def build_foreign_check_in(address: str, *, service: str, born: int, seq: int) -> bytes:
+    """Return a sound body of another writer that names any address."""
+    content = {
+        "service": service,
+        "address": address,
+        "zone": "a",
+        "version": "v1",
+        "slots": 8,
+        "state": "ready",
+        "cold_left_ms": 0,
+        "seq": seq,
+        "born": born,
+    }
+    return json.dumps(content).encode()
--- a/tests/control/test_state.py
+++ b/tests/control/test_state.py
@@ -2,10 +2,16 @@
 import unittest
 import unittest.mock
 
+import msgspec
+
 from carobspring.adapters.clock import SystemClock
+from carobspring.control.commands import Command
+from carobspring.control.routing import RoutingChange
 from carobspring.control.sessions import EntrySession
 from carobspring.control.state import ControlState, StreamNotifier
-from carobspring.protocol import Strike
+from carobspring.domain import LoadReport
+from carobspring.protocol import AgentReport, RoutingConfiguration, Strike
+from tests.control.harness import make_server
 
 
 class RecordingEvent(asyncio.Event):
@@ -45,6 +51,27 @@
         self.assertEqual(EntrySession(state=state).build_update().strikes, ())
 
 
+class NamedServiceTests(unittest.TestCase):
+    def test_services_of_the_newest_routes(self):
+        """Entries see servers of services that the newest routes name."""
+        state = ControlState(
+            replica_id="a",
+            clock=SystemClock(),
+            find_services=lambda routing: frozenset(routing.body.decode().split(",")),
+        )
+        state.restore_routing(RoutingConfiguration(version=3, body=b"x"))
+        report = AgentReport(server=make_server(), load=LoadReport(sequence=1))
+        now = state.clock.read_monotonic()
+        self.assertIs(state.members.apply_report(report, now).accepted, True)
+        shown = []
+        for version, services in ((2, b"llama"), (4, b"y"), (5, b"x,llama")):
+            content = RoutingConfiguration(version=version, body=services)
+            command = Command(routing=RoutingChange(content=content))
+            state.machine.apply(version, msgspec.msgpack.encode(command))
+            shown.append(len(state.members.compute_delta(None).servers))
+        self.assertEqual(shown, [0, 0, 1])
+
+
 class StreamNotifierTests(unittest.TestCase):
     def test_order_of_subscription(self):
         """Streams are notified in the order in which they subscribed."""
--- a/tests/dispatch/test_dispatcher.py
+++ b/tests/dispatch/test_dispatcher.py
@@ -1,3 +1,4 @@
+import itertools
 import unittest
 from dataclasses import replace
 
@@ -77,6 +78,51 @@
         self.assertGreater(fresh.unread_tokens, 2900)
 
 
+class ServingTests(unittest.TestCase):
+    def test_is_serving(self):
+        """A server serves from its answer until it fails or leaves."""
+        sent, draining = "sent", "draining"
+        answered, misdirected = AttemptOutcome.ANSWERED, AttemptOutcome.MISDIRECTED
+        cases = {
+            "nothing is known": ((), False),
+            "a request is under way": ((sent,), True),
+            "it answered": ((answered,), True),
+            "it answered with an error": ((AttemptOutcome.SERVER_ERROR,), True),
+            "a response was cut": ((answered, AttemptOutcome.INCOMPLETE), False),
+            "that of one request of two": (
+                (answered, sent, AttemptOutcome.INCOMPLETE),
+                True,
+            ),
+            "it answered long ago": ((answered, 1.1), False),
+            "it refuses connections": ((answered, AttemptOutcome.UNREACHABLE), False),
+            "another one answered": ((answered, misdirected), False),
+            "it drains": ((answered, draining), False),
+            "it crashed": ((answered, "crash"), False),
+            "it answers again": ((answered, misdirected, answered), True),
+        }
+        for name, (steps, expected) in cases.items():
+            with self.subTest(name):
+                server = build_server("s1")
+                dispatcher = build_dispatcher(server)
+                now, request_ids = 0.0, itertools.count()
+                for step in steps:
+                    if step == draining:
+                        dispatcher.add_server(server, draining=True)
+                    elif step == "crash":
+                        dispatcher.record_crash("s1")
+                    elif isinstance(step, float):
+                        now += step
+                    else:
+                        query = build_query(f"q{next(request_ids)}")
+                        placement = Placement(server=server, unread_tokens=0)
+                        dispatcher.record_sent(placement, query, now)
+                    if isinstance(step, AttemptOutcome):
+                        dispatcher.record_end("s1", query.request_id, step, now)
+                self.assertIs(dispatcher.is_serving(server, now), expected)
+                later = build_server("s1", boot=2)
+                self.assertIs(dispatcher.is_serving(later, now), False)
+
+
 class HomeTests(unittest.TestCase):
     def setUp(self):
         self.servers = [build_server(f"s{n}", zone="abc"[n % 3]) for n in range(6)]
--- a/tests/gateway/fakes.py
+++ b/tests/gateway/fakes.py
@@ -280,6 +280,8 @@
         self.admission_client = FakeAdmissionClient(admission_waits or {})
         connections = FakeConnections(self.clients)
         self.report_requests = 0
+        self.misdirected = []
+        self.contested = set()
         self.crash_detector = CrashDetector(
             connections=connections,
             find_listing=self.listings.get,
@@ -287,6 +289,8 @@
             read_wall_ms=lambda: 0,
             request_report=self.request_report,
             count_entries=lambda: 1,
+            is_contested=lambda server: server.server_id in self.contested,
+            handle_crash=dispatcher.record_crash,
             trial_turn=0.0,
             evidence_s=10.0,
             metrics=CrashMetrics(Metrics()),
@@ -311,6 +315,7 @@
                 announcements=AnnouncementRecorder(
                     dispatcher=dispatcher,
                     crash_detector=self.crash_detector,
+                    handle_misdirected=self.misdirected.append,
                     read_clock=loop.time,
                     metrics=Metrics(),
                 ),
--- a/tests/gateway/test_announcements.py
+++ b/tests/gateway/test_announcements.py
@@ -55,6 +55,21 @@
                 now = asyncio.get_running_loop().time()
                 self.assertIs(gateway.dispatcher.may_send(server, now), True)
 
+    async def test_response_of_another_server(self):
+        """It tells that the server isn't at its address, for this request."""
+        cases = {
+            "without an identifier": ((), ["s1"]),
+            "with the request's": (RESPONSE_HEADERS, ["s1"]),
+            "to an earlier request": ((("Carobspring-Attempt-Id", "e"),), []),
+        }
+        for name, (headers, misdirected) in cases.items():
+            with self.subTest(name):
+                gateway = GatewayHarness([(421, headers, [])], [SUCCESS])
+                response = await gateway.call()
+                self.assertEqual(response.status, 200)
+                names = [server.server_id for server in gateway.misdirected]
+                self.assertEqual(names, misdirected)
+
     async def test_short_rest_is_waited_for(self):
         """A request that can still meet its target waits for the server."""
         script = [build_rejection("0.2"), SUCCESS]
--- a/tests/gateway/test_crashes.py
+++ b/tests/gateway/test_crashes.py
@@ -182,6 +182,38 @@
         calling.cancel()
         await asyncio.gather(calling, return_exceptions=True)
 
+    async def test_start_at_a_contested_address(self):
+        """It proves a crash once it answers, or the other one is gone."""
+        answered = (200, RESPONSE_HEADERS, [b"x"])
+        cases = {
+            "neither": (False, False, []),
+            "it answers": (True, False, ["s1"]),
+            "the other one is gone": (False, True, ["s1"]),
+        }
+        for name, (answers, is_gone, expected) in cases.items():
+            with self.subTest(name):
+                released = asyncio.Event()
+                gateway = self.build([released], [answered], repeatability=ONCE)
+                detector, server = gateway.crash_detector, gateway.servers["s1"]
+                detector.handle_listed(ListedServer(server=server, draining=False))
+                calling = asyncio.create_task(gateway.call())
+                await asyncio.sleep(0.05)
+                later = gateway.build_server("s2", boot=2, port=server.port)
+                gateway.dispatcher.add_server(later, draining=False)
+                listed = ListedServer(server=later, draining=False)
+                gateway.listings["s2"] = listed
+                gateway.contested.add("s2")
+                detector.handle_listed(listed)
+                if answers:
+                    gateway.dispatcher.add_server(server, draining=True)
+                    self.assertEqual((await gateway.call()).status, 200)
+                if is_gone:
+                    gateway.contested.clear()
+                detector.apply_update(ViewUpdate())
+                self.assertEqual(self.list_struck(gateway), expected)
+                calling.cancel()
+                await asyncio.gather(calling, return_exceptions=True)
+
     async def test_crash_known_after_the_lease(self):
         """A silent server is struck also if it was delisted meanwhile.
 
--- a/tests/gateway/test_directory.py
+++ b/tests/gateway/test_directory.py
@@ -29,8 +29,10 @@
 class DirectoryTests(unittest.TestCase):
     def setUp(self):
         self.changes = []
+        self.serving = set()
         self.directory = BackendDirectory(
-            on_change=lambda name, listed: self.changes.append((name, listed))
+            on_change=lambda name, listed: self.changes.append((name, listed)),
+            is_serving=lambda server: server.server_id in self.serving,
         )
 
     def get_states(self):
@@ -47,7 +49,7 @@
                 raise ValueError("not usable")
             self.changes.append(name)
 
-        directory = BackendDirectory(on_change=apply)
+        directory = BackendDirectory(on_change=apply, is_serving=lambda server: False)
         with self.assertLogs("carobspring.gateway.directory", "ERROR"):
             directory.apply_update(
                 "r1", build_update(build_server("s1"), build_server("s2", port=81))
@@ -92,6 +94,46 @@
         self.directory.apply_update("r2", build_update(build_server("old", boot=1)))
         self.assertEqual(self.get_states(), {"new": (5, False)})
 
+    def test_server_that_serves_keeps_its_address(self):
+        """Another one gets it when a response shows that the first is gone."""
+        old, new = build_server("old", boot=1), build_server("new", boot=5)
+        self.serving.add("old")
+        self.directory.apply_update("r1", build_update(old))
+        self.directory.apply_update("r1", build_update(new))
+        self.assertEqual(self.get_states(), {"old": (1, False)})
+        self.assertEqual(self.changes, [("old", self.directory.find("old"))])
+        self.directory.record_misdirected(old)
+        self.serving.clear()
+        self.assertEqual(self.get_states(), {"new": (5, False)})
+        self.directory.record_misdirected(new)
+        self.assertEqual(self.get_states(), {"old": (1, False)})
+
+    def test_server_that_waits_for_an_address(self):
+        """It is listed once the other one serves no longer, or is gone."""
+        servers = (build_server("old", boot=1), build_server("new", boot=5))
+        cases = {
+            "the next heartbeat after it failed": build_update(),
+            "its removal": build_update(removed=("old",)),
+            "its move": build_update(build_server("old", boot=1, port=81)),
+        }
+        for name, update in cases.items():
+            with self.subTest(name):
+                self.setUp()
+                self.serving.add("old")
+                self.directory.apply_update("r1", build_update(*servers))
+                self.assertNotIn("new", self.get_states())
+                if name.startswith("the next"):
+                    self.serving.clear()
+                self.directory.apply_update("r1", update)
+                self.assertIn("new", self.get_states())
+
+    def test_refuted_server_without_another_one(self):
+        """A server stays listed if no other one names its address."""
+        self.directory.apply_update("r1", build_update(build_server()))
+        self.directory.record_misdirected(build_server())
+        self.directory.record_misdirected(build_server("unknown"))
+        self.assertEqual(self.get_states(), {"s1": (1, False)})
+
     def test_complete_update_replaces_the_view(self):
         """A complete update removes servers that no replica lists."""
         both = (build_server("s1"), build_server("s2", port=81))
--- a/tests/membership/test_table.py
+++ b/tests/membership/test_table.py
@@ -398,3 +398,78 @@
         [gossip] = table.list_local_gossip(view, 4.0)
         self.assertIs(gossip.left, True)
         self.assertEqual(table.list_local_gossip(table.view, 4.0), [])
+
+
+def build_foreign(number: int, sequence: int = 1, **changes: object) -> AgentReport:
+    """Return a report of another server."""
+    values = {"server_id": f"f{number}", "service": "elsewhere"} | changes
+    server = replace(SERVER, **values)
+    return AgentReport(server=server, load=LoadReport(sequence=sequence))
+
+
+class UnnamedServiceTests(unittest.TestCase):
+    """Servers of services that no route may name."""
+
+    def build(self) -> MembershipTable:
+        table = build_table()
+        table.set_services(frozenset({"llama"}), 0.0)
+        return table
+
+    def test_not_shown_until_named(self):
+        """Entries see a server once its service is named."""
+        table = self.build()
+        table.apply_report(build_foreign(1), 0.1)
+        self.assertEqual(list_visible(table), ["m1"])
+        table.expire(0.2)
+        self.assertEqual(list_visible(table), ["m1"])
+        view = table.view
+        table.set_services(frozenset({"llama", "elsewhere"}), 0.3)
+        self.assertEqual(table.compute_delta(view).servers[0].server_id, "f1")
+
+    def test_shown_server_stays(self):
+        """A server is still shown when its service is dropped."""
+        table = self.build()
+        table.set_services(frozenset({"other"}), 0.1)
+        table.apply_report(build_report(6), 0.2)
+        self.assertEqual(list_visible(table), ["m1"])
+
+    def test_hidden_server_hides_no_change(self):
+        """Deltas hold the changes before a server that is not shown."""
+        table = self.build()
+        view = table.view
+        table.apply_report(build_report(6, draining=True), 0.1)
+        table.apply_report(build_foreign(1), 0.2)
+        self.assertEqual(list(table.compute_delta(view).loads), ["m1"])
+
+    def test_identifier_of_a_server(self):
+        """An unnamed service takes no identifier, and yields one."""
+        table = self.build()
+        taking = build_foreign(1, server_id="m1", boot=9)
+        self.assertEqual(table.apply_report(taking, 0.1), REFUSED)
+        self.assertEqual(table.members["m1"].server, SERVER)
+        for server_id in ("m2", "m3"):
+            table.apply_report(build_foreign(1, server_id=server_id, boot=9), 0.1)
+        real = replace(SERVER, server_id="m2")
+        report = AgentReport(server=real, load=LoadReport(sequence=1))
+        self.assertEqual(table.apply_report(report, 0.2), ACCEPTED)
+        self.assertEqual(set(list_visible(table)), {"m1", "m2"})
+
+    def test_bound(self):
+        """Of unnamed services, those that reported last are kept."""
+        table = self.build()
+        with unittest.mock.patch.object(table_module, "MAX_UNNAMED_MEMBERS", 3):
+            for number in range(3):
+                table.apply_report(build_foreign(number), 0.1)
+            table.apply_report(build_foreign(0, sequence=2), 0.2)
+            for number in (3, 4):
+                table.apply_report(build_foreign(number), 0.3)
+        self.assertEqual(set(table.members), {"m1", "f0", "f3", "f4"})
+
+    def test_full_table(self):
+        """They make room for a server of a named service."""
+        table = self.build()
+        table.apply_report(build_foreign(1), 0.1)
+        report = build_foreign(2, service="llama")
+        with unittest.mock.patch.object(table_module, "MAX_MEMBERS", 2):
+            self.assertEqual(table.apply_report(report, 0.2), ACCEPTED)
+        self.assertEqual(set(table.members), {"m1", "f2"})
