Tell engines apart the ranks that go past their levels

Requests of tenants from the fourth priority on, with three priorities of routes, all reached engines with rank 9: an engine preempted and queued them as if they were alike.

Cause: a rank is the tenant's priority times the number of route priorities, and was cut at 9 on its way out.

Change: where a configuration has ranks past 9, the ranks that it can give to requests of engines are counted in order, and that place is sent; with more than ten of them neighbours share a level. Configurations whose ranks fit send the same as before. The new test, tests.domain.test_routes (EngineRankTests), has no counterpart before; the cut was read in build_backend_headers, not played on an engine.

--- a/carobspring/domain/routes.py
+++ b/carobspring/domain/routes.py
@@ -1,5 +1,6 @@
 """The routing table: routes by host and path, services, keys and limits."""
 
+import bisect
 from collections.abc import Mapping, Sequence
 from dataclasses import dataclass, field
 from enum import Enum
@@ -154,6 +155,8 @@
     owners: tuple[KeyOwner, ...] = ()
     limits: CallerLimits = field(default_factory=CallerLimits)
     _route_ranks: int = field(init=False, repr=False, compare=False)
+    #: Every rank that a request to an engine may have, in order.
+    _engine_ranks: tuple[int, ...] = field(init=False, repr=False, compare=False)
     _by_host: dict[str, list[Route]] = field(init=False, repr=False, compare=False)
     _by_key: dict[str, KeyOwner] = field(init=False, repr=False, compare=False)
 
@@ -162,6 +165,7 @@
         check_counter("version", self.version)
         ranks = 1 + max((route.priority for route in self.routes), default=0)
         object.__setattr__(self, "_route_ranks", ranks)
+        object.__setattr__(self, "_engine_ranks", self._list_engine_ranks())
         object.__setattr__(self, "_by_host", self._index_routes())
         object.__setattr__(self, "_by_key", self._index_keys(self.owners))
 
@@ -170,6 +174,18 @@
         priority = owner.priority if owner is not None else None
         return (priority or 0) * self._route_ranks + route.priority
 
+    def compute_engine_rank(self, rank: int, levels: int) -> int:
+        """Return a rank for engines, which know that many from 0 on.
+
+        Ranks that the table tells apart stay apart, as far as the levels
+        suffice, and none goes before one that it is behind.
+        """
+        ranks = self._engine_ranks
+        if not ranks or ranks[-1] < levels:
+            return rank
+        position = bisect.bisect_left(ranks, rank)
+        return position * levels // max(levels, len(ranks))
+
     @property
     def requires_keys(self) -> bool:
         """Return whether routes that aren't public require a key."""
@@ -186,6 +202,22 @@
         """Return the workspace that owns a key, or None."""
         return self._by_key.get(key)
 
+    def _list_engine_ranks(self) -> tuple[int, ...]:
+        priorities = {0, *(owner.priority or 0 for owner in self.owners)}
+        of_routes = {
+            route.priority
+            for route in self.routes
+            for target in route.weighted_services
+            if target.service in self.services and self.services[target.service].engine
+        }
+        return tuple(
+            sorted(
+                priority * self._route_ranks + of_route
+                for priority in priorities
+                for of_route in of_routes
+            )
+        )
+
     def _index_routes(self) -> dict[str, list[Route]]:
         by_host: dict[str, list[Route]] = {}
         seen: set[tuple[str, str]] = set()
--- a/carobspring/gateway/api.py
+++ b/carobspring/gateway/api.py
@@ -115,7 +115,10 @@
         if refusal is not None:
             await self._refuse_for_now(responder, metadata, refusal)
             return
-        service = table.services[query.service]
+        engine_priority = None
+        if table.services[query.service].engine:
+            levels = platform.PRIORITY_LEVELS
+            engine_priority = table.compute_engine_rank(rank, levels)
         exchange = Exchange(
             context=self._context,
             request=request,
@@ -124,7 +127,7 @@
             route=route,
             query=query,
             workspace=workspace,
-            engine_priority=rank if service.engine else None,
+            engine_priority=engine_priority,
         )
         self._find_budget(query.service).record_request(started_at)
         report = await self._run_exchange(exchange, responder)
--- a/carobspring/platform/__init__.py
+++ b/carobspring/platform/__init__.py
@@ -16,6 +16,7 @@
 )
 from carobspring.platform.headers import (
     END_TO_END_HEADERS,
+    PRIORITY_LEVELS,
     RequestMetadata,
     ResponseMetadata,
     build_backend_headers,
@@ -38,6 +39,7 @@
     "END_TO_END_HEADERS",
     "InstanceSettings",
     "NodeFileError",
+    "PRIORITY_LEVELS",
     "READINESS_PATH",
     "RequestMetadata",
     "ResponseMetadata",
--- a/carobspring/platform/headers.py
+++ b/carobspring/platform/headers.py
@@ -22,7 +22,8 @@
 _RATE_LIMIT: Final = "server-limit"
 _LEAVING: Final = "server-leaving"
 _RETRY_AFTER: Final = "retry-after"
-_LOWEST_PRIORITY: Final = 9
+#: Ranks that engines tell apart, from 0 on.
+PRIORITY_LEVELS: Final = 10
 #: Digits of a number in a header; one with more is malformed.
 _MAX_DIGITS: Final = 15
 _BEARER_PREFIX: Final = "bearer "
@@ -180,7 +181,7 @@
     if workspace:
         backend_headers.append((_WORKSPACE, workspace))
     if priority is not None:
-        rank = max(0, min(_LOWEST_PRIORITY, priority))
+        rank = max(0, min(PRIORITY_LEVELS - 1, priority))
         backend_headers.append((_PRIORITY, str(rank)))
     if last_event_id:
         backend_headers.append(("Last-Event-Id", last_event_id))
--- a/tests/domain/test_routes.py
+++ b/tests/domain/test_routes.py
@@ -2,6 +2,7 @@
 
 from carobspring.domain import InvalidValueError
 from carobspring.domain.routes import (
+    EngineTraits,
     KeyOwner,
     Repeatability,
     Route,
@@ -10,6 +11,8 @@
     WeightedService,
 )
 
+ENGINE = EngineTraits(slots=8, kv_capacity_tokens=1000)
+
 
 def build_route(prefix="/", host="h", priority=0, weights=(1,)):
     weighted_services = tuple(
@@ -32,6 +35,41 @@
     return RoutingTable(version=1, routes=routes, services=services, owners=owners)
 
 
+class EngineRankTests(unittest.TestCase):
+    def test_engine_ranks(self):
+        """Ranks that differ stay apart, as far as there are levels."""
+        cases = {
+            "few": ((0, 2), (None, 1), {0: 0, 2: 2, 3: 3, 5: 5}),
+            "three by four": (
+                (0, 1, 2),
+                (0, 1, 2, 3),
+                dict(enumerate((0, 0, 1, 2, 3, 4, 5, 5, 6, 7, 8, 9))),
+            ),
+            "with gaps": (
+                (0, 5),
+                (0, 2, 40),
+                {0: 0, 5: 1, 12: 2, 17: 3, 240: 4, 245: 5},
+            ),
+            "no route to an engine": ((), (7,), {0: 0, 70: 70}),
+        }
+        for name, (of_routes, priorities, expected) in cases.items():
+            with self.subTest(name):
+                table = RoutingTable(
+                    version=1,
+                    routes=tuple(
+                        build_route(f"/{priority}/", priority=priority)
+                        for priority in of_routes
+                    ),
+                    services={"s0": RoutedService(name="s0", engine=ENGINE)},
+                    owners=tuple(
+                        KeyOwner(name=f"w{n}", keys=(f"k{n}",), priority=priority)
+                        for n, priority in enumerate(priorities)
+                    ),
+                )
+                ranks = {rank: table.compute_engine_rank(rank, 10) for rank in expected}
+                self.assertEqual(ranks, expected)
+
+
 class RoutingTableTests(unittest.TestCase):
     def test_longest_prefix(self):
         """Of the routes of a host, the one with the longest prefix applies."""
