--- a/tests/gateway/test_exchange.py
+++ b/tests/gateway/test_exchange.py
@@ -2,7 +2,7 @@
 import unittest
 
 from carobspring.domain import ServiceKind
-from carobspring.domain.routes import EngineTraits, Repeatability
+from carobspring.domain.routes import EngineTraits, KeyOwner, Repeatability
 from carobspring.gateway.relay import MAX_BUFFERED_BYTES
 from carobspring.ports import BackendUnreachableError, IncompleteResponseError
 from tests.gateway.fakes import (
@@ -198,6 +198,21 @@
                 rank = dict(sent.headers).get("Carobspring-Request-Priority")
                 self.assertEqual(rank, expected)
 
+    async def test_ranks_past_the_levels_of_engines(self):
+        """An engine is told apart tenants whose ranks it has no level for."""
+        owners = tuple(
+            KeyOwner(name=f"w{priority}", keys=(f"k{priority}",), priority=priority)
+            for priority in (9, 10, 11)
+        )
+        ranks = []
+        for owner in owners:
+            gateway = GatewayHarness([SUCCESS], engine=ENGINE, owners=owners)
+            key = ("Authorization", f"Bearer {owner.keys[0]}")
+            await gateway.call(headers=(key,))
+            (sent,) = gateway.clients["s1"].requests
+            ranks.append(int(dict(sent.headers)["Carobspring-Request-Priority"]))
+        self.assertEqual(ranks, [1, 2, 3])
+
     async def test_no_retry_of_a_body_that_has_begun(self):
         """Once a part of a body was sent, no other server is asked in vain."""
         large = b"x" * (MAX_BUFFERED_BYTES + 1)
