Send a caller's head on as it came, or refuse it with 400

A request with a header value outside ASCII was answered 500 and never ran; a target that ends with a lone question mark arrived without it. A value that begins or ends with a byte 85 or a0, as UTF-8 text may, would have lost it.

Cause: the text of a head was encoded as ASCII on its way to a server; the parser in use strips what Unicode calls white space; a query was sent on only if it wasn't empty.

Change: values are sent as the bytes they came as. Control characters in values, names that aren't tokens, and bytes of a request line that must be escaped are refused with 400 (bad_header, bad_request), a lone "#" too, which was dropped before. HttpRequest.target gives the target as it came.

--- a/carobspring/adapters/backend_connection.py
+++ b/carobspring/adapters/backend_connection.py
@@ -86,7 +86,9 @@
         assert self._transport is not None
         self.response_started = False
         self._interim_count = 0
-        request = h11.Request(method=method, target=target, headers=headers)
+        # Text of a caller's head stands for bytes that h11 takes only as such.
+        encoded = [(name, value.encode("latin-1")) for name, value in headers]
+        request = h11.Request(method=method, target=target, headers=encoded)
         data = self._parser.send(request) or b""
         if body:
             data += self._parser.send(h11.Data(data=body)) or b""
--- a/carobspring/adapters/http_connection.py
+++ b/carobspring/adapters/http_connection.py
@@ -3,7 +3,7 @@
 import asyncio
 import logging
 import time
-from typing import Any
+from typing import Any, Final
 
 from circuits.web.parsers import HttpParser
 from circuits.web.wrappers import Request, Response
@@ -22,6 +22,10 @@
 CONTINUE_RESPONSE = b"HTTP/1.1 100 Continue\r\n\r\n"
 JSON_HEADERS = (("Content-Type", "application/json"),)
 
+#: Bytes outside ASCII that the parser strips from the ends of values, and
+#: characters of no head that stand for them meanwhile.
+STRIPPED_BYTES: Final = {"\x85": "\ue085", "\xa0": "\ue0a0"}
+
 logger = logging.getLogger(__name__)
 
 
@@ -199,6 +203,9 @@
         parser = HttpParser(0, False)
         # The parser decodes escapes; doubling backslashes preserves them.
         raw = self._head.replace(b"\\", b"\\\\") + HEAD_END
+        for byte, stand_in in STRIPPED_BYTES.items():
+            escape = stand_in.encode("unicode_escape")
+            raw = raw.replace(byte.encode("latin-1"), escape)
         parser.execute(raw, len(raw))
         if parser.errno is not None or not parser.is_headers_complete():
             message = "the request line or a header is malformed"
@@ -245,7 +252,11 @@
             method=parser.get_method(),
             path=parser.get_path(),
             query=parser.get_query_string(),
-            headers=tuple((str(k), str(v)) for k, v in request.headers.items()),
+            has_query=b"?" in self._head.partition(b"\r\n")[0],
+            headers=tuple(
+                (str(name), _restore_bytes(str(value)))
+                for name, value in request.headers.items()
+            ),
             body=body,
             peer=self._peer,
         )
@@ -313,3 +324,9 @@
         self._close_deadline = time.monotonic() + self._limits.linger_s
         self.send_bytes(head.encode() + body)
         self._tcp_server.shutdown_write(self._sock)
+
+
+def _restore_bytes(value: str) -> str:
+    for byte, stand_in in STRIPPED_BYTES.items():
+        value = value.replace(stand_in, byte)
+    return value
--- a/carobspring/adapters/http_framing.py
+++ b/carobspring/adapters/http_framing.py
@@ -14,6 +14,11 @@
 MAX_CHUNK_LINE_BYTES: Final = 4096
 CHUNK_SIZE: Final = re.compile(rb"[0-9A-Fa-f]{1,16}")
 MAX_LENGTH_DIGITS = 18
+#: Bytes that no server takes in a request line, in a header's name or in its
+#: value.
+UNUSABLE_IN_LINE: Final = re.compile(rb"[^\x20-\x7e]|#")
+HEADER_NAME: Final = re.compile(rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+")
+UNUSABLE_IN_VALUE: Final = re.compile(rb"[\x00-\x08\x0a-\x1f\x7f]")
 
 
 class FramingError(Exception):
@@ -139,14 +144,15 @@
 
 
 def _check_request_line(line: bytes) -> None:
-    if any(byte < 0x20 or byte == 0x7F for byte in line):
-        message = "the request line holds a control character"
+    if UNUSABLE_IN_LINE.search(line):
+        message = "the request line holds a byte that must be escaped"
         raise FramingError(status=400, code="bad_request", message=message)
 
 
 def _parse_header_line(line: bytes) -> tuple[bytes, bytes]:
     name, colon, value = line.partition(b":")
-    if not colon or not name or name != name.strip() or b"\n" in line or b"\0" in line:
+    is_usable = colon and HEADER_NAME.fullmatch(name)
+    if not is_usable or UNUSABLE_IN_VALUE.search(value):
         raise FramingError(
             status=400, code="bad_header", message="a header line is malformed"
         )
--- a/carobspring/gateway/exchange.py
+++ b/carobspring/gateway/exchange.py
@@ -357,10 +357,9 @@
         prompt_source = placement.prompt_source
         remaining_s = self._query.deadline - self._context.read_clock()
         request = self._request
-        query = f"?{request.query}" if request.query else ""
         backend_request = BackendRequest(
             method=request.method,
-            path=request.path + query,
+            path=request.target,
             headers=platform.build_backend_headers(
                 request.headers,
                 server_id=server_id,
--- a/carobspring/ports/http.py
+++ b/carobspring/ports/http.py
@@ -16,11 +16,19 @@
     #: Path without query string, not percent-decoded.
     path: str
     query: str = ""
+    #: Whether a question mark follows the path, if only an empty query does.
+    has_query: bool = False
     headers: CallHeaders = ()
     body: bytes = b""
     #: IP address of the caller.
     peer: str = ""
 
+    @property
+    def target(self) -> str:
+        """Path and query string, as the caller sent them."""
+        has_query = self.query or self.has_query
+        return f"{self.path}?{self.query}" if has_query else self.path
+
     def find_header(self, name: str) -> str | None:
         """Return the first value of a header; its name is case-insensitive."""
         lowercase_name = name.lower()
