Count a rejection as proof that a server has its address

A server that is full answers 503 for a while and nothing else, so an unproven record of its address would have been tried after a second, at the cost of a 421. A response with the request's identifier shows who is there, whatever it says.

tests.gateway.test_announcements (test_rejection_shows_who_is_there) fails without the change.

--- a/carobspring/dispatch/dispatcher.py
+++ b/carobspring/dispatch/dispatcher.py
@@ -95,6 +95,15 @@
         has_answered = now - record.answered_at <= self._limits.proof_s
         return has_answered or bool(record.in_flight)
 
+    def record_presence(self, server: BackendServer, now: float) -> None:
+        """Record that a server responded under its identifier.
+
+        A rejection shows that as well as an answer.
+        """
+        record = self._records.get(server.server_id)
+        if record is not None and record.server == server:
+            record.answered_at = now
+
     def record_crash(self, server_id: str) -> None:
         """Record that a server has crashed, whatever it answered before."""
         record = self._records.get(server_id)
--- a/carobspring/gateway/announcements.py
+++ b/carobspring/gateway/announcements.py
@@ -58,6 +58,7 @@
                 self._handle_misdirected(server)
             return
         if metadata.request_id == request_id:
+            self._dispatcher.record_presence(server, self._read_clock())
             self._crash_detector.handle_answer(server)
         if metadata.asks_for_rest:
             change = self._dispatcher.record_rest(
--- a/tests/gateway/test_announcements.py
+++ b/tests/gateway/test_announcements.py
@@ -70,6 +70,20 @@
                 names = [server.server_id for server in gateway.misdirected]
                 self.assertEqual(names, misdirected)
 
+    async def test_rejection_shows_who_is_there(self):
+        """A full server that names the request has its address still."""
+        for headers, expected in (
+            ((NOT_RUN, RESPONSE_HEADERS[0]), True),
+            ((NOT_RUN,), False),
+        ):
+            with self.subTest(headers=headers):
+                gateway = GatewayHarness([(503, headers, [])], [SUCCESS])
+                await gateway.call()
+                now = asyncio.get_running_loop().time()
+                server = gateway.servers["s1"]
+                is_serving = gateway.dispatcher.is_serving(server, now)
+                self.assertIs(is_serving, expected)
+
     async def test_short_rest_is_waited_for(self):
         """A request that can still meet its target waits for the server."""
         script = [build_rejection("0.2"), SUCCESS]
