Let no drain wait for a daemon that stands still

Cause: a confirmation waits for every peer with an open stream. A stream to a process that stands still opens like any other, is closed after a second of silence, and opens again, so the peer counted nearly all the time.

Change: once a peer fell silent, a stream to it counts from what the peer says. Then the stream counts as new, so that the peer gets the complete state. A stream that merely ended counts from the next one on, as before.

--- a/carobspring/adapters/peer_link.py
+++ b/carobspring/adapters/peer_link.py
@@ -62,6 +62,8 @@
         self._receive_task: asyncio.Task[None] | None = None
         self._dial_task: asyncio.Task[None] | None = None
         self._received_at = 0.0
+        #: Whether the peer fell silent and has said nothing since.
+        self._is_silent = False
         self._sent_at = 0.0
         #: Number of streams opened so far, for metrics.
         self.opened_streams = 0
@@ -73,6 +75,14 @@
         """Return whether a stream is open."""
         return self._receive_task is not None
 
+    @property
+    def is_responding(self) -> bool:
+        """Return whether a stream is open to a peer that does not stand still.
+
+        A stream to a process that stands still opens like any other.
+        """
+        return self.is_open and not self._is_silent
+
     def start(self) -> None:
         """Start dialing the peer, if this side dials."""
         if self._own_name < self._peer.name:
@@ -94,6 +104,7 @@
             return
         now = self._clock.read_monotonic()
         if now - self._received_at > SILENCE_TIMEOUT_S:
+            self._is_silent = True
             self._receive_task.cancel()
         elif now - self._sent_at > HEARTBEAT_INTERVAL_S:
             self._send_requested.set()
@@ -123,6 +134,7 @@
         self._received_at = self._clock.read_monotonic()
         self._clear_queues()
         self.opened_streams += 1
+        self._is_silent &= first_batch is None
         self._on_open(self._peer.name)
         if first_batch is not None:
             self._on_batch(self._peer.name, first_batch)
@@ -175,6 +187,9 @@
         with contextlib.suppress(*STREAM_ERRORS):
             while (batch := await stream.recv_message()) is not None:
                 self._received_at = self._clock.read_monotonic()
+                if self._is_silent:
+                    self._is_silent = False
+                    self._on_open(self._peer.name)
                 self._on_batch(self._peer.name, batch)
 
     async def _send(self, stream: Any) -> None:
--- a/carobspring/programs/replica.py
+++ b/carobspring/programs/replica.py
@@ -272,8 +272,8 @@
         self._open_callbacks.append(callback)
 
     def list_peers(self) -> list[str]:
-        """Return the names of the other replicas with an open stream."""
-        return sorted(name for name, link in self._links.items() if link.is_open)
+        """Return the names of the other replicas that respond on a stream."""
+        return sorted(name for name, link in self._links.items() if link.is_responding)
 
     def _build_link(self, address: PeerAddress) -> PeerLink:
         return PeerLink(
