Apply the limits of the configuration to callers

The limits that the operator sets were decoded and not used: a body one byte over max_body_bytes was answered 200 at every entry, and a body allowed by a larger limit than 8 MB would have been refused.

Cause: the entry's server got its limits once, at its start, before it had a configuration.

Change: the limits of the routes in force go to the server and to its open connections: bytes of a head and of a body, seconds until a head is whole, seconds that a connection stays idle. What frames chunks no longer counts as body, so a chunked body may be as long as any other; a chunk that is too long is answered 413 and no longer 400. A body has 30 s as before, since the configuration names no time for it.

Ruled out: closing idle connections too early; callers use them for up to four fifths of the limit, and none is closed before the whole of it.

Figures: RequestPathTests of tests.endtoend.test_instances sends bodies of 1,000,000 and 1,000,001 bytes to four entries with a limit of 1,000,000: 200 and 413 now; the second was 200 before. tests.adapters.test_limits, test_http_server, test_http_edge and test_kept_connections pass.

--- a/carobspring/adapters/http_connection.py
+++ b/carobspring/adapters/http_connection.py
@@ -13,6 +13,7 @@
     ChunkedBody,
     Framing,
     FramingError,
+    build_size_error,
     parse_framing,
 )
 from carobspring.adapters.http_responder import CircuitsResponder, encode_error
@@ -51,12 +52,11 @@
         self._protocol = protocol
         self._tcp_server = protocol._server.server
         self._handle = handle
-        self._limits = limits
+        self.limits = limits
         self._buffer = bytearray()
         self._framing: Framing | None = None
         self._head = b""
         self._chunked_body: ChunkedBody | None = None
-        self._chunked_bytes = 0
         self._responder: CircuitsResponder | None = None
         self._task: asyncio.Task[None] | None = None
         self._unsent_bytes = 0
@@ -75,7 +75,7 @@
         if not self._buffer and self._framing is None:
             self._waiting_since = time.monotonic()
         self._buffer += data
-        max_bytes = self._limits.max_header_bytes + self._limits.max_body_bytes
+        max_bytes = self.limits.max_header_bytes + self.limits.max_body_bytes
         if self._responder is not None:
             if len(self._buffer) > max_bytes:
                 self.close_now()
@@ -85,7 +85,7 @@
     def check_timeouts(self, now: float) -> None:
         """End a late request, a stalled response or an idle connection."""
         stalled_s = now - self._last_sent_at if self._unsent_bytes else 0.0
-        if stalled_s > self._limits.stall_timeout_s:
+        if stalled_s > self.limits.stall_timeout_s:
             self.close_now()
             return
         if self._close_deadline is not None and now > self._close_deadline:
@@ -95,10 +95,13 @@
             return
         waited_s = now - self._waiting_since
         if self._buffer or self._framing is not None:
-            if waited_s > self._limits.request_timeout_s:
+            timeout_s = self.limits.request_timeout_s
+            if self._framing is None:
+                timeout_s = min(timeout_s, self.limits.header_timeout_s)
+            if waited_s > timeout_s:
                 message = "the request took too long to arrive"
                 self._reject(408, "request_timeout", message)
-        elif waited_s > self._limits.idle_timeout_s:
+        elif waited_s > self.limits.idle_timeout_s:
             self.close_now()
 
     def close_when_idle(self, now: float, idle_s: float) -> None:
@@ -123,7 +126,7 @@
         """Record bytes that were sent."""
         self._unsent_bytes = max(0, self._unsent_bytes - size)
         self._last_sent_at = time.monotonic()
-        if self._unsent_bytes < self._limits.write_buffer_bytes:
+        if self._unsent_bytes < self.limits.write_buffer_bytes:
             self._writable.set()
 
     def send_bytes(self, data: bytes) -> None:
@@ -134,7 +137,7 @@
             self._last_sent_at = time.monotonic()
         self._unsent_bytes += len(data)
         self._tcp_server.write(self._sock, data)
-        if self._unsent_bytes >= self._limits.write_buffer_bytes:
+        if self._unsent_bytes >= self.limits.write_buffer_bytes:
             self._writable.clear()
 
     async def wait_writable(self) -> None:
@@ -156,7 +159,7 @@
         """Send the buffered bytes, then close without marking an end."""
         if not self._closed:
             self._closing = True
-            self._close_deadline = time.monotonic() + self._limits.stall_timeout_s
+            self._close_deadline = time.monotonic() + self.limits.stall_timeout_s
             self._tcp_server.close(self._sock)
 
     def close_now(self) -> None:
@@ -183,18 +186,17 @@
             del self._buffer[:2]
         end = self._buffer.find(HEAD_END)
         size = len(self._buffer) if end < 0 else end
-        if size > self._limits.max_header_bytes:
-            message = f"the head is over {self._limits.max_header_bytes} bytes"
+        if size > self.limits.max_header_bytes:
+            message = f"the head is over {self.limits.max_header_bytes} bytes"
             raise FramingError(status=431, code="header_too_large", message=message)
         if end < 0:
             return False
         self._head = bytes(self._buffer[:end])
-        self._framing = parse_framing(self._head, self._limits.max_body_bytes)
+        self._framing = parse_framing(self._head, self.limits.max_body_bytes)
         del self._buffer[: end + len(HEAD_END)]
         if self._framing.length is None:
-            max_bytes = self._limits.max_body_bytes
+            max_bytes = self.limits.max_body_bytes
             self._chunked_body = ChunkedBody(max_body_bytes=max_bytes)
-            self._chunked_bytes = 0
         if self._framing.expects_continue:
             self.send_bytes(CONTINUE_RESPONSE)
         return True
@@ -228,11 +230,11 @@
         assert body is not None
         data = bytes(self._buffer)
         self._buffer.clear()
-        self._chunked_bytes += len(data)
-        if self._chunked_bytes > self._limits.max_body_bytes:
-            message = f"at most {self._limits.max_body_bytes} bytes are taken"
-            raise FramingError(status=413, code="body_too_large", message=message)
-        if not body.feed(data):
+        is_complete = body.feed(data)
+        # What frames the chunks does not count.
+        if len(body.content) > self.limits.max_body_bytes:
+            raise build_size_error(self.limits.max_body_bytes)
+        if not is_complete:
             return None
         self._chunked_body = None
         # What follows a chunked body is not read.
@@ -321,7 +323,7 @@
         # Closing while bytes arrive would reset the connection, and the
         # caller might not read the error. So only the write side is shut
         # down, and the caller closes the connection within ``linger_s``.
-        self._close_deadline = time.monotonic() + self._limits.linger_s
+        self._close_deadline = time.monotonic() + self.limits.linger_s
         self.send_bytes(head.encode() + body)
         self._tcp_server.shutdown_write(self._sock)
 
--- a/carobspring/adapters/http_framing.py
+++ b/carobspring/adapters/http_framing.py
@@ -134,10 +134,16 @@
             raise _build_chunk_error()
         size = int(digits, 16)
         if size > self._max_body_bytes:
-            raise _build_chunk_error()
+            raise build_size_error(self._max_body_bytes)
         return size
 
 
+def build_size_error(max_body_bytes: int) -> FramingError:
+    """Return the error of a body that is too large."""
+    message = f"at most {max_body_bytes} bytes are taken"
+    return FramingError(status=413, code="body_too_large", message=message)
+
+
 def _build_chunk_error() -> FramingError:
     message = "a chunk of the body is malformed"
     return FramingError(status=400, code="bad_chunk", message=message)
--- a/carobspring/adapters/http_server.py
+++ b/carobspring/adapters/http_server.py
@@ -139,6 +139,12 @@
         if connection is not None:
             connection.record_sent(size)
 
+    def update_limits(self, limits: HttpLimits) -> None:
+        """Replace the limits of open and of later connections."""
+        self._limits = limits
+        for connection in self.connections.values():
+            connection.limits = limits
+
     def check_timeouts(self, now: float) -> None:
         """Check the timeouts of every connection."""
         for connection in list(self.connections.values()):
@@ -205,6 +211,12 @@
             self._check_timeouts, name="connection timeouts"
         )
 
+    def update_limits(self, limits: HttpLimits) -> None:
+        """Replace the limits; a request that has begun may be past the old."""
+        self._limits = limits
+        if self._web is not None:
+            self._web.http.update_limits(limits)
+
     async def disable_keep_alive(self, duration_s: float) -> None:
         """Close each connection after its response, for a while.
 
--- a/carobspring/ports/http.py
+++ b/carobspring/ports/http.py
@@ -79,6 +79,8 @@
 
     max_header_bytes: int = 32 * 1024
     max_body_bytes: int = 8 * 1024 * 1024
+    #: Seconds from the first byte of a request until its head is complete.
+    header_timeout_s: float = 30.0
     #: Seconds from the first byte of a request until it is complete.
     request_timeout_s: float = 30.0
     #: Seconds that a connection without a request stays open.
--- a/carobspring/programs/instance_entry.py
+++ b/carobspring/programs/instance_entry.py
@@ -315,6 +315,14 @@
             logger.error("committed routes cannot be decoded", extra=extra)
             return False
         self._state.apply_table(table, self._clock.read_monotonic())
+        self._frontend.update_limits(
+            HttpLimits(
+                max_header_bytes=table.limits.max_header_bytes,
+                max_body_bytes=table.limits.max_body_bytes,
+                header_timeout_s=table.limits.header_timeout_s,
+                idle_timeout_s=table.limits.idle_timeout_s,
+            )
+        )
         self._route_steps.keep_only(frozenset(each.name for each in table.routes))
         logger.info(
             "routes in force",
--- a/tests/endtoend/test_instances.py
+++ b/tests/endtoend/test_instances.py
@@ -159,6 +159,15 @@
         with self.subTest("each request ran at most once"):
             for server in self.servers:
                 self.assertLessEqual(max(server.run_counts.values(), default=0), 1)
+        with self.subTest("the limits of the configuration"):
+            sizes = {1_000_000: 200, 1_000_001: 413}
+            for size, expected in sizes.items():
+                for entry in entries:
+                    body = bytes(size)
+                    status, _ = await self.call(
+                        entry, "/read/x", method="POST", body=body
+                    )
+                    self.assertEqual(status, expected)
         with self.subTest("a new version and a removed key"):
             tenants = [{"name": "acme", "api_keys": ["key-2"]}]
             await self.operator.put(build_configuration(4, tenants=tenants))
