Bound what entries keep of servers that are gone

With 8,000 check-ins of new identifiers and a service that a route names, an entry grew from 38 to 61 MB; with an unnamed service as well.

Cause: an entry kept a client and a task for a minute for each server that was listed and removed, though nothing was ever sent to most of them, and the start of each server that drained for good.

--- a/carobspring/adapters/backend_http.py
+++ b/carobspring/adapters/backend_http.py
@@ -250,6 +250,11 @@
         #: Number of connections opened so far, for metrics.
         self.opened_connections = 0
 
+    @property
+    def has_connections(self) -> bool:
+        """Whether any connection is open, in use or kept."""
+        return bool(self._active or self._idle)
+
     async def send(self, request: BackendRequest) -> BackendResponse:
         """Send a request; return once the status and headers are received."""
         connection = self._get_idle_connection() if request.repeatable else None
--- a/carobspring/gateway/backends.py
+++ b/carobspring/gateway/backends.py
@@ -32,9 +32,12 @@
         )
 
     def remove(self, server_id: str) -> None:
-        """Stop using a client; requests in flight continue."""
+        """Stop using a client; requests in flight continue.
+
+        A client without connections has nothing to close later.
+        """
         client = self._clients.pop(server_id, None)
-        if client is not None:
+        if client is not None and client.has_connections:
             start_task(self._close_after_requests(client), name="close client")
 
     def find(self, server_id: str) -> HttpBackend | None:
--- a/carobspring/gateway/directory.py
+++ b/carobspring/gateway/directory.py
@@ -1,13 +1,18 @@
 """The list of backend servers, merged from several control replicas."""
 
 import logging
+from collections import OrderedDict
 from collections.abc import Callable
 from dataclasses import dataclass
+from typing import Final
 
 from carobspring.domain import BackendServer, LoadReport
 from carobspring.gateway.claims import AddressClaims, Place, get_place
 from carobspring.protocol import ViewUpdate
 
+#: Starts of servers that drained; those that are listed are fewer.
+MAX_DRAINING: Final = 10_000
+
 logger = logging.getLogger(__name__)
 
 
@@ -54,7 +59,7 @@
         #: Servers that some replica lists, those that lack their address too.
         self._known: dict[str, ListedServer] = {}
         self._listed: dict[str, ListedServer] = {}
-        self._draining_boots: dict[str, int] = {}
+        self._draining_boots: OrderedDict[str, int] = OrderedDict()
 
     def find(self, server_id: str) -> ListedServer | None:
         """Return a listed server, or None."""
@@ -143,7 +148,7 @@
             place = self._claims.withdraw(name)
         else:
             if draining:
-                self._draining_boots[name] = best.boot
+                self._record_draining(best)
             draining = self._draining_boots.get(name) == best.boot
             self._known[name] = ListedServer(server=best, draining=draining)
             if before is not None and get_place(before.server) != get_place(best):
@@ -154,6 +159,13 @@
         if place is not None:
             self._settle(place)
 
+    def _record_draining(self, server: BackendServer) -> None:
+        """Remember that a start drains, also while it isn't listed."""
+        self._draining_boots[server.server_id] = server.boot
+        self._draining_boots.move_to_end(server.server_id)
+        while len(self._draining_boots) > MAX_DRAINING:
+            self._draining_boots.popitem(last=False)
+
     def _settle(self, place: Place, *, refuted_now: str = "") -> None:
         """List the server that has an address, and no other one there."""
         holder = self._claims.find_holder(place, refuted_now=refuted_now)
--- a/tests/gateway/test_backends.py
+++ b/tests/gateway/test_backends.py
@@ -1,5 +1,7 @@
 import asyncio
+import gc
 import unittest
+import weakref
 
 from carobspring import platform
 from carobspring.domain import BackendServer, ServiceKind
@@ -109,3 +111,25 @@
                     connection = ("Connection", spelling.format(name))
                     _, received = await self.send((), (connection, *SERVER_HEADERS))
                     self.assertEqual(received, SERVER_HEADERS)
+
+
+class RemovedServerTests(unittest.IsolatedAsyncioTestCase):
+    async def test_client_without_connections(self):
+        """Nothing is kept of a removed server to which nothing was sent."""
+        connections = BackendConnections()
+        server = BackendServer(
+            server_id="i-1",
+            boot=1,
+            service="svc",
+            kind=ServiceKind.PLAIN,
+            zone="a",
+            host="127.0.0.1",
+            port=1,
+        )
+        before = asyncio.all_tasks()
+        connections.add(server)
+        client = weakref.ref(connections.find("i-1"))
+        connections.remove("i-1")
+        self.assertEqual(asyncio.all_tasks(), before)
+        gc.collect()
+        self.assertIs(client(), None)
--- a/tests/gateway/test_directory.py
+++ b/tests/gateway/test_directory.py
@@ -1,8 +1,9 @@
 import unittest
+import unittest.mock
 from dataclasses import replace
 
 from carobspring.domain import BackendServer, LoadReport, ServiceKind
-from carobspring.gateway import BackendDirectory
+from carobspring.gateway import BackendDirectory, directory as directory_module
 from carobspring.protocol import ViewUpdate
 
 
@@ -78,6 +79,23 @@
         self.directory.apply_update("r2", build_update(build_server(boot=2)))
         self.assertEqual(self.get_states(), {"s1": (2, False)})
 
+    def test_bound_of_drained_servers(self):
+        """Of servers that drained, the latest are remembered."""
+        with unittest.mock.patch.object(directory_module, "MAX_DRAINING", 2):
+            for port, name in enumerate(("s1", "s2", "s3"), 81):
+                server = build_server(name, port=port)
+                self.directory.apply_update(
+                    "r1", build_update(server, draining=(name,))
+                )
+                self.directory.apply_update("r1", build_update(removed=(name,)))
+                self.directory.apply_update("r2", build_update(server))
+                self.directory.apply_update("r2", build_update(removed=(name,)))
+            for port, name in enumerate(("s1", "s2", "s3"), 81):
+                server = build_server(name, port=port)
+                self.directory.apply_update("r3", build_update(server))
+        expected = {"s1": (1, False), "s2": (1, True), "s3": (1, True)}
+        self.assertEqual(self.get_states(), expected)
+
     def test_newest_boot_is_listed(self):
         """An outdated replica does not bring back an earlier boot."""
         self.directory.apply_update("r1", build_update(build_server(boot=2)))
