--- a/carobspring/adapters/http_connection.py
+++ b/carobspring/adapters/http_connection.py
@@ -3,7 +3,7 @@
 import asyncio
 import logging
 import time
-from typing import Any
+from typing import Any, Final
 
 from circuits.web.parsers import HttpParser
 from circuits.web.wrappers import Request, Response
@@ -13,6 +13,7 @@
     ChunkedBody,
     Framing,
     FramingError,
+    build_size_error,
     parse_framing,
 )
 from carobspring.adapters.http_responder import CircuitsResponder, encode_error
@@ -22,6 +23,10 @@
 CONTINUE_RESPONSE = b"HTTP/1.1 100 Continue\r\n\r\n"
 JSON_HEADERS = (("Content-Type", "application/json"),)
 
+#: Bytes outside ASCII that the parser strips from the ends of values, and
+#: characters of no head that stand for them meanwhile.
+STRIPPED_BYTES: Final = {"\x85": "\ue085", "\xa0": "\ue0a0"}
+
 logger = logging.getLogger(__name__)
 
 
@@ -47,12 +52,11 @@
         self._protocol = protocol
         self._tcp_server = protocol._server.server
         self._handle = handle
-        self._limits = limits
+        self.limits = limits
         self._buffer = bytearray()
         self._framing: Framing | None = None
         self._head = b""
         self._chunked_body: ChunkedBody | None = None
-        self._chunked_bytes = 0
         self._responder: CircuitsResponder | None = None
         self._task: asyncio.Task[None] | None = None
         self._unsent_bytes = 0
@@ -75,7 +79,7 @@
         if not self._buffer and self._framing is None:
             self._waiting_since = time.monotonic()
         self._buffer += data
-        max_bytes = self._limits.max_header_bytes + self._limits.max_body_bytes
+        max_bytes = self.limits.max_header_bytes + self.limits.max_body_bytes
         if self._responder is not None:
             if len(self._buffer) > max_bytes:
                 self.close_now()
@@ -85,20 +89,23 @@
     def check_timeouts(self, now: float) -> None:
         """End a late request, a stalled response or an idle connection."""
         stalled_s = now - self._last_sent_at if self._unsent_bytes else 0.0
-        if stalled_s > self._limits.stall_timeout_s:
+        if stalled_s > self.limits.stall_timeout_s:
             self.close_now()
             return
-        if self.has_lingered(now, self._limits.linger_s):
+        if self.has_lingered(now, self.limits.linger_s):
             self.close_now()
             return
         if self._responder is not None or self._closing:
             return
         waited_s = now - self._waiting_since
         if self._buffer or self._framing is not None:
-            if waited_s > self._limits.request_timeout_s:
+            timeout_s = self.limits.request_timeout_s
+            if self._framing is None:
+                timeout_s = min(timeout_s, self.limits.header_timeout_s)
+            if waited_s > timeout_s:
                 message = "the request took too long to arrive"
                 self._reject(408, "request_timeout", message)
-        elif waited_s > self._limits.idle_timeout_s:
+        elif waited_s > self.limits.idle_timeout_s:
             self.close_after_sending()
 
     def has_lingered(self, now: float, duration_s: float) -> bool:
@@ -138,7 +145,7 @@
         self._last_sent_at = time.monotonic()
         if self._is_ending and not self._unsent_bytes:
             self._lingers_since = self._last_sent_at
-        if self._unsent_bytes < self._limits.write_buffer_bytes:
+        if self._unsent_bytes < self.limits.write_buffer_bytes:
             self._writable.set()
 
     def send_bytes(self, data: bytes) -> None:
@@ -149,7 +156,7 @@
             self._last_sent_at = time.monotonic()
         self._unsent_bytes += len(data)
         self._tcp_server.write(self._sock, data)
-        if self._unsent_bytes >= self._limits.write_buffer_bytes:
+        if self._unsent_bytes >= self.limits.write_buffer_bytes:
             self._writable.clear()
 
     async def wait_writable(self) -> None:
@@ -211,18 +218,17 @@
             del self._buffer[:2]
         end = self._buffer.find(HEAD_END)
         size = len(self._buffer) if end < 0 else end
-        if size > self._limits.max_header_bytes:
-            message = f"the head is over {self._limits.max_header_bytes} bytes"
+        if size > self.limits.max_header_bytes:
+            message = f"the head is over {self.limits.max_header_bytes} bytes"
             raise FramingError(status=431, code="header_too_large", message=message)
         if end < 0:
             return False
         self._head = bytes(self._buffer[:end])
-        self._framing = parse_framing(self._head, self._limits.max_body_bytes)
+        self._framing = parse_framing(self._head, self.limits.max_body_bytes)
         del self._buffer[: end + len(HEAD_END)]
         if self._framing.length is None:
-            max_bytes = self._limits.max_body_bytes
+            max_bytes = self.limits.max_body_bytes
             self._chunked_body = ChunkedBody(max_body_bytes=max_bytes)
-            self._chunked_bytes = 0
         if self._framing.expects_continue:
             self.send_bytes(CONTINUE_RESPONSE)
         return True
@@ -231,6 +237,9 @@
         parser = HttpParser(0, False)
         # The parser decodes escapes; doubling backslashes preserves them.
         raw = self._head.replace(b"\\", b"\\\\") + HEAD_END
+        for byte, stand_in in STRIPPED_BYTES.items():
+            escape = stand_in.encode("unicode_escape")
+            raw = raw.replace(byte.encode("latin-1"), escape)
         parser.execute(raw, len(raw))
         if parser.errno is not None or not parser.is_headers_complete():
             message = "the request line or a header is malformed"
@@ -253,11 +262,11 @@
         assert body is not None
         data = bytes(self._buffer)
         self._buffer.clear()
-        self._chunked_bytes += len(data)
-        if self._chunked_bytes > self._limits.max_body_bytes:
-            message = f"at most {self._limits.max_body_bytes} bytes are taken"
-            raise FramingError(status=413, code="body_too_large", message=message)
-        if not body.feed(data):
+        is_complete = body.feed(data)
+        # What frames the chunks does not count.
+        if len(body.content) > self.limits.max_body_bytes:
+            raise build_size_error(self.limits.max_body_bytes)
+        if not is_complete:
             return None
         self._chunked_body = None
         # What follows a chunked body is not read.
@@ -277,7 +286,11 @@
             method=parser.get_method(),
             path=parser.get_path(),
             query=parser.get_query_string(),
-            headers=tuple((str(k), str(v)) for k, v in request.headers.items()),
+            has_query=b"?" in self._head.partition(b"\r\n")[0],
+            headers=tuple(
+                (str(name), _restore_bytes(str(value)))
+                for name, value in request.headers.items()
+            ),
             body=body,
             peer=self._peer,
         )
@@ -340,3 +353,9 @@
         )
         self.send_bytes(head.encode() + body)
         self.close_after_sending()
+
+
+def _restore_bytes(value: str) -> str:
+    for byte, stand_in in STRIPPED_BYTES.items():
+        value = value.replace(stand_in, byte)
+    return value
--- a/carobspring/programs/instance_entry_program.py
+++ b/carobspring/programs/instance_entry_program.py
@@ -16,6 +16,7 @@
 from carobspring.adapters.rpc import open_channel
 from carobspring.adapters.tasks import start_service_task
 from carobspring.dispatch import Dispatcher, EngineDemand, StopSchedule
+from carobspring.domain import BackendServer
 from carobspring.gateway import (
     AdmissionClient,
     BackendConnections,
@@ -99,7 +100,10 @@
             dispatcher=self._dispatcher,
             read_clock=self._clock.read_monotonic,
         )
-        self._backend_directory = BackendDirectory(on_change=self._handle_server_change)
+        self._backend_directory = BackendDirectory(
+            on_change=self._handle_server_change,
+            is_serving=self._is_serving,
+        )
         self._crash_detector = CrashDetector(
             connections=self._backend_connections,
             find_listing=self._backend_directory.find,
@@ -107,6 +111,8 @@
             read_wall_ms=self._clock.read_wall_ms,
             request_report=self._request_report,
             count_entries=self._count_entries,
+            is_contested=self._backend_directory.is_contested,
+            handle_crash=self._handle_crash,
             trial_turn=random.draw_uniform(),
             evidence_s=settings.check_in_interval_s * EVIDENCE_CHECK_INS,
             metrics=CrashMetrics(metrics),
@@ -123,6 +129,7 @@
         self._stream_origins = StreamOrigins(
             peers=self._peers,
             send=self._peer_socket.send,
+            request_report=self._request_report,
             read_clock=self._clock.read_monotonic,
             metrics=StreamMetrics(metrics),
         )
@@ -141,6 +148,7 @@
                 announcements=AnnouncementRecorder(
                     dispatcher=self._dispatcher,
                     crash_detector=self._crash_detector,
+                    handle_misdirected=self._backend_directory.record_misdirected,
                     read_clock=self._clock.read_monotonic,
                     metrics=metrics,
                 ),
@@ -320,6 +328,14 @@
             logger.error("committed routes cannot be decoded", extra=extra)
             return False
         self._state.apply_table(table, self._clock.read_monotonic())
+        self._frontend.update_limits(
+            HttpLimits(
+                max_header_bytes=table.limits.max_header_bytes,
+                max_body_bytes=table.limits.max_body_bytes,
+                header_timeout_s=table.limits.header_timeout_s,
+                idle_timeout_s=table.limits.idle_timeout_s,
+            )
+        )
         self._route_steps.keep_only(frozenset(each.name for each in table.routes))
         logger.info(
             "routes in force",
@@ -373,6 +389,13 @@
             },
         )
 
+    def _is_serving(self, server: BackendServer) -> bool:
+        return self._dispatcher.is_serving(server, self._clock.read_monotonic())
+
+    def _handle_crash(self, server_id: str) -> None:
+        self._dispatcher.record_crash(server_id)
+        self._backend_directory.settle_contests()
+
     def _apply_settings(self, settings: platform.InstanceSettings) -> None:
         self._control_streams.update_seeds(self._build_seed_names(settings))
 
@@ -446,6 +469,7 @@
             strikes=self._crash_detector.list_strikes(),
             released=self._crash_detector.list_released(),
             peer_address=self._peer_address,
+            asked_at=self._stream_origins.take_question(),
         )
 
 
