--- a/tests/gateway/test_backends.py
+++ b/tests/gateway/test_backends.py
@@ -135,7 +135,7 @@
 class RemovedServerTests(unittest.IsolatedAsyncioTestCase):
     async def test_client_without_connections(self):
         """Nothing is kept of a removed server to which nothing was sent."""
-        connections = BackendConnections()
+        connections = BackendConnections(find_max_idle=lambda service: 4)
         server = BackendServer(
             server_id="i-1",
             boot=1,
