Count a caller that ends its sending side as gone, without a busy loop

What callers saw: one that shuts down its sending side behind a request gets no answer. If it did so while part of a response was unsent, the server read the end of its stream again and again, one core busy until the caller had read on, and an endless stream was never told that its caller had gone.

Cause: the end of what a caller sends stays readable; the component only closes such a connection once its buffer is empty, and a stream refills it.

Weighed: answering a half-closed caller. What is left of a complete response is still sent, as before.

Change: the socket is no longer read once its end was seen, and an open response is told at once that its caller has gone.

--- a/carobspring/adapters/http_connection.py
+++ b/carobspring/adapters/http_connection.py
@@ -124,6 +124,15 @@
             message = "the server stops, and the request is incomplete"
             self._reject(503, "stopping", message)
 
+    def handle_end(self) -> None:
+        """Handle that the caller sends nothing more, as if it had closed.
+
+        Only what is left of a complete response is still sent.
+        """
+        self._closing = True
+        if self._responder is not None:
+            self.close_now()
+
     def handle_close(self) -> None:
         """Notify the handler that its caller has disconnected."""
         self._closed = True
--- a/carobspring/adapters/http_server.py
+++ b/carobspring/adapters/http_server.py
@@ -43,9 +43,10 @@
     channel = CHANNEL
     _sock: Any
 
-    def __init__(self, bind: Any, *, on_sent: Any) -> None:
+    def __init__(self, bind: Any, *, on_sent: Any, on_end: Any) -> None:
         super().__init__(bind, channel=CHANNEL, bufsize=READ_SIZE_BYTES)
         self._on_sent = on_sent
+        self._on_end = on_end
         #: Sockets whose write side is shut down once their buffer is sent.
         self._shutting_down: set[Any] = set()
         #: Sockets whose close resets the connection.
@@ -119,6 +120,15 @@
         self._shutting_down &= open_sockets
         self._resetting &= open_sockets
 
+    @handler("close", override=True)
+    def close(self, sock: Any = None) -> None:
+        """Close once the buffered bytes are sent, as the caller has ended."""
+        if sock is not None and self._buffers.get(sock):
+            # The end of what the caller sends would stay readable.
+            self._poller.removeReader(sock)
+            self._on_end(sock)
+        super().close(sock)
+
     def _close(self, sock: Any) -> None:
         if sock in self._resetting:
             # The component's own close would mark an end first.
@@ -186,6 +196,12 @@
         if connection is not None:
             connection.record_sent(size)
 
+    def handle_end(self, sock: Any) -> None:
+        """Handle that a caller sends nothing more while bytes are unsent."""
+        connection = self.connections.get(sock)
+        if connection is not None:
+            connection.handle_end()
+
     def check_timeouts(self, now: float) -> None:
         """Check the timeouts of every connection."""
         for connection in list(self.connections.values()):
@@ -202,9 +218,9 @@
     def __init__(self, *, bind: Any, handle: HttpHandler, limits: HttpLimits) -> None:
         super().__init__()
         self.http = BoundedHttp(self, handle=handle, limits=limits).register(self)
-        self.server = ReportingTcpServer(bind, on_sent=self.http.record_sent).register(
-            self
-        )
+        self.server = ReportingTcpServer(
+            bind, on_sent=self.http.record_sent, on_end=self.http.handle_end
+        ).register(self)
 
     @property
     def host(self) -> str:
