Count a stall before SIGTERM is handled against new requests

An entry that stood still when SIGTERM came counted its whole time from the moment it handled the signal, while the platform counts from the sending. It could so admit requests that SIGKILL would cut.

Cause: a process is not told when a signal was sent. What it can know is for how long it had not run: the gap since its last check by a clock that goes on in a freeze.

Change: requests are admitted as if SIGTERM had come at the start of the stall; open ones are still drained until the latest possible end, so nothing is cut sooner.

Before: with a stall of 3 and of 20 s the schedule ends 7.6 s after the handling. After: 4.6 s, and none is left. test_program_stops and test_stalls pass.

--- a/carobspring/programs/instance_entry_program.py
+++ b/carobspring/programs/instance_entry_program.py
@@ -46,7 +46,7 @@
 )
 from carobspring.programs.options import OptionError
 from carobspring.programs.runner import Program, run_command_line
-from carobspring.programs.stalls import StallDetector
+from carobspring.programs.stalls import StallDetector, read_boot_time
 from carobspring.programs.stopping import StopStep, cancel_tasks
 from carobspring.protocol import EntryReport, StreamMessage, ViewUpdate
 from carobspring.resumption import PeerDirectory, RouteSteps
@@ -163,6 +163,7 @@
         self._node_file_watcher = NodeFileWatcher(
             read=platform.read_node_file, apply=self._apply_settings
         )
+        self._stall_detector = StallDetector()
         self._tasks: list[asyncio.Task[None]] = []
         self._servers: list[CircuitsHttpServer] = []
 
@@ -195,7 +196,7 @@
             start_service_task(self._control_streams.run, name="control streams"),
             start_service_task(self._stream_origins.run, name="stream origins"),
             start_service_task(self._node_file_watcher.run, name="node file"),
-            start_service_task(StallDetector().run, name="stall detector"),
+            start_service_task(self._stall_detector.run, name="stall detector"),
         ]
         logger.info(
             "started",
@@ -215,7 +216,12 @@
         now = self._clock.read_monotonic()
         left_s = self._settings.stop_grace_s - EXIT_MARGIN_S
         listen_s = min(STOP_LISTEN_S, left_s / 2)
-        schedule = StopSchedule(listens_until=now + listen_s, ends_at=now + left_s)
+        # The platform counts from the signal, which may have come in a stall.
+        late_s = self._stall_detector.measure_lateness(read_boot_time())
+        drained_at = now + left_s
+        schedule = StopSchedule(
+            listens_until=now + listen_s, ends_at=drained_at - late_s
+        )
         connections = self._backend_connections
         return (
             StopStep(name="begin", run=lambda: self._api.begin_stop(schedule)),
@@ -224,7 +230,7 @@
                 name="send callers elsewhere",
                 run=lambda: self._frontend.disable_keep_alive(listen_s),
             ),
-            StopStep(name="drain", run=lambda: self._drain(schedule)),
+            StopStep(name="drain", run=lambda: self._drain(drained_at)),
             StopStep(name="tasks", run=lambda: cancel_tasks(self._tasks)),
             *(StopStep(name="server", run=each.close) for each in self._servers),
             StopStep(name="admission client", run=self._admission_client.close),
@@ -237,8 +243,8 @@
         logger.info("stopping", extra={"open_requests": len(self._api.open_requests)})
         self._log_open_requests("request open at stop")
 
-    async def _drain(self, schedule: StopSchedule) -> None:
-        left_s = schedule.ends_at - self._clock.read_monotonic()
+    async def _drain(self, ends_at: float) -> None:
+        left_s = ends_at - self._clock.read_monotonic()
         drained = await self._frontend.drain(max(0.0, left_s))
         extra = {"drained": drained, "open_requests": len(self._api.open_requests)}
         logger.info("drain ended", extra=extra)
--- a/tests/programs/test_program_stops.py
+++ b/tests/programs/test_program_stops.py
@@ -75,6 +75,7 @@
     parts["_api"].begin_stop = mock.Mock()
     parts["state"].notify_all_streams = mock.Mock()
     parts["_control_stream"].request_report = mock.Mock()
+    parts["_stall_detector"].measure_lateness = mock.Mock(return_value=0.0)
     parts["_peers"] = {"replica": mock.AsyncMock()}
     parts["_rpc_peers"] = {}
     parts["_tasks"] = []
@@ -88,20 +89,38 @@
     return getattr(parts[part], method)
 
 
+async def stop_program(program_type, parts):
+    """Stop a program that consists of these parts."""
+
+    def find_part(program, name):
+        return parts[name]
+
+    patch = mock.patch.object(program_type, "__getattr__", new=find_part, create=True)
+    with patch:
+        await asyncio.wait_for(object.__new__(program_type).stop(), 10)
+
+
+class StopScheduleTests(unittest.IsolatedAsyncioTestCase):
+    async def test_signal_that_waited(self):
+        """Requests are admitted by the earliest end, drained to the latest."""
+        for late_s, ends_at in {0.0: 7.6, 3.0: 4.6, 20.0: -12.4}.items():
+            with self.subTest(late_s=late_s):
+                parts = build_parts()
+                parts["_settings"].stop_grace_s = 8.0
+                parts["_stall_detector"].measure_lateness.return_value = late_s
+                await stop_program(InstanceEntryProgram, parts)
+                (schedule,) = parts["_api"].begin_stop.call_args.args
+                self.assertAlmostEqual(schedule.ends_at, ends_at)
+                (drain_s,) = parts["_frontend"].drain.call_args.args
+                self.assertAlmostEqual(drain_s, 7.6)
+
+
 class FailedPartTests(unittest.IsolatedAsyncioTestCase):
     async def stop_program(self, program_type, failing):
         """Stop a program, one part of which fails; return its parts."""
         parts = build_parts()
         find_call(parts, failing).side_effect = ValueError("expected")
-
-        def find_part(program, name):
-            return parts[name]
-
-        patch = mock.patch.object(
-            program_type, "__getattr__", new=find_part, create=True
-        )
-        with patch:
-            await asyncio.wait_for(object.__new__(program_type).stop(), 10)
+        await stop_program(program_type, parts)
         return parts
 
     async def test_each_program(self):
--- a/tests/programs/test_stalls.py
+++ b/tests/programs/test_stalls.py
@@ -13,3 +13,19 @@
             self.assertEqual(detector.check(16.625), 4.0)
         self.assertIn("process stalled", logs.output[0])
         self.assertEqual(detector.check(17.125), 0.0)
+
+    def test_lateness(self):
+        """A signal may have come at any moment of a stall just before it."""
+        cases = {
+            "before the first check": ((), 10.0, 0.0),
+            "calm": ((10.0, 10.5), 10.75, 0.0),
+            "handled before the check": ((10.0, 10.5), 14.0, 3.0),
+            "handled after the check": ((10.0, 10.5, 14.0), 14.0, 3.0),
+            "a check later": ((10.0, 10.5, 14.0, 14.5), 14.75, 0.0),
+        }
+        for name, (checks, now, expected) in cases.items():
+            with self.subTest(name):
+                detector = StallDetector()
+                for at in checks:
+                    detector.check(at)
+                self.assertEqual(detector.measure_lateness(now), expected)
