Answer questions of entries without a leader

Callers could see: 503 for streams of a sole version that are taken up while the control daemons elect a leader. That came with: only a replica that the quorum confirms counted, while before a confirmation lasted for 2 s. Cause: the list of servers is shared by gossip, without a leader, but whether it is up to date was told by the log. Ruled out: asking the leader for each question, which would be stricter and refuse during every election. Change: a replica answers a question if it lately heard most replicas and has merged the complete state of each on its open stream, whoever leads. A replica that is cut off, has stood still or has just started answers once it has heard them. An answer counts as contact though the quorum confirms nothing.

--- a/carobspring/adapters/peer_link.py
+++ b/carobspring/adapters/peer_link.py
@@ -73,6 +73,12 @@
         """Return whether a stream is open."""
         return self._receive_task is not None
 
+    @property
+    def is_heard(self) -> bool:
+        """Return whether the peer was lately heard on an open stream."""
+        silent_s = self._clock.read_monotonic() - self._received_at
+        return self.is_open and silent_s <= SILENCE_TIMEOUT_S
+
     def start(self) -> None:
         """Start dialing the peer, if this side dials."""
         if self._own_name < self._peer.name:
--- a/carobspring/control/gossip.py
+++ b/carobspring/control/gossip.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from abc import abstractmethod
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from dataclasses import dataclass, replace
 from typing import Final, Protocol
 
@@ -115,6 +115,17 @@
                 return False
         return True
 
+    def is_in_step(self, members: Collection[str], heard: Collection[str]) -> bool:
+        """Return whether this replica has what most of the members list.
+
+        Args:
+            members: The names of all replicas.
+            heard: The names of the peers that were lately heard.
+        """
+        merged = {name for name in heard if self._has_merged(name)}
+        known = merged | {self._state.replica_id}
+        return 2 * len(known.intersection(members)) > len(members)
+
     async def wait_until_replicated(self, view: int) -> None:
         """Wait until every reachable peer has merged a view."""
         while not self.is_replicated(view):
@@ -147,6 +158,12 @@
         self._state.notify_member_changes()
         self._handle_views(peer, message)
 
+    def _has_merged(self, name: str) -> bool:
+        """Return whether a peer's complete state came on its stream."""
+        peer = self._peers.get(name, _PeerState())
+        # A peer of an earlier release doesn't say which state it sends.
+        return peer.merged_view > NO_VIEW or peer.sends_views is False
+
     def _handle_views(self, name: str, message: GossipMessage) -> None:
         peer = self._peers.setdefault(name, _PeerState())
         has_views = message.view is not None or message.acknowledged_view > NO_VIEW
--- a/carobspring/control/sessions.py
+++ b/carobspring/control/sessions.py
@@ -109,10 +109,15 @@
     """The session of one entry's stream: receives reports, builds updates."""
 
     def __init__(
-        self, *, state: ControlState, is_confirmed: Callable[[], bool] = lambda: True
+        self,
+        *,
+        state: ControlState,
+        is_confirmed: Callable[[], bool] = lambda: True,
+        is_in_step: Callable[[], bool] = lambda: True,
     ) -> None:
         self._state = state
         self._is_confirmed = is_confirmed
+        self._is_in_step = is_in_step
         self._cursor = SharedStateCursor(state=state)
         self._view: int | None = None
         self._routing_version = 0
@@ -148,8 +153,9 @@
         is_new = members.complete or confirmed is not self._was_confirmed
         self._was_confirmed = confirmed
         sightings, cover_ms = self._take_new_sightings(is_new=is_new)
-        asked_at, self._asked_at = self._asked_at, 0.0
-        if asked_at:
+        asked_at = 0.0
+        if self._asked_at and self._is_in_step():
+            asked_at, self._asked_at = self._asked_at, 0.0
             # The entry was told of all sightings that it doesn't get now.
             now = self._state.clock.read_monotonic()
             cover_ms = self._state.members.versions.compute_cover_ms(now)
--- a/carobspring/control/streams.py
+++ b/carobspring/control/streams.py
@@ -38,6 +38,7 @@
         state: ControlState,
         proposer: CommandProposer,
         is_confirmed: Callable[[], bool] | None = None,
+        is_in_step: Callable[[], bool] = lambda: True,
     ) -> None:
         """Create the service.
 
@@ -48,10 +49,13 @@
                 quorum. If given, entries also get unconfirmed state, marked as
                 such; otherwise their streams are refused until a read is
                 confirmed.
+            is_in_step: Returns whether this replica has heard of what most
+                replicas list. Only then are questions of entries answered.
         """
         self._state = state
         self._proposer = proposer
         self._is_confirmed = is_confirmed
+        self._is_in_step = is_in_step
         #: Proposals of strikes; the handling of reports doesn't wait for them.
         self._strike_proposals: set[asyncio.Task[None]] = set()
 
@@ -94,7 +98,11 @@
                 raise GRPCError(Status.UNAVAILABLE, error.message) from error
             session = EntrySession(state=self._state)
         else:
-            session = EntrySession(state=self._state, is_confirmed=self._is_confirmed)
+            session = EntrySession(
+                state=self._state,
+                is_confirmed=self._is_confirmed,
+                is_in_step=self._is_in_step,
+            )
 
         notifier = self._state.entry_notifier
         await _run_stream(
@@ -134,7 +142,11 @@
 
     async def watch_entry(self, stream: Stream[EntryReport, ViewUpdate]) -> None:
         """Send an entry the replicas, at once and when they change."""
-        session = EntrySession(state=self._state, is_confirmed=lambda: False)
+        session = EntrySession(
+            state=self._state,
+            is_confirmed=lambda: False,
+            is_in_step=lambda: False,
+        )
         notifier = self._state.entry_notifier
         await _run_stream(
             self._state, stream, lambda report: False, session.build_update, notifier
--- a/carobspring/gateway/origins.py
+++ b/carobspring/gateway/origins.py
@@ -102,7 +102,9 @@
         """Apply what a control replica tells of entries, and that it does."""
         now = self._read_clock()
         self._history.record_sightings(update.sightings, now)
-        if update.confirmed:
+        # Replicas share lists of servers without a leader, so that an election
+        # keeps none from answering a question.
+        if update.confirmed or update.asked_at:
             self._history.record_contact(
                 now,
                 cover_s=update.sightings_cover_ms / 1000,
--- a/carobspring/programs/instance_control.py
+++ b/carobspring/programs/instance_control.py
@@ -169,6 +169,7 @@
                 state=self.state,
                 proposer=proposer,
                 is_confirmed=self._supervisor.is_current,
+                is_in_step=self._is_in_step,
             )
             services.append(watch_service.build_service())
             services.append(RpcService(self._supervisor.list_methods()))
@@ -334,6 +335,17 @@
             },
         )
 
+    def _is_in_step(self) -> bool:
+        """Return whether this replica has what most replicas list."""
+        supervisor, gossip = self._supervisor, self._gossip
+        return (
+            supervisor is not None
+            and gossip is not None
+            and gossip.is_in_step(
+                supervisor.list_members(), supervisor.list_heard_peers()
+            )
+        )
+
     def _render_metrics(self) -> bytes:
         supervisor = self._supervisor
         if supervisor is None:
--- a/carobspring/programs/replica.py
+++ b/carobspring/programs/replica.py
@@ -275,6 +275,10 @@
         """Return the names of the other replicas with an open stream."""
         return sorted(name for name, link in self._links.items() if link.is_open)
 
+    def list_heard_peers(self) -> list[str]:
+        """Return the names of the other replicas that were lately heard."""
+        return sorted(name for name, link in self._links.items() if link.is_heard)
+
     def _build_link(self, address: PeerAddress) -> PeerLink:
         return PeerLink(
             own_name=self.name,
--- a/carobspring/programs/replica_supervisor.py
+++ b/carobspring/programs/replica_supervisor.py
@@ -152,6 +152,10 @@
         """Return the names of the other replicas with an open stream."""
         return self._replica.list_peers() if self._replica is not None else []
 
+    def list_heard_peers(self) -> list[str]:
+        """Return the names of the other replicas that were lately heard."""
+        return self._replica.list_heard_peers() if self._replica is not None else []
+
     def send_gossip(self, peer: str, gossip: bytes) -> None:
         """Send gossip to another replica; it is lost if no stream is open."""
         if self._replica is not None:
--- a/carobspring/protocol/control.py
+++ b/carobspring/protocol/control.py
@@ -150,8 +150,9 @@
     sightings: tuple[VersionSighting, ...] = ()
     #: Time for which the replica has missed no version; zero if not told.
     sightings_cover_ms: int = 0
-    #: ``asked_at`` of the entry's last report that asked, if this update is
-    #: the first one since; else zero.
+    #: ``asked_at`` of the entry's last report that asked, if this is the first
+    #: update since by a replica that has heard of what most replicas list;
+    #: else zero.
     asked_at: float = 0.0
 
 
--- a/tests/control/test_gossip.py
+++ b/tests/control/test_gossip.py
@@ -158,6 +158,32 @@
             self.assertIs(a.is_drain_replicated, is_replicated)
         self.assertEqual((b.is_drain_known, c.is_drain_known), (True, True))
 
+    def test_in_step(self):
+        """A replica is in step with those whose state came on this stream."""
+        network, a, b = build_pair()
+        c = Replica(network, a.clock, "c")
+        members = ("a", "b", "c")
+        self.assertIs(a.gossip.is_in_step(members, ("b", "c")), False)
+        b.tick()
+        c.tick()
+        network.deliver_all()
+        cases = {
+            # name: (members, peers that were lately heard, whether in step)
+            "all are heard": (members, ("b", "c"), True),
+            "most are heard": (members, ("b",), True),
+            "none is heard": (members, (), False),
+            "half are heard": (("a", "b", "c", "d"), ("b",), False),
+            "a lone member": (("a",), (), True),
+            "no member, none is heard": (("b", "c"), (), False),
+            "no member": (("b", "c"), ("b", "c"), True),
+            "no members are known": ((), ("b", "c"), False),
+        }
+        for name, (names, heard, is_in_step) in cases.items():
+            with self.subTest(name):
+                self.assertIs(a.gossip.is_in_step(names, heard), is_in_step)
+        network.cut()
+        self.assertIs(a.gossip.is_in_step(members, ("b", "c")), False, "new streams")
+
     def test_strikes(self):
         """Peers learn strikes at once, and a restarted replica all of them."""
         network, a, b = build_pair()
--- a/tests/control/test_sessions.py
+++ b/tests/control/test_sessions.py
@@ -102,3 +102,17 @@
                 EntryReport(entry_id="e1", zone="a", asked_at=asked_at)
             )
         self.assertEqual(session.build_update().asked_at, 3.5)
+
+    def test_replica_out_of_step(self):
+        """A question waits until the replica has heard of most others."""
+        is_in_step = [False]
+        session = EntrySession(
+            state=ControlState(replica_id="r1", clock=SystemClock()),
+            is_confirmed=lambda: False,
+            is_in_step=lambda: is_in_step[-1],
+        )
+        session.handle_report(EntryReport(entry_id="e1", zone="a", asked_at=3.5))
+        self.assertEqual(session.build_update().asked_at, 0.0)
+        is_in_step.append(True)
+        self.assertEqual(session.build_update().asked_at, 3.5)
+        self.assertEqual(session.build_update().asked_at, 0.0)
