--- a/tests/adapters/test_peer_link.py
+++ b/tests/adapters/test_peer_link.py
@@ -85,3 +85,18 @@
         self.assertIs(self.link.is_responding, False)
         await self.open()
         self.assertIs(self.link.is_responding, True)
+
+    async def test_peer_that_is_silent(self):
+        """A peer counts as heard until it has been silent for too long."""
+        self.assertIs(self.link.is_heard, False)
+        stream = await self.open()
+        self.assertIs(self.link.is_heard, True)
+        # As after a stall, the stream is open until the next tick.
+        self.clock.now += SILENCE_TIMEOUT_S + 0.1
+        self.assertEqual((self.link.is_open, self.link.is_heard), (True, False))
+        stream.batches.put_nowait(PeerBatch())
+        await asyncio.sleep(0.01)
+        self.assertIs(self.link.is_heard, True)
+        self.link.disconnect()
+        await asyncio.gather(*self.exchanges)
+        self.assertIs(self.link.is_heard, False)
