Pace trials of servers that have answered nothing

Cause: a record that proves nothing counted like a server that answers. A request tried one address after another where nothing listens, and the retry budget was soon used up.

Ruled out: breakers. They hold for one record, and each was a new one.

One that answers ends the pauses. Without a server that has answered nothing changes.

What remains: prompts' homes are still drawn from all records, so foreign records of a model service take homes from engines.

--- a/carobspring/dispatch/dispatcher.py
+++ b/carobspring/dispatch/dispatcher.py
@@ -41,6 +41,16 @@
 COST_JITTER_S: Final = 0.001
 
 
+#: Ways in which a server does not answer.
+FAILED_OUTCOMES: Final = frozenset(
+    {
+        AttemptOutcome.UNREACHABLE,
+        AttemptOutcome.MISDIRECTED,
+        AttemptOutcome.INCOMPLETE,
+    }
+)
+
+
 class Dispatcher:
     """Places the requests of one entry; see docs/design/machines.md."""
 
@@ -102,7 +112,13 @@
         """
         record = self._records.get(server.server_id)
         if record is not None and record.server == server:
-            record.answered_at = now
+            self._record_proof(record, now)
+
+    def _record_proof(self, record: ServerRecord, now: float) -> None:
+        record.answered_at = now
+        if not record.is_proven:
+            record.is_proven = True
+            self._pools[record.server.service].trials.record_success()
 
     def record_crash(self, server_id: str) -> None:
         """Record that a server has crashed, whatever it answered before."""
@@ -216,6 +232,8 @@
         if record is None:
             return
         record.record_sent(query, placement.unread_tokens, now)
+        if not record.is_proven:
+            self._pools[record.server.service].trials.record_start(now)
         if record.is_engine:
             specialization = self._get_specialization(query.service)
             specialization.add(query, placement.unread_tokens, now)
@@ -411,7 +429,7 @@
         if call is not None and outcome is AttemptOutcome.ANSWERED:
             record.service_time_s.observe(now - call.sent_at)
         if outcome in (AttemptOutcome.ANSWERED, AttemptOutcome.SERVER_ERROR):
-            record.answered_at = now
+            self._record_proof(record, now)
             record.breaker.record_success()
         elif outcome in (AttemptOutcome.UNREACHABLE, AttemptOutcome.MISDIRECTED):
             record.answered_at = float("-inf")
@@ -419,6 +437,9 @@
         elif outcome is AttemptOutcome.INCOMPLETE:
             record.answered_at = float("-inf")
             record.breaker.record_failure(now, self._random.draw_uniform(), False)
+        is_failed = outcome in FAILED_OUTCOMES
+        if is_failed and not record.is_proven:
+            self._pools[record.server.service].trials.record_failure(now)
 
     def _refuse_resting(
         self,
@@ -516,8 +537,14 @@
         *,
         may_wait: bool,
     ) -> Sequence[ServerRecord]:
-        """Return the servers that may get a request, few of many."""
+        """Return the servers that may get a request, few of many.
+
+        While trials of unproven servers fail, they come behind those that
+        answered before.
+        """
         groups = pool.group(generating, suits_generating=not is_prefill_heavy(query))
+        is_paused = pool.trials.is_paused(now)
+        unproven: Sequence[ServerRecord] = ()
         for records in (
             pool.list_candidates(groups, homes, self._random),
             pool.active,
@@ -528,9 +555,13 @@
                 if find_obstacle(record, query, excluded, now, may_wait=may_wait)
                 is None
             ]
-            if candidates:
+            if candidates and not is_paused:
                 return candidates
-        return ()
+            proven = [record for record in candidates if record.is_proven]
+            if proven:
+                return proven
+            unproven = unproven or candidates
+        return unproven
 
     def _find_prompt_source(
         self,
--- a/carobspring/dispatch/pools.py
+++ b/carobspring/dispatch/pools.py
@@ -14,6 +14,7 @@
 
 from carobspring.dispatch.homes import hash_part
 from carobspring.dispatch.servers import ServerRecord
+from carobspring.dispatch.trials import TrialPace
 from carobspring.ports import RandomSource
 from carobspring.routing import score_server
 
@@ -50,6 +51,7 @@
 
     def __init__(self, *, zone: str) -> None:
         self._zone = zone
+        self.trials = TrialPace()
         self._records: dict[str, ServerRecord] = {}
         self._active: tuple[ServerRecord, ...] | None = None
         self._groups: dict[tuple[frozenset[str], bool], ServerGroups] = {}
--- a/carobspring/dispatch/servers.py
+++ b/carobspring/dispatch/servers.py
@@ -59,6 +59,8 @@
         self.breaker = breaker
         self.notice = notice
         self.draining = False
+        #: Whether it ever responded under its identifier.
+        self.is_proven = False
         #: When it last answered, unless it failed since.
         self.answered_at = float("-inf")
         #: Requests a second that the server takes from all entries together,
