Show that trials and refutations end as they should

Two guards could be taken out with no test failing: that an answer ends the pauses between trials, and that a 421 with another request's identifier refutes nobody.

--- a/tests/dispatch/test_trials.py
+++ b/tests/dispatch/test_trials.py
@@ -66,8 +66,16 @@
         for _ in range(20):
             self.now += REQUEST_INTERVAL_S
             self.assertEqual(self.send(), set())
-        record = self.dispatcher._records["new"]
-        self.assertIs(record.is_proven, True)
+        self.assertIs(self.dispatcher._records["new"].is_proven, True)
+        # Its answer ends the pauses for the next ones.
+        for each in ("newer", "newest"):
+            self.add(each)
+            self.sound.add(each)
+        for _ in range(20):
+            self.now += 0.001
+            self.send()
+        for each in ("newer", "newest"):
+            self.assertIs(self.dispatcher._records[each].is_proven, True)
 
     def test_no_proven_server(self):
         """Without any that answered, all are tried at once."""
--- a/tests/gateway/test_announcements.py
+++ b/tests/gateway/test_announcements.py
@@ -3,10 +3,12 @@
 import time
 import unittest
 
+from carobspring import platform
 from carobspring.domain.routes import Repeatability
 from carobspring.gateway.directory import ListedServer
 from carobspring.ports import IncompleteResponseError, RequestWithheldError
 from tests.gateway.fakes import (
+    REQUEST_ID,
     RESPONSE_HEADERS,
     STREAM_HEADERS,
     FakeClient,
@@ -70,6 +72,22 @@
                 names = [server.server_id for server in gateway.misdirected]
                 self.assertEqual(names, misdirected)
 
+    async def test_response_that_names_another_request(self):
+        """It tells nothing of who is at the address now."""
+        gateway = GatewayHarness([SUCCESS])
+        recorder = gateway.api._context.announcements
+        for request_id, expected in (("e", []), (REQUEST_ID, ["s1"])):
+            with self.subTest(request_id):
+                metadata = platform.ResponseMetadata(request_id=request_id)
+                recorder.record(
+                    metadata,
+                    gateway.servers["s1"],
+                    status=421,
+                    request_id=REQUEST_ID,
+                )
+                names = [server.server_id for server in gateway.misdirected]
+                self.assertEqual(names, expected)
+
     async def test_rejection_shows_who_is_there(self):
         """A full server that names the request has its address still."""
         for headers, expected in (
