--- a/bench/soak.py
+++ b/bench/soak.py
@@ -203,7 +203,7 @@
         self.checker.check_executions(self._servers)
         self.checker.check_kept_requests(self._servers)
         self.checker.odd_response_count = sum(
-            server.odd_response_count for server in self._servers
+            len(server.odd_responses) for server in self._servers
         )
         self.checker.check_crashing_requests(self._servers)
         self.checker.check_announced_limits(self._servers)
@@ -240,6 +240,12 @@
         for number, program in enumerate(deployment.programs, start=1):
             name = program.name.replace("/", "-")
             (folder / f"{number}-{name}.log").write_text(program.read_log())
+        odd_responses = [
+            f"{server.server_id} {attempt_id} {name}\n"
+            for server in self._servers
+            for attempt_id, name in server.odd_responses
+        ]
+        (folder / "odd-responses.txt").write_text("".join(odd_responses))
         print(f"logs saved in {folder}", flush=True)
 
     async def _check_final_versions(self, controls: list[str]) -> None:
--- a/standins/backend_server.py
+++ b/standins/backend_server.py
@@ -133,7 +133,8 @@
         self.cut_after_events = 0
         #: A name of ``ODD_CONTINUATIONS``; empty is off.
         self.odd_continuation = ""
-        self.odd_response_count = 0
+        #: Identifiers of requests, and the odd responses to them.
+        self.odd_responses: list[tuple[str, str]] = []
         self.state = "ready"
         #: Monotonic time at which a control daemon first confirmed the drain.
         self.drain_confirmed_at: float | None = None
@@ -372,7 +373,7 @@
             self._begun_streams.add(run.attempt_id)
         odd = self._choose_odd_continuation(run.attempt_id, last_number)
         if odd is not None:
-            self.odd_response_count += 1
+            self.odd_responses.append((run.attempt_id, self.odd_continuation))
             run.is_sound = False
             return await self._send_odd_continuation(request, response_headers, odd)
         cut_after = 0 if last_number else self.cut_after_events
--- a/tests/gateway/test_api.py
+++ b/tests/gateway/test_api.py
@@ -77,6 +77,14 @@
                 )
                 self.assertEqual(gateway.count_requests(), {"s1": sends})
 
+    async def test_known_durations_during_a_stop(self):
+        """A request of a route that lately took little is taken in a stop."""
+        gateway = GatewayHarness([SUCCESS, SUCCESS], timeout_ms=9000)
+        await gateway.call()
+        now = asyncio.get_running_loop().time()
+        gateway.api.begin_stop(StopSchedule(listens_until=now + 2, ends_at=now + 5))
+        self.assertEqual((await gateway.call()).status, 200)
+
     async def test_request_waits_for_the_first_table(self):
         """A request to a newly started entry waits for the routing table."""
         gateway = GatewayHarness([SUCCESS])
