Import the entry's program where it is now, and sign a test's responses

The module had moved, so tests.endtoend.test_out_of_step could not be loaded; the server of RecoveryTests sent no receipt, which the soak's check asks for.

--- a/standins/cut_entry.py
+++ b/standins/cut_entry.py
@@ -17,7 +17,7 @@
 from grpclib.client import Channel
 
 from carobspring.platform.node import FILE_VARIABLE
-from carobspring.programs.instance_entry import InstanceEntryProgram
+from carobspring.programs.instance_entry_program import InstanceEntryProgram
 from carobspring.programs.instance_options import InstanceOptions
 from carobspring.programs.runner import run_command_line
 from carobspring.protocol import StreamMessage
--- a/tests/benchmarks/test_soak.py
+++ b/tests/benchmarks/test_soak.py
@@ -574,7 +574,10 @@
             self.links[name] = link
 
     async def handle_read(self, request):
-        return web.Response(text=request.headers["Carobspring-Attempt-Id"])
+        attempt_id = request.headers["Carobspring-Attempt-Id"]
+        return web.Response(
+            text=attempt_id, headers={"Carobspring-Upstream-Signature": attempt_id}
+        )
 
     async def test_silent_caller_connections(self):
         """Caller connections silenced by faults don't fail the check.
