Leave what crosses an idle close unread, and close only idle connections

Callers could see: a request that may run once read and never answered, when it crossed the close of an idle connection; and a whole request, received while the loop was held up, closed without an answer. Cause: since the server read on behind an idle close and dropped what came, while callers may repeat a request only if it was not read. Before that, too, bytes that had come were in the queue of circuits when the connection's idle time was looked at. Ruled out: the tail of the response before; it stays safe, as the write side is shut down and the connection left to its caller. Change: a connection counts as idle only if no event of circuits is pending and nothing waits to be read; from its close on it is not read any more. A poll tells whether the caller has left.

--- a/carobspring/adapters/eventloop.py
+++ b/carobspring/adapters/eventloop.py
@@ -36,6 +36,11 @@
         loop.add_reader(self._descriptor, self._run_tick)
         self.fire(started(self))
 
+    @property
+    def has_pending_events(self) -> bool:
+        """Whether events, such as bytes read, are not handled yet."""
+        return len(self._queue) > 0
+
     def close(self) -> None:
         """Stop ticking; the components must have closed their sockets."""
         self._loop.remove_reader(self._descriptor)
--- a/carobspring/adapters/http_connection.py
+++ b/carobspring/adapters/http_connection.py
@@ -70,6 +70,8 @@
         #: Nothing more is written either.
         self._is_ending = False
         self._closed = False
+        #: What the caller still sends stays unread.
+        self._is_unread = False
         self._waiting_since = time.monotonic()
 
     def receive(self, data: bytes) -> None:
@@ -88,6 +90,7 @@
 
     def check_timeouts(self, now: float) -> None:
         """End a late request, a stalled response or an idle connection."""
+        self.close_if_left()
         stalled_s = now - self._last_sent_at if self._unsent_bytes else 0.0
         if stalled_s > self.limits.stall_timeout_s:
             self.close_now()
@@ -106,7 +109,7 @@
                 message = "the request took too long to arrive"
                 self._reject(408, "request_timeout", message)
         elif waited_s > self.limits.idle_timeout_s:
-            self.close_after_sending()
+            self._close_idle()
 
     def has_lingered(self, now: float, duration_s: float) -> bool:
         """Return whether only the caller's close was missing for so long."""
@@ -122,7 +125,25 @@
             and not self._unsent_bytes
             and now - self._waiting_since > idle_s
         ):
-            self.close_after_sending()
+            self._close_idle()
+
+    def close_if_left(self) -> None:
+        """Close a connection that is no longer read if its caller left."""
+        is_left = self._is_unread and not self._closed
+        if is_left and self._tcp_server.has_left(self._sock):
+            self.close_now()
+
+    def _close_idle(self) -> None:
+        """Close, unless a request has come; one that crosses stays unread.
+
+        Callers may repeat any request that was not read.
+        """
+        is_pending = self._protocol.root.has_pending_events
+        if is_pending or self._tcp_server.is_readable(self._sock):
+            return
+        self._is_unread = True
+        self._tcp_server.stop_reading(self._sock)
+        self.close_after_sending()
 
     def refuse_incomplete(self) -> None:
         """Refuse a request that still arrives, as the server stops."""
--- a/carobspring/adapters/http_server.py
+++ b/carobspring/adapters/http_server.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import logging
+import select
 import socket
 import struct
 import time
@@ -26,6 +27,8 @@
 RESET_LINGER = struct.pack("ii", 1, 0)
 NO_LINGER = struct.pack("ii", 0, 0)
 DRAIN_POLL_INTERVAL_S = 0.02
+#: Signs of a poll that the caller has closed the connection.
+LEFT_EVENTS = select.POLLRDHUP | select.POLLHUP | select.POLLERR
 #: Seconds that idle connections stay open in a drain, for requests in flight.
 DRAIN_IDLE_TIMEOUT_S = 0.5
 #: Seconds that a drain waits for callers to close, after all was sent.
@@ -78,6 +81,18 @@
                     sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER)
                 sock.shutdown(socket.SHUT_WR)
 
+    def stop_reading(self, sock: Any) -> None:
+        """Leave what the caller still sends unread."""
+        self._poller.removeReader(sock)
+
+    def is_readable(self, sock: Any) -> bool:
+        """Return whether bytes or the end of the caller's wait to be read."""
+        return bool(_poll(sock) & select.POLLIN)
+
+    def has_left(self, sock: Any) -> bool:
+        """Return whether the caller has closed the connection."""
+        return bool(_poll(sock) & LEFT_EVENTS)
+
     def reset_on_close(self, sock: Any) -> None:
         """Let any close reset the connection, also that of a killed process.
 
@@ -151,6 +166,13 @@
             self.shutdown_write(sock)
 
 
+def _poll(sock: Any) -> int:
+    poll = select.poll()
+    poll.register(sock, select.POLLIN | select.POLLRDHUP)
+    events = poll.poll(0)
+    return events[0][1] if events else 0
+
+
 class BoundedHttp(HTTP):
     """The HTTP protocol of circuits, which receives only checked requests."""
 
@@ -344,6 +366,7 @@
             return
         now = time.monotonic()
         for connection in list(self._web.http.connections.values()):
+            connection.close_if_left()
             connection.close_when_idle(now, idle_s)
 
     async def _check_timeouts(self) -> None:
