Answer what has no response before a stop ends

Callers could see: a closed connection, when their request still waited in the entry (for a permit, a rest, a retry) or at a silent server at the end of a stop. Ruled out: responses that have begun; they go on until the process ends.

--- a/carobspring/gateway/api.py
+++ b/carobspring/gateway/api.py
@@ -38,6 +38,9 @@
 #: Retry-After in seconds while an entry has no routing table, or can't know
 #: whether there is a newer one.
 STARTUP_RETRY_AFTER_S: Final = 0.3
+#: Seconds before the end of a stop at which requests without a response get an
+#: error.
+END_MARGIN_S: Final = 0.3
 #: Bytes per prompt token, to estimate tokens that a caller does not give.
 BYTES_PER_TOKEN: Final = 4
 
@@ -64,11 +67,21 @@
         #: The requests in flight.
         self.open_requests = OpenRequests()
         self._stop_admission = StopAdmission()
+        self._exchanges: set[Exchange] = set()
 
     def begin_stop(self, schedule: StopSchedule) -> None:
         """Report not ready, and take only what ends before the stop does."""
-        self._state.begin_stop(self._context.read_clock())
+        now = self._context.read_clock()
+        self._state.begin_stop(now)
         self._stop_admission.begin(schedule)
+        asyncio.get_running_loop().call_later(
+            max(0.0, schedule.ends_at - END_MARGIN_S - now), self._end_exchanges
+        )
+
+    def _end_exchanges(self) -> None:
+        """End what has no response yet; the end of the stop would cut it."""
+        for exchange in self._exchanges:
+            exchange.end_before_response()
 
     async def handle(self, request: HttpRequest, responder: HttpResponder) -> None:
         """Handle one request."""
@@ -137,6 +150,7 @@
         self, exchange: Exchange, responder: HttpResponder
     ) -> ExchangeReport:
         """Run the exchange, and cancel it if the caller leaves."""
+        self._exchanges.add(exchange)
         exchange_task = start_task(exchange.run(), name="exchange")
         disconnect_task = start_task(
             responder.disconnected.wait(), name="await disconnect"
@@ -149,6 +163,7 @@
                 return exchange_task.result()
             return exchange.build_abandoned_report()
         finally:
+            self._exchanges.discard(exchange)
             disconnect_task.cancel()
             if not exchange_task.done():
                 exchange_task.cancel()
--- a/carobspring/gateway/exchange.py
+++ b/carobspring/gateway/exchange.py
@@ -144,6 +144,8 @@
             read_clock=context.read_clock,
             count_entries=context.count_entries,
         )
+        self._time_limit: asyncio.Timeout | None = None
+        self._time_limit_reason = "time_limit"
         #: Servers that are not tried again.
         self._excluded: set[str] = set()
         #: Servers that were left only because they were silent.
@@ -169,10 +171,16 @@
         """Answer the caller, by the query's deadline at the latest."""
         remaining_s = self._query.deadline - self._context.read_clock()
         try:
-            async with asyncio.timeout(max(0.001, remaining_s)):
+            async with asyncio.timeout(max(0.001, remaining_s)) as self._time_limit:
                 return await self._try_servers()
         except TimeoutError:
-            return await self._fail(504, "time_limit")
+            return await self._fail(504, self._time_limit_reason)
+
+    def end_before_response(self) -> None:
+        """End the request with an error, unless its response has begun."""
+        if self._time_limit is not None and not self._relay.has_started:
+            self._time_limit_reason = RefusalReason.STOPPING.value
+            self._time_limit.reschedule(asyncio.get_running_loop().time())
 
     def build_abandoned_report(self) -> ExchangeReport:
         """Return the report of a request whose caller left."""
