Judge requests in a stop by those that servers completed

Callers could see: a long request taken in a stop that cuts it. Cause: requests that broke off, failed or whose callers left counted as short ones; those under way did not count at all. Ruled out: refusals; they were left out before. Change: only complete responses are recorded, and the oldest open request of the route counts with the time that it has lasted. Conclusion: the estimate of a route errs towards refusing.

--- a/carobspring/dispatch/stopping.py
+++ b/carobspring/dispatch/stopping.py
@@ -37,7 +37,7 @@
         self._window_ends_at = float("-inf")
 
     def record(self, route: str, duration_s: float, now: float) -> None:
-        """Record how long a request lasted, or has lasted so far."""
+        """Record how long a request lasted that a server completed."""
         self._advance(now)
         self._longest[route] = max(duration_s, self._longest.get(route, 0.0))
 
@@ -80,10 +80,16 @@
         """Begin a stop."""
         self._schedule = schedule
 
-    def check(self, route: str, limit_at: float, now: float) -> Refusal | None:
+    def check(
+        self, route: str, limit_at: float, now: float, *, oldest_s: float = 0.0
+    ) -> Refusal | None:
         """Return the refusal of a request that arrives now, or None.
 
-        ``limit_at`` is when its caller or its route gives it up.
+        Args:
+            route: Name of its route.
+            limit_at: When its caller or its route gives it up.
+            now: Monotonic time.
+            oldest_s: How long the oldest open request of the route has lasted.
         """
         schedule = self._schedule
         if schedule is None or limit_at + SENDING_S <= schedule.ends_at:
@@ -91,7 +97,7 @@
         longest_s = self.durations.find_longest(route, now)
         if now < schedule.listens_until and longest_s is not None:
             left_s = schedule.ends_at - SENDING_S - now
-            if longest_s * (1 + DURATION_MARGIN) <= left_s:
+            if max(longest_s, oldest_s) * (1 + DURATION_MARGIN) <= left_s:
                 return None
         # Another entry may take it at once.
         return Refusal(reason=RefusalReason.STOPPING, retry_after_s=0.0)
--- a/carobspring/gateway/api.py
+++ b/carobspring/gateway/api.py
@@ -124,7 +124,12 @@
             return
         rank = table.compute_rank(route, owner)
         query = self._build_query(request, metadata, route, origin, rank, started_at)
-        refusal = self._stop_admission.check(route.name, query.deadline, started_at)
+        refusal = self._stop_admission.check(
+            route.name,
+            query.deadline,
+            started_at,
+            oldest_s=self._find_oldest_s(route.name, started_at),
+        )
         if refusal is not None:
             await self._refuse_for_now(responder, metadata, refusal)
             return
@@ -146,6 +151,11 @@
         report = await self._run_exchange(exchange, responder)
         self._record_end(table, route, query, metadata, report, started_at)
 
+    def _find_oldest_s(self, route: str, now: float) -> float:
+        """Return how long the oldest open request of a route has lasted."""
+        starts = (e.started_at for e in self._exchanges if e.route_name == route)
+        return now - min(starts, default=now)
+
     async def _run_exchange(
         self, exchange: Exchange, responder: HttpResponder
     ) -> ExchangeReport:
@@ -313,7 +323,7 @@
             None if report.first_byte_at is None else report.first_byte_at - started_at
         )
         self._metrics.record_end(report, first_byte_s, now - started_at)
-        if report.outcome is not RequestOutcome.REFUSED:
+        if report.outcome is RequestOutcome.RELAYED and not report.status:
             self._stop_admission.durations.record(route.name, now - started_at, now)
         logger.info(
             "request ended",
--- a/carobspring/gateway/exchange.py
+++ b/carobspring/gateway/exchange.py
@@ -119,6 +119,8 @@
         self._request = request
         self._metadata = metadata
         self._route = route
+        #: Monotonic time at which the request was taken.
+        self.started_at = context.read_clock()
         self._query = query
         self._identity = RequestIdentity(
             request=request, workspace=workspace, query=query
@@ -167,6 +169,11 @@
         #: True if the next retry was already taken from the budget.
         self._has_reserved_retry = False
 
+    @property
+    def route_name(self) -> str:
+        """Name of the request's route."""
+        return self._route.name
+
     async def run(self) -> ExchangeReport:
         """Answer the caller, by the query's deadline at the latest."""
         remaining_s = self._query.deadline - self._context.read_clock()
