Break no stream off for a block without data

Callers could see: a sound stream broken off where its server sent a retry interval, and an event twice where identifiers are no numbers. Cause: of blocks without an identifier only comments passed; and an event with the identifier of the last one was taken for the next unless it was a number. Ruled out: keep-alives that carry data and no identifier; they can't be told from a foreign error and still break a stream off that went on elsewhere. Change: what has neither data nor an identifier is no event. An identifier that equals the last one is a repeat.

--- a/carobspring/gateway/events.py
+++ b/carobspring/gateway/events.py
@@ -6,7 +6,6 @@
 
 _TERMINATORS: Final = (b"\n\n", b"\r\n\r\n")
 _ID_FIELD: Final = b"id:"
-_COMMENT_MARK: Final = b":"
 _DATA_FIELD: Final = b"data"
 _STATUS_LINE: Final = re.compile(rb"HTTP/\d\.\d \d{3}")
 
@@ -21,11 +20,14 @@
 
     @property
     def is_comment(self) -> bool:
-        """Whether there are only comments, which keep a connection alive."""
+        """Whether it says nothing, such as a comment or a retry interval.
+
+        Without data and an identifier it is no event for callers.
+        """
         if self.event_id:
             return False
-        lines = filter(None, self.data.splitlines())
-        return all(line.startswith(_COMMENT_MARK) for line in lines)
+        lines = self.data.splitlines()
+        return all(line.partition(b":")[0] != _DATA_FIELD for line in lines)
 
     @property
     def holds_head(self) -> bool:
--- a/carobspring/resumption/sequences.py
+++ b/carobspring/resumption/sequences.py
@@ -98,6 +98,8 @@
 
     def locate(self, event_id: str, now: float) -> EventPosition:
         """Return where an event belongs, and advance if it is the next one."""
+        if event_id and event_id == self.last_id:
+            return EventPosition.REPEATED
         number, last = _parse_number(event_id), _parse_number(self.last_id)
         step = None
         if number is not None and last is not None:
