--- a/tests/benchmarks/test_soak.py
+++ b/tests/benchmarks/test_soak.py
@@ -574,7 +574,9 @@
             self.links[name] = link
 
     async def handle_read(self, request):
-        return web.Response(text=request.headers["Carobspring-Attempt-Id"])
+        name = request.headers["Carobspring-Attempt-Id"]
+        headers = {"Carobspring-Upstream-Signature": f"i-1.{name}"}
+        return web.Response(text=name, headers=headers)
 
     async def test_silent_caller_connections(self):
         """Caller connections silenced by faults don't fail the check.
