--- a/tests/benchmarks/test_soak.py
+++ b/tests/benchmarks/test_soak.py
@@ -574,10 +574,9 @@
             self.links[name] = link
 
     async def handle_read(self, request):
-        attempt_id = request.headers["Carobspring-Attempt-Id"]
-        return web.Response(
-            text=attempt_id, headers={"Carobspring-Upstream-Signature": attempt_id}
-        )
+        name = request.headers["Carobspring-Attempt-Id"]
+        headers = {"Carobspring-Upstream-Signature": f"i-1.{name}"}
+        return web.Response(text=name, headers=headers)
 
     async def test_silent_caller_connections(self):
         """Caller connections silenced by faults don't fail the check.
