Let SIGQUIT end a program that still starts

Operators saw: SIGQUIT without effect until a slow start was over. Cause: the runner looked for it only behind program.start(). Ruled out: stop signals; a stop follows the start, in order. Change: start and stop are one task, which SIGQUIT cancels. Conclusion: it ends a program at once at any time.

--- a/carobspring/programs/runner.py
+++ b/carobspring/programs/runner.py
@@ -76,11 +76,8 @@
     loop.add_signal_handler(EXIT_SIGNAL, handle_exit_signal)
     loop.add_signal_handler(signal.SIGHUP, program.reload)
     release_signals()
-    ports = await program.start()
-    port_list = " ".join(f"{name}={port}" for name, port in ports.items())
-    print(f"listening {port_list}", flush=True)
     exit_task = asyncio.ensure_future(exit_requested.wait())
-    run_task = asyncio.ensure_future(_stop_when_requested(program, stop_requested))
+    run_task = asyncio.ensure_future(_start_and_stop(program, stop_requested))
     await asyncio.wait({run_task, exit_task}, return_when=asyncio.FIRST_COMPLETED)
     # The loop restores the default action of its signals when it closes, and
     # one that follows would then change the exit code.
@@ -94,7 +91,10 @@
     logger.warning("ended before the stop was complete")
 
 
-async def _stop_when_requested(program: Program, stop_requested: asyncio.Event) -> None:
+async def _start_and_stop(program: Program, stop_requested: asyncio.Event) -> None:
+    ports = await program.start()
+    port_list = " ".join(f"{name}={port}" for name, port in ports.items())
+    print(f"listening {port_list}", flush=True)
     await stop_requested.wait()
     await program.stop()
 
