Count no empty continuation as the run that a stop cut

Trace: its server crashed behind the last of 20 events and before the end of the response ("peer closed connection", last_event 20); the next server had nothing to add, so the entry broke the stream off visibly. Ruled out: the stop; 2.6 s of it were left. Change: a run that continues a stream with all of its events is not the one that counts. A request whose run before was sound is still a violation; both have a case in tests.benchmarks.test_soak. Conclusion: a case that the trace shows is allowed; no other check is changed.

--- a/bench/promises.py
+++ b/bench/promises.py
@@ -182,6 +182,9 @@
         last_runs: dict[str, ServerRun] = {}
         for server in servers:
             for run in server.runs:
+                if run.adds_nothing:
+                    # Its stream broke off behind the last event.
+                    continue
                 last = last_runs.get(run.attempt_id)
                 if last is None or last.started_at < run.started_at:
                     last_runs[run.attempt_id] = run
--- a/standins/backend_server.py
+++ b/standins/backend_server.py
@@ -72,6 +72,8 @@
     ended_at: float | None = None
     #: Whether the server did all that it should until then.
     is_sound: bool = True
+    #: Whether it continued a stream that had all of its events already.
+    adds_nothing: bool = False
 
 
 class StandInServer:
@@ -376,6 +378,7 @@
             self.odd_responses.append((run.attempt_id, self.odd_continuation))
             run.is_sound = False
             return await self._send_odd_continuation(request, response_headers, odd)
+        run.adds_nothing = last_number >= self.event_count
         cut_after = 0 if last_number else self.cut_after_events
         interval_s = lasting_s / self.event_count or self.event_interval_s
         response = web.StreamResponse(headers=response_headers)
--- a/tests/benchmarks/test_soak.py
+++ b/tests/benchmarks/test_soak.py
@@ -401,6 +401,7 @@
         status=0,
         is_sound=True,
         runs=1,
+        adds_nothing=False,
         disruptions=(),
         stopped="e",
         count=1,
@@ -434,6 +435,7 @@
                     ended_at=run_until,
                     # Only the last run counts.
                     is_sound=is_sound if run == runs - 1 else not is_sound,
+                    adds_nothing=adds_nothing and run == runs - 1,
                 )
                 for run in range(runs)
             ]
@@ -451,6 +453,11 @@
             "broken off by its server": ({"is_sound": False}, []),
             "broken off once, then cut": ({"runs": 2}, cut),
             "cut once, then broken off": ({"runs": 2, "is_sound": False}, []),
+            "broken off behind its last event": ({"runs": 2, "adds_nothing": True}, []),
+            "sound, and one that adds nothing behind": (
+                {"runs": 2, "adds_nothing": True, "is_sound": False},
+                cut,
+            ),
             "sent late": ({"sent_at": 103.1, "ended_at": 107.6}, cut),
             "at its deadline": ({"sent_at": 94.0}, []),
             "shortly before its deadline": ({"sent_at": 94.2}, cut),
