Pass on a server's empty answer to a stream that its caller takes up

Ruled out: the records of streams; what was refused had no version missing, by the test's own checks. Change: an answer without any event is its server's whole answer, receipt and all, and passed on. One with only events that the caller has is still no answer, and inside one answer a continuation must still add an event. What is sure is that the rule cost callers.

--- a/carobspring/gateway/relay.py
+++ b/carobspring/gateway/relay.py
@@ -132,6 +132,7 @@
         self, backend_response: BackendResponse, server_id: str, watch_read: ReadWatcher
     ) -> AttemptResult:
         """Relay the events of a stream, each as soon as it is complete."""
+        is_continuation = self.has_started
         self._held_comments = b""
         splitter = EventSplitter()
         read_bytes = 0
@@ -147,7 +148,8 @@
         if not self.event_count and not backend_response.is_end_marked:
             detail = "the stream ended before its first event"
             return AttemptResult(outcome=AttemptOutcome.INCOMPLETE, detail=detail)
-        if self._sequence.is_continued and not self._sequence.has_progress:
+        must_add = is_continuation or self._sequence.has_repeats
+        if must_add and not self._sequence.has_progress:
             # Whether the caller has the whole stream, nothing tells.
             detail = "no further event of the stream"
             return AttemptResult(outcome=AttemptOutcome.INCOMPLETE, detail=detail)
--- a/carobspring/resumption/sequences.py
+++ b/carobspring/resumption/sequences.py
@@ -78,6 +78,8 @@
         self.last_id = last_id
         #: Whether the current server wrote an event that follows.
         self.has_progress = False
+        #: Whether a server wrote events that the caller already has.
+        self.has_repeats = False
         self._route = route
         self._steps = steps
         self._own_steps: set[int] = set()
@@ -99,12 +101,14 @@
     def locate(self, event_id: str, now: float) -> EventPosition:
         """Return where an event belongs, and advance if it is the next one."""
         if event_id and event_id == self.last_id:
+            self.has_repeats = True
             return EventPosition.REPEATED
         number, last = _parse_number(event_id), _parse_number(self.last_id)
         step = None
         if number is not None and last is not None:
             step = number - last
             if step <= 0:
+                self.has_repeats = True
                 return EventPosition.REPEATED
             if self.is_continued and step != (self._find_step(now) or step):
                 return EventPosition.GAP
--- a/tests/gateway/test_resumed_bodies.py
+++ b/tests/gateway/test_resumed_bodies.py
@@ -50,3 +50,10 @@
         self.assertEqual(
             (response.body, response.ended), (build_events(4, 5), "complete")
         )
+
+    async def test_no_event_at_all(self):
+        """A whole answer without events ends the stream of its caller."""
+        response = await self.take_up((200, STREAM_HEADERS, []))
+        self.assertEqual(
+            (response.status, response.body, response.ended), (200, b"", "complete")
+        )
