--- a/carobspring/control/commands.py
+++ b/carobspring/control/commands.py
@@ -4,6 +4,7 @@
 
 from carobspring.control.routing import RoutingChange, RoutingResult
 from carobspring.ledger import ClaimCommand, ExpireCommand, OutcomeCommand
+from carobspring.metering import ClosingResult, UsageClosing
 from carobspring.protocol import ClaimReply, OutcomeReply, Strike
 from carobspring.settings import ChangeAnswer, ChangeRequest
 
@@ -40,6 +41,7 @@
     release: StrikeRelease | None = None
     drain: DrainChange | None = None
     routing: RoutingChange | None = None
+    usage: UsageClosing | None = None
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -55,5 +57,6 @@
     claim: ClaimReply | None = None
     outcome: OutcomeReply | None = None
     routing: RoutingResult | None = None
+    usage: ClosingResult | None = None
     count: int = 0
     error: str = ""
--- a/carobspring/control/gossip.py
+++ b/carobspring/control/gossip.py
@@ -155,6 +155,8 @@
             self._state.merge_strikes(report.strikes, report.released)
         self._state.merge_strikes(message.strikes, message.released)
         self._state.members.versions.merge(message.sightings, now)
+        for usage in message.usage:
+            self._state.usage.merge(usage)
         self._state.notify_member_changes()
         self._handle_views(peer, message)
 
--- a/carobspring/control/machine.py
+++ b/carobspring/control/machine.py
@@ -15,6 +15,7 @@
 from carobspring.control.strikes import StrikeSnapshot, StrikeTable
 from carobspring.domain import DomainError
 from carobspring.ledger import LedgerSnapshot, UniqueCallLedger
+from carobspring.metering import UsageLedger, UsageSnapshot
 from carobspring.ports import StateMachine
 from carobspring.protocol import RoutingConfiguration
 from carobspring.settings import (
@@ -36,10 +37,11 @@
     strikes: StrikeSnapshot = field(default_factory=StrikeSnapshot)
     drained: tuple[str, ...] = ()
     routing: RoutingConfiguration = field(default_factory=RoutingConfiguration)
+    usage: UsageSnapshot = field(default_factory=UsageSnapshot)
 
 
 class ControlMachine(StateMachine):
-    """Holds settings, unique calls, strikes, drained servers and routes.
+    """Holds settings, unique calls, strikes, drains, routes and usage.
 
     ``on_applied`` is called after each command and each restore, so that open
     streams can send what changed.
@@ -51,6 +53,7 @@
         self.strikes = StrikeTable()
         self.drained: frozenset[str] = frozenset()
         self.routing = RoutingStore()
+        self.usage = UsageLedger()
         self.on_applied = on_applied
 
     def apply(self, index: int, command: bytes) -> bytes:
@@ -79,6 +82,8 @@
             return CommandResult(count=self._set_drained(command.drain))
         if command.routing is not None:
             return CommandResult(routing=self._change_routing(command.routing))
+        if command.usage is not None:
+            return CommandResult(usage=self.usage.apply(command.usage))
         return CommandResult(count=self.strikes.add(command.strikes))
 
     def take_snapshot(self) -> bytes:
@@ -90,6 +95,7 @@
                 strikes=self.strikes.take_snapshot(),
                 drained=tuple(sorted(self.drained)),
                 routing=self.routing.content,
+                usage=self.usage.take_snapshot(),
             )
         )
 
@@ -101,6 +107,7 @@
         self.strikes.restore(state.strikes)
         self.drained = frozenset(state.drained)
         self.routing.restore(state.routing)
+        self.usage.restore(state.usage)
         self.on_applied()
 
     def _release_strikes(self, release: StrikeRelease) -> int:
--- a/carobspring/control/sessions.py
+++ b/carobspring/control/sessions.py
@@ -1,7 +1,7 @@
 """Sessions: what one stream has been sent, and what to send next."""
 
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from carobspring.control.state import ControlState
 from carobspring.domain import Settings
@@ -137,6 +137,9 @@
         Returns whether the entry asks for an update at once.
         """
         state = self._state
+        if report.usage is not None:
+            state.usage.merge(report.usage)
+            report = replace(report, usage=None)
         state.entries.apply_report(report, state.clock.read_monotonic())
         if state.merge_strikes(report.strikes, report.released):
             # Peers must learn of strikes at once.
--- a/carobspring/control/state.py
+++ b/carobspring/control/state.py
@@ -2,13 +2,18 @@
 
 import asyncio
 from collections.abc import Callable, Iterable
+from typing import Final
 
 from carobspring.control.entry_strikes import EntryStrikes
 from carobspring.control.machine import ControlMachine
 from carobspring.membership import LEASE_S, EntryTable, MembershipTable
+from carobspring.metering import UsageCollection
 from carobspring.ports import Clock
 from carobspring.protocol import RoutingConfiguration, Strike
 
+#: Seconds of a window of usage where no platform gives them.
+DEFAULT_USAGE_WINDOW_S: Final = 5.0
+
 
 class StreamNotifier:
     """Notifies every open stream that there may be something to send.
@@ -55,6 +60,7 @@
         find_services: Callable[
             [RoutingConfiguration], frozenset[str] | None
         ] = lambda routing: None,
+        usage_window_s: float = DEFAULT_USAGE_WINDOW_S,
     ) -> None:
         self.replica_id = replica_id
         self._find_services = find_services
@@ -67,6 +73,8 @@
         self.entries = EntryTable()
         #: Strikes that entries report, beside the committed ones of agents.
         self.entry_strikes = EntryStrikes()
+        #: Usage that entries report to this replica or to another one.
+        self.usage = UsageCollection(window_s=usage_window_s)
         self.draining = False
         self._notified_change_count = 0
         #: Incremented when a report to this replica or an expired lease
--- a/carobspring/gateway/exchange.py
+++ b/carobspring/gateway/exchange.py
@@ -90,6 +90,8 @@
     count_entries: Callable[[], int]
     #: Monotonic time at which this entry started.
     started_at: float
+    #: Counts a request of a workspace that a server began to run.
+    record_run: Callable[[str], None] = lambda workspace: None
 
 
 class Exchange:
@@ -168,6 +170,7 @@
         self._failure_response: BufferedResponse | None = None
         #: True if the next retry was already taken from the budget.
         self._has_reserved_retry = False
+        self._is_run_recorded = False
 
     @property
     def route_name(self) -> str:
@@ -460,6 +463,8 @@
         if not metadata.request_id:
             detail = "an answer without a request's identifier"
             return AttemptResult(outcome=AttemptOutcome.INCOMPLETE, detail=detail)
+        if not self._route.repeatability.is_stream:
+            self._record_run()
         rejected = self._relay.reject_continuation(status, metadata)
         if rejected is not None:
             return rejected
@@ -485,8 +490,15 @@
             is_streaming_route and not response.is_end_marked
         )
 
+    def _record_run(self) -> None:
+        """Count the request once, wherever it runs and goes on."""
+        if not self._is_run_recorded:
+            self._is_run_recorded = True
+            self._context.record_run(self._identity.workspace)
+
     def _handle_first_event(self) -> None:
         """Keep the stream at the version of the server that begins it."""
+        self._record_run()
         version = self._server_version
         self._query = replace(self._query, software_version=version)
         if self._is_resumable:
--- a/carobspring/membership/gossip.py
+++ b/carobspring/membership/gossip.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass
 
 from carobspring.domain import BackendServer, LoadReport
-from carobspring.protocol import EntryReport, Strike, VersionSighting
+from carobspring.protocol import EntryReport, EntryUsage, Strike, VersionSighting
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -57,3 +57,5 @@
     view: int | None = None
     #: The receiver's view that the sender has merged, or -1.
     acknowledged_view: int = -1
+    #: Usage that entries reported to the sender; only sent to the leader.
+    usage: tuple[EntryUsage, ...] = ()
--- a/carobspring/platform/__init__.py
+++ b/carobspring/platform/__init__.py
@@ -30,6 +30,11 @@
     CONFIGURATION_PATH,
     READINESS_PATH,
 )
+from carobspring.platform.provider import (
+    ProviderCall,
+    ProviderSettings,
+    build_usage_call,
+)
 
 __all__ = [
     "BACKEND_SERVER_PATH_PREFIX",
@@ -40,11 +45,14 @@
     "InstanceSettings",
     "NodeFileError",
     "PRIORITY_LEVELS",
+    "ProviderCall",
+    "ProviderSettings",
     "READINESS_PATH",
     "RequestMetadata",
     "ResponseMetadata",
     "build_backend_headers",
     "build_error_headers",
+    "build_usage_call",
     "decode_check_in",
     "decode_routing_table",
     "decode_version",
--- a/carobspring/platform/node.py
+++ b/carobspring/platform/node.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from carobspring.domain import Address, InvalidValueError, parse_address
+from carobspring.platform.provider import ProviderSettings
 from carobspring.protocol import DECODE_ERRORS
 
 FILE_VARIABLE: Final = "CAROBSPRING_NODE_FILE"
@@ -44,6 +45,12 @@
     machines: int = 0
 
 
+class _Cloud(msgspec.Struct):
+    address: str
+    duties: list[str] = []
+    duty_per_s: float = 1.0
+
+
 class _NodeFile(msgspec.Struct):
     node_name: str
     ip: str
@@ -59,6 +66,7 @@
     heartbeat_ms: float = 1000.0
     fault_tolerance: _Tolerance = msgspec.field(default_factory=_Tolerance)
     bounds: dict[str, Any] = {}
+    cloud: _Cloud | None = None
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -100,6 +108,8 @@
     retry_share: float = 0.2
     retry_slack: float = 0.0
     retry_window_s: float = 10.0
+    #: The provider's API for duties, or None if there are none.
+    provider: ProviderSettings | None = None
 
 
 def find_node_file(environ: Mapping[str, str] | None = None) -> Path:
@@ -158,6 +168,7 @@
         catch_up_deadline_s=_parse_bound(bounds, "catch_up_s", 4.0),
         retry_slack=_parse_bound(bounds, "retry_slack", 0.0),
         retry_window_s=_parse_bound(bounds, "retry_window_s", 10.0),
+        provider=_parse_provider(file.cloud, bounds),
     )
 
 
@@ -165,6 +176,27 @@
     return parse_address(name, text) if text else None
 
 
+def _parse_provider(
+    cloud: _Cloud | None, bounds: Mapping[str, Any]
+) -> ProviderSettings | None:
+    if cloud is None or not cloud.duties:
+        return None
+    window_s = _parse_bound(bounds, "report_window_s", 5.0)
+    if not window_s:
+        raise InvalidValueError(
+            field="bounds.report_window_s", value=window_s, expected="over 0 s"
+        )
+    return ProviderSettings(
+        address=parse_address("cloud.address", cloud.address),
+        duties=frozenset(cloud.duties),
+        calls_per_s=cloud.duty_per_s,
+        lease_s=_parse_bound(bounds, "lease_ms", 3000.0) / 1000,
+        thaw_s=_parse_bound(bounds, "thaw_ms", 300.0) / 1000,
+        usage_window_s=window_s,
+        usage_delay_s=_parse_bound(bounds, "usage_delay_s", 10.0),
+    )
+
+
 def _parse_bound(bounds: Mapping[str, Any], name: str, default: float) -> float:
     value = bounds.get(name, default)
     is_number = isinstance(value, int | float) and not isinstance(value, bool)
--- a/carobspring/programs/instance_control_program.py
+++ b/carobspring/programs/instance_control_program.py
@@ -18,6 +18,7 @@
 from carobspring.adapters.disk import DiskStorage
 from carobspring.adapters.http_server import CircuitsHttpServer
 from carobspring.adapters.metrics import Metrics, serve_metrics
+from carobspring.adapters.provider_http import ProviderClient
 from carobspring.adapters.rpc import RpcService, build_server
 from carobspring.adapters.tasks import start_service_task, start_task
 from carobspring.consensus import IDENTITY_FILE, Timing
@@ -36,6 +37,8 @@
 from carobspring.control.discovery import DaemonDirectory, DaemonInfo
 from carobspring.control.instance_api import InstanceApi, RedirectFinder
 from carobspring.control.last_known_state import LastKnownStateFile
+from carobspring.control.metering import CALL_TIMEOUT_S, MeteringService
+from carobspring.control.state import DEFAULT_USAGE_WINDOW_S
 from carobspring.platform import InstanceSettings, read_node_file
 from carobspring.ports import HttpLimits
 from carobspring.programs.instance_options import InstanceOptions
@@ -49,7 +52,7 @@
     parse_peer_address,
 )
 from carobspring.programs.runner import Program, run_command_line
-from carobspring.programs.stalls import StallDetector
+from carobspring.programs.stalls import StallDetector, read_boot_time
 from carobspring.programs.stopping import StopStep, cancel_tasks
 from carobspring.protocol import RoutingConfiguration
 
@@ -122,6 +125,11 @@
             clock=self._clock,
             lease_s=lease_s,
             find_services=find_services,
+            usage_window_s=(
+                settings.provider.usage_window_s
+                if settings.provider
+                else DEFAULT_USAGE_WINDOW_S
+            ),
         )
         self._supervisor: ReplicaSupervisor | None = None
         self._last_known_state: LastKnownStateFile | None = None
@@ -174,6 +182,7 @@
         )
         self._tasks: list[asyncio.Task[None]] = []
         self._start_task: asyncio.Task[None] | None = None
+        self._metering: MeteringService | None = None
         self._rpc_server: Server | None = None
         self._http_server: CircuitsHttpServer | None = None
         self._metrics_server: CircuitsHttpServer | None = None
@@ -211,6 +220,7 @@
                 gossip=self._gossip,
             )
             handle = instance_api.handle
+            self._metering = self._build_metering(proposer, self._supervisor)
             self._control_metrics = ControlMetrics(
                 metrics=self._metrics, state=self.state, log=self._supervisor
             )
@@ -241,6 +251,9 @@
             start_service_task(self._node_file_watcher.run, name="node file"),
             start_service_task(StallDetector().run, name="stall detector"),
         ]
+        if self._metering is not None:
+            task = start_service_task(self._metering.run, name="metering")
+            self._tasks.append(task)
         logger.info(
             "started",
             extra={
@@ -253,6 +266,27 @@
         )
         return {"control": self._control_port, "rpc": self._rpc_port}
 
+    def _build_metering(
+        self, proposer: CommandProposer, supervisor: ReplicaSupervisor
+    ) -> MeteringService | None:
+        """Return the reporting of usage if the platform asks for it."""
+        provider = self._settings.provider
+        if provider is None or not provider.reports_usage:
+            return None
+        return MeteringService(
+            settings=provider,
+            holder=self._settings.instance,
+            leader_lease_s=build_timing(self._settings).lease_s,
+            state=self.state,
+            proposer=proposer,
+            leadership=supervisor,
+            transport=supervisor,
+            client=ProviderClient(address=provider.address, timeout_s=CALL_TIMEOUT_S),
+            read_boot_time=read_boot_time,
+            random=self._random,
+            metrics=self._metrics,
+        )
+
     def list_stop_steps(self) -> Sequence[StopStep]:
         """Complete open requests, transfer leadership, and close."""
         steps = [StopStep(name="begin", run=self._begin_stop)]
--- a/carobspring/programs/instance_entry_program.py
+++ b/carobspring/programs/instance_entry_program.py
@@ -40,6 +40,7 @@
 from carobspring.gateway.origins import StreamOrigins
 from carobspring.gateway.replicas import choose_replicas, count_replicas_to_follow
 from carobspring.membership import DEMAND_DIGITS
+from carobspring.metering import WindowCounter
 from carobspring.ports import HttpLimits, HttpRequest, HttpResponder
 from carobspring.programs.instance_options import InstanceOptions
 from carobspring.programs.node_file import (
@@ -117,6 +118,13 @@
             evidence_s=settings.check_in_interval_s * EVIDENCE_CHECK_INS,
             metrics=CrashMetrics(metrics),
         )
+        self._usage_counter: WindowCounter | None = None
+        if settings.provider is not None and settings.provider.reports_usage:
+            self._usage_counter = WindowCounter(
+                entry_id=settings.instance,
+                boot_ms=self._clock.read_wall_ms(),
+                window_s=settings.provider.usage_window_s,
+            )
         self._peer_port = settings.internal_ports[0] + PEER_PORT_OFFSET
         self._peer_address = f"{settings.ip}:{self._peer_port}"
         self._peers = PeerDirectory(own_address=self._peer_address)
@@ -156,6 +164,7 @@
                 spend_retry=self._try_spend_retry,
                 count_entries=self._count_entries,
                 started_at=self._started_at,
+                record_run=self._record_run,
             ),
             find_budget=self._find_budget,
             random=random,
@@ -282,7 +291,14 @@
         ready = self._state.is_ready and request.path == platform.READINESS_PATH
         await responder.send(200 if ready else 503, (), b"")
 
+    def _record_run(self, workspace: str) -> None:
+        if self._usage_counter is not None and workspace:
+            self._usage_counter.record(workspace, self._clock.read_wall_ms())
+
     def _apply_update(self, replica: str, update: ViewUpdate) -> None:
+        if update.complete and self._usage_counter is not None:
+            # A new stream: the replica may know nothing of earlier windows.
+            self._usage_counter.request_everything(self._clock.read_wall_ms())
         self._stream_origins.apply_update(replica, update)
         self._backend_directory.apply_update(replica, update)
         self._crash_detector.apply_update(update)
@@ -476,6 +492,11 @@
             released=self._crash_detector.list_released(),
             peer_address=self._peer_address,
             asked_at=self._stream_origins.take_question(),
+            usage=(
+                self._usage_counter.build_usage(self._clock.read_wall_ms())
+                if self._usage_counter is not None
+                else None
+            ),
         )
 
 
--- a/carobspring/programs/replica_supervisor.py
+++ b/carobspring/programs/replica_supervisor.py
@@ -148,6 +148,13 @@
             return False
         return replica.node.is_current(self._clock.read_monotonic())
 
+    def find_leading_term(self) -> int | None:
+        """Return the term that this replica leads, up to date, or None."""
+        replica = self._replica
+        if replica is None or not replica.is_leader() or not self.is_current():
+            return None
+        return replica.node.term
+
     def list_peers(self) -> list[str]:
         """Return the names of the other replicas with an open stream."""
         return self._replica.list_peers() if self._replica is not None else []
--- a/carobspring/protocol/__init__.py
+++ b/carobspring/protocol/__init__.py
@@ -62,6 +62,7 @@
     StreamQuestion,
     StreamRecord,
 )
+from carobspring.protocol.usage import EntryUsage, WindowUsage
 
 __all__ = [
     "ADMISSION_HEARTBEAT_INTERVAL_S",
@@ -85,6 +86,7 @@
     "DECODE_ERRORS",
     "EngineLoad",
     "EntryReport",
+    "EntryUsage",
     "FenceClaim",
     "FenceReply",
     "FetchSettings",
@@ -105,6 +107,7 @@
     "Strike",
     "VersionSighting",
     "ViewUpdate",
+    "WindowUsage",
     "decode_soft_state",
     "encode_soft_state",
     "get_decoder",
--- a/carobspring/protocol/control.py
+++ b/carobspring/protocol/control.py
@@ -8,6 +8,7 @@
 
 from carobspring.domain import BackendServer, LoadReport, Settings
 from carobspring.protocol.soft_state import SoftState
+from carobspring.protocol.usage import EntryUsage
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -87,6 +88,9 @@
     #: Time of the entry's clock at which it asks for an update at once; zero
     #: if it doesn't.
     asked_at: float = 0.0
+    #: Requests that began to run, where usage is reported. Replicas do not
+    #: pass it on with the rest of the report.
+    usage: EntryUsage | None = None
 
 
 @dataclass(frozen=True, kw_only=True)
