--- a/carobspring/gateway/exchange.py
+++ b/carobspring/gateway/exchange.py
@@ -463,7 +463,8 @@
         if not metadata.request_id:
             detail = "an answer without a request's identifier"
             return AttemptResult(outcome=AttemptOutcome.INCOMPLETE, detail=detail)
-        if not self._route.repeatability.is_stream:
+        if not self._route.repeatability.is_stream or status >= 500:
+            # A stream that is answered otherwise counts with its first event.
             self._record_run()
         rejected = self._relay.reject_continuation(status, metadata)
         if rejected is not None:
