--- a/carobspring/control/metering.py
+++ b/carobspring/control/metering.py
@@ -84,6 +84,8 @@
         self._informed_leader = ""
         self._closing: asyncio.Task[None] | None = None
         self._call: asyncio.Task[None] | None = None
+        #: Fencing token of that call.
+        self._call_token: int | None = None
         self._logged_token: int | None = None
         transport.on_open(self._handle_open)
         self._holds = metrics.add_gauge(
@@ -115,6 +117,9 @@
         now_ms = self._state.clock.read_wall_ms()
         self._state.usage.expire(now_ms)
         self._update_tenure()
+        if self._call is not None and self._tenure.token != self._call_token:
+            # Its bytes must not arrive behind a call of the next holder.
+            self._call.cancel()
         if self._tenure.term is None:
             self._inform_leader()
             return
@@ -197,6 +202,7 @@
             return
         usage = self._reporter.find_unsent(self._state.machine.usage, now_ms)
         if usage is not None:
+            self._call_token = token
             self._call = start_task(self._report(usage, token), name="report usage")
 
     async def _report(self, usage: WindowUsage, token: int) -> None:
