Count each request that a server ran once

Cause: on a route of streams, a response of 4xx and a plain body were not counted, and a stream that its caller resumes was counted again with the first event of the rest. Change: a response counts at its head unless it is an event stream; a resumed stream was counted with its first event.

--- a/carobspring/gateway/exchange.py
+++ b/carobspring/gateway/exchange.py
@@ -170,7 +170,9 @@
         self._failure_response: BufferedResponse | None = None
         #: True if the next retry was already taken from the budget.
         self._has_reserved_retry = False
-        self._is_run_recorded = False
+        #: True if the request needs no further count. A stream that its caller
+        #: resumes was counted with its first event.
+        self._is_run_recorded = self._is_resumable and bool(metadata.last_event_id)
 
     @property
     def route_name(self) -> str:
@@ -463,8 +465,9 @@
         if not metadata.request_id:
             detail = "an answer without a request's identifier"
             return AttemptResult(outcome=AttemptOutcome.INCOMPLETE, detail=detail)
-        if not self._route.repeatability.is_stream or status >= 500:
-            # A stream that is answered otherwise counts with its first event.
+        is_event_stream = status < 300 and self._is_event_stream(response, metadata)
+        if not is_event_stream:
+            # A stream counts with its first event.
             self._record_run()
         rejected = self._relay.reject_continuation(status, metadata)
         if rejected is not None:
@@ -472,7 +475,7 @@
         if response.status < 300 and not metadata.signature:
             detail = "a success without a receipt"
             return AttemptResult(outcome=AttemptOutcome.INCOMPLETE, detail=detail)
-        if response.status < 300 and self._is_event_stream(response, metadata):
+        if is_event_stream:
             return await self._relay.relay_events(
                 response, server_id, self._await_or_abandon
             )
--- a/tests/gateway/fakes.py
+++ b/tests/gateway/fakes.py
@@ -280,6 +280,8 @@
         self.admission_client = FakeAdmissionClient(admission_waits or {})
         connections = FakeConnections(self.clients)
         self.report_requests = 0
+        #: Workspaces of the requests that were counted as run.
+        self.recorded_runs = []
         self.misdirected = []
         self.contested = set()
         self.crash_detector = CrashDetector(
@@ -324,6 +326,7 @@
                 spend_retry=lambda service: budget.try_spend(loop.time()),
                 count_entries=lambda: 1,
                 started_at=loop.time() - uptime_s,
+                record_run=self.recorded_runs.append,
             ),
             find_budget=lambda service: budget,
             random=SystemRandom(seed=1),
