Report to each replica the usage that changed since its last report

Cause: a report held the changes of the last 3 s. After a longer gap on an open stream, such as a freeze of the entry, counts made just before it were never told, and no replica took the entry's counts for complete again. An entry without any stream kept all windows.

--- a/carobspring/gateway/control.py
+++ b/carobspring/gateway/control.py
@@ -42,6 +42,7 @@
     breaks. A replica that is no longer chosen is followed until all that are
     chosen are connected, or it responds no longer: without a quorum, the
     unconfirmed servers and routes of some replica are all that there is.
+    ``build_report`` gets the name of the replica that the report is for.
     """
 
     def __init__(
@@ -49,7 +50,7 @@
         *,
         seeds: Iterable[str],
         open_channel: ChannelOpener,
-        build_report: Callable[[], EntryReport],
+        build_report: Callable[[str], EntryReport],
         apply_update: Callable[[str, ViewUpdate], None],
         remove_replica: Callable[[str], None],
         choose: Callable[[Iterable[str], Mapping[str, str]], tuple[str, ...]],
@@ -146,7 +147,7 @@
         stream = EntryControlStream(
             addresses=(address,),
             open_channel=self._open_channel,
-            build_report=self._build_report,
+            build_report=lambda: self._build_report(name),
             apply_update=apply,
             connected_gauge=self._connected_gauge,
             reconnect_delay_s=RECONNECT_DELAY_S,
--- a/carobspring/programs/instance_entry_program.py
+++ b/carobspring/programs/instance_entry_program.py
@@ -298,7 +298,7 @@
     def _apply_update(self, replica: str, update: ViewUpdate) -> None:
         if update.complete and self._usage_counter is not None:
             # A new stream: the replica may know nothing of earlier windows.
-            self._usage_counter.request_everything(self._clock.read_wall_ms())
+            self._usage_counter.request_everything(replica)
         self._stream_origins.apply_update(replica, update)
         self._backend_directory.apply_update(replica, update)
         self._crash_detector.apply_update(update)
@@ -473,7 +473,7 @@
     def _request_report(self) -> None:
         self._control_streams.request_report()
 
-    def _build_report(self) -> EntryReport:
+    def _build_report(self, replica: str) -> EntryReport:
         table = self._state.table
         demand = self._dispatcher.compute_demand(self._clock.read_monotonic())
         return EntryReport(
@@ -493,7 +493,7 @@
             peer_address=self._peer_address,
             asked_at=self._stream_origins.take_question(),
             usage=(
-                self._usage_counter.build_usage(self._clock.read_wall_ms())
+                self._usage_counter.build_usage(replica, self._clock.read_wall_ms())
                 if self._usage_counter is not None
                 else None
             ),
