Take a message with usage for none of an earlier release

Cause: messages with usage have no view. As the first one of a stream, one marked the peer as a replica of an earlier release, whose state counts as merged, so that the receiver held itself for in step. Change: such messages do not change what is known of views. Result: test_usage_says_nothing_of_views failed before.

--- a/carobspring/control/gossip.py
+++ b/carobspring/control/gossip.py
@@ -158,7 +158,9 @@
         for usage in message.usage:
             self._state.usage.merge(usage)
         self._state.notify_member_changes()
-        self._handle_views(peer, message)
+        if not message.usage:
+            # A message with usage has no views, of any release.
+            self._handle_views(peer, message)
 
     def _has_merged(self, name: str) -> bool:
         """Return whether a peer's complete state came on its stream."""
--- a/carobspring/membership/gossip.py
+++ b/carobspring/membership/gossip.py
@@ -57,5 +57,6 @@
     view: int | None = None
     #: The receiver's view that the sender has merged, or -1.
     acknowledged_view: int = -1
-    #: Usage that entries reported to the sender; only sent to the leader.
+    #: Usage that entries reported to the sender; only sent to the leader, in
+    #: messages that hold nothing else.
     usage: tuple[EntryUsage, ...] = ()
--- a/tests/control/test_gossip.py
+++ b/tests/control/test_gossip.py
@@ -7,9 +7,15 @@
 from carobspring.control import ControlState, GossipExchange, GossipTransport
 from carobspring.control.sessions import EntrySession
 from carobspring.domain import BackendServer, LoadReport, ServiceKind
-from carobspring.membership import MembershipTable
+from carobspring.membership import GossipMessage, MembershipTable
 from carobspring.ports import Clock
-from carobspring.protocol import AgentReport, EntryReport, Strike
+from carobspring.protocol import (
+    AgentReport,
+    EntryReport,
+    EntryUsage,
+    Strike,
+    encode_soft_state,
+)
 
 LEASE_S = 1000.0
 SERVER = BackendServer(
@@ -184,6 +190,15 @@
         network.cut()
         self.assertIs(a.gossip.is_in_step(members, ("b", "c")), False, "new streams")
 
+    def test_usage_says_nothing_of_views(self):
+        """A message with usage is none of a peer of an earlier release."""
+        network, a, b = build_pair()
+        usage = EntryUsage(entry_id="e1", boot_ms=1, since_ms=0, complete_ms=5)
+        message = encode_soft_state(GossipMessage(usage=(usage,)))
+        a.gossip.handle_gossip("b", message)
+        self.assertEqual(a.state.usage.list_incomplete(["e1"], 5), [])
+        self.assertIs(a.gossip.is_in_step(("a", "b", "c"), ("b",)), False)
+
     def test_strikes(self):
         """Peers learn strikes at once, and a restarted replica all of them."""
         network, a, b = build_pair()
