Close windows of usage only as the holder; bound what the wire brings

Cause: a new leader closed windows at its first tick, without what only the other replicas knew of a lost entry, and the first closing is final. Counts of 2^64 made a sum that can't be encoded and held up all later windows; windows of a wrong clock stayed for good, as did all of them at a replica that reports none. A report that the provider refuses with 4xx delayed the later ones for 30 s. An unexpected error of a call skipped the pacing. Deliveries were only committed with another closing, so that later holders logged reported windows as missed, and former holders named old ones in each command. Change: windows are closed once the quiet period is over; counts over 2^40 and windows a minute ahead are dropped; refused windows come last; any error delays the next call; deliveries are committed alone after the delay. A window of under 1 ms is an invalid setting.

--- a/carobspring/control/metering.py
+++ b/carobspring/control/metering.py
@@ -21,6 +21,8 @@
 from carobspring.ports import RandomSource
 from carobspring.protocol import WindowUsage, encode_soft_state
 
+#: Statuses below 500 by which the provider asks for a later call.
+LATER_STATUSES: Final = frozenset({408, 425, 429})
 #: Seconds between two decisions. Usage is passed on to the leader as often.
 TICK_INTERVAL_S: Final = 0.25
 CALL_TIMEOUT_S: Final = 1.0
@@ -115,7 +117,6 @@
     def tick(self) -> None:
         """Do what is due."""
         now_ms = self._state.clock.read_wall_ms()
-        self._state.usage.expire(now_ms)
         self._update_tenure()
         if self._call is not None and self._tenure.token != self._call_token:
             # Its bytes must not arrive behind a call of the next holder.
@@ -125,7 +126,10 @@
             return
         self._informed_leader = ""
         ledger = self._state.machine.usage
-        if self._closing is None or self._closing.done():
+        # The first closing is final. Until the quiet period ends, the other
+        # replicas pass on what only they know, and nothing could be sent.
+        is_closing = self._closing is not None and not self._closing.done()
+        if self._tenure.token is not None and not is_closing:
             entries = self._state.entries.entries.keys()
             due = self._reporter.find_due(self._state.usage, ledger, entries, now_ms)
             if due is not None:
@@ -171,15 +175,22 @@
 
     async def _close(self, due: DueWindow) -> None:
         usage = due.closing.usage
+        window = usage.window if usage is not None else None
         try:
             result = await self._proposer.propose(Command(usage=due.closing))
         except ControlError as error:
-            extra = {"window": usage.window, "reason": error.message}
+            extra = {"window": window, "reason": error.message}
             logger.info("usage window not closed", extra=extra)
             return
-        if result.usage is None or result.usage.usage is None:
+        if result.usage is None:
+            extra = {"window": window, "reason": result.error}
+            logger.error("usage window not closed", extra=extra)
+            return
+        if usage is None:
+            return
+        if result.usage.usage is None:
             self._windows.inc({"outcome": "too_old"})
-            logger.error("usage window is too old", extra={"window": usage.window})
+            logger.error("usage window is too old", extra={"window": window})
             return
         final = result.usage.usage
         self._windows.inc({"outcome": "closed"})
@@ -212,6 +223,7 @@
             holder=self._holder,
             token=token,
         )
+        accepted, status = False, 0
         try:
             status = await self._client.post(
                 call.path,
@@ -222,9 +234,14 @@
             reason = f"status {status}"
             accepted = 200 <= status < 300
         except ProviderError as error:
-            reason, accepted = error.reason, False
-        self._pacing.record_call(self._state.clock.read_monotonic(), accepted=accepted)
-        self._calls.inc({"result": "accepted" if accepted else "failed"})
+            reason = error.reason
+        finally:
+            # Unexpected errors delay the next call as well.
+            now = self._state.clock.read_monotonic()
+            self._pacing.record_call(now, accepted=accepted)
+            self._calls.inc({"result": "accepted" if accepted else "failed"})
+        if 400 <= status < 500 and status not in LATER_STATUSES:
+            self._reporter.record_refused(usage.window)
         extra = {"window": usage.window, "token": token, "result": reason}
         if not accepted:
             logger.info("usage report failed", extra=extra)
--- a/carobspring/control/state.py
+++ b/carobspring/control/state.py
@@ -148,4 +148,6 @@
         if self.members.expire(now):
             self.local_change_count += 1
         self.entries.expire(now)
+        # Entries may report usage that this replica is not set to report.
+        self.usage.expire(self.clock.read_wall_ms())
         self.notify_member_changes()
--- a/carobspring/metering/collection.py
+++ b/carobspring/metering/collection.py
@@ -10,6 +10,9 @@
 RETENTION_MS: Final = 60_000
 #: Starts of entries that are kept. More come only from faulty senders.
 MAX_STARTS: Final = 4096
+#: Largest count of a window that is taken. The sum of all starts must fit
+#: into a signed integer of 64 bits, or the closing can't be encoded.
+MAX_COUNT: Final = 2**40
 
 #: An entry's name and the time of its start.
 StartKey = tuple[str, int]
@@ -46,10 +49,11 @@
                 return
             start = self._starts[key] = _Start()
         for each in usage.windows:
-            known = start.windows.setdefault(each.window, {})
+            known = start.windows.get(each.window, {})
             for workspace, count in each.counts.items():
-                if count > known.get(workspace, 0):
+                if known.get(workspace, 0) < count <= MAX_COUNT:
                     known[workspace] = count
+                    start.windows[each.window] = known
                     start.changed.add(each.window)
         if usage.since_ms <= start.complete_ms:
             start.complete_ms = max(start.complete_ms, usage.complete_ms)
@@ -110,12 +114,19 @@
             start.changed = set(start.windows)
 
     def expire(self, now_ms: int) -> None:
-        """Remove old windows, and starts that have reported nothing since."""
+        """Remove old windows, and starts that have reported nothing since.
+
+        Windows and times that are as far ahead come from a wrong clock, and
+        would stay for good.
+        """
         oldest_ms = now_ms - RETENTION_MS
-        first_kept = oldest_ms // self._window_ms
+        latest_ms = now_ms + RETENTION_MS
+        kept = range(oldest_ms // self._window_ms, latest_ms // self._window_ms + 1)
         for key, start in list(self._starts.items()):
-            for window in [each for each in start.windows if each < first_kept]:
+            for window in [each for each in start.windows if each not in kept]:
                 del start.windows[window]
                 start.changed.discard(window)
+            if start.complete_ms > latest_ms:
+                start.complete_ms = start.forwarded_ms = 0
             if not start.windows and start.complete_ms < oldest_ms:
                 del self._starts[key]
--- a/carobspring/metering/ledger.py
+++ b/carobspring/metering/ledger.py
@@ -11,12 +11,12 @@
 
 @dataclass(frozen=True, kw_only=True)
 class UsageClosing:
-    """A command that fixes the counts of a window.
+    """A command that fixes the counts of a window, if there is one.
 
     ``delivered`` names earlier windows that the provider has accepted since.
     """
 
-    usage: WindowUsage
+    usage: WindowUsage | None = None
     delivered: tuple[int, ...] = ()
 
 
@@ -53,7 +53,7 @@
         """Fix the counts of a window, unless they are fixed already."""
         self.delivered.update(self.windows.keys() & set(closing.delivered))
         usage = closing.usage
-        if usage.window <= self.low_watermark:
+        if usage is None or usage.window <= self.low_watermark:
             return ClosingResult()
         final = self.windows.setdefault(usage.window, usage)
         while len(self.windows) > MAX_WINDOWS:
--- a/carobspring/metering/reporting.py
+++ b/carobspring/metering/reporting.py
@@ -17,7 +17,7 @@
 
 @dataclass(frozen=True, kw_only=True)
 class DueWindow:
-    """A window to close now."""
+    """A window to close now, or only deliveries to commit."""
 
     closing: UsageClosing
     #: Entries whose counts may be missing.
@@ -41,6 +41,8 @@
         #: Windows that the provider accepted from this process, until that is
         #: committed with the next closing.
         self._accepted: set[int] = set()
+        #: Windows that the provider refused for another reason than its load.
+        self._refused: set[int] = set()
         self._abandoned: set[int] = set()
 
     def compute_end_ms(self, window: int) -> int:
@@ -57,9 +59,11 @@
         """Return the oldest window that can be closed now, if any.
 
         It waits until every known entry has told its counts, but not so long
-        that the report would be late.
+        that the report would be late. Deliveries are committed alone if no
+        closing follows them, as at the end of all traffic.
         """
-        self._accepted -= ledger.delivered
+        self._accepted &= ledger.windows.keys() - ledger.delivered
+        delivered = tuple(sorted(self._accepted))
         for window in collection.list_windows():
             end_ms = self.compute_end_ms(window)
             if end_ms > now_ms:
@@ -70,25 +74,39 @@
             if incomplete and now_ms < end_ms + self._delay_ms * CLOSING_SHARE:
                 break
             closing = UsageClosing(
-                usage=collection.sum_window(window),
-                delivered=tuple(sorted(self._accepted)),
+                usage=collection.sum_window(window), delivered=delivered
             )
             return DueWindow(closing=closing, incomplete=tuple(incomplete))
+        if delivered and now_ms > self.compute_end_ms(delivered[0]) + self._delay_ms:
+            return DueWindow(closing=UsageClosing(delivered=delivered))
         return None
 
     def find_unsent(self, ledger: UsageLedger, now_ms: int) -> WindowUsage | None:
-        """Return the oldest final counts that were not accepted yet."""
-        for window in sorted(ledger.windows):
-            is_sent = window in ledger.delivered or window in self._accepted
-            if not is_sent and not self._is_abandoned(window, now_ms):
-                return ledger.windows[window]
-        return None
+        """Return the oldest final counts that were not accepted yet.
+
+        Those that the provider refused come last, so that they do not make
+        the others late.
+        """
+        self._refused &= ledger.windows.keys()
+        unsent = [
+            window
+            for window in ledger.windows.keys() - ledger.delivered - self._accepted
+            if not self._is_abandoned(window, now_ms)
+        ]
+        if not unsent:
+            return None
+        first = min(unsent, key=lambda window: (window in self._refused, window))
+        return ledger.windows[first]
 
     def record_accepted(self, window: int, now_ms: int) -> bool:
         """Record that the provider took a report; return whether in time."""
         self._accepted.add(window)
         return now_ms <= self.compute_end_ms(window) + self._delay_ms
 
+    def record_refused(self, window: int) -> None:
+        """Record that the provider does not want a report as it is."""
+        self._refused.add(window)
+
     def take_abandoned(
         self, collection: UsageCollection, ledger: UsageLedger, now_ms: int
     ) -> list[int]:
--- a/carobspring/platform/node.py
+++ b/carobspring/platform/node.py
@@ -46,7 +46,7 @@
 
 
 class _Cloud(msgspec.Struct):
-    address: str
+    address: str = ""
     duties: list[str] = []
     duty_per_s: float = 1.0
 
@@ -182,9 +182,10 @@
     if cloud is None or not cloud.duties:
         return None
     window_s = _parse_bound(bounds, "report_window_s", 5.0)
-    if not window_s:
+    if window_s < 0.001:
+        # Windows are counted in milliseconds.
         raise InvalidValueError(
-            field="bounds.report_window_s", value=window_s, expected="over 0 s"
+            field="bounds.report_window_s", value=window_s, expected="at least 1 ms"
         )
     return ProviderSettings(
         address=parse_address("cloud.address", cloud.address),
--- a/tests/control/test_metering.py
+++ b/tests/control/test_metering.py
@@ -88,18 +88,23 @@
         self.status = 200
         self.calls = []
         self.cancelled = 0
+        self.error = None
+        #: A body that is answered with 400.
+        self.refused_body = b""
 
     async def post(self, path, headers, body, *, may_send):
         if not may_send():
             raise ProviderError(reason="the duty is no longer held")
         self.calls.append((dict(headers)["Carobspring-Fencing-Token"], body))
+        if self.error is not None:
+            raise self.error
         if self.status is None:
             try:
                 await asyncio.Event().wait()
             except asyncio.CancelledError:
                 self.cancelled += 1
                 raise
-        return self.status
+        return 400 if body == self.refused_body else self.status
 
 
 class MeteringServiceTests(unittest.IsolatedAsyncioTestCase):
@@ -206,6 +211,49 @@
         await self.advance(3.0)
         self.assertEqual(self.replica.sent[2:], [("r3", (usage,))])
 
+    async def test_new_leader_waits_for_the_others(self):
+        """Counts of a lost entry that only another replica has are kept.
+
+        The first closing is final, and the others pass on what they know
+        only once they know the new leader.
+        """
+        self.replica.term = 7
+        self.report(6_000, (0, {"a": 3}))
+        self.clock.now = 8.0
+        await self.advance(9.0)
+        self.state.entries.entries.clear()
+        self.report(6_000, (0, {"a": 2}), entry="e2")
+        await self.advance(14.0)
+        body = b'{"window_id":0,"counts":{"a":5}}'
+        self.assertEqual(self.provider.calls, [("7", body)])
+
+    async def test_refused_report(self):
+        """A report refused for good is tried again after the later ones."""
+        self.replica.term = 7
+        self.provider.refused_body = b'{"window_id":0,"counts":{"a":3}}'
+        self.report(11_000, (0, {"a": 3}), (1, {"a": 4}))
+        await self.advance(14.0)
+        later_call = ("7", b'{"window_id":1,"counts":{"a":4}}')
+        self.assertEqual(self.provider.calls.count(later_call), 1)
+        first_call = ("7", self.provider.refused_body)
+        self.assertGreater(self.provider.calls.count(first_call), 1)
+
+    async def test_error_of_a_call(self):
+        """An unexpected error delays the next call, like a refusal."""
+        self.replica.term = 7
+        self.provider.error = ValueError("unexpected")
+        self.report(6_000, (0, {"a": 3}))
+        with self.assertLogs("carobspring.adapters.tasks", "ERROR") as logs:
+            await self.advance(10.0)
+        self.assertLessEqual(len(logs.records), 6)
+
+    async def test_usage_expires_at_any_replica(self):
+        """A replica that is not set to report usage does not keep it all."""
+        self.report(6_000, (0, {"a": 3}))
+        self.clock.now = 100.0
+        self.state.expire_leases(self.clock.now)
+        self.assertEqual(self.state.usage.list_windows(), [])
+
     async def test_silent_entry(self):
         """A window is closed in time without an entry that tells nothing."""
         self.replica.term = 7
--- a/tests/metering/test_collection.py
+++ b/tests/metering/test_collection.py
@@ -104,6 +104,24 @@
         self.assertEqual(self.collection.list_windows(), [])
         self.assertEqual(self.collection.list_incomplete(["e1"], 1), ["e1"])
 
+    def test_clock_ahead(self):
+        """An entry whose clock was far ahead is not held for complete."""
+        self.collection.merge(build("e1", 9_000_000, (1_700, {"a": 3})))
+        self.collection.expire(10_000)
+        self.assertEqual(self.collection.list_windows(), [])
+        self.assertEqual(self.collection.list_incomplete(["e1"], 10_000), ["e1"])
+        self.collection.merge(build("e1", 12_000, (1, {"a": 2})))
+        self.assertEqual(self.collection.list_windows(), [1])
+        self.collection.expire(100_000)
+        self.assertEqual(self.collection.take_changes(), ())
+
+    def test_unusable_counts(self):
+        """Counts that no entry can have reached make no sum or window."""
+        self.collection.merge(build("e1", 6_000, (0, {"a": 2**64 - 1, "b": 1})))
+        self.collection.merge(build("e2", 6_000, (0, {"a": -4}), (1, {})))
+        self.assertEqual(self.collection.list_windows(), [0])
+        self.assertEqual(self.collection.sum_window(0).counts, {"b": 1})
+
     def test_bounded(self):
         """Names that never end do not fill the memory."""
         for number in range(5_000):
--- a/tests/metering/test_reporting.py
+++ b/tests/metering/test_reporting.py
@@ -88,6 +88,37 @@
         self.ledger.apply(due.closing)
         self.assertEqual(self.ledger.delivered, {0})
 
+    def test_accepted_windows_leave_with_the_ledger(self):
+        """What a former holder reported does not stay in later commands."""
+        self.close(0, 3)
+        self.reporter.record_accepted(0, 6_000)
+        for window in range(1, 70):
+            self.close(window, 1)
+        self.report("e1", 360_000, (70, {"a": 4}))
+        self.assertEqual(self.find_due(["e1"], 360_000), self.build_due(70, 4))
+
+    def test_delivery_is_committed_without_a_closing(self):
+        """When traffic ends, later holders still learn what was reported."""
+        self.close(0, 3)
+        self.reporter.record_accepted(0, 6_000)
+        self.assertIsNone(self.find_due(["e1"], 15_000))
+        due = self.find_due(["e1"], 15_001)
+        self.assertEqual(due, DueWindow(closing=UsageClosing(delivered=(0,))))
+        self.ledger.apply(due.closing)
+        self.assertIsNone(self.find_due(["e1"], 16_000))
+        other_holder = UsageReporter(window_s=5.0, delay_s=10.0)
+        self.assertEqual(
+            other_holder.take_abandoned(self.collection, self.ledger, 60_000), []
+        )
+
+    def test_refused(self):
+        """A window that the provider refuses does not delay the others."""
+        first, second = self.close(0, 3), self.close(1, 4)
+        self.reporter.record_refused(0)
+        self.assertEqual(self.reporter.find_unsent(self.ledger, 11_000), second)
+        self.reporter.record_accepted(1, 11_000)
+        self.assertEqual(self.reporter.find_unsent(self.ledger, 11_000), first)
+
     def test_abandoned(self):
         """A window that was never reported is counted once."""
         self.report("e1", 11_000, (0, {"a": 3}), (1, {"a": 4}))
--- a/tests/platform/test_provider.py
+++ b/tests/platform/test_provider.py
@@ -37,6 +37,7 @@
         cases = [
             ("none", b"null", b"{}", None),
             ("no duties", b'{"address":"10.9.0.1:80","duties":[]}', b"{}", None),
+            ("nothing", b"{}", b"{}", None),
             ("defaults", cloud, b"{}", settings),
             ("bounds", cloud, bounds, other),
         ]
@@ -50,6 +51,7 @@
             (b'{"address":"nowhere","duties":["metering"]}', b"{}"),
             (b'{"duties":["metering"]}', b"{}"),
             (b'{"address":"10.9.0.1:80","duties":["x"]}', b'{"report_window_s":0}'),
+            (b'{"address":"10.9.0.1:80","duties":["x"]}', b'{"report_window_s":1e-4}'),
         ]
         for cloud, bounds in cases:
             with self.subTest(cloud=cloud), self.assertRaises(DECODE_ERRORS):
