--- a/carobspring/control/gossip.py
+++ b/carobspring/control/gossip.py
@@ -155,8 +155,12 @@
             self._state.merge_strikes(report.strikes, report.released)
         self._state.merge_strikes(message.strikes, message.released)
         self._state.members.versions.merge(message.sightings, now)
+        for usage in message.usage:
+            self._state.usage.merge(usage)
         self._state.notify_member_changes()
-        self._handle_views(peer, message)
+        if not message.usage:
+            # A message with usage has no views, of any release.
+            self._handle_views(peer, message)
 
     def _has_merged(self, name: str) -> bool:
         """Return whether a peer's complete state came on its stream."""
