Read loads of more than three figures from responses

Carobspring-Upstream-Load was accepted only with exactly three figures, so that placement knew no load of the servers that append a fourth, the time that work takes on their host.

The header now needs three figures and may have more. The fourth becomes ServerLoad.slowdown (1.0 is usual); one that can't be used is ignored and keeps the first three. Figures behind it are ignored. ResponseMetadata.load is a ServerLoad, which reaches the dispatcher whole.

--- a/carobspring/dispatch/dispatcher.py
+++ b/carobspring/dispatch/dispatcher.py
@@ -31,7 +31,7 @@
     Specialization,
     is_prefill_heavy,
 )
-from carobspring.domain import BackendServer
+from carobspring.domain import BackendServer, ServerLoad
 from carobspring.ports import RandomSource
 from carobspring.protocol import EngineLoad
 from carobspring.routing import BreakerState, CircuitBreaker, RoutingLimits
@@ -333,13 +333,11 @@
             for record in pool.records
         )
 
-    def record_load(
-        self, server_id: str, load: tuple[int, int, int], now: float
-    ) -> None:
-        """Record the running, waiting and slots that a response reported."""
+    def record_load(self, server_id: str, load: ServerLoad, now: float) -> None:
+        """Record the load that a response reported."""
         record = self._records.get(server_id)
         if record is not None:
-            record.record_load(load[0], load[1], now)
+            record.record_load(load, now)
 
     def record_rate_limit(
         self, server: BackendServer, rate_limit: float | None
--- a/carobspring/dispatch/servers.py
+++ b/carobspring/dispatch/servers.py
@@ -7,7 +7,7 @@
 from carobspring.dispatch.notices import ServerNotice
 from carobspring.dispatch.pacing import LocalPace
 from carobspring.dispatch.queries import DispatchQuery
-from carobspring.domain import BackendServer, ServiceKind
+from carobspring.domain import BackendServer, ServerLoad, ServiceKind
 from carobspring.ports import RandomSource
 from carobspring.protocol import EngineLoad
 from carobspring.routing import CircuitBreaker, SmoothedValue
@@ -100,10 +100,10 @@
         """Whether the server is a model engine."""
         return self.server.kind is ServiceKind.MODEL
 
-    def record_load(self, running: int, waiting: int, now: float) -> None:
+    def record_load(self, load: ServerLoad, now: float) -> None:
         """Record the load that a response reported."""
-        self._reported_running = running
-        self._reported_waiting = waiting
+        self._reported_running = load.running
+        self._reported_waiting = load.waiting
         self._reported_at = now
 
     def record_sent(self, query: DispatchQuery, unread: float, now: float) -> None:
--- a/carobspring/domain/__init__.py
+++ b/carobspring/domain/__init__.py
@@ -10,6 +10,7 @@
     FINAL_SEQUENCE,
     BackendServer,
     LoadReport,
+    ServerLoad,
     ServiceKind,
 )
 from carobspring.domain.calls import CallHeaders, RunStatus, hash_request
@@ -29,6 +30,7 @@
     "LatencyTarget",
     "LoadReport",
     "RunStatus",
+    "ServerLoad",
     "Service",
     "ServiceClass",
     "ServiceKind",
--- a/carobspring/domain/backends.py
+++ b/carobspring/domain/backends.py
@@ -61,6 +61,18 @@
         check_text("software_version", self.software_version)
 
 
+@dataclass(frozen=True, kw_only=True)
+class ServerLoad:
+    """The load that a response of a backend server reports."""
+
+    running: int
+    waiting: int
+    slots: int
+    #: How long work takes on the server's host now, as a multiple of the
+    #: usual; None if the response doesn't say.
+    slowdown: float | None = None
+
+
 @dataclass(frozen=True, kw_only=True)
 class LoadReport:
     """The load of an agent's queues and of its backend server.
--- a/carobspring/platform/headers.py
+++ b/carobspring/platform/headers.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 from typing import Final
 
-from carobspring.domain import CallHeaders
+from carobspring.domain import CallHeaders, ServerLoad
 
 _REQUEST_ID: Final = "carobspring-attempt-id"
 _DEADLINE: Final = "carobspring-deadline-ms"
@@ -22,6 +22,13 @@
 _RATE_LIMIT: Final = "server-limit"
 _LEAVING: Final = "server-leaving"
 _RETRY_AFTER: Final = "retry-after"
+_SERVER_LOAD: Final = "carobspring-upstream-load"
+#: Figures of a load that must be there, and those that are read. Servers may
+#: append others.
+_REQUIRED_LOAD_FIGURES: Final = 3
+_READ_LOAD_FIGURES: Final = 4
+#: The fourth figure of a load on a host whose work takes as long as usual.
+_USUAL_PERCENT: Final = 100.0
 #: Ranks that engines tell apart, from 0 on.
 PRIORITY_LEVELS: Final = 10
 #: Digits of a number in a header; one with more is malformed.
@@ -62,7 +69,7 @@
     "carobspring-model",
     "carobspring-not-executed",
     "carobspring-upstream-instance",
-    "carobspring-upstream-load",
+    _SERVER_LOAD,
     "carobspring-upstream-signature",
     "carobspring-weight-versions",
     "content-encoding",
@@ -111,8 +118,8 @@
     signature: str = ""
     #: True if the server reports that it has not run the request.
     not_run: bool = False
-    #: Running requests, waiting requests and slots of the server, or None.
-    load: tuple[int, int, int] | None = None
+    #: The load of the server, or None if the response reports none.
+    load: ServerLoad | None = None
     is_event_stream: bool = False
     #: Requests a second that the server takes from all instances together for
     #: now; None if it announces no limit.
@@ -196,7 +203,6 @@
     """Parse the status and headers of a backend server's response."""
     values = {name.lower(): value.strip() for name, value in headers}
     request_ids = {v.strip() for name, v in headers if name.lower() == _REQUEST_ID}
-    load = _parse_integers(values.get("carobspring-upstream-load", ""))
     # A server with another identifier responds 421 and does not run it.
     not_run = status == 421 or "carobspring-not-executed" in values
     media_type = values.get("content-type", "").partition(";")[0]
@@ -204,7 +210,7 @@
         request_id=",".join(sorted(request_ids)),
         signature=values.get("carobspring-upstream-signature", ""),
         not_run=not_run and status >= 400,
-        load=(load[0], load[1], load[2]) if len(load) == 3 else None,
+        load=_parse_load(values.get(_SERVER_LOAD, "")),
         is_event_stream=media_type.strip().lower() == "text/event-stream",
         rate_limit=_parse_rate_limit(values.get(_RATE_LIMIT, "")),
         is_leaving=values.get(_LEAVING, "") == "1",
@@ -224,6 +230,27 @@
     return tuple(headers)
 
 
+def _parse_load(text: str) -> ServerLoad | None:
+    """Parse a load of three or more figures; the rest is optional.
+
+    A fourth figure that can't be used doesn't invalidate the others: placement
+    needs those, and a server may report no speed at times.
+    """
+    figures = text.split(",", _READ_LOAD_FIGURES)[:_READ_LOAD_FIGURES]
+    counts = [figure.strip() for figure in figures[:_REQUIRED_LOAD_FIGURES]]
+    if len(counts) < _REQUIRED_LOAD_FIGURES or not all(map(_is_number, counts)):
+        return None
+    percent = 0.0
+    if len(figures) > _REQUIRED_LOAD_FIGURES:
+        percent = _parse_positive_number(figures[_REQUIRED_LOAD_FIGURES])
+    return ServerLoad(
+        running=int(counts[0]),
+        waiting=int(counts[1]),
+        slots=int(counts[2]),
+        slowdown=percent / _USUAL_PERCENT if percent else None,
+    )
+
+
 def _parse_positive_number(text: str) -> float:
     try:
         value = float(text)
--- a/tests/dispatch/test_dispatcher.py
+++ b/tests/dispatch/test_dispatcher.py
@@ -8,7 +8,7 @@
     Refusal,
     RefusalReason,
 )
-from carobspring.domain import ServiceKind
+from carobspring.domain import ServerLoad, ServiceKind
 from carobspring.protocol import EngineLoad
 from tests.dispatch.support import build_dispatcher, build_query, build_server
 
@@ -47,7 +47,8 @@
             build_server("far", zone="b", kind=kind, slots=6),
         )
         query = build_query()
-        dispatcher.record_load("near", (6, 12, 6), 0.0)
+        full = ServerLoad(running=6, waiting=12, slots=6)
+        dispatcher.record_load("near", full, 0.0)
         self.assertEqual(place(dispatcher, query), "far")
         self.assertEqual(place(dispatcher, query, now=1.5), "near")
 
--- a/tests/gateway/test_exchange.py
+++ b/tests/gateway/test_exchange.py
@@ -242,6 +242,17 @@
         self.assertEqual(headers["Carobspring-Expected-Instance"], "s1")
         self.assertLessEqual(int(headers["Carobspring-Deadline-Ms"]), 2000)
 
+    async def test_load_with_further_figures(self):
+        """A full server is avoided whether or not it reports a speed."""
+        for load in ("9,9,1", "9,9,1,150", "9,9,1,x", "9,9,1,150,7"):
+            with self.subTest(load):
+                headers = (*RESPONSE_HEADERS, ("Carobspring-Upstream-Load", load))
+                full = (200, headers, [b"full"])
+                gateway = GatewayHarness([full], [SUCCESS], kind=ServiceKind.MODEL)
+                await gateway.call()
+                await gateway.call()
+                self.assertEqual(gateway.count_requests(), {"s1": 1, "s2": 1})
+
 
 class LogTests(unittest.IsolatedAsyncioTestCase):
     async def test_digest_of_failed_attempts(self):
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -2,6 +2,7 @@
 
 from hypothesis import example, given, settings, strategies
 
+from carobspring.domain import ServerLoad
 from carobspring.platform import (
     RequestMetadata,
     ResponseMetadata,
@@ -160,7 +161,7 @@
                 ResponseMetadata(
                     request_id="9c41",
                     signature="3e1b",
-                    load=(3, 0, 8),
+                    load=ServerLoad(running=3, waiting=0, slots=8),
                     is_event_stream=True,
                 ),
             ),
@@ -194,16 +195,50 @@
                 (("Connection", "Close"),),
                 ResponseMetadata(closes_connection=True),
             ),
-            "malformed load": (
-                200,
-                (("Carobspring-Upstream-Load", "3,0"),),
-                ResponseMetadata(),
-            ),
         }
         for name, (status, headers, expected) in cases.items():
             with self.subTest(name):
                 self.assertEqual(parse_response_headers(status, headers), expected)
 
+    def test_load(self):
+        """Servers that report more than three figures keep their load.
+
+        Dropping it would leave placement without any load of the servers that
+        report most.
+        """
+        cases = {
+            "3,0,8": None,
+            " 3 , 0 , 8 ": None,
+            "3,0,8,100": 1.0,
+            "3,0,8, 250 ": 2.5,
+            "3,0,8,62.5": 0.625,
+            "3,0,8,120,7": 1.2,
+            "3,0,8,120,x,,\u00e9": 1.2,
+            "3,0,8,": None,
+            "3,0,8,x,5": None,
+            "3,0,8,-5": None,
+            "3,0,8,0": None,
+            "3,0,8,nan": None,
+            "3,0,8,inf": None,
+            "3,0,8,1e400": None,
+        }
+        for text, slowdown in cases.items():
+            with self.subTest(text):
+                metadata = parse_response_headers(
+                    200, (("Carobspring-Upstream-Load", text),)
+                )
+                expected = ServerLoad(running=3, waiting=0, slots=8, slowdown=slowdown)
+                self.assertEqual(metadata.load, expected)
+
+    def test_malformed_load(self):
+        """A load without its first three figures is ignored."""
+        for text in ("", "3,0", "3,,8", "x,0,8", "3,-1,8,100", "3,0,8.5,100"):
+            with self.subTest(text):
+                metadata = parse_response_headers(
+                    200, (("Carobspring-Upstream-Load", text),)
+                )
+                self.assertIsNone(metadata.load)
+
     def test_rate_limit(self):
         """A limit is a number that is not negative; others are ignored."""
         cases = {
@@ -291,7 +326,11 @@
     @settings(derandomize=True, deadline=None)
     @given(strategies.sampled_from((200, 421, 500, 503)), HEADERS)
     @example(200, [("Carobspring-Upstream-Load", "9" * 5000 + ",0,8")])
+    @example(200, [("Carobspring-Upstream-Load", "3,0,8," + "9" * 5000)])
     def test_any_response(self, status, headers):
         """The same for a backend server's."""
         metadata = parse_response_headers(status, tuple(headers))
-        self.assertTrue(all(0 <= each < 1e15 for each in metadata.load or ()))
+        load = metadata.load
+        if load is not None:
+            figures = (load.running, load.waiting, load.slots, load.slowdown or 0.0)
+            self.assertTrue(all(0 <= each < 1e15 for each in figures))
