Scale predicted costs by the slowdown that servers report

Placement predicted waits and prefill times from usual rates, so that a server on a busy host cost as much as one on an idle host until its requests had become late.

The fourth figure of a load is smoothed with a time constant of 0.5 s, bounded to 0.25..8 and ignored after max_load_age_s. It multiplies the prefill time, the service time, the backlog and the slot waits of that server. A measured silence or wait already contains the speed and stays; an observed service time is stored at the usual speed, so that the prediction doesn't count the speed twice.

--- a/carobspring/dispatch/costs.py
+++ b/carobspring/dispatch/costs.py
@@ -49,26 +49,30 @@
     known to have it. Otherwise it reads the prefix, and the home will read it
     too, so that the missing tokens count twice. Copies in one availability
     zone go to one server if possible, since each takes memory from others.
+
+    The slowdown of a server scales the time that it needs to read, not that
+    of copying, nor that of the home.
     """
     unread = float(record.count_unread_tokens(query, now))
     rate = limits.prefill_tokens_per_s
+    slowdown = record.slowdown.estimate(now)
     if home is None:
-        return unread, unread / rate
+        return unread, unread * slowdown / rate
     shared = sum(tokens for _, tokens in find_shared_parts(query))
     if record is home:
         cached = shared * limits.home_cached_share
         unread = min(unread, max(0.0, query.prompt_tokens - cached))
-        return unread, unread / rate
+        return unread, unread * slowdown / rate
     missing = unread - (query.prompt_tokens - shared)
     if shared < limits.global_home_tokens or missing <= 0:
-        return unread, unread / rate
+        return unread, unread * slowdown / rate
     if home.has_cached_shared_parts(query, now):
         unread -= missing
         copy_s = limits.copy_cost_s
         if record is not near_home:
             copy_s += limits.further_copy_cost_s
-        return unread, unread / rate + copy_s
-    return unread, (unread + missing) / rate
+        return unread, unread * slowdown / rate + copy_s
+    return unread, (unread * slowdown + missing) / rate
 
 
 def estimate_cost(
@@ -87,14 +91,19 @@
 
     ``generating`` names the engines reserved for requests that mostly
     generate, and ``generating_rank`` is the rank of those requests.
+
+    The slowdown of a server scales what is predicted from counts and usual
+    rates. A measured silence or wait already contains it.
     """
     running = record.estimate_running(now)
+    slowdown = record.slowdown.estimate(now)
     cross_zone_s = 0.0
     if record.server.zone != zone:
         cross_zone_s = _estimate_cross_zone_s(query, limits)
     if not record.is_engine:
         slots = max(1, record.server.slots)
         service_time_s = record.service_time_s.value or limits.initial_plain_service_s
+        service_time_s *= slowdown
         wait_s = max(0, running - slots + 1) * service_time_s / slots
         wait_s += running * service_time_s * 0.05 / slots
         wait_s += record.estimate_silence_s(now)
@@ -112,11 +121,13 @@
     queue_s = record.estimate_backlog_s(query.priority, now)
     if queue_s is None or not is_prefill_heavy(query):
         own_s = record.count_backlog_tokens() / limits.prefill_tokens_per_s
-        queue_s = max(own_s, record.estimate_observed_wait_s(now))
+        queue_s = max(own_s * slowdown, record.estimate_observed_wait_s(now))
+    else:
+        queue_s *= slowdown
     wait_s = queue_s
     wait_s += record.estimate_silence_s(now)
-    wait_s += running * limits.running_request_cost_s
-    wait_s += _estimate_slot_wait_s(record, running)
+    wait_s += running * limits.running_request_cost_s * slowdown
+    wait_s += _estimate_slot_wait_s(record, running) * slowdown
     return CostEstimate(
         wait_s=wait_s,
         prefill_s=prefill_s,
--- a/carobspring/dispatch/dispatcher.py
+++ b/carobspring/dispatch/dispatcher.py
@@ -218,6 +218,7 @@
             reason=f"wait={estimate.wait_s:.3f} read={estimate.prefill_s:.3f} "
             f"far={estimate.cross_zone_s:.3f} pause={estimate.event_gap_s:.3f} "
             f"mixing={estimate.mixing_s:.3f} "
+            f"slowdown={best.slowdown.estimate(now):.2f} "
             f"running={best.estimate_running(now)} home={best is home} "
             f"limit={best.rate_limit} "
             f"of={len(candidates)} generating={len(generating)} "
@@ -425,7 +426,7 @@
         if outcome in (AttemptOutcome.ANSWERED, AttemptOutcome.SERVER_ERROR):
             record.notice.record_answer()
         if call is not None and outcome is AttemptOutcome.ANSWERED:
-            record.service_time_s.observe(now - call.sent_at)
+            record.record_service_time(now - call.sent_at, now)
         if outcome in (AttemptOutcome.ANSWERED, AttemptOutcome.SERVER_ERROR):
             self._record_proof(record, now)
             record.breaker.record_success()
--- a/carobspring/dispatch/limits.py
+++ b/carobspring/dispatch/limits.py
@@ -46,6 +46,14 @@
     further_copy_cost_s: float = 0.05
     #: Seconds after which a load reported by a response is ignored.
     max_load_age_s: float = 1.0
+    #: Time constant in seconds by which the reported slowdown of a server is
+    #: smoothed: hosts report figures that change many times a second, and a
+    #: request runs longer than each of them holds.
+    slowdown_smoothing_s: float = 0.5
+    #: Bounds of a reported slowdown. They keep one extreme figure from
+    #: attracting all requests, or from excluding a server that still answers.
+    min_slowdown: float = 0.25
+    max_slowdown: float = 8.0
     #: Seconds after which the load that an admission controller reported for
     #: its engine is ignored: controllers report every 2.5 s, and at once when
     #: much has changed.
--- a/carobspring/dispatch/servers.py
+++ b/carobspring/dispatch/servers.py
@@ -7,6 +7,7 @@
 from carobspring.dispatch.notices import ServerNotice
 from carobspring.dispatch.pacing import LocalPace
 from carobspring.dispatch.queries import DispatchQuery
+from carobspring.dispatch.speed import SmoothedSlowdown
 from carobspring.domain import BackendServer, ServerLoad, ServiceKind
 from carobspring.ports import RandomSource
 from carobspring.protocol import EngineLoad
@@ -73,7 +74,9 @@
         self.event_gaps = EventGapQuantile(
             quantile=limits.event_gap_quantile, step_s=limits.event_gap_step_s
         )
+        #: Service time at the usual speed of the server's host.
         self.service_time_s = SmoothedValue(limits.smoothing)
+        self.slowdown = SmoothedSlowdown(limits=limits)
         self._limits = limits
         self._reported_running = 0
         self._reported_waiting = 0
@@ -104,6 +107,8 @@
         """Record the load that a response reported."""
         self._reported_running = load.running
         self._reported_waiting = load.waiting
+        if load.slowdown is not None:
+            self.slowdown.record(load.slowdown, now)
         self._reported_at = now
 
     def record_sent(self, query: DispatchQuery, unread: float, now: float) -> None:
@@ -132,6 +137,13 @@
         )
         self._observed_at = now
 
+    def record_service_time(self, duration_s: float, now: float) -> None:
+        """Record how long an answered request took.
+
+        The current slowdown is divided out, since predictions multiply by it.
+        """
+        self.service_time_s.observe(duration_s / self.slowdown.estimate(now))
+
     def record_engine_load(self, load: EngineLoad, now: float) -> None:
         """Record the load that the admission controller reported."""
         self._engine_load = load
