Account for the memory of engines in placement

An engine preempts requests that don't fit in its memory and prefills them again. Placement didn't know the memory, and filled one engine while another had room.

Each server record of an engine now keeps the tokens that this entry's requests hold: prompt, output so far and expected output (the hint, bounded by the maximum), shared parts once. A placement that exceeds kv_capacity costs as much as prefilling the whole prompt. The capacity reaches the dispatcher with the routes in force.

Without kv_capacity, or far below it, the estimates still equal those recorded before. No request is refused because of memory.

--- a/carobspring/dispatch/costs.py
+++ b/carobspring/dispatch/costs.py
@@ -25,13 +25,15 @@
     event_gap_s: float
     #: Cost of placing a long prompt among streams, or a stream among prompts.
     mixing_s: float
+    #: Cost of exceeding the memory of an engine.
+    memory_s: float
     unread_tokens: float
 
     @property
     def cost_s(self) -> float:
         """Sum of all components."""
         known_s = self.wait_s + self.prefill_s + self.cross_zone_s
-        return known_s + self.event_gap_s + self.mixing_s
+        return known_s + self.event_gap_s + self.mixing_s + self.memory_s
 
 
 def estimate_prefill(
@@ -84,6 +86,7 @@
     near_home: ServerRecord | None,
     generating: Set[str],
     generating_rank: int,
+    kv_capacity_tokens: int,
     limits: DispatchLimits,
     now: float,
 ) -> CostEstimate:
@@ -91,6 +94,8 @@
 
     ``generating`` names the engines reserved for requests that mostly
     generate, and ``generating_rank`` is the rank of those requests.
+    ``kv_capacity_tokens`` is the memory of an engine, or zero if that isn't
+    known.
 
     The slowdown of a server scales what is predicted from counts and usual
     rates. A measured silence or wait already contains it.
@@ -113,6 +118,7 @@
             cross_zone_s=cross_zone_s,
             event_gap_s=0.0,
             mixing_s=0.0,
+            memory_s=0.0,
             unread_tokens=0.0,
         )
     unread, prefill_s = estimate_prefill(
@@ -136,6 +142,14 @@
         mixing_s=_estimate_mixing_cost_s(
             record, query, generating, generating_rank, limits
         ),
+        memory_s=_estimate_memory_cost_s(
+            record,
+            query,
+            running=running,
+            slowdown=slowdown,
+            kv_capacity_tokens=kv_capacity_tokens,
+            limits=limits,
+        ),
         unread_tokens=unread,
     )
 
@@ -174,6 +188,28 @@
     return max(0.0, excess) * limits.event_gap_cost_s
 
 
+def _estimate_memory_cost_s(
+    record: ServerRecord,
+    query: DispatchQuery,
+    *,
+    running: int,
+    slowdown: float,
+    kv_capacity_tokens: int,
+    limits: DispatchLimits,
+) -> float:
+    """Return the cost of a request that may not fit in an engine's memory.
+
+    The engine preempts requests that don't fit, and prefills their prompts
+    again.
+    """
+    if kv_capacity_tokens <= 0:
+        return 0.0
+    held = record.memory.estimate_held(running)
+    if held + record.memory.count_new_tokens(query) <= kv_capacity_tokens:
+        return 0.0
+    return query.prompt_tokens * slowdown / limits.prefill_tokens_per_s
+
+
 def _estimate_mixing_cost_s(
     record: ServerRecord,
     query: DispatchQuery,
--- a/carobspring/dispatch/dispatcher.py
+++ b/carobspring/dispatch/dispatcher.py
@@ -32,6 +32,7 @@
     is_prefill_heavy,
 )
 from carobspring.domain import BackendServer, ServerLoad
+from carobspring.domain.routes import EngineTraits, RoutedService
 from carobspring.ports import RandomSource
 from carobspring.protocol import EngineLoad
 from carobspring.routing import BreakerState, CircuitBreaker, RoutingLimits
@@ -64,6 +65,15 @@
         self._notices = ServerNotices(max_rest_s=self._limits.max_rest_s)
         self._pools: dict[str, ServerPool] = {}
         self._specializations: dict[str, Specialization] = {}
+        self._engines: dict[str, EngineTraits] = {}
+
+    def update_services(self, services: Mapping[str, RoutedService]) -> None:
+        """Record the services of the routes in force."""
+        self._engines = {
+            name: service.engine
+            for name, service in services.items()
+            if service.engine is not None
+        }
 
     def add_server(self, server: BackendServer, *, draining: bool) -> None:
         """Add a server, or update the one that is known."""
@@ -189,6 +199,8 @@
             if obstacles[Obstacle.RESTING] or obstacles[Obstacle.RETURNING]:
                 return self._refuse_resting(query, pool, excluded, now, detail)
             return self.refuse(reason, detail)
+        engine = self._engines.get(query.service)
+        kv_capacity_tokens = engine.kv_capacity_tokens if engine else 0
         best, estimate, best_cost = candidates[0], None, 0.0
         for record in candidates:
             candidate = estimate_cost(
@@ -199,6 +211,7 @@
                 near_home=near_home,
                 generating=generating,
                 generating_rank=generating_rank,
+                kv_capacity_tokens=kv_capacity_tokens,
                 limits=self._limits,
                 now=now,
             )
@@ -218,6 +231,7 @@
             reason=f"wait={estimate.wait_s:.3f} read={estimate.prefill_s:.3f} "
             f"far={estimate.cross_zone_s:.3f} pause={estimate.event_gap_s:.3f} "
             f"mixing={estimate.mixing_s:.3f} "
+            f"memory={estimate.memory_s:.3f} "
             f"slowdown={best.slowdown.estimate(now):.2f} "
             f"running={best.estimate_running(now)} home={best is home} "
             f"limit={best.rate_limit} "
@@ -285,6 +299,7 @@
         call = record.in_flight.get(request_id) if record else None
         if record is not None and call is not None:
             record.record_first_event(call, now)
+            self._record_output(record, request_id)
             record.notice.record_answer()
 
     def record_event(
@@ -298,6 +313,13 @@
         call = record.in_flight.get(request_id)
         if call is not None:
             call.last_event_at = now
+            self._record_output(record, request_id)
+
+    def _record_output(self, record: ServerRecord, request_id: str) -> None:
+        """Count the output of one event; its size is at most the stride."""
+        engine = self._engines.get(record.server.service)
+        if engine is not None:
+            record.memory.add_output(request_id, engine.tokens_per_event)
 
     def should_move(
         self, query: DispatchQuery, server_id: str, excluded: Set[str], now: float
@@ -422,7 +444,7 @@
         record = self._records.get(server_id)
         if record is None:
             return
-        call = record.in_flight.pop(request_id, None)
+        call = record.remove_call(request_id)
         if outcome in (AttemptOutcome.ANSWERED, AttemptOutcome.SERVER_ERROR):
             record.notice.record_answer()
         if call is not None and outcome is AttemptOutcome.ANSWERED:
--- a/carobspring/dispatch/queries.py
+++ b/carobspring/dispatch/queries.py
@@ -25,7 +25,10 @@
     #: Longest gap between events that meets a stream's target, seconds.
     event_gap_target_s: float = 0.0
     prompt_tokens: int = 0
+    #: Expected tokens of output: the caller's hint, or the maximum.
     output_tokens: int = 0
+    #: Most tokens of output; zero if the caller gives no maximum.
+    max_output_tokens: int = 0
     #: Parts of the prompt in order, as identifier and tokens.
     parts: tuple[tuple[str, int], ...] = ()
     #: Version of the software of the servers that may run it, or None if any
--- a/carobspring/dispatch/servers.py
+++ b/carobspring/dispatch/servers.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 
 from carobspring.dispatch.limits import DispatchLimits
+from carobspring.dispatch.memory import MemoryAccount
 from carobspring.dispatch.notices import ServerNotice
 from carobspring.dispatch.pacing import LocalPace
 from carobspring.dispatch.queries import DispatchQuery
@@ -77,6 +78,7 @@
         #: Service time at the usual speed of the server's host.
         self.service_time_s = SmoothedValue(limits.smoothing)
         self.slowdown = SmoothedSlowdown(limits=limits)
+        self.memory = MemoryAccount()
         self._limits = limits
         self._reported_running = 0
         self._reported_waiting = 0
@@ -116,12 +118,19 @@
         self.in_flight[query.request_id] = InFlightRequest(
             query=query, sent_at=now, unread_tokens=unread, last_event_at=now
         )
+        if self.is_engine:
+            self.memory.add(query)
         for part, _ in query.parts:
             self._cached_parts[part] = now
             self._cached_parts.move_to_end(part)
         while len(self._cached_parts) > self._limits.max_cached_parts:
             self._cached_parts.popitem(last=False)
 
+    def remove_call(self, request_id: str) -> InFlightRequest | None:
+        """Remove a request that has ended, and return it if it is known."""
+        self.memory.remove(request_id)
+        return self.in_flight.pop(request_id, None)
+
     def record_first_event(self, call: InFlightRequest, now: float) -> None:
         """Update the observed wait when a first event comes."""
         if call.has_first_event:
--- a/carobspring/gateway/api.py
+++ b/carobspring/gateway/api.py
@@ -204,6 +204,7 @@
             event_gap_target_s=route.event_gap_target_ms / 1000,
             prompt_tokens=prompt_tokens,
             output_tokens=metadata.expected_output_tokens or metadata.max_output_tokens,
+            max_output_tokens=metadata.max_output_tokens,
             parts=tuple((part.part_id, part.tokens) for part in metadata.prompt_parts),
             software_version=origin.versions.get(service),
         )
--- a/carobspring/programs/instance_entry_program.py
+++ b/carobspring/programs/instance_entry_program.py
@@ -334,6 +334,7 @@
             logger.error("committed routes cannot be decoded", extra=extra)
             return False
         self._state.apply_table(table, self._clock.read_monotonic())
+        self._dispatcher.update_services(table.services)
         self._frontend.update_limits(
             HttpLimits(
                 max_header_bytes=table.limits.max_header_bytes,
--- a/tests/dispatch/test_costs.py
+++ b/tests/dispatch/test_costs.py
@@ -215,6 +215,7 @@
         near_home=near_home,
         generating=frozenset(values.pop("generating", ())),
         generating_rank=0,
+        kv_capacity_tokens=values.pop("kv_capacity_tokens", 0),
         limits=LIMITS,
         now=now,
         **values,
@@ -248,8 +249,9 @@
     return records
 
 
-def list_estimates():
+def list_estimates(*, has_capacity=False):
     """Return the estimate of each query at each server."""
+    options = {"kv_capacity_tokens": 1_000_000} if has_capacity else {}
     records = build_busy_records()
     home = records["home"]
     return {
@@ -259,6 +261,7 @@
             home=known,
             near_home=known and records["near"],
             generating={"near"},
+            **options,
         )
         for name, query in QUERIES.items()
         for place, record in records.items()
@@ -268,21 +271,26 @@
 
 class UnchangedCostTests(unittest.TestCase):
     def test_costs_without_new_figures(self):
-        """Deployments without the new figures are served as before."""
-        estimates = list_estimates()
-        self.assertEqual(set(estimates), set(EXPECTED))
-        for name, found in estimates.items():
-            with self.subTest(name):
-                components = (
-                    found.wait_s,
-                    found.prefill_s,
-                    found.cross_zone_s,
-                    found.event_gap_s,
-                    found.mixing_s,
-                    found.unread_tokens,
-                    found.cost_s,
-                )
-                self.assertEqual(components, EXPECTED[name])
+        """Deployments without the new figures are served as before.
+
+        So are those that stay far below the memory of their engines.
+        """
+        for has_capacity in (False, True):
+            estimates = list_estimates(has_capacity=has_capacity)
+            self.assertEqual(set(estimates), set(EXPECTED))
+            for name, found in estimates.items():
+                with self.subTest(name, has_capacity=has_capacity):
+                    components = (
+                        found.wait_s,
+                        found.prefill_s,
+                        found.cross_zone_s,
+                        found.event_gap_s,
+                        found.mixing_s,
+                        found.unread_tokens,
+                        found.cost_s,
+                    )
+                    self.assertEqual(components, EXPECTED[name])
+                    self.assertEqual(found.memory_s, 0.0)
 
 
 class SlowdownTests(unittest.TestCase):
@@ -298,7 +306,7 @@
             if prepare is not None:
                 prepare(record)
             record.record_load(replace(LOAD, slowdown=slowdown), now)
-            estimates.append(estimate(record, query, now=now))
+            estimates.append(estimate(record, query, now=now, kv_capacity_tokens=1))
         return estimates
 
     def assert_scaled(self, usual, slow, *, measured_s=0.0):
@@ -306,6 +314,7 @@
         scaled_s = (usual.wait_s - measured_s) * self.SLOWDOWN
         self.assertAlmostEqual(slow.wait_s, scaled_s + measured_s)
         self.assertAlmostEqual(slow.prefill_s, usual.prefill_s * self.SLOWDOWN)
+        self.assertAlmostEqual(slow.memory_s, usual.memory_s * self.SLOWDOWN)
         unscaled = ("cross_zone_s", "event_gap_s", "mixing_s", "unread_tokens")
         for name in unscaled:
             self.assertEqual(getattr(slow, name), getattr(usual, name))
@@ -317,6 +326,7 @@
                 usual, slow = self.estimate_both(query, zone="b")
                 self.assertGreater(usual.wait_s, 0.0)
                 self.assertGreater(usual.prefill_s, 0.0)
+                self.assertGreater(usual.memory_s, 0.0)
                 self.assert_scaled(usual, slow)
 
     def test_reported_backlog(self):
--- a/tests/gateway/test_exchange.py
+++ b/tests/gateway/test_exchange.py
@@ -253,6 +253,28 @@
                 await gateway.call()
                 self.assertEqual(gateway.count_requests(), {"s1": 1, "s2": 1})
 
+    async def test_expected_output_and_maximum(self):
+        """Placement knows the maximum of the output as well as the hint.
+
+        The memory that a request may need is bounded by the maximum.
+        """
+        gateway = GatewayHarness([SUCCESS])
+        queries = []
+        record_sent = gateway.dispatcher.record_sent
+
+        def record(placement, query, now):
+            queries.append(query)
+            record_sent(placement, query, now)
+
+        gateway.dispatcher.record_sent = record
+        headers = (
+            ("Carobspring-Token-Usage", "1460,80"),
+            ("Carobspring-Output-Length-Hint", "90"),
+        )
+        await gateway.call(headers=headers)
+        (query,) = queries
+        self.assertEqual((query.output_tokens, query.max_output_tokens), (90, 80))
+
 
 class LogTests(unittest.IsolatedAsyncioTestCase):
     async def test_digest_of_failed_attempts(self):
