--- a/carobspring/dispatch/servers.py
+++ b/carobspring/dispatch/servers.py
@@ -4,10 +4,12 @@
 from dataclasses import dataclass
 
 from carobspring.dispatch.limits import DispatchLimits
+from carobspring.dispatch.memory import MemoryAccount
 from carobspring.dispatch.notices import ServerNotice
 from carobspring.dispatch.pacing import LocalPace
 from carobspring.dispatch.queries import DispatchQuery
-from carobspring.domain import BackendServer, ServiceKind
+from carobspring.dispatch.speed import SmoothedSlowdown
+from carobspring.domain import BackendServer, ServerLoad, ServiceKind
 from carobspring.ports import RandomSource
 from carobspring.protocol import EngineLoad
 from carobspring.routing import CircuitBreaker, SmoothedValue
@@ -73,7 +75,10 @@
         self.event_gaps = EventGapQuantile(
             quantile=limits.event_gap_quantile, step_s=limits.event_gap_step_s
         )
+        #: Service time at the usual speed of the server's host.
         self.service_time_s = SmoothedValue(limits.smoothing)
+        self.slowdown = SmoothedSlowdown(limits=limits)
+        self.memory = MemoryAccount()
         self._limits = limits
         self._reported_running = 0
         self._reported_waiting = 0
@@ -100,10 +105,12 @@
         """Whether the server is a model engine."""
         return self.server.kind is ServiceKind.MODEL
 
-    def record_load(self, running: int, waiting: int, now: float) -> None:
+    def record_load(self, load: ServerLoad, now: float) -> None:
         """Record the load that a response reported."""
-        self._reported_running = running
-        self._reported_waiting = waiting
+        self._reported_running = load.running
+        self._reported_waiting = load.waiting
+        if load.slowdown is not None:
+            self.slowdown.record(load.slowdown, now)
         self._reported_at = now
 
     def record_sent(self, query: DispatchQuery, unread: float, now: float) -> None:
@@ -111,12 +118,19 @@
         self.in_flight[query.request_id] = InFlightRequest(
             query=query, sent_at=now, unread_tokens=unread, last_event_at=now
         )
+        if self.is_engine:
+            self.memory.add(query)
         for part, _ in query.parts:
             self._cached_parts[part] = now
             self._cached_parts.move_to_end(part)
         while len(self._cached_parts) > self._limits.max_cached_parts:
             self._cached_parts.popitem(last=False)
 
+    def remove_call(self, request_id: str) -> InFlightRequest | None:
+        """Remove a request that has ended, and return it if it is known."""
+        self.memory.remove(request_id)
+        return self.in_flight.pop(request_id, None)
+
     def record_first_event(self, call: InFlightRequest, now: float) -> None:
         """Update the observed wait when a first event comes."""
         if call.has_first_event:
@@ -132,6 +146,13 @@
         )
         self._observed_at = now
 
+    def record_service_time(self, duration_s: float, now: float) -> None:
+        """Record how long an answered request took.
+
+        The current slowdown is divided out, since predictions multiply by it.
+        """
+        self.service_time_s.observe(duration_s / self.slowdown.estimate(now))
+
     def record_engine_load(self, load: EngineLoad, now: float) -> None:
         """Record the load that the admission controller reported."""
         self._engine_load = load
--- a/tests/gateway/test_exchange.py
+++ b/tests/gateway/test_exchange.py
@@ -242,6 +242,39 @@
         self.assertEqual(headers["Carobspring-Expected-Instance"], "s1")
         self.assertLessEqual(int(headers["Carobspring-Deadline-Ms"]), 2000)
 
+    async def test_load_with_further_figures(self):
+        """A full server is avoided whether or not it reports a speed."""
+        for load in ("9,9,1", "9,9,1,150", "9,9,1,x", "9,9,1,150,7"):
+            with self.subTest(load):
+                headers = (*RESPONSE_HEADERS, ("Carobspring-Upstream-Load", load))
+                full = (200, headers, [b"full"])
+                gateway = GatewayHarness([full], [SUCCESS], kind=ServiceKind.MODEL)
+                await gateway.call()
+                await gateway.call()
+                self.assertEqual(gateway.count_requests(), {"s1": 1, "s2": 1})
+
+    async def test_expected_output_and_maximum(self):
+        """Placement knows the maximum of the output as well as the hint.
+
+        The memory that a request may need is bounded by the maximum.
+        """
+        gateway = GatewayHarness([SUCCESS])
+        queries = []
+        record_sent = gateway.dispatcher.record_sent
+
+        def record(placement, query, now):
+            queries.append(query)
+            record_sent(placement, query, now)
+
+        gateway.dispatcher.record_sent = record
+        headers = (
+            ("Carobspring-Token-Usage", "1460,80"),
+            ("Carobspring-Output-Length-Hint", "90"),
+        )
+        await gateway.call(headers=headers)
+        (query,) = queries
+        self.assertEqual((query.output_tokens, query.max_output_tokens), (90, 80))
+
 
 class LogTests(unittest.IsolatedAsyncioTestCase):
     async def test_digest_of_failed_attempts(self):
