--- a/standins/instances.py
+++ b/standins/instances.py
@@ -116,7 +116,12 @@
         diskless_entries: int = 1,
         entry_module: str = ENTRY_MODULE,
         bounds: Mapping[str, float] | None = None,
+        limits: Mapping[str, float] | None = None,
+        flags: Mapping[str, Mapping[str, object]] | None = None,
     ) -> None:
+        """Create the instances; ``flags`` are those of each program."""
+        self._limits = dict(limits or {})
+        self._flags = dict(flags or {})
         self._deployment = deployment
         self._entry_module = entry_module
         self._bounds: dict[str, float] = {
@@ -163,7 +168,7 @@
         path = instance.node_file.with_suffix(f".{role}.json")
         instance.programs[role] = await self._deployment.start(
             CONTROL_MODULE if role == "carob-control" else self._entry_module,
-            {"secret": self._deployment.secret},
+            {"secret": self._deployment.secret, **self._flags.get(role, {})},
             f"{instance.name}/{role}",
             {FILE_VARIABLE: str(path)},
         )
@@ -232,5 +237,7 @@
             "fault_tolerance": {"machines": 1},
             "bounds": self._bounds,
         }
+        if self._limits:
+            settings["limits"] = self._limits
         path = instance.node_file.with_suffix(f".{role}.json")
         path.write_text(json.dumps(settings))
