--- a/standins/backend_server.py
+++ b/standins/backend_server.py
@@ -19,6 +19,8 @@
 )
 
 SERVER_PORT = 8080
+#: Largest body that a server takes.
+MAX_REQUEST_BYTES = 16 * 1024 * 1024
 #: Faults in which a request gets no answer that the server's announcements
 #: are part of.
 SILENT_FAULTS = ("hang", "cut", "stray", "endless")
@@ -172,7 +174,7 @@
             self._started_at_ms = int(time.time() * 1000)
             self._sequence = 0
         self._is_down = False
-        app = web.Application()
+        app = web.Application(client_max_size=MAX_REQUEST_BYTES)
         app.router.add_route("*", "/{path:.*}", self._handle_request)
         self._runner = web.AppRunner(
             app, handler_cancellation=True, access_log=None, shutdown_timeout=0.1
