Bound what a process holds for clients, and read only what is wanted

Bodies draw on a budget of the process, sized by the memory of its instance. Large bodies wait unread for room; small ones have a pool of their own. A body that stalls while others wait is refused (503, not run). Large bodies at a path without a route, with an unknown key, at the readiness and metrics addresses and at other paths of control are answered from the head. Reading stops behind pipelined requests and unread responses; many header fields count as memory; idle connections make room for new ones within the descriptors. A configuration is at most 8 MiB (16 before): two copies of 16 MiB do not fit the smallest instance.

--- a/carobspring/adapters/backend_connection.py
+++ b/carobspring/adapters/backend_connection.py
@@ -10,8 +10,10 @@
 from carobspring.ports import IncompleteResponseError
 
 MAX_HEAD_BYTES: Final = 64 * 1024
+#: Largest body that is written together with its head.
+MAX_JOINED_BODY_BYTES: Final = 64 * 1024
 #: Unread bytes of a response above which reading from the socket pauses.
-READ_BUFFER_BYTES: Final = 256 * 1024
+READ_BUFFER_BYTES: Final = 64 * 1024
 #: Interim responses (status 1xx) before a response.
 MAX_INTERIM_RESPONSES: Final = 10
 #: The start of a head. Inside a line of another one it shows that the other
@@ -99,6 +101,10 @@
         encoded = [(name, value.encode("latin-1")) for name, value in headers]
         request = h11.Request(method=method, target=target, headers=encoded)
         data = self._parser.send(request) or b""
+        if len(body) > MAX_JOINED_BODY_BYTES:
+            # Joining would copy a large body once more.
+            self._transport.write(data)
+            data = b""
         if body:
             data += self._parser.send(h11.Data(data=body)) or b""
         data += self._parser.send(h11.EndOfMessage()) or b""
--- /dev/null
+++ b/carobspring/adapters/byte_budget.py
@@ -0,0 +1,143 @@
+"""Bytes that a process may hold for clients, shared by all of its servers.
+
+Without a bound, a few clients that send large bodies and never end them take
+the memory of a small instance. Bodies of ordinary size have a pool of their
+own, so that large ones can't keep them out.
+"""
+
+from collections import OrderedDict
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Final
+
+#: Bodies up to this size use the pool of small bodies.
+SMALL_BODY_BYTES: Final = 64 * 1024
+#: Memory of a process beside what it holds for clients.
+PROCESS_BYTES: Final = 40 * 1024 * 1024
+#: Programs of an instance that share its memory.
+PROGRAMS: Final = 2
+#: Times that a body may be in memory: as received, and as sent on.
+BODY_COPIES: Final = 3
+#: Smallest size of a pool: one body of the largest usual size.
+MIN_POOL_BYTES: Final = 4 * 1024 * 1024
+#: Seconds without a byte after which a body counts as stalled. It is refused
+#: only if others wait for its room.
+STALL_S: Final = 1.0
+
+
+def compute_budget_bytes(memory_mb: float) -> int:
+    """Return the bytes for bodies of a process, from an instance's memory.
+
+    Example:
+        ``compute_budget_bytes(128)`` returns 8 MiB.
+    """
+    program_bytes = memory_mb * 1024 * 1024 / PROGRAMS
+    free_bytes = program_bytes - PROCESS_BYTES
+    return max(2 * MIN_POOL_BYTES, int(free_bytes / BODY_COPIES))
+
+
+@dataclass(kw_only=True, eq=False)
+class Hold:
+    """Room for one body, or the wait for it."""
+
+    size: int
+    #: Called once there is room.
+    handle_room: Callable[[], None]
+    #: Called to refuse the body while it is received.
+    refuse: Callable[[], None]
+    has_room: bool = False
+    #: False once the body is complete: its request runs.
+    is_receiving: bool = True
+    #: Monotonic time of the last byte received.
+    progress_at: float = 0.0
+
+
+class BytePool:
+    """Gives room in the order of the requests for it.
+
+    A body larger than the pool takes all of it.
+    """
+
+    def __init__(self, *, max_bytes: int) -> None:
+        self._max_bytes = max_bytes
+        self.held_bytes = 0
+        self._holds: OrderedDict[int, Hold] = OrderedDict()
+        self._waiting: OrderedDict[int, Hold] = OrderedDict()
+
+    @property
+    def waiting_count(self) -> int:
+        """How many bodies wait for room."""
+        return len(self._waiting)
+
+    def add(self, hold: Hold) -> None:
+        """Give a hold room at once if no other waits, or queue it."""
+        hold.size = min(hold.size, self._max_bytes)
+        self._waiting[id(hold)] = hold
+        self._fill(new=hold)
+
+    def remove(self, hold: Hold) -> None:
+        """Return the room of a hold, or end its wait."""
+        self._waiting.pop(id(hold), None)
+        if self._holds.pop(id(hold), None) is not None:
+            self.held_bytes -= hold.size
+        self._fill()
+
+    def find_stalled(self, now: float) -> Hold | None:
+        """Return the body that has stalled longest while others wait."""
+        if not self._waiting:
+            return None
+        receiving = (hold for hold in self._holds.values() if hold.is_receiving)
+        slowest = min(receiving, key=lambda hold: hold.progress_at, default=None)
+        if slowest is None or now - slowest.progress_at < STALL_S:
+            return None
+        return slowest
+
+    def _fill(self, new: Hold | None = None) -> None:
+        while self._waiting:
+            hold = next(iter(self._waiting.values()))
+            if self.held_bytes + hold.size > self._max_bytes:
+                return
+            del self._waiting[id(hold)]
+            self._holds[id(hold)] = hold
+            self.held_bytes += hold.size
+            hold.has_room = True
+            if hold is not new:
+                hold.handle_room()
+
+
+class ByteBudget:
+    """The pools of a process.
+
+    Example:
+        ``budget.add(hold)`` when a head announces a body. The body is read
+        once ``hold.has_room``; then ``budget.remove(hold)`` when its request
+        has ended.
+    """
+
+    def __init__(self, *, max_bytes: int = 64 * 1024 * 1024) -> None:
+        """Create the pools, which share ``max_bytes`` equally."""
+        self.small = BytePool(max_bytes=max_bytes // 2)
+        self.large = BytePool(max_bytes=max_bytes // 2)
+        #: Bodies that were refused to make room, since the start.
+        self.refused_count = 0
+
+    def add(self, hold: Hold) -> None:
+        """Queue a hold for room, in the pool of its size."""
+        self._find_pool(hold).add(hold)
+
+    def remove(self, hold: Hold) -> None:
+        """Return the room of a hold."""
+        # Only one of them knows the hold.
+        self.small.remove(hold)
+        self.large.remove(hold)
+
+    def refuse_stalled(self, now: float) -> None:
+        """Refuse bodies that stall while others wait for their room."""
+        for pool in (self.small, self.large):
+            while (hold := pool.find_stalled(now)) is not None:
+                self.refused_count += 1
+                pool.remove(hold)
+                hold.refuse()
+
+    def _find_pool(self, hold: Hold) -> BytePool:
+        return self.small if hold.size <= SMALL_BODY_BYTES else self.large
--- a/carobspring/adapters/http_connection.py
+++ b/carobspring/adapters/http_connection.py
@@ -3,26 +3,35 @@
 import asyncio
 import logging
 import time
+from dataclasses import replace
 from typing import Any, Final
 
 from circuits.web.parsers import HttpParser
 from circuits.web.wrappers import Request, Response
 
+from carobspring.adapters.byte_budget import SMALL_BODY_BYTES, ByteBudget, Hold
 from carobspring.adapters.http_framing import (
     HEAD_END,
+    LINE_END,
     ChunkedBody,
     Framing,
     FramingError,
     build_size_error,
+    check_length,
     parse_framing,
 )
 from carobspring.adapters.http_responder import CircuitsResponder, encode_error
 from carobspring.adapters.tasks import start_task
-from carobspring.ports import HttpHandler, HttpLimits, HttpRequest
+from carobspring.ports import BodyLimiter, HttpHandler, HttpLimits, HttpRequest
 
 CONTINUE_RESPONSE = b"HTTP/1.1 100 Continue\r\n\r\n"
 JSON_HEADERS = (("Content-Type", "application/json"),)
 
+#: Memory that a header field takes once it is parsed.
+HEADER_FIELD_BYTES: Final = 512
+#: Retry-After in seconds of a request that is refused to make room.
+NO_ROOM_RETRY_AFTER_S: Final = 1
+
 #: Bytes outside ASCII that the parser strips from the ends of values, and
 #: characters of no head that stand for them meanwhile.
 STRIPPED_BYTES: Final = {"\x85": "\ue085", "\xa0": "\ue0a0"}
@@ -46,6 +55,8 @@
         protocol: Any,
         handle: HttpHandler,
         limits: HttpLimits,
+        budget: ByteBudget,
+        find_max_body: BodyLimiter,
     ) -> None:
         self._sock = sock
         self._peer = peer
@@ -53,10 +64,18 @@
         self._tcp_server = protocol._server.server
         self._handle = handle
         self.limits = limits
+        self._budget = budget
+        self._find_max_body = find_max_body
+        #: Room for the request that is read or handled, if it needs any.
+        self._hold: Hold | None = None
+        self._max_body_bytes = limits.max_body_bytes
+        self._is_reading = True
         self._buffer = bytearray()
         self._framing: Framing | None = None
         self._head = b""
         self._chunked_body: ChunkedBody | None = None
+        #: The caller waits for "100 Continue" before it sends the body.
+        self._must_continue = False
         self._responder: CircuitsResponder | None = None
         self._task: asyncio.Task[None] | None = None
         self._unsent_bytes = 0
@@ -81,12 +100,10 @@
         if not self._buffer and self._framing is None:
             self._waiting_since = time.monotonic()
         self._buffer += data
-        max_bytes = self.limits.max_header_bytes + self.limits.max_body_bytes
-        if self._responder is not None:
-            if len(self._buffer) > max_bytes:
-                self.close_now()
-            return
+        if self._hold is not None:
+            self._hold.progress_at = time.monotonic()
         self._read_request()
+        self._update_reading()
 
     def check_timeouts(self, now: float) -> None:
         """End a late request, a stalled response or an idle connection."""
@@ -116,20 +133,25 @@
         since = self._lingers_since
         return since is not None and now - since > duration_s
 
+    @property
+    def is_idle(self) -> bool:
+        """Whether no request is read or handled, and nothing is unsent."""
+        is_busy = self._responder is not None or self._buffer or self._framing
+        return not (is_busy or self._closing or self._unsent_bytes)
+
+    @property
+    def waiting_since(self) -> float:
+        """Monotonic time since which it has waited for a request."""
+        return self._waiting_since
+
     def close_when_idle(self, now: float, idle_s: float) -> None:
         """Close if there has been no request for a while."""
-        is_busy = self._responder is not None or self._buffer or self._framing
-        if (
-            not is_busy
-            and not self._closing
-            and not self._unsent_bytes
-            and now - self._waiting_since > idle_s
-        ):
+        if self.is_idle and now - self._waiting_since > idle_s:
             self._close_idle()
 
     def close_if_left(self) -> None:
         """Close a connection that is no longer read if its caller left."""
-        is_left = self._is_unread and not self._closed
+        is_left = (self._is_unread or not self._is_reading) and not self._closed
         if is_left and self._tcp_server.has_left(self._sock):
             self.close_now()
 
@@ -165,7 +187,11 @@
         """Notify the handler that its caller has disconnected."""
         self._closed = True
         self._closing = True
+        self._buffer.clear()
         self._writable.set()
+        if self._responder is None:
+            # The handler may still use the body otherwise.
+            self._release_room()
         if self._responder is not None:
             self._responder.disconnected.set()
 
@@ -177,6 +203,8 @@
             self._lingers_since = self._last_sent_at
         if self._unsent_bytes < self.limits.write_buffer_bytes:
             self._writable.set()
+            if self._buffer and self._responder is None and not self._closing:
+                asyncio.get_running_loop().call_soon(self._read_next_request)
 
     def send_bytes(self, data: bytes) -> None:
         """Send bytes, or buffer them until the caller reads more."""
@@ -200,9 +228,10 @@
     def end_request(self) -> None:
         """Start reading the next request of the connection."""
         self._responder = None
+        self._release_room()
         self._waiting_since = time.monotonic()
         if self._buffer and not self._closing:
-            asyncio.get_running_loop().call_soon(self._read_request)
+            asyncio.get_running_loop().call_soon(self._read_next_request)
 
     def close_after_sending(self) -> None:
         """Send the buffered bytes, then close once the caller has closed.
@@ -215,6 +244,9 @@
             return
         self._closing = self._is_ending = True
         self._buffer.clear()
+        self._chunked_body = None
+        # What the caller still sends is read and discarded.
+        self._update_reading()
         if not self._unsent_bytes:
             self._lingers_since = time.monotonic()
         self._tcp_server.shutdown_write(self._sock)
@@ -230,17 +262,80 @@
             self._closing = True
             self._tcp_server._close(self._sock)
 
+    def _read_next_request(self) -> None:
+        self._read_request()
+        self._update_reading()
+
+    def _update_reading(self) -> None:
+        """Read on only what there is room for."""
+        if self._closed or self._is_unread:
+            return
+        should_read = self._should_read()
+        if should_read is self._is_reading:
+            return
+        self._is_reading = should_read
+        if should_read:
+            self._tcp_server.resume_reading(self._sock)
+        else:
+            self._tcp_server.stop_reading(self._sock)
+
+    def _should_read(self) -> bool:
+        if self._closing:
+            return True
+        if self._hold is not None and not self._hold.has_room:
+            return False
+        is_busy = self._responder is not None or self._is_behind_unsent
+        return not is_busy or len(self._buffer) <= self.limits.max_pipelined_bytes
+
+    @property
+    def _is_behind_unsent(self) -> bool:
+        """Whether the next request waits until the caller reads responses."""
+        return self._unsent_bytes >= self.limits.write_buffer_bytes
+
+    def _add_room(self, size: int) -> None:
+        """Ask for room; reading pauses until there is some."""
+        self._release_room()
+        self._hold = Hold(
+            size=size,
+            handle_room=self._handle_room,
+            refuse=self._refuse_for_room,
+            progress_at=time.monotonic(),
+        )
+        self._budget.add(self._hold)
+
+    def _handle_room(self) -> None:
+        if self._hold is not None:
+            self._hold.progress_at = time.monotonic()
+        asyncio.get_running_loop().call_soon(self._read_next_request)
+
+    def _refuse_for_room(self) -> None:
+        message = "the request arrives too slowly while others wait"
+        self._reject(503, "no_room", message, retry_after_s=NO_ROOM_RETRY_AFTER_S)
+
+    def _release_room(self) -> None:
+        hold, self._hold = self._hold, None
+        if hold is not None:
+            self._budget.remove(hold)
+
     def _read_request(self) -> None:
-        if self._responder is not None or self._closing:
+        if self._responder is not None or self._closing or self._is_behind_unsent:
             return
         try:
             if self._framing is None and not self._read_head():
                 return
+            if self._hold is not None and not self._hold.has_room:
+                return
+            if self._responder is not None or self._closing:
+                # It was handled without its body.
+                return
+            if self._must_continue:
+                self._must_continue = False
+                self.send_bytes(CONTINUE_RESPONSE)
             body = self._read_body()
         except FramingError as error:
             self._reject(error.status, error.code, str(error))
             return
-        if body is not None:
+        if body is not None and self._responder is None:
             self._begin_request(body)
 
     def _read_head(self) -> bool:
@@ -254,15 +349,51 @@
         if end < 0:
             return False
         self._head = bytes(self._buffer[:end])
-        self._framing = parse_framing(self._head, self.limits.max_body_bytes)
+        framing = parse_framing(self._head)
         del self._buffer[: end + len(HEAD_END)]
-        if self._framing.length is None:
-            max_bytes = self.limits.max_body_bytes
-            self._chunked_body = ChunkedBody(max_body_bytes=max_bytes)
-        if self._framing.expects_continue:
-            self.send_bytes(CONTINUE_RESPONSE)
+        self._max_body_bytes = self.limits.max_body_bytes
+        check_length(framing, self._max_body_bytes)
+        if (framing.length or 0) > SMALL_BODY_BYTES and not self._wants_large_body():
+            return True
+        check_length(framing, self._max_body_bytes)
+        self._framing = framing
+        if framing.length is None:
+            self._chunked_body = ChunkedBody(max_body_bytes=self._max_body_bytes)
+        size = self._estimate_size(framing)
+        if size:
+            self._add_room(size)
+        self._must_continue = framing.expects_continue
+        return True
+
+    def _wants_large_body(self) -> bool:
+        """Return whether the handler takes the body that the head announces.
+
+        If not, the request is handled at once, and no more of it is read. The
+        handler is not asked about small bodies, which takes time.
+        """
+        max_bytes = self._find_max_body(self._build_request(b""))
+        if max_bytes == 0:
+            self._buffer.clear()
+            self._chunked_body = None
+            self._begin_request(b"", is_body_read=False)
+            self._closing = True
+            return False
+        if max_bytes is not None:
+            self._max_body_bytes = max_bytes
         return True
 
+    def _estimate_size(self, framing: Framing) -> int:
+        """Return the bytes that a request takes beside its short head."""
+        fields = self._head.count(LINE_END)
+        is_long_head = fields > self.limits.free_header_fields
+        size = fields * HEADER_FIELD_BYTES if is_long_head else 0
+        if framing.length is None:
+            return max(size, SMALL_BODY_BYTES)
+        if framing.length <= len(self._buffer):
+            # It is here already, and short, as reading is in small pieces.
+            return size
+        return size + framing.length
+
     def _parse_head(self) -> HttpParser:
         parser = HttpParser(0, False)
         # The parser decodes escapes; doubling backslashes preserves them.
@@ -283,8 +414,13 @@
             return self._read_chunked_body()
         if len(self._buffer) < length:
             return None
-        body = bytes(self._buffer[:length])
-        del self._buffer[:length]
+        with memoryview(self._buffer) as received:
+            body = bytes(received[:length])
+        if len(self._buffer) == length:
+            # Frees the memory, which a deletion would keep.
+            self._buffer = bytearray()
+        else:
+            del self._buffer[:length]
         return body
 
     def _read_chunked_body(self) -> bytes | None:
@@ -294,16 +430,24 @@
         self._buffer.clear()
         is_complete = body.feed(data)
         # What frames the chunks does not count.
-        if len(body.content) > self.limits.max_body_bytes:
-            raise build_size_error(self.limits.max_body_bytes)
+        if len(body.content) > self._max_body_bytes:
+            raise build_size_error(self._max_body_bytes)
         if not is_complete:
+            received_bytes = len(body.content) + len(body.rest)
+            is_small = self._hold is not None and self._hold.size <= SMALL_BODY_BYTES
+            if (
+                is_small
+                and received_bytes > SMALL_BODY_BYTES
+                and self._wants_large_body()
+            ):
+                self._add_room(self._max_body_bytes)
             return None
         self._chunked_body = None
         # What follows a chunked body is not read.
         self._closing = True
         return bytes(body.content)
 
-    def _begin_request(self, body: bytes) -> None:
+    def _begin_request(self, body: bytes, *, is_body_read: bool = True) -> None:
         try:
             parser = self._parse_head()
             request, response = self._build_request_and_response(parser)
@@ -311,12 +455,34 @@
             self._reject(error.status, error.code, str(error))
             return
         self._framing = None
+        if self._hold is not None:
+            self._hold.is_receiving = False
         self._responder = CircuitsResponder(connection=self, response=response)
-        http_request = HttpRequest(
+        http_request = self._convert_request(parser, request, body)
+        if not is_body_read:
+            http_request = replace(http_request, is_body_read=False)
+        self._task = start_task(
+            self._run_handler(http_request, self._responder), name="handle request"
+        )
+
+    def _build_request(self, body: bytes) -> HttpRequest:
+        """Return the request whose head was read.
+
+        Raises:
+            FramingError: The head is malformed.
+        """
+        parser = self._parse_head()
+        request, _ = self._build_request_and_response(parser)
+        return self._convert_request(parser, request, body)
+
+    def _convert_request(
+        self, parser: HttpParser, request: Request, body: bytes
+    ) -> HttpRequest:
+        return HttpRequest(
             method=parser.get_method(),
             path=parser.get_path(),
             query=parser.get_query_string(),
-            has_query=b"?" in self._head.partition(b"\r\n")[0],
+            has_query=b"?" in self._head.partition(LINE_END)[0],
             headers=tuple(
                 (str(name), _restore_bytes(str(value)))
                 for name, value in request.headers.items()
@@ -324,9 +490,6 @@
             body=body,
             peer=self._peer,
         )
-        self._task = start_task(
-            self._run_handler(http_request, self._responder), name="handle request"
-        )
 
     def _build_request_and_response(
         self, parser: HttpParser
@@ -374,11 +537,16 @@
         )
         await responder.send(500, JSON_HEADERS, body)
 
-    def _reject(self, status: int, code: str, message: str) -> None:
+    def _reject(
+        self, status: int, code: str, message: str, *, retry_after_s: int = 0
+    ) -> None:
         self._closing = True
+        self._release_room()
         body = encode_error(code=code, message=message)
+        retry_after = f"Retry-After: {retry_after_s}\r\n" if retry_after_s else ""
         head = (
             f"HTTP/1.1 {status} Refused\r\nContent-Type: application/json\r\n"
+            f"{retry_after}"
             f"Content-Length: {len(body)}\r\nConnection: close\r\n\r\n"
         )
         self.send_bytes(head.encode() + body)
--- a/carobspring/adapters/http_framing.py
+++ b/carobspring/adapters/http_framing.py
@@ -10,6 +10,10 @@
 
 LINE_END: Final = b"\r\n"
 HEAD_END = b"\r\n\r\n"
+#: Bytes that may frame the chunks of a body, and further ones for each byte of
+#: its content: a chunk of one byte needs five.
+FREE_FRAMING_BYTES: Final = 64 * 1024
+MAX_FRAMING_RATIO: Final = 8
 #: Bytes of the line before a chunk, with its extensions, and of a trailer.
 MAX_CHUNK_LINE_BYTES: Final = 4096
 CHUNK_SIZE: Final = re.compile(rb"[0-9A-Fa-f]{1,16}")
@@ -46,13 +50,13 @@
     expects_continue: bool = False
 
 
-def parse_framing(head: bytes, max_body_bytes: int) -> Framing:
+def parse_framing(head: bytes) -> Framing:
     """Return how the body is delimited, from a head without its blank line.
 
     Raises:
-        FramingError: The head is malformed or the announced body is too large.
+        FramingError: The head is malformed.
     """
-    request_line, *lines = head.split(b"\r\n")
+    request_line, *lines = head.split(LINE_END)
     _check_request_line(request_line)
     host_count = 0
     lengths: list[bytes] = []
@@ -74,10 +78,19 @@
         _check_transfer_codings(codings, lengths)
         return Framing(length=None, expects_continue=expects_continue)
     length = _parse_content_length(lengths)
+    return Framing(length=length, expects_continue=expects_continue)
+
+
+def check_length(framing: Framing, max_body_bytes: int) -> None:
+    """Reject a body whose announced length is over the limit.
+
+    Raises:
+        FramingError: The body is too large.
+    """
+    length = framing.length or 0
     if length > max_body_bytes:
         message = f"the body is {length} bytes, at most {max_body_bytes} are taken"
         raise FramingError(status=413, code="body_too_large", message=message)
-    return Framing(length=length, expects_continue=expects_continue)
 
 
 class ChunkedBody:
@@ -94,6 +107,7 @@
     def __init__(self, *, max_body_bytes: int) -> None:
         self._max_body_bytes = max_body_bytes
         self._in_trailers = False
+        self._fed_bytes = 0
         self.content = bytearray()
         #: Bytes that are not decoded yet, or that follow the complete body.
         self.rest = bytearray()
@@ -105,6 +119,7 @@
             FramingError: A chunk is malformed or too large.
         """
         self.rest += data
+        self._fed_bytes += len(data)
         while (line_end := self.rest.find(LINE_END)) >= 0:
             data_start = line_end + len(LINE_END)
             if self._in_trailers:
@@ -122,8 +137,13 @@
                 return False
             if not self.rest.startswith(LINE_END, data_end):
                 raise _build_chunk_error()
-            self.content += self.rest[data_start:data_end]
+            with memoryview(self.rest) as rest:
+                self.content += rest[data_start:data_end]
             del self.rest[: data_end + len(LINE_END)]
+        framing_bytes = self._fed_bytes - len(self.content) - len(self.rest)
+        allowed_bytes = FREE_FRAMING_BYTES + MAX_FRAMING_RATIO * len(self.content)
+        if framing_bytes > allowed_bytes:
+            raise _build_chunk_error()
         if len(self.rest) > MAX_CHUNK_LINE_BYTES:
             raise _build_chunk_error()
         return False
@@ -133,7 +153,7 @@
         if len(line) > MAX_CHUNK_LINE_BYTES or not CHUNK_SIZE.fullmatch(digits):
             raise _build_chunk_error()
         size = int(digits, 16)
-        if size > self._max_body_bytes:
+        if len(self.content) + size > self._max_body_bytes:
             raise build_size_error(self._max_body_bytes)
         return size
 
--- a/carobspring/adapters/http_server.py
+++ b/carobspring/adapters/http_server.py
@@ -3,9 +3,11 @@
 import asyncio
 import contextlib
 import logging
+import resource
 import select
 import socket
 import struct
+import sys
 import time
 from typing import Any
 
@@ -14,19 +16,25 @@
 from circuits.net.sockets import TCPServer
 from circuits.web.http import HTTP
 
+from carobspring.adapters.byte_budget import ByteBudget
 from carobspring.adapters.eventloop import EventLoopRoot
 from carobspring.adapters.http_connection import HttpConnection
 from carobspring.adapters.listeners import take_listener
 from carobspring.adapters.tasks import start_service_task
-from carobspring.ports import HttpHandler, HttpLimits, HttpServer
+from carobspring.ports import BodyLimiter, HttpHandler, HttpLimits, HttpServer
 
 CHANNEL = "web"
-READ_SIZE_BYTES = 64 * 1024
+#: Bytes of one read. Reads of all readable connections are queued at once.
+READ_SIZE_BYTES = 16 * 1024
 TIMEOUT_CHECK_INTERVAL_S = 1.0
 #: Values of SO_LINGER: on or off, and seconds.
 RESET_LINGER = struct.pack("ii", 1, 0)
 NO_LINGER = struct.pack("ii", 0, 0)
 DRAIN_POLL_INTERVAL_S = 0.02
+#: Descriptors for files, listeners and other processes of the system.
+RESERVED_DESCRIPTORS = 200
+#: Part of the others for callers; the rest is for backend servers.
+CONNECTION_SHARE = 0.75
 #: Signs of a poll that the caller has closed the connection.
 LEFT_EVENTS = select.POLLRDHUP | select.POLLHUP | select.POLLERR
 #: Seconds that idle connections stay open in a drain, for requests in flight.
@@ -85,6 +93,11 @@
         """Leave what the caller still sends unread."""
         self._poller.removeReader(sock)
 
+    def resume_reading(self, sock: Any) -> None:
+        """Read again what the caller sends."""
+        if sock in self._clients:
+            self._poller.addReader(self, sock)
+
     def is_readable(self, sock: Any) -> bool:
         """Return whether bytes or the end of the caller's wait to be read."""
         return bool(_poll(sock) & select.POLLIN)
@@ -166,6 +179,14 @@
             self.shutdown_write(sock)
 
 
+def find_max_connections() -> int:
+    """Return how many connections the descriptors of the process allow."""
+    limit, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    if limit == resource.RLIM_INFINITY:
+        return sys.maxsize
+    return max(1, int((limit - RESERVED_DESCRIPTORS) * CONNECTION_SHARE))
+
+
 def _poll(sock: Any) -> int:
     poll = select.poll()
     poll.register(sock, select.POLLIN | select.POLLRDHUP)
@@ -176,16 +197,27 @@
 class BoundedHttp(HTTP):
     """The HTTP protocol of circuits, which receives only checked requests."""
 
-    def __init__(self, server: Any, *, handle: HttpHandler, limits: HttpLimits) -> None:
+    def __init__(
+        self,
+        server: Any,
+        *,
+        handle: HttpHandler,
+        limits: HttpLimits,
+        budget: ByteBudget,
+        find_max_body: BodyLimiter,
+    ) -> None:
         super().__init__(server)
         self._handle = handle
         self._limits = limits
+        self._budget = budget
+        self._find_max_body = find_max_body
         self.connections: dict[Any, HttpConnection] = {}
         self.draining = False
 
     @handler("connect")
     def _on_connect(self, sock: Any, *peer: Any) -> None:
-        if len(self.connections) >= self._limits.max_connections:
+        max_connections = min(self._limits.max_connections, find_max_connections())
+        if len(self.connections) >= max_connections and not self._close_idlest():
             self.fire(close(sock))
             return
         self.connections[sock] = HttpConnection(
@@ -194,8 +226,22 @@
             protocol=self,
             handle=self._handle,
             limits=self._limits,
+            budget=self._budget,
+            find_max_body=self._find_max_body,
         )
 
+    def _close_idlest(self) -> bool:
+        """Close the connection that has had no request for the longest time.
+
+        Returns whether there is one. Callers may repeat a request that crosses
+        the close.
+        """
+        idle = [each for each in self.connections.values() if each.is_idle]
+        if not idle:
+            return False
+        min(idle, key=lambda each: each.waiting_since).close_now()
+        return True
+
     @handler("disconnect", override=True)
     def _on_disconnect(self, sock: Any) -> None:
         connection = self.connections.pop(sock, None)
@@ -234,6 +280,7 @@
         """Check the timeouts of every connection."""
         for connection in list(self.connections.values()):
             connection.check_timeouts(now)
+        self._budget.refuse_stalled(now)
 
 
 class _WebServer(BaseComponent):
@@ -243,9 +290,23 @@
     secure = False
     display_banner = False
 
-    def __init__(self, *, bind: Any, handle: HttpHandler, limits: HttpLimits) -> None:
+    def __init__(
+        self,
+        *,
+        bind: Any,
+        handle: HttpHandler,
+        limits: HttpLimits,
+        budget: ByteBudget,
+        find_max_body: BodyLimiter,
+    ) -> None:
         super().__init__()
-        self.http = BoundedHttp(self, handle=handle, limits=limits).register(self)
+        self.http = BoundedHttp(
+            self,
+            handle=handle,
+            limits=limits,
+            budget=budget,
+            find_max_body=find_max_body,
+        ).register(self)
         self.server = ReportingTcpServer(
             bind, on_sent=self.http.record_sent, on_end=self.http.handle_end
         ).register(self)
@@ -274,11 +335,25 @@
         port: int,
         handler: HttpHandler,
         limits: HttpLimits | None = None,
+        budget: ByteBudget | None = None,
+        find_max_body: BodyLimiter = lambda request: None,
     ) -> None:
+        """Create the server.
+
+        Args:
+            host: IP address to listen on.
+            port: Port to listen on, or 0 for any.
+            handler: Handles each request.
+            limits: Limits on requests and connections.
+            budget: Room for bodies, shared with other servers of the process.
+            find_max_body: Returns how much of a body is wanted, by its head.
+        """
         self.host = host
         self.port = port
         self._handle = handler
         self._limits = limits or HttpLimits()
+        self._budget = budget or ByteBudget()
+        self._find_max_body = find_max_body
         self._root: EventLoopRoot | None = None
         self._web: _WebServer | None = None
         self._timeout_task: asyncio.Task[None] | None = None
@@ -289,13 +364,24 @@
         self._root = EventLoopRoot(loop=loop)
         listener = take_listener(self.host, self.port)
         bind = listener or (self.host, self.port)
-        self._web = _WebServer(bind=bind, handle=self._handle, limits=self._limits)
+        self._web = _WebServer(
+            bind=bind,
+            handle=self._handle,
+            limits=self._limits,
+            budget=self._budget,
+            find_max_body=self._find_max_body,
+        )
         self.port = self._web.port
         self._web.register(self._root)
         self._timeout_task = start_service_task(
             self._check_timeouts, name="connection timeouts"
         )
 
+    @property
+    def limits(self) -> HttpLimits:
+        """The limits in force."""
+        return self._limits
+
     def update_limits(self, limits: HttpLimits) -> None:
         """Replace the limits; a request that has begun may be past the old."""
         self._limits = limits
--- a/carobspring/adapters/metrics.py
+++ b/carobspring/adapters/metrics.py
@@ -4,6 +4,7 @@
 
 from aioprometheus import Counter, Gauge, Histogram, Registry, render
 
+from carobspring.adapters.byte_budget import ByteBudget
 from carobspring.adapters.http_server import CircuitsHttpServer
 from carobspring.ports import HttpRequest, HttpResponder
 
@@ -61,13 +62,26 @@
 
 
 async def serve_metrics(
-    *, host: str, port: int, render: Callable[[], bytes]
+    *,
+    host: str,
+    port: int,
+    render: Callable[[], bytes],
+    budget: ByteBudget | None = None,
 ) -> CircuitsHttpServer:
-    """Start a server that answers every request with the metrics."""
+    """Start a server that answers every request with the metrics.
+
+    ``budget`` is that of the other servers of the process.
+    """
 
     async def handle(request: HttpRequest, responder: HttpResponder) -> None:
         await responder.send(200, (("Content-Type", CONTENT_TYPE),), render())
 
-    server = CircuitsHttpServer(host=host, port=port, handler=handle)
+    server = CircuitsHttpServer(
+        host=host,
+        port=port,
+        handler=handle,
+        budget=budget,
+        find_max_body=lambda request: 0,
+    )
     await server.start()
     return server
--- a/carobspring/control/instance_api.py
+++ b/carobspring/control/instance_api.py
@@ -56,6 +56,17 @@
     return msgspec.json.encode({"error": code, "message": message})
 
 
+def find_max_body(request: HttpRequest) -> int | None:
+    """Return zero for a call that takes no large body.
+
+    Only configurations are large. Check-ins of servers have some hundred
+    bytes.
+    """
+    if request.path == platform.CONFIGURATION_PATH and request.method == "PUT":
+        return None
+    return 0
+
+
 class InstanceApi:
     """Handles the HTTP requests to a control daemon.
 
@@ -85,6 +96,9 @@
     async def handle(self, request: HttpRequest, responder: HttpResponder) -> None:
         """Handle one request."""
         path, method = request.path, request.method
+        if not request.is_body_read:
+            await self._send_error(responder, 413, "too_large", "the body is too large")
+            return
         is_configuration = path == platform.CONFIGURATION_PATH
         redirect = self._finder.find_redirect(to_member=is_configuration)
         if redirect is not None:
--- a/carobspring/gateway/api.py
+++ b/carobspring/gateway/api.py
@@ -83,6 +83,18 @@
         for exchange in self._exchanges:
             exchange.end_before_response()
 
+    def find_max_body(self, request: HttpRequest) -> int | None:
+        """Return zero for a request that is refused, whatever its body."""
+        table = self._state.table
+        if table is None:
+            return None
+        metadata = platform.parse_request_headers(request.headers)
+        route = table.find_route(metadata.host, request.path)
+        needs_key = table.requires_keys and route is not None and not route.public
+        if route is None or (needs_key and table.find_owner(metadata.api_key) is None):
+            return 0
+        return None
+
     async def handle(self, request: HttpRequest, responder: HttpResponder) -> None:
         """Handle one request."""
         started_at = self._context.read_clock()
@@ -117,6 +129,12 @@
                 await self._deny(responder, metadata, 401, "unknown_key")
                 return
         workspace = owner.name if owner else ""
+        if not request.is_body_read:
+            # The routes or keys have changed since its head was read.
+            await self._refuse(
+                responder, metadata, 503, "body_not_read", STARTUP_RETRY_AFTER_S
+            )
+            return
         try:
             origin = await self._find_origin(metadata, route, workspace)
         except SeveralVersionsError as error:
--- a/carobspring/ports/__init__.py
+++ b/carobspring/ports/__init__.py
@@ -15,6 +15,7 @@
 )
 from carobspring.ports.clock import Clock
 from carobspring.ports.http import (
+    BodyLimiter,
     HttpHandler,
     HttpLimits,
     HttpRequest,
@@ -39,6 +40,7 @@
     "BackendRequest",
     "BackendUnreachableError",
     "Clock",
+    "BodyLimiter",
     "HttpHandler",
     "HttpLimits",
     "HttpRequest",
--- a/carobspring/ports/http.py
+++ b/carobspring/ports/http.py
@@ -20,6 +20,8 @@
     has_query: bool = False
     headers: CallHeaders = ()
     body: bytes = b""
+    #: False if the request has a body that the handler did not want.
+    is_body_read: bool = True
     #: IP address of the caller.
     peer: str = ""
 
@@ -72,6 +74,11 @@
 
 HttpHandler = Callable[[HttpRequest, HttpResponder], Awaitable[None]]
 
+#: Returns the size of the largest body that the handler takes with a head, or
+#: None for the limit of the server. With zero the request is handled without
+#: its body. Only large bodies are asked about.
+BodyLimiter = Callable[[HttpRequest], int | None]
+
 
 @dataclass(frozen=True, kw_only=True)
 class HttpLimits:
@@ -90,9 +97,15 @@
     #: Seconds that a rejected request may still be sent, so that the caller
     #: can read the error response.
     linger_s: float = 2.0
-    #: Unread bytes of a response at which ``write`` waits.
-    write_buffer_bytes: int = 256 * 1024
+    #: Unread bytes of responses at which ``write`` waits, and at which no
+    #: further request of the connection is read.
+    write_buffer_bytes: int = 64 * 1024
     max_connections: int = field(default=4096)
+    #: Header fields of a request from which they count as memory. Callers send
+    #: some twenty.
+    free_header_fields: int = 128
+    #: Bytes sent ahead of a response at which reading stops.
+    max_pipelined_bytes: int = 16 * 1024
 
 
 class HttpServer(ABC):
--- a/carobspring/programs/instance_control_program.py
+++ b/carobspring/programs/instance_control_program.py
@@ -34,13 +34,18 @@
     WatchService,
 )
 from carobspring.control.discovery import DaemonDirectory, DaemonInfo
-from carobspring.control.instance_api import InstanceApi, RedirectFinder
+from carobspring.control.instance_api import (
+    InstanceApi,
+    RedirectFinder,
+    find_max_body,
+)
 from carobspring.control.last_known_state import LastKnownStateFile
 from carobspring.platform import InstanceSettings, read_node_file
 from carobspring.ports import HttpLimits
 from carobspring.programs.instance_options import InstanceOptions
 from carobspring.programs.node_file import (
     NodeFileWatcher,
+    build_budget,
     read_instance_settings,
 )
 from carobspring.programs.options import OptionError
@@ -61,7 +66,9 @@
 REPLICA_STOP_S: Final = 2.5
 #: Share of the time for catching up after which a silent voter is replaced.
 REPLACEMENT_SHARE: Final = 0.5
-MAX_CONFIGURATION_BYTES: Final = 16 * 1024 * 1024
+#: Far over any configuration so far, and small enough to be held twice in the
+#: memory of the smallest instance.
+MAX_CONFIGURATION_BYTES: Final = 8 * 1024 * 1024
 
 logger = logging.getLogger(__name__)
 
@@ -221,11 +228,14 @@
         await self._rpc_server.start(settings.ip, self._rpc_port)
         if self._has_log and self._supervisor is not None:
             await self._supervisor.start(peers=(self._name,), bootstrap=False)
+        budget = build_budget(settings)
         self._http_server = CircuitsHttpServer(
             host=settings.ip,
             port=self._control_port,
             handler=handle,
             limits=HttpLimits(max_body_bytes=MAX_CONFIGURATION_BYTES),
+            budget=budget,
+            find_max_body=find_max_body,
         )
         await self._http_server.start()
         if self._options.metrics_port:
@@ -233,6 +243,7 @@
                 host=settings.ip,
                 port=self._options.metrics_port,
                 render=self._render_metrics,
+                budget=budget,
             )
         self._tasks = [
             start_service_task(self._discovery.run, name="discovery"),
--- a/carobspring/programs/instance_entry_program.py
+++ b/carobspring/programs/instance_entry_program.py
@@ -4,6 +4,7 @@
 import logging
 import zlib
 from collections.abc import Iterable, Mapping, Sequence
+from dataclasses import replace
 from typing import Final
 
 from grpclib.client import Channel
@@ -44,6 +45,7 @@
 from carobspring.programs.instance_options import InstanceOptions
 from carobspring.programs.node_file import (
     NodeFileWatcher,
+    build_budget,
     read_instance_settings,
 )
 from carobspring.programs.options import OptionError
@@ -180,16 +182,21 @@
 
     async def start(self) -> dict[str, int]:
         """Listen for callers and connect to control replicas."""
+        budget = build_budget(self._settings)
         self._frontend = CircuitsHttpServer(
             host=self._frontend_address.host,
             port=self._frontend_address.port,
             handler=self._api.handle,
             limits=HttpLimits(),
+            budget=budget,
+            find_max_body=self._api.find_max_body,
         )
         readiness = CircuitsHttpServer(
             host=self._readiness_address.host,
             port=self._readiness_address.port,
             handler=self._handle_readiness,
+            budget=budget,
+            find_max_body=lambda request: 0,
         )
         self._servers = [self._frontend, readiness]
         for server in self._servers:
@@ -200,6 +207,7 @@
                     host=self._settings.ip,
                     port=self._options.metrics_port,
                     render=self._metrics.render_text,
+                    budget=budget,
                 )
             )
         await self._peer_socket.open(self._settings.ip, self._peer_port)
@@ -335,7 +343,8 @@
             return False
         self._state.apply_table(table, self._clock.read_monotonic())
         self._frontend.update_limits(
-            HttpLimits(
+            replace(
+                self._frontend.limits,
                 max_header_bytes=table.limits.max_header_bytes,
                 max_body_bytes=table.limits.max_body_bytes,
                 header_timeout_s=table.limits.header_timeout_s,
--- a/carobspring/programs/node_file.py
+++ b/carobspring/programs/node_file.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 from typing import Final, Generic, TypeVar
 
+from carobspring.adapters.byte_budget import ByteBudget, compute_budget_bytes
 from carobspring.platform import InstanceSettings, NodeFileError, read_node_file
 from carobspring.programs.options import OptionError
 
@@ -30,6 +31,13 @@
         ) from error
 
 
+def build_budget(settings: InstanceSettings) -> ByteBudget:
+    """Return the budget of a program for the bodies of clients."""
+    if not settings.memory_mb:
+        return ByteBudget()
+    return ByteBudget(max_bytes=compute_budget_bytes(settings.memory_mb))
+
+
 class NodeFileWatcher(Generic[Settings]):
     """Applies the file's content whenever it has changed.
 
