Check the framing of chunks wherever a segment ends

Cause: the bytes around the chunks of a body were compared with their limit only if a segment ended between two chunks. A sender whose segments all end inside a chunk passed any amount of chunk extensions.

Change: the decoding loop is a method of its own, and the check follows it in every case.

--- a/carobspring/adapters/http_framing.py
+++ b/carobspring/adapters/http_framing.py
@@ -120,6 +120,14 @@
         """
         self.rest += data
         self._fed_bytes += len(data)
+        is_complete = self._decode()
+        framing_bytes = self._fed_bytes - len(self.content) - len(self.rest)
+        allowed_bytes = FREE_FRAMING_BYTES + MAX_FRAMING_RATIO * len(self.content)
+        if not is_complete and framing_bytes > allowed_bytes:
+            raise _build_chunk_error()
+        return is_complete
+
+    def _decode(self) -> bool:
         while (line_end := self.rest.find(LINE_END)) >= 0:
             data_start = line_end + len(LINE_END)
             if self._in_trailers:
@@ -140,10 +148,6 @@
             with memoryview(self.rest) as rest:
                 self.content += rest[data_start:data_end]
             del self.rest[: data_end + len(LINE_END)]
-        framing_bytes = self._fed_bytes - len(self.content) - len(self.rest)
-        allowed_bytes = FREE_FRAMING_BYTES + MAX_FRAMING_RATIO * len(self.content)
-        if framing_bytes > allowed_bytes:
-            raise _build_chunk_error()
         if len(self.rest) > MAX_CHUNK_LINE_BYTES:
             raise _build_chunk_error()
         return False
