Return the room of bodies in all cases, and count what is held

Causes, found in a review of the byte budget: - A request whose caller left, or whose response broke off, kept its room for ever, as only the end of a response returned it. - A chunked body kept room for the largest body while its handler ran. One of 100 KiB kept out all other large ones for the time of a stream. - One byte each half second kept a body from being refused, so a few slow senders held all room for request_timeout_s. - A chunked body with more than 128 header fields was read beyond its room, and its handler was not asked whether it takes a large body. - A chunked body that waited for more room had returned what it used. - A request that the server left unread, because room or the reading of earlier responses was missing, was answered 408. - At the limit of connections, an idle one was closed although a request had arrived on it.

Change: the handler's end returns the room; a complete body keeps only what it takes; bodies under MIN_RECEIVE_BYTES_PER_S count as stalled while others wait; earlier room is kept until there is more; the time for a body starts with its room, and missing room is answered 503 with Retry-After; connections with unread bytes are not closed as idle.

--- a/carobspring/adapters/byte_budget.py
+++ b/carobspring/adapters/byte_budget.py
@@ -5,6 +5,7 @@
 own, so that large ones can't keep them out.
 """
 
+import math
 from collections import OrderedDict
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -23,6 +24,9 @@
 #: Seconds without a byte after which a body counts as stalled. It is refused
 #: only if others wait for its room.
 STALL_S: Final = 1.0
+#: Mean rate below which a body counts as stalled too, after STALL_S. Callers
+#: send faster even if a hundred share the 3.5 Mbit/s of an entry.
+MIN_RECEIVE_BYTES_PER_S: Final = 4 * 1024
 
 
 def compute_budget_bytes(memory_mb: float) -> int:
@@ -50,6 +54,24 @@
     is_receiving: bool = True
     #: Monotonic time of the last byte received.
     progress_at: float = 0.0
+    #: Monotonic time since which the rate counts.
+    room_at: float = math.inf
+    #: Bytes that were received since it was created.
+    received_bytes: int = 0
+
+    def record_received(self, size: int, now: float) -> None:
+        """Record bytes of the body."""
+        self.progress_at = now
+        self.received_bytes += size
+
+    def is_stalled(self, now: float) -> bool:
+        """Return whether the body arrives too slowly, or not at all."""
+        if not self.is_receiving:
+            return False
+        if now - self.progress_at >= STALL_S:
+            return True
+        expected_bytes = (now - self.room_at - STALL_S) * MIN_RECEIVE_BYTES_PER_S
+        return self.received_bytes < expected_bytes
 
 
 class BytePool:
@@ -82,15 +104,19 @@
             self.held_bytes -= hold.size
         self._fill()
 
+    def shrink(self, hold: Hold, size: int) -> None:
+        """Return the part of a hold's room that is over ``size``."""
+        if id(hold) in self._holds and size < hold.size:
+            self.held_bytes -= hold.size - size
+            hold.size = size
+            self._fill()
+
     def find_stalled(self, now: float) -> Hold | None:
         """Return the body that has stalled longest while others wait."""
         if not self._waiting:
             return None
-        receiving = (hold for hold in self._holds.values() if hold.is_receiving)
-        slowest = min(receiving, key=lambda hold: hold.progress_at, default=None)
-        if slowest is None or now - slowest.progress_at < STALL_S:
-            return None
-        return slowest
+        stalled = (hold for hold in self._holds.values() if hold.is_stalled(now))
+        return min(stalled, key=lambda hold: hold.progress_at, default=None)
 
     def _fill(self, new: Hold | None = None) -> None:
         while self._waiting:
@@ -131,6 +157,11 @@
         self.small.remove(hold)
         self.large.remove(hold)
 
+    def shrink(self, hold: Hold, size: int) -> None:
+        """Return the part of a hold's room that is over ``size``."""
+        self.small.shrink(hold, size)
+        self.large.shrink(hold, size)
+
     def refuse_stalled(self, now: float) -> None:
         """Refuse bodies that stall while others wait for their room."""
         for pool in (self.small, self.large):
--- a/carobspring/adapters/http_connection.py
+++ b/carobspring/adapters/http_connection.py
@@ -68,6 +68,10 @@
         self._find_max_body = find_max_body
         #: Room for the request that is read or handled, if it needs any.
         self._hold: Hold | None = None
+        #: Room for the start of a chunked body that waits for more.
+        self._earlier_hold: Hold | None = None
+        #: The handler takes a large body of the request that is read.
+        self._is_large_wanted = False
         self._max_body_bytes = limits.max_body_bytes
         self._is_reading = True
         self._buffer = bytearray()
@@ -101,7 +105,7 @@
             self._waiting_since = time.monotonic()
         self._buffer += data
         if self._hold is not None:
-            self._hold.progress_at = time.monotonic()
+            self._hold.record_received(len(data), time.monotonic())
         self._read_request()
         self._update_reading()
 
@@ -117,8 +121,15 @@
             return
         if self._responder is not None or self._closing:
             return
+        if self._buffer and self._is_behind_unsent:
+            # The request is not read before the caller reads responses.
+            self._waiting_since = now
+            return
         waited_s = now - self._waiting_since
-        if self._buffer or self._framing is not None:
+        if self._hold is not None and not self._hold.has_room:
+            if waited_s > self.limits.request_timeout_s:
+                self._reject_for_room("other requests leave no room for the body")
+        elif self._buffer or self._framing is not None:
             timeout_s = self.limits.request_timeout_s
             if self._framing is None:
                 timeout_s = min(timeout_s, self.limits.header_timeout_s)
@@ -149,6 +160,13 @@
         if self.is_idle and now - self._waiting_since > idle_s:
             self._close_idle()
 
+    def close_if_unused(self) -> bool:
+        """Close unless a request has come; return whether it closed."""
+        if not self.is_idle or self._tcp_server.is_readable(self._sock):
+            return False
+        self.close_now()
+        return True
+
     def close_if_left(self) -> None:
         """Close a connection that is no longer read if its caller left."""
         is_left = (self._is_unread or not self._is_reading) and not self._closed
@@ -293,8 +311,11 @@
         return self._unsent_bytes >= self.limits.write_buffer_bytes
 
     def _add_room(self, size: int) -> None:
-        """Ask for room; reading pauses until there is some."""
-        self._release_room()
+        """Ask for room; reading pauses until there is some.
+
+        Room that is held already is kept until then, as it is in use.
+        """
+        self._earlier_hold = self._hold
         self._hold = Hold(
             size=size,
             handle_room=self._handle_room,
@@ -302,21 +323,37 @@
             progress_at=time.monotonic(),
         )
         self._budget.add(self._hold)
+        if self._hold.has_room:
+            self._begin_reading_body()
 
     def _handle_room(self) -> None:
-        if self._hold is not None:
-            self._hold.progress_at = time.monotonic()
+        self._begin_reading_body()
         asyncio.get_running_loop().call_soon(self._read_next_request)
 
+    def _begin_reading_body(self) -> None:
+        """Return earlier room; the time for the body starts now."""
+        if self._hold is not None:
+            self._waiting_since = time.monotonic()
+            self._hold.progress_at = self._hold.room_at = self._waiting_since
+        self._release_earlier_room()
+
     def _refuse_for_room(self) -> None:
-        message = "the request arrives too slowly while others wait"
+        self._reject_for_room("the request arrives too slowly while others wait")
+
+    def _reject_for_room(self, message: str) -> None:
         self._reject(503, "no_room", message, retry_after_s=NO_ROOM_RETRY_AFTER_S)
 
     def _release_room(self) -> None:
+        self._release_earlier_room()
         hold, self._hold = self._hold, None
         if hold is not None:
             self._budget.remove(hold)
 
+    def _release_earlier_room(self) -> None:
+        hold, self._earlier_hold = self._earlier_hold, None
+        if hold is not None:
+            self._budget.remove(hold)
+
     def _read_request(self) -> None:
         if self._responder is not None or self._closing or self._is_behind_unsent:
             return
@@ -352,6 +389,7 @@
         framing = parse_framing(self._head)
         del self._buffer[: end + len(HEAD_END)]
         self._max_body_bytes = self.limits.max_body_bytes
+        self._is_large_wanted = False
         check_length(framing, self._max_body_bytes)
         if (framing.length or 0) > SMALL_BODY_BYTES and not self._wants_large_body():
             return True
@@ -380,6 +418,7 @@
             return False
         if max_bytes is not None:
             self._max_body_bytes = max_bytes
+        self._is_large_wanted = True
         return True
 
     def _estimate_size(self, framing: Framing) -> int:
@@ -388,7 +427,7 @@
         is_long_head = fields > self.limits.free_header_fields
         size = fields * HEADER_FIELD_BYTES if is_long_head else 0
         if framing.length is None:
-            return max(size, SMALL_BODY_BYTES)
+            return size + self._max_body_bytes if is_long_head else SMALL_BODY_BYTES
         if framing.length <= len(self._buffer):
             # It is here already, and short, as reading is in small pieces.
             return size
@@ -434,13 +473,11 @@
             raise build_size_error(self._max_body_bytes)
         if not is_complete:
             received_bytes = len(body.content) + len(body.rest)
-            is_small = self._hold is not None and self._hold.size <= SMALL_BODY_BYTES
-            if (
-                is_small
-                and received_bytes > SMALL_BODY_BYTES
-                and self._wants_large_body()
-            ):
-                self._add_room(self._max_body_bytes)
+            is_new_large = received_bytes > SMALL_BODY_BYTES
+            if is_new_large and not self._is_large_wanted and self._wants_large_body():
+                assert self._hold is not None
+                if self._hold.size <= SMALL_BODY_BYTES:
+                    self._add_room(self._max_body_bytes)
             return None
         self._chunked_body = None
         # What follows a chunked body is not read.
@@ -457,12 +494,15 @@
         self._framing = None
         if self._hold is not None:
             self._hold.is_receiving = False
+            fields_bytes = self._head.count(LINE_END) * HEADER_FIELD_BYTES
+            self._budget.shrink(self._hold, fields_bytes + len(body))
         self._responder = CircuitsResponder(connection=self, response=response)
         http_request = self._convert_request(parser, request, body)
         if not is_body_read:
             http_request = replace(http_request, is_body_read=False)
         self._task = start_task(
-            self._run_handler(http_request, self._responder), name="handle request"
+            self._run_handler(http_request, self._responder, self._hold),
+            name="handle request",
         )
 
     def _build_request(self, body: bytes) -> HttpRequest:
@@ -521,12 +561,17 @@
         return request, response
 
     async def _run_handler(
-        self, request: HttpRequest, responder: CircuitsResponder
+        self, request: HttpRequest, responder: CircuitsResponder, hold: Hold | None
     ) -> None:
         try:
             await self._handle(request, responder)
         except Exception:
             logger.exception("the handler of a %s request failed", request.method)
+        finally:
+            # The response may never end, as the caller has left. Room of the
+            # next request, which may be read already, is kept.
+            if hold is not None and hold is self._hold:
+                self._release_room()
         if responder.ended or responder.disconnected.is_set():
             return
         if responder.started:
--- a/carobspring/adapters/http_server.py
+++ b/carobspring/adapters/http_server.py
@@ -237,10 +237,8 @@
         the close.
         """
         idle = [each for each in self.connections.values() if each.is_idle]
-        if not idle:
-            return False
-        min(idle, key=lambda each: each.waiting_since).close_now()
-        return True
+        idle.sort(key=lambda each: each.waiting_since)
+        return any(each.close_if_unused() for each in idle)
 
     @handler("disconnect", override=True)
     def _on_disconnect(self, sock: Any) -> None:
--- a/tests/adapters/test_byte_budget.py
+++ b/tests/adapters/test_byte_budget.py
@@ -1,6 +1,7 @@
 import unittest
 
 from carobspring.adapters.byte_budget import (
+    MIN_RECEIVE_BYTES_PER_S,
     SMALL_BODY_BYTES,
     STALL_S,
     ByteBudget,
@@ -65,6 +66,29 @@
         self.assertIsNone(self.pool.find_stalled(now))
         self.assertIs(self.pool.find_stalled(1.0 + STALL_S), first)
 
+    def test_slow(self):
+        """Bodies that arrive byte by byte don't keep their room for long."""
+        hold = self.add("a", 10)
+        hold.room_at = 0.0
+        self.add("b", 1)
+        for second in (0.5, 1.0):
+            hold.record_received(1, second)
+            self.assertIsNone(self.pool.find_stalled(second))
+        now = STALL_S + 1.0
+        hold.record_received(1, now)
+        self.assertIs(self.pool.find_stalled(now), hold)
+        hold.record_received(MIN_RECEIVE_BYTES_PER_S, now)
+        self.assertIsNone(self.pool.find_stalled(now))
+
+    def test_shrink(self):
+        """Room that a complete body does not need goes to those that wait."""
+        first, second = self.add("a", 10), self.add("b", 6)
+        self.pool.shrink(first, 4)
+        self.assertIs(second.has_room, True)
+        self.pool.shrink(first, 8)
+        self.pool.remove(first)
+        self.assertEqual(self.pool.held_bytes, 6)
+
 
 class ByteBudgetTests(unittest.TestCase):
     """The pools of a process."""
--- a/tests/adapters/test_unwanted_bodies.py
+++ b/tests/adapters/test_unwanted_bodies.py
@@ -1,7 +1,8 @@
 import asyncio
+import socket
 import unittest
 
-from carobspring.adapters.byte_budget import SMALL_BODY_BYTES, ByteBudget
+from carobspring.adapters.byte_budget import SMALL_BODY_BYTES, ByteBudget, Hold
 from carobspring.adapters.http_server import CircuitsHttpServer
 from carobspring.ports import HttpLimits
 
@@ -15,6 +16,7 @@
 
     async def asyncSetUp(self):
         self.requests = []
+        self.body = b"handled"
         self.budget = ByteBudget(max_bytes=2 * LARGE)
         self.server = CircuitsHttpServer(
             host="127.0.0.1",
@@ -29,7 +31,7 @@
 
     async def handle(self, request, responder):
         self.requests.append((request.path, len(request.body), request.is_body_read))
-        await responder.send(200, TEXT, b"handled")
+        await responder.send(200, TEXT, self.body)
 
     async def open(self, path, *fields, body=b""):
         reader, writer = await asyncio.open_connection("127.0.0.1", self.server.port)
@@ -106,6 +108,140 @@
         self.assertEqual([pool.held_bytes for pool in pools], [0, 0])
 
 
+class ReturnedRoomTests(BudgetTestCase):
+    """Room of requests whose handler runs."""
+
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        self.begun = asyncio.Event()
+        self.may_end = asyncio.Event()
+        self.addCleanup(self.may_end.set)
+
+    async def handle(self, request, responder):
+        self.requests.append((request.path, len(request.body), request.is_body_read))
+        self.begun.set()
+        if request.path == "/abort":
+            await responder.start(200, TEXT)
+            responder.abort()
+            return
+        if request.path == "/wait":
+            await self.may_end.wait()
+        await responder.send(200, TEXT, b"handled")
+
+    async def wait_until_returned(self):
+        async with asyncio.timeout(5):
+            while self.budget.small.held_bytes or self.budget.large.held_bytes:
+                await asyncio.sleep(0.01)
+
+    async def send_in_chunks(self, path, size, *fields):
+        """Send a complete body in chunks, the last of them apart."""
+        data = b"%x\r\n%b\r\n" % (size, bytes(size))
+        reader, writer = await self.open(
+            path, "Transfer-Encoding: chunked", *fields, body=data
+        )
+        await asyncio.sleep(0.05)
+        writer.write(b"0\r\n\r\n")
+        return reader, writer
+
+    async def test_caller_leaves(self):
+        """A caller that leaves while its handler runs keeps no room."""
+        _, writer = await self.send_in_chunks("/wait", 100)
+        await self.begun.wait()
+        writer.transport.abort()
+        await asyncio.sleep(0.1)
+        self.may_end.set()
+        await self.wait_until_returned()
+
+    async def test_response_breaks_off(self):
+        """A response that the handler breaks off keeps no room."""
+        reader, _ = await self.send_in_chunks("/abort", 100)
+        await reader.read()
+        await self.wait_until_returned()
+
+    async def test_long_responses(self):
+        """Bodies in chunks hold what they have, not what they could have had.
+
+        Else a few long streams keep out all bodies that come in two parts.
+        """
+        large, _ = await self.send_in_chunks("/wait", SMALL_BODY_BYTES + 1)
+        await self.begun.wait()
+        self.assertLess(self.budget.large.held_bytes, 2 * SMALL_BODY_BYTES)
+        small = [await self.send_in_chunks("/wait", 10) for _ in range(8)]
+        reader, _ = await self.send_in_chunks("/other", 10)
+        self.assertEqual(await self.read_status(reader), 200)
+        self.may_end.set()
+        for each in (large, *(reader for reader, _ in small)):
+            self.assertEqual(await self.read_status(each), 200)
+
+
+class ChunkedRoomTests(BudgetTestCase):
+    """Room for bodies whose length is not known."""
+
+    async def fill_room(self):
+        fields = (f"Content-Length: {LARGE}",)
+        await self.open("/a", *fields, body=bytes(LARGE - 1))
+        async with asyncio.timeout(5):
+            while not self.budget.large.held_bytes:
+                await asyncio.sleep(0.01)
+
+    async def test_long_head(self):
+        """Many header fields let no body past the check of large ones."""
+        many_fields = [f"f{number}: x" for number in range(200)]
+        body = (b"2000\r\n" + bytes(0x2000) + b"\r\n") * 12
+        reader, _ = await self.open(
+            "/none", *many_fields, "Transfer-Encoding: chunked", body=body
+        )
+        self.assertEqual(await self.read_status(reader), 200)
+        self.assertEqual(self.requests, [("/none", 0, False)])
+
+    async def test_room_while_it_waits(self):
+        """What has been read of a body that waits for more room is counted."""
+        await self.fill_room()
+        body = (b"2000\r\n" + bytes(0x2000) + b"\r\n") * 12
+        await self.open("/b", "Transfer-Encoding: chunked", body=body)
+        async with asyncio.timeout(5):
+            while not self.budget.large.waiting_count:
+                await asyncio.sleep(0.01)
+        self.assertEqual(self.budget.small.held_bytes, SMALL_BODY_BYTES)
+
+
+class TimeoutTests(BudgetTestCase):
+    """Time limits while the server itself does not read."""
+
+    async def test_wait_for_room(self):
+        """A caller that is kept waiting is told so, and to try again."""
+        limits = HttpLimits(max_body_bytes=LARGE, request_timeout_s=0.5)
+        self.server.update_limits(limits)
+        self.budget.large.add(
+            Hold(
+                size=LARGE,
+                handle_room=lambda: None,
+                refuse=lambda: None,
+                is_receiving=False,
+            )
+        )
+        reader, _ = await self.open("/a", f"Content-Length: {LARGE}", body=b"a")
+        async with asyncio.timeout(10):
+            head = await reader.readuntil(b"\r\n\r\n")
+        self.assertIn(b" 503 ", head)
+        self.assertIn(b"Retry-After: 1", head)
+
+    async def test_pipelined_behind_unread_response(self):
+        """No request is late that waits for the response before it."""
+        self.body = bytes(16 * 1024 * 1024)
+        limits = HttpLimits(header_timeout_s=0.5)
+        self.server.update_limits(limits)
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.server.port)
+        self.addCleanup(writer.transport.abort)
+        request = HEAD.format(path="/a", fields="Content-Length: 0\r\n").encode()
+        writer.write(2 * request)
+        await asyncio.sleep(2.5)
+        for _ in range(2):
+            self.assertEqual(await self.read_status(reader), 200)
+            async with asyncio.timeout(10):
+                await reader.readexactly(len(self.body))
+
+
 class PipelineTests(BudgetTestCase):
     """Requests that are sent ahead on one connection."""
 
@@ -140,5 +276,32 @@
         self.assertEqual(len(self.requests), count)
 
 
+class ConnectionLimitTests(BudgetTestCase):
+    """More connections than the server takes."""
+
+    async def test_request_of_an_idle_connection(self):
+        """No request is lost that comes with one connection too many."""
+        address = ("127.0.0.1", self.server.port)
+        request = HEAD.format(path="/a", fields="Content-Length: 0\r\n").encode()
+        with socket.create_connection(address) as first:
+            await asyncio.sleep(0.1)
+            # The request is there, but the event loop has not read it.
+            first.sendall(request)
+            self.assertIs(self.server._web.http._close_idlest(), False)
+            await asyncio.sleep(0.2)
+            first.setblocking(False)
+            response = first.recv(100)
+        self.assertTrue(response.startswith(b"HTTP/1.1 200 "), response)
+
+    async def test_idle_connection_is_closed(self):
+        """An idle connection makes room for the next."""
+        self.server.update_limits(HttpLimits(max_connections=1))
+        idle, _ = await asyncio.open_connection("127.0.0.1", self.server.port)
+        await asyncio.sleep(0.1)
+        reader, _ = await self.open("/a", "Content-Length: 0")
+        self.assertEqual(await self.read_status(reader), 200)
+        self.assertEqual(await idle.read(), b"")
+
+
 if __name__ == "__main__":
     unittest.main()
