Bound the records of servers before the first configuration

Cause: no service is named then, so that the bound for unnamed services did not hold: 5,000 foreign servers were kept and shown, and each entry made a client of every one.

Change: until a configuration names services, a control daemon keeps 1,000 records, of which 750 are not gone, and the server that reported longest ago makes room. The order is that of the reports' times, so replicas with different servers don't replace each other's. An entry lists only servers of services that its routes name; those that it listed stay.

Result: new tests of the table, the state and the directory.

--- a/carobspring/control/state.py
+++ b/carobspring/control/state.py
@@ -43,7 +43,7 @@
     """Holds the replicated state, the soft state and the stream notifiers.
 
     ``find_services`` returns the services that a routing configuration names,
-    or None if any server may be used.
+    or None if that can't be told. Without it, any server may be used.
     """
 
     def __init__(
@@ -52,9 +52,9 @@
         replica_id: str,
         clock: Clock,
         lease_s: float = LEASE_S,
-        find_services: Callable[
-            [RoutingConfiguration], frozenset[str] | None
-        ] = lambda routing: None,
+        find_services: (
+            Callable[[RoutingConfiguration], frozenset[str] | None] | None
+        ) = None,
     ) -> None:
         self.replica_id = replica_id
         self._find_services = find_services
@@ -63,7 +63,11 @@
         self.agent_notifier = StreamNotifier()
         self.entry_notifier = StreamNotifier()
         self.machine = ControlMachine(on_applied=self.handle_applied)
-        self.members = MembershipTable(now=clock.read_monotonic(), lease_s=lease_s)
+        self.members = MembershipTable(
+            now=clock.read_monotonic(),
+            lease_s=lease_s,
+            expects_services=find_services is not None,
+        )
         self.entries = EntryTable()
         #: Strikes that entries report, beside the committed ones of agents.
         self.entry_strikes = EntryStrikes()
@@ -94,7 +98,7 @@
 
     def _update_services(self) -> None:
         routing = self.find_routing()
-        if routing.version == self._services_version:
+        if self._find_services is None or routing.version == self._services_version:
             return
         self._services_version = routing.version
         services = self._find_services(routing)
--- a/carobspring/gateway/directory.py
+++ b/carobspring/gateway/directory.py
@@ -41,6 +41,9 @@
     A server that drains stays draining until its next boot. While no replica
     is connected, the last list is kept.
 
+    Anyone can check in a server, and a listed one takes several kilobytes, so
+    only servers of services that the routes name become listed.
+
     ``on_change`` gets a server's name, and its listing or None if it was
     removed. ``is_serving`` returns whether a server answers at its address.
     """
@@ -56,7 +59,10 @@
         self._views: dict[str, _View] = {}
         #: Replicas whose view is kept although they are no longer followed.
         self._unfollowed: set[str] = set()
-        #: Servers that some replica lists, those that lack their address too.
+        #: Services that the routes name; None if any may be used.
+        self._services: frozenset[str] | None = None
+        #: Servers that some replica lists, those that lack their address too,
+        #: but not those of services that no routes have named.
         self._known: dict[str, ListedServer] = {}
         self._listed: dict[str, ListedServer] = {}
         self._draining_boots: OrderedDict[str, int] = OrderedDict()
@@ -69,6 +75,22 @@
         """Return every listed server."""
         return list(self._listed.values())
 
+    def set_services(self, services: frozenset[str] | None) -> None:
+        """Set the services that the routes name, or None if any may be used.
+
+        Servers that are listed stay so, since requests may run there.
+        """
+        self._services = services
+        hidden = {
+            name
+            for view in self._views.values()
+            for name, server in view.servers.items()
+            if name not in self._known and self._is_named(server)
+        }
+        for name in sorted(hidden):
+            self._merge(name)
+        self.settle_contests()
+
     def apply_update(self, replica: str, update: ViewUpdate) -> None:
         """Apply an update to one replica's view."""
         view = self._views.get(replica)
@@ -126,6 +148,9 @@
         for name in sorted(view.servers):
             self._merge(name)
 
+    def _is_named(self, server: BackendServer) -> bool:
+        return self._services is None or server.service in self._services
+
     def _merge(self, name: str) -> None:
         best: BackendServer | None = None
         best_order = (-1, -1)
@@ -140,6 +165,8 @@
                 best, best_order = server, order
                 draining = bool(load and load.draining)
         before = self._known.get(name)
+        if best is not None and before is None and not self._is_named(best):
+            return
         if best is None:
             if before is None:
                 return
--- a/carobspring/membership/table.py
+++ b/carobspring/membership/table.py
@@ -36,6 +36,13 @@
 MAX_MEMBERS = 5_000
 #: Largest number of members of services that no route may name.
 MAX_UNNAMED_MEMBERS = 500
+#: Largest number of members while no configuration names services, including
+#: those that are gone. The largest deployments have 600 servers; 5,000 records
+#: of foreign ones took more memory than the smallest instance has.
+MAX_MEMBERS_BEFORE_SERVICES = 1_000
+#: Of these, members that are not gone. The rest is for those that are, so that
+#: entries learn of a removal before its record is dropped.
+MAX_PRESENT_BEFORE_SERVICES = 750
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -85,7 +92,19 @@
     Each change that entries must learn of increases the view number ``view``.
     """
 
-    def __init__(self, *, now: float, lease_s: float = LEASE_S) -> None:
+    def __init__(
+        self,
+        *,
+        now: float,
+        lease_s: float = LEASE_S,
+        expects_services: bool = False,
+    ) -> None:
+        """Create an empty table.
+
+        With ``expects_services``, a configuration is to name the services,
+        and fewer members are kept until one does.
+        """
+        self._expects_services = expects_services
         self.view = 0
         self.started_at = now
         self._lease_s = lease_s
@@ -315,7 +334,7 @@
         reported_at = now - gossip.age_ms / 1000
         if reported_at + self._lease_s <= now:
             return ReportResult(accepted=False)
-        if known is None and not self._make_room(server):
+        if known is None and not self._make_room(server, reported_at, now):
             return ReportResult(accepted=False)
         self._update_member(known, gossip, server, reported_at, now, is_local)
         return ReportResult(accepted=True)
@@ -330,12 +349,14 @@
             and self._is_named(member.server)
         )
 
-    def _make_room(self, server: BackendServer) -> bool:
+    def _make_room(self, server: BackendServer, reported_at: float, now: float) -> bool:
         """Make room for a new member; return whether there is any.
 
         Servers of services that no route may name yield to each other and to
         all others, then those that are gone, the longest first.
         """
+        if self._expects_services and self._services is None:
+            return self._make_room_before_services(reported_at, now)
         is_full = len(self.members) >= MAX_MEMBERS
         is_named = self._is_named(server)
         if self._unnamed and (
@@ -345,6 +366,30 @@
             return True
         if not is_full:
             return True
+        return self._forget_longest_gone()
+
+    def _make_room_before_services(self, reported_at: float, now: float) -> bool:
+        """Make room while any service may be named later.
+
+        Members yield to those that reported after them, so that servers that
+        renew their lease stay. The order is that of the reports, not of their
+        arrival: replicas with different members would replace each other's.
+        """
+        if len(self.members) < MAX_PRESENT_BEFORE_SERVICES:
+            return True
+        present = [member for member in self.members.values() if not member.is_gone]
+        if len(present) >= MAX_PRESENT_BEFORE_SERVICES:
+            oldest = min(present, key=lambda member: member.reported_at)
+            if reported_at <= oldest.reported_at:
+                return False
+            # This is no loss of the server, which may still run.
+            self._mark_gone(oldest.server.server_id, oldest, now, oldest.loss_times)
+        if len(self.members) < MAX_MEMBERS_BEFORE_SERVICES:
+            return True
+        return self._forget_longest_gone()
+
+    def _forget_longest_gone(self) -> bool:
+        """Forget who has been gone the longest; return whether anyone is."""
         gone = [member for member in self.members.values() if member.is_gone]
         if not gone:
             return False
--- a/carobspring/programs/instance_entry_program.py
+++ b/carobspring/programs/instance_entry_program.py
@@ -106,6 +106,8 @@
             on_change=self._handle_server_change,
             is_serving=self._is_serving,
         )
+        # Nothing is routed before there are routes.
+        self._backend_directory.set_services(frozenset())
         self._crash_detector = CrashDetector(
             connections=self._backend_connections,
             find_listing=self._backend_directory.find,
@@ -342,6 +344,7 @@
             logger.error("committed routes cannot be decoded", extra=extra)
             return False
         self._state.apply_table(table, self._clock.read_monotonic())
+        self._backend_directory.set_services(frozenset(table.services))
         self._frontend.update_limits(
             replace(
                 self._frontend.limits,
--- a/tests/control/test_state.py
+++ b/tests/control/test_state.py
@@ -10,6 +10,7 @@
 from carobspring.control.sessions import EntrySession
 from carobspring.control.state import ControlState, StreamNotifier
 from carobspring.domain import LoadReport
+from carobspring.membership import table as table_module
 from carobspring.protocol import AgentReport, RoutingConfiguration, Strike
 from tests.control.harness import make_server
 
@@ -27,6 +28,33 @@
         super().set()
 
 
+class ServiceTests(unittest.TestCase):
+    """Services that a configuration names."""
+
+    def apply_foreign(self, state):
+        """Apply a report of two servers, with room for one."""
+        for number in range(2):
+            report = AgentReport(server=make_server(f"f{number}"), load=LoadReport())
+            state.members.apply_report(report, 0.1 + number)
+        return len(state.members.list_present())
+
+    def test_bound_before_a_configuration(self):
+        """Few servers are kept while a configuration is still to come.
+
+        Where none names services, all servers are kept.
+        """
+        name = "MAX_PRESENT_BEFORE_SERVICES"
+        with unittest.mock.patch.object(table_module, name, 1):
+            state = ControlState(replica_id="a", clock=SystemClock())
+            self.assertEqual(self.apply_foreign(state), 2)
+            state = ControlState(
+                replica_id="a",
+                clock=SystemClock(),
+                find_services=lambda routing: frozenset({"svc"}),
+            )
+            self.assertEqual(self.apply_foreign(state), 1)
+
+
 class HeldStrikeTests(unittest.TestCase):
     def test_entries_get_only_held_requests(self):
         """Entries are sent the strikes of requests that all hold back."""
--- a/tests/gateway/test_directory.py
+++ b/tests/gateway/test_directory.py
@@ -57,6 +57,38 @@
             )
         self.assertEqual(self.changes, ["s2"])
 
+    def test_services_that_no_routes_name(self):
+        """Servers that nothing is routed to are not listed.
+
+        Anyone can check them in, and each listed one takes memory.
+        """
+        self.directory.set_services(frozenset())
+        for replica in ("r1", "r2"):
+            self.directory.apply_update(replica, build_update(build_server()))
+        self.directory.apply_update("r1", build_update(draining=("s1",)))
+        self.assertEqual((self.changes, self.get_states()), ([], {}))
+        self.directory.set_services(frozenset({"svc"}))
+        self.assertEqual(self.get_states(), {"s1": (1, True)})
+
+    def test_service_that_is_no_longer_named(self):
+        """A listed server stays listed, since requests may run there."""
+        self.directory.set_services(frozenset({"svc"}))
+        self.directory.apply_update("r1", build_update(build_server()))
+        self.directory.set_services(frozenset({"other"}))
+        self.directory.apply_update("r1", build_update(build_server(), sequence=2))
+        self.assertEqual(self.get_states(), {"s1": (1, False)})
+        self.directory.apply_update("r1", build_update(removed=("s1",)))
+        self.assertEqual(self.get_states(), {})
+
+    def test_hidden_server_takes_no_address(self):
+        """A server that is not listed does not contest an address."""
+        self.directory.set_services(frozenset({"svc"}))
+        self.directory.apply_update("r1", build_update(build_server()))
+        foreign = replace(build_server("s2", boot=9), service="other")
+        self.directory.apply_update("r1", build_update(foreign))
+        self.assertEqual(self.get_states(), {"s1": (1, False)})
+        self.assertIs(self.directory.is_contested(foreign), False)
+
     def test_listed_while_any_replica_lists(self):
         """A server is removed only when no replica lists it any more."""
         for replica in ("r1", "r2"):
--- a/tests/membership/test_table.py
+++ b/tests/membership/test_table.py
@@ -473,3 +473,69 @@
         with unittest.mock.patch.object(table_module, "MAX_MEMBERS", 2):
             self.assertEqual(table.apply_report(report, 0.2), ACCEPTED)
         self.assertEqual(set(table.members), {"m1", "f2"})
+
+
+class BeforeServicesTests(unittest.TestCase):
+    """Servers that check in before a configuration names services."""
+
+    def setUp(self):
+        for name, value in (
+            ("MAX_MEMBERS_BEFORE_SERVICES", 5),
+            ("MAX_PRESENT_BEFORE_SERVICES", 3),
+        ):
+            patch = unittest.mock.patch.object(table_module, name, value)
+            patch.start()
+            self.addCleanup(patch.stop)
+        self.table = MembershipTable(now=0.0, expects_services=True)
+
+    def list_present(self):
+        return [member.server.server_id for member in self.table.list_present()]
+
+    def test_bound(self):
+        """Foreign identifiers do not grow the table, or replace a server.
+
+        The server renews its lease; the foreign ones check in once.
+        """
+        for number in range(50):
+            now = 0.1 * number
+            self.table.apply_report(build_report(number + 1), now)
+            self.table.apply_report(build_foreign(number), now + 0.05)
+            self.assertLessEqual(len(self.table.members), 5)
+        self.assertEqual(self.list_present(), ["f48", "f49", "m1"])
+        self.assertEqual(sorted(list_visible(self.table)), ["f48", "f49", "m1"])
+
+    def test_entries_learn_of_removals(self):
+        """An entry is told which servers made room, without the whole list."""
+        for number in range(3):
+            self.table.apply_report(build_foreign(number), 0.1 * number)
+        for number in range(3, 12):
+            view = self.table.view
+            self.table.apply_report(build_foreign(number), 0.1 * number)
+            delta = self.table.compute_delta(view)
+            self.assertIs(delta.complete, False)
+            self.assertEqual(delta.removed, (f"f{number - 3}",))
+
+    def test_earlier_reports_of_other_replicas(self):
+        """Replicas with different servers don't replace each other's."""
+        for number in range(3):
+            self.table.apply_report(build_foreign(number), 1.0)
+        server = replace(SERVER, server_id="m2")
+        gossip = build_gossip(1, 500, server_id="m2", server=server)
+        self.assertEqual(self.table.apply_gossip(gossip, 1.1), REFUSED)
+        self.assertEqual(self.list_present(), ["f0", "f1", "f2"])
+
+    def test_named_services(self):
+        """Once services are named, their servers have all the room."""
+        self.table.apply_report(build_foreign(0), 0.0)
+        self.table.set_services(frozenset({"elsewhere"}), 0.1)
+        for number in range(1, 20):
+            self.table.apply_report(build_foreign(number), 0.2)
+        self.assertEqual(len(self.list_present()), 20)
+
+    def test_server_that_made_room(self):
+        """A server that made room is shown again with its next report."""
+        for number in range(4):
+            self.table.apply_report(build_foreign(number), 0.1 * number)
+        self.assertNotIn("f0", list_visible(self.table))
+        self.table.apply_report(build_foreign(0, sequence=2), 0.5)
+        self.assertIn("f0", list_visible(self.table))
