Refuse a check-in that is too large with 400 again

Cause: bodies over 64 KiB are no longer read, and the call was answered 413. Check-ins over their limit were answered 400 before, as all that can't be used; test_odd_check_ins failed in nine cases.

Change: an unread check-in is answered 400, any other call 413.

--- a/carobspring/control/instance_api.py
+++ b/carobspring/control/instance_api.py
@@ -97,7 +97,7 @@
         """Handle one request."""
         path, method = request.path, request.method
         if not request.is_body_read:
-            await self._send_error(responder, 413, "too_large", "the body is too large")
+            await self._refuse_unread(request, responder)
             return
         is_configuration = path == platform.CONFIGURATION_PATH
         redirect = self._finder.find_redirect(to_member=is_configuration)
@@ -120,6 +120,18 @@
         else:
             await self._send_error(responder, 404, "not_found", "no such call")
 
+    async def _refuse_unread(
+        self, request: HttpRequest, responder: HttpResponder
+    ) -> None:
+        """Refuse a call whose body was too large to be read."""
+        message = "the body is too large"
+        is_check_in = request.path.startswith(platform.BACKEND_SERVER_PATH_PREFIX)
+        if is_check_in and request.method == "PUT":
+            # Like any other check-in that can't be used.
+            await self._send_error(responder, 400, "invalid", message)
+        else:
+            await self._send_error(responder, 413, "too_large", message)
+
     async def _put_configuration(
         self, request: HttpRequest, responder: HttpResponder
     ) -> None:
--- a/tests/control/test_instance_api.py
+++ b/tests/control/test_instance_api.py
@@ -71,11 +71,13 @@
             gossip=self.gossip,
         )
 
-    async def call(self, method, path, body=b""):
+    async def call(self, method, path, body=b"", *, is_body_read=True):
         responder = FakeResponder()
         if not isinstance(body, bytes):
             body = json.dumps(body).encode()
-        request = HttpRequest(method=method, path=path, body=body)
+        request = HttpRequest(
+            method=method, path=path, body=body, is_body_read=is_body_read
+        )
         await self.api.handle(request, responder)
         return responder
 
@@ -95,6 +97,22 @@
         self.assertEqual(statuses, [200] * 4)
         self.assertEqual(await self.read(), (200, 9))
 
+    async def test_bodies_that_were_not_read(self):
+        """A check-in that is too large is refused like any unusable one.
+
+        Other calls get the status of a body that is too large.
+        """
+        self.build()
+        cases = {
+            ("PUT", "/v1/instances/i-1"): 400,
+            ("DELETE", "/v1/instances/i-1"): 413,
+            ("POST", "/elsewhere"): 413,
+        }
+        for (method, path), status in cases.items():
+            with self.subTest(method=method, path=path):
+                response = await self.call(method, path, is_body_read=False)
+                self.assertEqual(response.status, status)
+
     async def test_body_is_returned_unchanged(self):
         """A read returns exactly the bytes that were sent."""
         self.build()
