--- a/tests/endtoend/test_hostile_clients.py
+++ b/tests/endtoend/test_hostile_clients.py
@@ -193,7 +193,8 @@
                 await self.check(form)
 
             test.__doc__ = f"The process stays within its memory: {form}."
-            setattr(case, f"test_{form.replace(' ', '_')}", test)
+            test.__name__ = f"test_{form.replace(' ', '_')}"
+            setattr(case, test.__name__, test)
 
 
 _add_tests()
