Export what is held for clients and what was refused

Cause: nobody could see that a crowd of clients presses on a program, which address it comes from, and what was refused.

Change: gauges of the byte budget and of the connections by state, and a counter of refusals by server and reason, taken when they are rendered. A warning says that a server begins to shed clients; another one, once there was no shedding for 10 s, names reasons and the three addresses that were refused most often. The counts by address are bounded.

--- a/carobspring/adapters/byte_budget.py
+++ b/carobspring/adapters/byte_budget.py
@@ -81,7 +81,7 @@
     """
 
     def __init__(self, *, max_bytes: int) -> None:
-        self._max_bytes = max_bytes
+        self.max_bytes = max_bytes
         self.held_bytes = 0
         self._holds: OrderedDict[int, Hold] = OrderedDict()
         self._waiting: OrderedDict[int, Hold] = OrderedDict()
@@ -93,7 +93,7 @@
 
     def add(self, hold: Hold) -> None:
         """Give a hold room at once if no other waits, or queue it."""
-        hold.size = min(hold.size, self._max_bytes)
+        hold.size = min(hold.size, self.max_bytes)
         self._waiting[id(hold)] = hold
         self._fill(new=hold)
 
@@ -121,7 +121,7 @@
     def _fill(self, new: Hold | None = None) -> None:
         while self._waiting:
             hold = next(iter(self._waiting.values()))
-            if self.held_bytes + hold.size > self._max_bytes:
+            if self.held_bytes + hold.size > self.max_bytes:
                 return
             del self._waiting[id(hold)]
             self._holds[id(hold)] = hold
--- a/carobspring/adapters/http_connection.py
+++ b/carobspring/adapters/http_connection.py
@@ -1,6 +1,7 @@
 """One connection of a caller: reads requests and runs their handler."""
 
 import asyncio
+import enum
 import logging
 import time
 from dataclasses import replace
@@ -39,6 +40,20 @@
 logger = logging.getLogger(__name__)
 
 
+class ConnectionState(enum.Enum):
+    """What a connection does, for the metrics."""
+
+    IDLE = "idle"
+    #: A request arrives.
+    RECEIVING = "receiving"
+    #: A request waits for room, or for its caller to read responses.
+    WAITING = "waiting"
+    #: A handler runs.
+    HANDLING = "handling"
+    #: The last response is sent, or the caller's close is awaited.
+    CLOSING = "closing"
+
+
 class HttpConnection:
     """Reads one request at a time and buffers the data that follows it.
 
@@ -114,6 +129,7 @@
         self.close_if_left()
         stalled_s = now - self._last_sent_at if self._unsent_bytes else 0.0
         if stalled_s > self.limits.stall_timeout_s:
+            self._record_refusal("stalled_reader")
             self.close_now()
             return
         if self.has_lingered(now, self.limits.linger_s):
@@ -150,6 +166,19 @@
         is_busy = self._responder is not None or self._buffer or self._framing
         return not (is_busy or self._closing or self._unsent_bytes)
 
+    @property
+    def state(self) -> ConnectionState:
+        """What the connection does."""
+        if self._responder is not None:
+            return ConnectionState.HANDLING
+        if self._closing:
+            return ConnectionState.CLOSING
+        if self._buffer or self._framing:
+            has_room = self._hold is None or self._hold.has_room
+            is_waiting = not has_room or self._is_behind_unsent
+            return ConnectionState.WAITING if is_waiting else ConnectionState.RECEIVING
+        return ConnectionState.IDLE
+
     @property
     def waiting_since(self) -> float:
         """Monotonic time since which it has waited for a request."""
@@ -164,6 +193,7 @@
         """Close unless a request has come; return whether it closed."""
         if not self.is_idle or self._tcp_server.is_readable(self._sock):
             return False
+        self._record_refusal("evicted")
         self.close_now()
         return True
 
@@ -582,11 +612,15 @@
         )
         await responder.send(500, JSON_HEADERS, body)
 
+    def _record_refusal(self, reason: str) -> None:
+        self._protocol.refusals.record(reason, self._peer, time.monotonic())
+
     def _reject(
         self, status: int, code: str, message: str, *, retry_after_s: int = 0
     ) -> None:
         self._closing = True
         self._release_room()
+        self._record_refusal(code)
         body = encode_error(code=code, message=message)
         retry_after = f"Retry-After: {retry_after_s}\r\n" if retry_after_s else ""
         head = (
--- a/carobspring/adapters/http_server.py
+++ b/carobspring/adapters/http_server.py
@@ -18,8 +18,9 @@
 
 from carobspring.adapters.byte_budget import ByteBudget
 from carobspring.adapters.eventloop import EventLoopRoot
-from carobspring.adapters.http_connection import HttpConnection
+from carobspring.adapters.http_connection import ConnectionState, HttpConnection
 from carobspring.adapters.listeners import take_listener
+from carobspring.adapters.refusals import RefusalRecorder
 from carobspring.adapters.tasks import start_service_task
 from carobspring.ports import BodyLimiter, HttpHandler, HttpLimits, HttpServer
 
@@ -205,8 +206,10 @@
         limits: HttpLimits,
         budget: ByteBudget,
         find_max_body: BodyLimiter,
+        refusals: RefusalRecorder,
     ) -> None:
         super().__init__(server)
+        self.refusals = refusals
         self._handle = handle
         self._limits = limits
         self._budget = budget
@@ -218,6 +221,8 @@
     def _on_connect(self, sock: Any, *peer: Any) -> None:
         max_connections = min(self._limits.max_connections, find_max_connections())
         if len(self.connections) >= max_connections and not self._close_idlest():
+            peer_ip = str(peer[0]) if peer else ""
+            self.refusals.record("too_many_connections", peer_ip, time.monotonic())
             self.fire(close(sock))
             return
         self.connections[sock] = HttpConnection(
@@ -279,6 +284,7 @@
         for connection in list(self.connections.values()):
             connection.check_timeouts(now)
         self._budget.refuse_stalled(now)
+        self.refusals.check(now)
 
 
 class _WebServer(BaseComponent):
@@ -296,6 +302,7 @@
         limits: HttpLimits,
         budget: ByteBudget,
         find_max_body: BodyLimiter,
+        refusals: RefusalRecorder,
     ) -> None:
         super().__init__()
         self.http = BoundedHttp(
@@ -304,6 +311,7 @@
             limits=limits,
             budget=budget,
             find_max_body=find_max_body,
+            refusals=refusals,
         ).register(self)
         self.server = ReportingTcpServer(
             bind, on_sent=self.http.record_sent, on_end=self.http.handle_end
@@ -352,6 +360,8 @@
         self._limits = limits or HttpLimits()
         self._budget = budget or ByteBudget()
         self._find_max_body = find_max_body
+        #: What was refused since the start.
+        self.refusals = RefusalRecorder()
         self._root: EventLoopRoot | None = None
         self._web: _WebServer | None = None
         self._timeout_task: asyncio.Task[None] | None = None
@@ -368,13 +378,20 @@
             limits=self._limits,
             budget=self._budget,
             find_max_body=self._find_max_body,
+            refusals=self.refusals,
         )
-        self.port = self._web.port
+        self.port = self.refusals.port = self._web.port
         self._web.register(self._root)
         self._timeout_task = start_service_task(
             self._check_timeouts, name="connection timeouts"
         )
 
+    def list_connection_states(self) -> list[ConnectionState]:
+        """Return what each open connection does."""
+        if self._web is None:
+            return []
+        return [each.state for each in self._web.http.connections.values()]
+
     @property
     def limits(self) -> HttpLimits:
         """The limits in force."""
--- a/carobspring/programs/instance_control_program.py
+++ b/carobspring/programs/instance_control_program.py
@@ -13,6 +13,7 @@
 
 from carobspring import platform
 from carobspring.adapters.admission_service import AdmissionService
+from carobspring.adapters.client_metrics import ClientMetrics
 from carobspring.adapters.clock import SystemClock, SystemRandom
 from carobspring.adapters.discovery import DiscoveryExchange
 from carobspring.adapters.disk import DiskStorage
@@ -238,13 +239,16 @@
             find_max_body=find_max_body,
         )
         await self._http_server.start()
+        client_metrics = ClientMetrics(metrics=self._metrics, budget=budget)
+        client_metrics.add_server("control", self._http_server)
         if self._options.metrics_port:
             self._metrics_server = await serve_metrics(
                 host=settings.ip,
                 port=self._options.metrics_port,
-                render=self._render_metrics,
+                render=client_metrics.wrap(self._render_metrics),
                 budget=budget,
             )
+            client_metrics.add_server("metrics", self._metrics_server)
         self._tasks = [
             start_service_task(self._discovery.run, name="discovery"),
             start_service_task(self._tick_periodically, name="tick"),
--- a/carobspring/programs/instance_entry_program.py
+++ b/carobspring/programs/instance_entry_program.py
@@ -10,6 +10,7 @@
 from grpclib.client import Channel
 
 from carobspring import platform
+from carobspring.adapters.client_metrics import ClientMetrics
 from carobspring.adapters.clock import SystemClock, SystemRandom
 from carobspring.adapters.datagrams import DatagramSocket
 from carobspring.adapters.http_server import CircuitsHttpServer
@@ -200,18 +201,21 @@
             budget=budget,
             find_max_body=lambda request: 0,
         )
+        client_metrics = ClientMetrics(metrics=self._metrics, budget=budget)
+        client_metrics.add_server("callers", self._frontend)
+        client_metrics.add_server("readiness", readiness)
         self._servers = [self._frontend, readiness]
         for server in self._servers:
             await server.start()
         if self._options.metrics_port:
-            self._servers.append(
-                await serve_metrics(
-                    host=self._settings.ip,
-                    port=self._options.metrics_port,
-                    render=self._metrics.render_text,
-                    budget=budget,
-                )
+            metrics_server = await serve_metrics(
+                host=self._settings.ip,
+                port=self._options.metrics_port,
+                render=client_metrics.wrap(self._metrics.render_text),
+                budget=budget,
             )
+            client_metrics.add_server("metrics", metrics_server)
+            self._servers.append(metrics_server)
         await self._peer_socket.open(self._settings.ip, self._peer_port)
         self._tasks = [
             start_service_task(self._control_streams.run, name="control streams"),
