--- a/carobspring/programs/instance_entry_program.py
+++ b/carobspring/programs/instance_entry_program.py
@@ -4,11 +4,13 @@
 import logging
 import zlib
 from collections.abc import Iterable, Mapping, Sequence
+from dataclasses import replace
 from typing import Final
 
 from grpclib.client import Channel
 
 from carobspring import platform
+from carobspring.adapters.client_metrics import ClientMetrics
 from carobspring.adapters.clock import SystemClock, SystemRandom
 from carobspring.adapters.datagrams import DatagramSocket
 from carobspring.adapters.http_server import CircuitsHttpServer
@@ -45,6 +47,7 @@
 from carobspring.programs.instance_options import InstanceOptions
 from carobspring.programs.node_file import (
     NodeFileWatcher,
+    build_budget,
     read_instance_settings,
 )
 from carobspring.programs.options import OptionError
@@ -105,6 +108,8 @@
             on_change=self._handle_server_change,
             is_serving=self._is_serving,
         )
+        # Nothing is routed before there are routes.
+        self._backend_directory.set_services(frozenset())
         self._crash_detector = CrashDetector(
             connections=self._backend_connections,
             find_listing=self._backend_directory.find,
@@ -189,28 +194,37 @@
 
     async def start(self) -> dict[str, int]:
         """Listen for callers and connect to control replicas."""
+        budget = build_budget(self._settings)
         self._frontend = CircuitsHttpServer(
             host=self._frontend_address.host,
             port=self._frontend_address.port,
             handler=self._api.handle,
             limits=HttpLimits(),
+            budget=budget,
+            find_max_body=self._api.find_max_body,
         )
         readiness = CircuitsHttpServer(
             host=self._readiness_address.host,
             port=self._readiness_address.port,
             handler=self._handle_readiness,
+            budget=budget,
+            find_max_body=lambda request: 0,
         )
+        client_metrics = ClientMetrics(metrics=self._metrics, budget=budget)
+        client_metrics.add_server("callers", self._frontend)
+        client_metrics.add_server("readiness", readiness)
         self._servers = [self._frontend, readiness]
         for server in self._servers:
             await server.start()
         if self._options.metrics_port:
-            self._servers.append(
-                await serve_metrics(
-                    host=self._settings.ip,
-                    port=self._options.metrics_port,
-                    render=self._metrics.render_text,
-                )
+            metrics_server = await serve_metrics(
+                host=self._settings.ip,
+                port=self._options.metrics_port,
+                render=client_metrics.wrap(self._metrics.render_text),
+                budget=budget,
             )
+            client_metrics.add_server("metrics", metrics_server)
+            self._servers.append(metrics_server)
         await self._peer_socket.open(self._settings.ip, self._peer_port)
         self._tasks = [
             start_service_task(self._control_streams.run, name="control streams"),
@@ -351,8 +365,10 @@
             return False
         self._state.apply_table(table, self._clock.read_monotonic())
         self._dispatcher.update_services(table.services)
+        self._backend_directory.set_services(frozenset(table.services))
         self._frontend.update_limits(
-            HttpLimits(
+            replace(
+                self._frontend.limits,
                 max_header_bytes=table.limits.max_header_bytes,
                 max_body_bytes=table.limits.max_body_bytes,
                 header_timeout_s=table.limits.header_timeout_s,
