--- a/tests/programs/test_instance_entry.py
+++ b/tests/programs/test_instance_entry.py
@@ -6,6 +6,7 @@
 from carobspring.adapters.clock import SystemRandom
 from carobspring.dispatch import Dispatcher
 from carobspring.gateway import GatewayState
+from carobspring.ports import HttpLimits
 from carobspring.programs.instance_entry_program import InstanceEntryProgram
 from carobspring.protocol import ViewUpdate
 from carobspring.protocol.control import RoutingConfiguration
@@ -18,7 +19,8 @@
         self.program._state = GatewayState()
         self.program._clock = mock.Mock()
         self.program._clock.read_monotonic.return_value = 0.0
-        self.program._frontend = mock.Mock()
+        self.program._frontend = mock.Mock(limits=HttpLimits())
+        self.program._backend_directory = mock.Mock()
         self.program._route_steps = mock.Mock()
         self.dispatcher = Dispatcher(zone="a", random=SystemRandom(seed=1))
         self.program._dispatcher = self.dispatcher
