--- a/tests/dispatch/test_costs.py
+++ b/tests/dispatch/test_costs.py
@@ -9,7 +9,7 @@
 from carobspring.domain import ServerLoad, ServiceKind
 from carobspring.protocol import EngineLoad
 from carobspring.routing import CircuitBreaker, RoutingLimits
-from tests.dispatch.support import build_query, build_server
+from tests.dispatch.support import build_dispatcher, build_query, build_server
 
 LIMITS = DispatchLimits()
 LOAD = ServerLoad(running=70, waiting=3, slots=64)
@@ -379,6 +379,14 @@
         slow.record_service_time(0.8, 1.0)
         self.assertEqual(usual.service_time_s.value, slow.service_time_s.value)
 
+    def test_log(self):
+        """The log names the factor, which would else look like a long wait."""
+        dispatcher = build_dispatcher(build_server("s1"))
+        dispatcher.record_load("s1", replace(LOAD, slowdown=1.5), 0.0)
+        placement = dispatcher.place(QUERIES["chat"], frozenset(), 0.1)
+        self.assertIn("slowdown=1.50 ", placement.reason)
+        self.assertIn("memory=0.000 ", placement.reason)
+
     def test_copy_and_home(self):
         """Neither copying a prefix nor the home's reading is scaled."""
         for has_prefix in (True, False):
