--- a/standins/backend_server.py
+++ b/standins/backend_server.py
@@ -68,6 +68,8 @@
 
     attempt_id: str
     started_at: float
+    #: The workspace that the entry named, or empty.
+    workspace: str = ""
     #: Time at which the work was done or given up; None during it.
     ended_at: float | None = None
     #: Whether the server did all that it should until then.
@@ -295,7 +297,10 @@
             )
         self.run_counts[attempt_id] += 1
         run = ServerRun(
-            attempt_id=attempt_id, started_at=time.monotonic(), is_sound=not self.fault
+            attempt_id=attempt_id,
+            started_at=time.monotonic(),
+            workspace=headers.get("Carobspring-Tenant", ""),
+            is_sound=not self.fault,
         )
         self.runs.append(run)
         try:
--- a/standins/instances.py
+++ b/standins/instances.py
@@ -116,9 +116,12 @@
         diskless_entries: int = 1,
         entry_module: str = ENTRY_MODULE,
         bounds: Mapping[str, float] | None = None,
+        cloud: Mapping[str, object] | None = None,
     ) -> None:
         self._deployment = deployment
         self._entry_module = entry_module
+        #: The provider's API and the duties that are called there, or None.
+        self._cloud = cloud
         self._bounds: dict[str, float] = {
             "grace_s": STOP_GRACE_S,
             "retry_slack": 58,
@@ -232,5 +235,7 @@
             "fault_tolerance": {"machines": 1},
             "bounds": self._bounds,
         }
+        if self._cloud is not None:
+            settings["cloud"] = dict(self._cloud)
         path = instance.node_file.with_suffix(f".{role}.json")
         path.write_text(json.dumps(settings))
--- a/tests/endtoend/instances.py
+++ b/tests/endtoend/instances.py
@@ -27,12 +27,14 @@
         self.client = await self.enterAsyncContext(open_client(20))
         self.operator_client = await self.enterAsyncContext(open_client(1))
         self.network = find_free_network()
+        cloud = await self.start_provider()
         self.instances = InstanceSet(
             self.deployment,
             network=self.network,
             diskless_entries=self.DISKLESS_ENTRIES,
             entry_module=self.ENTRY_MODULE,
             bounds=self.BOUNDS,
+            cloud=cloud,
         )
         await self.instances.start_all()
         controls = [control.control_url for control in self.instances.controls]
@@ -54,6 +56,10 @@
         await self.operator.put(build_configuration(1))
         await self.wait_until_serving()
 
+    async def start_provider(self):
+        """Start a provider and return its part of the node files, if any."""
+        return None
+
     async def call(
         self, entry, path, *, key="key-1", method="GET", headers=(), body=None
     ):
