--- a/standins/instances.py
+++ b/standins/instances.py
@@ -118,12 +118,15 @@
         bounds: Mapping[str, float] | None = None,
         limits: Mapping[str, float] | None = None,
         flags: Mapping[str, Mapping[str, object]] | None = None,
+        cloud: Mapping[str, object] | None = None,
     ) -> None:
         """Create the instances; ``flags`` are those of each program."""
         self._limits = dict(limits or {})
         self._flags = dict(flags or {})
         self._deployment = deployment
         self._entry_module = entry_module
+        #: The provider's API and the duties that are called there, or None.
+        self._cloud = cloud
         self._bounds: dict[str, float] = {
             "grace_s": STOP_GRACE_S,
             "retry_slack": 58,
@@ -239,5 +242,7 @@
         }
         if self._limits:
             settings["limits"] = self._limits
+        if self._cloud is not None:
+            settings["cloud"] = dict(self._cloud)
         path = instance.node_file.with_suffix(f".{role}.json")
         path.write_text(json.dumps(settings))
