Bound the connections to readiness and metrics

Cause: each HTTP server took three quarters of the descriptors for itself, so that those of readiness, metrics and callers together could take more than there are.

Change: servers for readiness and metrics take 64 connections.

Result: the new test of test_metrics failed before and passes.

--- a/carobspring/adapters/http_server.py
+++ b/carobspring/adapters/http_server.py
@@ -34,6 +34,9 @@
 DRAIN_POLL_INTERVAL_S = 0.02
 #: Descriptors for files, listeners and other processes of the system.
 RESERVED_DESCRIPTORS = 200
+#: Connections of a server for readiness or metrics. Platforms use a few; each
+#: server counts its own, so more would take the descriptors of the callers.
+MAX_PROBE_CONNECTIONS = 64
 #: Part of the others for callers; the rest is for backend servers.
 CONNECTION_SHARE = 0.75
 #: Signs of a poll that the caller has closed the connection.
--- a/carobspring/adapters/metrics.py
+++ b/carobspring/adapters/metrics.py
@@ -5,8 +5,11 @@
 from aioprometheus import Counter, Gauge, Histogram, Registry, render
 
 from carobspring.adapters.byte_budget import ByteBudget
-from carobspring.adapters.http_server import CircuitsHttpServer
-from carobspring.ports import HttpRequest, HttpResponder
+from carobspring.adapters.http_server import (
+    MAX_PROBE_CONNECTIONS,
+    CircuitsHttpServer,
+)
+from carobspring.ports import HttpLimits, HttpRequest, HttpResponder
 
 CONTENT_TYPE = "text/plain; version=0.0.4; charset=utf-8"
 LATENCY_BUCKETS_S = (0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10, 30, 60)
@@ -80,6 +83,7 @@
         host=host,
         port=port,
         handler=handle,
+        limits=HttpLimits(max_connections=MAX_PROBE_CONNECTIONS),
         budget=budget,
         find_max_body=lambda request: 0,
     )
--- a/carobspring/programs/instance_entry_program.py
+++ b/carobspring/programs/instance_entry_program.py
@@ -13,7 +13,10 @@
 from carobspring.adapters.client_metrics import ClientMetrics
 from carobspring.adapters.clock import SystemClock, SystemRandom
 from carobspring.adapters.datagrams import DatagramSocket
-from carobspring.adapters.http_server import CircuitsHttpServer
+from carobspring.adapters.http_server import (
+    MAX_PROBE_CONNECTIONS,
+    CircuitsHttpServer,
+)
 from carobspring.adapters.metrics import Metrics, serve_metrics
 from carobspring.adapters.rpc import open_channel
 from carobspring.adapters.tasks import start_service_task
@@ -198,6 +201,7 @@
             host=self._readiness_address.host,
             port=self._readiness_address.port,
             handler=self._handle_readiness,
+            limits=HttpLimits(max_connections=MAX_PROBE_CONNECTIONS),
             budget=budget,
             find_max_body=lambda request: 0,
         )
--- a/tests/adapters/test_metrics.py
+++ b/tests/adapters/test_metrics.py
@@ -1,5 +1,7 @@
+import asyncio
 import unittest
 
+from carobspring.adapters.http_server import MAX_PROBE_CONNECTIONS
 from carobspring.adapters.metrics import Metrics, serve_metrics
 from standins.deployment import open_client
 
@@ -21,3 +23,20 @@
                 text = await response.text()
         self.assertIn('carob_x_total{reason="r",zone="a"} 1', text)
         self.assertIn('carob_x_seconds_bucket{le="0.025",zone="a"} 1', text)
+
+    async def test_bound_of_connections(self):
+        """Connections to the metrics don't take the callers' descriptors."""
+        metrics = Metrics(labels={"zone": "a"})
+        server = await serve_metrics(
+            host="127.0.0.1", port=0, render=metrics.render_text
+        )
+        self.addAsyncCleanup(server.close)
+        writers = []
+        for _ in range(MAX_PROBE_CONNECTIONS + 20):
+            _, writer = await asyncio.open_connection("127.0.0.1", server.port)
+            self.addCleanup(writer.close)
+            writers.append(writer)
+            writer.write(b"GET / HTTP/1.1\r\n")
+        await asyncio.sleep(0.2)
+        count = len(server.list_connection_states())
+        self.assertLessEqual(count, MAX_PROBE_CONNECTIONS)
