Close slow heads when connections run out

Cause: at the limit of connections only idle ones made room. Clients that begin a head and never end it kept all others out until header_timeout.

Change: where none is idle, the connection whose head has taken longest, and over a second, is closed. Its request has not run.

Result: test_slow_heads failed before and passes.

--- a/carobspring/adapters/http_connection.py
+++ b/carobspring/adapters/http_connection.py
@@ -30,6 +30,9 @@
 
 #: Memory that a header field takes once it is parsed.
 HEADER_FIELD_BYTES: Final = 512
+#: Seconds from the first byte of a head after which its connection makes
+#: room for another one at the limit. Most heads are sent at once.
+MAX_HEAD_S: Final = 1.0
 #: Retry-After in seconds of a request that is refused to make room.
 NO_ROOM_RETRY_AFTER_S: Final = 1
 
@@ -197,6 +200,17 @@
         self.close_now()
         return True
 
+    def close_if_slow(self, now: float) -> bool:
+        """Close if a head has taken long; return whether it closed."""
+        is_in_head = self._buffer and self._framing is None
+        if not is_in_head or self.state is not ConnectionState.RECEIVING:
+            return False
+        if now - self._waiting_since < MAX_HEAD_S:
+            return False
+        self._record_refusal("evicted")
+        self.close_now()
+        return True
+
     def close_if_left(self) -> None:
         """Close a connection that is no longer read if its caller left."""
         is_left = (self._is_unread or not self._is_reading) and not self._closed
--- a/carobspring/adapters/http_server.py
+++ b/carobspring/adapters/http_server.py
@@ -223,7 +223,7 @@
     @handler("connect")
     def _on_connect(self, sock: Any, *peer: Any) -> None:
         max_connections = min(self._limits.max_connections, find_max_connections())
-        if len(self.connections) >= max_connections and not self._close_idlest():
+        if len(self.connections) >= max_connections and not self._close_one():
             peer_ip = str(peer[0]) if peer else ""
             self.refusals.record("too_many_connections", peer_ip, time.monotonic())
             self.fire(close(sock))
@@ -238,15 +238,18 @@
             find_max_body=self._find_max_body,
         )
 
-    def _close_idlest(self) -> bool:
-        """Close the connection that has had no request for the longest time.
+    def _close_one(self) -> bool:
+        """Close a connection to make room; return whether there is one.
 
-        Returns whether there is one. Callers may repeat a request that crosses
-        the close.
+        It is the one that has had no request for the longest time, or else
+        the one whose head has taken longest. Callers may repeat a request that
+        crosses the close.
         """
-        idle = [each for each in self.connections.values() if each.is_idle]
-        idle.sort(key=lambda each: each.waiting_since)
-        return any(each.close_if_unused() for each in idle)
+        waiting = sorted(self.connections.values(), key=lambda each: each.waiting_since)
+        now = time.monotonic()
+        return any(each.close_if_unused() for each in waiting) or any(
+            each.close_if_slow(now) for each in waiting
+        )
 
     @handler("disconnect", override=True)
     def _on_disconnect(self, sock: Any) -> None:
--- a/tests/adapters/test_unwanted_bodies.py
+++ b/tests/adapters/test_unwanted_bodies.py
@@ -3,6 +3,7 @@
 import unittest
 
 from carobspring.adapters.byte_budget import SMALL_BODY_BYTES, ByteBudget, Hold
+from carobspring.adapters.http_connection import MAX_HEAD_S
 from carobspring.adapters.http_server import CircuitsHttpServer
 from carobspring.ports import HttpLimits
 
@@ -287,12 +288,26 @@
             await asyncio.sleep(0.1)
             # The request is there, but the event loop has not read it.
             first.sendall(request)
-            self.assertIs(self.server._web.http._close_idlest(), False)
+            self.assertIs(self.server._web.http._close_one(), False)
             await asyncio.sleep(0.2)
             first.setblocking(False)
             response = first.recv(100)
         self.assertTrue(response.startswith(b"HTTP/1.1 200 "), response)
 
+    async def test_slow_heads(self):
+        """Clients that never end a head don't keep others out."""
+        self.server.update_limits(HttpLimits(max_connections=2))
+        address = ("127.0.0.1", self.server.port)
+        with (
+            socket.create_connection(address) as a,
+            socket.create_connection(address) as b,
+        ):
+            for each in (a, b):
+                each.sendall(b"GET / HTTP/1.1\r\n")
+            await asyncio.sleep(MAX_HEAD_S + 0.1)
+            reader, _ = await self.open("/a", "Content-Length: 0")
+            self.assertEqual(await self.read_status(reader), 200)
+
     async def test_idle_connection_is_closed(self):
         """An idle connection makes room for the next."""
         self.server.update_limits(HttpLimits(max_connections=1))
