Remember no versions of servers that entries never saw

Cause: the version of each hidden server of an unnamed service was recorded when its lease ended. The log keeps 1,000 versions; foreign ones pushed out those of servers, whose streams could then not be taken up, and each change was sent to all entries.

Change: only versions of shown servers and of named services are recorded.

Result: the new test of test_table failed before and passes.

--- a/carobspring/membership/table.py
+++ b/carobspring/membership/table.py
@@ -436,7 +436,7 @@
             if not known.is_gone and _build_version(known.server) != _build_version(
                 server
             ):
-                self.versions.record(*_build_version(known.server), now)
+                self._record_version(known, now)
             is_replaced = not known.is_gone and known.server.boot != server.boot
             if is_replaced:
                 losses = _add_loss(losses, now)
@@ -498,10 +498,15 @@
             losses = _add_loss(member.loss_times, now)
         gone = replace(member, is_gone=True, is_visible=False, loss_times=losses)
         self.members[server_id] = gone
-        self.versions.record(*_build_version(member.server), now)
+        self._record_version(member, now)
         if member.is_visible:
             self._store_newest(self._record_change(gone))
 
+    def _record_version(self, member: Member, now: float) -> None:
+        """Record the version of a member that entries may have used."""
+        if member.is_visible or self._is_named(member.server):
+            self.versions.record(*_build_version(member.server), now)
+
     def _make_visible(self, server_id: str, member: Member, now: float) -> None:
         visible = self._record_change(replace(member, is_visible=True))
         self._store_newest(
--- a/tests/membership/test_table.py
+++ b/tests/membership/test_table.py
@@ -465,6 +465,19 @@
                 table.apply_report(build_foreign(number), 0.3)
         self.assertEqual(set(table.members), {"m1", "f0", "f3", "f4"})
 
+    def test_versions(self):
+        """Versions of servers that nobody saw push out no others.
+
+        Streams of a version that is forgotten can't be taken up.
+        """
+        table = self.build()
+        for boot in (1, 2):
+            report = build_foreign(1, boot=boot, software_version=f"v{boot}")
+            table.apply_report(report, 0.1 * boot)
+        self.assertEqual(set(table.expire(10.0)), {"m1", "f1"})
+        sightings = table.versions.list_sightings(10.0)
+        self.assertEqual([each.service for each in sightings], ["llama"])
+
     def test_full_table(self):
         """They make room for a server of a named service."""
         table = self.build()
