Report what an entry counted up to the end of its stop

Cause: a planned stop ended the streams to the replicas at once, so that the counts since the last report, up to a second, were lost. Change: where usage is reported, a stopping entry sends a last report and waits 0.1 s of its margin.

--- a/carobspring/programs/instance_entry_program.py
+++ b/carobspring/programs/instance_entry_program.py
@@ -60,6 +60,9 @@
 STOP_LISTEN_S: Final = 2.6
 #: Seconds before SIGKILL at which the process exits by itself.
 EXIT_MARGIN_S: Final = 0.4
+#: Seconds of that in which the last reports reach the replicas. Ending a
+#: stream discards what the replica has not read yet.
+LAST_REPORT_S: Final = 0.1
 #: Open requests that the log names at the start of a stop, and at its end.
 MAX_NAMED_REQUESTS: Final = 100
 
@@ -251,6 +254,7 @@
                 run=lambda: self._frontend.disable_keep_alive(listen_s),
             ),
             StopStep(name="drain", run=lambda: self._drain(drained_at)),
+            StopStep(name="last usage", run=self._report_last_usage),
             StopStep(name="tasks", run=lambda: cancel_tasks(self._tasks)),
             *(StopStep(name="server", run=each.close) for each in self._servers),
             StopStep(name="admission client", run=self._admission_client.close),
@@ -270,6 +274,12 @@
         logger.info("drain ended", extra=extra)
         self._log_open_requests("request cut by stop")
 
+    async def _report_last_usage(self) -> None:
+        """Report what was counted since the last reports, up to a second."""
+        if self._usage_counter is not None:
+            self._request_report()
+            await asyncio.sleep(LAST_REPORT_S)
+
     def _log_open_requests(self, message: str) -> None:
         """Name the oldest open requests, one a line."""
         now = self._clock.read_monotonic()
--- a/tests/endtoend/test_usage_reports.py
+++ b/tests/endtoend/test_usage_reports.py
@@ -288,6 +288,24 @@
         self.check_repeats()
         self.check_counts(lossy_entry=entry.name)
 
+    async def test_stopped_entry(self):
+        """An entry reports what ran up to the end of its stop."""
+        entry = self.instances.instances[-1]
+        await self.send_to_all()
+        lasting = asyncio.create_task(self.send(entry, "acme", "/read/lasting/3"))
+
+        async def is_running():
+            return any(run.ended_at is None for run in self.list_runs())
+
+        await wait_until(is_running, "the request runs")
+        await entry.programs["carob-entry"].stop()
+        await lasting
+        await self.send_to_all(self.instances.instances[:-1])
+        await self.wait_until_reported()
+        self.check_calls()
+        self.check_counts()
+        self.check_totals()
+
     async def test_faults_of_the_provider(self):
         """Reports that fail are repeated with the same counts."""
         await self.send_to_all()
