Name the counters of the duties like all others

Cause: two counters had no _total at the end of their names. Change: carob_usage_windows_total and carob_provider_calls_total, with a check of the metrics of a report. Result: tests.control.test_metering passes.

--- a/carobspring/control/metering.py
+++ b/carobspring/control/metering.py
@@ -97,10 +97,10 @@
             "carob_duty_token", "Fencing token of the duties held here, or 0."
         )
         self._windows = metrics.add_counter(
-            "carob_usage_windows", "Windows of usage here, by outcome."
+            "carob_usage_windows_total", "Windows of usage here, by outcome."
         )
         self._calls = metrics.add_counter(
-            "carob_provider_calls", "Calls to the provider, by result."
+            "carob_provider_calls_total", "Calls to the provider, by result."
         )
 
     async def run(self) -> None:
--- a/tests/control/test_metering.py
+++ b/tests/control/test_metering.py
@@ -115,6 +115,7 @@
         self.state = ControlState(replica_id="r1", clock=self.clock)
         self.replica = FakeReplica(self.state.machine)
         self.provider = FakeProvider()
+        self.metrics = Metrics()
         self.service = MeteringService(
             settings=SETTINGS,
             holder="n1",
@@ -126,7 +127,7 @@
             client=self.provider,
             read_boot_time=self.clock.read_boot_time,
             random=SystemRandom(seed=1),
-            metrics=Metrics(),
+            metrics=self.metrics,
         )
 
     def report(self, complete_ms, *windows, entry="e1"):
@@ -162,6 +163,15 @@
         await self.advance(7.0)
         body = b'{"window_id":0,"counts":{"a":3}}'
         self.assertEqual(self.provider.calls, [("7", body)])
+        lines = self.metrics.render_text().splitlines()
+        for line in (
+            b"carob_duty_holds 1",
+            b"carob_duty_token 7",
+            b'carob_usage_windows_total{outcome="closed"} 1',
+            b'carob_usage_windows_total{outcome="reported"} 1',
+            b'carob_provider_calls_total{result="accepted"} 1',
+        ):
+            self.assertIn(line, lines)
 
     async def test_next_holder_repeats_the_committed_counts(self):
         """Counts that arrive after the closing do not change a report."""
