Show that crowds of clients take more than an instance's memory

Callers of a process that clients press saw it end: a platform kills a process that uses more than its memory, and it counts bytes that have arrived unread. The tests before read the peak of the process alone, with 24 clients.

--- a/standins/backend_server.py
+++ b/standins/backend_server.py
@@ -133,6 +133,9 @@
         self.fault = ""
         #: Seconds until a response that is no stream.
         self.response_delay_s = 0.0
+        #: Bytes of the body of a response that is no stream; zero for a short
+        #: text.
+        self.response_bytes = 0
         self.event_interval_s = 0.02
         self.event_count = 5
         #: Events after which a new stream is broken off; zero is off.
@@ -351,6 +354,10 @@
         if request.path.startswith(("/stream/", "/model/")):
             return await self._send_stream(request, run, response_headers, lasting_s)
         await asyncio.sleep(lasting_s or self.response_delay_s)
+        if self.response_bytes:
+            return web.Response(
+                headers=response_headers, body=bytes(self.response_bytes)
+            )
         return web.Response(
             headers=response_headers, text=f"{request.method} {attempt_id}"
         )
--- a/standins/hostile_clients.py
+++ b/standins/hostile_clients.py
@@ -27,6 +27,14 @@
 #: Seconds in which a slow client writes, and between two of its bytes.
 SLOW_TIME_S: Final = 3.0
 SLOW_INTERVAL_S: Final = 0.2
+#: Bytes of one write of a body that is sent as fast as possible.
+BLOCK_BYTES: Final = 64 * 1024
+#: Bodies that count as small, and of middle size, for a server that has room
+#: of its own for small ones.
+SMALL_BODY_BYTES: Final = 60_000
+MIDDLE_BODY_BYTES: Final = 300_000
+#: Short fields of a head that is not conspicuous.
+FEW_FIELDS: Final = 120
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -125,6 +133,51 @@
     yield head + b"X-Filler: " + b"x" * (MAX_HEAD_BYTES - len(head) - 20)
 
 
+def _split_body(size: int, piece_bytes: int) -> Iterator[bytes]:
+    piece = bytes(piece_bytes)
+    for _ in range(size // piece_bytes):
+        yield piece
+    yield piece[: size % piece_bytes]
+
+
+def send_blocks(target: Target) -> Iterator[bytes]:
+    """Send a complete body of the largest size, as fast as it is read."""
+    yield target.build_head(f"Content-Length: {MAX_BODY_BYTES}")
+    yield from _split_body(MAX_BODY_BYTES, BLOCK_BYTES)
+
+
+def build_short_body_form(size: int, piece_bytes: int = BLOCK_BYTES) -> Form:
+    """Return a form that sends all of a body but its last byte."""
+
+    def send(target: Target) -> Iterator[bytes]:
+        yield target.build_head(f"Content-Length: {size}")
+        yield from _split_body(size - 1, piece_bytes)
+
+    return send
+
+
+def send_hosts_ahead(target: Target) -> Iterator[bytes]:
+    """Send requests ahead that have no header but the host."""
+    head = f"{target.method} {target.path} HTTP/1.1\r\nHost: shop.example\r\n\r\n"
+    for _ in range(REQUESTS_AHEAD // 100):
+        yield head.encode() * 100
+
+
+def send_bare_requests_ahead(target: Target) -> Iterator[bytes]:
+    """Send requests ahead that have no header at all."""
+    head = f"{target.method} {target.path} HTTP/1.1\r\n\r\n".encode()
+    for _ in range(REQUESTS_AHEAD // 100):
+        yield head * 100
+
+
+def send_short_fields_ahead(target: Target) -> Iterator[bytes]:
+    """Send requests ahead that have many short fields, but not too many."""
+    fields = [f"a{number}:" for number in range(FEW_FIELDS)]
+    head = target.build_head(*fields, "Content-Length: 0")
+    for _ in range(REQUESTS_AHEAD // 100):
+        yield head * 10
+
+
 FORMS: Final[Mapping[str, Form]] = {
     "whole bodies": send_whole_bodies,
     "unfinished bodies": send_unfinished_bodies,
@@ -138,6 +191,21 @@
     "unfinished heads": stop_inside_head,
 }
 
+#: Forms that take memory by the number of clients that send them.
+CROWD_FORMS: Final[Mapping[str, Form]] = {
+    "whole bodies": send_blocks,
+    "short bodies": build_short_body_form(MAX_BODY_BYTES),
+    "short middle bodies": build_short_body_form(MIDDLE_BODY_BYTES),
+    "short small bodies": build_short_body_form(SMALL_BODY_BYTES),
+    "short bodies in pieces": build_short_body_form(MAX_BODY_BYTES, PIECE_BYTES),
+    "requests ahead": send_requests_ahead,
+    "hosts ahead": send_hosts_ahead,
+    "bare requests ahead": send_bare_requests_ahead,
+    "short fields ahead": send_short_fields_ahead,
+    "many fields": send_many_fields,
+    "unfinished heads": stop_inside_head,
+}
+
 
 class HostileCrowd:
     """A number of clients that send one form to one target.
--- a/tests/endtoend/test_hostile_clients.py
+++ b/tests/endtoend/test_hostile_clients.py
@@ -50,6 +50,8 @@
 class HostileClientsTestCase(unittest.IsolatedAsyncioTestCase):
     """One instance with both programs, and one backend server."""
 
+    instance_limits = {"memory_mb": 128, "max_fds": 1_535}
+
     async def asyncSetUp(self):
         self.deployment = await self.enterAsyncContext(Deployment())
         self.client = await self.enterAsyncContext(open_client(30))
@@ -59,7 +61,7 @@
             network=network,
             zones="a",
             diskless_entries=0,
-            limits={"memory_mb": 128, "max_fds": 1_535},
+            limits=self.instance_limits,
             flags={
                 "carob-control": {"metrics_port": CONTROL_METRICS_PORT},
                 "carob-entry": {"metrics_port": ENTRY_METRICS_PORT},
@@ -68,16 +70,19 @@
         await self.instances.start_all()
         [self.instance] = self.instances.instances
         controls = [self.instance.control_url]
-        server = StandInServer(
+        self.server = StandInServer(
             service="svc", ip=f"127.{network}.200.1", controls=controls
         )
-        await server.start()
-        self.addAsyncCleanup(server.close)
+        await self.server.start()
+        self.addAsyncCleanup(self.server.close)
         self.identifiers = itertools.count(1)
         self.operator = Operator(controls, self.client)
-        await self.operator.put(build_configuration(1, limits=LIMITS))
+        await self.operator.put(self.build_configuration())
         await self.wait_until_served()
 
+    def build_configuration(self):
+        return build_configuration(1, limits=LIMITS)
+
     async def try_call(self, body=b""):
         headers = {
             "Host": "shop.example",
