Account for all that the clients of a process hold

Callers saw a process end: a crowd of clients, each within its limits, took more than the memory of the instance. Bodies had a bound in sum; heads, requests sent ahead, requests that run, unread responses, the system's receive buffers and the connections themselves had one for each connection.

Cause: the bound of a connection times the connections that descriptors allow is far over the memory. What a paused connection left unread was up to 0.12 MB in a buffer that the system sizes, and all reads of one turn of the loop were queued before the first was handled.

Now the memory that an instance is told (256 MB if none) is divided once, in a decision without I/O: bodies, then connections and what they hold. The number of connections follows from memory and descriptors. One account a process counts what connections hold; requests begin as there is room, and past the limit what was held longest without progress is closed first. At the limit of connections, stalled and refused ones make room. Receive buffers are small from the listener on, and each read is handled at once.

Why it works: every part has a share of the memory that is told, whatever the mix of clients; ordinary callers hold little and make progress.

--- a/carobspring/adapters/byte_budget.py
+++ b/carobspring/adapters/byte_budget.py
@@ -11,35 +11,16 @@
 from dataclasses import dataclass
 from typing import Final
 
+from carobspring.adapters.client_memory import STALL_S, ClientMemory
+from carobspring.adapters.memory_plan import MemoryPlan, plan_memory
+
 #: Bodies up to this size use the pool of small bodies.
 SMALL_BODY_BYTES: Final = 64 * 1024
-#: Memory of a process beside what it holds for clients.
-PROCESS_BYTES: Final = 40 * 1024 * 1024
-#: Programs of an instance that share its memory.
-PROGRAMS: Final = 2
-#: Times that a body may be in memory: as received, and as sent on.
-BODY_COPIES: Final = 3
-#: Smallest size of a pool: one body of the largest usual size.
-MIN_POOL_BYTES: Final = 4 * 1024 * 1024
-#: Seconds without a byte after which a body counts as stalled. It is refused
-#: only if others wait for its room.
-STALL_S: Final = 1.0
 #: Mean rate below which a body counts as stalled too, after STALL_S. Callers
 #: send faster even if a hundred share the 3.5 Mbit/s of an entry.
 MIN_RECEIVE_BYTES_PER_S: Final = 4 * 1024
 
 
-def compute_budget_bytes(memory_mb: float) -> int:
-    """Return the bytes for bodies of a process, from an instance's memory.
-
-    Example:
-        ``compute_budget_bytes(128)`` returns 8 MiB.
-    """
-    program_bytes = memory_mb * 1024 * 1024 / PROGRAMS
-    free_bytes = program_bytes - PROCESS_BYTES
-    return max(2 * MIN_POOL_BYTES, int(free_bytes / BODY_COPIES))
-
-
 @dataclass(kw_only=True, eq=False)
 class Hold:
     """Room for one body, or the wait for it."""
@@ -132,7 +113,7 @@
 
 
 class ByteBudget:
-    """The pools of a process.
+    """What a process may hold for clients: pools for bodies, and the rest.
 
     Example:
         ``budget.add(hold)`` when a head announces a body. The body is read
@@ -140,8 +121,22 @@
         has ended.
     """
 
-    def __init__(self, *, max_bytes: int = 64 * 1024 * 1024) -> None:
-        """Create the pools, which share ``max_bytes`` equally."""
+    def __init__(
+        self, *, max_bytes: int | None = None, plan: MemoryPlan | None = None
+    ) -> None:
+        """Create the pools.
+
+        Args:
+            max_bytes: Bytes of bodies, which the pools share equally, instead
+                of those of the plan.
+            plan: Division of the memory, or None for the default memory.
+        """
+        plan = plan or plan_memory()
+        max_bytes = plan.body_bytes if max_bytes is None else max_bytes
+        #: What connections hold beside bodies.
+        self.memory = ClientMemory(max_bytes=plan.held_bytes)
+        #: Connections of callers that may be open.
+        self.max_connections = plan.max_connections
         self.small = BytePool(max_bytes=max_bytes // 2)
         self.large = BytePool(max_bytes=max_bytes // 2)
         #: Bodies that were refused to make room, since the start.
@@ -163,12 +158,13 @@
         self.large.shrink(hold, size)
 
     def refuse_stalled(self, now: float) -> None:
-        """Refuse bodies that stall while others wait for their room."""
+        """Refuse bodies and requests that stall while others wait for room."""
         for pool in (self.small, self.large):
             while (hold := pool.find_stalled(now)) is not None:
                 self.refused_count += 1
                 pool.remove(hold)
                 hold.refuse()
+        self.memory.release_stalled(now)
 
     def _find_pool(self, hold: Hold) -> BytePool:
         return self.small if hold.size <= SMALL_BODY_BYTES else self.large
--- /dev/null
+++ b/carobspring/adapters/client_memory.py
@@ -0,0 +1,187 @@
+"""What the connections of a process hold in memory, as one sum.
+
+A limit for each connection does not bound a process: a crowd of clients, each
+within its limit, takes as much as it has connections. So the connections of
+all servers of a process share one account. It covers heads and bytes that were
+sent ahead, requests that run, and responses that callers have not read. Bodies
+have pools of their own.
+"""
+
+from collections import OrderedDict
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Final
+
+#: Seconds without a byte received or sent after which a connection counts as
+#: stalled.
+STALL_S: Final = 1.0
+
+
+@dataclass(kw_only=True, eq=False)
+class Holding:
+    """What one connection holds beside the body that it has room for."""
+
+    #: Called to close the connection, or to refuse the request on it.
+    release: Callable[[], None]
+    #: Called once there is room for the request that waits to begin.
+    handle_room: Callable[[], None]
+    #: Bytes received that are not handled yet.
+    received_bytes: int = 0
+    #: Bytes of responses that the caller has not read.
+    unsent_bytes: int = 0
+    #: Estimated bytes of the request that is read or runs.
+    request_bytes: int = 0
+    #: Whether the handler of a request runs.
+    is_running: bool = False
+    #: Monotonic time of the last byte received or sent.
+    progress_at: float = 0.0
+    #: Bytes that the account has counted.
+    counted_bytes: int = 0
+
+    @property
+    def size(self) -> int:
+        """All bytes that the connection holds."""
+        return self.received_bytes + self.unsent_bytes + self.request_bytes
+
+    def is_stalled(self, now: float) -> bool:
+        """Return whether nothing was received or sent for a while."""
+        return now - self.progress_at >= STALL_S
+
+    def is_releasable(self, now: float) -> bool:
+        """Return whether the connection may be closed to make room.
+
+        A request that runs is cut only if its caller reads nothing.
+        """
+        if self.is_running:
+            return bool(self.unsent_bytes) and self.is_stalled(now)
+        return self.size > 0
+
+    def weigh(self, now: float) -> tuple[float, int]:
+        """Return how much is held for how long without progress."""
+        return self.size * max(0.0, now - self.progress_at), self.size
+
+
+class ClientMemory:
+    """The account of a process for its connections.
+
+    A connection reports each change of its holding. Past the limit, those that
+    hold most for longest are released at once. A request begins only once
+    there is room for it; those that wait are served in order.
+
+    Example:
+        ``memory.add(holding)`` for a new connection. ``memory.reserve(holding,
+        30_000, now)`` returns True if its request may begin. Then
+        ``memory.update(holding, now)`` after each change of the holding, and
+        ``memory.remove(holding)`` when the connection is closed.
+    """
+
+    def __init__(self, *, max_bytes: int) -> None:
+        self.max_bytes = max_bytes
+        self.held_bytes = 0
+        #: Connections that were released to make room, since the start.
+        self.released_count = 0
+        self._holdings: dict[int, Holding] = {}
+        #: Requests that wait to begin, with the bytes that they need.
+        self._waiting: OrderedDict[int, tuple[Holding, int]] = OrderedDict()
+        self._is_releasing = False
+
+    @property
+    def waiting_count(self) -> int:
+        """How many requests wait to begin."""
+        return len(self._waiting)
+
+    @property
+    def is_tight(self) -> bool:
+        """Whether over half of the room is taken."""
+        return self.held_bytes * 2 > self.max_bytes
+
+    def add(self, holding: Holding) -> None:
+        """Count a new connection."""
+        self._holdings[id(holding)] = holding
+        self._count(holding)
+
+    def remove(self, holding: Holding) -> None:
+        """Return all room of a closed connection."""
+        self._waiting.pop(id(holding), None)
+        if self._holdings.pop(id(holding), None) is not None:
+            self.held_bytes -= holding.counted_bytes
+            holding.counted_bytes = 0
+            self._begin_waiting()
+
+    def reserve(self, holding: Holding, size: int, now: float) -> bool:
+        """Return whether a request of a size may begin; else let it wait."""
+        if id(holding) not in self._holdings:
+            return False
+        # A request larger than the account would never begin.
+        size = min(size, self.max_bytes // 2)
+        is_first = next(iter(self._waiting), id(holding)) == id(holding)
+        if not is_first or self.held_bytes + size > self.max_bytes:
+            self._waiting.setdefault(id(holding), (holding, size))
+            return False
+        self._waiting.pop(id(holding), None)
+        holding.request_bytes = size
+        self.update(holding, now)
+        self._begin_waiting()
+        return True
+
+    def cancel(self, holding: Holding) -> None:
+        """End the wait of a request that was refused."""
+        if self._waiting.pop(id(holding), None) is not None:
+            self._begin_waiting()
+
+    def update(self, holding: Holding, now: float) -> None:
+        """Count what a connection holds now, and make room if it is short."""
+        if id(holding) not in self._holdings:
+            return
+        before = holding.counted_bytes
+        self._count(holding)
+        if holding.counted_bytes < before:
+            self._begin_waiting()
+        if self.held_bytes > self.max_bytes:
+            self._release_until_within(now)
+
+    def release_stalled(self, now: float) -> None:
+        """Release connections that stall while requests wait to begin."""
+        while self._waiting:
+            stalled = [
+                each
+                for each in self._holdings.values()
+                if each.is_releasable(now) and each.is_stalled(now)
+                # Those that wait make no progress by no fault of their own.
+                and id(each) not in self._waiting
+            ]
+            if not stalled:
+                return
+            self._release(max(stalled, key=lambda each: each.weigh(now)))
+
+    def _count(self, holding: Holding) -> None:
+        self.held_bytes += holding.size - holding.counted_bytes
+        holding.counted_bytes = holding.size
+
+    def _release_until_within(self, now: float) -> None:
+        if self._is_releasing:
+            return
+        self._is_releasing = True
+        try:
+            while self.held_bytes > self.max_bytes:
+                candidates = [
+                    each for each in self._holdings.values() if each.is_releasable(now)
+                ]
+                if not candidates:
+                    return
+                self._release(max(candidates, key=lambda each: each.weigh(now)))
+        finally:
+            self._is_releasing = False
+
+    def _release(self, holding: Holding) -> None:
+        self.released_count += 1
+        self.remove(holding)
+        holding.release()
+
+    def _begin_waiting(self) -> None:
+        """Tell the first request that waits if there is room for it now."""
+        if not self._waiting:
+            return
+        holding, size = next(iter(self._waiting.values()))
+        if self.held_bytes + size <= self.max_bytes:
+            holding.handle_room()
--- a/carobspring/adapters/client_metrics.py
+++ b/carobspring/adapters/client_metrics.py
@@ -3,7 +3,8 @@
 from collections import Counter
 from collections.abc import Callable
 
-from carobspring.adapters.byte_budget import ByteBudget
+from carobspring.adapters.byte_budget import ByteBudget, BytePool
+from carobspring.adapters.client_memory import ClientMemory
 from carobspring.adapters.http_connection import ConnectionState
 from carobspring.adapters.http_server import CircuitsHttpServer
 from carobspring.adapters.metrics import Metrics
@@ -20,16 +21,21 @@
     """
 
     def __init__(self, *, metrics: Metrics, budget: ByteBudget) -> None:
-        self._pools = {"small": budget.small, "large": budget.large}
+        self._pools: dict[str, BytePool | ClientMemory] = {
+            "small": budget.small,
+            "large": budget.large,
+            "connections": budget.memory,
+        }
         self._servers: dict[str, CircuitsHttpServer] = {}
         self._held = metrics.add_gauge(
-            "carob_http_held_bytes", "Bytes that bodies hold, by pool."
+            "carob_http_held_bytes", "Bytes that clients hold, by pool."
         )
         self._limit = metrics.add_gauge(
-            "carob_http_max_held_bytes", "Bytes that bodies may hold, by pool."
+            "carob_http_max_held_bytes", "Bytes that clients may hold, by pool."
         )
         self._waiting = metrics.add_gauge(
-            "carob_http_waiting_bodies", "Bodies that wait for room, by pool."
+            "carob_http_waiting_bodies",
+            "Bodies and requests that wait for room, by pool.",
         )
         self._connections = metrics.add_gauge(
             "carob_http_connections", "Open connections, by server and state."
--- a/carobspring/adapters/http_connection.py
+++ b/carobspring/adapters/http_connection.py
@@ -11,6 +11,7 @@
 from circuits.web.wrappers import Request, Response
 
 from carobspring.adapters.byte_budget import SMALL_BODY_BYTES, ByteBudget, Hold
+from carobspring.adapters.client_memory import Holding
 from carobspring.adapters.http_framing import (
     HEAD_END,
     LINE_END,
@@ -22,6 +23,7 @@
     parse_framing,
 )
 from carobspring.adapters.http_responder import CircuitsResponder, encode_error
+from carobspring.adapters.listeners import RECEIVE_BUFFER_BYTES
 from carobspring.adapters.tasks import start_task
 from carobspring.ports import BodyLimiter, HttpHandler, HttpLimits, HttpRequest
 
@@ -30,9 +32,15 @@
 
 #: Memory that a header field takes once it is parsed.
 HEADER_FIELD_BYTES: Final = 512
+#: Memory of a running request beside its fields and its body, with that of its
+#: connection to a backend server.
+REQUEST_BYTES: Final = 24 * 1024
 #: Seconds from the first byte of a head after which its connection makes
 #: room for another one at the limit. Most heads are sent at once.
 MAX_HEAD_S: Final = 1.0
+#: Seconds that a caller has to read its last response and to close before its
+#: connection makes room for another one at the limit.
+MIN_LINGER_S: Final = 0.3
 #: Retry-After in seconds of a request that is refused to make room.
 NO_ROOM_RETRY_AFTER_S: Final = 1
 
@@ -84,10 +92,20 @@
         self.limits = limits
         self._budget = budget
         self._find_max_body = find_max_body
-        #: Room for the request that is read or handled, if it needs any.
+        #: What the connection holds beside the body.
+        self._holding = Holding(
+            release=self._release_memory,
+            handle_room=self._handle_memory,
+            progress_at=time.monotonic(),
+        )
+        budget.memory.add(self._holding)
+        #: The head that is read waits until its request may begin.
+        self._is_head_waiting = False
+        #: Room for the body that is read or handled, if it needs any.
         self._hold: Hold | None = None
         #: Room for the start of a chunked body that waits for more.
         self._earlier_hold: Hold | None = None
+        self._is_buffer_wide = False
         #: The handler takes a large body of the request that is read.
         self._is_large_wanted = False
         self._max_body_bytes = limits.max_body_bytes
@@ -100,7 +118,6 @@
         self._must_continue = False
         self._responder: CircuitsResponder | None = None
         self._task: asyncio.Task[None] | None = None
-        self._unsent_bytes = 0
         self._last_sent_at = time.monotonic()
         #: When the server had sent everything before a close.
         self._lingers_since: float | None = None
@@ -122,15 +139,15 @@
         if not self._buffer and self._framing is None:
             self._waiting_since = time.monotonic()
         self._buffer += data
+        self._holding.progress_at = time.monotonic()
         if self._hold is not None:
-            self._hold.record_received(len(data), time.monotonic())
-        self._read_request()
-        self._update_reading()
+            self._hold.record_received(len(data), self._holding.progress_at)
+        self._read_next_request()
 
     def check_timeouts(self, now: float) -> None:
         """End a late request, a stalled response or an idle connection."""
         self.close_if_left()
-        stalled_s = now - self._last_sent_at if self._unsent_bytes else 0.0
+        stalled_s = now - self._last_sent_at if self._holding.unsent_bytes else 0.0
         if stalled_s > self.limits.stall_timeout_s:
             self._record_refusal("stalled_reader")
             self.close_now()
@@ -145,9 +162,9 @@
             self._waiting_since = now
             return
         waited_s = now - self._waiting_since
-        if self._hold is not None and not self._hold.has_room:
+        if self._is_awaiting_room:
             if waited_s > self.limits.request_timeout_s:
-                self._reject_for_room("other requests leave no room for the body")
+                self._reject_for_room("other requests leave no room for this one")
         elif self._buffer or self._framing is not None:
             timeout_s = self.limits.request_timeout_s
             if self._framing is None:
@@ -167,7 +184,7 @@
     def is_idle(self) -> bool:
         """Whether no request is read or handled, and nothing is unsent."""
         is_busy = self._responder is not None or self._buffer or self._framing
-        return not (is_busy or self._closing or self._unsent_bytes)
+        return not (is_busy or self._closing or self._holding.unsent_bytes)
 
     @property
     def state(self) -> ConnectionState:
@@ -177,8 +194,7 @@
         if self._closing:
             return ConnectionState.CLOSING
         if self._buffer or self._framing:
-            has_room = self._hold is None or self._hold.has_room
-            is_waiting = not has_room or self._is_behind_unsent
+            is_waiting = self._is_awaiting_room or self._is_behind_unsent
             return ConnectionState.WAITING if is_waiting else ConnectionState.RECEIVING
         return ConnectionState.IDLE
 
@@ -211,6 +227,35 @@
         self.close_now()
         return True
 
+    def close_if_lingering(self, now: float) -> bool:
+        """Close if only the caller's close is missing; tell if it did."""
+        if not self.has_lingered(now, MIN_LINGER_S):
+            return False
+        self.close_now()
+        return True
+
+    def close_if_stalled(self, now: float) -> bool:
+        """Close if the caller sends and reads nothing; return whether it did.
+
+        A connection that waits for room is not at fault.
+        """
+        is_body_stalled = self._hold is not None and self._hold.is_stalled(now)
+        is_stalled = self._holding.is_releasable(now) or is_body_stalled
+        is_at_fault = is_stalled and not self._is_awaiting_room
+        if not is_at_fault or not self._holding.is_stalled(now):
+            return False
+        self._record_refusal("evicted")
+        self.close_now()
+        return True
+
+    def refuse_if_waiting(self) -> bool:
+        """Refuse a request that waits for room; return whether it does."""
+        if not self._is_awaiting_room or self._closing:
+            return False
+        self._reject_for_room("connections are needed by other callers")
+        self.close_now()
+        return True
+
     def close_if_left(self) -> None:
         """Close a connection that is no longer read if its caller left."""
         is_left = (self._is_unread or not self._is_reading) and not self._closed
@@ -250,6 +295,7 @@
         self._closed = True
         self._closing = True
         self._buffer.clear()
+        self._budget.memory.remove(self._holding)
         self._writable.set()
         if self._responder is None:
             # The handler may still use the body otherwise.
@@ -259,11 +305,12 @@
 
     def record_sent(self, size: int) -> None:
         """Record bytes that were sent."""
-        self._unsent_bytes = max(0, self._unsent_bytes - size)
-        self._last_sent_at = time.monotonic()
-        if self._is_ending and not self._unsent_bytes:
+        self._holding.unsent_bytes = max(0, self._holding.unsent_bytes - size)
+        self._last_sent_at = self._holding.progress_at = time.monotonic()
+        self._count_memory()
+        if self._is_ending and not self._holding.unsent_bytes:
             self._lingers_since = self._last_sent_at
-        if self._unsent_bytes < self.limits.write_buffer_bytes:
+        if self._holding.unsent_bytes < self.limits.write_buffer_bytes:
             self._writable.set()
             if self._buffer and self._responder is None and not self._closing:
                 asyncio.get_running_loop().call_soon(self._read_next_request)
@@ -272,11 +319,13 @@
         """Send bytes, or buffer them until the caller reads more."""
         if self._closed:
             return
-        if not self._unsent_bytes:
+        if not self._holding.unsent_bytes:
             self._last_sent_at = time.monotonic()
-        self._unsent_bytes += len(data)
+            self._holding.progress_at = self._last_sent_at
+        self._holding.unsent_bytes += len(data)
         self._tcp_server.write(self._sock, data)
-        if self._unsent_bytes >= self.limits.write_buffer_bytes:
+        self._count_memory()
+        if self._holding.unsent_bytes >= self.limits.write_buffer_bytes:
             self._writable.clear()
 
     async def wait_writable(self) -> None:
@@ -291,6 +340,7 @@
         """Start reading the next request of the connection."""
         self._responder = None
         self._release_room()
+        self._release_request()
         self._waiting_since = time.monotonic()
         if self._buffer and not self._closing:
             asyncio.get_running_loop().call_soon(self._read_next_request)
@@ -307,9 +357,11 @@
         self._closing = self._is_ending = True
         self._buffer.clear()
         self._chunked_body = None
+        self._budget.memory.cancel(self._holding)
+        self._count_memory()
         # What the caller still sends is read and discarded.
         self._update_reading()
-        if not self._unsent_bytes:
+        if not self._holding.unsent_bytes:
             self._lingers_since = time.monotonic()
         self._tcp_server.shutdown_write(self._sock)
 
@@ -322,10 +374,14 @@
         """Close without sending the buffered bytes."""
         if not self._closed:
             self._closing = True
+            self._buffer.clear()
+            self._chunked_body = None
+            self._budget.memory.remove(self._holding)
             self._tcp_server._close(self._sock)
 
     def _read_next_request(self) -> None:
         self._read_request()
+        self._count_memory()
         self._update_reading()
 
     def _update_reading(self) -> None:
@@ -344,15 +400,52 @@
     def _should_read(self) -> bool:
         if self._closing:
             return True
-        if self._hold is not None and not self._hold.has_room:
+        if self._is_awaiting_room:
             return False
-        is_busy = self._responder is not None or self._is_behind_unsent
-        return not is_busy or len(self._buffer) <= self.limits.max_pipelined_bytes
+        if self._responder is None and not self._is_behind_unsent:
+            return True
+        # Reading on shows that a caller has left, sooner than the checks do.
+        max_bytes = (
+            0 if self._budget.memory.is_tight else self.limits.max_pipelined_bytes
+        )
+        return len(self._buffer) <= max_bytes
+
+    @property
+    def _is_awaiting_room(self) -> bool:
+        """Whether the request waits until others leave room for it."""
+        has_no_room = self._hold is not None and not self._hold.has_room
+        return self._is_head_waiting or has_no_room
+
+    def _count_memory(self) -> None:
+        """Report what the connection holds to the account of the process."""
+        holding = self._holding
+        is_body = self._framing is not None and self._hold is not None
+        has_room = is_body and self._hold is not None and self._hold.has_room
+        holding.received_bytes = 0 if has_room else len(self._buffer)
+        holding.is_running = self._responder is not None
+        if holding.size != holding.counted_bytes:
+            self._budget.memory.update(holding, time.monotonic())
+
+    def _release_memory(self) -> None:
+        """Make room for others, as the process holds too much."""
+        if self._responder is not None or self._holding.unsent_bytes or self._closing:
+            self._record_refusal("memory")
+            self.close_now()
+        else:
+            self._reject_for_room("the request holds memory that others need")
+
+    def _release_request(self) -> None:
+        self._holding.request_bytes = 0
+        self._is_head_waiting = False
+        self._count_memory()
+
+    def _handle_memory(self) -> None:
+        asyncio.get_running_loop().call_soon(self._read_next_request)
 
     @property
     def _is_behind_unsent(self) -> bool:
         """Whether the next request waits until the caller reads responses."""
-        return self._unsent_bytes >= self.limits.write_buffer_bytes
+        return self._holding.unsent_bytes >= self.limits.write_buffer_bytes
 
     def _add_room(self, size: int) -> None:
         """Ask for room; reading pauses until there is some.
@@ -379,6 +472,10 @@
         if self._hold is not None:
             self._waiting_since = time.monotonic()
             self._hold.progress_at = self._hold.room_at = self._waiting_since
+            self._holding.progress_at = self._waiting_since
+            if self._hold.size > RECEIVE_BUFFER_BYTES and not self._closed:
+                self._is_buffer_wide = True
+                self._tcp_server.widen_receive_buffer(self._sock)
         self._release_earlier_room()
 
     def _refuse_for_room(self) -> None:
@@ -392,6 +489,9 @@
         hold, self._hold = self._hold, None
         if hold is not None:
             self._budget.remove(hold)
+        if self._is_buffer_wide and not self._closed:
+            self._is_buffer_wide = False
+            self._tcp_server.narrow_receive_buffer(self._sock)
 
     def _release_earlier_room(self) -> None:
         hold, self._earlier_hold = self._earlier_hold, None
@@ -429,6 +529,8 @@
             raise FramingError(status=431, code="header_too_large", message=message)
         if end < 0:
             return False
+        if not self._reserve_request(end):
+            return False
         self._head = bytes(self._buffer[:end])
         framing = parse_framing(self._head)
         del self._buffer[: end + len(HEAD_END)]
@@ -447,6 +549,16 @@
         self._must_continue = framing.expects_continue
         return True
 
+    def _reserve_request(self, head_end: int) -> bool:
+        """Return whether the request may begin, by the size of its head."""
+        fields = self._buffer.count(LINE_END, 0, head_end)
+        size = REQUEST_BYTES + head_end + fields * HEADER_FIELD_BYTES
+        self._count_memory()
+        has_room = self._budget.memory.reserve(self._holding, size, time.monotonic())
+        # It may have been closed to make room.
+        self._is_head_waiting = not has_room and not self._closing
+        return has_room
+
     def _wants_large_body(self) -> bool:
         """Return whether the handler takes the body that the head announces.
 
@@ -466,16 +578,11 @@
         return True
 
     def _estimate_size(self, framing: Framing) -> int:
-        """Return the bytes that a request takes beside its short head."""
-        fields = self._head.count(LINE_END)
-        is_long_head = fields > self.limits.free_header_fields
-        size = fields * HEADER_FIELD_BYTES if is_long_head else 0
+        """Return the bytes that a body needs room for."""
         if framing.length is None:
-            return size + self._max_body_bytes if is_long_head else SMALL_BODY_BYTES
-        if framing.length <= len(self._buffer):
-            # It is here already, and short, as reading is in small pieces.
-            return size
-        return size + framing.length
+            return SMALL_BODY_BYTES
+        # A body that is here already is short, as reading is in small pieces.
+        return 0 if framing.length <= len(self._buffer) else framing.length
 
     def _parse_head(self) -> HttpParser:
         parser = HttpParser(0, False)
@@ -538,8 +645,7 @@
         self._framing = None
         if self._hold is not None:
             self._hold.is_receiving = False
-            fields_bytes = self._head.count(LINE_END) * HEADER_FIELD_BYTES
-            self._budget.shrink(self._hold, fields_bytes + len(body))
+            self._budget.shrink(self._hold, len(body))
         self._responder = CircuitsResponder(connection=self, response=response)
         http_request = self._convert_request(parser, request, body)
         if not is_body_read:
@@ -634,6 +740,7 @@
     ) -> None:
         self._closing = True
         self._release_room()
+        self._release_request()
         self._record_refusal(code)
         body = encode_error(code=code, message=message)
         retry_after = f"Retry-After: {retry_after_s}\r\n" if retry_after_s else ""
--- a/carobspring/adapters/http_server.py
+++ b/carobspring/adapters/http_server.py
@@ -19,26 +19,26 @@
 from carobspring.adapters.byte_budget import ByteBudget
 from carobspring.adapters.eventloop import EventLoopRoot
 from carobspring.adapters.http_connection import ConnectionState, HttpConnection
-from carobspring.adapters.listeners import take_listener
+from carobspring.adapters.listeners import (
+    BUFFER_OPTIONS,
+    RECEIVE_BUFFER_BYTES,
+    take_listener,
+)
+from carobspring.adapters.memory_plan import compute_max_connections
 from carobspring.adapters.refusals import RefusalRecorder
 from carobspring.adapters.tasks import start_service_task
 from carobspring.ports import BodyLimiter, HttpHandler, HttpLimits, HttpServer
 
 CHANNEL = "web"
-#: Bytes of one read. Reads of all readable connections are queued at once.
+#: Bytes of one read.
 READ_SIZE_BYTES = 16 * 1024
+#: Size of the receive buffer while a body arrives that has room.
+BODY_RECEIVE_BUFFER_BYTES = 32 * 1024
 TIMEOUT_CHECK_INTERVAL_S = 1.0
 #: Values of SO_LINGER: on or off, and seconds.
 RESET_LINGER = struct.pack("ii", 1, 0)
 NO_LINGER = struct.pack("ii", 0, 0)
 DRAIN_POLL_INTERVAL_S = 0.02
-#: Descriptors for files, listeners and other processes of the system.
-RESERVED_DESCRIPTORS = 200
-#: Connections of a server for readiness or metrics. Platforms use a few; each
-#: server counts its own, so more would take the descriptors of the callers.
-MAX_PROBE_CONNECTIONS = 64
-#: Part of the others for callers; the rest is for backend servers.
-CONNECTION_SHARE = 0.75
 #: Signs of a poll that the caller has closed the connection.
 LEFT_EVENTS = select.POLLRDHUP | select.POLLHUP | select.POLLERR
 #: Seconds that idle connections stay open in a drain, for requests in flight.
@@ -56,10 +56,12 @@
     """The TCP server of circuits, which also reports how much was sent."""
 
     channel = CHANNEL
+    socket_options = [*TCPServer.socket_options, *BUFFER_OPTIONS]
     _sock: Any
 
-    def __init__(self, bind: Any, *, on_sent: Any, on_end: Any) -> None:
+    def __init__(self, bind: Any, *, on_read: Any, on_sent: Any, on_end: Any) -> None:
         super().__init__(bind, channel=CHANNEL, bufsize=READ_SIZE_BYTES)
+        self._on_data = on_read
         self._on_sent = on_sent
         self._on_end = on_end
         #: Sockets whose write side is shut down once their buffer is sent.
@@ -102,6 +104,14 @@
         if sock in self._clients:
             self._poller.addReader(self, sock)
 
+    def widen_receive_buffer(self, sock: Any) -> None:
+        """Let a body arrive faster."""
+        _set_receive_buffer(sock, BODY_RECEIVE_BUFFER_BYTES)
+
+    def narrow_receive_buffer(self, sock: Any) -> None:
+        """Undo the widening, after the body."""
+        _set_receive_buffer(sock, RECEIVE_BUFFER_BYTES)
+
     def is_readable(self, sock: Any) -> bool:
         """Return whether bytes or the end of the caller's wait to be read."""
         return bool(_poll(sock) & select.POLLIN)
@@ -169,6 +179,26 @@
             sock.close()
         super()._close(sock)
 
+    def _read(self, sock: Any) -> None:
+        """Read once and handle the bytes at once.
+
+        The component's own read queues them as an event. The reads of all
+        connections would be in memory before the first is handled.
+        """
+        if sock not in self._clients or not self._poller.isReading(sock):
+            return
+        try:
+            data = sock.recv(READ_SIZE_BYTES)
+        except BlockingIOError:
+            return
+        except OSError:
+            self._close(sock)
+            return
+        if data:
+            self._on_data(sock, data)
+        else:
+            self.close(sock)
+
     def _write(self, sock: Any, data: bytes) -> None:
         buffers_before = len(self._buffers[sock])
         super()._write(sock, data)
@@ -188,7 +218,12 @@
     limit, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
     if limit == resource.RLIM_INFINITY:
         return sys.maxsize
-    return max(1, int((limit - RESERVED_DESCRIPTORS) * CONNECTION_SHARE))
+    return compute_max_connections(limit)
+
+
+def _set_receive_buffer(sock: Any, size: int) -> None:
+    with contextlib.suppress(OSError):
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, size)
 
 
 def _poll(sock: Any) -> int:
@@ -222,7 +257,11 @@
 
     @handler("connect")
     def _on_connect(self, sock: Any, *peer: Any) -> None:
-        max_connections = min(self._limits.max_connections, find_max_connections())
+        max_connections = min(
+            self._limits.max_connections,
+            self._budget.max_connections,
+            find_max_connections(),
+        )
         if len(self.connections) >= max_connections and not self._close_one():
             peer_ip = str(peer[0]) if peer else ""
             self.refusals.record("too_many_connections", peer_ip, time.monotonic())
@@ -241,14 +280,20 @@
     def _close_one(self) -> bool:
         """Close a connection to make room; return whether there is one.
 
-        It is the one that has had no request for the longest time, or else
-        the one whose head has taken longest. Callers may repeat a request that
-        crosses the close.
+        It is the first that has its response and does not close. Else it is
+        the one that has had no request for the longest time: callers may
+        repeat a request that crosses the close. Then come those whose head,
+        body or reading has stalled, and the one that began last to wait for
+        room.
         """
         waiting = sorted(self.connections.values(), key=lambda each: each.waiting_since)
         now = time.monotonic()
-        return any(each.close_if_unused() for each in waiting) or any(
-            each.close_if_slow(now) for each in waiting
+        return (
+            any(each.close_if_lingering(now) for each in waiting)
+            or any(each.close_if_unused() for each in waiting)
+            or any(each.close_if_slow(now) for each in waiting)
+            or any(each.close_if_stalled(now) for each in waiting)
+            or any(each.refuse_if_waiting() for each in reversed(waiting))
         )
 
     @handler("disconnect", override=True)
@@ -257,8 +302,8 @@
         if connection is not None:
             connection.handle_close()
 
-    @handler("read", override=True)
-    def _on_read(self, sock: Any, data: bytes) -> None:
+    def receive(self, sock: Any, data: bytes) -> None:
+        """Process bytes from a caller."""
         connection = self.connections.get(sock)
         if connection is not None:
             connection.receive(data)
@@ -320,7 +365,10 @@
             refusals=refusals,
         ).register(self)
         self.server = ReportingTcpServer(
-            bind, on_sent=self.http.record_sent, on_end=self.http.handle_end
+            bind,
+            on_read=self.http.receive,
+            on_sent=self.http.record_sent,
+            on_end=self.http.handle_end,
         ).register(self)
 
     @property
--- a/carobspring/adapters/listeners.py
+++ b/carobspring/adapters/listeners.py
@@ -9,6 +9,17 @@
 
 #: Connections that may wait to be accepted.
 BACKLOG: Final = 512
+#: Size of the receive buffer of a connection; the system takes twice as much.
+#: What has arrived unread counts as memory of the instance, and a buffer that
+#: the system sizes by itself grows to megabytes.
+RECEIVE_BUFFER_BYTES: Final = 8 * 1024
+#: Size of the send buffer, of which the system takes twice as much too.
+SEND_BUFFER_BYTES: Final = 64 * 1024
+#: Options of a listener, which the sockets that it accepts inherit.
+BUFFER_OPTIONS: Final = (
+    (socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES),
+    (socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES),
+)
 
 _listeners: dict[tuple[str, int], socket.socket] = {}
 
@@ -18,6 +29,8 @@
     listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
     listener.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    for option in BUFFER_OPTIONS:
+        listener.setsockopt(*option)
     listener.bind((host, port))
     listener.listen(BACKLOG)
     listener.setblocking(False)
--- a/carobspring/adapters/metrics.py
+++ b/carobspring/adapters/metrics.py
@@ -5,10 +5,8 @@
 from aioprometheus import Counter, Gauge, Histogram, Registry, render
 
 from carobspring.adapters.byte_budget import ByteBudget
-from carobspring.adapters.http_server import (
-    MAX_PROBE_CONNECTIONS,
-    CircuitsHttpServer,
-)
+from carobspring.adapters.http_server import CircuitsHttpServer
+from carobspring.adapters.memory_plan import MAX_PROBE_CONNECTIONS
 from carobspring.ports import HttpLimits, HttpRequest, HttpResponder
 
 CONTENT_TYPE = "text/plain; version=0.0.4; charset=utf-8"
--- a/carobspring/adapters/refusals.py
+++ b/carobspring/adapters/refusals.py
@@ -7,7 +7,14 @@
 #: Reasons that clients or connections are too many or too slow. The others
 #: are faults of single requests.
 SHEDDING_REASONS: Final = frozenset(
-    ("no_room", "request_timeout", "stalled_reader", "too_many_connections", "evicted")
+    (
+        "no_room",
+        "memory",
+        "request_timeout",
+        "stalled_reader",
+        "too_many_connections",
+        "evicted",
+    )
 )
 #: Seconds without shedding after which it has ended.
 QUIET_S: Final = 10.0
--- a/carobspring/platform/node.py
+++ b/carobspring/platform/node.py
@@ -90,7 +90,9 @@
     is_fault_counted: bool = False
     #: Directory for durable state, or empty.
     data_directory: str = ""
+    #: Memory and descriptors of a process; zero if the file has none.
     memory_mb: float = 0.0
+    max_descriptors: int = 0
     #: Interval between check-ins of a backend server.
     check_in_interval_s: float = 1.0
     #: Number of instances whose loss must be tolerated.
@@ -160,6 +162,7 @@
         is_fault_counted=file.fault_counted,
         data_directory=file.data_dir or "",
         memory_mb=file.limits.memory_mb,
+        max_descriptors=file.limits.max_fds,
         check_in_interval_s=file.heartbeat_ms / 1000,
         tolerated_failures=file.fault_tolerance.machines,
         stop_grace_s=_parse_bound(bounds, "grace_s", 8.0),
--- a/carobspring/ports/http.py
+++ b/carobspring/ports/http.py
@@ -101,9 +101,6 @@
     #: further request of the connection is read.
     write_buffer_bytes: int = 64 * 1024
     max_connections: int = field(default=4096)
-    #: Header fields of a request from which they count as memory. Callers send
-    #: some twenty.
-    free_header_fields: int = 128
     #: Bytes sent ahead of a response at which reading stops.
     max_pipelined_bytes: int = 16 * 1024
 
--- a/carobspring/programs/control_program.py
+++ b/carobspring/programs/control_program.py
@@ -11,9 +11,11 @@
 from grpclib.server import Server
 from msgspec import Meta
 
+from carobspring.adapters.byte_budget import ByteBudget
 from carobspring.adapters.clock import SystemClock, SystemRandom
 from carobspring.adapters.disk import DiskStorage
 from carobspring.adapters.http_server import CircuitsHttpServer
+from carobspring.adapters.memory_plan import DEFAULT_MEMORY_MB, plan_memory
 from carobspring.adapters.metrics import Metrics
 from carobspring.adapters.rpc import RpcService, build_server
 from carobspring.adapters.tasks import start_service_task
@@ -67,6 +69,8 @@
         secret: Shared secret of the system's processes.
         operator_token: Token of the sole operator, at least 16 characters.
         operators: NAME=HASH pairs as printed by `carobctl operator new NAME`.
+        memory_mb: Memory in MB that the process may use; it bounds what
+            operators hold in it, and their connections.
         log_format: text or json.
         log_level: DEBUG, INFO, WARNING or ERROR.
     """
@@ -81,6 +85,7 @@
     peers: str = ""
     operator_token: str = ""
     operators: str = ""
+    memory_mb: Annotated[int, Meta(ge=64, le=1024 * 1024)] = DEFAULT_MEMORY_MB
     log_format: Annotated[str, Meta(pattern="^(text|json)$")] = "text"
     log_level: Annotated[str, Meta(pattern="^(DEBUG|INFO|WARNING|ERROR)$")] = "INFO"
 
@@ -140,6 +145,7 @@
             port=options.admin_port,
             handler=self._build_admin_api().handle,
             limits=HttpLimits(),
+            budget=ByteBudget(plan=plan_memory(memory_mb=options.memory_mb)),
         )
         await self._admin_server.start()
         self._tick_task = start_service_task(self._tick_periodically, name="tick")
--- a/carobspring/programs/entry_program.py
+++ b/carobspring/programs/entry_program.py
@@ -8,9 +8,11 @@
 from grpclib.client import Channel
 from msgspec import Meta
 
+from carobspring.adapters.byte_budget import ByteBudget
 from carobspring.adapters.clock import SystemClock, SystemRandom
 from carobspring.adapters.entry_control_stream import EntryControlStream
 from carobspring.adapters.http_server import CircuitsHttpServer
+from carobspring.adapters.memory_plan import DEFAULT_MEMORY_MB, plan_memory
 from carobspring.adapters.metrics import Metrics
 from carobspring.adapters.rpc import open_channel
 from carobspring.adapters.tasks import start_service_task
@@ -55,6 +57,8 @@
         stop_grace_s: Seconds after SIGTERM during which requests are still
             accepted while /readyz already returns 503; 0 to 60.
         max_body_bytes: Largest size of a request body in bytes.
+        memory_mb: Memory in MB that the process may use; it bounds what
+            callers hold in it, and their connections.
         log_format: text or json.
         log_level: DEBUG, INFO, WARNING or ERROR.
     """
@@ -67,6 +71,7 @@
     http_port: Annotated[int, Meta(ge=0, le=65535)] = 8080
     stop_grace_s: Annotated[float, Meta(ge=0, le=60)] = 1.0
     max_body_bytes: Annotated[int, Meta(ge=1024, le=64 * 1024 * 1024)] = 8 * 1024 * 1024
+    memory_mb: Annotated[int, Meta(ge=64, le=1024 * 1024)] = DEFAULT_MEMORY_MB
     log_format: Annotated[str, Meta(pattern="^(text|json)$")] = "text"
     log_level: Annotated[str, Meta(pattern="^(DEBUG|INFO|WARNING|ERROR)$")] = "INFO"
 
@@ -131,6 +136,7 @@
             port=options.http_port,
             handler=self._api.handle,
             limits=HttpLimits(max_body_bytes=options.max_body_bytes),
+            budget=ByteBudget(plan=plan_memory(memory_mb=options.memory_mb)),
         )
         self._control_task: asyncio.Task[None] | None = None
 
--- a/carobspring/programs/instance_entry_program.py
+++ b/carobspring/programs/instance_entry_program.py
@@ -13,10 +13,8 @@
 from carobspring.adapters.client_metrics import ClientMetrics
 from carobspring.adapters.clock import SystemClock, SystemRandom
 from carobspring.adapters.datagrams import DatagramSocket
-from carobspring.adapters.http_server import (
-    MAX_PROBE_CONNECTIONS,
-    CircuitsHttpServer,
-)
+from carobspring.adapters.http_server import CircuitsHttpServer
+from carobspring.adapters.memory_plan import MAX_PROBE_CONNECTIONS
 from carobspring.adapters.metrics import Metrics, serve_metrics
 from carobspring.adapters.rpc import open_channel
 from carobspring.adapters.tasks import start_service_task
--- a/carobspring/programs/node_file.py
+++ b/carobspring/programs/node_file.py
@@ -5,7 +5,8 @@
 from collections.abc import Callable
 from typing import Final, Generic, TypeVar
 
-from carobspring.adapters.byte_budget import ByteBudget, compute_budget_bytes
+from carobspring.adapters.byte_budget import ByteBudget
+from carobspring.adapters.memory_plan import plan_memory
 from carobspring.platform import InstanceSettings, NodeFileError, read_node_file
 from carobspring.programs.options import OptionError
 
@@ -32,10 +33,11 @@
 
 
 def build_budget(settings: InstanceSettings) -> ByteBudget:
-    """Return the budget of a program for the bodies of clients."""
-    if not settings.memory_mb:
-        return ByteBudget()
-    return ByteBudget(max_bytes=compute_budget_bytes(settings.memory_mb))
+    """Return what a program may hold for its clients."""
+    plan = plan_memory(
+        memory_mb=settings.memory_mb, max_descriptors=settings.max_descriptors
+    )
+    return ByteBudget(plan=plan)
 
 
 class NodeFileWatcher(Generic[Settings]):
--- a/tests/adapters/test_byte_budget.py
+++ b/tests/adapters/test_byte_budget.py
@@ -3,12 +3,11 @@
 from carobspring.adapters.byte_budget import (
     MIN_RECEIVE_BYTES_PER_S,
     SMALL_BODY_BYTES,
-    STALL_S,
     ByteBudget,
     BytePool,
     Hold,
-    compute_budget_bytes,
 )
+from carobspring.adapters.client_memory import STALL_S
 
 MIB = 1024 * 1024
 
@@ -122,14 +121,6 @@
         self.assertIs(waiting.has_room, True)
         self.assertEqual(budget.refused_count, 1)
 
-    def test_size(self):
-        """The budget leaves room for two programs of an instance."""
-        cases = [(0, 8), (96, 8), (128, 8), (300, 36.7)]
-        for memory_mb, expected_mib in cases:
-            with self.subTest(memory_mb=memory_mb):
-                size = compute_budget_bytes(memory_mb) / MIB
-                self.assertAlmostEqual(size, expected_mib, 1)
-
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/adapters/test_metrics.py
+++ b/tests/adapters/test_metrics.py
@@ -1,7 +1,7 @@
 import asyncio
 import unittest
 
-from carobspring.adapters.http_server import MAX_PROBE_CONNECTIONS
+from carobspring.adapters.memory_plan import MAX_PROBE_CONNECTIONS
 from carobspring.adapters.metrics import Metrics, serve_metrics
 from standins.deployment import open_client
 
