Blame no server for a caller's long head

During a crowd that sends heads of many short fields, and after it, every ordinary request got 503 (`all_tried`): the servers of the route were set aside.

Cause: a server's HTTP library rejects a head that is longer than its own limit, with an answer that has no request's identifier. Each counted as a failure of the server, so one caller could take all servers of a route from everyone, and spent the retries that all callers share.

Now such a rejection (400, 414, 431) of a head of over 64 fields or 4 KiB says nothing of the server and takes no retry; the caller gets 502, which promises nothing. Rejections of ordinary heads count as before, as a faulty server sends them.

--- a/carobspring/dispatch/queries.py
+++ b/carobspring/dispatch/queries.py
@@ -129,5 +129,8 @@
     UNREACHABLE = "unreachable"
     #: The request was sent, but no complete response was received.
     INCOMPLETE = "cut"
+    #: The server does not take a head as long as the request's: no fault of
+    #: the server.
+    HEAD_REJECTED = "head_rejected"
     #: The caller disconnected or timed out: no fault of the server.
     ABANDONED = "abandoned"
--- a/carobspring/gateway/exchange.py
+++ b/carobspring/gateway/exchange.py
@@ -23,7 +23,11 @@
 from carobspring.gateway.announcements import AnnouncementRecorder
 from carobspring.gateway.backends import BackendConnections
 from carobspring.gateway.crashes import CrashDetector
-from carobspring.gateway.heads import read_head_behind_refusal, read_own_head
+from carobspring.gateway.heads import (
+    is_head_rejected,
+    read_head_behind_refusal,
+    read_own_head,
+)
 from carobspring.gateway.identity import RequestIdentity
 from carobspring.gateway.origins import StreamOrigins
 from carobspring.gateway.outcomes import (
@@ -66,6 +70,10 @@
 _NOT_RUN: Final = frozenset(
     {AttemptOutcome.NOT_RUN, AttemptOutcome.MISDIRECTED, AttemptOutcome.UNREACHABLE}
 )
+#: Outcomes that are no answer, but prove that the server works.
+_SERVER_RESPONDED: Final = frozenset(
+    {AttemptOutcome.SERVER_ERROR, AttemptOutcome.HEAD_REJECTED}
+)
 
 T = TypeVar("T")
 
@@ -249,6 +257,9 @@
             self._failure_response = result.response or self._failure_response
             if result.peer_ended:
                 await self._context.crash_detector.investigate(placement.server)
+            if result.outcome is AttemptOutcome.HEAD_REJECTED:
+                # Others have the same limits, and retries are for all callers.
+                return await self._finish_failed(result.detail)
             if result.outcome not in _NOT_RUN and not self._can_retry():
                 return await self._finish_failed(result.detail)
 
@@ -380,7 +391,7 @@
         crash_detector = self._context.crash_detector
         if result.outcome is AttemptOutcome.ANSWERED:
             crash_detector.end_answered(run, answered_since=self._answered_since)
-        elif result.outcome is AttemptOutcome.SERVER_ERROR:
+        elif result.outcome in _SERVER_RESPONDED:
             crash_detector.end_failed(run)
         elif result.outcome in _NOT_RUN:
             crash_detector.end_unsent(run)
@@ -463,6 +474,12 @@
                 outcome = AttemptOutcome.MISDIRECTED
             return AttemptResult(outcome=outcome, detail=f"status {status}")
         if not metadata.request_id:
+            request = self._request
+            if is_head_rejected(status, request.target, request.headers):
+                detail = f"the server rejects the request's long head: {status}"
+                return AttemptResult(
+                    outcome=AttemptOutcome.HEAD_REJECTED, detail=detail
+                )
             detail = "an answer without a request's identifier"
             return AttemptResult(outcome=AttemptOutcome.INCOMPLETE, detail=detail)
         is_event_stream = status < 300 and self._is_event_stream(response, metadata)
--- a/carobspring/gateway/heads.py
+++ b/carobspring/gateway/heads.py
@@ -1,12 +1,14 @@
 """Finds the response to a request among those on its connection.
 
 A faulty server may write a response to another request once more. Its
-identifier tells whose it is, if it has one.
+identifier tells whose it is, if it has one. A server's HTTP library has no
+identifier for the requests that it rejects by their head.
 """
 
 from typing import Final
 
 from carobspring import platform
+from carobspring.domain import CallHeaders
 from carobspring.platform import ResponseMetadata
 from carobspring.ports import BackendResponse, IncompleteResponseError
 
@@ -15,6 +17,26 @@
 #: Status by which servers refuse a request that has no identifier, like the
 #: one that is sent behind a refusal.
 UNIDENTIFIED_STATUS: Final = 400
+#: Fields and bytes of a head that any server takes. Servers have limits of
+#: their own, often of some 100 fields or 8 KiB.
+COMMON_FIELDS: Final = 64
+COMMON_HEAD_BYTES: Final = 4 * 1024
+#: Statuses by which HTTP libraries reject a head: Bad Request, URI Too Long
+#: and Request Header Fields Too Large.
+HEAD_REJECTIONS: Final = frozenset({400, 414, 431})
+
+
+def is_head_rejected(status: int, target: str, headers: CallHeaders) -> bool:
+    """Return whether a response without an identifier is about the head.
+
+    Args:
+        status: Status of the response.
+        target: Path and query of the request.
+        headers: Headers of the request.
+    """
+    size = len(target) + sum(len(name) + len(value) for name, value in headers)
+    is_uncommon = len(headers) > COMMON_FIELDS or size > COMMON_HEAD_BYTES
+    return status in HEAD_REJECTIONS and is_uncommon
 
 
 async def read_own_head(response: BackendResponse, request_id: str) -> ResponseMetadata:
