Pass on no answer whose status is not one of HTTP

Callers got answers with the status 600 or 999 of servers in trouble. 000 and 099 became a 502 already, but its reason was the parser's own English ("InformationalResponse status_code should be in range"), which no operator can use.

Cause: the parser takes 200 to 999, and its errors were passed on as they are. RFC 9110 has 100 to 599.

Now a status over 599 is an answer that was not received, as one under 100 is, and the reason names the status. 20, 2000, signs and blanks were no status lines before and stay so.

Evidence: tests.adapters.test_backend_http, test_statuses_outside_http: four of six cases failed before (600 and 999 were taken, 000 and 099 had the parser's text).

--- a/carobspring/adapters/backend_connection.py
+++ b/carobspring/adapters/backend_connection.py
@@ -14,6 +14,10 @@
 MAX_JOINED_BODY_BYTES: Final = 64 * 1024
 #: Unread bytes of a response above which reading from the socket pauses.
 READ_BUFFER_BYTES: Final = 64 * 1024
+#: Highest status that HTTP has.
+MAX_STATUS: Final = 599
+#: Part of the parser's error for a status under 100.
+PARSER_STATUS_ERROR: Final = "status_code should be"
 #: Interim responses (status 1xx) before a response.
 MAX_INTERIM_RESPONSES: Final = 10
 #: The start of a head. Inside a line of another one it shows that the other
@@ -122,11 +126,14 @@
             try:
                 event = self._parser.next_event()
             except h11.RemoteProtocolError as error:
-                reason = self._close_reason or str(error)
+                reason = self._close_reason or _describe_parser_error(error)
                 self.close(reason)
                 raise IncompleteResponseError(
                     reason=reason, peer_ended=self._peer_ended
                 ) from error
+            if isinstance(event, h11.Response) and event.status_code > MAX_STATUS:
+                self.close(_describe_status(str(event.status_code)))
+                raise IncompleteResponseError(reason=self._close_reason)
             if _is_joined_head(event):
                 self.close("a head that broke off before another one")
                 raise IncompleteResponseError(reason=self._close_reason)
@@ -229,6 +236,19 @@
         self._unread_bytes = 0
 
 
+def _describe_status(status: str) -> str:
+    return f"the answer's status {status} is not one of HTTP (100 to 599)"
+
+
+def _describe_parser_error(error: h11.RemoteProtocolError) -> str:
+    """Return an error of the parser in terms that operators know."""
+    text = str(error)
+    if PARSER_STATUS_ERROR not in text:
+        return text
+    status = text.rpartition(" ")[2]
+    return _describe_status(status.zfill(3))
+
+
 def _is_joined_head(event: Any) -> bool:
     """Return whether another head begins inside a line of a head."""
     if not isinstance(event, h11.InformationalResponse | h11.Response):
--- a/tests/adapters/test_backend_http.py
+++ b/tests/adapters/test_backend_http.py
@@ -156,6 +156,23 @@
                     with self.assertRaises(IncompleteResponseError, msg=(name, size)):
                         await fetch(server.url)
 
+    async def test_statuses_outside_http(self):
+        """Only a status from 100 to 599 is one; others are named as such."""
+        cases = {
+            "000": "status 000 is not one of HTTP",
+            "099": "status 099 is not one of HTTP",
+            "600": "status 600 is not one of HTTP",
+            "999": "status 999 is not one of HTTP",
+            "20": "illegal status line",
+            "2000": "illegal status line",
+        }
+        for status, reason in cases.items():
+            with self.subTest(status):
+                response = f"HTTP/1.1 {status} Odd\r\nContent-Length: 0\r\n\r\n"
+                async with RawServer(response.encode()) as server:
+                    with self.assertRaisesRegex(IncompleteResponseError, reason):
+                        await fetch(server.url)
+
     async def test_answer_that_leaves_http(self):
         """An answer behind which there is another protocol has no end."""
         for allowed in (False, True):
