Count responses that callers don't read, and read less of them ahead

Callers that asked for large responses of a server and read none of them took an entry's memory: 826 MB with 400 clients, on an instance of 88 MB.

Cause: each running request read up to 256 KiB at once from its server and held back as much until the response was complete, kept the start of a larger one until its end, and left more in a receive buffer that the system sizes. None of that was in the account.

Now what is held back counts. While over half of the account is taken, a response is sent on after 16 KiB, and handlers wait at 16 KiB of unread bytes. A connection to a server reads 16 KiB at once and pauses at 16 KiB unread, with a small receive buffer from its start on; that is part of what each request counts as.

Why it works: what a request holds of its response is small or counted, so the account bounds the sum and closes those that read nothing.

--- a/carobspring/adapters/backend_connection.py
+++ b/carobspring/adapters/backend_connection.py
@@ -13,7 +13,9 @@
 #: Largest body that is written together with its head.
 MAX_JOINED_BODY_BYTES: Final = 64 * 1024
 #: Unread bytes of a response above which reading from the socket pauses.
-READ_BUFFER_BYTES: Final = 64 * 1024
+READ_BUFFER_BYTES: Final = 16 * 1024
+#: Bytes of one read.
+READ_SIZE_BYTES: Final = 16 * 1024
 #: Highest status that HTTP has.
 MAX_STATUS: Final = 599
 #: Part of the parser's error for a status under 100.
@@ -25,7 +27,11 @@
 STATUS_LINE: Final = re.compile(rb"HTTP/\d\.\d \d{3}")
 
 
-class BackendConnection(asyncio.Protocol):
+#: Where all connections read to, one after the other: there is one thread.
+_read_buffer: Final = memoryview(bytearray(READ_SIZE_BYTES))
+
+
+class BackendConnection(asyncio.BufferedProtocol):
     """Sends one request at a time and returns its response in parts.
 
     After a complete response the connection can be reused, unless it received
@@ -66,6 +72,17 @@
         self._transport = transport
         enable_dead_peer_detection(transport)
 
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Return where the next bytes are read to.
+
+        Without a buffer of its own, asyncio reads up to 256 KiB at once.
+        """
+        return _read_buffer
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """Handle the bytes that were read."""
+        self.data_received(bytes(_read_buffer[:nbytes]))
+
     def data_received(self, data: bytes) -> None:
         """Parse response bytes; close if no request was sent."""
         if self._request is None:
--- a/carobspring/adapters/backend_http.py
+++ b/carobspring/adapters/backend_http.py
@@ -15,6 +15,7 @@
 import h11
 
 from carobspring.adapters.backend_connection import BackendConnection
+from carobspring.adapters.sockets import connect_with_small_buffer
 from carobspring.domain import CallHeaders
 from carobspring.ports import (
     Backend,
@@ -433,8 +434,9 @@
         loop = asyncio.get_running_loop()
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                sock = await connect_with_small_buffer(self._address)
                 _, connection = await loop.create_connection(
-                    BackendConnection, *self._address
+                    BackendConnection, sock=sock
                 )
         except (OSError, TimeoutError) as error:
             reason = f"Cannot connect: {type(error).__name__} {error}"
--- a/carobspring/adapters/client_memory.py
+++ b/carobspring/adapters/client_memory.py
@@ -31,6 +31,8 @@
     unsent_bytes: int = 0
     #: Estimated bytes of the request that is read or runs.
     request_bytes: int = 0
+    #: Bytes of a response that are held back until more of it is there.
+    response_bytes: int = 0
     #: Whether the handler of a request runs.
     is_running: bool = False
     #: Monotonic time of the last byte received or sent.
@@ -41,7 +43,12 @@
     @property
     def size(self) -> int:
         """All bytes that the connection holds."""
-        return self.received_bytes + self.unsent_bytes + self.request_bytes
+        return (
+            self.received_bytes
+            + self.unsent_bytes
+            + self.request_bytes
+            + self.response_bytes
+        )
 
     def is_stalled(self, now: float) -> bool:
         """Return whether nothing was received or sent for a while."""
--- a/carobspring/adapters/http_connection.py
+++ b/carobspring/adapters/http_connection.py
@@ -32,9 +32,13 @@
 
 #: Memory that a header field takes once it is parsed.
 HEADER_FIELD_BYTES: Final = 512
-#: Memory of a running request beside its fields and its body, with that of its
-#: connection to a backend server.
-REQUEST_BYTES: Final = 24 * 1024
+#: Fields that callers send at most, and the memory of each further one. It is
+#: in memory several times while the head is parsed and sent on.
+USUAL_FIELDS: Final = 64
+FURTHER_FIELD_BYTES: Final = 2 * 1024
+#: Memory of a running request beside its fields and its body, with what its
+#: connection to a backend server may hold.
+REQUEST_BYTES: Final = 40 * 1024
 #: Seconds from the first byte of a head after which its connection makes
 #: room for another one at the limit. Most heads are sent at once.
 MAX_HEAD_S: Final = 1.0
@@ -310,7 +314,7 @@
         self._count_memory()
         if self._is_ending and not self._holding.unsent_bytes:
             self._lingers_since = self._last_sent_at
-        if self._holding.unsent_bytes < self.limits.write_buffer_bytes:
+        if not self._is_behind_unsent:
             self._writable.set()
             if self._buffer and self._responder is None and not self._closing:
                 asyncio.get_running_loop().call_soon(self._read_next_request)
@@ -325,9 +329,16 @@
         self._holding.unsent_bytes += len(data)
         self._tcp_server.write(self._sock, data)
         self._count_memory()
-        if self._holding.unsent_bytes >= self.limits.write_buffer_bytes:
+        if self._is_behind_unsent:
             self._writable.clear()
 
+    def hold_back(self, size: int) -> bool:
+        """Report the bytes that are held back; return whether they may be."""
+        if size != self._holding.response_bytes:
+            self._holding.response_bytes = size
+            self._count_memory()
+        return not self._budget.memory.is_tight
+
     async def wait_writable(self) -> None:
         """Wait until fewer bytes are unsent than the limit."""
         await self._writable.wait()
@@ -435,7 +446,7 @@
             self._reject_for_room("the request holds memory that others need")
 
     def _release_request(self) -> None:
-        self._holding.request_bytes = 0
+        self._holding.request_bytes = self._holding.response_bytes = 0
         self._is_head_waiting = False
         self._count_memory()
 
@@ -445,7 +456,10 @@
     @property
     def _is_behind_unsent(self) -> bool:
         """Whether the next request waits until the caller reads responses."""
-        return self._holding.unsent_bytes >= self.limits.write_buffer_bytes
+        max_bytes = self.limits.write_buffer_bytes
+        if self._budget.memory.is_tight:
+            max_bytes = min(max_bytes, self.limits.short_write_buffer_bytes)
+        return self._holding.unsent_bytes >= max_bytes
 
     def _add_room(self, size: int) -> None:
         """Ask for room; reading pauses until there is some.
@@ -553,6 +567,7 @@
         """Return whether the request may begin, by the size of its head."""
         fields = self._buffer.count(LINE_END, 0, head_end)
         size = REQUEST_BYTES + head_end + fields * HEADER_FIELD_BYTES
+        size += max(0, fields - USUAL_FIELDS) * FURTHER_FIELD_BYTES
         self._count_memory()
         has_room = self._budget.memory.reserve(self._holding, size, time.monotonic())
         # It may have been closed to make room.
--- a/carobspring/adapters/http_responder.py
+++ b/carobspring/adapters/http_responder.py
@@ -39,6 +39,9 @@
     def send_bytes(self, data: bytes) -> None:
         """Send bytes, or buffer them until the caller reads more."""
 
+    def hold_back(self, size: int) -> bool:
+        """Report the bytes that are held back; return whether they may be."""
+
     async def wait_writable(self) -> None:
         """Wait until fewer bytes are unsent than the limit."""
 
@@ -75,6 +78,10 @@
         #: event loop are sent together.
         self._pending = bytearray()
 
+    def hold_back(self, size: int) -> bool:
+        """Report the bytes that are held back; return whether they may be."""
+        return self._connection.hold_back(size)
+
     async def send(self, status: int, headers: CallHeaders, body: bytes) -> None:
         """Send a response with a complete body; Content-Length is added."""
         if self.disconnected.is_set() or self.started:
@@ -146,6 +153,7 @@
 
     def _build_head(self, status: int, headers: CallHeaders) -> bytes:
         self.started = True
+        self._connection.hold_back(0)
         response = self._response
         response._status = StatusCode(status)
         for name, value in headers:
--- a/carobspring/adapters/sockets.py
+++ b/carobspring/adapters/sockets.py
@@ -16,6 +16,32 @@
 USER_TIMEOUT_MS: Final = 3000
 
 
+#: Size of the receive buffer of a connection to a backend server; the system
+#: takes twice as much. What arrives unread counts as memory.
+BACKEND_RECEIVE_BUFFER_BYTES: Final = 16 * 1024
+
+
+async def connect_with_small_buffer(address: tuple[str, int]) -> socket.socket:
+    """Return a connection whose receive buffer does not grow.
+
+    Raises:
+        OSError: The connection cannot be opened.
+    """
+    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    try:
+        sock.setblocking(False)
+        # The size must be set before the connection is opened, when the other
+        # side learns how much it may send.
+        sock.setsockopt(
+            socket.SOL_SOCKET, socket.SO_RCVBUF, BACKEND_RECEIVE_BUFFER_BYTES
+        )
+        await asyncio.get_running_loop().sock_connect(sock, address)
+    except BaseException:
+        sock.close()
+        raise
+    return sock
+
+
 def enable_dead_peer_detection(transport: asyncio.BaseTransport) -> None:
     """Let the operating system close a connection whose peer is gone."""
     sock = transport.get_extra_info("socket")
--- a/carobspring/gateway/relay.py
+++ b/carobspring/gateway/relay.py
@@ -19,6 +19,8 @@
 #: Responses up to this size are sent only when they are complete, so that a
 #: caller never gets part of a response that breaks off.
 MAX_BUFFERED_BYTES: Final = 256 * 1024
+#: The same while the memory of the process is short.
+SHORT_BUFFERED_BYTES: Final = 16 * 1024
 #: Largest response that is relayed, and largest event of a stream.
 MAX_RESPONSE_BYTES: Final = 16 * 1024 * 1024
 MAX_EVENT_BYTES: Final = 1024 * 1024
@@ -91,10 +93,8 @@
     async def relay_body(self, backend_response: BackendResponse) -> AttemptResult:
         """Relay a response when it is complete; stream a large one."""
         body = bytearray()
-        while data := await backend_response.read():
-            body += data
-            if len(body) > MAX_BUFFERED_BYTES:
-                return await self._stream_large_body(backend_response, bytes(body))
+        if not await self._read_small_body(backend_response, body):
+            return await self._stream_large_body(backend_response, body)
         detail = f"status {backend_response.status}"
         buffered = BufferedResponse(
             status=backend_response.status,
@@ -181,16 +181,30 @@
         await self._responder.start(backend_response.status, backend_response.headers)
         await self._responder.write(self._held_comments)
 
+    async def _read_small_body(
+        self, backend_response: BackendResponse, body: bytearray
+    ) -> bool:
+        """Read a body; return False once it is too large to be held back."""
+        while data := await backend_response.read():
+            body += data
+            may_hold = self._responder.hold_back(len(body))
+            if len(body) > (MAX_BUFFERED_BYTES if may_hold else SHORT_BUFFERED_BYTES):
+                return False
+        return True
+
     async def _stream_large_body(
-        self, backend_response: BackendResponse, start: bytes
+        self, backend_response: BackendResponse, start: bytearray
     ) -> AttemptResult:
         await self._start_response(backend_response)
-        await self._responder.write(start)
         read_bytes = len(start)
-        while data := await backend_response.read():
+        data = bytes(start)
+        # The caller of this function keeps it until the end of the response.
+        start.clear()
+        while data:
+            await self._responder.write(data)
+            data = await backend_response.read()
             read_bytes += len(data)
             _check_size(read_bytes, MAX_RESPONSE_BYTES)
-            await self._responder.write(data)
         await self._responder.finish()
         return ANSWERED
 
--- a/carobspring/ports/http.py
+++ b/carobspring/ports/http.py
@@ -51,6 +51,14 @@
     #: Set if the caller closes its connection before the response is complete.
     disconnected: asyncio.Event
 
+    def hold_back(self, size: int) -> bool:
+        """Report how many bytes of the response are held back unsent.
+
+        Returns False if the memory of the process is short, so that they
+        should rather be sent.
+        """
+        return True
+
     @abstractmethod
     async def send(self, status: int, headers: CallHeaders, body: bytes) -> None:
         """Send a complete response; Content-Length is added."""
@@ -100,6 +108,8 @@
     #: Unread bytes of responses at which ``write`` waits, and at which no
     #: further request of the connection is read.
     write_buffer_bytes: int = 64 * 1024
+    #: The same while the memory of the process is short.
+    short_write_buffer_bytes: int = 16 * 1024
     max_connections: int = field(default=4096)
     #: Bytes sent ahead of a response at which reading stops.
     max_pipelined_bytes: int = 16 * 1024
