Take no answer for complete that ends before a long upload was sent

A caller got a part of an answer as a complete one: the server answered a long upload at once with a 200 without length, sent a part of its body, ended its data and reset the connection while the upload was still written.

Cause: an answer without length ends with its connection, and a server's end of data counted as that end even while bytes of the request were unsent. The reset that followed came too late. A reset alone was seen as one in all of 108 cases tried (three sizes of uploads and of parts, three routes, at once and later), so the report doesn't show without an end of data.

Now an answer without a marked end that ends while the request is still being sent is incomplete. The send buffer of a connection to a server has a fixed size, as a buffer that grows took all of a 3 MiB upload at times. What fits into the buffers of both systems can't be told apart from a request that was read; such short uploads are taken as sent.

--- a/carobspring/adapters/backend_connection.py
+++ b/carobspring/adapters/backend_connection.py
@@ -55,6 +55,8 @@
         self.server_idle_timeout_s: float | None = None
         #: True once any byte of the current response was received.
         self.response_started = False
+        #: True if the server's data ended before the request was sent.
+        self.ended_while_sending = False
 
     @property
     def is_lost(self) -> bool:
@@ -97,6 +99,8 @@
     def eof_received(self) -> bool:
         """Handle the end of the server's data."""
         self._peer_ended = True
+        if self._transport is not None:
+            self.ended_while_sending = self._transport.get_write_buffer_size() > 0
         if self._request is None:
             self.close("the server closed an idle connection")
         else:
--- a/carobspring/adapters/backend_http.py
+++ b/carobspring/adapters/backend_http.py
@@ -15,7 +15,7 @@
 import h11
 
 from carobspring.adapters.backend_connection import BackendConnection
-from carobspring.adapters.sockets import connect_with_small_buffer
+from carobspring.adapters.sockets import connect_with_small_buffers
 from carobspring.domain import CallHeaders
 from carobspring.ports import (
     Backend,
@@ -116,6 +116,12 @@
                 raise IncompleteResponseError(
                     reason="the answer's length is not marked"
                 )
+            if not self.is_end_marked and self._connection.ended_while_sending:
+                # A server that breaks off with bytes of the request unread may
+                # end its data before it resets the connection.
+                raise IncompleteResponseError(
+                    reason="the answer ended before the request was sent"
+                )
         return b""
 
     async def read_next_response(self) -> bool:
@@ -434,7 +440,7 @@
         loop = asyncio.get_running_loop()
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
-                sock = await connect_with_small_buffer(self._address)
+                sock = await connect_with_small_buffers(self._address)
                 _, connection = await loop.create_connection(
                     BackendConnection, sock=sock
                 )
--- a/carobspring/adapters/sockets.py
+++ b/carobspring/adapters/sockets.py
@@ -19,10 +19,13 @@
 #: Size of the receive buffer of a connection to a backend server; the system
 #: takes twice as much. What arrives unread counts as memory.
 BACKEND_RECEIVE_BUFFER_BYTES: Final = 16 * 1024
+#: Size of its send buffer. What the server does not read of a long request
+#: stays in the process, which can tell that the request was not sent.
+BACKEND_SEND_BUFFER_BYTES: Final = 64 * 1024
 
 
-async def connect_with_small_buffer(address: tuple[str, int]) -> socket.socket:
-    """Return a connection whose receive buffer does not grow.
+async def connect_with_small_buffers(address: tuple[str, int]) -> socket.socket:
+    """Return a connection whose buffers do not grow.
 
     Raises:
         OSError: The connection cannot be opened.
@@ -30,8 +33,9 @@
     sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     try:
         sock.setblocking(False)
-        # The size must be set before the connection is opened, when the other
+        # The sizes must be set before the connection is opened, when the other
         # side learns how much it may send.
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, BACKEND_SEND_BUFFER_BYTES)
         sock.setsockopt(
             socket.SOL_SOCKET, socket.SO_RCVBUF, BACKEND_RECEIVE_BUFFER_BYTES
         )
