Keep readiness and metrics out of the callers' account

A crowd that takes all of the account would make a readiness probe wait for room like any request, and two late probes take an instance out of service for ordinary callers.

Cause: the servers for readiness and metrics shared the budget of callers. They have a small one of their own now, within the reserve of the plan.

With it go names that a reader would stumble over: what a connection holds was a Holding beside the Hold of a body and is ConnectionUsage now, and the estimate of a request's memory stands with the account, tested without I/O.

--- a/carobspring/adapters/client_memory.py
+++ b/carobspring/adapters/client_memory.py
@@ -15,10 +15,34 @@
 #: Seconds without a byte received or sent after which a connection counts as
 #: stalled.
 STALL_S: Final = 1.0
+#: Memory of a running request beside its fields and its body, with what its
+#: connection to a backend server may hold.
+REQUEST_BYTES: Final = 40 * 1024
+#: Memory that a header field takes once it is parsed.
+HEADER_FIELD_BYTES: Final = 512
+#: Fields that callers send at most, and the memory of each further one on top.
+#: A long head is in memory several times while it is parsed and sent on.
+USUAL_FIELDS: Final = 64
+FURTHER_FIELD_BYTES: Final = 2 * 1024
+
+
+def estimate_request_bytes(head_bytes: int, fields: int) -> int:
+    """Return the memory that a request takes beside its body.
+
+    Example:
+        ``estimate_request_bytes(800, 16)`` returns 49,952.
+    """
+    further_fields = max(0, fields - USUAL_FIELDS)
+    return (
+        REQUEST_BYTES
+        + head_bytes
+        + fields * HEADER_FIELD_BYTES
+        + further_fields * FURTHER_FIELD_BYTES
+    )
 
 
 @dataclass(kw_only=True, eq=False)
-class Holding:
+class ConnectionUsage:
     """What one connection holds beside the body that it has room for."""
 
     #: Called to close the connection, or to refuse the request on it.
@@ -63,7 +87,7 @@
             return bool(self.unsent_bytes) and self.is_stalled(now)
         return self.size > 0
 
-    def weigh(self, now: float) -> tuple[float, int]:
+    def rank_for_release(self, now: float) -> tuple[float, int]:
         """Return how much is held for how long without progress."""
         return self.size * max(0.0, now - self.progress_at), self.size
 
@@ -71,15 +95,15 @@
 class ClientMemory:
     """The account of a process for its connections.
 
-    A connection reports each change of its holding. Past the limit, those that
+    A connection reports each change of its usage. Past the limit, those that
     hold most for longest are released at once. A request begins only once
     there is room for it; those that wait are served in order.
 
     Example:
-        ``memory.add(holding)`` for a new connection. ``memory.reserve(holding,
+        ``memory.add(usage)`` for a new connection. ``memory.reserve(usage,
         30_000, now)`` returns True if its request may begin. Then
-        ``memory.update(holding, now)`` after each change of the holding, and
-        ``memory.remove(holding)`` when the connection is closed.
+        ``memory.update(usage, now)`` after each change of the usage, and
+        ``memory.remove(usage)`` when the connection is closed.
     """
 
     def __init__(self, *, max_bytes: int) -> None:
@@ -87,9 +111,9 @@
         self.held_bytes = 0
         #: Connections that were released to make room, since the start.
         self.released_count = 0
-        self._holdings: dict[int, Holding] = {}
+        self._usages: dict[int, ConnectionUsage] = {}
         #: Requests that wait to begin, with the bytes that they need.
-        self._waiting: OrderedDict[int, tuple[Holding, int]] = OrderedDict()
+        self._waiting: OrderedDict[int, tuple[ConnectionUsage, int]] = OrderedDict()
         self._is_releasing = False
 
     @property
@@ -102,47 +126,47 @@
         """Whether over half of the room is taken."""
         return self.held_bytes * 2 > self.max_bytes
 
-    def add(self, holding: Holding) -> None:
+    def add(self, usage: ConnectionUsage) -> None:
         """Count a new connection."""
-        self._holdings[id(holding)] = holding
-        self._count(holding)
+        self._usages[id(usage)] = usage
+        self._count(usage)
 
-    def remove(self, holding: Holding) -> None:
+    def remove(self, usage: ConnectionUsage) -> None:
         """Return all room of a closed connection."""
-        self._waiting.pop(id(holding), None)
-        if self._holdings.pop(id(holding), None) is not None:
-            self.held_bytes -= holding.counted_bytes
-            holding.counted_bytes = 0
+        self._waiting.pop(id(usage), None)
+        if self._usages.pop(id(usage), None) is not None:
+            self.held_bytes -= usage.counted_bytes
+            usage.counted_bytes = 0
             self._begin_waiting()
 
-    def reserve(self, holding: Holding, size: int, now: float) -> bool:
+    def reserve(self, usage: ConnectionUsage, size: int, now: float) -> bool:
         """Return whether a request of a size may begin; else let it wait."""
-        if id(holding) not in self._holdings:
+        if id(usage) not in self._usages:
             return False
         # A request larger than the account would never begin.
         size = min(size, self.max_bytes // 2)
-        is_first = next(iter(self._waiting), id(holding)) == id(holding)
+        is_first = next(iter(self._waiting), id(usage)) == id(usage)
         if not is_first or self.held_bytes + size > self.max_bytes:
-            self._waiting.setdefault(id(holding), (holding, size))
+            self._waiting.setdefault(id(usage), (usage, size))
             return False
-        self._waiting.pop(id(holding), None)
-        holding.request_bytes = size
-        self.update(holding, now)
+        self._waiting.pop(id(usage), None)
+        usage.request_bytes = size
+        self.update(usage, now)
         self._begin_waiting()
         return True
 
-    def cancel(self, holding: Holding) -> None:
+    def cancel(self, usage: ConnectionUsage) -> None:
         """End the wait of a request that was refused."""
-        if self._waiting.pop(id(holding), None) is not None:
+        if self._waiting.pop(id(usage), None) is not None:
             self._begin_waiting()
 
-    def update(self, holding: Holding, now: float) -> None:
+    def update(self, usage: ConnectionUsage, now: float) -> None:
         """Count what a connection holds now, and make room if it is short."""
-        if id(holding) not in self._holdings:
+        if id(usage) not in self._usages:
             return
-        before = holding.counted_bytes
-        self._count(holding)
-        if holding.counted_bytes < before:
+        before = usage.counted_bytes
+        self._count(usage)
+        if usage.counted_bytes < before:
             self._begin_waiting()
         if self.held_bytes > self.max_bytes:
             self._release_until_within(now)
@@ -152,18 +176,18 @@
         while self._waiting:
             stalled = [
                 each
-                for each in self._holdings.values()
+                for each in self._usages.values()
                 if each.is_releasable(now) and each.is_stalled(now)
                 # Those that wait make no progress by no fault of their own.
                 and id(each) not in self._waiting
             ]
             if not stalled:
                 return
-            self._release(max(stalled, key=lambda each: each.weigh(now)))
+            self._release(max(stalled, key=lambda each: each.rank_for_release(now)))
 
-    def _count(self, holding: Holding) -> None:
-        self.held_bytes += holding.size - holding.counted_bytes
-        holding.counted_bytes = holding.size
+    def _count(self, usage: ConnectionUsage) -> None:
+        self.held_bytes += usage.size - usage.counted_bytes
+        usage.counted_bytes = usage.size
 
     def _release_until_within(self, now: float) -> None:
         if self._is_releasing:
@@ -172,23 +196,25 @@
         try:
             while self.held_bytes > self.max_bytes:
                 candidates = [
-                    each for each in self._holdings.values() if each.is_releasable(now)
+                    each for each in self._usages.values() if each.is_releasable(now)
                 ]
                 if not candidates:
                     return
-                self._release(max(candidates, key=lambda each: each.weigh(now)))
+                self._release(
+                    max(candidates, key=lambda each: each.rank_for_release(now))
+                )
         finally:
             self._is_releasing = False
 
-    def _release(self, holding: Holding) -> None:
+    def _release(self, usage: ConnectionUsage) -> None:
         self.released_count += 1
-        self.remove(holding)
-        holding.release()
+        self.remove(usage)
+        usage.release()
 
     def _begin_waiting(self) -> None:
         """Tell the first request that waits if there is room for it now."""
         if not self._waiting:
             return
-        holding, size = next(iter(self._waiting.values()))
+        usage, size = next(iter(self._waiting.values()))
         if self.held_bytes + size <= self.max_bytes:
-            holding.handle_room()
+            usage.handle_room()
--- a/carobspring/adapters/http_connection.py
+++ b/carobspring/adapters/http_connection.py
@@ -11,7 +11,10 @@
 from circuits.web.wrappers import Request, Response
 
 from carobspring.adapters.byte_budget import SMALL_BODY_BYTES, ByteBudget, Hold
-from carobspring.adapters.client_memory import Holding
+from carobspring.adapters.client_memory import (
+    ConnectionUsage,
+    estimate_request_bytes,
+)
 from carobspring.adapters.http_framing import (
     HEAD_END,
     LINE_END,
@@ -30,15 +33,6 @@
 CONTINUE_RESPONSE = b"HTTP/1.1 100 Continue\r\n\r\n"
 JSON_HEADERS = (("Content-Type", "application/json"),)
 
-#: Memory that a header field takes once it is parsed.
-HEADER_FIELD_BYTES: Final = 512
-#: Fields that callers send at most, and the memory of each further one. It is
-#: in memory several times while the head is parsed and sent on.
-USUAL_FIELDS: Final = 64
-FURTHER_FIELD_BYTES: Final = 2 * 1024
-#: Memory of a running request beside its fields and its body, with what its
-#: connection to a backend server may hold.
-REQUEST_BYTES: Final = 40 * 1024
 #: Seconds from the first byte of a head after which its connection makes
 #: room for another one at the limit. Most heads are sent at once.
 MAX_HEAD_S: Final = 1.0
@@ -97,12 +91,12 @@
         self._budget = budget
         self._find_max_body = find_max_body
         #: What the connection holds beside the body.
-        self._holding = Holding(
-            release=self._release_memory,
-            handle_room=self._handle_memory,
+        self._usage = ConnectionUsage(
+            release=self._give_way,
+            handle_room=self._handle_request_room,
             progress_at=time.monotonic(),
         )
-        budget.memory.add(self._holding)
+        budget.memory.add(self._usage)
         #: The head that is read waits until its request may begin.
         self._is_head_waiting = False
         #: Room for the body that is read or handled, if it needs any.
@@ -143,15 +137,15 @@
         if not self._buffer and self._framing is None:
             self._waiting_since = time.monotonic()
         self._buffer += data
-        self._holding.progress_at = time.monotonic()
+        self._usage.progress_at = time.monotonic()
         if self._hold is not None:
-            self._hold.record_received(len(data), self._holding.progress_at)
+            self._hold.record_received(len(data), self._usage.progress_at)
         self._read_next_request()
 
     def check_timeouts(self, now: float) -> None:
         """End a late request, a stalled response or an idle connection."""
         self.close_if_left()
-        stalled_s = now - self._last_sent_at if self._holding.unsent_bytes else 0.0
+        stalled_s = now - self._last_sent_at if self._usage.unsent_bytes else 0.0
         if stalled_s > self.limits.stall_timeout_s:
             self._record_refusal("stalled_reader")
             self.close_now()
@@ -188,7 +182,7 @@
     def is_idle(self) -> bool:
         """Whether no request is read or handled, and nothing is unsent."""
         is_busy = self._responder is not None or self._buffer or self._framing
-        return not (is_busy or self._closing or self._holding.unsent_bytes)
+        return not (is_busy or self._closing or self._usage.unsent_bytes)
 
     @property
     def state(self) -> ConnectionState:
@@ -244,9 +238,9 @@
         A connection that waits for room is not at fault.
         """
         is_body_stalled = self._hold is not None and self._hold.is_stalled(now)
-        is_stalled = self._holding.is_releasable(now) or is_body_stalled
+        is_stalled = self._usage.is_releasable(now) or is_body_stalled
         is_at_fault = is_stalled and not self._is_awaiting_room
-        if not is_at_fault or not self._holding.is_stalled(now):
+        if not is_at_fault or not self._usage.is_stalled(now):
             return False
         self._record_refusal("evicted")
         self.close_now()
@@ -299,7 +293,7 @@
         self._closed = True
         self._closing = True
         self._buffer.clear()
-        self._budget.memory.remove(self._holding)
+        self._budget.memory.remove(self._usage)
         self._writable.set()
         # Its callbacks refer to it, so that only the garbage collector frees
         # a connection, which may be late.
@@ -314,10 +308,10 @@
 
     def record_sent(self, size: int) -> None:
         """Record bytes that were sent."""
-        self._holding.unsent_bytes = max(0, self._holding.unsent_bytes - size)
-        self._last_sent_at = self._holding.progress_at = time.monotonic()
+        self._usage.unsent_bytes = max(0, self._usage.unsent_bytes - size)
+        self._last_sent_at = self._usage.progress_at = time.monotonic()
         self._count_memory()
-        if self._is_ending and not self._holding.unsent_bytes:
+        if self._is_ending and not self._usage.unsent_bytes:
             self._lingers_since = self._last_sent_at
         if not self._is_behind_unsent:
             self._writable.set()
@@ -328,10 +322,10 @@
         """Send bytes, or buffer them until the caller reads more."""
         if self._closed:
             return
-        if not self._holding.unsent_bytes:
+        if not self._usage.unsent_bytes:
             self._last_sent_at = time.monotonic()
-            self._holding.progress_at = self._last_sent_at
-        self._holding.unsent_bytes += len(data)
+            self._usage.progress_at = self._last_sent_at
+        self._usage.unsent_bytes += len(data)
         self._tcp_server.write(self._sock, data)
         self._count_memory()
         if self._is_behind_unsent:
@@ -339,8 +333,8 @@
 
     def hold_back(self, size: int) -> bool:
         """Report the bytes that are held back; return whether they may be."""
-        if size != self._holding.response_bytes:
-            self._holding.response_bytes = size
+        if size != self._usage.response_bytes:
+            self._usage.response_bytes = size
             self._count_memory()
         return not self._budget.memory.is_tight
 
@@ -373,11 +367,11 @@
         self._closing = self._is_ending = True
         self._buffer.clear()
         self._chunked_body = None
-        self._budget.memory.cancel(self._holding)
+        self._budget.memory.cancel(self._usage)
         self._count_memory()
         # What the caller still sends is read and discarded.
         self._update_reading()
-        if not self._holding.unsent_bytes:
+        if not self._usage.unsent_bytes:
             self._lingers_since = time.monotonic()
         self._tcp_server.shutdown_write(self._sock)
 
@@ -392,7 +386,7 @@
             self._closing = True
             self._buffer.clear()
             self._chunked_body = None
-            self._budget.memory.remove(self._holding)
+            self._budget.memory.remove(self._usage)
             self._tcp_server._close(self._sock)
 
     def _read_next_request(self) -> None:
@@ -434,28 +428,28 @@
 
     def _count_memory(self) -> None:
         """Report what the connection holds to the account of the process."""
-        holding = self._holding
+        usage = self._usage
         is_body = self._framing is not None and self._hold is not None
         has_room = is_body and self._hold is not None and self._hold.has_room
-        holding.received_bytes = 0 if has_room else len(self._buffer)
-        holding.is_running = self._responder is not None
-        if holding.size != holding.counted_bytes:
-            self._budget.memory.update(holding, time.monotonic())
+        usage.received_bytes = 0 if has_room else len(self._buffer)
+        usage.is_running = self._responder is not None
+        if usage.size != usage.counted_bytes:
+            self._budget.memory.update(usage, time.monotonic())
 
-    def _release_memory(self) -> None:
+    def _give_way(self) -> None:
         """Make room for others, as the process holds too much."""
-        if self._responder is not None or self._holding.unsent_bytes or self._closing:
+        if self._responder is not None or self._usage.unsent_bytes or self._closing:
             self._record_refusal("memory")
             self.close_now()
         else:
             self._reject_for_room("the request holds memory that others need")
 
     def _release_request(self) -> None:
-        self._holding.request_bytes = self._holding.response_bytes = 0
+        self._usage.request_bytes = self._usage.response_bytes = 0
         self._is_head_waiting = False
         self._count_memory()
 
-    def _handle_memory(self) -> None:
+    def _handle_request_room(self) -> None:
         asyncio.get_running_loop().call_soon(self._read_next_request)
 
     @property
@@ -464,7 +458,7 @@
         max_bytes = self.limits.write_buffer_bytes
         if self._budget.memory.is_tight:
             max_bytes = min(max_bytes, self.limits.short_write_buffer_bytes)
-        return self._holding.unsent_bytes >= max_bytes
+        return self._usage.unsent_bytes >= max_bytes
 
     def _add_room(self, size: int) -> None:
         """Ask for room; reading pauses until there is some.
@@ -491,7 +485,7 @@
         if self._hold is not None:
             self._waiting_since = time.monotonic()
             self._hold.progress_at = self._hold.room_at = self._waiting_since
-            self._holding.progress_at = self._waiting_since
+            self._usage.progress_at = self._waiting_since
             if self._hold.size > RECEIVE_BUFFER_BYTES and not self._closed:
                 self._is_buffer_wide = True
                 self._tcp_server.widen_receive_buffer(self._sock)
@@ -571,10 +565,9 @@
     def _reserve_request(self, head_end: int) -> bool:
         """Return whether the request may begin, by the size of its head."""
         fields = self._buffer.count(LINE_END, 0, head_end)
-        size = REQUEST_BYTES + head_end + fields * HEADER_FIELD_BYTES
-        size += max(0, fields - USUAL_FIELDS) * FURTHER_FIELD_BYTES
+        size = estimate_request_bytes(head_end, fields)
         self._count_memory()
-        has_room = self._budget.memory.reserve(self._holding, size, time.monotonic())
+        has_room = self._budget.memory.reserve(self._usage, size, time.monotonic())
         # It may have been closed to make room.
         self._is_head_waiting = not has_room and not self._closing
         return has_room
--- a/carobspring/adapters/memory_plan.py
+++ b/carobspring/adapters/memory_plan.py
@@ -10,7 +10,8 @@
 MIB: Final = 1024 * 1024
 #: Memory of a process beside what it holds for clients.
 PROCESS_BYTES: Final = 40 * MIB
-#: Memory that the routes, the lists of servers and the allocator take besides.
+#: Memory that the routes, the lists of servers, the servers for readiness and
+#: metrics and the allocator take besides.
 RESERVE_BYTES: Final = 5 * MIB
 #: Programs of an instance that share its memory.
 PROGRAMS: Final = 2
@@ -46,6 +47,13 @@
     max_connections: int
 
 
+#: The plan of a server for readiness or metrics, so that callers who take all
+#: of the memory don't take an instance out of service too.
+PROBE_PLAN: Final = MemoryPlan(
+    body_bytes=MIB // 4, held_bytes=MIB, max_connections=MAX_PROBE_CONNECTIONS
+)
+
+
 def compute_budget_bytes(memory_mb: float) -> int:
     """Return the bytes for bodies of a process, from an instance's memory.
 
--- a/carobspring/adapters/metrics.py
+++ b/carobspring/adapters/metrics.py
@@ -6,7 +6,7 @@
 
 from carobspring.adapters.byte_budget import ByteBudget
 from carobspring.adapters.http_server import CircuitsHttpServer
-from carobspring.adapters.memory_plan import MAX_PROBE_CONNECTIONS
+from carobspring.adapters.memory_plan import MAX_PROBE_CONNECTIONS, PROBE_PLAN
 from carobspring.ports import HttpLimits, HttpRequest, HttpResponder
 
 CONTENT_TYPE = "text/plain; version=0.0.4; charset=utf-8"
@@ -63,16 +63,9 @@
 
 
 async def serve_metrics(
-    *,
-    host: str,
-    port: int,
-    render: Callable[[], bytes],
-    budget: ByteBudget | None = None,
+    *, host: str, port: int, render: Callable[[], bytes]
 ) -> CircuitsHttpServer:
-    """Start a server that answers every request with the metrics.
-
-    ``budget`` is that of the other servers of the process.
-    """
+    """Start a server that answers every request with the metrics."""
 
     async def handle(request: HttpRequest, responder: HttpResponder) -> None:
         await responder.send(200, (("Content-Type", CONTENT_TYPE),), render())
@@ -82,7 +75,7 @@
         port=port,
         handler=handle,
         limits=HttpLimits(max_connections=MAX_PROBE_CONNECTIONS),
-        budget=budget,
+        budget=ByteBudget(plan=PROBE_PLAN),
         find_max_body=lambda request: 0,
     )
     await server.start()
--- a/carobspring/programs/instance_control_program.py
+++ b/carobspring/programs/instance_control_program.py
@@ -256,7 +256,6 @@
                 host=settings.ip,
                 port=self._options.metrics_port,
                 render=client_metrics.wrap(self._render_metrics),
-                budget=budget,
             )
             client_metrics.add_server("metrics", self._metrics_server)
         self._tasks = [
--- a/carobspring/programs/instance_entry_program.py
+++ b/carobspring/programs/instance_entry_program.py
@@ -10,11 +10,12 @@
 from grpclib.client import Channel
 
 from carobspring import platform
+from carobspring.adapters.byte_budget import ByteBudget
 from carobspring.adapters.client_metrics import ClientMetrics
 from carobspring.adapters.clock import SystemClock, SystemRandom
 from carobspring.adapters.datagrams import DatagramSocket
 from carobspring.adapters.http_server import CircuitsHttpServer
-from carobspring.adapters.memory_plan import MAX_PROBE_CONNECTIONS
+from carobspring.adapters.memory_plan import MAX_PROBE_CONNECTIONS, PROBE_PLAN
 from carobspring.adapters.metrics import Metrics, serve_metrics
 from carobspring.adapters.rpc import open_channel
 from carobspring.adapters.tasks import start_service_task
@@ -212,7 +213,7 @@
             port=self._readiness_address.port,
             handler=self._handle_readiness,
             limits=HttpLimits(max_connections=MAX_PROBE_CONNECTIONS),
-            budget=budget,
+            budget=ByteBudget(plan=PROBE_PLAN),
             find_max_body=lambda request: 0,
         )
         client_metrics = ClientMetrics(metrics=self._metrics, budget=budget)
@@ -226,7 +227,6 @@
                 host=self._settings.ip,
                 port=self._options.metrics_port,
                 render=client_metrics.wrap(self._metrics.render_text),
-                budget=budget,
             )
             client_metrics.add_server("metrics", metrics_server)
             self._servers.append(metrics_server)
--- a/tests/adapters/test_client_memory.py
+++ b/tests/adapters/test_client_memory.py
@@ -1,12 +1,38 @@
 import unittest
 
 from carobspring.adapters.client_memory import (
+    FURTHER_FIELD_BYTES,
+    HEADER_FIELD_BYTES,
+    REQUEST_BYTES,
     STALL_S,
+    USUAL_FIELDS,
     ClientMemory,
-    Holding,
+    ConnectionUsage,
+    estimate_request_bytes,
 )
 
 
+class EstimateTests(unittest.TestCase):
+    """The memory of a request by its head."""
+
+    def test_estimates(self):
+        """Fields beyond the usual number count for more."""
+        usual_bytes = REQUEST_BYTES + 100 + USUAL_FIELDS * HEADER_FIELD_BYTES
+        cases = [
+            ("no fields", 100, 0, REQUEST_BYTES + 100),
+            ("usual fields", 100, USUAL_FIELDS, usual_bytes),
+            (
+                "further fields",
+                100,
+                USUAL_FIELDS + 2,
+                usual_bytes + 2 * (HEADER_FIELD_BYTES + FURTHER_FIELD_BYTES),
+            ),
+        ]
+        for name, head_bytes, fields, expected in cases:
+            with self.subTest(name):
+                self.assertEqual(estimate_request_bytes(head_bytes, fields), expected)
+
+
 class ClientMemoryTests(unittest.TestCase):
     """The account of a process for what its connections hold."""
 
@@ -15,14 +41,14 @@
         self.events = []
 
     def add(self, name, *, progress_at=0.0, **sizes):
-        holding = Holding(
+        usage = ConnectionUsage(
             release=lambda: self.events.append(f"release {name}"),
             handle_room=lambda: self.events.append(f"room for {name}"),
             progress_at=progress_at,
             **sizes,
         )
-        self.memory.add(holding)
-        return holding
+        self.memory.add(usage)
+        return usage
 
     def test_sum(self):
         """All that connections hold counts, until they are closed."""
@@ -34,8 +60,8 @@
         first.received_bytes = 30
         self.memory.update(first, 0.0)
         self.assertEqual((self.memory.held_bytes, self.memory.is_tight), (55, True))
-        for holding in (first, second, second):
-            self.memory.remove(holding)
+        for usage in (first, second, second):
+            self.memory.remove(usage)
         self.assertEqual(self.memory.held_bytes, 0)
         self.memory.update(first, 0.0)
         self.assertEqual(self.memory.held_bytes, 0)
@@ -50,7 +76,7 @@
                 ["release a"],
             ),
             (
-                "a large holding before small ones",
+                "a large usage before small ones",
                 {"a": {"received_bytes": 10}, "b": {"received_bytes": 60}},
                 {"received_bytes": 40, "progress_at": 9.0},
                 ["release b"],
@@ -79,10 +105,10 @@
                 self.setUp()
                 for other, values in others.items():
                     self.add(other, **values)
-                holding = self.add("new")
+                usage = self.add("new")
                 for field, value in sizes.items():
-                    setattr(holding, field, value)
-                self.memory.update(holding, 9.0)
+                    setattr(usage, field, value)
+                self.memory.update(usage, 9.0)
                 self.assertEqual(self.events, expected)
                 self.assertLessEqual(self.memory.held_bytes, 100)
                 self.assertEqual(self.memory.released_count, len(expected))
--- a/tests/adapters/test_held_memory.py
+++ b/tests/adapters/test_held_memory.py
@@ -5,13 +5,12 @@
 import unittest
 
 from carobspring.adapters.byte_budget import SMALL_BODY_BYTES, ByteBudget
-from carobspring.adapters.client_memory import STALL_S
-from carobspring.adapters.http_connection import (
+from carobspring.adapters.client_memory import (
     HEADER_FIELD_BYTES,
-    MIN_LINGER_S,
     REQUEST_BYTES,
-    ConnectionState,
+    STALL_S,
 )
+from carobspring.adapters.http_connection import MIN_LINGER_S, ConnectionState
 from carobspring.adapters.http_server import CircuitsHttpServer
 from carobspring.adapters.listeners import RECEIVE_BUFFER_BYTES
 from carobspring.adapters.memory_plan import MemoryPlan
--- a/tests/adapters/test_memory_plan.py
+++ b/tests/adapters/test_memory_plan.py
@@ -6,8 +6,10 @@
     DEFAULT_MEMORY_MB,
     MAX_PROBE_CONNECTIONS,
     MIB,
+    PROBE_PLAN,
     PROBE_SERVERS,
     PROCESS_BYTES,
+    RESERVE_BYTES,
     compute_budget_bytes,
     plan_memory,
 )
@@ -38,6 +40,11 @@
                 )
                 self.assertLessEqual(total, memory_mb * MIB)
 
+    def test_probes(self):
+        """What servers for readiness and metrics hold fits the reserve."""
+        server_bytes = PROBE_PLAN.body_bytes * BODY_COPIES + PROBE_PLAN.held_bytes
+        self.assertLessEqual(server_bytes * PROBE_SERVERS, RESERVE_BYTES)
+
     def test_connections(self):
         """Memory and descriptors bound the connections, the less of them."""
         cases = [
