Let no ordinary request wait behind large heads

During a crowd of many fields at the control daemon, servers could not check in: the entry lost them, and an ordinary request was not served within 60 s.

Cause: requests that wait to begin were served in order of arrival, and each of the crowd's takes tens of milliseconds to parse; a check-in waited behind hundreds of them.

Now requests that count as over 88 KiB, which need more than 64 fields, have half of the room and wait in a queue of their own.

--- a/carobspring/adapters/client_memory.py
+++ b/carobspring/adapters/client_memory.py
@@ -26,6 +26,11 @@
 FURTHER_FIELD_BYTES: Final = 2 * 1024
 
 
+#: Largest request that is not a large one: with the usual fields, and with
+#: any head of 16 KiB that has no more of them.
+USUAL_REQUEST_BYTES: Final = REQUEST_BYTES + 48 * 1024
+
+
 def estimate_request_bytes(head_bytes: int, fields: int) -> int:
     """Return the memory that a request takes beside its body.
 
@@ -61,8 +66,10 @@
     is_running: bool = False
     #: Monotonic time of the last byte received or sent.
     progress_at: float = 0.0
-    #: Bytes that the account has counted.
+    #: Bytes that the account has counted, and those of them that are of a
+    #: large request.
     counted_bytes: int = 0
+    counted_large_bytes: int = 0
 
     @property
     def size(self) -> int:
@@ -92,12 +99,17 @@
         return self.size * max(0.0, now - self.progress_at), self.size
 
 
+_WaitingRequests = OrderedDict[int, tuple[ConnectionUsage, int]]
+
+
 class ClientMemory:
     """The account of a process for its connections.
 
     A connection reports each change of its usage. Past the limit, those that
     hold most for longest are released at once. A request begins only once
-    there is room for it; those that wait are served in order.
+    there is room for it; those that wait are served in order. Large requests,
+    with heads that few callers send, have half of the room and a queue of
+    their own, so that others don't wait for them.
 
     Example:
         ``memory.add(usage)`` for a new connection. ``memory.reserve(usage,
@@ -112,14 +124,16 @@
         #: Connections that were released to make room, since the start.
         self.released_count = 0
         self._usages: dict[int, ConnectionUsage] = {}
+        self._large_bytes = 0
         #: Requests that wait to begin, with the bytes that they need.
-        self._waiting: OrderedDict[int, tuple[ConnectionUsage, int]] = OrderedDict()
+        self._waiting: _WaitingRequests = OrderedDict()
+        self._waiting_large: _WaitingRequests = OrderedDict()
         self._is_releasing = False
 
     @property
     def waiting_count(self) -> int:
         """How many requests wait to begin."""
-        return len(self._waiting)
+        return len(self._waiting) + len(self._waiting_large)
 
     @property
     def is_tight(self) -> bool:
@@ -133,23 +147,27 @@
 
     def remove(self, usage: ConnectionUsage) -> None:
         """Return all room of a closed connection."""
-        self._waiting.pop(id(usage), None)
+        is_waiting = self._end_wait(usage)
         if self._usages.pop(id(usage), None) is not None:
             self.held_bytes -= usage.counted_bytes
-            usage.counted_bytes = 0
+            self._large_bytes -= usage.counted_large_bytes
+            usage.counted_bytes = usage.counted_large_bytes = 0
+            self._begin_waiting()
+        elif is_waiting:
             self._begin_waiting()
 
     def reserve(self, usage: ConnectionUsage, size: int, now: float) -> bool:
         """Return whether a request of a size may begin; else let it wait."""
         if id(usage) not in self._usages:
             return False
-        # A request larger than the account would never begin.
-        size = min(size, self.max_bytes // 2)
-        is_first = next(iter(self._waiting), id(usage)) == id(usage)
-        if not is_first or self.held_bytes + size > self.max_bytes:
-            self._waiting.setdefault(id(usage), (usage, size))
+        # A request larger than its part of the room would never begin.
+        size = min(size, self._max_large_bytes)
+        queue = self._waiting_large if size > USUAL_REQUEST_BYTES else self._waiting
+        is_first = next(iter(queue), id(usage)) == id(usage)
+        if not is_first or not self._has_room(size):
+            queue.setdefault(id(usage), (usage, size))
             return False
-        self._waiting.pop(id(usage), None)
+        queue.pop(id(usage), None)
         usage.request_bytes = size
         self.update(usage, now)
         self._begin_waiting()
@@ -157,7 +175,7 @@
 
     def cancel(self, usage: ConnectionUsage) -> None:
         """End the wait of a request that was refused."""
-        if self._waiting.pop(id(usage), None) is not None:
+        if self._end_wait(usage):
             self._begin_waiting()
 
     def update(self, usage: ConnectionUsage, now: float) -> None:
@@ -173,21 +191,41 @@
 
     def release_stalled(self, now: float) -> None:
         """Release connections that stall while requests wait to begin."""
-        while self._waiting:
+        while self.waiting_count:
             stalled = [
                 each
                 for each in self._usages.values()
                 if each.is_releasable(now) and each.is_stalled(now)
                 # Those that wait make no progress by no fault of their own.
                 and id(each) not in self._waiting
+                and id(each) not in self._waiting_large
             ]
             if not stalled:
                 return
             self._release(max(stalled, key=lambda each: each.rank_for_release(now)))
 
+    @property
+    def _max_large_bytes(self) -> int:
+        return self.max_bytes // 2
+
+    def _has_room(self, size: int) -> bool:
+        if self.held_bytes + size > self.max_bytes:
+            return False
+        is_large = size > USUAL_REQUEST_BYTES
+        return not is_large or self._large_bytes + size <= self._max_large_bytes
+
     def _count(self, usage: ConnectionUsage) -> None:
         self.held_bytes += usage.size - usage.counted_bytes
         usage.counted_bytes = usage.size
+        is_large = usage.request_bytes > USUAL_REQUEST_BYTES
+        large_bytes = usage.request_bytes if is_large else 0
+        self._large_bytes += large_bytes - usage.counted_large_bytes
+        usage.counted_large_bytes = large_bytes
+
+    def _end_wait(self, usage: ConnectionUsage) -> bool:
+        """Remove a request from those that wait; return whether it did."""
+        queues = (self._waiting, self._waiting_large)
+        return any([queue.pop(id(usage), None) is not None for queue in queues])
 
     def _release_until_within(self, now: float) -> None:
         if self._is_releasing:
@@ -212,9 +250,9 @@
         usage.release()
 
     def _begin_waiting(self) -> None:
-        """Tell the first request that waits if there is room for it now."""
-        if not self._waiting:
-            return
-        usage, size = next(iter(self._waiting.values()))
-        if self.held_bytes + size <= self.max_bytes:
-            usage.handle_room()
+        """Tell the first request of each queue if there is room for it now."""
+        for queue in (self._waiting, self._waiting_large):
+            if queue:
+                usage, size = next(iter(queue.values()))
+                if self._has_room(size):
+                    usage.handle_room()
--- a/tests/adapters/test_client_memory.py
+++ b/tests/adapters/test_client_memory.py
@@ -6,6 +6,7 @@
     REQUEST_BYTES,
     STALL_S,
     USUAL_FIELDS,
+    USUAL_REQUEST_BYTES,
     ClientMemory,
     ConnectionUsage,
     estimate_request_bytes,
@@ -157,6 +158,25 @@
         self.assertEqual(self.events, ["room for c"])
         self.assertIs(self.memory.reserve(third, 500, 0.0), True)
 
+    def test_large_requests(self):
+        """Large requests wait for each other, and nobody else for them."""
+        large_bytes = USUAL_REQUEST_BYTES + 1
+        self.memory = ClientMemory(max_bytes=5 * large_bytes)
+        running, second, third = (self.add(name) for name in "abc")
+        usual, late = self.add("usual"), self.add("late")
+        self.assertIs(self.memory.reserve(running, 2 * large_bytes, 0.0), True)
+        self.assertIs(self.memory.reserve(second, large_bytes, 0.0), False)
+        self.assertIs(self.memory.reserve(third, large_bytes, 0.0), False)
+        self.assertIs(self.memory.reserve(usual, USUAL_REQUEST_BYTES, 0.0), True)
+        self.memory.remove(usual)
+        self.assertEqual(self.events, [])
+        self.memory.cancel(second)
+        self.assertIs(self.memory.reserve(late, 1000, 0.0), True)
+        self.assertEqual(self.memory.waiting_count, 1)
+        self.memory.remove(running)
+        self.assertEqual(self.events, ["room for c"])
+        self.assertIs(self.memory.reserve(third, large_bytes, 0.0), True)
+
     def test_stalled(self):
         """Stalled connections make room only if requests wait to begin."""
         stalled = self.add("a", received_bytes=60)
