Route and forward a path that begins with two slashes as it was sent

A request for //shop/trade/7 was run as /trade/7: a booking that nobody asked for, at a service that no route allows for that path.

Cause: the parser of circuits splits the target as a URL, so it takes what follows two slashes for a host and drops it.

Now a target that begins with a slash is split at its first question mark; only whole URLs are left to the parser.

--- a/carobspring/adapters/http_connection.py
+++ b/carobspring/adapters/http_connection.py
@@ -681,11 +681,17 @@
     def _convert_request(
         self, parser: HttpParser, request: Request, body: bytes
     ) -> HttpRequest:
+        target = self._head.partition(LINE_END)[0].split(b" ")[1].decode("ascii")
+        path, query_mark, query = target.partition("?")
+        if not path.startswith("/"):
+            # A whole URL, or the asterisk. The parser would take what follows
+            # two slashes of a path for a host.
+            path, query = parser.get_path(), parser.get_query_string()
         return HttpRequest(
             method=parser.get_method(),
-            path=parser.get_path(),
-            query=parser.get_query_string(),
-            has_query=b"?" in self._head.partition(LINE_END)[0],
+            path=path,
+            query=query,
+            has_query=bool(query_mark),
             headers=tuple(
                 (str(name), _restore_bytes(str(value)))
                 for name, value in request.headers.items()
--- a/tests/adapters/test_forwarded_heads.py
+++ b/tests/adapters/test_forwarded_heads.py
@@ -54,6 +54,8 @@
     async def test_targets(self):
         """A target arrives as it was sent."""
         targets = (b"/a", b"/a?", b"/a??", b"/a?b=c", b"/a?b?", b"/%3F", b"/a;b")
+        # What follows two slashes is no host.
+        targets += (b"//a/b", b"//a/b?c=d", b"///", b"/a//b", b"//a:1/b@c")
         for target in targets:
             with self.subTest(target):
                 status, head = await self.send(b"GET " + target)
