Split a stream of tiny events in one pass, and bound its comments

An entry hung for up to 20 s while one server sent line feeds without end: it accepted no connection and answered no caller of any route.

Cause: each event was searched for in the whole buffer and deleted from its start, and each comment before the first event copied all of those before. Both take time with the square of what was read: 131,072 line feeds took 20 s to split.

Now the buffer is searched once, comments are appended, and over 64 KiB of them before the first event are no answer.

--- a/carobspring/gateway/events.py
+++ b/carobspring/gateway/events.py
@@ -4,7 +4,8 @@
 from dataclasses import dataclass
 from typing import Final
 
-_TERMINATORS: Final = (b"\n\n", b"\r\n\r\n")
+_EVENT_END: Final = re.compile(rb"\n\n|\r\n\r\n")
+_MAX_END_BYTES: Final = 4
 _ID_FIELD: Final = b"id:"
 _DATA_FIELD: Final = b"data"
 _STATUS_LINE: Final = re.compile(rb"HTTP/\d\.\d \d{3}")
@@ -52,6 +53,8 @@
 
     def __init__(self) -> None:
         self._buffer = bytearray()
+        #: Bytes of the buffer in which no end was found.
+        self._searched_bytes = 0
 
     @property
     def buffered_bytes(self) -> int:
@@ -62,20 +65,17 @@
         """Add bytes and return the events that are complete now."""
         self._buffer += data
         events = []
-        while (end := self._find_event_end()) > 0:
-            event = bytes(self._buffer[:end])
-            del self._buffer[:end]
+        start = 0
+        # An end may be cut by the chunks.
+        search_from = max(0, self._searched_bytes - _MAX_END_BYTES)
+        for match in _EVENT_END.finditer(self._buffer, search_from):
+            event = bytes(self._buffer[start : match.end()])
+            start = match.end()
             events.append(StreamEvent(data=event, event_id=_parse_event_id(event)))
+        del self._buffer[:start]
+        self._searched_bytes = len(self._buffer)
         return events
 
-    def _find_event_end(self) -> int:
-        ends = []
-        for terminator in _TERMINATORS:
-            position = self._buffer.find(terminator)
-            if position >= 0:
-                ends.append(position + len(terminator))
-        return min(ends, default=0)
-
 
 def _parse_event_id(event: bytes) -> str:
     for line in event.splitlines():
--- a/carobspring/gateway/relay.py
+++ b/carobspring/gateway/relay.py
@@ -24,6 +24,9 @@
 #: Largest response that is relayed, and largest event of a stream.
 MAX_RESPONSE_BYTES: Final = 16 * 1024 * 1024
 MAX_EVENT_BYTES: Final = 1024 * 1024
+#: Comments before the first event of a stream. Servers send a few to keep a
+#: connection open.
+MAX_HELD_COMMENT_BYTES: Final = 64 * 1024
 
 #: The only status of a response that continues a stream.
 CONTINUATION_STATUS: Final = 200
@@ -62,7 +65,7 @@
         #: Monotonic time of the first byte sent to the caller, or None.
         self.first_byte_at: float | None = None
         #: Comments before the first event.
-        self._held_comments = b""
+        self._held_comments = bytearray()
         self.longest_event_gap_s = 0.0
         self.event_count = 0
         self._last_event_at = 0.0
@@ -135,7 +138,7 @@
         cycle would keep request and response until the garbage collector runs.
         """
         is_continuation = self.has_started
-        self._held_comments = b""
+        self._held_comments.clear()
         splitter = EventSplitter()
         read_bytes = 0
         while data := await watch_read(backend_response.read()):
@@ -183,7 +186,7 @@
     async def _start_response(self, backend_response: BackendResponse) -> None:
         self.first_byte_at = self._read_clock()
         await self._responder.start(backend_response.status, backend_response.headers)
-        await self._responder.write(self._held_comments)
+        await self._responder.write(bytes(self._held_comments))
 
     async def _read_small_body(
         self, backend_response: BackendResponse, body: bytearray
@@ -249,6 +252,7 @@
         """Relay comments, which never begin or continue a response."""
         if not self.has_started:
             self._held_comments += event.data
+            _check_size(len(self._held_comments), MAX_HELD_COMMENT_BYTES)
         elif not self._sequence.is_continued:
             await self._responder.write(event.data)
 
--- a/tests/gateway/test_endless_responses.py
+++ b/tests/gateway/test_endless_responses.py
@@ -16,6 +16,7 @@
 CHUNK_BYTES = 16 * 1024
 FILLER = b"x" * CHUNK_BYTES
 CHUNK = b"%x\r\n%s\r\n" % (CHUNK_BYTES, FILLER)
+LINE_FEEDS = b"%x\r\n%s\r\n" % (CHUNK_BYTES, b"\n" * CHUNK_BYTES)
 HEAD = (
     f"HTTP/1.1 200 OK\r\nCarobspring-Attempt-Id: {REQUEST_ID}\r\n"
     "Carobspring-Upstream-Signature: s\r\n"
@@ -44,6 +45,7 @@
     "another's body of some length": (OTHER_HEAD + LENGTH, FILLER),
     "others' answers": (b"", OTHER_HEAD + b"Content-Length: 1\r\n\r\nx"),
     "an event": (HEAD + EVENTS + CHUNKED, CHUNK),
+    "empty events": (HEAD + EVENTS + CHUNKED, LINE_FEEDS),
 }
 BODIES = {
     "chunked": (HEAD + CHUNKED, CHUNK),
--- a/tests/gateway/test_events.py
+++ b/tests/gateway/test_events.py
@@ -21,6 +21,13 @@
                 self.assertEqual(events, expected)
                 self.assertEqual(splitter.buffered_bytes, len(b"id: 4"))
 
+    def test_many_small_events(self):
+        """A buffer full of line feeds is split in one pass over it."""
+        splitter = EventSplitter()
+        events = splitter.feed(b"\n" * 100_001)
+        self.assertEqual(len(events), 50_000)
+        self.assertEqual(splitter.buffered_bytes, 1)
+
 
 class StreamEventTests(unittest.TestCase):
     def test_heads_inside_events(self):
