Let the checks of a closed connection disturb no stop

Cause: a connection whose socket was closed stays known until an event of circuits is handled. A check in between polled descriptor -1, which raises. In a stop it ended the steps that wait for open requests, so the next one closed all connections. In the timer it ended that round of checks.

Now a closed socket counts as neither readable nor left.

Evidence: ClosedConnectionTests of tests.adapters.test_held_memory fails before with ValueError.

--- a/carobspring/adapters/http_server.py
+++ b/carobspring/adapters/http_server.py
@@ -227,6 +227,10 @@
 
 
 def _poll(sock: Any) -> int:
+    if sock.fileno() < 0:
+        # It was closed in this turn of the loop, and its connection does not
+        # know yet.
+        return 0
     poll = select.poll()
     poll.register(sock, select.POLLIN | select.POLLRDHUP)
     events = poll.poll(0)
--- a/tests/adapters/test_held_memory.py
+++ b/tests/adapters/test_held_memory.py
@@ -213,6 +213,33 @@
         self.assertEqual(self.paths, ["/wait"])
 
 
+class ClosedConnectionTests(HeldMemoryTestCase):
+    """Connections whose socket was closed in the same turn of the loop."""
+
+    async def test_checks(self):
+        """They disturb no check of the others, in particular in a stop.
+
+        A step of a stop that fails would cut all open requests.
+        """
+        reader, _ = await self.open("/idle")
+        self.assertEqual(await self.read_status(reader), 200)
+        await self.wait_for_state(ConnectionState.IDLE, 1)
+        [connection] = self.server._web.http.connections.values()
+        now = asyncio.get_running_loop().time() + 1000.0
+        async with asyncio.timeout(TIMEOUT_S):
+            # A request could still be among the events that are not handled.
+            while connection.state is ConnectionState.IDLE:
+                await asyncio.sleep(0)
+                connection.close_when_idle(now, 0.0)
+        connection.close_now()
+        connection.close_if_left()
+        connection.close_when_idle(now, 0.0)
+        connection.check_timeouts(now)
+        self.assertIs(connection.close_if_unused(), False)
+        async with asyncio.timeout(TIMEOUT_S):
+            self.assertIs(await self.server.drain(TIMEOUT_S), True)
+
+
 class ReceiveBufferTests(HeldMemoryTestCase):
     """What the system takes for a connection that is not read."""
 
