Expect the descriptors that an instance is told among its settings

tests.platform.test_node failed since: it compares all settings that are read from a node file, and max_fds is one of them now. The expected value has it, so the check is as strict as before.

--- a/tests/platform/test_node.py
+++ b/tests/platform/test_node.py
@@ -71,6 +71,7 @@
                 is_fault_counted=True,
                 data_directory="/data/x",
                 memory_mb=150,
+                max_descriptors=4100,
                 check_in_interval_s=1.2,
                 tolerated_failures=1,
                 stop_grace_s=8.0,
