Give way to other requests between the parts of a response

Callers of an entry waited for seconds while one backend server sent a plain response in chunks of one byte, and got 504 at their deadline.

Cause: the parser returned all chunks of a read in one turn of the event loop, 2,700 steps of Python, and read on at once. With many such responses the turns add up.

A parser now takes a few steps after each wait for data, and then waits for a slice; one is given in each turn, however many parsers wait. Chunks and events take steps, and events are parsed when it is their turn. The lines of an event are no longer listed, which took six times its memory. A histogram of both programs shows how late a periodic check of the loop runs.

--- a/carobspring/adapters/backend_connection.py
+++ b/carobspring/adapters/backend_connection.py
@@ -6,6 +6,7 @@
 
 import h11
 
+from carobspring.adapters.loop_slices import PacedSteps
 from carobspring.adapters.sockets import enable_dead_peer_detection
 from carobspring.ports import IncompleteResponseError
 
@@ -44,6 +45,8 @@
         self._transport: asyncio.Transport | None = None
         self._data_arrived = asyncio.Event()
         self._unread_bytes = 0
+        #: One step is one event of the parser.
+        self._steps = PacedSteps()
         #: Why the connection was closed, or empty. The gateway may send it to
         #: callers and use it as a metric label: keep the texts of reasons.
         self._close_reason: str = ""
@@ -144,6 +147,7 @@
                 received bytes are not a valid response.
         """
         while True:
+            await self._steps.take()
             try:
                 event = self._parser.next_event()
             except h11.RemoteProtocolError as error:
@@ -173,6 +177,7 @@
             self._data_arrived.clear()
             self._resume_reading()
             await self._data_arrived.wait()
+            self._steps.rest()
 
     def prepare_next_response(self) -> bool:
         """Prepare to read another response to the same request.
--- a/carobspring/gateway/events.py
+++ b/carobspring/gateway/events.py
@@ -1,14 +1,21 @@
 """Parsing of event streams into events and their identifiers."""
 
 import re
+from collections.abc import Iterator
 from dataclasses import dataclass
 from typing import Final
 
 _EVENT_END: Final = re.compile(rb"\n\n|\r\n\r\n")
 _MAX_END_BYTES: Final = 4
-_ID_FIELD: Final = b"id:"
-_DATA_FIELD: Final = b"data"
+#: The first field of a name, without making a list of the lines: an event may
+#: have as many lines as half of its bytes.
+_ID_FIELD: Final = re.compile(rb"(?:\A|[\r\n])id:([^\r\n]*)")
+_DATA_FIELD: Final = re.compile(rb"(?:\A|[\r\n])data(?=[:\r\n]|\Z)")
 _STATUS_LINE: Final = re.compile(rb"HTTP/\d\.\d \d{3}")
+#: A line of another field that holds the first line of a response's head.
+_HEAD_OUTSIDE_DATA: Final = re.compile(
+    rb"(?:\A|[\r\n])(?!data(?:[:\r\n]|\Z))[^\r\n]*?HTTP/\d\.\d \d{3}"
+)
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -25,19 +32,14 @@
 
         Without data and an identifier it is no event for callers.
         """
-        if self.event_id:
-            return False
-        lines = self.data.splitlines()
-        return all(line.partition(b":")[0] != _DATA_FIELD for line in lines)
+        return not self.event_id and not _DATA_FIELD.search(self.data)
 
     @property
     def holds_head(self) -> bool:
         """Whether the head of a response begins in it, outside of its data."""
         if not _STATUS_LINE.search(self.data):
             return False
-        lines = self.data.splitlines()
-        others = (line for line in lines if line.partition(b":")[0] != _DATA_FIELD)
-        return any(_STATUS_LINE.search(line) for line in others)
+        return _HEAD_OUTSIDE_DATA.search(self.data) is not None
 
 
 class EventSplitter:
@@ -61,24 +63,25 @@
         """Bytes of an event whose end has not arrived."""
         return len(self._buffer)
 
-    def feed(self, data: bytes) -> list[StreamEvent]:
-        """Add bytes and return the events that are complete now."""
+    def feed(self, data: bytes) -> Iterator[StreamEvent]:
+        """Add bytes and yield the events that are complete now.
+
+        Each event is parsed when it is asked for. The next bytes may be added
+        once there is no further one.
+        """
         self._buffer += data
-        events = []
         start = 0
         # An end may be cut by the chunks.
-        search_from = max(0, self._searched_bytes - _MAX_END_BYTES)
-        for match in _EVENT_END.finditer(self._buffer, search_from):
-            event = bytes(self._buffer[start : match.end()])
-            start = match.end()
-            events.append(StreamEvent(data=event, event_id=_parse_event_id(event)))
+        position = max(0, self._searched_bytes - _MAX_END_BYTES)
+        while match := _EVENT_END.search(self._buffer, position):
+            with memoryview(self._buffer) as view:
+                event = bytes(view[start : match.end()])
+            start = position = match.end()
+            yield StreamEvent(data=event, event_id=_parse_event_id(event))
         del self._buffer[:start]
         self._searched_bytes = len(self._buffer)
-        return events
 
 
 def _parse_event_id(event: bytes) -> str:
-    for line in event.splitlines():
-        if line.startswith(_ID_FIELD):
-            return line[len(_ID_FIELD) :].strip().decode("latin-1")
-    return ""
+    field = _ID_FIELD.search(event)
+    return field[1].strip().decode("latin-1") if field else ""
--- a/carobspring/gateway/relay.py
+++ b/carobspring/gateway/relay.py
@@ -4,6 +4,7 @@
 from typing import Final
 
 from carobspring import platform
+from carobspring.adapters.loop_slices import PacedSteps
 from carobspring.dispatch import AttemptOutcome, Dispatcher
 from carobspring.gateway.admission import AdmissionClient
 from carobspring.gateway.events import EventSplitter, StreamEvent
@@ -140,11 +141,14 @@
         is_continuation = self.has_started
         self._held_comments.clear()
         splitter = EventSplitter()
+        steps = PacedSteps()
         read_bytes = 0
         while data := await watch_read(backend_response.read()):
+            steps.rest()
             read_bytes += len(data)
             _check_size(read_bytes, MAX_RESPONSE_BYTES)
             for event in splitter.feed(data):
+                await steps.take()
                 await self._relay_event(
                     event, backend_response, server_id, on_first_event
                 )
--- a/carobspring/programs/instance_control_program.py
+++ b/carobspring/programs/instance_control_program.py
@@ -263,7 +263,9 @@
             start_service_task(self._tick_periodically, name="tick"),
             start_service_task(self._admission_service.run, name="admission"),
             start_service_task(self._node_file_watcher.run, name="node file"),
-            start_service_task(StallDetector().run, name="stall detector"),
+            start_service_task(
+                StallDetector(metrics=self._metrics).run, name="stall detector"
+            ),
         ]
         if self._metering is not None:
             task = start_service_task(self._metering.run, name="metering")
--- a/carobspring/programs/instance_entry_program.py
+++ b/carobspring/programs/instance_entry_program.py
@@ -193,7 +193,7 @@
         self._node_file_watcher = NodeFileWatcher(
             read=platform.read_node_file, apply=self._apply_settings
         )
-        self._stall_detector = StallDetector()
+        self._stall_detector = StallDetector(metrics=metrics)
         self._tasks: list[asyncio.Task[None]] = []
         self._servers: list[CircuitsHttpServer] = []
 
--- a/carobspring/programs/stalls.py
+++ b/carobspring/programs/stalls.py
@@ -5,6 +5,8 @@
 import time
 from typing import Final
 
+from carobspring.adapters.metrics import Metrics
+
 CHECK_INTERVAL_S: Final = 0.5
 #: Seconds beyond the interval; shorter delays may come from a busy loop.
 STALL_THRESHOLD_S: Final = 1.0
@@ -23,7 +25,11 @@
     Without its log line, a freeze shows only in the logs of other processes.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, *, metrics: Metrics) -> None:
+        self._delay_s = metrics.add_histogram(
+            "carob_loop_delay_seconds",
+            "Time that a periodic check waited for the event loop.",
+        )
         self._last_check_at: float | None = None
         self._last_delay_s = 0.0
 
@@ -34,6 +40,7 @@
             return 0.0
         stalled_s = now - last_check_at - CHECK_INTERVAL_S
         self._last_delay_s = max(0.0, stalled_s)
+        self._delay_s.observe({}, self._last_delay_s)
         if stalled_s < STALL_THRESHOLD_S:
             return 0.0
         logger.warning("process stalled", extra={"seconds": round(stalled_s, 3)})
--- a/tests/gateway/test_events.py
+++ b/tests/gateway/test_events.py
@@ -1,3 +1,4 @@
+import tracemalloc
 import unittest
 
 from carobspring.gateway.events import EventSplitter, StreamEvent
@@ -24,12 +25,44 @@
     def test_many_small_events(self):
         """A buffer full of line feeds is split in one pass over it."""
         splitter = EventSplitter()
-        events = splitter.feed(b"\n" * 100_001)
+        events = list(splitter.feed(b"\n" * 100_001))
         self.assertEqual(len(events), 50_000)
         self.assertEqual(splitter.buffered_bytes, 1)
 
+    def test_memory_of_many_lines(self):
+        """An event takes no more memory for its lines than for its bytes."""
+        data = b"x\n" * 500_000 + b"\n"
+        splitter = EventSplitter()
+        tracemalloc.start()
+        self.addCleanup(tracemalloc.stop)
+        (event,) = splitter.feed(data)
+        facts = (event.event_id, event.is_comment, event.holds_head)
+        _, peak_bytes = tracemalloc.get_traced_memory()
+        self.assertEqual(facts, ("", True, False))
+        # The buffer, which has some room to grow, and the event.
+        self.assertLess(peak_bytes, 3 * len(data))
+
 
 class StreamEventTests(unittest.TestCase):
+    def test_fields(self):
+        """A field begins a line, whatever ended the line before."""
+        cases = {
+            "data": (b"data: x\n\n", "", False),
+            "data without a colon": (b"data\n\n", "", False),
+            "data behind a carriage return": (b": x\rdata: x\n\n", "", False),
+            "a longer name": (b"data2: x\n\n", "", True),
+            "data inside a line": (b": data: x\n\n", "", True),
+            "an identifier alone": (b"id: 7\r\n\r\n", "7", False),
+            "an identifier inside a line": (b": id: 7\n\n", "", True),
+            "two identifiers": (b"id:1\nid:2\ndata: x\n\n", "1", False),
+            "nothing": (b"\n\n", "", True),
+        }
+        for name, (data, event_id, is_comment) in cases.items():
+            with self.subTest(name):
+                (event,) = EventSplitter().feed(data)
+                self.assertEqual(event.event_id, event_id)
+                self.assertIs(event.is_comment, is_comment)
+
     def test_heads_inside_events(self):
         """The head of a response is found outside of an event's data."""
         head = b"HTTP/1.1 500 Failed\r\n\r\n"
