Remember the removal of a server that nobody has listed yet

Callers' requests went to a server that was gone: its first check-in came after its removal had been confirmed, and listed it as ready. Bookings were cut off with 502 when it exited.

Cause: a confirmed fact was remembered only where its subject was known. A removal of a server that the daemon didn't know left no trace. The same fact was lost when the boot that was known was gone, when the replica that alone had received a removal or a drain restarted, when all replicas did, and when an agent left at a replica that didn't know it.

A removal is confirmed once all reachable replicas have it, and only if it can be remembered: a crowd of removals of foreign identifiers pushes nothing out.

--- a/carobspring/control/gossip.py
+++ b/carobspring/control/gossip.py
@@ -90,10 +90,14 @@
         entries = tuple(state.entries.list_local_gossip(now))
         for name, peer in self._peers.items():
             members = tuple(state.members.list_local_gossip(peer.sent_view, now))
+            withdrawals = state.members.list_withdrawals(peer.sent_view, now)
             is_complete = peer.sent_view == NO_VIEW
             peer.sent_view = state.members.view
             message = GossipMessage(
-                members=members, entries=entries, view=state.members.view
+                members=members,
+                withdrawals=withdrawals,
+                entries=entries,
+                view=state.members.view,
             )
             if is_complete:
                 message = replace(
@@ -149,6 +153,8 @@
         now = self._state.clock.read_monotonic()
         for member in message.members:
             self._state.members.apply_gossip(member, now)
+        for withdrawal in message.withdrawals:
+            self._state.members.apply_withdrawal(withdrawal, now)
         for entry in message.entries:
             self._state.entries.apply_gossip(entry, now)
             report = entry.report
--- a/carobspring/control/instance_api.py
+++ b/carobspring/control/instance_api.py
@@ -25,6 +25,7 @@
     InvalidValueError,
     LoadReport,
 )
+from carobspring.domain.errors import check_name
 from carobspring.ports import HttpRequest, HttpResponder
 from carobspring.protocol import AgentReport, RoutingConfiguration
 
@@ -33,6 +34,9 @@
 #: Time within which all reachable replicas must have merged that a server
 #: drains; its report is sent to another daemon after a second.
 REPLICATION_TIMEOUT_S: Final = 0.6
+#: Time in ms after a removal in which no new run of the server starts: the one
+#: that leaves serves on for longer. It allows for clocks that differ.
+MIN_RESTART_MS: Final = 1_000
 JSON_TYPE: Final = ("Content-Type", "application/json")
 #: The fastest level: configurations are text and compress well at any level.
 COMPRESSION_LEVEL: Final = 1
@@ -209,22 +213,50 @@
         self, request: HttpRequest, responder: HttpResponder
     ) -> None:
         server_id = request.path.removeprefix(platform.BACKEND_SERVER_PATH_PREFIX)
-        member = self._state.members.members.get(server_id)
-        now = self._state.clock.read_monotonic()
+        try:
+            check_name("server_id", server_id)
+        except InvalidValueError:
+            # No check-in can name it.
+            await responder.send(200, (JSON_TYPE,), platform.encode_check_in_response())
+            return
+        state = self._state
+        member = state.members.members.get(server_id)
+        now = state.clock.read_monotonic()
         if member is None and now - self._started_at < self._learning_period_s:
             # Another daemon may know the server already and keep announcing
             # it.
             message = "this daemon has just started"
             await self._send_error(responder, 503, "starting", message)
             return
-        if member is not None:
+        if member is None or member.is_gone:
+            # The first check-in of the boot that leaves can still be on its
+            # way. Boots are the times of starts in ms.
+            last_boot = state.clock.read_wall_ms() + MIN_RESTART_MS
+        else:
+            last_boot = member.server.boot
             load = LoadReport(
                 sequence=FINAL_SEQUENCE, limit=member.load.limit, draining=True
             )
             self._record_report(member.server, load)
-            if not await self._is_replicated(server_id):
-                await self._send_unreplicated(responder)
-                return
+        if not state.members.withdraw(server_id, last_boot, FINAL_SEQUENCE, now):
+            logger.warning("removal not recorded", extra={"server": server_id})
+            message = "too many removals of unknown servers; send it again"
+            await self._send_error(responder, 503, "no_room", message)
+            return
+        logger.info(
+            "backend server removed on request",
+            extra={
+                "server": server_id,
+                "known": member is not None,
+                "last_boot": last_boot,
+            },
+        )
+        state.notify_member_changes()
+        state.local_change_count += 1
+        self._gossip.tick(now)
+        if not await self._is_replicated(server_id):
+            await self._send_unreplicated(responder)
+            return
         await responder.send(200, (JSON_TYPE,), platform.encode_check_in_response())
 
     def _record_report(self, server: BackendServer, load: LoadReport) -> None:
--- a/carobspring/control/last_known_state.py
+++ b/carobspring/control/last_known_state.py
@@ -15,7 +15,7 @@
 from carobspring.consensus.errors import CorruptRecordError
 from carobspring.control.state import ControlState
 from carobspring.domain import BackendServer, LoadReport
-from carobspring.membership import MemberGossip
+from carobspring.membership import MemberGossip, WithdrawalGossip
 from carobspring.ports import Storage, StorageError
 from carobspring.protocol import (
     DECODE_ERRORS,
@@ -56,10 +56,24 @@
     seen_at_ms: int
 
 
+@dataclass(frozen=True, kw_only=True)
+class KnownWithdrawal:
+    """A server that left or drains, and when that was recorded."""
+
+    server_id: str
+    boot: int
+    sequence: int
+    at_ms: int
+    is_listed: bool
+
+
 @dataclass(frozen=True, kw_only=True)
 class LastKnownState:
     """The content of the file: routes, servers with a lease, and versions.
 
+    What was withdrawn belongs to it: all replicas may restart before a late
+    report of a server that has left arrives.
+
     Times are of the wall clock, in ms.
     """
 
@@ -68,6 +82,7 @@
     versions: tuple[KnownVersion, ...] = ()
     #: Since when no version was missed; None in the file of an older release.
     versions_since_ms: int | None = None
+    withdrawals: tuple[KnownWithdrawal, ...] = ()
 
 
 class LastKnownStateFile:
@@ -83,6 +98,9 @@
         self._version_change = -1
         self._versions: tuple[KnownVersion, ...] = ()
         self._versions_since_ms: int | None = None
+        #: The same for what was withdrawn.
+        self._withdrawal_change = -1
+        self._withdrawals: tuple[KnownWithdrawal, ...] = ()
 
     def load(self, *, lease_s: float) -> None:
         """Restore the state from the file, if it can be read."""
@@ -116,6 +134,7 @@
             )
             state.members.apply_gossip(gossip, now)
         self._restore_versions(last_known, now)
+        self._restore_withdrawals(last_known, now)
         logger.info(
             "last known state restored",
             extra={
@@ -172,6 +191,37 @@
         since_s = (wall_ms - last_known.versions_since_ms) / 1000
         log.known_since = min(log.known_since, now - max(0.0, since_s))
 
+    def _restore_withdrawals(self, last_known: LastKnownState, now: float) -> None:
+        wall_ms = self._state.clock.read_wall_ms()
+        for each in last_known.withdrawals:
+            gossip = WithdrawalGossip(
+                server_id=each.server_id,
+                boot=each.boot,
+                sequence=each.sequence,
+                age_ms=max(0, wall_ms - each.at_ms),
+                is_listed=each.is_listed,
+            )
+            self._state.members.apply_withdrawal(gossip, now)
+
+    def _collect_withdrawals(self) -> None:
+        """Compute the times of the wall clock, once after each change."""
+        members = self._state.members
+        if members.withdrawal_change_count == self._withdrawal_change:
+            return
+        self._withdrawal_change = members.withdrawal_change_count
+        clock = self._state.clock
+        now, wall_ms = clock.read_monotonic(), clock.read_wall_ms()
+        self._withdrawals = tuple(
+            KnownWithdrawal(
+                server_id=each.server_id,
+                boot=each.boot,
+                sequence=each.sequence,
+                at_ms=wall_ms - each.age_ms,
+                is_listed=each.is_listed,
+            )
+            for each in members.list_withdrawals(-1, now)
+        )
+
     def _collect_versions(self) -> None:
         """Compute the times of the wall clock, once after each change."""
         log = self._state.members.versions
@@ -204,9 +254,11 @@
             for member in self._state.members.list_present()
         )
         self._collect_versions()
+        self._collect_withdrawals()
         return LastKnownState(
             routing=self._state.find_routing(),
             servers=servers,
             versions=self._versions,
             versions_since_ms=self._versions_since_ms,
+            withdrawals=self._withdrawals,
         )
--- a/carobspring/membership/__init__.py
+++ b/carobspring/membership/__init__.py
@@ -10,6 +10,7 @@
     EntryGossip,
     GossipMessage,
     MemberGossip,
+    WithdrawalGossip,
 )
 from carobspring.membership.strikes import (
     HELD_STRIKES,
@@ -48,6 +49,7 @@
     "ServerRun",
     "StrikeSet",
     "VersionLog",
+    "WithdrawalGossip",
     "ViewDelta",
     "build_cause_key",
     "build_part_key",
--- a/carobspring/membership/gossip.py
+++ b/carobspring/membership/gossip.py
@@ -28,6 +28,21 @@
     left: bool = False
 
 
+@dataclass(frozen=True, kw_only=True)
+class WithdrawalGossip:
+    """Up to which report a server has been withdrawn.
+
+    All reports with a smaller (boot, sequence) are out of date. ``is_listed``
+    is set if a replica knew the server otherwise too.
+    """
+
+    server_id: str
+    boot: int
+    sequence: int
+    age_ms: int
+    is_listed: bool = False
+
+
 @dataclass(frozen=True, kw_only=True)
 class EntryGossip:
     """An entry's last report and its age."""
@@ -44,6 +59,8 @@
     """
 
     members: tuple[MemberGossip, ...] = ()
+    #: What any replica was told of servers that leave or drain.
+    withdrawals: tuple[WithdrawalGossip, ...] = ()
     entries: tuple[EntryGossip, ...] = ()
     #: All strikes that entries reported to any replica, and released ones;
     #: only in messages with the complete state.
--- a/carobspring/membership/table.py
+++ b/carobspring/membership/table.py
@@ -3,10 +3,11 @@
 from collections import Counter, OrderedDict
 from dataclasses import dataclass, replace
 
-from carobspring.domain import BackendServer, LoadReport
-from carobspring.membership.gossip import MemberGossip
+from carobspring.domain import FINAL_SEQUENCE, BackendServer, LoadReport
+from carobspring.membership.gossip import MemberGossip, WithdrawalGossip
 from carobspring.membership.versions import VersionLog
 from carobspring.membership.views import ViewDelta
+from carobspring.membership.withdrawals import RETENTION_S, Withdrawals
 from carobspring.protocol import AgentReport
 
 #: Seconds for which a report renews the lease.
@@ -121,6 +122,7 @@
         self._unnamed: OrderedDict[str, None] = OrderedDict()
         #: Versions of servers that are gone or were replaced.
         self.versions = VersionLog(known_since=now)
+        self._withdrawals = Withdrawals()
         #: Oldest view from which a delta can still be computed.
         self._oldest_view = 0
 
@@ -155,7 +157,47 @@
             load=load,
             left=report.leaving,
         )
-        return self._merge(gossip, now, is_local=True)
+        result = self._merge(gossip, now, is_local=True)
+        if report.leaving and server.server_id not in self.members:
+            self.withdraw(server.server_id, server.boot, FINAL_SEQUENCE, now)
+        elif result.accepted and load.draining:
+            # The first report of a boot that says so is enough.
+            if not self._withdrawals.covers(server.server_id, server.boot, 0):
+                self.withdraw(server.server_id, server.boot, load.sequence, now)
+        return result
+
+    def withdraw(self, server_id: str, boot: int, sequence: int, now: float) -> bool:
+        """Record that reports before (boot, sequence) are out of date.
+
+        The server need not be known: its first report may still be on its
+        way. Returns False if there is no room to remember it.
+        """
+        member = self.members.get(server_id)
+        is_listed = member is not None and self._is_named(member.server)
+        if not self._withdrawals.has_room(server_id, is_listed=is_listed):
+            return False
+        self._record_withdrawal(server_id, boot, sequence, now, is_listed=is_listed)
+        return True
+
+    def apply_withdrawal(self, gossip: WithdrawalGossip, now: float) -> None:
+        """Apply a withdrawal that another replica received."""
+        if gossip.age_ms < RETENTION_S * 1000:
+            self._record_withdrawal(
+                gossip.server_id,
+                gossip.boot,
+                gossip.sequence,
+                now - gossip.age_ms / 1000,
+                is_listed=gossip.is_listed,
+            )
+
+    @property
+    def withdrawal_change_count(self) -> int:
+        """Incremented with each change of what was withdrawn."""
+        return self._withdrawals.change_count
+
+    def list_withdrawals(self, since: int, now: float) -> tuple[WithdrawalGossip, ...]:
+        """Return what was withdrawn after a view, for another replica."""
+        return self._withdrawals.list_gossip(since, now)
 
     def apply_gossip(self, gossip: MemberGossip, now: float) -> ReportResult:
         """Apply what another replica received from an agent."""
@@ -190,6 +232,7 @@
         GONE_RETENTION_S.
         """
         expired = []
+        self._withdrawals.expire(now)
         for server_id, member in list(self.members.items()):
             if member.is_gone:
                 if now - member.reported_at > GONE_RETENTION_S:
@@ -224,12 +267,14 @@
     def find_local_change(self, server_id: str) -> int:
         """Return the view in which peers get a server's last change, or zero.
 
-        It is zero if another replica announces the server to them.
+        It is zero if another replica announces the server to them, and
+        nothing was withdrawn.
         """
+        view = self._withdrawals.find_view(server_id)
         member = self.members.get(server_id)
         if member is None or not member.is_local:
-            return 0
-        return max(member.changed_view, member.load_view, member.local_view)
+            return view
+        return max(view, member.changed_view, member.load_view, member.local_view)
 
     def is_local(self, server_id: str) -> bool:
         """Return whether the agent reports to this replica."""
@@ -329,6 +374,8 @@
                 return ReportResult(accepted=False)
         if gossip.left:
             return self._handle_leave(known, gossip, now)
+        if self._withdrawals.covers(gossip.server_id, gossip.boot, gossip.sequence):
+            return ReportResult(accepted=False)
         if server is None or server.boot != gossip.boot:
             return ReportResult(accepted=False)
         reported_at = now - gossip.age_ms / 1000
@@ -339,6 +386,25 @@
         self._update_member(known, gossip, server, reported_at, now, is_local)
         return ReportResult(accepted=True)
 
+    def _record_withdrawal(
+        self, server_id: str, boot: int, sequence: int, at: float, *, is_listed: bool
+    ) -> None:
+        is_new = self._withdrawals.record(
+            server_id, boot, sequence, now=at, view=self.view + 1, is_listed=is_listed
+        )
+        if not is_new:
+            return
+        self.view += 1
+        member = self.members.get(server_id)
+        if member is None or member.is_gone or member.load.draining:
+            return
+        if self._withdrawals.covers(server_id, member.server.boot, member.sequence):
+            # A report that came late listed the server before.
+            member = replace(member, load=replace(member.load, draining=True))
+            self.members[server_id] = member
+            if member.is_visible:
+                self._publish_load(server_id, member, at)
+
     def _is_named(self, server: BackendServer) -> bool:
         return self._services is None or server.service in self._services
 
--- a/tests/control/test_gossip.py
+++ b/tests/control/test_gossip.py
@@ -6,7 +6,12 @@
 
 from carobspring.control import ControlState, GossipExchange, GossipTransport
 from carobspring.control.sessions import EntrySession
-from carobspring.domain import BackendServer, LoadReport, ServiceKind
+from carobspring.domain import (
+    FINAL_SEQUENCE,
+    BackendServer,
+    LoadReport,
+    ServiceKind,
+)
 from carobspring.membership import GossipMessage, MembershipTable
 from carobspring.ports import Clock
 from carobspring.protocol import (
@@ -261,6 +266,67 @@
         network.deliver_all()
         self.assertEqual((b.is_drain_replicated, a.is_drain_known), (True, True))
 
+    def test_withdrawal_of_unknown_server(self):
+        """A replica that never knew a server refuses its late first report."""
+        network, a, b = build_pair()
+        for each in (a, b):
+            each.tick()
+        network.deliver_all()
+        a.state.members.withdraw("m1", SERVER.boot, FINAL_SEQUENCE, a.clock.now)
+        a.state.local_change_count += 1
+        self.assertFalse(a.is_drain_replicated)
+        a.tick()
+        network.deliver_all()
+        self.assertTrue(a.is_drain_replicated)
+        b.report(sequence=1)
+        self.assertEqual(b.state.members.list_present(), [])
+
+    def test_restart_after_a_drain(self):
+        """A replica that lost a drain with its memory gets it back from peers.
+
+        A ready report from before the drain may come late, to the replica
+        that alone received the drain.
+        """
+        for late in ("before the peers' state", "after it"):
+            with self.subTest(late):
+                network, a, b = build_pair()
+                a.report(sequence=1)
+                a.report(sequence=5, draining=True)
+                for each in (a, b):
+                    each.tick()
+                network.deliver_all()
+                network.cut()
+                a.start()
+                b.gossip.handle_open("a")
+                if late == "before the peers' state":
+                    a.report(sequence=2)
+                b.tick()
+                network.deliver_all()
+                if late == "after it":
+                    a.report(sequence=2)
+                    self.assertEqual(a.state.members.list_present(), [])
+                else:
+                    self.assertTrue(a.is_drain_known)
+                # The server itself goes on to check in.
+                a.report(sequence=6, draining=True)
+                self.assertTrue(a.is_drain_known)
+
+    def test_restart_after_a_removal(self):
+        """A replica that restarts lists no server that left before."""
+        network, a, b = build_pair()
+        a.report(sequence=1)
+        a.report(sequence=FINAL_SEQUENCE, draining=True)
+        a.state.members.withdraw("m1", SERVER.boot, FINAL_SEQUENCE, a.clock.now)
+        a.tick()
+        network.deliver_all()
+        network.cut()
+        a.start()
+        b.gossip.handle_open("a")
+        b.tick()
+        network.deliver_all()
+        a.report(sequence=2)
+        self.assertEqual(a.state.members.list_present(), [])
+
     def test_peer_of_an_earlier_release(self):
         """A peer that acknowledges nothing counts as having what was sent."""
         _, a, _ = build_pair()
--- a/tests/control/test_instance_api.py
+++ b/tests/control/test_instance_api.py
@@ -11,6 +11,7 @@
     instance_api,
 )
 from carobspring.control.instance_api import InstanceApi, RedirectFinder
+from carobspring.membership import withdrawals
 from carobspring.ports import HttpRequest, NotLeaderError, ReplicatedLog
 from tests.gateway.fakes import FakeResponder
 from tests.platform.test_checkins import BODY as CHECK_IN
@@ -227,6 +228,65 @@
                 response = await self.call("DELETE", "/v1/instances/i-1")
                 self.assertEqual(response.status, status)
 
+    async def test_check_in_behind_a_removal(self):
+        """Guards against a server that is listed after its confirmed removal.
+
+        Its first check-in comes late, when it has left already.
+        """
+        self.build()
+        born = self.state.clock.read_wall_ms() - 500
+        self.assertEqual((await self.call("DELETE", "/v1/instances/i-1")).status, 200)
+        late = CHECK_IN | {"born": born, "seq": 1}
+        self.assertEqual(
+            (await self.call("PUT", "/v1/instances/i-1", late)).status, 200
+        )
+        self.assertEqual(self.state.members.list_present(), [])
+        # It starts again once it has served what it had.
+        again = CHECK_IN | {"born": born + 3000, "seq": 1}
+        await self.call("PUT", "/v1/instances/i-1", again)
+        self.assertEqual(len(self.state.members.list_present()), 1)
+
+    async def test_removal_behind_a_restart(self):
+        """A boot that nobody knew leaves too, if the one before is gone."""
+        self.build()
+        born = self.state.clock.read_wall_ms() - 500
+        await self.call("PUT", "/v1/instances/i-1", CHECK_IN | {"born": born - 9000})
+        (member,) = self.state.members.list_present()
+        self.state.members.expire(member.lease_expires_at)
+        await self.call("DELETE", "/v1/instances/i-1")
+        await self.call("PUT", "/v1/instances/i-1", CHECK_IN | {"born": born})
+        self.assertEqual(self.state.members.list_present(), [])
+
+    async def test_removal_of_unknown_server_replicated(self):
+        """It is confirmed only when all reachable replicas have it."""
+        self.build()
+        self.gossip.is_reachable = False
+        with unittest.mock.patch.object(instance_api, "REPLICATION_TIMEOUT_S", 0.01):
+            unknown = await self.call("DELETE", "/v1/instances/i-1")
+        self.assertEqual(unknown.status, 503)
+        self.assertGreater(self.state.members.find_local_change("i-1"), 0)
+
+    async def test_many_removals(self):
+        """What can't be remembered isn't confirmed; what is known still is."""
+        self.build()
+        await self.call("PUT", "/v1/instances/i-1", CHECK_IN)
+        with unittest.mock.patch.object(withdrawals, "MAX_UNLISTED", 3):
+            statuses = [
+                (await self.call("DELETE", f"/v1/instances/foreign-{number}")).status
+                for number in range(5)
+            ]
+            self.assertEqual(statuses, [200] * 3 + [503] * 2)
+            repeated = await self.call("DELETE", "/v1/instances/foreign-0")
+            known = await self.call("DELETE", "/v1/instances/i-1")
+        self.assertEqual((repeated.status, known.status), (200, 200))
+
+    async def test_removal_of_no_name(self):
+        """An identifier that no check-in can have needs no record."""
+        self.build()
+        response = await self.call("DELETE", "/v1/instances/" + "x" * 100)
+        self.assertEqual(response.status, 200)
+        self.assertEqual(self.state.members.list_withdrawals(-1, 0.0), ())
+
     async def test_invalid_requests(self):
         """Malformed check-ins and unknown calls are rejected."""
         self.build()
--- a/tests/control/test_last_known_state.py
+++ b/tests/control/test_last_known_state.py
@@ -8,7 +8,8 @@
 from carobspring.consensus import frame_record, split_records
 from carobspring.control.last_known_state import FILE_NAME, LastKnownStateFile
 from carobspring.control.state import ControlState
-from carobspring.domain import LoadReport
+from carobspring.domain import FINAL_SEQUENCE, LoadReport
+from carobspring.membership.withdrawals import RETENTION_S
 from carobspring.ports import Clock, StorageError
 from carobspring.protocol import AgentReport, RoutingConfiguration, VersionSighting
 from tests.control.harness import make_server
@@ -69,6 +70,28 @@
         state.expire_leases(self.clock.now)
         self.assertEqual(state.members.list_present(), [])
 
+    def test_withdrawals(self):
+        """A server that left before the restart of all replicas stays out."""
+        state, file = self.build()
+        state.members.withdraw("s3", 7, FINAL_SEQUENCE, self.clock.now)
+        file.write_if_due()
+        written = self.storage.read(FILE_NAME)
+        self.clock.now += 1.0
+        self.clock.wall_ms += 1001
+        file.write_if_due()
+        self.assertEqual(self.storage.read(FILE_NAME), written)
+        for late_s, expected in ((10, []), (RETENTION_S, ["s3"])):
+            with self.subTest(late_s=late_s):
+                self.clock.wall_ms += int(late_s * 1000)
+                state, file = self.build()
+                file.load(lease_s=LEASE_S)
+                report = AgentReport(
+                    server=make_server("s3"), load=LoadReport(sequence=1)
+                )
+                state.members.apply_report(report, self.clock.now)
+                present = state.members.list_present()
+                self.assertEqual([m.server.server_id for m in present], expected)
+
     def test_unusable_server(self):
         """Servers that this release rejects don't hide the others."""
         self.write()
