Count what a stream holds back in the memory of the process

Another operator reported a machine that kept all bytes of a faulty server, ran out of memory and ended all requests on it. It happens here: an entry told 88 MB took up to 293 MB while an engine sent events without end to a crowd of requests.

Cause: a bound for each response and none for the sum. An event whose end has not come may have 1 MiB, and comments before the first event 64 KiB, and neither was in the account of what the process holds. A faulty server sends them on all connections.

A stream now reports what it holds back, like a body that is held back. While over half of the account is taken, one that holds over 16 KiB is broken off like any answer without an end. In calm an event may have 1 MiB as before.

--- a/carobspring/gateway/relay.py
+++ b/carobspring/gateway/relay.py
@@ -28,6 +28,9 @@
 #: Comments before the first event of a stream. Servers send a few to keep a
 #: connection open.
 MAX_HELD_COMMENT_BYTES: Final = 64 * 1024
+#: Bytes of an event whose end has not arrived, and of comments before the first
+#: event, while the memory of the process is short. Ordinary events are smaller.
+SHORT_HELD_BYTES: Final = 16 * 1024
 
 #: The only status of a response that continues a stream.
 CONTINUATION_STATUS: Final = 200
@@ -138,8 +141,24 @@
         caller. It is not kept: it belongs to the owner of the relay, and a
         cycle would keep request and response until the garbage collector runs.
         """
+        try:
+            return await self._relay_stream(
+                backend_response, server_id, watch_read, on_first_event
+            )
+        finally:
+            # A response that is broken off holds back nothing any more, also
+            # while the request moves to another server.
+            self._held_comments.clear()
+            self._responder.hold_back(0)
+
+    async def _relay_stream(
+        self,
+        backend_response: BackendResponse,
+        server_id: str,
+        watch_read: ReadWatcher,
+        on_first_event: Callable[[], None],
+    ) -> AttemptResult:
         is_continuation = self.has_started
-        self._held_comments.clear()
         splitter = EventSplitter()
         steps = PacedSteps()
         read_bytes = 0
@@ -152,7 +171,7 @@
                 await self._relay_event(
                     event, backend_response, server_id, on_first_event
                 )
-            _check_size(splitter.buffered_bytes, MAX_EVENT_BYTES)
+            self._check_held(splitter.buffered_bytes)
         if splitter.buffered_bytes:
             detail = "the stream ended inside an event"
             return AttemptResult(outcome=AttemptOutcome.INCOMPLETE, detail=detail)
@@ -252,11 +271,23 @@
         self.event_count += 1
         await self._responder.write(event.data)
 
+    def _check_held(self, event_bytes: int) -> None:
+        """Report what is held back, and refuse what is too much of it.
+
+        Servers decide how much there is, and may send it on all connections,
+        so a limit for each response alone doesn't bound the process.
+        """
+        comment_bytes = 0 if self.has_started else len(self._held_comments)
+        may_hold = self._responder.hold_back(event_bytes + comment_bytes)
+        _check_size(event_bytes, MAX_EVENT_BYTES)
+        _check_size(comment_bytes, MAX_HELD_COMMENT_BYTES)
+        if not may_hold:
+            _check_size(event_bytes + comment_bytes, SHORT_HELD_BYTES)
+
     async def _relay_comment(self, event: StreamEvent) -> None:
         """Relay comments, which never begin or continue a response."""
         if not self.has_started:
             self._held_comments += event.data
-            _check_size(len(self._held_comments), MAX_HELD_COMMENT_BYTES)
         elif not self._sequence.is_continued:
             await self._responder.write(event.data)
 
--- a/tests/gateway/test_held_back.py
+++ b/tests/gateway/test_held_back.py
@@ -1,10 +1,18 @@
 import unittest
 
-from carobspring.gateway.relay import MAX_BUFFERED_BYTES, SHORT_BUFFERED_BYTES
+from carobspring.domain.routes import Repeatability
+from carobspring.gateway.relay import (
+    MAX_BUFFERED_BYTES,
+    MAX_EVENT_BYTES,
+    SHORT_BUFFERED_BYTES,
+    SHORT_HELD_BYTES,
+)
 from tests.gateway.fakes import (
     RESPONSE_HEADERS,
+    STREAM_HEADERS,
     FakeResponder,
     GatewayHarness,
+    build_event,
     build_incomplete_error,
 )
 
@@ -52,5 +60,55 @@
                 self.assertLessEqual(max(responder.held_sizes), largest + len(CHUNK))
 
 
+class HeldStreamTests(unittest.IsolatedAsyncioTestCase):
+    """Guards against events and comments that nobody counts as held."""
+
+    async def call(self, chunks, *, may_hold_back):
+        gateway = GatewayHarness(
+            [(200, STREAM_HEADERS, chunks)],
+            [(200, STREAM_HEADERS, [build_event(1)])],
+            repeatability=Repeatability.RESUMABLE_STREAM,
+        )
+        responder = HoldingResponder(may_hold_back=may_hold_back)
+        await gateway.call(responder=responder)
+        return gateway, responder
+
+    async def test_events(self):
+        """Only while memory is short, a large event is broken off."""
+        ordinary = b"id: 1\ndata: " + b"x" * (SHORT_HELD_BYTES // 2)
+        large = b"id: 1\ndata: " + b"x" * (MAX_EVENT_BYTES - 100)
+        cases = [
+            (True, ordinary, False),
+            (True, large, False),
+            (False, ordinary, False),
+            (False, large, True),
+        ]
+        for may_hold_back, event, is_broken_off in cases:
+            with self.subTest(may_hold_back=may_hold_back, size=len(event)):
+                gateway, responder = await self.call(
+                    [event, b"\n\n"], may_hold_back=may_hold_back
+                )
+                expected = build_event(1) if is_broken_off else event + b"\n\n"
+                self.assertEqual(responder.body, expected)
+                self.assertEqual(responder.ended, "complete")
+                self.assertEqual(max(responder.held_sizes), len(event))
+                # The other server's response, or the end, gave it back.
+                self.assertEqual(responder.held_sizes[-1], 0)
+
+    async def test_comments(self):
+        """Comments before the first event are held back like an event."""
+        comments = b": x\n\n" * (2 * SHORT_HELD_BYTES // 5)
+        for may_hold_back in (True, False):
+            with self.subTest(may_hold_back=may_hold_back):
+                _, responder = await self.call(
+                    [comments, build_event(1)], may_hold_back=may_hold_back
+                )
+                is_kept = responder.body.startswith(comments)
+                self.assertIs(is_kept, may_hold_back)
+                self.assertEqual(responder.ended, "complete")
+                self.assertEqual(max(responder.held_sizes), len(comments))
+                self.assertEqual(responder.held_sizes[-1], 0)
+
+
 if __name__ == "__main__":
     unittest.main()
