Open a replica again whatever ended the last attempt

Causes, shown with a disk that refuses one write. That error ended the task that opens the replica again, and since the task still counted as running, no other one began. The class is an attempt that must be repeated and ends with what nobody expected: so did an error of the state machine's reset, a refusal at the start of the process, and a refusal to remove an old log file.

Temporary files are hidden, and removed when a write fails. Only names of log files count. The loop logs whatever is raised and goes on. A disk that refuses at the start is tried again in the process, and old files that can't be removed wait for the next start.

--- a/carobspring/adapters/disk.py
+++ b/carobspring/adapters/disk.py
@@ -1,5 +1,6 @@
 """Implements the storage port with the files of one directory."""
 
+import contextlib
 import fcntl
 import os
 from pathlib import Path
@@ -47,7 +48,7 @@
         except OSError as error:
             raise _build_error(str(directory), "open", error) from error
         for path in directory.glob(f"*{TEMPORARY_SUFFIX}"):
-            path.unlink()
+            _discard(path)
 
     def close(self) -> None:
         """Close all files and unlock the directory."""
@@ -63,7 +64,11 @@
     def list_names(self) -> list[str]:
         """Return the names of all files, sorted."""
         names = [path.name for path in self._directory.iterdir()]
-        return sorted(name for name in names if name != LOCK_NAME)
+        return sorted(
+            name
+            for name in names
+            if name != LOCK_NAME and not name.endswith(TEMPORARY_SUFFIX)
+        )
 
     def read(self, name: str) -> bytes:
         """Return a file's whole content."""
@@ -106,6 +111,8 @@
             self._close_file(name)
             os.rename(path, self._directory / name)
         except OSError as error:
+            # What was written takes room that the disk may not have.
+            _discard(path)
             raise _build_error(name, "write", error) from error
         self.sync_directory()
 
@@ -139,6 +146,12 @@
             os.close(descriptor)
 
 
+def _discard(path: Path) -> None:
+    """Remove a temporary file if the disk allows it; nobody reads it."""
+    with contextlib.suppress(OSError):
+        path.unlink(missing_ok=True)
+
+
 def _write_all(descriptor: int, data: bytes) -> None:
     remaining = memoryview(data)
     while remaining:
--- a/carobspring/consensus/journal.py
+++ b/carobspring/consensus/journal.py
@@ -6,7 +6,10 @@
 left over from a crash. The records of a batch are appended with one sync.
 """
 
+import logging
+import re
 from dataclasses import dataclass
+from typing import Final
 
 import msgspec
 
@@ -20,6 +23,9 @@
 IDENTITY_FILE = "identity"
 SNAPSHOT_FILE = "snapshot"
 LOG_PREFIX = "log-"
+_LOG_NAME: Final = re.compile(re.escape(LOG_PREFIX) + "[0-9a-f]{16}")
+
+logger = logging.getLogger(__name__)
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -112,8 +118,7 @@
         old_file = self._log_file
         self._log_number += 1
         self._write_log(tail)
-        self._storage.remove(old_file)
-        self._storage.sync_directory()
+        self._remove_old_files([old_file])
 
     def _write_log(self, entries: tuple[Entry, ...]) -> None:
         header = LogHeader(identity=self.identity, base=self.snapshot.index)
@@ -121,6 +126,18 @@
         records.extend(_encode_record(entry) for entry in entries)
         self._storage.write_atomically(self._log_file, b"".join(records))
 
+    def _remove_old_files(self, names: list[str]) -> None:
+        """Remove log files behind which there is a later one.
+
+        The next start removes what a disk refuses to remove now.
+        """
+        try:
+            for name in names:
+                self._storage.remove(name)
+            self._storage.sync_directory()
+        except StorageError as error:
+            logger.warning("old log files not removed", extra={"reason": str(error)})
+
     @property
     def _log_file(self) -> str:
         return f"{LOG_PREFIX}{self._log_number:016x}"
@@ -128,7 +145,7 @@
     def _open(self, random: RandomSource) -> None:
         self._log_number = 1
         names = self._storage.list_names()
-        logs = [name for name in names if name.startswith(LOG_PREFIX)]
+        logs = [name for name in names if _LOG_NAME.fullmatch(name)]
         if IDENTITY_FILE not in names:
             # Without an identity file nothing was acknowledged yet, so log
             # files are left over from an interrupted first start.
@@ -148,8 +165,8 @@
             self.snapshot = _decode_snapshot(self._read_single_record(SNAPSHOT_FILE))
         self._log_number = int(logs[-1].removeprefix(LOG_PREFIX), 16)
         self._read_log()
-        for name in logs[:-1]:
-            self._storage.remove(name)
+        if len(logs) > 1:
+            self._remove_old_files(logs[:-1])
 
     def _read_single_record(self, file: str) -> bytes:
         stored = self._storage.read(file)
--- a/carobspring/gateway/relay.py
+++ b/carobspring/gateway/relay.py
@@ -28,8 +28,9 @@
 #: Comments before the first event of a stream. Servers send a few to keep a
 #: connection open.
 MAX_HELD_COMMENT_BYTES: Final = 64 * 1024
-#: Bytes of an event whose end has not arrived, and of comments before the first
-#: event, while the memory of the process is short. Ordinary events are smaller.
+#: Bytes of an event whose end has not arrived, and of comments before the
+#: first event, while the memory of the process is short. Ordinary events are
+#: smaller.
 SHORT_HELD_BYTES: Final = 16 * 1024
 
 #: The only status of a response that continues a stream.
--- a/carobspring/ports/storage.py
+++ b/carobspring/ports/storage.py
@@ -28,7 +28,10 @@
 
     @abstractmethod
     def list_names(self) -> list[str]:
-        """Return the names of all files, sorted."""
+        """Return the names of all files, sorted.
+
+        Files that an atomic write has not put into place are not among them.
+        """
 
     @abstractmethod
     def read(self, name: str) -> bytes:
--- a/carobspring/programs/replica_supervisor.py
+++ b/carobspring/programs/replica_supervisor.py
@@ -13,7 +13,7 @@
 from carobspring.adapters.peer_link import PeerAddress
 from carobspring.adapters.rpc import make_bidirectional_method
 from carobspring.adapters.tasks import start_task
-from carobspring.consensus import ConsensusError, Timing
+from carobspring.consensus import ConsensusError, JournalFailedError, Timing
 from carobspring.control import ControlMachine, GossipTransport
 from carobspring.domain import parse_address
 from carobspring.ports import Clock, NotLeaderError, RandomSource, ReplicatedLog
@@ -93,10 +93,16 @@
         ]
 
     async def start(self, *, peers: Iterable[str], bootstrap: bool) -> None:
-        """Open the replica; the initial members are among the peers."""
+        """Open the replica; the initial members are among the peers.
+
+        While the disk refuses it, that is tried again in the background.
+        """
         self._bootstrap = bootstrap
         self._peers = {name: parse_peer_address(name) for name in peers}
-        await self._open()
+        try:
+            await self._open()
+        except JournalFailedError as error:
+            self._handle_failure(error)
 
     def add_peers(self, names: Iterable[str]) -> None:
         """Add peers and keep streams to them."""
@@ -205,8 +211,12 @@
             replica.on_gossip(callback)
         for handle_open in self._open_callbacks:
             replica.on_open(handle_open)
+        try:
+            await replica.start()
+        except BaseException:
+            await replica.stop()
+            raise
         self._replica = replica
-        await replica.start()
         logger.info(
             "replica opened",
             extra={
@@ -224,18 +234,32 @@
             self._reopen_task = start_task(self._reopen(), name="reopen replica")
 
     async def _reopen(self) -> None:
-        failed, self._replica = self._replica, None
-        if failed is not None:
-            await failed.stop()
-        while self._replica is None:
-            await asyncio.sleep(REOPEN_INTERVAL_S)
-            try:
-                self._storage.close_files()
-                self._machine.reset()
-                await self._open()
-            except ConsensusError as error:
-                logger.error("replica cannot be opened", extra={"error": str(error)})
-        self._reopen_task = None
+        """Open the replica again and again until one is in use.
+
+        Whatever one attempt raises must not end the attempts, since nothing
+        else would begin them anew while the process runs.
+        """
+        try:
+            while not self._is_usable:
+                failed, self._replica = self._replica, None
+                try:
+                    if failed is not None:
+                        await failed.stop()
+                    await asyncio.sleep(REOPEN_INTERVAL_S)
+                    self._storage.close_files()
+                    self._machine.reset()
+                    await self._open()
+                except ConsensusError as error:
+                    extra = {"error": str(error)}
+                    logger.error("replica cannot be opened", extra=extra)
+                except Exception:
+                    logger.exception("replica cannot be opened")
+        finally:
+            self._reopen_task = None
+
+    @property
+    def _is_usable(self) -> bool:
+        return self._replica is not None and self._replica.failure is None
 
     async def _serve_peer(self, stream: Stream[Any, Any]) -> None:
         if self._replica is not None:
--- a/tests/consensus/simulation.py
+++ b/tests/consensus/simulation.py
@@ -97,6 +97,8 @@
         self.frozen = False
         #: Seconds by which this replica's clock is behind.
         self.clock_lag_s = 0.0
+        #: Whether the instance keeps its power when the process is killed.
+        self.keeps_unsynced = False
         #: Messages that arrived while the process was frozen.
         self.held_messages: list[Message] = []
         self.starts = 0
@@ -152,7 +154,8 @@
     def crash(self) -> None:
         """Kill the process; data that was not synced may be lost."""
         self.driver = None
-        self.storage.restart()
+        if not self.keeps_unsynced:
+            self.storage.restart()
 
     def send(self, message: Message) -> None:
         self.simulation.transmit(self, message)
--- a/tests/consensus/storage.py
+++ b/tests/consensus/storage.py
@@ -12,11 +12,16 @@
     """
 
 
+TEMPORARY_SUFFIX = ".new"
+
+
 class MemoryStorage(Storage):
     """Storage that tracks synced and unsynced content separately.
 
-    With ``crash_at`` set to N, the Nth write point raises a crash. There are
-    write points before and after every write and sync, and within an append.
+    With ``crash_at`` set to N, the Nth write point raises a crash; with
+    ``refuse_from``, the disk refuses from the Nth one on, as when it is full.
+    There are write points before and after every write and sync, and within
+    an append and an atomic write.
     """
 
     def __init__(self, *, seed: int = 0) -> None:
@@ -25,6 +30,7 @@
         self._synced: dict[str, bytes] = {}
         self.points = 0
         self.crash_at: int | None = None
+        self.refuse_from: int | None = None
         #: The bytes that can be written before the disk is full, or None.
         self.free_bytes: int | None = None
         self.fails_sync = False
@@ -52,7 +58,8 @@
         self.files[name] = self._synced[name] = bytes(content)
 
     def list_names(self) -> list[str]:
-        return sorted(self.files)
+        names = (name for name in self.files if not name.endswith(TEMPORARY_SUFFIX))
+        return sorted(names)
 
     def read(self, name: str) -> bytes:
         return self.files[name]
@@ -86,6 +93,11 @@
         self._reach_write_point()
         if self.free_bytes is not None and len(data) > self.free_bytes:
             raise StorageError(path=name, action="write", reason="disk full")
+        # The temporary file of a write that fails stays behind.
+        temporary = name + TEMPORARY_SUFFIX
+        self.files[temporary] = data[: len(data) // 2]
+        self._reach_write_point()
+        del self.files[temporary]
         self.files[name] = self._synced[name] = data
         self._reach_write_point()
 
@@ -104,3 +116,5 @@
         self.points += 1
         if self.crash_at is not None and self.points >= self.crash_at:
             raise Crash()
+        if self.refuse_from is not None and self.points >= self.refuse_from:
+            raise StorageError(path="", action="write", reason="disk full")
--- a/tests/consensus/test_failures.py
+++ b/tests/consensus/test_failures.py
@@ -1,8 +1,14 @@
 """Each failure that the log must survive, tested separately."""
 
+import contextlib
 import unittest
 
-from carobspring.consensus import CorruptRecordError, MessageReceived, RoleName
+from carobspring.consensus import (
+    CorruptRecordError,
+    JournalFailedError,
+    MessageReceived,
+    RoleName,
+)
 from carobspring.consensus.messages import VoteRequest
 from tests.consensus.simulation import Faults, SimulatedReplica, Simulation
 from tests.consensus.storage import MemoryStorage
@@ -50,6 +56,48 @@
                 leader.crash()
                 simulation.settle_down()
 
+    def test_refusal_at_every_write_point(self) -> None:
+        """A replica that is reopened in its process goes on with the others.
+
+        Guards against a disk that is full for a while, at whichever write, and
+        against one that is still full when the replica is first reopened.
+        """
+        for victim_leads in (True, False):
+            points = self._run_with_refusal(victim_leads=victim_leads, point=None)
+            self.assertGreater(points, 40)
+            for point in range(1, points + 1):
+                with self.subTest(victim_leads=victim_leads, point=point):
+                    self._run_with_refusal(victim_leads=victim_leads, point=point)
+
+    def _run_with_refusal(self, *, victim_leads: bool, point: int | None) -> int:
+        simulation = Simulation(seed=7, snapshot_every=5).start()
+        leader = simulation.find_leader()
+        assert leader is not None
+        others = [r for r in simulation.replicas.values() if r is not leader]
+        victim = leader if victim_leads else others[0]
+        storage = victim.storage
+        storage.points, storage.refuse_from = 0, point
+        simulation.commit(*make_commands("x", 12))
+        points = storage.points
+        if point is not None and points >= point:
+            self.assertIs(victim.failed, True)
+            with contextlib.suppress(JournalFailedError):
+                victim.start()
+            storage.refuse_from = None
+            victim.start()
+            # Each of the others fails in turn, with no other one failed.
+            for other in simulation.replicas.values():
+                if other is not victim:
+                    other.storage.refuse_from = other.storage.points + 1
+                    simulation.commit(b"after " + other.name.encode())
+                    simulation.run(1.0)
+                    other.storage.refuse_from = None
+                    if other.failed:
+                        other.start()
+        simulation.commit(*make_commands("y", 6))
+        simulation.settle_down()
+        return points
+
     def test_failed_sync(self) -> None:
         """A replica whose sync failed stops and never retries it.
 
