Sync what a start has read before it counts as durable

A configuration that was acknowledged could be lost: a daemon is killed between a write of the log and its sync, starts again, and confirms to the leader what it reads; then it loses power.

Cause: a start took all that the log file holds for durable. The file keeps what a killed process wrote, but a loss of power only leaves what was synced. The same holds for the name of a log file whose directory was not synced.

A start now syncs the log file and the directory before it uses them.

--- a/carobspring/consensus/journal.py
+++ b/carobspring/consensus/journal.py
@@ -165,6 +165,10 @@
             self.snapshot = _decode_snapshot(self._read_single_record(SNAPSHOT_FILE))
         self._log_number = int(logs[-1].removeprefix(LOG_PREFIX), 16)
         self._read_log()
+        # What was read counts as durable from here on, but the writer may have
+        # ended or failed before it had synced the file or its name.
+        self._storage.sync(self._log_file)
+        self._storage.sync_directory()
         if len(logs) > 1:
             self._remove_old_files(logs[:-1])
 
@@ -192,7 +196,6 @@
             raise CorruptRecordError(file=self._log_file, offset=0, reason="no header")
         if end < len(stored):
             self._storage.truncate(self._log_file, end)
-            self._storage.sync(self._log_file)
         self.entries = self._select_entries_after_snapshot(entries)
 
     def _decode_record(
--- a/tests/consensus/test_failures.py
+++ b/tests/consensus/test_failures.py
@@ -98,6 +98,41 @@
         simulation.settle_down()
         return points
 
+    def test_power_loss_after_a_kill(self) -> None:
+        """What a restarted process confirms survives a loss of power.
+
+        Guards against entries that the process before it wrote, but had not
+        synced when it was killed.
+        """
+        for seed in range(4):
+            for point in range(1, 6):
+                with self.subTest(seed=seed, point=point):
+                    self._run_with_kill_and_power_loss(seed=seed, point=point)
+
+    def _run_with_kill_and_power_loss(self, *, seed: int, point: int) -> None:
+        simulation = Simulation(seed=seed, snapshot_every=1000).start()
+        leader = simulation.find_leader()
+        assert leader is not None
+        victim, other = [r for r in simulation.replicas.values() if r is not leader]
+        simulation.commit(b"x")
+        # The quorum needs the victim.
+        other.crash()
+        victim.storage.points, victim.storage.crash_at = 0, point
+        victim.keeps_unsynced = True
+        simulation.propose(b"y", leader)
+        simulation.run(0.1)
+        victim.storage.crash_at = None
+        if victim.driver is None:
+            victim.start()
+        simulation.run_until(lambda: b"y" in simulation.acknowledged)
+        victim.keeps_unsynced = False
+        victim.crash()
+        leader.crash()
+        for replica in (victim, other):
+            replica.start()
+        simulation.commit(b"z")
+        simulation.settle_down()
+
     def test_failed_sync(self) -> None:
         """A replica whose sync failed stops and never retries it.
 
