--- a/carobspring/membership/table.py
+++ b/carobspring/membership/table.py
@@ -162,7 +162,8 @@
             self.withdraw(server.server_id, server.boot, FINAL_SEQUENCE, now)
         elif result.accepted and load.draining:
             # The first report of a boot that says so is enough.
-            if not self._withdrawals.covers(server.server_id, server.boot, 0):
+            is_new = not self._withdrawals.covers(server.server_id, server.boot, 0)
+            if is_new and self._is_named(server):
                 self.withdraw(server.server_id, server.boot, load.sequence, now)
         return result
 
--- a/tests/endtoend/test_full_disks.py
+++ b/tests/endtoend/test_full_disks.py
@@ -1,4 +1,4 @@
-"""Disks of control daemons that are full for a few seconds, one after another."""
+"""Disks of control daemons that are full, one after another."""
 
 import asyncio
 import resource
--- a/tests/membership/test_table.py
+++ b/tests/membership/test_table.py
@@ -58,6 +58,24 @@
 
 
 class OrderTests(unittest.TestCase):
+    def test_leave_before_the_first_report(self):
+        """An agent that left is not listed by a report that comes late."""
+        table = MembershipTable(now=0.0)
+        table.apply_report(build_report(9, leaving=True), 0.0)
+        self.assertEqual(table.apply_report(build_report(5), 1.0), REFUSED)
+        self.assertEqual(list_visible(table), [])
+        self.assertEqual(table.apply_report(build_report(1, boot=8), 2.0), ACCEPTED)
+
+    def test_drains_of_foreign_servers(self):
+        """Those of services that no route names take no room."""
+        table = MembershipTable(now=0.0)
+        table.set_services(frozenset({"other"}), 0.0)
+        table.apply_report(build_report(5, draining=True), 0.0)
+        self.assertEqual(table.list_withdrawals(-1, 0.0), ())
+        table.set_services(frozenset({"llama"}), 0.0)
+        table.apply_report(build_report(6, draining=True), 0.0)
+        self.assertEqual(len(table.list_withdrawals(-1, 0.0)), 1)
+
     def test_order_of_reports(self):
         """Later boots and sequences are accepted; earlier ones are refused."""
         outdated = ReportResult(accepted=False, minimum_boot=8)
--- a/tests/programs/test_replica_supervisor.py
+++ b/tests/programs/test_replica_supervisor.py
@@ -134,7 +134,7 @@
         return calls
 
     async def test_refusal_at_every_call(self):
-        """Guards against a disk full for a moment that ends a replica for good.
+        """Guards against a replica that a disk full for a moment ends.
 
         The replica goes on in the same process, whichever call was refused,
         and also if its first reopening is refused.
