Count an error response that is kept while another server is asked

A crowd of requests whose first server fails with a large body, and whose second one falls silent, took 256 KiB each that the account of the process left out.

Cause: what is held back is reported as one size, and what the second server sent replaced the size of the error response that is kept of the first. The same class as events that were not counted: a bound for each response, not the sum.

What is kept is now added to what is reported until a response has begun.

Evidence: tests.gateway.test_held_back.HeldBackTests.test_kept_error failed before ([2, 6] for [8194, 8198]). Found by reading.

--- a/carobspring/gateway/relay.py
+++ b/carobspring/gateway/relay.py
@@ -71,6 +71,9 @@
         self.first_byte_at: float | None = None
         #: Comments before the first event.
         self._held_comments = bytearray()
+        #: Bytes of a server's error response that is kept for the caller, in
+        #: case no other server answers.
+        self._kept_bytes = 0
         self.longest_event_gap_s = 0.0
         self.event_count = 0
         self._last_event_at = 0.0
@@ -103,6 +106,7 @@
             body=bytes(body),
         )
         if backend_response.status >= 500:
+            self._kept_bytes = len(buffered.body)
             return AttemptResult(
                 outcome=AttemptOutcome.SERVER_ERROR, detail=detail, response=buffered
             )
@@ -150,7 +154,7 @@
             # A response that is broken off holds back nothing any more, also
             # while the request moves to another server.
             self._held_comments.clear()
-            self._responder.hold_back(0)
+            self._hold_back(0)
 
     async def _relay_stream(
         self,
@@ -207,6 +211,14 @@
         """Abort a response, so that the caller sees it as incomplete."""
         self._responder.abort()
 
+    def _hold_back(self, size: int) -> bool:
+        """Report what is held back, and return whether it may be.
+
+        What is kept of an earlier response counts until one has begun.
+        """
+        kept_bytes = 0 if self.has_started else self._kept_bytes
+        return self._responder.hold_back(size + kept_bytes)
+
     async def _start_response(self, backend_response: BackendResponse) -> None:
         self.first_byte_at = self._read_clock()
         await self._responder.start(backend_response.status, backend_response.headers)
@@ -218,7 +230,7 @@
         """Read a body; return False once it is too large to be held back."""
         while data := await backend_response.read():
             body += data
-            may_hold = self._responder.hold_back(len(body))
+            may_hold = self._hold_back(len(body))
             if len(body) > (MAX_BUFFERED_BYTES if may_hold else SHORT_BUFFERED_BYTES):
                 return False
         return True
@@ -279,7 +291,7 @@
         so a limit for each response alone doesn't bound the process.
         """
         comment_bytes = 0 if self.has_started else len(self._held_comments)
-        may_hold = self._responder.hold_back(event_bytes + comment_bytes)
+        may_hold = self._hold_back(event_bytes + comment_bytes)
         _check_size(event_bytes, MAX_EVENT_BYTES)
         _check_size(comment_bytes, MAX_HELD_COMMENT_BYTES)
         if not may_hold:
--- a/tests/gateway/test_held_back.py
+++ b/tests/gateway/test_held_back.py
@@ -59,6 +59,17 @@
                 largest = MAX_BUFFERED_BYTES if may_hold_back else SHORT_BUFFERED_BYTES
                 self.assertLessEqual(max(responder.held_sizes), largest + len(CHUNK))
 
+    async def test_kept_error(self):
+        """An error response counts for as long as another server is asked."""
+        error = (503, RESPONSE_HEADERS, [CHUNK] * 8)
+        answer = (200, RESPONSE_HEADERS, [b"an", b"swer"])
+        gateway = GatewayHarness([error], [answer])
+        responder = HoldingResponder(may_hold_back=True)
+        await gateway.call(responder=responder)
+        self.assertEqual((responder.status, responder.body), (200, b"answer"))
+        kept_bytes = 8 * len(CHUNK)
+        self.assertEqual(responder.held_sizes[-2:], [kept_bytes + 2, kept_bytes + 6])
+
 
 class HeldStreamTests(unittest.IsolatedAsyncioTestCase):
     """Guards against events and comments that nobody counts as held."""
