Send the events of one read together, however long they take

A caller of a stream of very many tiny events got them in chunks of some 450 bytes. One that joins chunks one by one stood still for seconds.

Cause: what is written in one turn of the event loop is sent together, and since parsers give way between slices, the events of one read are written over many turns.

The relay now tells the responder which chunks belong together. What is joined is sent at the end of the read, and before a response is aborted or finished.

--- a/carobspring/adapters/http_responder.py
+++ b/carobspring/adapters/http_responder.py
@@ -77,11 +77,19 @@
         #: Written but unsent bytes. Chunks written in one iteration of the
         #: event loop are sent together.
         self._pending = bytearray()
+        #: Chunks are sent together until further notice.
+        self._is_batching = False
 
     def hold_back(self, size: int) -> bool:
         """Report the bytes that are held back; return whether they may be."""
         return self._connection.hold_back(size)
 
+    def set_batching(self, is_batching: bool) -> None:
+        """Join the chunks that are written from now on, or send them."""
+        self._is_batching = is_batching
+        if not is_batching and not self.ended:
+            self._flush()
+
     async def send(self, status: int, headers: CallHeaders, body: bytes) -> None:
         """Send a response with a complete body; Content-Length is added."""
         if self.disconnected.is_set() or self.started:
@@ -110,7 +118,7 @@
         """Send a chunk; wait while too much is unread by a slow caller."""
         if self.disconnected.is_set() or self.ended or not data:
             return
-        if not self._pending:
+        if not self._pending and not self._is_batching:
             asyncio.get_running_loop().call_soon(self._flush)
         self._pending += data
         if len(self._pending) >= FLUSH_THRESHOLD_BYTES:
--- a/carobspring/gateway/relay.py
+++ b/carobspring/gateway/relay.py
@@ -153,6 +153,7 @@
         finally:
             # A response that is broken off holds back nothing any more, also
             # while the request moves to another server.
+            self._responder.set_batching(False)
             self._held_comments.clear()
             self._hold_back(0)
 
@@ -171,11 +172,14 @@
             steps.rest()
             read_bytes += len(data)
             _check_size(read_bytes, MAX_RESPONSE_BYTES)
+            # Events of one read stay together, however long they take.
+            self._responder.set_batching(True)
             for event in splitter.feed(data):
                 await steps.take()
                 await self._relay_event(
                     event, backend_response, server_id, on_first_event
                 )
+            self._responder.set_batching(False)
             self._check_held(splitter.buffered_bytes)
         if splitter.buffered_bytes:
             detail = "the stream ended inside an event"
--- a/carobspring/ports/http.py
+++ b/carobspring/ports/http.py
@@ -59,6 +59,13 @@
         """
         return True
 
+    def set_batching(self, is_batching: bool) -> None:
+        """Join the chunks that are written from now on, or send them.
+
+        For chunks that belong together but are written over several
+        iterations of the event loop.
+        """
+
     @abstractmethod
     async def send(self, status: int, headers: CallHeaders, body: bytes) -> None:
         """Send a complete response; Content-Length is added."""
--- a/tests/adapters/test_http_responder.py
+++ b/tests/adapters/test_http_responder.py
@@ -33,6 +33,13 @@
         await responder.start(200, ())
         if request.path.startswith("/part"):
             await responder.write(b"part")
+        if request.path.startswith("/batch"):
+            responder.set_batching(True)
+            for data in (b"one", b"two"):
+                await responder.write(data)
+                await asyncio.sleep(0.01)
+            responder.set_batching(False)
+            await responder.write(b"three")
         if request.path.startswith("/large"):
             responder._connection.send_bytes(bytes(LARGE_BYTES))
         if request.path.endswith("/wait"):
@@ -73,6 +80,20 @@
         received, in_order = await self.fetch("/part/finish", "1.0")
         self.assertEqual((received[-8:], in_order), (b"\r\n\r\npart", True))
 
+    async def test_batches(self):
+        """Chunks that belong together are sent as one, before an abort too."""
+        for path in ("/batch/finish", "/batch/abort"):
+            with self.subTest(path):
+                reader, writer = await asyncio.open_connection(
+                    "127.0.0.1", self.server.port
+                )
+                self.addCleanup(writer.close)
+                writer.write(f"GET {path} HTTP/1.1\r\nHost: x\r\n\r\n".encode())
+                async with asyncio.timeout(TEST_TIMEOUT_S):
+                    received = await reader.readuntil(b"three\r\n")
+                _, _, body = received.partition(b"\r\n\r\n")
+                self.assertEqual(body, b"6\r\nonetwo\r\n5\r\nthree\r\n")
+
     async def test_whole_response_that_is_not_sent_in_time(self):
         """A caller that reads nothing gets no end in order either."""
         reader, writer = await asyncio.open_connection("127.0.0.1", self.server.port)
--- a/tests/gateway/test_tiny_parts.py
+++ b/tests/gateway/test_tiny_parts.py
@@ -9,7 +9,7 @@
 from carobspring.domain.routes import Repeatability
 from carobspring.ports import BackendRequest
 from tests.adapters.turns import TurnCounter
-from tests.gateway.fakes import STREAM_HEADERS, GatewayHarness
+from tests.gateway.fakes import STREAM_HEADERS, FakeResponder, GatewayHarness
 from tests.gateway.test_endless_responses import CHUNKED, HEAD, EndlessServer
 
 TINY_CHUNKS = b"1\r\nx\r\n" * 2000
@@ -18,6 +18,25 @@
 RESPONSES = 8
 
 
+class BatchResponder(FakeResponder):
+    """Records how many writes are sent together."""
+
+    def __init__(self):
+        super().__init__()
+        self.batches = []
+        self._is_batching = False
+
+    def set_batching(self, is_batching):
+        if is_batching and not self._is_batching:
+            self.batches.append(0)
+        self._is_batching = is_batching
+
+    async def write(self, data):
+        await super().write(data)
+        if self._is_batching:
+            self.batches[-1] += 1
+
+
 class TinyPartsTests(unittest.IsolatedAsyncioTestCase):
     """Guards against entries that hang while a server sends tiny parts."""
 
@@ -78,7 +97,9 @@
             record_event(*arguments)
 
         gateway.dispatcher.record_event = count_event
-        response = await gateway.call()
+        response = await gateway.call(responder=BatchResponder())
         turns.stop()
         self.assertEqual((response.body, response.ended), (events, "complete"))
         self.assertLessEqual(turns.largest, FREE_STEPS + SLICE_STEPS)
+        # The caller gets no tiny chunks for it; a write before is the head's.
+        self.assertEqual(response.batches, [1000 + 1])
