--- a/review/lib3.py
+++ b/review/lib3.py
@@ -511,6 +511,8 @@
 
     async def run():
         state = {}
+        loop, task = asyncio.get_running_loop(), asyncio.current_task()
+        loop.add_signal_handler(signal.SIGTERM, task.cancel)
         try:
             async with asyncio.timeout(timeout_s):
                 return await play(record, with_trouble, state)
@@ -520,7 +522,8 @@
 
     try:
         is_broken = asyncio.run(run())
-    except (CannotRun, TimeoutError) as error:
+    except (Exception, asyncio.CancelledError) as error:
+        # Also what the script itself gets wrong says nothing of the rule.
         record.write(f"could not run: {error!r}")
         print(f"could not run: {error!r}")
         raise SystemExit(2) from error
